--- a/Makefile
+++ b/Makefile
@@ -18,11 +18,20 @@
 LDLIBS := -lh2o $(shell pkg-config --libs $(PACKAGES))
 CORE_LIBS := $(shell pkg-config --libs glib-2.0 libxxhash)
 
-CORE := $(patsubst %.c,$(B)/%.o,$(wildcard core/*.c))
+CORE := $(patsubst %.c,$(B)/%.o,$(wildcard core/*.c core/*/*.c))
 ADAPTERS := $(patsubst %.c,$(B)/%.o,$(wildcard adapters/*.c)) \
 	$(B)/adapters/toml_reader.o
+# The gateway, with what it takes of the rest; it needs fewer libraries.
+GATEWAY := $(patsubst %.c,$(B)/%.o,$(wildcard adapters/http1/*.c \
+	adapters/gateway/*.c platform/*.c) adapters/frame_link.c \
+	adapters/json.c adapters/log_buffer.c adapters/log_glib.c \
+	adapters/metrics.c adapters/setting_table.c) \
+	$(B)/adapters/toml_reader.o
+GATEWAY_PACKAGES := glib-2.0 libuv jansson msgpack libxxhash
+GATEWAY_LIBS := -lhttp_parser $(shell pkg-config --libs $(GATEWAY_PACKAGES))
 CTL := $(patsubst %.c,$(B)/%.o,$(wildcard ctl/*.c))
-PROGRAMS := $(B)/pistachio-entry $(B)/pistachio-placer $(B)/pistachioctl
+PROGRAMS := $(B)/pistachio-entry $(B)/pistachio-placer $(B)/pistachioctl \
+	$(B)/pistachio-gateway
 STANDINS := $(B)/standin-platform $(B)/standin-engine $(B)/standin-service
 UNIT_TESTS := $(patsubst tests/unit/%.c,$(B)/unit/%,\
 	$(wildcard tests/unit/test_*.c))
@@ -59,6 +68,16 @@
 LIBS := $(B)/libpistachio-adapters.a $(B)/libpistachio-core.a
 LINK = @echo "  LD  $@"; $(CXX) $(CFLAGS_$(VARIANT)) -o $@
 
+$(B)/libpistachio-gateway.a: $(GATEWAY)
+	@rm -f $@ && ar rcs $@ $^
+
+# Only the gateway; this is what the platform builds.
+gateway: $(B)/pistachio-gateway
+
+$(B)/pistachio-gateway: $(B)/programs/pistachio_gateway.o \
+		$(B)/libpistachio-gateway.a $(B)/libpistachio-core.a
+	$(LINK) $^ $(GATEWAY_LIBS)
+
 $(B)/pistachio-%: $(B)/programs/pistachio_%.o $(B)/programs/cli.o $(LIBS)
 	$(LINK) $^ $(LDLIBS)
 
@@ -135,7 +154,7 @@
 clean:
 	rm -rf build
 
-.PHONY: all tests capacity soak check core-symbols demo lint format format-check tidy \
+.PHONY: all gateway tests capacity soak check core-symbols demo lint format format-check tidy \
 	bench clean
 .SECONDARY:
 -include $(shell find build -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/adapters/frame_link.c
@@ -0,0 +1,369 @@
+/* TCP connections between entries, and the frames on them. */
+#include "adapters/frame_link.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "adapters/log_glib.h"
+#include "core/list.h"
+#include "ports/clock.h"
+
+#define PART "frame-link"
+#define LENGTH_BYTES 4
+#define LISTEN_BACKLOG 512
+#define SWEEP_MS 250
+/*
+ * A connection whose frames stay unanswered this long is dropped. Writes to it
+ * still succeed if something in between has lost track of it, so nothing but
+ * the missing answer shows that it is dead.
+ */
+#define UNANSWERED_MAX_MS 1000
+#define IDLE_MAX_MS 30000
+#define WAITING_MAX (4 * 1024 * 1024) /* bytes queued on one connection */
+
+/* One read; all connections share it, as the loop has one thread. */
+static char read_buffer[64 * 1024];
+
+typedef struct conn {
+	list_node_t node;
+	frame_link_t *link;
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	char *key; /* address:port; NULL if the peer opened it */
+	bool connected;
+	bool closing;
+	GByteArray *input;
+	GByteArray *waiting; /* until the connection is up */
+	unsigned int unanswered;
+	uint64_t unanswered_since; /* loop time, ms */
+	uint64_t used_at;
+} conn_t;
+
+typedef struct write {
+	uv_write_t req;
+	GBytes *bytes;
+} write_t;
+
+struct frame_link {
+	uv_loop_t *loop;
+	uv_tcp_t listener;
+	uv_timer_t sweep;
+	frame_link_config_t config;
+	uint16_t port;
+	GHashTable *out; /* key -> conn_t */
+	list_node_t conns;
+	uint64_t bytes; /* sent and received */
+};
+
+static void conn_closed(uv_handle_t *handle)
+{
+	conn_t *conn = handle->data;
+
+	g_byte_array_unref(conn->input);
+	g_byte_array_unref(conn->waiting);
+	g_free(conn->key);
+	g_free(conn);
+}
+
+static void conn_close(conn_t *conn)
+{
+	if (conn->closing)
+		return;
+	conn->closing = true;
+	if (conn->key)
+		g_hash_table_remove(conn->link->out, conn->key);
+	list_remove(&conn->node);
+	uv_close((uv_handle_t *)&conn->tcp, conn_closed);
+}
+
+static conn_t *conn_create(frame_link_t *link)
+{
+	conn_t *conn = g_new0(conn_t, 1);
+
+	conn->link = link;
+	conn->input = g_byte_array_new();
+	conn->waiting = g_byte_array_new();
+	conn->used_at = uv_now(link->loop);
+	uv_tcp_init(link->loop, &conn->tcp);
+	conn->tcp.data = conn;
+	list_append(&link->conns, &conn->node);
+	return conn;
+}
+
+static void write_done(uv_write_t *req, int status)
+{
+	write_t *write = (write_t *)req;
+
+	if (status < 0 && status != UV_ECANCELED)
+		conn_close(req->handle->data);
+	g_bytes_unref(write->bytes);
+	g_free(write);
+}
+
+static void conn_write(conn_t *conn, GBytes *bytes)
+{
+	write_t *write = g_new0(write_t, 1);
+	gsize len;
+	void *data = (void *)g_bytes_get_data(bytes, &len);
+	uv_buf_t buf = uv_buf_init(data, (unsigned int)len);
+
+	write->bytes = g_bytes_ref(bytes);
+	conn->link->bytes += len;
+	if (uv_write(&write->req, (uv_stream_t *)&conn->tcp, &buf, 1,
+		     write_done) < 0) {
+		g_bytes_unref(write->bytes);
+		g_free(write);
+		conn_close(conn);
+	}
+}
+
+static GBytes *frame_bytes(const void *data, size_t len)
+{
+	GByteArray *frame = g_byte_array_new();
+	const uint32_t length = GUINT32_TO_BE((uint32_t)len);
+
+	g_byte_array_append(frame, (const guint8 *)&length, LENGTH_BYTES);
+	if (len)
+		g_byte_array_append(frame, data, (guint)len);
+	return g_byte_array_free_to_bytes(frame);
+}
+
+/* Takes one frame; an empty one answers the oldest frame we sent. */
+static void conn_frame(conn_t *conn, const char *data, size_t len)
+{
+	GBytes *answer;
+
+	if (len == 0) {
+		if (conn->unanswered)
+			conn->unanswered--;
+		conn->unanswered_since = uv_now(conn->link->loop);
+		return;
+	}
+	answer = frame_bytes(NULL, 0);
+	conn_write(conn, answer);
+	g_bytes_unref(answer);
+	if (conn->link->config.on_frame(conn->link->config.ctx, data, len) < 0)
+		conn_close(conn);
+}
+
+static void conn_frames(conn_t *conn)
+{
+	guint used = 0;
+
+	while (!conn->closing && conn->input->len - used >= LENGTH_BYTES) {
+		uint32_t length;
+
+		memcpy(&length, conn->input->data + used, LENGTH_BYTES);
+		length = GUINT32_FROM_BE(length);
+		if (length > conn->link->config.frame_max) {
+			log_line(G_LOG_LEVEL_WARNING, PART,
+				 "dropped a connection: frame of %u bytes",
+				 length);
+			conn_close(conn);
+			return;
+		}
+		if (conn->input->len - used - LENGTH_BYTES < length)
+			break;
+		used += LENGTH_BYTES;
+		conn_frame(conn, (const char *)conn->input->data + used, length);
+		used += length;
+	}
+	if (used)
+		g_byte_array_remove_range(conn->input, 0, used);
+}
+
+static void conn_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	(void)handle;
+	(void)size;
+	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
+}
+
+static void conn_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
+{
+	conn_t *conn = stream->data;
+
+	if (len > 0) {
+		conn->link->bytes += (uint64_t)len;
+		conn->used_at = uv_now(conn->link->loop);
+		g_byte_array_append(conn->input, (const guint8 *)buf->base,
+				    (guint)len);
+		conn_frames(conn);
+	}
+	if (len < 0)
+		conn_close(conn);
+}
+
+static void link_accept(uv_stream_t *listener, int status)
+{
+	frame_link_t *link = listener->data;
+	conn_t *conn;
+
+	if (status < 0)
+		return;
+	conn = conn_create(link);
+	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) < 0) {
+		conn_close(conn);
+		return;
+	}
+	conn->connected = true;
+	uv_tcp_nodelay(&conn->tcp, 1);
+	uv_read_start((uv_stream_t *)&conn->tcp, conn_alloc, conn_read);
+}
+
+static void link_sweep(uv_timer_t *timer)
+{
+	frame_link_t *link = timer->data;
+	uint64_t now = uv_now(link->loop);
+
+	LIST_FOR_EACH_SAFE (it, &link->conns) {
+		conn_t *conn = LIST_ENTRY(it, conn_t, node);
+		bool silent = conn->unanswered &&
+			      now - conn->unanswered_since >= UNANSWERED_MAX_MS;
+
+		if (silent || now - conn->used_at >= IDLE_MAX_MS)
+			conn_close(conn);
+	}
+}
+
+static int link_listen(frame_link_t *link, pd_error_t *err)
+{
+	const frame_link_config_t *config = &link->config;
+	struct sockaddr_in addr;
+	struct sockaddr_storage bound;
+	int len = sizeof(bound);
+	int rc = uv_ip4_addr(config->address, config->port, &addr);
+
+	if (rc == 0)
+		rc = uv_tcp_bind(&link->listener, (struct sockaddr *)&addr, 0);
+	if (rc == 0)
+		rc = uv_listen((uv_stream_t *)&link->listener, LISTEN_BACKLOG,
+			       link_accept);
+	if (rc == 0)
+		rc = uv_tcp_getsockname(&link->listener,
+					(struct sockaddr *)&bound, &len);
+	if (rc != 0)
+		return pd_error_set(err, PD_ERROR_IO, "listen on %s:%u: %s",
+				    config->address, config->port,
+				    uv_strerror(rc));
+	link->port = ntohs(((struct sockaddr_in *)&bound)->sin_port);
+	return 0;
+}
+
+/* Starts listening for peers. NULL with ERR set if that fails. */
+frame_link_t *frame_link_create(uv_loop_t *loop, const frame_link_config_t *config,
+			      pd_error_t *err)
+{
+	frame_link_t *link = g_new0(frame_link_t, 1);
+
+	link->loop = loop;
+	link->config = *config;
+	link->out = g_hash_table_new(g_str_hash, g_str_equal);
+	list_init(&link->conns);
+	uv_tcp_init(loop, &link->listener);
+	link->listener.data = link;
+	uv_timer_init(loop, &link->sweep);
+	link->sweep.data = link;
+	uv_timer_start(&link->sweep, link_sweep, SWEEP_MS, SWEEP_MS);
+	if (link_listen(link, err) < 0)
+		goto error;
+	return link;
+error:
+	frame_link_destroy(link);
+	return NULL;
+}
+
+/*
+ * Closes every connection. The memory goes when the loop has run the closing
+ * callbacks, or with the process.
+ */
+void frame_link_destroy(frame_link_t *link)
+{
+	if (!link)
+		return;
+	LIST_FOR_EACH_SAFE (it, &link->conns)
+		conn_close(LIST_ENTRY(it, conn_t, node));
+	uv_close((uv_handle_t *)&link->listener, NULL);
+	uv_close((uv_handle_t *)&link->sweep, NULL);
+}
+
+/* Returns the port that peers connect to. */
+uint16_t frame_link_port(const frame_link_t *link)
+{
+	return link->port;
+}
+
+/* Returns the bytes sent and received so far. */
+uint64_t frame_link_bytes(const frame_link_t *link)
+{
+	return link->bytes;
+}
+
+static void conn_connected(uv_connect_t *connect, int status)
+{
+	conn_t *conn = connect->handle->data;
+	GBytes *bytes;
+
+	if (conn->closing)
+		return;
+	if (status < 0) {
+		conn_close(conn);
+		return;
+	}
+	conn->connected = true;
+	uv_tcp_nodelay(&conn->tcp, 1);
+	uv_read_start((uv_stream_t *)&conn->tcp, conn_alloc, conn_read);
+	bytes = g_bytes_new(conn->waiting->data, conn->waiting->len);
+	g_byte_array_set_size(conn->waiting, 0);
+	conn_write(conn, bytes);
+	g_bytes_unref(bytes);
+}
+
+static conn_t *link_conn(frame_link_t *link, const char *address, uint16_t port)
+{
+	char *key = g_strdup_printf("%s:%u", address, port);
+	conn_t *conn = g_hash_table_lookup(link->out, key);
+	struct sockaddr_in addr;
+
+	if (conn) {
+		g_free(key);
+		return conn;
+	}
+	conn = conn_create(link);
+	conn->key = key;
+	g_hash_table_insert(link->out, conn->key, conn);
+	if (uv_ip4_addr(address, port, &addr) < 0 ||
+	    uv_tcp_connect(&conn->connect, &conn->tcp,
+			   (const struct sockaddr *)&addr, conn_connected) < 0) {
+		conn_close(conn);
+		return NULL;
+	}
+	return conn;
+}
+
+/*
+ * Sends a frame to a peer, opening a connection if there is none. Whether it
+ * arrives is not known; the protocol above repeats what matters.
+ */
+void frame_link_send(frame_link_t *link, const char *address, uint16_t port,
+		     GBytes *body)
+{
+	conn_t *conn = link_conn(link, address, port);
+	GBytes *frame;
+	gsize len;
+
+	if (!conn)
+		return;
+	frame = frame_bytes(g_bytes_get_data(body, NULL), g_bytes_get_size(body));
+	if (!conn->unanswered)
+		conn->unanswered_since = uv_now(link->loop);
+	conn->unanswered++;
+	conn->used_at = uv_now(link->loop);
+	len = g_bytes_get_size(frame);
+	if (conn->connected)
+		conn_write(conn, frame);
+	else if (conn->waiting->len + len <= WAITING_MAX)
+		g_byte_array_append(conn->waiting,
+				    g_bytes_get_data(frame, NULL), (guint)len);
+	g_bytes_unref(frame);
+}
--- /dev/null
+++ b/adapters/gateway/duties.c
@@ -0,0 +1,285 @@
+/* The lease's calls to the store, and the duties of its holder. */
+#include "adapters/gateway/duties.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "adapters/log_glib.h"
+#include "core/lease.h"
+#include "platform/wire.h"
+
+#define PART "duties"
+#define LEASE_NAME "duties"
+#define STORE_TIMEOUT_MS 1500
+#define CLOUD_TIMEOUT_MS 1500
+/* Counts of a window come in with the peers' states; the slowest take so long. */
+#define COUNTS_SETTLE (2200 * PD_MSEC)
+#define REPORT_RETRY (500 * PD_MSEC)
+/* Windows further back than this have no counts any more. */
+#define WINDOWS_BACK 3
+#define WINDOWS_KEPT 8
+
+/*
+ * A holder that dies must be followed before a window's report is overdue, ten
+ * seconds after its end: about four until another looks, and three and a half
+ * of waiting.
+ */
+static const lease_timing_t timing = {
+	.term = 2500 * PD_MSEC,
+	.renew = 1000 * PD_MSEC,
+	.takeover = 3500 * PD_MSEC,
+	.standby = 4000 * PD_MSEC,
+};
+
+struct gateway_duties {
+	gateway_t *gateway;
+	lease_t *lease;
+	store_op_t op; /* of the call that is out */
+	uint64_t fence; /* last seen as held */
+	pd_time_t acts_from; /* a new holder waits until then */
+	bool held;
+	int64_t reported; /* the last window that the platform took */
+	bool reporting; /* a report is out */
+	pd_time_t report_at;
+};
+
+/* Returns the duties of nobody yet; the caller owns them. */
+gateway_duties_t *gateway_duties_create(gateway_t *gateway)
+{
+	gateway_duties_t *duties = g_new0(gateway_duties_t, 1);
+
+	duties->gateway = gateway;
+	duties->lease = lease_create(gateway->settings->node_id, &timing,
+				     g_rand_int(gateway->random));
+	return duties;
+}
+
+static store_status_t status_of(const http1_reply_t *reply)
+{
+	switch (reply->status) {
+	case 200:
+	case 201:
+		return STORE_OK;
+	case 404:
+		return STORE_MISSING;
+	case 409:
+		return STORE_CONFLICT;
+	case 429:
+	case 503:
+		return STORE_DOWN; /* nothing was done */
+	default:
+		return reply->sent ? STORE_UNKNOWN : STORE_DOWN;
+	}
+}
+
+static void lease_replied(void *ctx, const http1_reply_t *reply)
+{
+	gateway_duties_t *duties = ctx;
+	lease_reply_t answer = { .op = duties->op, .status = status_of(reply) };
+	lease_record_t *record = NULL;
+	pd_error_t err;
+
+	if (answer.status == STORE_OK) {
+		record = wire_lease_read(reply->body, reply->len,
+					 &answer.version, &err);
+		if (!record) {
+			log_error(PART, "lease", &err);
+			answer.status = STORE_UNKNOWN;
+		}
+	}
+	answer.record = record;
+	lease_reply(duties->lease, &answer, gateway_now());
+	lease_record_destroy(record);
+}
+
+static void lease_call(gateway_duties_t *duties, const placer_action_t *action)
+{
+	bool write = action->kind == PLACER_LEASE_WRITE;
+	bool create = write && !action->lease.version;
+	char *path = wire_object_path(WIRE_LEASES, create ? NULL : LEASE_NAME);
+	char *body = write ? wire_lease_write(LEASE_NAME, action->lease.record,
+					      action->lease.version)
+			   : NULL;
+	http1_ask_t ask = {
+		.method = create ? "POST" : write ? "PUT" : "GET",
+		.path = path,
+		.body = body,
+		.timeout_ms = STORE_TIMEOUT_MS,
+		.on_reply = lease_replied,
+		.ctx = duties,
+	};
+
+	duties->op = action->lease.op;
+	http1_client_call(duties->gateway->store, &ask);
+	g_free(path);
+	g_free(body);
+}
+
+static void lease_step(gateway_duties_t *duties, pd_time_t now)
+{
+	list_node_t actions;
+	list_node_t *node;
+
+	list_init(&actions);
+	lease_run(duties->lease, now, &actions);
+	while ((node = list_pop(&actions)) != NULL) {
+		placer_action_t *action =
+			LIST_ENTRY(node, placer_action_t, node);
+
+		lease_call(duties, action);
+		placer_action_destroy(action);
+	}
+}
+
+/* Notes when the lease is won or lost. */
+static void follow_lease(gateway_duties_t *duties, pd_time_t now)
+{
+	bool held = lease_is_settled(duties->lease, now);
+	uint64_t fence = lease_fence(duties->lease);
+
+	if (held && fence != duties->fence) {
+		/*
+		 * A holder before the last may not act again within the gap
+		 * between two holders, so each waits that long before it acts.
+		 */
+		duties->fence = fence;
+		duties->acts_from =
+			now +
+			duties->gateway->settings->lease_gap_ms * PD_MSEC;
+		log_line(G_LOG_LEVEL_INFO, PART, "holder=self fence=%" PRIu64,
+			 fence);
+	}
+	if (duties->held && !lease_is_held(duties->lease, now)) {
+		duties->held = false;
+		log_line(G_LOG_LEVEL_WARNING, PART,
+			 "holder=lost fence=%" PRIu64, duties->fence);
+	}
+	duties->held |= held;
+}
+
+static bool may_act(const gateway_duties_t *duties, pd_time_t now)
+{
+	return lease_is_held(duties->lease, now) && now >= duties->acts_from &&
+	       lease_fence(duties->lease) == duties->fence;
+}
+
+/* Reads "WINDOW REPORT" of the lease's note; NULL if there is none. */
+static const char *noted_report(const gateway_duties_t *duties, int64_t *window)
+{
+	const lease_record_t *record = lease_record(duties->lease);
+	const char *note = record ? record->note : NULL;
+	char *end;
+
+	if (!note || !*note)
+		return NULL;
+	*window = strtoll(note, &end, 10);
+	return *end == ' ' ? end + 1 : NULL;
+}
+
+static void report_replied(void *ctx, const http1_reply_t *reply)
+{
+	gateway_duties_t *duties = ctx;
+	int64_t window = 0;
+
+	duties->reporting = false;
+	if (!noted_report(duties, &window))
+		return;
+	log_line(G_LOG_LEVEL_INFO, PART, "usage window=%" PRId64 " status=%d",
+		 window, reply->status);
+	/* A report that is refused for what it says is not sent again. */
+	if (reply->status >= 200 && reply->status < 500 && reply->status != 429)
+		duties->reported = window;
+	else
+		duties->report_at = gateway_now() + REPORT_RETRY;
+}
+
+static void send_report(gateway_duties_t *duties, const char *report)
+{
+	GString *headers = g_string_new(NULL);
+	http1_ask_t ask = {
+		.method = "POST",
+		.path = wire_usage_path(),
+		.body = report,
+		.timeout_ms = CLOUD_TIMEOUT_MS,
+		.on_reply = report_replied,
+		.ctx = duties,
+	};
+
+	wire_duty_headers(headers, duties->gateway->settings->node_id,
+			  duties->fence);
+	ask.headers = headers->str;
+	duties->reporting = true;
+	http1_client_call(duties->gateway->cloud, &ask);
+	g_string_free(headers, TRUE);
+}
+
+static void add_count(void *ctx, int64_t window, const char *account,
+		      uint64_t count)
+{
+	GHashTable *counts = ctx;
+	uint64_t *sum = g_hash_table_lookup(counts, account);
+
+	(void)window;
+	if (!sum) {
+		sum = g_new0(uint64_t, 1);
+		g_hash_table_insert(counts, g_strdup(account), sum);
+	}
+	*sum += count;
+}
+
+/*
+ * Writes a window's report into the lease before it is sent: whoever holds the
+ * lease next sends the same once more, and never other counts for it.
+ */
+static void note_report(gateway_duties_t *duties, int64_t window, pd_time_t now)
+{
+	GHashTable *counts = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   g_free, g_free);
+	char *report;
+	char *note;
+
+	usage_sum(duties->gateway->usage, window, add_count, counts);
+	report = wire_usage_write(window, counts);
+	note = g_strdup_printf("%" PRId64 " %s", window, report);
+	lease_set_note(duties->lease, note, now);
+	usage_forget(duties->gateway->usage, window - WINDOWS_KEPT);
+	g_free(note);
+	g_free(report);
+	g_hash_table_unref(counts);
+}
+
+static void run_usage(gateway_duties_t *duties, pd_time_t now)
+{
+	const gateway_t *gateway = duties->gateway;
+	pd_time_t length =
+		(pd_time_t)(gateway->settings->usage_window_s * PD_SEC);
+	pd_time_t wall = time_vote_wall(gateway->vote, gateway_wall(), now);
+	int64_t ended = (wall - COUNTS_SETTLE) / length - 1;
+	int64_t noted = 0;
+	const char *report = noted_report(duties, &noted);
+
+	if (duties->reporting || now < duties->report_at ||
+	    !lease_is_settled(duties->lease, now))
+		return;
+	if (report && duties->reported < noted) {
+		send_report(duties, report);
+		return;
+	}
+	if (report && noted >= ended)
+		return;
+	note_report(duties,
+		    report ? MAX(noted + 1, ended - WINDOWS_BACK) : ended, now);
+}
+
+/* Renews or takes the lease, and does what is due if it is held. */
+void gateway_duties_run(gateway_duties_t *duties, pd_time_t now)
+{
+	if (duties->gateway->stop_at)
+		return;
+	lease_step(duties, now);
+	follow_lease(duties, now);
+	if (may_act(duties, now))
+		run_usage(duties, now);
+}
--- /dev/null
+++ b/adapters/gateway/duties.h
@@ -0,0 +1,14 @@
+/*
+ * What one gateway at a time does for all, under a lease in the platform's
+ * store: usage reports and orders for upstreams. duties-notes.md has the
+ * argument why no two act at once.
+ */
+#ifndef PISTACHIO_GATEWAY_DUTIES_H
+#define PISTACHIO_GATEWAY_DUTIES_H
+
+#include "adapters/gateway/gateway_state.h"
+
+gateway_duties_t *gateway_duties_create(gateway_t *gateway);
+void gateway_duties_run(gateway_duties_t *duties, pd_time_t now);
+
+#endif
--- /dev/null
+++ b/adapters/gateway/fleet_feed.c
@@ -0,0 +1,259 @@
+/* Lists and watches of the store, one loop for each kind of object. */
+#include "adapters/gateway/fleet_feed.h"
+
+#include "adapters/gateway/gateway.h"
+#include "adapters/gateway/peers.h"
+#include "adapters/log_glib.h"
+#include "platform/wire.h"
+
+#define PART "store"
+/*
+ * How long a watch waits for a change. A store that goes silent in the middle
+ * shows only by the missing answer, so this and the margin bound how long a
+ * gateway stays blind after the store is back.
+ */
+#define WATCH_WAIT (2 * PD_SEC)
+#define WATCH_MARGIN_MS 800
+#define LIST_TIMEOUT_MS 1500
+/* The pause after a failed call, drawn at random up to twice this. */
+#define RETRY_PAUSE (150 * PD_MSEC)
+
+typedef struct feed {
+	fleet_feed_t *fleet;
+	wire_kind_t kind;
+	const char *name;
+	uint64_t revision; /* to watch from */
+	uint64_t listed_at; /* revision of the listing's first page */
+	char *after; /* the last name of the page before; NULL: the first */
+	bool listing;
+	bool waiting; /* a call is out */
+	bool lost; /* the last call failed */
+	pd_time_t next_at;
+	pd_time_t asked_at;
+} feed_t;
+
+struct fleet_feed {
+	gateway_t *gateway;
+	feed_t config;
+	feed_t upstreams;
+};
+
+static void feed_ask(feed_t *feed);
+
+static void feed_init(feed_t *feed, fleet_feed_t *fleet, wire_kind_t kind,
+		      const char *name)
+{
+	feed->fleet = fleet;
+	feed->kind = kind;
+	feed->name = name;
+	feed->listing = true;
+}
+
+/* Starts to read both kinds; the caller owns the feed. */
+fleet_feed_t *fleet_feed_create(gateway_t *gateway)
+{
+	fleet_feed_t *fleet = g_new0(fleet_feed_t, 1);
+
+	fleet->gateway = gateway;
+	feed_init(&fleet->config, fleet, WIRE_CONFIG, "configuration");
+	feed_init(&fleet->upstreams, fleet, WIRE_UPSTREAMS, "upstreams");
+	return fleet;
+}
+
+/* Says whether the store answered the last call for the upstreams. */
+bool fleet_feed_is_back(const fleet_feed_t *feed)
+{
+	return !feed->upstreams.lost;
+}
+
+static void apply_config(feed_t *feed, const wire_page_t *page)
+{
+	gateway_t *gateway = feed->fleet->gateway;
+
+	for (size_t i = 0; i < wire_page_count(page); i++) {
+		char *text;
+
+		if (wire_page_is_gone(page, i))
+			continue;
+		text = wire_page_config_text(page, i);
+		gateway_take_config(gateway, text, "store");
+		g_free(text);
+	}
+}
+
+static void apply_upstream(feed_t *feed, const wire_page_t *page, size_t i)
+{
+	gateway_t *gateway = feed->fleet->gateway;
+	const char *id = wire_page_name(page, i);
+	forward_listing_t listing;
+	bool news;
+	pd_error_t err;
+
+	if (wire_page_is_gone(page, i)) {
+		news = forward_upstreams_remove(gateway->upstreams, id,
+						wire_page_revision(page),
+						gateway_now());
+	} else if (wire_page_upstream(page, i, &listing, &err) < 0) {
+		log_error(PART, id, &err);
+		return;
+	} else {
+		news = forward_upstreams_apply(gateway->upstreams, &listing,
+					       gateway_now());
+	}
+	if (news)
+		gateway_upstream_news(gateway, id, "store");
+}
+
+static void apply_upstreams(feed_t *feed, const wire_page_t *page)
+{
+	for (size_t i = 0; i < wire_page_count(page); i++)
+		apply_upstream(feed, page, i);
+}
+
+static void feed_apply(feed_t *feed, const wire_page_t *page)
+{
+	switch (feed->kind) {
+	case WIRE_CONFIG:
+		apply_config(feed, page);
+		break;
+	case WIRE_UPSTREAMS:
+		apply_upstreams(feed, page);
+		break;
+	case WIRE_LEASES:
+		break;
+	}
+}
+
+static void feed_listed(feed_t *feed)
+{
+	gateway_t *gateway = feed->fleet->gateway;
+
+	feed->listing = false;
+	feed->revision = feed->listed_at;
+	g_clear_pointer(&feed->after, g_free);
+	if (feed->kind != WIRE_UPSTREAMS)
+		return;
+	forward_upstreams_end_listing(gateway->upstreams, feed->listed_at,
+				      gateway_now());
+	gateway->upstreams_known = true;
+}
+
+static void feed_take(feed_t *feed, const wire_page_t *page)
+{
+	size_t count = wire_page_count(page);
+
+	if (!feed->listing) {
+		feed_apply(feed, page);
+		feed->revision = wire_page_revision(page);
+		return;
+	}
+	if (!feed->after) {
+		feed->listed_at = wire_page_revision(page);
+		if (feed->kind == WIRE_UPSTREAMS)
+			forward_upstreams_begin_listing(
+				feed->fleet->gateway->upstreams);
+	}
+	feed_apply(feed, page);
+	if (!wire_page_has_more(page) || !count) {
+		feed_listed(feed);
+		return;
+	}
+	g_free(feed->after);
+	feed->after = g_strdup(wire_page_name(page, count - 1));
+}
+
+static void feed_failed(feed_t *feed, int status)
+{
+	gateway_t *gateway = feed->fleet->gateway;
+
+	if (!feed->lost)
+		log_line(G_LOG_LEVEL_WARNING, PART,
+			 "lost=%s status=%d revision=%" G_GUINT64_FORMAT,
+			 feed->name, status, feed->revision);
+	feed->lost = true;
+	feed->next_at = gateway_now() +
+			(pd_time_t)(g_rand_double(gateway->random) * 2 *
+				    (double)RETRY_PAUSE);
+}
+
+static void feed_regained(feed_t *feed)
+{
+	if (!feed->lost)
+		return;
+	feed->lost = false;
+	log_line(G_LOG_LEVEL_INFO, PART, "regained=%s", feed->name);
+	if (feed->kind == WIRE_UPSTREAMS)
+		forward_upstreams_store_back(feed->fleet->gateway->upstreams,
+					     gateway_now());
+}
+
+static void feed_relist(feed_t *feed)
+{
+	log_line(G_LOG_LEVEL_INFO, PART, "relist=%s reason=\"history gone\"",
+		 feed->name);
+	feed->listing = true;
+	g_clear_pointer(&feed->after, g_free);
+}
+
+static void feed_replied(void *ctx, const http1_reply_t *reply)
+{
+	feed_t *feed = ctx;
+	wire_page_t *page;
+	pd_error_t err;
+
+	feed->waiting = false;
+	feed->next_at = gateway_now();
+	if (reply->status == 410) {
+		feed_relist(feed);
+		return;
+	}
+	if (reply->status != 200) {
+		feed_failed(feed, reply->status);
+		return;
+	}
+	page = wire_page_read(reply->body, reply->len, &err);
+	if (!page) {
+		log_error(PART, feed->name, &err);
+		feed_failed(feed, reply->status);
+		return;
+	}
+	feed_regained(feed);
+	feed_take(feed, page);
+	wire_page_destroy(page);
+	feed_ask(feed);
+}
+
+static void feed_ask(feed_t *feed)
+{
+	char *path = feed->listing ? wire_list_path(feed->kind, feed->after,
+						    false)
+				   : wire_watch_path(feed->kind, feed->revision,
+						     WATCH_WAIT);
+	http1_ask_t ask = {
+		.method = "GET",
+		.path = path,
+		.timeout_ms = feed->listing ? LIST_TIMEOUT_MS
+					    : WATCH_WAIT / PD_MSEC +
+						      WATCH_MARGIN_MS,
+		.on_reply = feed_replied,
+		.ctx = feed,
+	};
+
+	feed->waiting = true;
+	feed->asked_at = gateway_now();
+	http1_client_call(feed->fleet->gateway->store, &ask);
+	g_free(path);
+}
+
+static void feed_run(feed_t *feed, pd_time_t now)
+{
+	if (!feed->waiting && now >= feed->next_at)
+		feed_ask(feed);
+}
+
+/* Asks again what is due after a failure. */
+void fleet_feed_run(fleet_feed_t *feed, pd_time_t now)
+{
+	feed_run(&feed->config, now);
+	feed_run(&feed->upstreams, now);
+}
--- /dev/null
+++ b/adapters/gateway/gateway.c
@@ -0,0 +1,298 @@
+/* Wires the gateway's parts, lets time pass, and stops in order. */
+#include "adapters/gateway/gateway.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "adapters/gateway/caller.h"
+#include "adapters/gateway/duties.h"
+#include "adapters/gateway/fleet_feed.h"
+#include "adapters/gateway/health.h"
+#include "adapters/gateway/peers.h"
+#include "adapters/gateway/request.h"
+#include "adapters/gateway/upstream_link.h"
+#include "adapters/log_buffer.h"
+#include "adapters/log_glib.h"
+#include "platform/wire.h"
+
+#define PART "gateway"
+/* Timeouts are kept to this; each wake-up costs some processor time. */
+#define TICK_MS 20
+#define BACKLOG 512
+/*
+ * After the order to stop the balancer needs two questions, a second apart, to
+ * turn new callers away, and connections in the making arrive after that.
+ */
+#define STOP_LISTEN (4 * PD_SEC)
+/* What is left before the process is killed, for the last bytes to leave. */
+#define STOP_MARGIN (400 * PD_MSEC)
+
+/*
+ * Returns the steady time. It counts the time in which the VM is suspended, in
+ * which leases and beliefs of others run out.
+ */
+pd_time_t gateway_now(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return (pd_time_t)now.tv_sec * PD_SEC + now.tv_nsec / 1000;
+}
+
+/* Returns this VM's time of day. */
+pd_time_t gateway_wall(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	return (pd_time_t)now.tv_sec * PD_SEC + now.tv_nsec / 1000;
+}
+
+/* Returns the number of the usage window that it is by the fleet's clocks. */
+int64_t gateway_window(const gateway_t *gateway)
+{
+	pd_time_t wall = time_vote_wall(gateway->vote, gateway_wall(),
+					gateway_now());
+
+	return wall /
+	       (pd_time_t)(gateway->settings->usage_window_s * PD_SEC);
+}
+
+/* Returns how many gateways share what is limited in sum. */
+unsigned int gateway_count(const gateway_t *gateway)
+{
+	unsigned int zones = 0;
+
+	while (zones < GATEWAY_ZONES_MAX && gateway->settings->zones[zones])
+		zones++;
+	/* There is at least one in each zone, also before it was heard. */
+	return MAX(gateway_peers_count(gateway->peers), MAX(zones, 1));
+}
+
+/* Says whether callers may be sent here. */
+bool gateway_is_ready(const gateway_t *gateway)
+{
+	return gateway->config && gateway->upstreams_known && !gateway->stop_at;
+}
+
+/*
+ * Takes a configuration if it is newer than the one in force, and tells the
+ * peers. SOURCE says who brought it. Returns whether it was newer.
+ */
+bool gateway_take_config(gateway_t *gateway, const char *text,
+			 const char *source)
+{
+	pd_error_t err;
+	forward_config_t *config = wire_config_read(text, strlen(text), &err);
+
+	if (!config) {
+		log_error(PART, "configuration", &err);
+		return false;
+	}
+	if (gateway->config && config->version <= gateway->config->version) {
+		forward_config_unref(config);
+		return false;
+	}
+	log_line(G_LOG_LEVEL_INFO, PART,
+		 "config=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
+		 " source=%s routes=%u services=%u accounts=%u",
+		 config->version, gateway->config ? gateway->config->version : 0,
+		 source, config->routes->len, config->services->len,
+		 config->accounts->len);
+	forward_config_unref(gateway->config);
+	gateway->config = config;
+	g_free(gateway->config_text);
+	gateway->config_text = g_strdup(text);
+	gateway_peers_config(gateway->peers);
+	return true;
+}
+
+/* Logs what became known of an upstream and passes it on to the peers. */
+void gateway_upstream_news(gateway_t *gateway, const char *id,
+			   const char *source)
+{
+	static const char *const stages[] = {
+		[FORWARD_SERVING] = "serving",
+		[FORWARD_DRAINING] = "draining",
+		[FORWARD_GONE] = "gone",
+	};
+	const forward_upstream_t *upstream =
+		forward_upstreams_find(gateway->upstreams, id);
+
+	if (!upstream)
+		return;
+	log_line(G_LOG_LEVEL_INFO, "upstream",
+		 "id=%s stage=%s service=%s zone=%s address=%s:%u slots=%u "
+		 "reclaimable=%d revision=%" G_GUINT64_FORMAT " source=%s",
+		 id, stages[upstream->stage], upstream->service, upstream->zone,
+		 upstream->address, upstream->port, upstream->slots,
+		 upstream->reclaimable, upstream->revision, source);
+	gateway_peers_upstream(gateway->peers, upstream);
+}
+
+static void stop_step(gateway_t *gateway, pd_time_t now)
+{
+	pd_time_t grace = (pd_time_t)(gateway->settings->stop_grace_s * PD_SEC);
+	pd_time_t since = now - gateway->stop_at;
+
+	if (since < STOP_LISTEN)
+		return;
+	if (gateway->listening) {
+		gateway->listening = false;
+		uv_close((uv_handle_t *)&gateway->callers_listener, NULL);
+	}
+	callers_close_idle(gateway);
+	if (!list_empty(&gateway->requests) && since < grace - STOP_MARGIN)
+		return;
+	log_line(G_LOG_LEVEL_INFO, PART, "stopped open=%d",
+		 !list_empty(&gateway->requests));
+	log_buffer_flush(now);
+	uv_stop(gateway->loop);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	gateway_t *gateway = timer->data;
+	pd_time_t now = gateway_now();
+
+	forward_upstreams_run(gateway->upstreams, now);
+	fleet_feed_run(gateway->feed, now);
+	requests_run(gateway, now);
+	callers_run(gateway, now);
+	upstream_links_run(gateway, now);
+	gateway_peers_run(gateway->peers, now);
+	gateway_duties_run(gateway->duties, now);
+	log_buffer_flush(now);
+	if (gateway->stop_at)
+		stop_step(gateway, now);
+}
+
+static void on_caller(uv_stream_t *listener, int status)
+{
+	if (status == 0)
+		caller_accept(listener->data, listener);
+}
+
+static void on_visitor(uv_stream_t *listener, int status)
+{
+	if (status == 0)
+		health_accept(listener->data, listener);
+}
+
+static int split(const char *address, char **host, int *port, pd_error_t *err)
+{
+	const char *colon = strrchr(address, ':');
+
+	if (!colon)
+		return pd_error_set(err, PD_ERROR_SETTINGS,
+				    "%s: expected address:port", address);
+	*host = g_strndup(address, (gsize)(colon - address));
+	*port = (int)strtol(colon + 1, NULL, 10);
+	return 0;
+}
+
+static int listen_on(gateway_t *gateway, uv_tcp_t *listener, const char *address,
+		     uv_connection_cb on_connection, pd_error_t *err)
+{
+	struct sockaddr_in addr;
+	char *host;
+	int port;
+	int rc;
+
+	if (split(address, &host, &port, err) < 0)
+		return -1;
+	uv_tcp_init(gateway->loop, listener);
+	listener->data = gateway;
+	rc = uv_ip4_addr(host, port, &addr);
+	if (rc == 0)
+		rc = uv_tcp_bind(listener, (struct sockaddr *)&addr, 0);
+	if (rc == 0)
+		rc = uv_listen((uv_stream_t *)listener, BACKLOG, on_connection);
+	g_free(host);
+	if (rc == 0)
+		return 0;
+	return pd_error_set(err, PD_ERROR_IO, "listen on %s: %s", address,
+			    uv_strerror(rc));
+}
+
+static http1_client_t *client_for(gateway_t *gateway, const char *address,
+				  pd_error_t *err)
+{
+	http1_client_t *client;
+	char *host;
+	int port;
+
+	if (split(address, &host, &port, err) < 0)
+		return NULL;
+	client = http1_client_create(gateway->loop, host, (uint16_t)port);
+	g_free(host);
+	return client;
+}
+
+static void create_decisions(gateway_t *gateway)
+{
+	const gateway_settings_t *settings = gateway->settings;
+	const retry_limits_t retries = {
+		.ratio = settings->retry_ratio,
+		.slack = settings->retry_slack,
+		.window = (pd_time_t)(settings->retry_window_s * PD_SEC),
+	};
+
+	gateway->upstreams = forward_upstreams_create();
+	gateway->limits = token_limits_create();
+	gateway->retries = retry_windows_create(&retries);
+	gateway->usage = usage_create();
+	gateway->vote = time_vote_create();
+	gateway->metrics = metrics_create();
+	gateway->random = g_rand_new();
+	list_init(&gateway->callers);
+	list_init(&gateway->requests);
+	for (int i = 0; i < GATEWAY_RANKS; i++)
+		list_init(&gateway->queues[i]);
+}
+
+/*
+ * Starts a gateway on a loop. NULL with ERR set if an address can't be used;
+ * what was begun by then ends with the process.
+ */
+gateway_t *gateway_create(uv_loop_t *loop, const gateway_settings_t *settings,
+			  pd_error_t *err)
+{
+	gateway_t *gateway = g_new0(gateway_t, 1);
+
+	gateway->loop = loop;
+	gateway->settings = settings;
+	create_decisions(gateway);
+	gateway->store = client_for(gateway, settings->store_address, err);
+	gateway->cloud = client_for(gateway, settings->cloud_address, err);
+	if (!gateway->store || !gateway->cloud)
+		return NULL;
+	gateway->peers = gateway_peers_create(gateway, err);
+	if (!gateway->peers ||
+	    listen_on(gateway, &gateway->callers_listener,
+		      settings->callers_listen, on_caller, err) < 0 ||
+	    listen_on(gateway, &gateway->health_listener,
+		      settings->health_listen, on_visitor, err) < 0)
+		return NULL;
+	gateway->listening = true;
+	gateway->feed = fleet_feed_create(gateway);
+	gateway->duties = gateway_duties_create(gateway);
+	uv_timer_init(loop, &gateway->tick);
+	gateway->tick.data = gateway;
+	uv_timer_start(&gateway->tick, on_tick, 1, TICK_MS);
+	log_line(G_LOG_LEVEL_INFO, PART, "start node=%s zone=%s callers=%s",
+		 settings->node_id, settings->node_zone,
+		 settings->callers_listen);
+	return gateway;
+}
+
+/* Begins to stop: callers are turned away, what is in progress ends. */
+void gateway_stop(gateway_t *gateway)
+{
+	if (gateway->stop_at)
+		return;
+	gateway->stop_at = gateway_now();
+	log_line(G_LOG_LEVEL_INFO, PART, "stop grace_s=%.1f",
+		 gateway->settings->stop_grace_s);
+}
--- /dev/null
+++ b/adapters/gateway/gateway.h
@@ -0,0 +1,20 @@
+/*
+ * The gateway: takes callers' requests on one side and sends them to upstreams
+ * on the other, with what the platform's store and the peers say in between.
+ */
+#ifndef PISTACHIO_GATEWAY_H
+#define PISTACHIO_GATEWAY_H
+
+#include "adapters/gateway/gateway_state.h"
+#include "core/error.h"
+
+gateway_t *gateway_create(uv_loop_t *loop, const gateway_settings_t *settings,
+			  pd_error_t *err);
+void gateway_stop(gateway_t *gateway);
+bool gateway_is_ready(const gateway_t *gateway);
+bool gateway_take_config(gateway_t *gateway, const char *text,
+			 const char *source);
+void gateway_upstream_news(gateway_t *gateway, const char *id,
+			   const char *source);
+
+#endif
--- /dev/null
+++ b/adapters/gateway/gateway_state.h
@@ -0,0 +1,58 @@
+/* What the gateway's modules share. Private to them. */
+#ifndef PISTACHIO_GATEWAY_STATE_H
+#define PISTACHIO_GATEWAY_STATE_H
+
+#include <uv.h>
+
+#include "adapters/gateway/settings.h"
+#include "adapters/http1/http1_call.h"
+#include "adapters/metrics.h"
+#include "core/forward/config.h"
+#include "core/forward/retry_window.h"
+#include "core/forward/time_vote.h"
+#include "core/forward/token_limits.h"
+#include "core/forward/upstreams.h"
+#include "core/forward/usage.h"
+
+#define GATEWAY_RANKS 10 /* of requests; 0 goes first */
+
+typedef struct gateway_peers gateway_peers_t;
+typedef struct gateway_duties gateway_duties_t;
+typedef struct fleet_feed fleet_feed_t;
+
+typedef struct gateway {
+	uv_loop_t *loop;
+	const gateway_settings_t *settings;
+	forward_config_t *config; /* NULL: none yet */
+	char *config_text; /* as the platform gave it, for peers */
+	bool upstreams_known; /* a whole listing was read, here or by a peer */
+	forward_upstreams_t *upstreams;
+	token_limits_t *limits;
+	retry_windows_t *retries;
+	usage_t *usage;
+	time_vote_t *vote;
+	metrics_t *metrics;
+	http1_client_t *store;
+	http1_client_t *cloud;
+	fleet_feed_t *feed;
+	gateway_peers_t *peers;
+	gateway_duties_t *duties;
+	GRand *random;
+	uv_tcp_t callers_listener;
+	uv_tcp_t health_listener;
+	uv_timer_t tick;
+	list_node_t callers; /* connections */
+	list_node_t requests; /* all in progress */
+	list_node_t queues[GATEWAY_RANKS]; /* those that wait for room */
+	unsigned int queued;
+	size_t body_bytes; /* of all requests in progress */
+	pd_time_t stop_at; /* when the order to stop came; 0: it has not */
+	bool listening;
+} gateway_t;
+
+pd_time_t gateway_now(void);
+pd_time_t gateway_wall(void);
+int64_t gateway_window(const gateway_t *gateway);
+unsigned int gateway_count(const gateway_t *gateway);
+
+#endif
--- /dev/null
+++ b/adapters/gateway/health.h
@@ -0,0 +1,9 @@
+/* Answers the balancer's question whether to send callers, and metrics. */
+#ifndef PISTACHIO_GATEWAY_HEALTH_H
+#define PISTACHIO_GATEWAY_HEALTH_H
+
+#include "adapters/gateway/gateway_state.h"
+
+void health_accept(gateway_t *gateway, uv_stream_t *listener);
+
+#endif
--- /dev/null
+++ b/adapters/gateway/request.h
@@ -0,0 +1,20 @@
+/*
+ * One request of a caller: checked, sent to an upstream, answered. Its state
+ * says what may be told the caller; request-notes.md has the table.
+ */
+#ifndef PISTACHIO_GATEWAY_REQUEST_H
+#define PISTACHIO_GATEWAY_REQUEST_H
+
+#include "adapters/gateway/caller.h"
+#include "core/forward/call.h"
+
+typedef struct gateway_request gateway_request_t;
+
+gateway_request_t *request_create(gateway_t *gateway, caller_t *caller,
+				  const http1_head_t *head);
+bool request_add_body(gateway_request_t *request, const char *data, size_t len);
+void request_start(gateway_request_t *request);
+void request_abandon(gateway_request_t *request, const char *reason);
+void requests_run(gateway_t *gateway, pd_time_t now);
+
+#endif
--- /dev/null
+++ b/adapters/gateway/settings.c
@@ -0,0 +1,74 @@
+/* The keys of the gateway's settings. */
+#include "adapters/gateway/settings.h"
+
+#include <glib.h>
+
+#define OFFSET(member) offsetof(gateway_settings_t, member)
+
+static const setting_t rows[] = {
+	{ "node.id", SETTING_STRING, OFFSET(node_id), 0, 0, NULL,
+	  "unique name of this process's VM" },
+	{ "node.zone", SETTING_STRING, OFFSET(node_zone), 0, 0, NULL,
+	  "availability zone of this VM" },
+	{ "fleet.zones", SETTING_STRINGS, OFFSET(zones), 0, GATEWAY_ZONES_MAX,
+	  "", "all availability zones" },
+	{ "callers.listen", SETTING_STRING, OFFSET(callers_listen), 0, 0, NULL,
+	  "address:port for callers" },
+	{ "health.listen", SETTING_STRING, OFFSET(health_listen), 0, 0, NULL,
+	  "address:port for the balancer's question and for metrics" },
+	{ "peers.listen", SETTING_STRING, OFFSET(peers_listen), 0, 0, NULL,
+	  "address:port for the other gateways" },
+	{ "peers.seeds", SETTING_STRINGS, OFFSET(peers_seeds), 0,
+	  GATEWAY_SEEDS_MAX, "", "address:port of gateways to begin with" },
+	{ "store.address", SETTING_STRING, OFFSET(store_address), 0, 0, NULL,
+	  "address:port of the platform's store" },
+	{ "cloud.address", SETTING_STRING, OFFSET(cloud_address), 0, 0, NULL,
+	  "address:port of the platform's cloud API" },
+	{ "retry.ratio", SETTING_DECIMAL, OFFSET(retry_ratio), 0, 10, "0.2",
+	  "repeated sends for each request to a service" },
+	{ "retry.slack", SETTING_DECIMAL, OFFSET(retry_slack), 0, 100000, "10",
+	  "repeated sends more, in a window, of all gateways" },
+	{ "retry.window_s", SETTING_DECIMAL, OFFSET(retry_window_s), 1, 600,
+	  "10", "seconds of that window" },
+	{ "stop.grace_s", SETTING_DECIMAL, OFFSET(stop_grace_s), 1, 600, "8",
+	  "seconds from the order to stop until the process is killed" },
+	{ "duties.lease_gap_ms", SETTING_INTEGER, OFFSET(lease_gap_ms), 100,
+	  60000, "3000", "milliseconds between acts of two holders" },
+	{ "duties.usage_window_s", SETTING_DECIMAL, OFFSET(usage_window_s), 1,
+	  3600, "5", "seconds of a window of usage" },
+	{ "duties.usage_due_s", SETTING_DECIMAL, OFFSET(usage_due_s), 1, 3600,
+	  "10", "seconds after a window in which its report is due" },
+};
+
+/* Returns the table of all keys. */
+const setting_table_t *gateway_settings_table(void)
+{
+	static const setting_table_t table = { rows, G_N_ELEMENTS(rows) };
+
+	return &table;
+}
+
+/*
+ * Reads and checks the settings at PATH. Returns NULL with ERR set to one line
+ * of file, line, key and what was expected. The caller destroys them.
+ */
+gateway_settings_t *gateway_settings_read(const char *path, pd_error_t *err)
+{
+	gateway_settings_t *settings = g_new0(gateway_settings_t, 1);
+
+	if (setting_table_read(gateway_settings_table(), path, settings, err) < 0)
+		goto error;
+	return settings;
+error:
+	gateway_settings_destroy(settings);
+	return NULL;
+}
+
+/* Frees the settings; NULL is allowed. */
+void gateway_settings_destroy(gateway_settings_t *settings)
+{
+	if (!settings)
+		return;
+	setting_table_clear(gateway_settings_table(), settings);
+	g_free(settings);
+}
--- /dev/null
+++ b/adapters/gateway/settings.h
@@ -0,0 +1,33 @@
+/* The settings of the gateway program, from its own TOML file. */
+#ifndef PISTACHIO_GATEWAY_SETTINGS_H
+#define PISTACHIO_GATEWAY_SETTINGS_H
+
+#include "adapters/setting_table.h"
+
+#define GATEWAY_SEEDS_MAX 8
+#define GATEWAY_ZONES_MAX 32
+
+typedef struct gateway_settings {
+	char *node_id;
+	char *node_zone;
+	char *zones[GATEWAY_ZONES_MAX];
+	char *callers_listen; /* address:port, as all that follow */
+	char *health_listen;
+	char *peers_listen;
+	char *peers_seeds[GATEWAY_SEEDS_MAX];
+	char *store_address;
+	char *cloud_address;
+	double retry_ratio;
+	double retry_slack;
+	double retry_window_s;
+	double stop_grace_s;
+	int64_t lease_gap_ms;
+	double usage_window_s;
+	double usage_due_s;
+} gateway_settings_t;
+
+const setting_table_t *gateway_settings_table(void);
+gateway_settings_t *gateway_settings_read(const char *path, pd_error_t *err);
+void gateway_settings_destroy(gateway_settings_t *settings);
+
+#endif
--- /dev/null
+++ b/adapters/http1/http1.c
@@ -0,0 +1,582 @@
+/*
+ * HTTP/1.1 connections: the parser library's callbacks gathered into whole
+ * heads, writes that never block, and ends that are told apart.
+ */
+#include "adapters/http1/http1.h"
+
+#include <http_parser.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+/* One read; all connections share the buffer, as the loop has one thread. */
+#define READ_BYTES (64 * 1024)
+/* Bytes taken in while a message is held back, before reading pauses. */
+#define HELD_MAX (64 * 1024)
+#define HEADERS_MAX 128
+/* Heads of answers and of calls to services; callers' limit is configured. */
+#define HEAD_BYTES_MAX (64 * 1024)
+/*
+ * A connection can go silent for good without a reset, when something between
+ * the two ends has lost track of it. Probes after a second of silence, a second
+ * apart, end it within about three; writes left unacknowledged end it as soon.
+ */
+#define PROBE_IDLE_S 1
+#define PROBE_INTERVAL_S 1
+#define PROBE_COUNT 2
+#define UNACKED_MAX_MS 2500
+
+typedef struct span {
+	size_t name; /* offsets into the head's text */
+	size_t value;
+} span_t;
+
+struct http1 {
+	uv_tcp_t tcp;
+	uv_connect_t connecting;
+	uv_shutdown_t ending;
+	http1_side_t side;
+	http1_events_t events;
+	void *ctx;
+	http_parser parser;
+	GString *text; /* the head's strings, each with its end mark */
+	GArray *spans; /* of span_t */
+	size_t target; /* offset of a request's target */
+	bool in_value;
+	bool in_message; /* a message has begun and not ended */
+	bool expecting; /* a client side: an answer is due */
+	bool no_body; /* the answer due is one to HEAD */
+	bool held; /* the next message is kept back */
+	bool bad; /* the head broke a rule of ours */
+	bool too_large;
+	bool connected;
+	bool reading;
+	bool closing;
+	bool ended; /* on_end was called, or is not wanted */
+	size_t head_bytes;
+	size_t head_max;
+	GByteArray *pending; /* read while held */
+};
+
+typedef struct pending_write {
+	uv_write_t req;
+	char bytes[];
+} pending_write_t;
+
+static char read_buffer[READ_BYTES];
+
+static int parser_message_begin(http_parser *parser);
+static int parser_url(http_parser *parser, const char *at, size_t len);
+static int parser_field(http_parser *parser, const char *at, size_t len);
+static int parser_value(http_parser *parser, const char *at, size_t len);
+static int parser_headers(http_parser *parser);
+static int parser_body(http_parser *parser, const char *at, size_t len);
+static int parser_message(http_parser *parser);
+static void conn_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf);
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = parser_message_begin,
+	.on_url = parser_url,
+	.on_header_field = parser_field,
+	.on_header_value = parser_value,
+	.on_headers_complete = parser_headers,
+	.on_body = parser_body,
+	.on_message_complete = parser_message,
+};
+
+/* Returns a connection that is not yet up. Freed by itself after http1_close(). */
+http1_t *http1_create(uv_loop_t *loop, http1_side_t side,
+		      const http1_events_t *events, void *ctx)
+{
+	http1_t *conn = g_new0(http1_t, 1);
+
+	conn->side = side;
+	conn->events = *events;
+	conn->ctx = ctx;
+	conn->text = g_string_sized_new(256);
+	conn->spans = g_array_sized_new(FALSE, FALSE, sizeof(span_t), 16);
+	conn->head_max = HEAD_BYTES_MAX;
+	http_parser_init(&conn->parser, side == HTTP1_SERVER ? HTTP_REQUEST
+							      : HTTP_RESPONSE);
+	conn->parser.data = conn;
+	uv_tcp_init(loop, &conn->tcp);
+	conn->tcp.data = conn;
+	return conn;
+}
+
+/* Sets how many bytes a head may have; longer ones end the connection. */
+void http1_limit_head(http1_t *conn, size_t bytes)
+{
+	conn->head_max = bytes;
+}
+
+static void conn_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	(void)handle;
+	(void)size;
+	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
+}
+
+static void conn_start_reading(http1_t *conn)
+{
+	if (conn->reading || conn->closing)
+		return;
+	conn->reading = true;
+	uv_read_start((uv_stream_t *)&conn->tcp, conn_alloc, conn_read);
+}
+
+static void conn_set_option(int fd, int level, int option, int value)
+{
+	/* A connection without the option still works; it only ends later. */
+	(void)setsockopt(fd, level, option, &value, sizeof(value));
+}
+
+static void conn_tune(http1_t *conn)
+{
+	uv_os_fd_t fd;
+
+	uv_tcp_nodelay(&conn->tcp, 1);
+	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) < 0)
+		return;
+	conn_set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+	conn_set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_S);
+	conn_set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, PROBE_INTERVAL_S);
+	conn_set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, PROBE_COUNT);
+	conn_set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKED_MAX_MS);
+}
+
+static void conn_closed(uv_handle_t *handle)
+{
+	http1_t *conn = handle->data;
+
+	g_string_free(conn->text, TRUE);
+	g_array_unref(conn->spans);
+	if (conn->pending)
+		g_byte_array_unref(conn->pending);
+	g_free(conn);
+}
+
+/* Closes the connection without an event; twice is harmless. */
+void http1_close(http1_t *conn)
+{
+	conn->ended = true;
+	if (conn->closing)
+		return;
+	conn->closing = true;
+	uv_close((uv_handle_t *)&conn->tcp, conn_closed);
+}
+
+static void conn_end(http1_t *conn, http1_end_t end)
+{
+	bool tell = !conn->ended;
+	http1_events_t events = conn->events;
+	void *ctx = conn->ctx;
+
+	http1_close(conn);
+	if (tell)
+		events.on_end(ctx, end);
+}
+
+static void conn_shut(uv_shutdown_t *req, int status)
+{
+	(void)status;
+	http1_close(req->handle->data);
+}
+
+/*
+ * Closes once all written bytes are with the kernel. Closing at once, with
+ * bytes of the caller unread, would reset the connection and could destroy the
+ * answer on its way.
+ */
+void http1_close_when_sent(http1_t *conn)
+{
+	conn->ended = true;
+	if (conn->closing)
+		return;
+	if (conn->reading)
+		uv_read_stop((uv_stream_t *)&conn->tcp);
+	conn->reading = false;
+	conn->ending.data = conn;
+	if (uv_shutdown(&conn->ending, (uv_stream_t *)&conn->tcp, conn_shut) < 0)
+		http1_close(conn);
+}
+
+/* Takes a waiting connection from the listener; -1 if there is none. */
+int http1_accept(http1_t *conn, uv_stream_t *listener)
+{
+	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) < 0)
+		return -1;
+	conn->connected = true;
+	conn_tune(conn);
+	conn_start_reading(conn);
+	return 0;
+}
+
+static void conn_connected(uv_connect_t *req, int status)
+{
+	http1_t *conn = req->handle->data;
+
+	if (conn->closing)
+		return;
+	if (status < 0) {
+		conn_end(conn, HTTP1_END_REFUSED);
+		return;
+	}
+	conn->connected = true;
+	conn_tune(conn);
+	conn_start_reading(conn);
+	conn->events.on_connected(conn->ctx);
+}
+
+/* Starts to connect; on_connected or on_end follows. -1: it can't be tried. */
+int http1_connect(http1_t *conn, const char *address, uint16_t port)
+{
+	struct sockaddr_in addr;
+
+	if (uv_ip4_addr(address, port, &addr) < 0)
+		return -1;
+	return uv_tcp_connect(&conn->connecting, &conn->tcp,
+			      (const struct sockaddr *)&addr,
+			      conn_connected) < 0
+		       ? -1
+		       : 0;
+}
+
+static void write_done(uv_write_t *req, int status)
+{
+	http1_t *conn = req->handle->data;
+
+	g_free(req);
+	if (status < 0 && !conn->closing)
+		conn_end(conn, conn->in_message || conn->expecting
+				       ? HTTP1_END_CUT
+				       : HTTP1_END_RESET);
+}
+
+/* Sends bytes, copying what the kernel does not take at once. */
+void http1_write(http1_t *conn, const char *data, size_t len)
+{
+	uv_buf_t buf = uv_buf_init((char *)data, (unsigned int)len);
+	pending_write_t *write;
+	int sent;
+
+	if (conn->closing || !len)
+		return;
+	sent = uv_try_write((uv_stream_t *)&conn->tcp, &buf, 1);
+	if (sent == (int)len)
+		return;
+	/* An error shows again at the queued write, outside of the caller. */
+	if (sent < 0)
+		sent = 0;
+	write = g_malloc(sizeof(*write) + len - (size_t)sent);
+	memcpy(write->bytes, data + sent, len - (size_t)sent);
+	buf = uv_buf_init(write->bytes, (unsigned int)(len - (size_t)sent));
+	if (uv_write(&write->req, (uv_stream_t *)&conn->tcp, &buf, 1,
+		     write_done) < 0)
+		g_free(write);
+}
+
+/* Returns how many written bytes the kernel has not taken yet. */
+size_t http1_unsent(const http1_t *conn)
+{
+	return uv_stream_get_write_queue_size(
+		(const uv_stream_t *)&conn->tcp);
+}
+
+/*
+ * A client side: says that an answer is due, so that one is let in. An answer
+ * to HEAD states a length and has no body.
+ */
+void http1_expect_message(http1_t *conn, bool to_head)
+{
+	conn->expecting = true;
+	conn->no_body = to_head;
+}
+
+static void add_text(http1_t *conn, const char *at, size_t len)
+{
+	g_string_append_len(conn->text, at, (gssize)len);
+	conn->head_bytes += len;
+	if (conn->head_bytes > conn->head_max)
+		conn->too_large = true;
+}
+
+static int parser_message_begin(http_parser *parser)
+{
+	http1_t *conn = parser->data;
+
+	conn->in_message = true;
+	conn->in_value = false;
+	conn->target = 0;
+	conn->head_bytes = 0;
+	g_string_truncate(conn->text, 0);
+	g_array_set_size(conn->spans, 0);
+	/* An answer that nobody asked for belongs to no request. */
+	if (conn->side == HTTP1_CLIENT && !conn->expecting)
+		return 1;
+	return 0;
+}
+
+static int parser_url(http_parser *parser, const char *at, size_t len)
+{
+	http1_t *conn = parser->data;
+
+	add_text(conn, at, len);
+	return conn->too_large;
+}
+
+static int parser_field(http_parser *parser, const char *at, size_t len)
+{
+	http1_t *conn = parser->data;
+
+	if (conn->in_value || !conn->spans->len) {
+		span_t span;
+
+		g_string_append_c(conn->text, '\0');
+		span.name = conn->text->len;
+		span.value = span.name;
+		g_array_append_val(conn->spans, span);
+		conn->in_value = false;
+		if (conn->spans->len > HEADERS_MAX)
+			conn->too_large = true;
+	}
+	/* Blanks before the colon are read by some as part of the name. */
+	if (memchr(at, ' ', len) || memchr(at, '\t', len))
+		conn->bad = true;
+	add_text(conn, at, len);
+	return conn->too_large || conn->bad;
+}
+
+static int parser_value(http_parser *parser, const char *at, size_t len)
+{
+	http1_t *conn = parser->data;
+
+	if (!conn->in_value) {
+		g_string_append_c(conn->text, '\0');
+		g_array_index(conn->spans, span_t, conn->spans->len - 1).value =
+			conn->text->len;
+		conn->in_value = true;
+	}
+	if (memchr(at, '\0', len) || memchr(at, '\r', len) ||
+	    memchr(at, '\n', len))
+		conn->bad = true;
+	add_text(conn, at, len);
+	return conn->too_large || conn->bad;
+}
+
+/*
+ * Fills the list of headers. Two that say how long the body is, or a transfer
+ * coding other than plain chunks, can be read in two ways; what follows such a
+ * head could be smuggled past one of the readers, so it is refused.
+ */
+static bool head_fill(http1_t *conn, header_t *headers)
+{
+	unsigned int lengths = 0;
+	unsigned int codings = 0;
+
+	for (guint i = 0; i < conn->spans->len; i++) {
+		span_t *span = &g_array_index(conn->spans, span_t, i);
+
+		headers[i].name = conn->text->str + span->name;
+		headers[i].value = conn->text->str + span->value;
+		/* A header with an empty value has no value callback. */
+		if (span->value == span->name)
+			headers[i].value = "";
+		if (!strcasecmp(headers[i].name, "Content-Length"))
+			lengths++;
+		if (!strcasecmp(headers[i].name, "Transfer-Encoding")) {
+			codings++;
+			if (strcasecmp(headers[i].value, "chunked"))
+				return false;
+		}
+	}
+	return lengths + codings <= 1;
+}
+
+static int parser_headers(http_parser *parser)
+{
+	http1_t *conn = parser->data;
+	header_t headers[HEADERS_MAX + 1];
+	http1_head_t head = { .headers = headers };
+	bool chunked = parser->flags & F_CHUNKED;
+
+	if (conn->side == HTTP1_CLIENT && parser->status_code < 200)
+		return 0;
+	g_string_append_c(conn->text, '\0');
+	if (!head_fill(conn, headers)) {
+		conn->bad = true;
+		return -1;
+	}
+	head.header_count = conn->spans->len;
+	head.keep_alive = http_should_keep_alive(parser);
+	if (conn->side == HTTP1_SERVER) {
+		head.method = http_method_str(parser->method);
+		head.target = conn->text->str;
+		head.has_body = chunked || (parser->content_length &&
+					    parser->content_length !=
+						    ULLONG_MAX);
+	} else {
+		head.status = (int)parser->status_code;
+		head.ends_with_connection = !chunked &&
+					    parser->content_length ==
+						    ULLONG_MAX;
+		head.has_body = chunked || parser->content_length;
+	}
+	conn->events.on_head(conn->ctx, &head);
+	if (conn->ended)
+		return -1;
+	return conn->no_body ? 1 : 0; /* 1 tells the parser to skip the body */
+}
+
+static int parser_body(http_parser *parser, const char *at, size_t len)
+{
+	http1_t *conn = parser->data;
+
+	conn->events.on_body(conn->ctx, at, len);
+	return conn->ended;
+}
+
+static int parser_message(http_parser *parser)
+{
+	http1_t *conn = parser->data;
+	bool interim = conn->side == HTTP1_CLIENT && parser->status_code < 200;
+
+	conn->in_message = false;
+	if (interim)
+		return 0;
+	conn->expecting = false;
+	conn->events.on_message(conn->ctx);
+	/* One request at a time: what follows waits until this is answered. */
+	if (conn->held && !conn->ended)
+		http_parser_pause(parser, 1);
+	return conn->ended;
+}
+
+static void conn_keep(http1_t *conn, const char *data, size_t len)
+{
+	if (!conn->pending)
+		conn->pending = g_byte_array_new();
+	g_byte_array_append(conn->pending, (const guint8 *)data, (guint)len);
+	if (conn->pending->len > HELD_MAX && conn->reading) {
+		uv_read_stop((uv_stream_t *)&conn->tcp);
+		conn->reading = false;
+	}
+}
+
+/*
+ * Ends a connection whose bytes can't be followed any more. A caller is told
+ * why; what comes after the fault is not looked at, as it may be smuggled.
+ */
+static void conn_refuse(http1_t *conn, int status, http1_end_t end)
+{
+	http1_events_t events = conn->events;
+	void *ctx = conn->ctx;
+	bool tell = !conn->ended;
+	char *answer;
+
+	if (conn->side == HTTP1_CLIENT) {
+		conn_end(conn, end);
+		return;
+	}
+	answer = g_strdup_printf("HTTP/1.1 %d %s\r\nContent-Length: 0\r\n"
+				 "Connection: close\r\n\r\n",
+				 status, http1_reason(status));
+	http1_write(conn, answer, strlen(answer));
+	g_free(answer);
+	http1_close_when_sent(conn);
+	if (tell)
+		events.on_end(ctx, end);
+}
+
+static void conn_parse(http1_t *conn, const char *data, size_t len)
+{
+	size_t used = http_parser_execute(&conn->parser, &parser_settings, data,
+					  len);
+	enum http_errno failure = HTTP_PARSER_ERRNO(&conn->parser);
+
+	if (conn->ended)
+		return;
+	if (failure == HPE_PAUSED) {
+		http_parser_pause(&conn->parser, 0);
+		if (conn->held) {
+			if (used < len)
+				conn_keep(conn, data + used, len - used);
+		} else {
+			/* Answered within the callback: go on at once. */
+			conn_parse(conn, data + used, len - used);
+		}
+		return;
+	}
+	if (conn->too_large || failure == HPE_HEADER_OVERFLOW)
+		conn_refuse(conn, 431, HTTP1_END_TOO_LARGE);
+	else if (failure != HPE_OK || conn->parser.upgrade)
+		conn_refuse(conn, 400, HTTP1_END_PROTOCOL);
+}
+
+/* Tells the parser of the end, which completes an answer without a length. */
+static void conn_finish(http1_t *conn, bool reset)
+{
+	bool was_idle = !conn->in_message && !conn->expecting;
+
+	if (!reset && conn->in_message)
+		http_parser_execute(&conn->parser, &parser_settings, NULL, 0);
+	if (conn->ended)
+		return;
+	if (conn->in_message || conn->expecting)
+		conn_end(conn, HTTP1_END_CUT);
+	else
+		conn_end(conn, reset && was_idle ? HTTP1_END_RESET
+						 : HTTP1_END_CLOSED);
+}
+
+static void conn_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
+{
+	http1_t *conn = stream->data;
+
+	if (conn->ended || len == 0)
+		return;
+	if (len < 0)
+		conn_finish(conn, len != UV_EOF);
+	else if (conn->held)
+		conn_keep(conn, buf->base, (size_t)len);
+	else
+		conn_parse(conn, buf->base, (size_t)len);
+}
+
+/* Keeps the next message back; the end of the connection is still noticed. */
+void http1_hold(http1_t *conn)
+{
+	conn->held = true;
+}
+
+/* Lets the next message in, and what was read of it meanwhile. */
+void http1_resume(http1_t *conn)
+{
+	GByteArray *pending = conn->pending;
+
+	conn->held = false;
+	if (conn->ended)
+		return;
+	conn_start_reading(conn);
+	if (!pending)
+		return;
+	conn->pending = NULL;
+	conn_parse(conn, (const char *)pending->data, pending->len);
+	g_byte_array_unref(pending);
+}
+
+/* Returns the usual phrase of a status, or "Status" for an unusual one. */
+const char *http1_reason(int status)
+{
+	switch (status) {
+#define REASON(code, name, text) \
+	case code:               \
+		return #text;
+		HTTP_STATUS_MAP(REASON)
+#undef REASON
+	default:
+		return "Status";
+	}
+}
--- /dev/null
+++ b/adapters/http1/http1_call.c
@@ -0,0 +1,244 @@
+/* Calls over kept connections, each with its own timer. */
+#include "adapters/http1/http1_call.h"
+
+#include <string.h>
+
+#include "core/list.h"
+
+/*
+ * Kept connections are used again within this time only: the other side closes
+ * idle ones after a time that it need not tell, and a call that crosses such a
+ * close is lost. Half of the shortest usual timeout.
+ */
+#define KEEP_MAX_MS 2500
+#define KEPT_MAX 4
+#define CONNECT_MAX_MS 1000
+
+typedef struct channel {
+	list_node_t node;
+	http1_client_t *client;
+	http1_t *conn;
+	uv_timer_t timer;
+	http1_ask_t ask; /* its strings are not kept */
+	GString *request; /* until the connection is up */
+	GString *body;
+	int status;
+	bool busy;
+	bool connected;
+	bool sent;
+	bool reusable;
+	uint64_t idle_since;
+} channel_t;
+
+struct http1_client {
+	uv_loop_t *loop;
+	char *address;
+	uint16_t port;
+	list_node_t channels;
+};
+
+static void channel_freed(uv_handle_t *handle)
+{
+	channel_t *channel = handle->data;
+
+	g_string_free(channel->request, TRUE);
+	g_string_free(channel->body, TRUE);
+	g_free(channel);
+}
+
+static void channel_drop(channel_t *channel)
+{
+	list_remove(&channel->node);
+	if (channel->conn)
+		http1_close(channel->conn);
+	channel->conn = NULL;
+	if (!uv_is_closing((uv_handle_t *)&channel->timer))
+		uv_close((uv_handle_t *)&channel->timer, channel_freed);
+}
+
+static unsigned int idle_channels(const http1_client_t *client)
+{
+	unsigned int count = 0;
+
+	LIST_FOR_EACH (it, &client->channels)
+		count += !LIST_ENTRY(it, channel_t, node)->busy;
+	return count;
+}
+
+static void channel_reply(channel_t *channel, int status)
+{
+	const http1_ask_t ask = channel->ask;
+	http1_reply_t reply = {
+		.status = status,
+		.sent = channel->sent,
+		.body = channel->body->str,
+		.len = channel->body->len,
+	};
+	bool keep = status && channel->reusable &&
+		    idle_channels(channel->client) < KEPT_MAX;
+
+	uv_timer_stop(&channel->timer);
+	channel->busy = false;
+	channel->idle_since = uv_now(channel->client->loop);
+	/* A connection whose answer did not come gives no more answers. */
+	if (!keep)
+		list_remove(&channel->node);
+	ask.on_reply(ask.ctx, &reply);
+	if (!keep)
+		channel_drop(channel);
+}
+
+static void on_timeout(uv_timer_t *timer)
+{
+	channel_reply(timer->data, 0);
+}
+
+static void channel_send(channel_t *channel)
+{
+	channel->sent = true;
+	http1_expect_message(channel->conn, false);
+	http1_write(channel->conn, channel->request->str, channel->request->len);
+}
+
+static void on_connected(void *ctx)
+{
+	channel_t *channel = ctx;
+
+	channel->connected = true;
+	uv_timer_start(&channel->timer, on_timeout, channel->ask.timeout_ms, 0);
+	channel_send(channel);
+}
+
+static void on_head(void *ctx, const http1_head_t *head)
+{
+	channel_t *channel = ctx;
+
+	channel->status = head->status;
+	channel->reusable = head->keep_alive;
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+	channel_t *channel = ctx;
+
+	g_string_append_len(channel->body, data, (gssize)len);
+}
+
+static void on_message(void *ctx)
+{
+	channel_t *channel = ctx;
+
+	channel_reply(channel, channel->status);
+}
+
+static void on_end(void *ctx, http1_end_t end)
+{
+	channel_t *channel = ctx;
+
+	(void)end;
+	channel->conn = NULL;
+	if (channel->busy)
+		channel_reply(channel, 0);
+	else
+		channel_drop(channel);
+}
+
+static channel_t *channel_open(http1_client_t *client)
+{
+	static const http1_events_t events = { on_connected, on_head, on_body,
+					       on_message, on_end };
+	channel_t *channel = g_new0(channel_t, 1);
+
+	channel->client = client;
+	channel->request = g_string_new(NULL);
+	channel->body = g_string_new(NULL);
+	channel->conn = http1_create(client->loop, HTTP1_CLIENT, &events,
+				     channel);
+	uv_timer_init(client->loop, &channel->timer);
+	channel->timer.data = channel;
+	list_append(&client->channels, &channel->node);
+	return channel;
+}
+
+/* Returns a kept connection that is young enough, or NULL. */
+static channel_t *channel_kept(http1_client_t *client)
+{
+	uint64_t now = uv_now(client->loop);
+
+	LIST_FOR_EACH_SAFE (it, &client->channels) {
+		channel_t *channel = LIST_ENTRY(it, channel_t, node);
+
+		if (channel->busy)
+			continue;
+		if (now - channel->idle_since < KEEP_MAX_MS)
+			return channel;
+		channel_drop(channel);
+	}
+	return NULL;
+}
+
+/* Returns a client without connections; the caller owns it. */
+http1_client_t *http1_client_create(uv_loop_t *loop, const char *address,
+				    uint16_t port)
+{
+	http1_client_t *client = g_new0(http1_client_t, 1);
+
+	client->loop = loop;
+	client->address = g_strdup(address);
+	client->port = port;
+	list_init(&client->channels);
+	return client;
+}
+
+/* Closes all connections; calls in flight get no reply. NULL is allowed. */
+void http1_client_destroy(http1_client_t *client)
+{
+	if (!client)
+		return;
+	LIST_FOR_EACH_SAFE (it, &client->channels)
+		channel_drop(LIST_ENTRY(it, channel_t, node));
+	g_free(client->address);
+	g_free(client);
+}
+
+static void channel_compose(channel_t *channel, const http1_ask_t *ask)
+{
+	const http1_client_t *client = channel->client;
+
+	g_string_printf(channel->request,
+			"%s %s HTTP/1.1\r\nHost: %s:%u\r\n%s", ask->method,
+			ask->path, client->address, client->port,
+			ask->headers ? ask->headers : "");
+	if (ask->body)
+		g_string_append_printf(channel->request,
+				       "Content-Type: application/json\r\n"
+				       "Content-Length: %zu\r\n",
+				       strlen(ask->body));
+	g_string_append(channel->request, "\r\n");
+	if (ask->body)
+		g_string_append(channel->request, ask->body);
+}
+
+/* Makes a call; the reply comes later, never from within this function. */
+void http1_client_call(http1_client_t *client, const http1_ask_t *ask)
+{
+	channel_t *channel = channel_kept(client);
+
+	if (!channel)
+		channel = channel_open(client);
+	channel->ask = *ask;
+	channel->busy = true;
+	channel->sent = false;
+	channel->status = 0;
+	g_string_truncate(channel->body, 0);
+	channel_compose(channel, ask);
+	if (channel->connected) {
+		uv_timer_start(&channel->timer, on_timeout, ask->timeout_ms, 0);
+		channel_send(channel);
+		return;
+	}
+	uv_timer_start(&channel->timer, on_timeout,
+		       MIN(ask->timeout_ms, CONNECT_MAX_MS), 0);
+	/* If it can't even be tried, the timer tells. */
+	(void)http1_connect(channel->conn, client->address, client->port);
+}
--- a/adapters/log_glib.c
+++ b/adapters/log_glib.c
@@ -6,6 +6,7 @@
 
 #define DOMAIN "pistachio"
 
+static log_sink_t log_sink; /* NULL: standard error */
 static GLogLevelFlags log_threshold = G_LOG_LEVEL_INFO;
 
 static const char *log_field(const GLogField *fields, gsize count, const char *key)
@@ -37,15 +38,21 @@
 {
 	GDateTime *now;
 	char *stamp;
+	char *line;
 
 	(void)data;
 	if ((level & G_LOG_LEVEL_MASK) > log_threshold)
 		return G_LOG_WRITER_HANDLED;
 	now = g_date_time_new_now_utc();
 	stamp = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%f");
-	fprintf(stderr, "%sZ %s %s: %s\n", stamp, level_name(level),
-		log_field(fields, count, "PART"),
-		log_field(fields, count, "MESSAGE"));
+	line = g_strdup_printf("%sZ %s %s: %s\n", stamp, level_name(level),
+			       log_field(fields, count, "PART"),
+			       log_field(fields, count, "MESSAGE"));
+	if (log_sink)
+		log_sink(line, strlen(line));
+	else
+		fputs(line, stderr);
+	g_free(line);
 	g_free(stamp);
 	g_date_time_unref(now);
 	return G_LOG_WRITER_HANDLED;
@@ -65,6 +72,12 @@
 	g_log_set_writer_func(log_write, NULL, NULL);
 }
 
+/* Sends all further lines to SINK; NULL: to standard error. */
+void log_to(log_sink_t sink)
+{
+	log_sink = sink;
+}
+
 /* Writes one line for a part. */
 void log_line(GLogLevelFlags level, const char *part, const char *format, ...)
 {
--- a/adapters/log_glib.h
+++ b/adapters/log_glib.h
@@ -11,6 +11,8 @@
 #include "ports/event.h"
 
 void log_init(const char *level);
+typedef void (*log_sink_t)(const char *line, size_t len);
+void log_to(log_sink_t sink);
 void log_line(GLogLevelFlags level, const char *part, const char *format, ...)
 	__attribute__((format(printf, 3, 4)));
 void log_error(const char *part, const char *what, const pd_error_t *err);
--- /dev/null
+++ b/adapters/setting_table.c
@@ -0,0 +1,234 @@
+/* Reads a TOML file by a table of keys, with errors that name file and line. */
+#include "adapters/setting_table.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "adapters/toml_reader.h"
+
+static const setting_t *setting_find(const setting_table_t *table,
+				     const char *key)
+{
+	for (size_t i = 0; i < table->count; i++) {
+		if (!strcmp(table->rows[i].key, key))
+			return &table->rows[i];
+	}
+	return NULL;
+}
+
+static void *setting_at(void *settings, const setting_t *setting)
+{
+	return (char *)settings + setting->offset;
+}
+
+static bool choice_has(const char *choices, const char *value)
+{
+	char **names = g_strsplit(choices, "|", -1);
+	bool found = g_strv_contains((const char *const *)names, value);
+
+	g_strfreev(names);
+	return found;
+}
+
+static int setting_set_text(void *settings, const setting_t *setting,
+			    const char *text, const char *where, pd_error_t *err)
+{
+	char **slot = setting_at(settings, setting);
+
+	if (setting->kind == SETTING_FILE && access(text, R_OK) != 0)
+		return pd_error_set(err, PD_ERROR_SETTINGS,
+				    "%s: %s: expected a readable file, got %s",
+				    where, setting->key, text);
+	if (setting->kind == SETTING_CHOICE && !choice_has(setting->meaning, text))
+		return pd_error_set(err, PD_ERROR_SETTINGS,
+				    "%s: %s: expected one of %s, got %s", where,
+				    setting->key, setting->meaning, text);
+	if (!*text)
+		return pd_error_set(err, PD_ERROR_SETTINGS,
+				    "%s: %s: expected a non-empty string",
+				    where, setting->key);
+	g_free(*slot);
+	*slot = g_strdup(text);
+	return 0;
+}
+
+static int setting_set_number(void *settings, const setting_t *setting,
+			      int64_t number, const char *where, pd_error_t *err)
+{
+	if (number < setting->least || number > setting->most)
+		return pd_error_set(err, PD_ERROR_SETTINGS,
+				    "%s: %s: expected an integer from "
+				    "%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT
+				    ", got %" G_GINT64_FORMAT,
+				    where, setting->key, setting->least,
+				    setting->most, number);
+	*(int64_t *)setting_at(settings, setting) = number;
+	return 0;
+}
+
+static int setting_append(void *settings, const setting_t *setting,
+			  const char *text, const char *where, pd_error_t *err)
+{
+	char **slots = setting_at(settings, setting);
+
+	for (int64_t i = 0; i < setting->most; i++) {
+		if (slots[i])
+			continue;
+		slots[i] = g_strdup(text);
+		return 0;
+	}
+	return pd_error_set(err, PD_ERROR_SETTINGS,
+			    "%s: %s: expected at most %" G_GINT64_FORMAT
+			    " items",
+			    where, setting->key, setting->most);
+}
+
+static int setting_mismatch(const setting_t *setting, const char *where,
+			    pd_error_t *err)
+{
+	static const char *const expected[] = {
+		[SETTING_STRING] = "a string",
+		[SETTING_INTEGER] = "an integer",
+		[SETTING_STRINGS] = "an array of strings",
+		[SETTING_FILE] = "a string",
+		[SETTING_CHOICE] = "a string",
+		[SETTING_DECIMAL] = "a decimal number",
+	};
+
+	return pd_error_set(err, PD_ERROR_SETTINGS, "%s: %s: expected %s",
+			    where, setting->key, expected[setting->kind]);
+}
+
+static int setting_set_decimal(void *settings, const setting_t *setting,
+			       const toml_leaf_t *leaf, const char *where,
+			       pd_error_t *err)
+{
+	double number = leaf->kind == TOML_FLOAT ? leaf->decimal
+						 : (double)leaf->number;
+
+	if (leaf->kind != TOML_FLOAT && leaf->kind != TOML_INTEGER)
+		return setting_mismatch(setting, where, err);
+	if (number < (double)setting->least || number > (double)setting->most)
+		return pd_error_set(err, PD_ERROR_SETTINGS,
+				    "%s: %s: expected a number from "
+				    "%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT,
+				    where, setting->key, setting->least,
+				    setting->most);
+	*(double *)setting_at(settings, setting) = number;
+	return 0;
+}
+
+static int settings_take(const setting_table_t *table, void *settings,
+			 const toml_leaf_t *leaf,
+			 const char *where, pd_error_t *err)
+{
+	char *key = g_strdup(leaf->key);
+	char *bracket = strchr(key, '[');
+	const setting_t *setting;
+	int rc;
+
+	if (bracket)
+		*bracket = '\0';
+	setting = setting_find(table, key);
+	if (!setting)
+		rc = pd_error_set(err, PD_ERROR_SETTINGS, "%s: %s: unknown key",
+				  where, leaf->key);
+	else if ((setting->kind == SETTING_STRINGS) != (bracket != NULL))
+		rc = setting_mismatch(setting, where, err);
+	else if (setting->kind == SETTING_INTEGER && leaf->kind == TOML_INTEGER)
+		rc = setting_set_number(settings, setting, leaf->number, where,
+					err);
+	else if (setting->kind == SETTING_DECIMAL)
+		rc = setting_set_decimal(settings, setting, leaf, where, err);
+	else if (setting->kind == SETTING_INTEGER || leaf->kind != TOML_STRING)
+		rc = setting_mismatch(setting, where, err);
+	else if (setting->kind == SETTING_STRINGS)
+		rc = setting_append(settings, setting, leaf->text, where, err);
+	else
+		rc = setting_set_text(settings, setting, leaf->text, where, err);
+	g_free(key);
+	return rc;
+}
+
+static int settings_defaults(const setting_table_t *table, void *settings,
+			     const char *path,
+			     const toml_document_t *document, pd_error_t *err)
+{
+	for (size_t i = 0; i < table->count; i++) {
+		const setting_t *setting = &table->rows[i];
+		bool given = false;
+
+		for (size_t k = 0; k < document->count; k++)
+			given |= g_str_has_prefix(document->leaves[k].key,
+						  setting->key);
+		if (given || setting->kind == SETTING_STRINGS)
+			continue;
+		if (!setting->fallback)
+			return pd_error_set(err, PD_ERROR_SETTINGS,
+					    "%s:1: %s: expected, but missing",
+					    path, setting->key);
+		if (setting->kind == SETTING_INTEGER)
+			*(int64_t *)setting_at(settings, setting) =
+				g_ascii_strtoll(setting->fallback, NULL, 10);
+		else if (setting->kind == SETTING_DECIMAL)
+			*(double *)setting_at(settings, setting) =
+				g_ascii_strtod(setting->fallback, NULL);
+		else
+			*(char **)setting_at(settings, setting) =
+				g_strdup(setting->fallback);
+	}
+	return 0;
+}
+
+/*
+ * Reads the file at PATH by a table into SETTINGS, which is all zero. Returns
+ * -1 with ERR set to one line of file, line, key and what was expected; what
+ * was filled in by then is the caller's to clear.
+ */
+int setting_table_read(const setting_table_t *table, const char *path,
+		       void *settings, pd_error_t *err)
+{
+	toml_document_t *document = toml_document_read(path);
+
+	if (document->problem) {
+		pd_error_set(err, PD_ERROR_SETTINGS, "%s:%u: %s", path,
+			     document->problem_line, document->problem);
+		goto error;
+	}
+	for (size_t i = 0; i < document->count; i++) {
+		char *where =
+			g_strdup_printf("%s:%u", path, document->leaves[i].line);
+		int rc = settings_take(table, settings, &document->leaves[i],
+				       where, err);
+
+		g_free(where);
+		if (rc < 0)
+			goto error;
+	}
+	if (settings_defaults(table, settings, path, document, err) < 0)
+		goto error;
+	toml_document_free(document);
+	return 0;
+error:
+	toml_document_free(document);
+	return -1;
+}
+
+/* Frees what was read into SETTINGS, but not the struct. */
+void setting_table_clear(const setting_table_t *table, void *settings)
+{
+	for (size_t i = 0; i < table->count; i++) {
+		const setting_t *row = &table->rows[i];
+		char **slots = setting_at(settings, row);
+
+		if (row->kind == SETTING_INTEGER || row->kind == SETTING_DECIMAL)
+			continue;
+		g_free(slots[0]);
+		for (int64_t k = 1;
+		     row->kind == SETTING_STRINGS && k < row->most; k++)
+			g_free(slots[k]);
+	}
+}
--- a/adapters/settings.h
+++ b/adapters/settings.h
@@ -9,7 +9,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "core/error.h"
+#include "adapters/setting_table.h"
 
 #define SETTINGS_SEEDS_MAX 8
 #define SETTINGS_ZONES_MAX 16
@@ -32,25 +32,6 @@
 	char *bundle_public_key_file;
 } settings_t;
 
-typedef enum setting_kind {
-	SETTING_STRING,
-	SETTING_INTEGER,
-	SETTING_STRINGS,
-	SETTING_FILE, /* a string that names a readable file */
-	SETTING_CHOICE
-} setting_kind_t;
-
-/* One key, as it is checked and documented. */
-typedef struct setting {
-	const char *key;
-	setting_kind_t kind;
-	size_t offset; /* in settings_t */
-	int64_t least; /* of an integer; most items of an array in MOST */
-	int64_t most;
-	const char *fallback; /* NULL: the key is required */
-	const char *meaning; /* with the unit; for choices, the choices */
-} setting_t;
-
 const setting_t *settings_table(size_t *count);
 settings_t *settings_read(const char *path, pd_error_t *err);
 void settings_destroy(settings_t *settings);
--- a/adapters/toml_reader.cc
+++ b/adapters/toml_reader.cc
@@ -40,6 +40,9 @@
 	} else if (const auto *number = node.as_integer()) {
 		leaf.kind = TOML_INTEGER;
 		leaf.number = number->get();
+	} else if (const auto *decimal = node.as_floating_point()) {
+		leaf.kind = TOML_FLOAT;
+		leaf.decimal = decimal->get();
 	} else if (const auto *boolean = node.as_boolean()) {
 		leaf.kind = TOML_BOOLEAN;
 		leaf.number = boolean->get() ? 1 : 0;
--- a/adapters/toml_reader.h
+++ b/adapters/toml_reader.h
@@ -16,6 +16,7 @@
 	TOML_STRING,
 	TOML_INTEGER,
 	TOML_BOOLEAN,
+	TOML_FLOAT,
 	TOML_OTHER
 } toml_kind_t;
 
@@ -25,6 +26,7 @@
 	toml_kind_t kind;
 	char *text; /* of a string */
 	int64_t number; /* of an integer, or 0 and 1 */
+	double decimal; /* of a float */
 } toml_leaf_t;
 
 typedef struct toml_document {
--- /dev/null
+++ b/core/forward/call.c
@@ -0,0 +1,26 @@
+/* The life of a caller's request. */
+#include "core/forward/call.h"
+
+/* Returns an empty call; the caller owns it. */
+forward_call_t *forward_call_create(void)
+{
+	forward_call_t *call = g_new0(forward_call_t, 1);
+
+	call->headers = g_string_new(NULL);
+	return call;
+}
+
+/* Frees a call with its strings; NULL is allowed. */
+void forward_call_destroy(forward_call_t *call)
+{
+	if (!call)
+		return;
+	g_free(call->id);
+	g_free(call->method);
+	g_free(call->target);
+	g_free(call->host);
+	g_free(call->api_key);
+	g_free(call->resume_after);
+	g_string_free(call->headers, TRUE);
+	g_free(call);
+}
--- /dev/null
+++ b/core/forward/call.h
@@ -0,0 +1,40 @@
+/*
+ * A caller's request as the decisions see it: typed, with no name of any wire.
+ */
+#ifndef PISTACHIO_FORWARD_CALL_H
+#define PISTACHIO_FORWARD_CALL_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ports/clock.h"
+
+#define PROMPT_PARTS_MAX 16
+
+/* A piece of a prompt that several requests may share. */
+typedef struct prompt_part {
+	uint64_t id;
+	unsigned int tokens;
+} prompt_part_t;
+
+typedef struct forward_call {
+	char *id; /* of this attempt of the caller; NULL if it sent none */
+	char *method;
+	char *target; /* path and query, passed on as they are */
+	char *host;
+	char *api_key; /* NULL if it sent none */
+	pd_time_t patience; /* how long the caller waits; 0: it did not say */
+	bool has_tokens;
+	unsigned int prompt_tokens;
+	unsigned int output_tokens; /* at most */
+	prompt_part_t parts[PROMPT_PARTS_MAX]; /* in their order */
+	unsigned int part_count;
+	char *resume_after; /* the last event the caller has; NULL: from the start */
+	GString *headers; /* lines to pass on, as sent */
+} forward_call_t;
+
+forward_call_t *forward_call_create(void);
+void forward_call_destroy(forward_call_t *call);
+
+#endif
--- /dev/null
+++ b/core/forward/config.c
@@ -0,0 +1,257 @@
+/* Building a version of the configuration, and looking things up in it. */
+#include "core/forward/config.h"
+
+#include <string.h>
+
+#define HEAD_MAX_DEFAULT 16384
+#define BODY_MAX_DEFAULT (4 * 1024 * 1024)
+#define HEAD_TIMEOUT_DEFAULT (5 * PD_SEC)
+#define IDLE_TIMEOUT_DEFAULT (15 * PD_SEC)
+#define TIMEOUT_DEFAULT (30 * PD_SEC)
+
+static void share_clear(void *data)
+{
+	g_free(((forward_share_t *)data)->service);
+}
+
+static void zone_price_clear(void *data)
+{
+	g_free(((forward_zone_price_t *)data)->zone);
+}
+
+static void route_destroy(void *data)
+{
+	forward_route_t *route = data;
+
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->prefix);
+	g_array_unref(route->shares);
+	g_free(route);
+}
+
+static void service_destroy(void *data)
+{
+	forward_service_t *service = data;
+
+	g_free(service->name);
+	g_array_unref(service->zone_prices);
+	g_free(service);
+}
+
+static void account_destroy(void *data)
+{
+	forward_account_t *account = data;
+
+	g_free(account->name);
+	g_free(account);
+}
+
+/* Returns an empty version with usual limits; the caller holds a reference. */
+forward_config_t *forward_config_create(void)
+{
+	forward_config_t *config = g_new0(forward_config_t, 1);
+
+	config->refs = 1;
+	config->routes = g_ptr_array_new_with_free_func(route_destroy);
+	config->services = g_ptr_array_new_with_free_func(service_destroy);
+	config->accounts = g_ptr_array_new_with_free_func(account_destroy);
+	config->by_host = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						(GDestroyNotify)g_ptr_array_unref);
+	config->by_key =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	config->head_max = HEAD_MAX_DEFAULT;
+	config->body_max = BODY_MAX_DEFAULT;
+	config->head_timeout = HEAD_TIMEOUT_DEFAULT;
+	config->idle_timeout = IDLE_TIMEOUT_DEFAULT;
+	return config;
+}
+
+/* Takes a reference. */
+forward_config_t *forward_config_ref(forward_config_t *config)
+{
+	config->refs++;
+	return config;
+}
+
+/* Gives a reference up; NULL is allowed. */
+void forward_config_unref(forward_config_t *config)
+{
+	if (!config || --config->refs)
+		return;
+	g_hash_table_unref(config->by_host);
+	g_hash_table_unref(config->by_key);
+	g_ptr_array_unref(config->routes);
+	g_ptr_array_unref(config->services);
+	g_ptr_array_unref(config->accounts);
+	g_free(config);
+}
+
+/* Returns a new route, owned by the version, for the caller to fill in. */
+forward_route_t *forward_config_add_route(forward_config_t *config)
+{
+	forward_route_t *route = g_new0(forward_route_t, 1);
+
+	route->shares = g_array_new(FALSE, TRUE, sizeof(forward_share_t));
+	g_array_set_clear_func(route->shares, share_clear);
+	route->upstreams_max = 1;
+	route->timeout = TIMEOUT_DEFAULT;
+	g_ptr_array_add(config->routes, route);
+	return route;
+}
+
+/* Lets a route send a share of its requests to a service. */
+void forward_route_share(forward_route_t *route, const char *service,
+			 double weight)
+{
+	forward_share_t share = { g_strdup(service), weight };
+
+	g_array_append_val(route->shares, share);
+}
+
+/* Returns a new service, owned by the version, for the caller to fill in. */
+forward_service_t *forward_config_add_service(forward_config_t *config)
+{
+	forward_service_t *service = g_new0(forward_service_t, 1);
+
+	service->zone_prices =
+		g_array_new(FALSE, TRUE, sizeof(forward_zone_price_t));
+	g_array_set_clear_func(service->zone_prices, zone_price_clear);
+	g_ptr_array_add(config->services, service);
+	return service;
+}
+
+/* Returns a new account, owned by the version, for the caller to fill in. */
+forward_account_t *forward_config_add_account(forward_config_t *config)
+{
+	forward_account_t *account = g_new0(forward_account_t, 1);
+
+	account->priority = FORWARD_PRIORITY_UNSET;
+	g_ptr_array_add(config->accounts, account);
+	return account;
+}
+
+/* Gives a key to an account of this version. */
+void forward_config_add_key(forward_config_t *config, const char *key,
+			    forward_account_t *account)
+{
+	g_hash_table_insert(config->by_key, g_strdup(key), account);
+}
+
+static gint by_prefix_length(gconstpointer a, gconstpointer b)
+{
+	const forward_route_t *const *left = a;
+	const forward_route_t *const *right = b;
+	size_t left_len = strlen((*left)->prefix);
+	size_t right_len = strlen((*right)->prefix);
+
+	return (left_len < right_len) - (left_len > right_len);
+}
+
+/* Sorts the routes for lookups; to be called once, when all are added. */
+void forward_config_seal(forward_config_t *config)
+{
+	for (guint i = 0; i < config->routes->len; i++) {
+		forward_route_t *route = g_ptr_array_index(config->routes, i);
+		GPtrArray *list =
+			g_hash_table_lookup(config->by_host, route->host);
+
+		if (!list) {
+			list = g_ptr_array_new();
+			g_hash_table_insert(config->by_host, route->host, list);
+		}
+		g_ptr_array_add(list, route);
+	}
+	GHashTableIter iter;
+	gpointer list;
+
+	g_hash_table_iter_init(&iter, config->by_host);
+	while (g_hash_table_iter_next(&iter, NULL, &list))
+		g_ptr_array_sort(list, by_prefix_length);
+}
+
+/* Returns the host in lower case and without its port; the caller owns it. */
+static char *plain_host(const char *host)
+{
+	const char *colon = strrchr(host, ':');
+	size_t len = colon ? (size_t)(colon - host) : strlen(host);
+
+	return g_ascii_strdown(host, (gssize)len);
+}
+
+/*
+ * Returns the route with the longest prefix of the target's path, or NULL. A
+ * query is no part of the path.
+ */
+const forward_route_t *forward_config_route(const forward_config_t *config,
+					    const char *host, const char *target)
+{
+	char *plain = plain_host(host);
+	GPtrArray *list = g_hash_table_lookup(config->by_host, plain);
+	size_t path_len = strcspn(target, "?#");
+
+	g_free(plain);
+	for (guint i = 0; list && i < list->len; i++) {
+		const forward_route_t *route = g_ptr_array_index(list, i);
+		size_t len = strlen(route->prefix);
+
+		if (len <= path_len && !strncmp(target, route->prefix, len))
+			return route;
+	}
+	return NULL;
+}
+
+/* Returns the account that holds a key, or NULL. */
+const forward_account_t *forward_config_account(const forward_config_t *config,
+						const char *key)
+{
+	return g_hash_table_lookup(config->by_key, key);
+}
+
+/* Returns a service by its name, or NULL. */
+const forward_service_t *forward_config_service(const forward_config_t *config,
+						const char *name)
+{
+	for (guint i = 0; i < config->services->len; i++) {
+		const forward_service_t *service =
+			g_ptr_array_index(config->services, i);
+
+		if (!strcmp(service->name, name))
+			return service;
+	}
+	return NULL;
+}
+
+/* Returns a service of the route, picked by its weight with DRAW in 0 to 1. */
+const char *forward_route_service(const forward_route_t *route, double draw)
+{
+	double total = 0;
+
+	for (guint i = 0; i < route->shares->len; i++)
+		total += g_array_index(route->shares, forward_share_t, i).weight;
+	draw *= total;
+	for (guint i = 0; i < route->shares->len; i++) {
+		const forward_share_t *share =
+			&g_array_index(route->shares, forward_share_t, i);
+
+		draw -= share->weight;
+		if (draw < 0)
+			return share->service;
+	}
+	if (!route->shares->len)
+		return NULL;
+	return g_array_index(route->shares, forward_share_t, 0).service;
+}
+
+/* Returns the price of an upstream's second in a zone, 1 if none is stated. */
+double forward_service_price(const forward_service_t *service, const char *zone)
+{
+	for (guint i = 0; i < service->zone_prices->len; i++) {
+		const forward_zone_price_t *price = &g_array_index(
+			service->zone_prices, forward_zone_price_t, i);
+
+		if (!strcmp(price->zone, zone))
+			return price->price;
+	}
+	return 1;
+}
--- /dev/null
+++ b/core/forward/config.h
@@ -0,0 +1,109 @@
+/*
+ * The configuration in force: routes, services, tenants of it called client
+ * accounts here, and what a caller may send. A version is read once and then
+ * only looked at; requests in flight keep a reference to the one they began by.
+ */
+#ifndef PISTACHIO_FORWARD_CONFIG_H
+#define PISTACHIO_FORWARD_CONFIG_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ports/clock.h"
+
+#define FORWARD_PRIORITY_UNSET (-1)
+
+/* What may be done again with a request of a route. */
+typedef enum forward_kind {
+	FORWARD_SAFE, /* may run more than once */
+	FORWARD_UNSAFE, /* may run once for each attempt of its caller */
+	FORWARD_STREAM /* as unsafe, unless the route says it may be resumed */
+} forward_kind_t;
+
+typedef struct forward_zone_price {
+	char *zone;
+	double price;
+} forward_zone_price_t;
+
+/* A service behind the entries: engines of a model, or plain upstreams. */
+typedef struct forward_service {
+	char *name;
+	unsigned int connections_max; /* at one upstream, from all entries */
+	bool is_engine;
+	unsigned int engine_slots; /* requests in a batch */
+	double engine_memory; /* tokens */
+	bool engine_moves; /* running requests can be copied elsewhere */
+	bool scaled; /* the number of upstreams is ours to order */
+	unsigned int zone_min;
+	unsigned int zone_max;
+	pd_time_t boot_time;
+	double spot_price; /* of the price of an upstream that stays */
+	GArray *zone_prices; /* of forward_zone_price_t */
+} forward_service_t;
+
+typedef struct forward_share {
+	char *service;
+	double weight;
+} forward_share_t;
+
+typedef struct forward_route {
+	char *name;
+	char *host; /* in lower case */
+	char *prefix;
+	forward_kind_t kind;
+	bool open; /* needs no key */
+	bool resumable;
+	bool has_prompt; /* its requests carry a model's prompt */
+	int priority; /* 0 is the highest */
+	unsigned int upstreams_max; /* that one attempt of a caller may reach */
+	pd_time_t timeout;
+	pd_time_t goal; /* to the answer, or a stream's first event */
+	pd_time_t gap_goal; /* between events; 0: none */
+	GArray *shares; /* of forward_share_t */
+} forward_route_t;
+
+typedef struct forward_account {
+	char *name;
+	int priority; /* over the route's; FORWARD_PRIORITY_UNSET: none */
+	bool in_tokens; /* the limit counts tokens and not requests */
+	double plain_tokens; /* of a request that states none */
+	double rate; /* a second over all entries; 0: no limit */
+	double burst;
+} forward_account_t;
+
+typedef struct forward_config {
+	unsigned int refs;
+	uint64_t version;
+	GPtrArray *routes; /* of forward_route_t */
+	GPtrArray *services; /* of forward_service_t */
+	GPtrArray *accounts; /* of forward_account_t */
+	GHashTable *by_host; /* host -> GPtrArray of routes, longest prefix first */
+	GHashTable *by_key; /* API key -> forward_account_t */
+	size_t head_max; /* bytes */
+	size_t body_max; /* bytes */
+	pd_time_t head_timeout;
+	pd_time_t idle_timeout;
+} forward_config_t;
+
+forward_config_t *forward_config_create(void);
+forward_config_t *forward_config_ref(forward_config_t *config);
+void forward_config_unref(forward_config_t *config);
+forward_route_t *forward_config_add_route(forward_config_t *config);
+void forward_route_share(forward_route_t *route, const char *service,
+			 double weight);
+forward_service_t *forward_config_add_service(forward_config_t *config);
+forward_account_t *forward_config_add_account(forward_config_t *config);
+void forward_config_add_key(forward_config_t *config, const char *key,
+			    forward_account_t *account);
+void forward_config_seal(forward_config_t *config);
+const forward_route_t *forward_config_route(const forward_config_t *config,
+					    const char *host, const char *target);
+const forward_account_t *forward_config_account(const forward_config_t *config,
+						const char *key);
+const forward_service_t *forward_config_service(const forward_config_t *config,
+						const char *name);
+const char *forward_route_service(const forward_route_t *route, double draw);
+double forward_service_price(const forward_service_t *service, const char *zone);
+
+#endif
--- /dev/null
+++ b/core/forward/upstreams.h
@@ -0,0 +1,110 @@
+/*
+ * The upstreams that the platform lists, what this entry knows of each, and the
+ * choice of one for a request. upstreams-notes.md weighs the choice.
+ */
+#ifndef PISTACHIO_FORWARD_UPSTREAMS_H
+#define PISTACHIO_FORWARD_UPSTREAMS_H
+
+#include "core/forward/call.h"
+#include "core/forward/config.h"
+#include "core/list.h"
+
+#define FORWARD_TRIED_MAX 8
+
+typedef enum forward_stage {
+	FORWARD_SERVING,
+	FORWARD_DRAINING, /* ends what it has; gets nothing new */
+	FORWARD_GONE
+} forward_stage_t;
+
+/* What the platform says of an upstream, at one revision of its entry. */
+typedef struct forward_listing {
+	const char *id; /* of this start of it; never used again */
+	const char *service;
+	const char *address;
+	uint16_t port;
+	const char *zone;
+	unsigned int slots;
+	forward_stage_t stage;
+	bool reclaimable;
+	uint64_t revision;
+} forward_listing_t;
+
+typedef struct forward_upstream {
+	list_node_t node;
+	unsigned int refs;
+	char *id;
+	char *service;
+	char *address;
+	uint16_t port;
+	char *zone;
+	unsigned int slots;
+	forward_stage_t stage;
+	bool reclaimable;
+	uint64_t revision;
+	bool listed; /* seen in the listing that is being read */
+	pd_time_t gone_at; /* it counts as gone from then on; 0: it does not */
+	pd_time_t left_at; /* when it was last seen to drain or go */
+	pd_time_t started_at; /* when this entry first heard of it */
+	unsigned int running; /* requests of this entry */
+	double reading; /* prompt tokens of this entry's requests not yet read */
+	double memory; /* tokens of this entry's requests */
+	unsigned int peers_running; /* as the other entries told */
+	double peers_reading;
+	unsigned int connections; /* of this entry */
+	list_node_t idle_links; /* kept connections; the adapter's */
+	unsigned int failures; /* in a row */
+	pd_time_t avoid_until; /* after failures */
+	pd_time_t probing_since; /* the one request that tests it again */
+	GHashTable *parts; /* prompt part id -> pd_time_t of the last use */
+} forward_upstream_t;
+
+typedef struct forward_upstreams forward_upstreams_t;
+
+/* What a request asks of an upstream. */
+typedef struct forward_ask {
+	const char *service;
+	const char *zone; /* of this entry */
+	const forward_call_t *call;
+	bool has_prompt;
+	double overfill; /* of the slots, that may be used; 1: all */
+	unsigned int connections_max; /* of this entry at one upstream; 0: any */
+	const char *tried[FORWARD_TRIED_MAX]; /* ids to leave out */
+	unsigned int tried_count;
+} forward_ask_t;
+
+typedef enum forward_choice {
+	FORWARD_CHOSEN,
+	FORWARD_ALL_FULL,
+	FORWARD_NONE_LEFT /* none serves, or all were tried */
+} forward_choice_t;
+
+forward_upstreams_t *forward_upstreams_create(void);
+void forward_upstreams_destroy(forward_upstreams_t *set);
+bool forward_upstreams_apply(forward_upstreams_t *set,
+			     const forward_listing_t *listing, pd_time_t now);
+bool forward_upstreams_remove(forward_upstreams_t *set, const char *id,
+			      uint64_t revision, pd_time_t now);
+void forward_upstreams_begin_listing(forward_upstreams_t *set);
+void forward_upstreams_end_listing(forward_upstreams_t *set, uint64_t revision,
+				   pd_time_t now);
+void forward_upstreams_store_back(forward_upstreams_t *set, pd_time_t now);
+void forward_upstreams_run(forward_upstreams_t *set, pd_time_t now);
+list_node_t *forward_upstreams_list(forward_upstreams_t *set);
+forward_upstream_t *forward_upstreams_find(forward_upstreams_t *set,
+					   const char *id);
+forward_choice_t forward_upstreams_choose(forward_upstreams_t *set,
+					  const forward_ask_t *ask,
+					  pd_time_t now,
+					  forward_upstream_t **chosen);
+bool forward_upstream_serves(const forward_upstream_t *upstream, pd_time_t now);
+double forward_upstream_unread(const forward_upstream_t *upstream,
+			       const forward_call_t *call, pd_time_t now);
+void forward_upstream_sent(forward_upstream_t *upstream,
+			   const forward_call_t *call, pd_time_t now);
+void forward_upstream_failed(forward_upstream_t *upstream, pd_time_t now);
+void forward_upstream_answered(forward_upstream_t *upstream);
+forward_upstream_t *forward_upstream_ref(forward_upstream_t *upstream);
+void forward_upstream_unref(forward_upstream_t *upstream);
+
+#endif
--- a/core/lease.c
+++ b/core/lease.c
@@ -8,16 +8,10 @@
 
 #include <string.h>
 
-#define LEASE_TERM (6 * PD_SEC)
-#define LEASE_RENEW (2 * PD_SEC)
-/* Others wait longer than the holder believes, so both are never right. */
-#define LEASE_TAKEOVER (9 * PD_SEC)
 #define STORE_TIMEOUT (2 * PD_SEC)
 /* The holder asks again so soon after an answer that settled nothing. */
 #define HOLDER_RETRY (300 * PD_MSEC)
-/* A process that stands by looks at the lease about so often. */
-#define STANDBY_PERIOD (20 * PD_SEC)
-/* All placers of a fleet may start at once; their first reads are spread. */
+/* All candidates may start at once; their first reads are spread. */
 #define START_SPREAD (2 * PD_SEC)
 /*
  * A clock that leaps ahead would make a renewed lease look abandoned, and two
@@ -26,8 +20,20 @@
  */
 #define QUIET_STEP_MAX PD_SEC
 
+/*
+ * The placer's: at the planned size its candidates cost the store two reads
+ * each in 29 s; lease-notes.md has the ways weighed.
+ */
+const lease_timing_t lease_timing_placer = {
+	.term = 6 * PD_SEC,
+	.renew = 2 * PD_SEC,
+	.takeover = 9 * PD_SEC,
+	.standby = 20 * PD_SEC,
+};
+
 struct lease {
 	char *holder;
+	lease_timing_t timing;
 	GRand *random;
 	store_op_t next_op;
 	store_op_t op; /* in flight, 0 if none */
@@ -47,11 +53,13 @@
 };
 
 /* Returns a lease not held; HOLDER names this process uniquely. */
-lease_t *lease_create(const char *holder, uint32_t seed)
+lease_t *lease_create(const char *holder, const lease_timing_t *timing,
+		      uint32_t seed)
 {
 	lease_t *lease = g_new0(lease_t, 1);
 
 	lease->holder = g_strdup(holder);
+	lease->timing = *timing;
 	lease->random = g_rand_new_with_seed(seed);
 	lease->next_op = 1;
 	return lease;
@@ -133,6 +141,21 @@
 	}
 }
 
+/*
+ * Sets what the holder writes down before it acts on it, to be written at once.
+ * Returns false if the lease is not settled: a change made while a write is out
+ * could be lost with that write's answer.
+ */
+bool lease_set_note(lease_t *lease, const char *note, pd_time_t now)
+{
+	if (!lease_is_settled(lease, now))
+		return false;
+	g_free(lease->record->note);
+	lease->record->note = g_strdup(note);
+	lease->dirty = true;
+	return true;
+}
+
 static bool lease_is_own(const lease_t *lease)
 {
 	return !g_strcmp0(lease->record->holder, lease->holder);
@@ -159,14 +182,14 @@
  */
 static void lease_stand_by(lease_t *lease, bool changed, pd_time_t now)
 {
-	if (lease->quiet >= LEASE_TAKEOVER) {
+	if (lease->quiet >= lease->timing.takeover) {
 		lease->next_at = now;
 	} else if (lease->confirming && changed) {
 		lease->confirming = false;
-		lease->next_at = now + lease_spread(lease, STANDBY_PERIOD);
+		lease->next_at = now + lease_spread(lease, lease->timing.standby);
 	} else {
 		lease->confirming = true;
-		lease->next_at = now + LEASE_TAKEOVER - lease->quiet;
+		lease->next_at = now + lease->timing.takeover - lease->quiet;
 	}
 }
 
@@ -179,7 +202,7 @@
 		lease->next_at =
 			now + (lease_is_held(lease, now)
 				       ? HOLDER_RETRY
-				       : lease_spread(lease, LEASE_TAKEOVER));
+				       : lease_spread(lease, lease->timing.takeover));
 		return;
 	}
 	lease->missing = reply->status == STORE_MISSING;
@@ -190,7 +213,7 @@
 	lease->record = reply->record ? lease_record_copy(reply->record)
 				      : lease_record_create();
 	lease->dirty = false;
-	lease->takeable = lease_is_free(lease) || lease->quiet >= LEASE_TAKEOVER;
+	lease->takeable = lease_is_free(lease) || lease->quiet >= lease->timing.takeover;
 	/* Reading one's own name may show a write whose answer was lost. */
 	if (!lease_is_own(lease))
 		lease->held_until = 0;
@@ -214,15 +237,15 @@
 		lease->next_at =
 			now + (was_held || reply->status == STORE_UNKNOWN
 				       ? HOLDER_RETRY
-				       : lease_spread(lease, STANDBY_PERIOD));
+				       : lease_spread(lease, lease->timing.standby));
 		return;
 	}
 	lease_record_destroy(lease->record);
 	lease->record = g_steal_pointer(&lease->wanted);
 	lease->version = reply->version;
 	lease->quiet = 0;
-	lease->held_until = lease->asked_at + LEASE_TERM;
-	lease->next_at = lease->asked_at + LEASE_RENEW;
+	lease->held_until = lease->asked_at + lease->timing.term;
+	lease->next_at = lease->asked_at + lease->timing.renew;
 	lease->missing = false;
 	lease->dirty = false;
 }
--- a/core/lease.h
+++ b/core/lease.h
@@ -1,5 +1,5 @@
 /*
- * The placer's lease: one object in the platform that names the holder and a
+ * A lease on a duty: one object in the platform that names the holder and a
  * fencing number. lease-notes.md gives the reasoning.
  */
 #ifndef PISTACHIO_LEASE_H
@@ -9,7 +9,18 @@
 
 typedef struct lease lease_t;
 
-lease_t *lease_create(const char *holder, uint32_t seed);
+/* How long things take; TAKEOVER is longer than TERM by clocks' drift. */
+typedef struct lease_timing {
+	pd_time_t term; /* a holder believes so long after it asked to renew */
+	pd_time_t renew;
+	pd_time_t takeover; /* others wait so long for a renewal */
+	pd_time_t standby; /* about how often others look */
+} lease_timing_t;
+
+extern const lease_timing_t lease_timing_placer;
+
+lease_t *lease_create(const char *holder, const lease_timing_t *timing,
+		      uint32_t seed);
 void lease_destroy(lease_t *lease);
 void lease_reply(lease_t *lease, const lease_reply_t *reply, pd_time_t now);
 void lease_run(lease_t *lease, pd_time_t now, list_node_t *actions);
@@ -18,6 +29,7 @@
 bool lease_is_settled(const lease_t *lease, pd_time_t now);
 uint64_t lease_fence(const lease_t *lease);
 const lease_record_t *lease_record(const lease_t *lease);
+bool lease_set_note(lease_t *lease, const char *note, pd_time_t now);
 bool lease_add_intent(lease_t *lease, const intent_t *intent);
 void lease_drop_intent(lease_t *lease, const char *tag);
 
--- a/core/placer.c
+++ b/core/placer.c
@@ -27,7 +27,8 @@
 	for (size_t i = 0; config->zones[i]; i++)
 		g_ptr_array_add(placer->zones, g_strdup(config->zones[i]));
 	placer->random = g_rand_new_with_seed(config->seed);
-	placer->lease = lease_create(config->id, g_rand_int(placer->random));
+	placer->lease = lease_create(config->id, &lease_timing_placer,
+				     g_rand_int(placer->random));
 	placer->offers = offers_create(placer->zones, placer->random);
 	placer->vms = g_ptr_array_new_with_free_func(vm_destroy);
 	placer->orders = orders_create();
--- a/core/placer_event.c
+++ b/core/placer_event.c
@@ -36,6 +36,7 @@
 	copy->holder = g_strdup(record->holder);
 	copy->fence = record->fence;
 	copy->renewals = record->renewals;
+	copy->note = g_strdup(record->note);
 	copy->intent_count = record->intent_count;
 	for (unsigned int i = 0; i < record->intent_count; i++)
 		intent_copy(&copy->intents[i], &record->intents[i]);
@@ -50,6 +51,7 @@
 	for (unsigned int i = 0; i < record->intent_count; i++)
 		intent_clear(&record->intents[i]);
 	g_free(record->holder);
+	g_free(record->note);
 	g_free(record);
 }
 
--- a/ports/placer_event.h
+++ b/ports/placer_event.h
@@ -59,6 +59,7 @@
 	char *holder;
 	uint64_t fence; /* grows with each change of holder */
 	uint64_t renewals; /* grows with each write, so a renewal shows */
+	char *note; /* what the holder wrote down before acting; NULL: none */
 	intent_t intents[INTENTS_MAX];
 	unsigned int intent_count;
 } lease_record_t;
--- /dev/null
+++ b/programs/pistachio_gateway.c
@@ -0,0 +1,113 @@
+/* pistachio-gateway: forwards callers' requests on the users' platform. */
+#include <argp.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sysexits.h>
+#include <unistd.h>
+#include <uv.h>
+
+#include "adapters/gateway/gateway.h"
+#include "adapters/log_buffer.h"
+#include "adapters/log_glib.h"
+#include "programs/cli.h"
+
+const char *argp_program_version = "pistachiodrift " PISTACHIO_VERSION;
+
+typedef struct options {
+	const char *settings;
+	bool check;
+} options_t;
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	options_t *options = state->input;
+
+	switch (key) {
+	case 's':
+		options->settings = arg;
+		return 0;
+	case 'c':
+		options->check = true;
+		return 0;
+	case ARGP_KEY_END:
+		if (!options->settings)
+			argp_error(state, "--settings is needed");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static options_t read_options(int argc, char **argv)
+{
+	static const struct argp_option table[] = {
+		{ "settings", 's', "FILE", 0, "read settings from FILE", 0 },
+		{ "check", 'c', NULL, 0, "check the settings and exit", 0 },
+		{ 0 }
+	};
+	const struct argp argp = {
+		table, parse_option, NULL, "Forward callers' requests.",
+		NULL,  NULL,	     NULL
+	};
+	options_t options = { NULL, false };
+
+	argp_err_exit_status = EX_USAGE;
+	argp_parse(&argp, argc, argv, 0, NULL, &options);
+	return options;
+}
+
+static void on_signal(uv_signal_t *handle, int signum)
+{
+	if (signum == SIGHUP) {
+		/* Addresses and bounds hold for a process's whole life. */
+		log_line(G_LOG_LEVEL_INFO, "gateway",
+			 "reload changed=none reason=\"read at start only\"");
+		return;
+	}
+	gateway_stop(handle->data);
+}
+
+static void watch_signal(uv_loop_t *loop, uv_signal_t *handle, int signum,
+			 gateway_t *gateway)
+{
+	uv_signal_init(loop, handle);
+	handle->data = gateway;
+	uv_signal_start(handle, on_signal, signum);
+}
+
+int main(int argc, char **argv)
+{
+	options_t options = read_options(argc, argv);
+	uv_loop_t *loop = uv_default_loop();
+	gateway_settings_t *settings;
+	uv_signal_t terminate;
+	uv_signal_t interrupt;
+	uv_signal_t hangup;
+	gateway_t *gateway;
+	pd_error_t err;
+
+	signal(SIGPIPE, SIG_IGN);
+	settings = gateway_settings_read(options.settings, &err);
+	if (!settings)
+		goto error;
+	if (options.check) {
+		printf("%s: ok\n", options.settings);
+		return EX_OK;
+	}
+	log_init("info");
+	log_buffer_init(STDOUT_FILENO);
+	log_to(log_buffer_add);
+	gateway = gateway_create(loop, settings, &err);
+	if (!gateway)
+		goto error;
+	watch_signal(loop, &terminate, SIGTERM, gateway);
+	watch_signal(loop, &interrupt, SIGINT, gateway);
+	watch_signal(loop, &hangup, SIGHUP, gateway);
+	uv_run(loop, UV_RUN_DEFAULT);
+	return EX_OK;
+error:
+	fprintf(stderr, "pistachio-gateway: %s\n", err.context);
+	return err.kind == PD_ERROR_SETTINGS ? EX_CONFIG : EX_UNAVAILABLE;
+}
--- a/tests/property/test_lease.cc
+++ b/tests/property/test_lease.cc
@@ -111,7 +111,8 @@
 		std::string id = "p" + std::to_string(++started);
 
 		lease_destroy(process.lease);
-		process.lease = lease_create(id.c_str(), g_rand_int(random));
+		process.lease = lease_create(id.c_str(), &lease_timing_placer,
+					     g_rand_int(random));
 		process.life++;
 	}
 
