--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -164,12 +164,17 @@
 	uv_stop(gateway->loop);
 }
 
+static void on_lapsed(void *ctx, const char *id)
+{
+	gateway_upstream_news(ctx, id, "lapse");
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	gateway_t *gateway = timer->data;
 	pd_time_t now = gateway_now();
 
-	forward_upstreams_run(gateway->upstreams, now);
+	forward_upstreams_run(gateway->upstreams, now, on_lapsed, gateway);
 	fleet_feed_run(gateway->feed, now);
 	requests_run(gateway, now);
 	callers_run(gateway, now);
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -9,6 +9,12 @@
  * whole fleet would vanish at the end of each outage.
  */
 #define RELIST_GRACE (2300 * PD_MSEC)
+/*
+ * An entry that goes right after an outage may as well have been taken out for
+ * good. Nothing new may be sent two seconds after that, so the wait for its
+ * return is a little shorter.
+ */
+#define LAPSE_MAX (1700 * PD_MSEC)
 /* How long a record of a gone upstream guards against older news of it. */
 #define GONE_KEPT (60 * PD_SEC)
 /*
@@ -143,12 +149,14 @@
 	if (!upstream)
 		upstream = set_add(set, listing->id, now);
 	upstream->listed = true;
-	if (listing->revision < upstream->revision)
+	if (listing->revision <= upstream->revision)
 		return false;
-	/* Listed again after it had lapsed; the platform knows that it lives. */
+	/*
+	 * Listed anew after it had lapsed. The same revision, told once more by
+	 * a peer, is no sign of life: taken for one, it kept upstreams that had
+	 * left in use for seconds.
+	 */
 	upstream->gone_at = 0;
-	if (listing->revision == upstream->revision)
-		return false;
 	if (listing->stage != FORWARD_SERVING &&
 	    upstream->stage == FORWARD_SERVING)
 		upstream->left_at = now;
@@ -182,8 +190,8 @@
 		return false;
 	upstream->gone_at = now;
 	if (lapsed && upstream->stage == FORWARD_SERVING && upstream->revision) {
-		upstream->gone_at = set->grace_until;
-		return true;
+		upstream->gone_at = MIN(set->grace_until, now + LAPSE_MAX);
+		return false; /* news only when that time is over */
 	}
 	upstream->stage = FORWARD_GONE;
 	upstream->left_at = now;
@@ -218,8 +226,12 @@
 	set->grace_until = now + RELIST_GRACE;
 }
 
-/* Lets time pass: lapsed entries that did not come back are gone. */
-void forward_upstreams_run(forward_upstreams_t *set, pd_time_t now)
+/*
+ * Lets time pass: lapsed entries that did not come back are gone, and ON_GONE
+ * is called for each.
+ */
+void forward_upstreams_run(forward_upstreams_t *set, pd_time_t now,
+			   void (*on_gone)(void *ctx, const char *id), void *ctx)
 {
 	LIST_FOR_EACH_SAFE (it, &set->list) {
 		forward_upstream_t *upstream =
@@ -230,6 +242,7 @@
 		if (upstream->stage != FORWARD_GONE) {
 			upstream->stage = FORWARD_GONE;
 			upstream->left_at = now;
+			on_gone(ctx, upstream->id);
 		}
 		if (now - upstream->gone_at > GONE_KEPT)
 			set_drop(set, upstream);
