--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "adapters/log_glib.h"
+#include "core/forward/scale_plan.h"
 #include "core/lease.h"
 #include "platform/wire.h"
 
@@ -17,6 +18,11 @@
 /* Counts of a window come in with the peers' states; the slowest take so long. */
 #define COUNTS_SETTLE (2200 * PD_MSEC)
 #define REPORT_RETRY (500 * PD_MSEC)
+/* How often the fleet's size is thought over, and an order is tried again. */
+#define PLAN_PERIOD (500 * PD_MSEC)
+#define ORDER_RETRY (1500 * PD_MSEC)
+/* Upstreams list themselves a little after they have started. */
+#define BOOT_MARGIN (1500 * PD_MSEC)
 /* Windows further back than this have no counts any more. */
 #define WINDOWS_BACK 3
 #define WINDOWS_KEPT 8
@@ -43,14 +49,34 @@
 	int64_t reported; /* the last window that the platform took */
 	bool reporting; /* a report is out */
 	pd_time_t report_at;
+	scale_plan_t *plan;
+	GHashTable *orders; /* "service zone kind" -> order_t */
+	pd_time_t plan_at;
 };
 
+/* What was last ordered of one kind of upstream in one zone. */
+typedef struct order {
+	gateway_duties_t *duties;
+	char *service;
+	char *zone;
+	bool reclaimable;
+	unsigned int wanted;
+	unsigned int ordered; /* taken by the platform */
+	bool confirmed; /* since this process holds the lease */
+	bool out; /* a call is on its way */
+	unsigned int asked;
+	pd_time_t next_at;
+	pd_time_t taken_at; /* when the last order was taken */
+} order_t;
+
 /* Returns the duties of nobody yet; the caller owns them. */
 gateway_duties_t *gateway_duties_create(gateway_t *gateway)
 {
 	gateway_duties_t *duties = g_new0(gateway_duties_t, 1);
 
 	duties->gateway = gateway;
+	duties->plan = scale_plan_create();
+	duties->orders = g_hash_table_new(g_str_hash, g_str_equal);
 	duties->lease = lease_create(gateway->settings->node_id, &timing,
 				     g_rand_int(gateway->random));
 	return duties;
@@ -273,6 +299,128 @@
 		    report ? MAX(noted + 1, ended - WINDOWS_BACK) : ended, now);
 }
 
+static order_t *duties_order(gateway_duties_t *duties, const char *service,
+			     const char *zone, bool reclaimable)
+{
+	char *key = g_strdup_printf("%s %s %d", service, zone, reclaimable);
+	order_t *order = g_hash_table_lookup(duties->orders, key);
+
+	if (order) {
+		g_free(key);
+		return order;
+	}
+	order = g_new0(order_t, 1);
+	order->duties = duties;
+	order->service = g_strdup(service);
+	order->zone = g_strdup(zone);
+	order->reclaimable = reclaimable;
+	g_hash_table_insert(duties->orders, key, order);
+	return order;
+}
+
+static void order_replied(void *ctx, const http1_reply_t *reply)
+{
+	order_t *order = ctx;
+	gateway_duties_t *duties = order->duties;
+	pd_time_t now = gateway_now();
+
+	order->out = false;
+	order->next_at = now + ORDER_RETRY;
+	log_line(G_LOG_LEVEL_INFO, PART,
+		 "order service=%s zone=%s reclaimable=%d wanted=%u status=%d",
+		 order->service, order->zone, order->reclaimable, order->asked,
+		 reply->status);
+	if (reply->status == 200) {
+		order->ordered = order->asked;
+		order->confirmed = true;
+		order->taken_at = now;
+	} else if (reply->status == 409) {
+		scale_plan_refused(duties->plan, order->zone, now);
+	}
+}
+
+static void order_send(order_t *order)
+{
+	gateway_duties_t *duties = order->duties;
+	GString *headers = g_string_new(NULL);
+	char *body = wire_scale_write(order->service, order->zone, order->wanted,
+				      order->reclaimable);
+	http1_ask_t ask = {
+		.method = "POST",
+		.path = wire_scale_path(),
+		.body = body,
+		.timeout_ms = CLOUD_TIMEOUT_MS,
+		.on_reply = order_replied,
+		.ctx = order,
+	};
+
+	wire_duty_headers(headers, duties->gateway->settings->node_id,
+			  duties->fence);
+	ask.headers = headers->str;
+	order->out = true;
+	order->asked = order->wanted;
+	http1_client_call(duties->gateway->cloud, &ask);
+	g_string_free(headers, TRUE);
+	g_free(body);
+}
+
+/*
+ * Orders what is wanted if the platform has not taken that yet, or if so many
+ * should have started by now and have not: what was reclaimed does not come
+ * back by itself.
+ */
+static void order_run(order_t *order, const forward_service_t *service,
+		      unsigned int wanted, pd_time_t now)
+{
+	unsigned int serving = scale_plan_serving(
+		order->duties->gateway->upstreams, order->service, order->zone,
+		order->reclaimable);
+	bool late = serving < wanted &&
+		    now - order->taken_at > service->boot_time + BOOT_MARGIN;
+
+	order->wanted = wanted;
+	if (order->out || now < order->next_at ||
+	    (order->confirmed && order->ordered == wanted && !late))
+		return;
+	order_send(order);
+}
+
+static void scale_service(gateway_duties_t *duties,
+			  const forward_service_t *service, pd_time_t now)
+{
+	gateway_t *gateway = duties->gateway;
+	scale_zone_t zones[SCALE_ZONES_MAX];
+	unsigned int count = scale_plan_make(
+		duties->plan, service, gateway->upstreams,
+		work_rate_of(gateway->work, service->name), now, zones);
+
+	log_line(G_LOG_LEVEL_INFO, PART, "plan service=%s work=%.0f",
+		 service->name, work_rate_of(gateway->work, service->name));
+	for (unsigned int i = 0; i < count; i++) {
+		order_run(duties_order(duties, service->name, zones[i].zone, true),
+			  service, zones[i].reclaimable, now);
+		order_run(duties_order(duties, service->name, zones[i].zone,
+				       false),
+			  service, zones[i].lasting, now);
+	}
+}
+
+static void run_scale(gateway_duties_t *duties, pd_time_t now)
+{
+	const forward_config_t *config = duties->gateway->config;
+
+	if (!config || !duties->gateway->upstreams_known || now < duties->plan_at)
+		return;
+	duties->plan_at = now + PLAN_PERIOD;
+	for (guint i = 0; i < config->services->len; i++) {
+		const forward_service_t *service =
+			g_ptr_array_index(config->services, i);
+
+		if (service->scaled)
+			scale_service(duties, service, now);
+	}
+}
+
 /* Renews or takes the lease, and does what is due if it is held. */
 void gateway_duties_run(gateway_duties_t *duties, pd_time_t now)
 {
@@ -280,6 +428,8 @@
 		return;
 	lease_step(duties, now);
 	follow_lease(duties, now);
-	if (may_act(duties, now))
-		run_usage(duties, now);
+	if (!may_act(duties, now))
+		return;
+	run_usage(duties, now);
+	run_scale(duties, now);
 }
--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -28,6 +28,7 @@
 	bool listing;
 	bool waiting; /* a call is out */
 	bool lost; /* the last call failed */
+	bool lost_alone; /* a peer had the store meanwhile */
 	pd_time_t next_at;
 	pd_time_t asked_at;
 } feed_t;
@@ -171,6 +172,7 @@
 			 "lost=%s status=%d revision=%" G_GUINT64_FORMAT,
 			 feed->name, status, feed->revision);
 	feed->lost = true;
+	feed->lost_alone |= gateway_peers_have_store(gateway->peers);
 	feed->next_at = gateway_now() +
 			(pd_time_t)(g_rand_double(gateway->random) * 2 *
 				    (double)RETRY_PAUSE);
@@ -182,9 +184,14 @@
 		return;
 	feed->lost = false;
 	log_line(G_LOG_LEVEL_INFO, PART, "regained=%s", feed->name);
-	if (feed->kind == WIRE_UPSTREAMS)
+	/*
+	 * Entries lapse only if the store was away for all. If it turned just
+	 * this gateway away, what is no longer listed has left.
+	 */
+	if (feed->kind == WIRE_UPSTREAMS && !feed->lost_alone)
 		forward_upstreams_store_back(feed->fleet->gateway->upstreams,
 					     gateway_now());
+	feed->lost_alone = false;
 }
 
 static void feed_relist(feed_t *feed)
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -180,6 +180,7 @@
 	callers_run(gateway, now);
 	upstream_links_run(gateway, now);
 	gateway_peers_run(gateway->peers, now);
+	work_rate_run(gateway->work, now);
 	gateway_duties_run(gateway->duties, now);
 	log_buffer_flush(now);
 	if (gateway->stop_at)
@@ -268,6 +269,7 @@
 		&limits, !strcmp(settings->node_start, "first"));
 	gateway->retries = retry_windows_create(&retries);
 	gateway->usage = usage_create();
+	gateway->work = work_rate_create();
 	gateway->vote = time_vote_create();
 	gateway->metrics = metrics_create();
 	gateway->random = g_rand_new();
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -13,6 +13,7 @@
 #include "core/forward/token_limits.h"
 #include "core/forward/upstreams.h"
 #include "core/forward/usage.h"
+#include "core/forward/work_rate.h"
 
 #define GATEWAY_RANKS 10 /* of requests; 0 goes first */
 
@@ -30,6 +31,7 @@
 	token_limits_t *limits;
 	retry_windows_t *retries;
 	usage_t *usage;
+	work_rate_t *work;
 	time_vote_t *vote;
 	metrics_t *metrics;
 	http1_client_t *store;
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "adapters/frame_link.h"
+#include "adapters/gateway/fleet_feed.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/log_glib.h"
 
@@ -20,6 +21,8 @@
 #define FANOUT_MAX 8
 /* A peer not heard for so long runs nothing any more, as far as loads go. */
 #define LOAD_KEPT (2 * PD_SEC)
+/* What a peer said of the store holds for a few states. */
+#define STORE_NEWS_KEPT (700 * PD_MSEC)
 /* Peers are tried for so long after they were last heard of. */
 #define PEER_KEPT (20 * PD_SEC)
 /* Whoever is not heard for so long no longer counts as one of the fleet. */
@@ -52,6 +55,7 @@
 	bool seed;
 	pd_time_t added_at;
 	pd_time_t heard_at; /* 0: never */
+	bool has_store; /* it was being served when last heard */
 	pd_time_t mentioned_at; /* by another peer that hears it */
 	GArray *loads; /* of load_t, counted in the upstreams */
 } peer_t;
@@ -285,6 +289,31 @@
 	}
 }
 
+static void count_work(void *ctx, const char *service, double total)
+{
+	(void)service;
+	(void)total;
+	((list_writer_t *)ctx)->count++;
+}
+
+static void pack_work(void *ctx, const char *service, double total)
+{
+	list_writer_t *writer = ctx;
+
+	msgpack_pack_array(writer->packer, 2);
+	pack_text(writer->packer, service);
+	msgpack_pack_uint64(writer->packer, (uint64_t)total);
+}
+
+static void pack_works(msgpack_packer *packer, const gateway_t *gateway)
+{
+	list_writer_t writer = { packer, 0 };
+
+	work_rate_each_own(gateway->work, count_work, &writer);
+	msgpack_pack_array(packer, writer.count);
+	work_rate_each_own(gateway->work, pack_work, &writer);
+}
+
 static bool peer_is_alive(const peer_t *peer, pd_time_t now)
 {
 	return peer->heard_at && now - peer->heard_at < PEER_KEPT;
@@ -316,7 +345,7 @@
 {
 	const gateway_t *gateway = peers->gateway;
 
-	msgpack_pack_array(packer, 10);
+	msgpack_pack_array(packer, 12);
 	msgpack_pack_uint8(packer, MESSAGE_STATE);
 	pack_text(packer, gateway->settings->peers_listen);
 	pack_text(packer, peers->incarnation);
@@ -332,6 +361,8 @@
 		msgpack_pack_nil(packer);
 	}
 	msgpack_pack_uint64(packer, (uint64_t)(now - peers->started_at));
+	pack_works(packer, gateway);
+	msgpack_pack_uint8(packer, fleet_feed_is_back(gateway->feed));
 }
 
 /* Sends the state to the next few peers in turn. */
@@ -528,6 +559,23 @@
 	}
 }
 
+static void take_works(gateway_t *gateway, const char *who,
+		       const msgpack_object *object, pd_time_t now)
+{
+	uint32_t count = 0;
+	const msgpack_object *items = unpack_items(object, 0, &count);
+
+	for (uint32_t i = 0; i < count; i++) {
+		const msgpack_object *pair = unpack_items(&items[i], 2, NULL);
+		char *service = pair ? unpack_text(&pair[0]) : NULL;
+
+		if (service)
+			work_rate_heard(gateway->work, who, service,
+					unpack_decimal(&pair[1]), now);
+		g_free(service);
+	}
+}
+
 static void take_members(gateway_peers_t *peers, const msgpack_object *object,
 			 pd_time_t now)
 {
@@ -580,6 +628,8 @@
 	take_loads(peers, peer, &fields[6]);
 	take_usages(gateway, who, &fields[7]);
 	take_members(peers, &fields[8], now);
+	take_works(gateway, who, &fields[10], now);
+	peer->has_store = unpack_number(&fields[11]) != 0;
 	if (unpack_number(&fields[4]) > config_version(gateway) ||
 	    !gateway->upstreams_known)
 		peers_fetch(peers, peer);
@@ -670,7 +720,7 @@
 static int take_message(gateway_peers_t *peers, const msgpack_object *object)
 {
 	static const uint32_t lengths[] = {
-		[MESSAGE_STATE] = 10,
+		[MESSAGE_STATE] = 12,
 		[MESSAGE_CONFIG] = 2,
 		[MESSAGE_UPSTREAMS] = 3,
 		[MESSAGE_FETCH] = 2,
@@ -752,6 +802,21 @@
 	return NULL;
 }
 
+/* Says whether the store serves a peer that was heard just now. */
+bool gateway_peers_have_store(const gateway_peers_t *peers)
+{
+	pd_time_t now = gateway_now();
+
+	LIST_FOR_EACH (it, &peers->list) {
+		const peer_t *peer = LIST_ENTRY(it, peer_t, node);
+
+		if (peer->has_store && peer->heard_at &&
+		    now - peer->heard_at < STORE_NEWS_KEPT)
+			return true;
+	}
+	return false;
+}
+
 /* Returns how many gateways there are, this one included. */
 unsigned int gateway_peers_count(const gateway_peers_t *peers)
 {
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -14,6 +14,7 @@
 void gateway_peers_config(gateway_peers_t *peers);
 void gateway_peers_upstream(gateway_peers_t *peers,
 			    const forward_upstream_t *upstream);
+bool gateway_peers_have_store(const gateway_peers_t *peers);
 unsigned int gateway_peers_count(const gateway_peers_t *peers);
 
 #endif
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -35,6 +35,11 @@
  */
 #define QUEUE_PART 0.5
 #define QUEUE_MIN (100 * PD_MSEC)
+/*
+ * What making a token costs an engine, in prompt tokens read: in a batch of
+ * some 40 requests a step of 5 ms makes 40 tokens.
+ */
+#define OUTPUT_TOKEN_WORK 6.0
 /* When callers may come back after a refusal for want of room. */
 #define RETRY_AFTER_FULL (400 * PD_MSEC)
 /* Another gateway takes the caller at once. */
@@ -830,6 +835,9 @@
 							   request->call, now);
 		request->memory = request->call->prompt_tokens +
 				  request->call->output_tokens;
+		work_rate_add(request->gateway->work, request->service,
+			      request->reading + request->call->output_tokens *
+							 OUTPUT_TOKEN_WORK);
 	}
 	upstream->running++;
 	upstream->reading += request->reading;
--- /dev/null
+++ b/core/forward/scale_plan.h
@@ -0,0 +1,32 @@
+/*
+ * How many upstreams of a service there should be in each availability zone,
+ * and how many of them may be reclaimed. scale-plan-notes.md weighs the ways.
+ */
+#ifndef PISTACHIO_SCALE_PLAN_H
+#define PISTACHIO_SCALE_PLAN_H
+
+#include "core/forward/config.h"
+#include "core/forward/upstreams.h"
+
+#define SCALE_ZONES_MAX 32
+
+/* The upstreams that are wanted in a zone, each kind apart. */
+typedef struct scale_zone {
+	const char *zone; /* borrowed from the service */
+	unsigned int lasting;
+	unsigned int reclaimable;
+} scale_zone_t;
+
+typedef struct scale_plan scale_plan_t;
+
+scale_plan_t *scale_plan_create(void);
+void scale_plan_destroy(scale_plan_t *plan);
+void scale_plan_refused(scale_plan_t *plan, const char *zone, pd_time_t now);
+unsigned int scale_plan_serving(forward_upstreams_t *upstreams,
+				const char *service, const char *zone,
+				bool reclaimable);
+unsigned int scale_plan_make(scale_plan_t *plan, const forward_service_t *service,
+			     forward_upstreams_t *upstreams, double work_rate,
+			     pd_time_t now, scale_zone_t zones[SCALE_ZONES_MAX]);
+
+#endif
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -9,12 +9,6 @@
  * whole fleet would vanish at the end of each outage.
  */
 #define RELIST_GRACE (2300 * PD_MSEC)
-/*
- * An entry that goes right after an outage may as well have been taken out for
- * good. Nothing new may be sent two seconds after that, so the wait for its
- * return is a little shorter.
- */
-#define LAPSE_MAX (1700 * PD_MSEC)
 /* How long a record of a gone upstream guards against older news of it. */
 #define GONE_KEPT (60 * PD_SEC)
 /*
@@ -190,7 +184,7 @@
 		return false;
 	upstream->gone_at = now;
 	if (lapsed && upstream->stage == FORWARD_SERVING && upstream->revision) {
-		upstream->gone_at = MIN(set->grace_until, now + LAPSE_MAX);
+		upstream->gone_at = set->grace_until;
 		return false; /* news only when that time is over */
 	}
 	upstream->stage = FORWARD_GONE;
--- /dev/null
+++ b/core/forward/work_rate.h
@@ -0,0 +1,26 @@
+/*
+ * How much work a second all entries send to each service, from what each has
+ * sent since it started.
+ */
+#ifndef PISTACHIO_WORK_RATE_H
+#define PISTACHIO_WORK_RATE_H
+
+#include <glib.h>
+
+#include "ports/clock.h"
+
+typedef struct work_rate work_rate_t;
+
+typedef void (*work_rate_each_t)(void *ctx, const char *service, double total);
+
+work_rate_t *work_rate_create(void);
+void work_rate_destroy(work_rate_t *work);
+void work_rate_add(work_rate_t *work, const char *service, double amount);
+void work_rate_heard(work_rate_t *work, const char *peer, const char *service,
+		     double total, pd_time_t now);
+void work_rate_run(work_rate_t *work, pd_time_t now);
+double work_rate_of(const work_rate_t *work, const char *service);
+void work_rate_each_own(const work_rate_t *work, work_rate_each_t each,
+			void *ctx);
+
+#endif
