--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "adapters/gateway/peers.h"
 #include "adapters/log_glib.h"
 #include "core/forward/scale_plan.h"
 #include "core/lease.h"
@@ -424,10 +425,13 @@
 /* Renews or takes the lease, and does what is due if it is held. */
 void gateway_duties_run(gateway_duties_t *duties, pd_time_t now)
 {
-	if (duties->gateway->stop_at)
+	if (duties->gateway->stop_at ||
+	    !gateway_peers_stand_for_duties(duties->gateway->peers))
 		return;
 	lease_step(duties, now);
 	follow_lease(duties, now);
+	gateway_peers_hold_duties(duties->gateway->peers,
+				  lease_is_held(duties->lease, now));
 	if (!may_act(duties, now))
 		return;
 	run_usage(duties, now);
--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -225,9 +225,11 @@
 		return;
 	}
 	feed_regained(feed);
+	gateway_peers_store_heard(feed->fleet->gateway->peers);
 	feed_take(feed, page);
 	wire_page_destroy(page);
-	feed_ask(feed);
+	if (feed->listing || gateway_peers_watch_store(feed->fleet->gateway->peers))
+		feed_ask(feed);
 }
 
 static void feed_ask(feed_t *feed)
@@ -254,8 +256,13 @@
 
 static void feed_run(feed_t *feed, pd_time_t now)
 {
-	if (!feed->waiting && now >= feed->next_at)
-		feed_ask(feed);
+	if (feed->waiting || now < feed->next_at)
+		return;
+	if (!gateway_peers_watch_store(feed->fleet->gateway->peers)) {
+		feed->lost = false;
+		return;
+	}
+	feed_ask(feed);
 }
 
 /* Asks again what is due after a failure. */
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -133,7 +133,7 @@
 		 id, stages[upstream->stage], upstream->service, upstream->zone,
 		 upstream->address, upstream->port, upstream->slots,
 		 upstream->reclaimable, upstream->revision, source);
-	gateway_peers_upstream(gateway->peers, upstream);
+	gateway_peers_upstream(gateway->peers, id);
 }
 
 /* Says whether a request that may take seconds can still be taken. */
--- /dev/null
+++ b/adapters/gateway/peer_state.h
@@ -0,0 +1,113 @@
+/* What the files of the peers' gossip share. Private to them. */
+#ifndef PISTACHIO_PEER_STATE_H
+#define PISTACHIO_PEER_STATE_H
+
+#include <msgpack.h>
+
+#include "adapters/frame_link.h"
+#include "adapters/gateway/peers.h"
+
+typedef enum message_kind {
+	MESSAGE_STATE, /* what the sender itself did and knows */
+	MESSAGE_SUMMARY, /* the same of all gateways but the receiver */
+	MESSAGE_NEWS, /* upstreams that changed */
+	MESSAGE_ANNOUNCE, /* the version of a configuration just taken */
+	MESSAGE_CONFIG,
+	MESSAGE_FETCH /* asks for what the sender lacks */
+} message_kind_t;
+
+/* The fields of a state and a summary, in their order on the wire. */
+typedef enum state_field {
+	STATE_KIND,
+	STATE_ADDRESS,
+	STATE_INCARNATION,
+	STATE_WALL,
+	STATE_CONFIG,
+	STATE_DIGEST, /* of what is known of the upstreams */
+	STATE_AGE, /* of the sender's process */
+	STATE_FLAGS,
+	STATE_STORE_AGE, /* since the store was last heard */
+	STATE_HOLDER, /* address of the holder of the duties */
+	STATE_TOTALS,
+	STATE_WORKS,
+	STATE_LOADS,
+	STATE_USAGES,
+	STATE_MEMBERS,
+	STATE_FIELDS /* how many there are */
+} state_field_t;
+
+#define STATE_FLAG_HAS_STORE 1u
+#define STATE_FLAG_STRONG 2u
+#define STATE_FLAG_ASKS 4u /* for a summary in return */
+
+#define FETCH_CONFIG 1u
+#define FETCH_UPSTREAMS 2u
+
+/* What a gateway has running at an upstream. */
+typedef struct load {
+	char *upstream;
+	unsigned int running;
+	double reading;
+} load_t;
+
+typedef struct peer {
+	list_node_t node;
+	char *address; /* address:port */
+	char *host;
+	uint16_t port;
+	char *incarnation; /* NULL: not heard yet */
+	bool seed;
+	bool strong; /* its VM has a processor and a link to spare */
+	bool has_store; /* it was being served when last heard */
+	pd_time_t added_at;
+	pd_time_t heard_at; /* 0: never */
+	pd_time_t mentioned_at; /* by another peer that hears it; 0: never */
+	pd_time_t passed_over_until; /* as a hub, for it did not answer */
+	GArray *loads; /* of load_t */
+	GHashTable *totals; /* account -> double */
+	GHashTable *works; /* service -> double */
+} peer_t;
+
+struct gateway_peers {
+	gateway_t *gateway;
+	frame_link_t *link;
+	char *incarnation; /* the node's id and a number of this start */
+	bool strong;
+	list_node_t list; /* of peer_t */
+	pd_time_t started_at;
+	pd_time_t next_at;
+	unsigned int round;
+	bool adopted; /* levels of buckets, from an older peer */
+	char *hub; /* whose summaries are followed; NULL: peers are heard */
+	pd_time_t hub_since;
+	pd_time_t summed_at; /* when its last summary came */
+	GArray *hub_loads; /* of load_t, from that summary */
+	char *holder; /* address of the duties' holder; NULL: unknown */
+	bool is_holder;
+	pd_time_t store_heard_at; /* by anybody */
+	pd_time_t fetched_config_at;
+	pd_time_t fetched_upstreams_at;
+	GHashTable *news; /* ids of upstreams to tell about */
+};
+
+peer_t *peers_find(gateway_peers_t *peers, const char *address);
+peer_t *peers_add(gateway_peers_t *peers, const char *address);
+bool peer_is_heard(const peer_t *peer, pd_time_t now);
+bool peer_is_alive(const peer_t *peer, pd_time_t now);
+void peers_unload(gateway_peers_t *peers, GArray *loads);
+void peers_send(const gateway_peers_t *peers, const peer_t *peer,
+		const msgpack_sbuffer *buffer);
+void peers_send_state(gateway_peers_t *peers, peer_t *peer, bool asks,
+		      bool full);
+void peers_send_summary(gateway_peers_t *peers, peer_t *peer, bool full);
+void peers_send_fetch(gateway_peers_t *peers, peer_t *peer, unsigned int what);
+void peers_send_config(gateway_peers_t *peers, peer_t *peer);
+void peers_send_upstreams(gateway_peers_t *peers, peer_t *peer);
+void peers_pack_announce(msgpack_packer *packer, const gateway_peers_t *peers);
+void peers_pack_news(msgpack_packer *packer, const gateway_peers_t *peers,
+		     GHashTable *ids);
+int peers_take(gateway_peers_t *peers, const char *data, size_t len);
+uint64_t peers_config_version(const gateway_peers_t *peers);
+uint64_t peers_digest(const gateway_peers_t *peers);
+
+#endif
--- /dev/null
+++ b/adapters/gateway/peer_take.c
@@ -0,0 +1,454 @@
+/* Takes in the messages of other gateways. */
+#include <string.h>
+
+#include "adapters/gateway/gateway.h"
+#include "adapters/gateway/peer_state.h"
+#include "adapters/log_glib.h"
+
+#define PART "peers"
+/* Who all other gateways are, in the counts, when a hub sums them up. */
+#define EVERYBODY "everybody"
+/* Levels of buckets are taken over from older peers so soon after the start. */
+#define ADOPT_MAX (3 * PD_SEC)
+/* What was asked for is asked for again only after so long. */
+#define FETCH_PERIOD (400 * PD_MSEC)
+
+static char *unpack_text(const msgpack_object *object)
+{
+	if (object->type != MSGPACK_OBJECT_STR)
+		return NULL;
+	return g_strndup(object->via.str.ptr, object->via.str.size);
+}
+
+static uint64_t unpack_number(const msgpack_object *object)
+{
+	return object->type == MSGPACK_OBJECT_POSITIVE_INTEGER ? object->via.u64
+							       : 0;
+}
+
+static double unpack_decimal(const msgpack_object *object)
+{
+	if (object->type == MSGPACK_OBJECT_FLOAT32 ||
+	    object->type == MSGPACK_OBJECT_FLOAT64)
+		return object->via.f64;
+	return (double)unpack_number(object);
+}
+
+/* Returns the items of an array of at least LEAST, or NULL. */
+static const msgpack_object *unpack_items(const msgpack_object *object,
+					  uint32_t least, uint32_t *count)
+{
+	if (object->type != MSGPACK_OBJECT_ARRAY ||
+	    object->via.array.size < least)
+		return NULL;
+	if (count)
+		*count = object->via.array.size;
+	return object->via.array.ptr;
+}
+
+static void remember(GHashTable *values, const char *name, double value)
+{
+	double *known = g_hash_table_lookup(values, name);
+
+	if (!known) {
+		known = g_new(double, 1);
+		g_hash_table_insert(values, g_strdup(name), known);
+	}
+	*known = value;
+}
+
+/* Takes what the accounts used; VALUES, if not NULL, keeps it for summaries. */
+static void take_totals(gateway_t *gateway, const char *who,
+			const msgpack_object *object, bool adopt,
+			GHashTable *values)
+{
+	uint32_t count = 0;
+	const msgpack_object *items = unpack_items(object, 0, &count);
+	pd_time_t now = gateway_now();
+
+	for (uint32_t i = 0; i < count; i++) {
+		const msgpack_object *fields = unpack_items(&items[i], 3, NULL);
+		char *account = fields ? unpack_text(&fields[0]) : NULL;
+		double total;
+
+		if (!account)
+			continue;
+		total = unpack_decimal(&fields[1]);
+		if (adopt)
+			token_limits_adopt(gateway->limits, account,
+					   unpack_decimal(&fields[2]), now);
+		token_limits_heard(gateway->limits, account, who, total, now);
+		if (values)
+			remember(values, account, total);
+		g_free(account);
+	}
+}
+
+static void take_works(gateway_t *gateway, const char *who,
+		       const msgpack_object *object, GHashTable *values)
+{
+	uint32_t count = 0;
+	const msgpack_object *items = unpack_items(object, 0, &count);
+
+	for (uint32_t i = 0; i < count; i++) {
+		const msgpack_object *pair = unpack_items(&items[i], 2, NULL);
+		char *service = pair ? unpack_text(&pair[0]) : NULL;
+		double total;
+
+		if (!service)
+			continue;
+		total = unpack_decimal(&pair[1]);
+		work_rate_heard(gateway->work, who, service, total);
+		if (values)
+			remember(values, service, total);
+		g_free(service);
+	}
+}
+
+/* Puts loads in the place of those that were heard before. */
+static void take_loads(gateway_peers_t *peers, GArray *loads,
+		       const msgpack_object *object)
+{
+	uint32_t count = 0;
+	const msgpack_object *items = unpack_items(object, 0, &count);
+
+	peers_unload(peers, loads);
+	for (uint32_t i = 0; i < count; i++) {
+		const msgpack_object *fields = unpack_items(&items[i], 3, NULL);
+		load_t load = { fields ? unpack_text(&fields[0]) : NULL, 0, 0 };
+		forward_upstream_t *upstream;
+
+		if (!load.upstream)
+			continue;
+		upstream = forward_upstreams_find(peers->gateway->upstreams,
+						  load.upstream);
+		if (!upstream) {
+			g_free(load.upstream);
+			continue;
+		}
+		load.running = (unsigned int)unpack_number(&fields[1]);
+		load.reading = unpack_decimal(&fields[2]);
+		upstream->peers_running += load.running;
+		upstream->peers_reading += load.reading;
+		g_array_append_val(loads, load);
+	}
+}
+
+static void take_usages(gateway_t *gateway, const char *who,
+			const msgpack_object *object)
+{
+	uint32_t count = 0;
+	const msgpack_object *items = unpack_items(object, 0, &count);
+
+	for (uint32_t i = 0; i < count; i++) {
+		const msgpack_object *fields = unpack_items(&items[i], 3, NULL);
+		char *account = fields ? unpack_text(&fields[1]) : NULL;
+
+		if (account)
+			usage_heard(gateway->usage, who,
+				    (int64_t)unpack_number(&fields[0]), account,
+				    unpack_number(&fields[2]));
+		g_free(account);
+	}
+}
+
+static void take_members(gateway_peers_t *peers, const msgpack_object *object)
+{
+	uint32_t count = 0;
+	const msgpack_object *items = unpack_items(object, 0, &count);
+
+	for (uint32_t i = 0; i < count; i++) {
+		const msgpack_object *pair = unpack_items(&items[i], 2, NULL);
+		char *address = pair ? unpack_text(&pair[0]) : NULL;
+		peer_t *peer = address ? peers_add(peers, address) : NULL;
+
+		if (peer) {
+			peer->mentioned_at = gateway_now();
+			peer->strong = unpack_number(&pair[1]) != 0;
+		}
+		g_free(address);
+	}
+}
+
+/* Says whether a peer of that age knows what was used before this start. */
+static bool peer_knows_more(gateway_peers_t *peers, uint64_t age)
+{
+	pd_time_t window = (pd_time_t)(
+		peers->gateway->settings->limits_window_s * PD_SEC);
+
+	if (peers->adopted || gateway_now() - peers->started_at > ADOPT_MAX ||
+	    (pd_time_t)age < window)
+		return false;
+	peers->adopted = true;
+	return true;
+}
+
+/* Asks for what the peer has newer, or knows otherwise; 0: not told. */
+static void fetch_newer(gateway_peers_t *peers, peer_t *peer, uint64_t version,
+			uint64_t digest)
+{
+	pd_time_t now = gateway_now();
+	unsigned int what = 0;
+
+	if (version > peers_config_version(peers) &&
+	    now - peers->fetched_config_at > FETCH_PERIOD) {
+		peers->fetched_config_at = now;
+		what |= FETCH_CONFIG;
+	}
+	if (digest && digest != peers_digest(peers) &&
+	    now - peers->fetched_upstreams_at > FETCH_PERIOD) {
+		peers->fetched_upstreams_at = now;
+		what |= FETCH_UPSTREAMS;
+	}
+	if (what)
+		peers_send_fetch(peers, peer, what);
+}
+
+static void take_store_age(gateway_peers_t *peers, uint64_t age)
+{
+	pd_time_t heard_at = gateway_now() - (pd_time_t)age;
+
+	peers->store_heard_at = MAX(peers->store_heard_at, heard_at);
+}
+
+static void take_holder(gateway_peers_t *peers, const msgpack_object *object)
+{
+	char *holder = unpack_text(object);
+
+	if (holder && *holder) {
+		g_free(peers->holder);
+		peers->holder = g_steal_pointer(&holder);
+	}
+	g_free(holder);
+}
+
+/* Notes who sent a state or summary; NULL if that can't be read. */
+static peer_t *take_sender(gateway_peers_t *peers, const msgpack_object *fields)
+{
+	unsigned int flags = (unsigned int)unpack_number(&fields[STATE_FLAGS]);
+	char *address = unpack_text(&fields[STATE_ADDRESS]);
+	char *who = unpack_text(&fields[STATE_INCARNATION]);
+	peer_t *peer = address && who ? peers_add(peers, address) : NULL;
+
+	if (!peer)
+		goto done;
+	if (!peer->incarnation || strcmp(peer->incarnation, who)) {
+		log_line(G_LOG_LEVEL_INFO, PART, "found=%s address=%s", who,
+			 address);
+		g_hash_table_remove_all(peer->totals);
+		g_hash_table_remove_all(peer->works);
+	}
+	g_free(peer->incarnation);
+	peer->incarnation = g_strdup(who);
+	peer->strong = flags & STATE_FLAG_STRONG;
+	peer->has_store = flags & STATE_FLAG_HAS_STORE;
+	take_store_age(peers, unpack_number(&fields[STATE_STORE_AGE]));
+	take_holder(peers, &fields[STATE_HOLDER]);
+done:
+	g_free(address);
+	g_free(who);
+	return peer;
+}
+
+static int take_state(gateway_peers_t *peers, const msgpack_object *fields)
+{
+	gateway_t *gateway = peers->gateway;
+	unsigned int flags = (unsigned int)unpack_number(&fields[STATE_FLAGS]);
+	peer_t *peer = take_sender(peers, fields);
+	pd_time_t now = gateway_now();
+	bool first;
+
+	if (!peer)
+		return -1;
+	first = !peer_is_heard(peer, now);
+	peer->heard_at = now;
+	time_vote_hear(gateway->vote, peer->address,
+		       (pd_time_t)unpack_number(&fields[STATE_WALL]), now);
+	take_usages(gateway, peer->incarnation, &fields[STATE_USAGES]);
+	take_members(peers, &fields[STATE_MEMBERS]);
+	/* Whoever follows a hub has this peer in the hub's sums already. */
+	if (!peers->hub) {
+		take_totals(gateway, peer->incarnation, &fields[STATE_TOTALS],
+			    peer_knows_more(peers, unpack_number(
+							   &fields[STATE_AGE])),
+			    peer->totals);
+		take_works(gateway, peer->incarnation, &fields[STATE_WORKS],
+			   peer->works);
+		take_loads(peers, peer->loads, &fields[STATE_LOADS]);
+	}
+	if (flags & STATE_FLAG_ASKS)
+		peers_send_summary(peers, peer, peers->round % 4 == 0 || first);
+	else if (first)
+		peers_send_state(peers, peer, false, true);
+	fetch_newer(peers, peer, unpack_number(&fields[STATE_CONFIG]),
+		    unpack_number(&fields[STATE_DIGEST]));
+	return 0;
+}
+
+static int take_summary(gateway_peers_t *peers, const msgpack_object *fields)
+{
+	gateway_t *gateway = peers->gateway;
+	peer_t *peer = take_sender(peers, fields);
+	pd_time_t now = gateway_now();
+
+	if (!peer)
+		return -1;
+	peer->heard_at = now;
+	take_members(peers, &fields[STATE_MEMBERS]);
+	fetch_newer(peers, peer, unpack_number(&fields[STATE_CONFIG]),
+		    unpack_number(&fields[STATE_DIGEST]));
+	if (!peers->hub || strcmp(peers->hub, peer->address))
+		return 0;
+	peers->summed_at = now;
+	time_vote_follow(gateway->vote,
+			 (pd_time_t)unpack_number(&fields[STATE_WALL]), now);
+	take_totals(gateway, EVERYBODY, &fields[STATE_TOTALS],
+		    peer_knows_more(peers, unpack_number(&fields[STATE_AGE])),
+		    NULL);
+	take_works(gateway, EVERYBODY, &fields[STATE_WORKS], NULL);
+	take_loads(peers, peers->hub_loads, &fields[STATE_LOADS]);
+	return 0;
+}
+
+static int take_announce(gateway_peers_t *peers, const msgpack_object *fields)
+{
+	char *address = unpack_text(&fields[1]);
+	peer_t *peer = address ? peers_add(peers, address) : NULL;
+
+	g_free(address);
+	if (!peer)
+		return -1;
+	fetch_newer(peers, peer, unpack_number(&fields[2]), 0);
+	return 0;
+}
+
+static int take_config(gateway_peers_t *peers, const msgpack_object *fields)
+{
+	char *text = unpack_text(&fields[1]);
+
+	if (!text)
+		return -1;
+	gateway_take_config(peers->gateway, text, "peer");
+	g_free(text);
+	return 0;
+}
+
+/* Takes one upstream that a peer knows of. */
+static void take_upstream(gateway_t *gateway, const msgpack_object *object)
+{
+	const msgpack_object *fields = unpack_items(object, 9, NULL);
+	char *texts[4] = { NULL };
+	forward_listing_t listing = { 0 };
+	bool news = false;
+
+	if (!fields)
+		return;
+	texts[0] = unpack_text(&fields[0]);
+	texts[1] = unpack_text(&fields[1]);
+	texts[2] = unpack_text(&fields[2]);
+	texts[3] = unpack_text(&fields[4]);
+	listing.id = texts[0];
+	listing.service = texts[1];
+	listing.address = texts[2];
+	listing.port = (uint16_t)unpack_number(&fields[3]);
+	listing.zone = texts[3];
+	listing.slots = (unsigned int)unpack_number(&fields[5]);
+	listing.stage = (forward_stage_t)unpack_number(&fields[6]);
+	listing.reclaimable = unpack_number(&fields[7]) != 0;
+	listing.revision = unpack_number(&fields[8]);
+	if (!texts[0] || !texts[1] || !texts[2] || !texts[3])
+		goto done;
+	if (listing.stage == FORWARD_GONE)
+		news = forward_upstreams_remove(gateway->upstreams, listing.id,
+						listing.revision, gateway_now());
+	else
+		news = forward_upstreams_apply(gateway->upstreams, &listing,
+					       gateway_now());
+	/* Passed on, as a peer may reach some that the sender does not. */
+	if (news)
+		gateway_upstream_news(gateway, listing.id, "peer");
+done:
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		g_free(texts[i]);
+}
+
+static int take_news(gateway_peers_t *peers, const msgpack_object *fields)
+{
+	uint32_t count = 0;
+	const msgpack_object *items = unpack_items(&fields[2], 0, &count);
+
+	if (!items)
+		return -1;
+	for (uint32_t i = 0; i < count; i++)
+		take_upstream(peers->gateway, &items[i]);
+	if (unpack_number(&fields[1]))
+		peers->gateway->upstreams_known = true;
+	return 0;
+}
+
+static int take_fetch(gateway_peers_t *peers, const msgpack_object *fields)
+{
+	uint64_t what = unpack_number(&fields[2]);
+	char *address = unpack_text(&fields[1]);
+	peer_t *peer = address ? peers_add(peers, address) : NULL;
+
+	g_free(address);
+	if (!peer)
+		return -1;
+	if (what & FETCH_CONFIG)
+		peers_send_config(peers, peer);
+	if (what & FETCH_UPSTREAMS)
+		peers_send_upstreams(peers, peer);
+	return 0;
+}
+
+static int take_message(gateway_peers_t *peers, const msgpack_object *object)
+{
+	static const uint32_t lengths[] = {
+		[MESSAGE_STATE] = STATE_FIELDS,
+		[MESSAGE_SUMMARY] = STATE_FIELDS,
+		[MESSAGE_NEWS] = 3,
+		[MESSAGE_ANNOUNCE] = 3,
+		[MESSAGE_CONFIG] = 2,
+		[MESSAGE_FETCH] = 3,
+	};
+	uint32_t count = 0;
+	const msgpack_object *fields = unpack_items(object, 1, &count);
+	uint64_t kind = fields ? unpack_number(&fields[0]) : UINT64_MAX;
+
+	if (kind > MESSAGE_FETCH || count < lengths[kind])
+		return -1;
+	switch ((message_kind_t)kind) {
+	case MESSAGE_STATE:
+		return take_state(peers, fields);
+	case MESSAGE_SUMMARY:
+		return take_summary(peers, fields);
+	case MESSAGE_NEWS:
+		return take_news(peers, fields);
+	case MESSAGE_ANNOUNCE:
+		return take_announce(peers, fields);
+	case MESSAGE_CONFIG:
+		return take_config(peers, fields);
+	case MESSAGE_FETCH:
+		return take_fetch(peers, fields);
+	}
+	return -1;
+}
+
+/* Takes one message; -1 if it can't be understood. */
+int peers_take(gateway_peers_t *peers, const char *data, size_t len)
+{
+	msgpack_unpacked unpacked;
+	size_t offset = 0;
+	int rc = -1;
+
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, data, len, &offset) ==
+	    MSGPACK_UNPACK_SUCCESS)
+		rc = take_message(peers, &unpacked.data);
+	msgpack_unpacked_destroy(&unpacked);
+	if (rc < 0)
+		log_line(G_LOG_LEVEL_WARNING, PART,
+			 "dropped a message of %zu bytes: not understood", len);
+	return rc;
+}
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -1,7 +1,7 @@
 /*
  * What the gateways tell each other: who they are, the newest configuration,
  * upstreams that come and go, and the counts that only their sum gives sense.
- * peers-notes.md has the messages and their cost.
+ * peers-notes.md has the messages, who tells whom, and what that costs.
  */
 #ifndef PISTACHIO_GATEWAY_PEERS_H
 #define PISTACHIO_GATEWAY_PEERS_H
@@ -12,9 +12,12 @@
 gateway_peers_t *gateway_peers_create(gateway_t *gateway, pd_error_t *err);
 void gateway_peers_run(gateway_peers_t *peers, pd_time_t now);
 void gateway_peers_config(gateway_peers_t *peers);
-void gateway_peers_upstream(gateway_peers_t *peers,
-			    const forward_upstream_t *upstream);
+void gateway_peers_upstream(gateway_peers_t *peers, const char *id);
+void gateway_peers_store_heard(gateway_peers_t *peers);
+void gateway_peers_hold_duties(gateway_peers_t *peers, bool held);
 bool gateway_peers_have_store(const gateway_peers_t *peers);
+bool gateway_peers_watch_store(const gateway_peers_t *peers);
+bool gateway_peers_stand_for_duties(const gateway_peers_t *peers);
 unsigned int gateway_peers_count(const gateway_peers_t *peers);
 
 #endif
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -40,6 +40,9 @@
  * some 40 requests a step of 5 ms makes 40 tokens.
  */
 #define OUTPUT_TOKEN_WORK 6.0
+/* In larger fleets than this, loads of peers are known late: see upstreams.c. */
+#define SAMPLE_FLEET 12
+#define SAMPLE 4
 /* When callers may come back after a refusal for want of room. */
 #define RETRY_AFTER_FULL (400 * PD_MSEC)
 /* Another gateway takes the caller at once. */
@@ -455,6 +458,8 @@
 		.overfill = request->route->has_prompt ? ENGINE_OVERFILL
 						       : PLAIN_OVERFILL,
 		.connections_max = connection_cap(request),
+		.sample = gateway_count(gateway) > SAMPLE_FLEET ? SAMPLE : 0,
+		.random = gateway->random,
 		.tried_count = request->tried_count,
 	};
 
--- a/adapters/gateway/settings.h
+++ b/adapters/gateway/settings.h
@@ -21,6 +21,8 @@
 	double retry_slack;
 	double retry_window_s;
 	char *node_start;
+	double node_cores;
+	double node_link_mbps;
 	double limits_window_s;
 	double limits_overage;
 	double limits_slack;
--- a/core/forward/time_vote.c
+++ b/core/forward/time_vote.c
@@ -13,6 +13,7 @@
 
 struct time_vote {
 	GHashTable *ballots; /* peer -> ballot_t */
+	ballot_t fleet; /* the outcome of a vote of many, as told */
 };
 
 /* Returns a vote of nobody but oneself; the caller owns it. */
@@ -48,6 +49,13 @@
 	ballot->heard_at = now;
 }
 
+/* Hears the outcome of a vote of many, which goes before the own one. */
+void time_vote_follow(time_vote_t *vote, pd_time_t wall, pd_time_t now)
+{
+	vote->fleet.difference = wall - now;
+	vote->fleet.heard_at = now;
+}
+
 static int by_value(const void *a, const void *b)
 {
 	pd_time_t left = *(const pd_time_t *)a;
@@ -65,6 +73,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (vote->fleet.heard_at && now - vote->fleet.heard_at < VOTE_KEPT)
+		return vote->fleet.difference + now;
 	votes[count++] = own_wall - now;
 	g_hash_table_iter_init(&iter, vote->ballots);
 	while (count < VOTES_MAX && g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/core/forward/time_vote.h
+++ b/core/forward/time_vote.h
@@ -16,6 +16,7 @@
 void time_vote_destroy(time_vote_t *vote);
 void time_vote_hear(time_vote_t *vote, const char *who, pd_time_t wall,
 		    pd_time_t now);
+void time_vote_follow(time_vote_t *vote, pd_time_t wall, pd_time_t now);
 pd_time_t time_vote_wall(const time_vote_t *vote, pd_time_t own_wall,
 			 pd_time_t now);
 
--- a/core/forward/token_limits.c
+++ b/core/forward/token_limits.c
@@ -194,7 +194,14 @@
 	if (now - use->heard_at < RATE_SPAN_MIN)
 		return;
 	used = total - use->total;
-	use->rate += (MAX(used, 0) * PD_SEC / (double)(now - use->heard_at) -
+	if (used < 0) {
+		/* Another one sums up now, or some are no longer counted. */
+		use->total = total;
+		use->heard_at = now;
+		use->guessed = 0;
+		return;
+	}
+	use->rate += (used * PD_SEC / (double)(now - use->heard_at) -
 		      use->rate) *
 		     RATE_WEIGHT;
 	bucket->level -= used - use->guessed;
@@ -203,6 +210,20 @@
 	use->guessed = 0;
 }
 
+/*
+ * Forgets what peers told, when others tell it from now on. What was taken out
+ * of the buckets stays out.
+ */
+void token_limits_forget_peers(token_limits_t *limits)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, limits->buckets);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_hash_table_remove_all(((bucket_t *)value)->peers);
+}
+
 /*
  * Takes over a bucket's level from a peer that has run for longer, for an entry
  * that has just started and does not know what was used before.
--- a/core/forward/token_limits.h
+++ b/core/forward/token_limits.h
@@ -27,6 +27,7 @@
 			 double amount);
 void token_limits_heard(token_limits_t *limits, const char *account,
 			const char *peer, double total, pd_time_t now);
+void token_limits_forget_peers(token_limits_t *limits);
 void token_limits_adopt(token_limits_t *limits, const char *account,
 			double level, pd_time_t now);
 void token_limits_each(const token_limits_t *limits, token_limits_each_t each,
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -444,9 +444,49 @@
 	return running >= upstream->slots * ask->overfill;
 }
 
+static bool is_candidate(const forward_upstream_t *upstream,
+			 const forward_ask_t *ask, pd_time_t now)
+{
+	return forward_upstream_serves(upstream, now) &&
+	       !strcmp(upstream->service, ask->service) &&
+	       !is_tried(ask, upstream->id);
+}
+
+static unsigned int count_candidates(const forward_upstreams_t *set,
+				     const forward_ask_t *ask, pd_time_t now)
+{
+	unsigned int count = 0;
+
+	LIST_FOR_EACH (it, &set->list)
+		count += is_candidate(LIST_ENTRY(it, forward_upstream_t, node),
+				      ask, now) &&
+			 !is_full(LIST_ENTRY(it, forward_upstream_t, node), ask);
+	return count;
+}
+
+/* The best so far of a choice. */
+typedef struct best {
+	forward_upstream_t *upstream;
+	bool avoided;
+	double cost;
+} best_t;
+
+static void best_offer(best_t *best, forward_upstream_t *upstream, bool avoided,
+		       double cost)
+{
+	if (best->upstream &&
+	    (avoided > best->avoided ||
+	     (avoided == best->avoided && cost >= best->cost)))
+		return;
+	best->upstream = upstream;
+	best->avoided = avoided;
+	best->cost = cost;
+}
+
 /*
  * Picks the upstream with the least cost. Those that failed lately are taken
- * only if there is no other.
+ * only if there is no other. Many entries that hear of each other late would
+ * all pick the same one; compared with a few at random, they spread.
  */
 forward_choice_t forward_upstreams_choose(forward_upstreams_t *set,
 					  const forward_ask_t *ask,
@@ -454,34 +494,32 @@
 					  forward_upstream_t **chosen)
 {
 	const forward_upstream_t *home = subject_home(set, ask, now);
-	forward_choice_t choice = FORWARD_NONE_LEFT;
-	bool best_avoided = true;
-	double best = 0;
+	unsigned int left = ask->sample ? count_candidates(set, ask, now) : 0;
+	unsigned int wanted = ask->sample;
+	best_t best = { NULL, true, 0 };
+	bool any = false;
 
-	*chosen = NULL;
 	LIST_FOR_EACH (it, &set->list) {
 		forward_upstream_t *upstream =
 			LIST_ENTRY(it, forward_upstream_t, node);
-		bool avoided = is_avoided(upstream, now);
-		double cost;
+		bool sampled = true;
 
-		if (!forward_upstream_serves(upstream, now) ||
-		    strcmp(upstream->service, ask->service) ||
-		    is_tried(ask, upstream->id))
+		if (!is_candidate(upstream, ask, now))
 			continue;
-		if (is_full(upstream, ask)) {
-			if (!*chosen)
-				choice = FORWARD_ALL_FULL;
+		any = true;
+		if (is_full(upstream, ask))
 			continue;
+		if (ask->sample) {
+			sampled = g_rand_double(ask->random) * left < wanted;
+			wanted -= sampled && wanted;
+			left--;
 		}
-		cost = upstream_cost(upstream, ask, home, now);
-		if (*chosen && (avoided > best_avoided ||
-				(avoided == best_avoided && cost >= best)))
-			continue;
-		*chosen = upstream;
-		choice = FORWARD_CHOSEN;
-		best_avoided = avoided;
-		best = cost;
+		if (sampled || upstream == home)
+			best_offer(&best, upstream, is_avoided(upstream, now),
+				   upstream_cost(upstream, ask, home, now));
 	}
-	return choice;
+	*chosen = best.upstream;
+	if (best.upstream)
+		return FORWARD_CHOSEN;
+	return any ? FORWARD_ALL_FULL : FORWARD_NONE_LEFT;
 }
--- a/core/forward/work_rate.c
+++ b/core/forward/work_rate.c
@@ -73,12 +73,11 @@
 
 /* Hears what a peer has sent since it started; the first time sets the base. */
 void work_rate_heard(work_rate_t *work, const char *peer, const char *service,
-		     double total, pd_time_t now)
+		     double total)
 {
 	service_work_t *known = work_service(work, service);
 	double *last = g_hash_table_lookup(known->peers, peer);
 
-	(void)now;
 	if (!last) {
 		last = g_new(double, 1);
 		*last = total;
@@ -89,6 +88,17 @@
 	*last = total;
 }
 
+/* Forgets what peers told, when others tell it from now on. */
+void work_rate_forget_peers(work_rate_t *work)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, work->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_hash_table_remove_all(((service_work_t *)value)->peers);
+}
+
 /* Takes a sample if one is due. */
 void work_rate_run(work_rate_t *work, pd_time_t now)
 {
