--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -395,3 +395,43 @@
 		duties->plan, service, gateway->upstreams,
 		work_rate_of(gateway->work, service->name), now, zones);
 
+	for (unsigned int i = 0; i < count; i++) {
+		order_run(duties_order(duties, service->name, zones[i].zone, true),
+			  service, zones[i].reclaimable, now);
+		order_run(duties_order(duties, service->name, zones[i].zone,
+				       false),
+			  service, zones[i].lasting, now);
+	}
+}
+
+static void run_scale(gateway_duties_t *duties, pd_time_t now)
+{
+	const forward_config_t *config = duties->gateway->config;
+
+	if (!config || !duties->gateway->upstreams_known || now < duties->plan_at)
+		return;
+	duties->plan_at = now + PLAN_PERIOD;
+	for (guint i = 0; i < config->services->len; i++) {
+		const forward_service_t *service =
+			g_ptr_array_index(config->services, i);
+
+		if (service->scaled)
+			scale_service(duties, service, now);
+	}
+}
+
+/* Renews or takes the lease, and does what is due if it is held. */
+void gateway_duties_run(gateway_duties_t *duties, pd_time_t now)
+{
+	if (duties->gateway->stop_at ||
+	    !gateway_peers_stand_for_duties(duties->gateway->peers))
+		return;
+	lease_step(duties, now);
+	follow_lease(duties, now);
+	gateway_peers_hold_duties(duties->gateway->peers,
+				  lease_is_held(duties->lease, now));
+	if (!may_act(duties, now))
+		return;
+	run_usage(duties, now);
+	run_scale(duties, now);
+}
