--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 CFLAGS := -std=gnu11 -g $(WARNINGS) -Wstrict-prototypes \
 	-Wmissing-prototypes $(CFLAGS_$(VARIANT))
 CXXFLAGS := -std=c++17 -g $(WARNINGS) $(CFLAGS_$(VARIANT))
-LDLIBS := -lh2o $(shell pkg-config --libs $(PACKAGES))
+LDLIBS := -lh2o -lhttp_parser $(shell pkg-config --libs $(PACKAGES))
 CORE_LIBS := $(shell pkg-config --libs glib-2.0 libxxhash)
 
 CORE := $(patsubst %.c,$(B)/%.o,$(wildcard core/*.c core/*/*.c))
@@ -65,7 +65,8 @@
 	@echo "  CXX $<"
 	@$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -c -o $@ $<
 
-LIBS := $(B)/libpistachio-adapters.a $(B)/libpistachio-core.a
+LIBS := $(B)/libpistachio-adapters.a $(B)/libpistachio-gateway.a \
+	$(B)/libpistachio-core.a
 LINK = @echo "  LD  $@"; $(CXX) $(CFLAGS_$(VARIANT)) -o $@
 
 $(B)/libpistachio-gateway.a: $(GATEWAY)
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -180,6 +180,7 @@
 	callers_run(gateway, now);
 	upstream_links_run(gateway, now);
 	gateway_peers_run(gateway->peers, now);
+	token_limits_set_entries(gateway->limits, gateway_count(gateway));
 	work_rate_run(gateway->work, now);
 	gateway_duties_run(gateway->duties, now);
 	log_buffer_flush(now);
@@ -211,10 +212,12 @@
 	return 0;
 }
 
-static int listen_on(gateway_t *gateway, uv_tcp_t *listener, const char *address,
-		     uv_connection_cb on_connection, pd_error_t *err)
+static int listen_on(gateway_t *gateway, uv_tcp_t *listener, const char *what,
+		     const char *address, uv_connection_cb on_connection,
+		     pd_error_t *err)
 {
 	struct sockaddr_in addr;
+	int len = sizeof(addr);
 	char *host;
 	int port;
 	int rc;
@@ -228,11 +231,15 @@
 		rc = uv_tcp_bind(listener, (struct sockaddr *)&addr, 0);
 	if (rc == 0)
 		rc = uv_listen((uv_stream_t *)listener, BACKLOG, on_connection);
-	g_free(host);
 	if (rc == 0)
-		return 0;
-	return pd_error_set(err, PD_ERROR_IO, "listen on %s: %s", address,
-			    uv_strerror(rc));
+		rc = uv_tcp_getsockname(listener, (struct sockaddr *)&addr, &len);
+	g_free(host);
+	if (rc != 0)
+		return pd_error_set(err, PD_ERROR_IO, "listen on %s: %s",
+				    address, uv_strerror(rc));
+	log_line(G_LOG_LEVEL_INFO, PART, "listen %s=%u", what,
+		 ntohs(addr.sin_port));
+	return 0;
 }
 
 static http1_client_t *client_for(gateway_t *gateway, const char *address,
@@ -297,9 +304,9 @@
 		return NULL;
 	gateway->peers = gateway_peers_create(gateway, err);
 	if (!gateway->peers ||
-	    listen_on(gateway, &gateway->callers_listener,
+	    listen_on(gateway, &gateway->callers_listener, "callers",
 		      settings->callers_listen, on_caller, err) < 0 ||
-	    listen_on(gateway, &gateway->health_listener,
+	    listen_on(gateway, &gateway->health_listener, "health",
 		      settings->health_listen, on_visitor, err) < 0)
 		return NULL;
 	gateway->listening = true;
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -297,12 +297,11 @@
 static void pack_head(msgpack_packer *packer, const gateway_peers_t *peers,
 		      message_kind_t kind, pd_time_t wall, bool asks)
 {
-	const gateway_t *gateway = peers->gateway;
 	pd_time_t now = gateway_now();
 
 	msgpack_pack_array(packer, STATE_FIELDS);
 	msgpack_pack_uint8(packer, (uint8_t)kind);
-	pack_text(packer, gateway->settings->peers_listen);
+	pack_text(packer, peers->address);
 	pack_text(packer, peers->incarnation);
 	msgpack_pack_uint64(packer, (uint64_t)wall);
 	msgpack_pack_uint64(packer, peers_config_version(peers));
@@ -310,7 +309,7 @@
 	msgpack_pack_uint64(packer, (uint64_t)(now - peers->started_at));
 	msgpack_pack_uint8(packer, (uint8_t)state_flags(peers, asks));
 	msgpack_pack_uint64(packer, (uint64_t)(now - peers->store_heard_at));
-	pack_text(packer, peers->is_holder ? gateway->settings->peers_listen
+	pack_text(packer, peers->is_holder ? peers->address
 			  : peers->holder  ? peers->holder
 					   : "");
 }
@@ -372,7 +371,7 @@
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
 	msgpack_pack_array(&packer, 3);
 	msgpack_pack_uint8(&packer, MESSAGE_FETCH);
-	pack_text(&packer, peers->gateway->settings->peers_listen);
+	pack_text(&packer, peers->address);
 	msgpack_pack_uint8(&packer, (uint8_t)what);
 	peers_send(peers, peer, &buffer);
 	msgpack_sbuffer_destroy(&buffer);
@@ -400,7 +399,7 @@
 {
 	msgpack_pack_array(packer, 3);
 	msgpack_pack_uint8(packer, MESSAGE_ANNOUNCE);
-	pack_text(packer, peers->gateway->settings->peers_listen);
+	pack_text(packer, peers->address);
 	msgpack_pack_uint64(packer, peers_config_version(peers));
 }
 
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -71,6 +71,7 @@
 struct gateway_peers {
 	gateway_t *gateway;
 	frame_link_t *link;
+	char *address; /* of this gateway, with the port it was given */
 	char *incarnation; /* the node's id and a number of this start */
 	bool strong;
 	list_node_t list; /* of peer_t */
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -59,7 +59,7 @@
 
 /* Takes what the accounts used; VALUES, if not NULL, keeps it for summaries. */
 static void take_totals(gateway_t *gateway, const char *who,
-			const msgpack_object *object, bool adopt,
+			const msgpack_object *object, bool adopt, bool recent,
 			GHashTable *values)
 {
 	uint32_t count = 0;
@@ -77,7 +77,8 @@
 		if (adopt)
 			token_limits_adopt(gateway->limits, account,
 					   unpack_decimal(&fields[2]), now);
-		token_limits_heard(gateway->limits, account, who, total, now);
+		token_limits_heard(gateway->limits, account, who, total, recent,
+				   now);
 		if (values)
 			remember(values, account, total);
 		g_free(account);
@@ -170,14 +171,16 @@
 	}
 }
 
+static pd_time_t limits_window(const gateway_peers_t *peers)
+{
+	return (pd_time_t)(peers->gateway->settings->limits_window_s * PD_SEC);
+}
+
 /* Says whether a peer of that age knows what was used before this start. */
 static bool peer_knows_more(gateway_peers_t *peers, uint64_t age)
 {
-	pd_time_t window = (pd_time_t)(
-		peers->gateway->settings->limits_window_s * PD_SEC);
-
 	if (peers->adopted || gateway_now() - peers->started_at > ADOPT_MAX ||
-	    (pd_time_t)age < window)
+	    (pd_time_t)age < limits_window(peers))
 		return false;
 	peers->adopted = true;
 	return true;
@@ -256,6 +259,7 @@
 	unsigned int flags = (unsigned int)unpack_number(&fields[STATE_FLAGS]);
 	peer_t *peer = take_sender(peers, fields);
 	pd_time_t now = gateway_now();
+	uint64_t age = unpack_number(&fields[STATE_AGE]);
 	bool first;
 
 	if (!peer)
@@ -269,9 +273,8 @@
 	/* Whoever follows a hub has this peer in the hub's sums already. */
 	if (!peers->hub) {
 		take_totals(gateway, peer->incarnation, &fields[STATE_TOTALS],
-			    peer_knows_more(peers, unpack_number(
-							   &fields[STATE_AGE])),
-			    peer->totals);
+			    peer_knows_more(peers, age),
+			    (pd_time_t)age < limits_window(peers), peer->totals);
 		take_works(gateway, peer->incarnation, &fields[STATE_WORKS],
 			   peer->works);
 		take_loads(peers, peer->loads, &fields[STATE_LOADS]);
@@ -304,7 +307,7 @@
 			 (pd_time_t)unpack_number(&fields[STATE_WALL]), now);
 	take_totals(gateway, EVERYBODY, &fields[STATE_TOTALS],
 		    peer_knows_more(peers, unpack_number(&fields[STATE_AGE])),
-		    NULL);
+		    false, NULL);
 	take_works(gateway, EVERYBODY, &fields[STATE_WORKS], NULL);
 	take_loads(peers, peers->hub_loads, &fields[STATE_LOADS]);
 	return 0;
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -93,7 +93,7 @@
 {
 	peer_t *peer = peers_find(peers, address);
 
-	if (peer || !strcmp(address, peers->gateway->settings->peers_listen))
+	if (peer || !strcmp(address, peers->address))
 		return peer;
 	peer = g_new0(peer_t, 1);
 	if (!split_address(address, &peer->host, &peer->port)) {
@@ -190,9 +190,13 @@
 	}
 	config.address = host;
 	peers->link = frame_link_create(gateway->loop, &config, err);
-	g_free(host);
 	if (!peers->link)
 		goto error;
+	peers->address =
+		g_strdup_printf("%s:%u", host, frame_link_port(peers->link));
+	log_line(G_LOG_LEVEL_INFO, PART, "listen port=%u",
+		 frame_link_port(peers->link));
+	g_clear_pointer(&host, g_free);
 	for (size_t i = 0; i < GATEWAY_SEEDS_MAX && settings->peers_seeds[i];
 	     i++) {
 		peer_t *peer = peers_add(peers, settings->peers_seeds[i]);
@@ -202,6 +206,7 @@
 	}
 	return peers;
 error:
+	g_free(host);
 	g_free(peers->incarnation);
 	g_free(peers);
 	return NULL;
@@ -255,7 +260,7 @@
 
 		rank += peer_is_alive(peer, now) &&
 			goes_before(peer->strong, peer->address, peers->strong,
-				    peers->gateway->settings->peers_listen);
+				    peers->address);
 	}
 	return rank;
 }
--- a/core/forward/scale_plan.c
+++ b/core/forward/scale_plan.c
@@ -163,7 +163,8 @@
 static double plan_need(scale_plan_t *plan, double load, double found,
 			pd_time_t now)
 {
-	if (!plan->load_since && found > plan->found) {
+	/* What was ordered since says nothing of the size that was meant. */
+	if (!plan->begun && found > plan->found) {
 		plan->found = found;
 		plan->found_at = now;
 	}
--- a/core/forward/token_limits.c
+++ b/core/forward/token_limits.c
@@ -6,7 +6,7 @@
  * also when it is cut off: otherwise entries that hear late, or not, would each
  * hand out the whole limit. After so long it is taken to be gone.
  */
-#define SILENCE_MAX (10 * PD_SEC)
+#define SILENCE_MAX (15 * PD_SEC)
 /* A rate is judged over at least this, so that one request is no rate. */
 #define RATE_SPAN_MIN (100 * PD_MSEC)
 #define RATE_WEIGHT 0.5 /* of the newest measure */
@@ -15,6 +15,13 @@
  * several entries grant at the same moment, before they hear of each other.
  */
 #define USED_PART 0.95
+/*
+ * Between two times that it hears its peers, an entry takes no more than so
+ * many times its even share of the bucket. Without that, a flood at all entries
+ * at once took a tenth more than a window allows, as each emptied the whole
+ * bucket by itself. Uneven entries still get what they need in a few rounds.
+ */
+#define SHARE_FACTOR 1.2
 /* A request larger than the bucket needs this part of it to be there. */
 #define FULL_PART 0.8
 
@@ -29,12 +36,16 @@
 	double level;
 	double own_total;
 	pd_time_t filled_at; /* 0: not used yet */
+	double taken; /* since a peer was last heard */
+	double taken_level; /* of the bucket after that; under 0: not yet set */
+	pd_time_t heard_at; /* when a round of peers began to be heard */
 	GHashTable *peers; /* node -> peer_use_t */
 } bucket_t;
 
 struct token_limits {
 	token_rules_t rules;
 	bool filled; /* buckets start full */
+	unsigned int entries; /* that share the buckets */
 	GHashTable *buckets; /* account name -> bucket_t */
 };
 
@@ -63,6 +74,12 @@
 	return limits;
 }
 
+/* Says how many entries share the buckets. */
+void token_limits_set_entries(token_limits_t *limits, unsigned int entries)
+{
+	limits->entries = entries;
+}
+
 /* Frees the buckets; NULL is allowed. */
 void token_limits_destroy(token_limits_t *limits)
 {
@@ -139,6 +156,25 @@
 	bucket->level = CLAMP(bucket->level, -size, size);
 }
 
+/* Says whether this entry's share until it hears its peers allows for more. */
+static bool bucket_shares(const bucket_t *bucket, unsigned int entries)
+{
+	double share = bucket->taken_level * SHARE_FACTOR / MAX(entries, 1);
+
+	/* One request always goes, or a large one would in a large fleet not. */
+	return entries <= 1 || bucket->taken <= 0 || bucket->taken < share;
+}
+
+/* Begins a new round: what this entry took is in its peers' sums by now. */
+static void bucket_round(bucket_t *bucket, pd_time_t now)
+{
+	if (now - bucket->heard_at < RATE_SPAN_MIN)
+		return;
+	bucket->heard_at = now;
+	bucket->taken = 0;
+	bucket->taken_level = -1;
+}
+
 /*
  * Takes AMOUNT out of the account's bucket. Returns false if there is not as
  * much, and then sets RETRY_AFTER to when there will be.
@@ -154,13 +190,21 @@
 	bucket = limits_bucket(limits, account->name);
 	bucket_fill(limits, bucket, account, now);
 	needed = MIN(amount, bucket_size(limits, account) * FULL_PART);
-	if (bucket->level >= needed) {
+	if (!bucket->heard_at)
+		bucket_round(bucket, now);
+	/* Only now all peers of the round were heard. */
+	if (bucket->taken_level < 0)
+		bucket->taken_level = MAX(bucket->level, 0);
+	if (bucket->level >= needed &&
+	    bucket_shares(bucket, limits->entries)) {
 		bucket->level -= amount;
+		bucket->taken += amount;
 		bucket->own_total += amount;
 		return true;
 	}
 	*retry_after = (pd_time_t)((needed - bucket->level) / account->rate *
 				   PD_SEC);
+	*retry_after = MAX(*retry_after, RATE_SPAN_MIN);
 	return false;
 }
 
@@ -176,9 +220,14 @@
 	bucket->own_total -= amount;
 }
 
-/* Hears from a peer how much it has taken out in all since it started. */
+/*
+ * Hears from a peer how much it has taken out in all since it started. RECENT
+ * says that it started so short a time ago that all of it counts; of an older
+ * peer only what it takes from now on can be told.
+ */
 void token_limits_heard(token_limits_t *limits, const char *account,
-			const char *peer, double total, pd_time_t now)
+			const char *peer, double total, bool recent,
+			pd_time_t now)
 {
 	bucket_t *bucket = limits_bucket(limits, account);
 	peer_use_t *use = g_hash_table_lookup(bucket->peers, peer);
@@ -189,6 +238,9 @@
 		use->total = total;
 		use->heard_at = now;
 		g_hash_table_insert(bucket->peers, g_strdup(peer), use);
+		if (recent)
+			bucket->level -= total;
+		bucket_round(bucket, now);
 		return;
 	}
 	if (now - use->heard_at < RATE_SPAN_MIN)
@@ -205,6 +257,7 @@
 		      use->rate) *
 		     RATE_WEIGHT;
 	bucket->level -= used - use->guessed;
+	bucket_round(bucket, now);
 	use->total = total;
 	use->heard_at = now;
 	use->guessed = 0;
--- a/core/forward/token_limits.h
+++ b/core/forward/token_limits.h
@@ -20,13 +20,15 @@
 				    double total, double level);
 
 token_limits_t *token_limits_create(const token_rules_t *rules, bool filled);
+void token_limits_set_entries(token_limits_t *limits, unsigned int entries);
 void token_limits_destroy(token_limits_t *limits);
 bool token_limits_take(token_limits_t *limits, const forward_account_t *account,
 		       double amount, pd_time_t now, pd_time_t *retry_after);
 void token_limits_return(token_limits_t *limits, const char *account,
 			 double amount);
 void token_limits_heard(token_limits_t *limits, const char *account,
-			const char *peer, double total, pd_time_t now);
+			const char *peer, double total, bool recent,
+			pd_time_t now);
 void token_limits_forget_peers(token_limits_t *limits);
 void token_limits_adopt(token_limits_t *limits, const char *account,
 			double level, pd_time_t now);
--- /dev/null
+++ b/tests/unit/test_event_stream.c
@@ -0,0 +1,64 @@
+/* Event streams: whole events only, whatever the pieces they come in. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "core/forward/event_stream.h"
+
+static const char three[] = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+			    "data: c\nid: 3\n\n";
+
+/* The network may split a stream anywhere. */
+static void test_any_split_gives_the_same_events(void **state)
+{
+	size_t len = sizeof(three) - 1;
+
+	(void)state;
+	for (size_t cut = 0; cut <= len; cut++) {
+		event_stream_t *stream = event_stream_create();
+
+		event_stream_feed(stream, three, cut);
+		event_stream_feed(stream, three + cut, len - cut);
+		assert_int_equal(stream->count, 3);
+		assert_int_equal(stream->whole, len);
+		assert_string_equal(stream->last_id, "3");
+		assert_false(event_stream_has_partial(stream));
+		event_stream_destroy(stream);
+	}
+}
+
+/*
+ * An upstream stops in the middle of an event. Passed on, its half would be
+ * joined with the first event of the upstream that goes on.
+ */
+static void test_half_an_event_is_not_passed_on(void **state)
+{
+	event_stream_t *stream = event_stream_create();
+
+	(void)state;
+	event_stream_feed(stream, "id: 1\ndata: a\n\nid: 2\ndata: b", 28);
+	assert_int_equal(stream->whole, 15);
+	assert_string_equal(stream->last_id, "1");
+	assert_true(event_stream_has_partial(stream));
+	event_stream_passed(stream);
+	event_stream_drop_partial(stream);
+	assert_false(event_stream_has_partial(stream));
+	event_stream_feed(stream, "id: 2\ndata: b\n\n", 15);
+	assert_string_equal(stream->last_id, "2");
+	assert_int_equal(stream->whole, 15);
+	event_stream_destroy(stream);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_any_split_gives_the_same_events),
+		cmocka_unit_test(test_half_an_event_is_not_passed_on),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test_forward_upstreams.c
@@ -0,0 +1,261 @@
+/* Which upstreams may be used, and which one a request gets. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "core/forward/upstreams.h"
+
+#define START (1000 * PD_SEC)
+
+static unsigned int gone_count;
+
+static void on_gone(void *ctx, const char *id)
+{
+	(void)ctx;
+	(void)id;
+	gone_count++;
+}
+
+static int setup(void **state)
+{
+	gone_count = 0;
+	*state = forward_upstreams_create();
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	forward_upstreams_destroy(*state);
+	return 0;
+}
+
+static bool list(forward_upstreams_t *set, const char *id, uint64_t revision,
+		 forward_stage_t stage, pd_time_t now)
+{
+	const forward_listing_t listing = { .id = id,
+					    .service = "s",
+					    .address = "127.0.0.1",
+					    .port = 1,
+					    .zone = "a",
+					    .slots = 4,
+					    .stage = stage,
+					    .revision = revision };
+
+	return forward_upstreams_apply(set, &listing, now);
+}
+
+static forward_upstream_t *choose(forward_upstreams_t *set, pd_time_t now)
+{
+	static forward_call_t call;
+	const forward_ask_t ask = { .service = "s",
+				    .zone = "a",
+				    .call = &call,
+				    .overfill = 1 };
+	forward_upstream_t *chosen;
+
+	forward_upstreams_choose(set, &ask, now, &chosen);
+	return chosen;
+}
+
+/*
+ * An upstream says that it leaves. A request sent there later may be cut off
+ * when it ends.
+ */
+static void test_a_draining_upstream_gets_nothing_new(void **state)
+{
+	list(*state, "u1", 1, FORWARD_SERVING, START);
+	assert_non_null(choose(*state, START));
+	assert_true(list(*state, "u1", 2, FORWARD_DRAINING, START));
+	assert_null(choose(*state, START));
+}
+
+/* Peers tell each other late; an old state must not undo a newer one. */
+static void test_old_news_changes_nothing(void **state)
+{
+	list(*state, "u1", 5, FORWARD_DRAINING, START);
+	assert_false(list(*state, "u1", 4, FORWARD_SERVING, START));
+	assert_false(forward_upstreams_remove(*state, "u1", 4, START));
+	assert_null(choose(*state, START));
+}
+
+/*
+ * The store is away for all, and the entries of upstreams that live lapse.
+ * Without the wait, callers would be refused by a whole healthy fleet until the
+ * entries are back.
+ */
+static void test_entries_that_lapsed_get_time_to_come_back(void **state)
+{
+	list(*state, "u1", 1, FORWARD_SERVING, START);
+	forward_upstreams_store_back(*state, START);
+	forward_upstreams_remove(*state, "u1", 2, START);
+	assert_non_null(choose(*state, START + PD_SEC));
+	list(*state, "u1", 3, FORWARD_SERVING, START + 2 * PD_SEC);
+	forward_upstreams_run(*state, START + 5 * PD_SEC, on_gone, NULL);
+	assert_non_null(choose(*state, START + 5 * PD_SEC));
+	assert_int_equal(gone_count, 0);
+}
+
+/*
+ * An entry lapsed and a peer, which has not heard of that, tells once more what
+ * it knew before. Taken for a sign of life, requests went on to an upstream that
+ * had left, and were cut off.
+ */
+static void test_old_news_does_not_undo_a_lapse(void **state)
+{
+	list(*state, "u1", 1, FORWARD_SERVING, START);
+	forward_upstreams_store_back(*state, START);
+	forward_upstreams_remove(*state, "u1", 2, START);
+	list(*state, "u1", 1, FORWARD_SERVING, START + PD_SEC);
+	forward_upstreams_run(*state, START + 3 * PD_SEC, on_gone, NULL);
+	assert_null(choose(*state, START + 3 * PD_SEC));
+	assert_int_equal(gone_count, 1);
+}
+
+/* Without an outage before, an entry that goes means an upstream that left. */
+static void test_an_entry_that_goes_is_gone_at_once(void **state)
+{
+	list(*state, "u1", 1, FORWARD_SERVING, START);
+	assert_true(forward_upstreams_remove(*state, "u1", 2, START));
+	assert_null(choose(*state, START));
+}
+
+/* A watch may lose its past; what the new list lacks has left meanwhile. */
+static void test_what_a_new_listing_lacks_is_gone(void **state)
+{
+	list(*state, "u1", 1, FORWARD_SERVING, START);
+	list(*state, "u2", 2, FORWARD_SERVING, START);
+	forward_upstreams_begin_listing(*state);
+	list(*state, "u2", 2, FORWARD_SERVING, START);
+	forward_upstreams_end_listing(*state, 9, START);
+	assert_string_equal(choose(*state, START)->id, "u2");
+	assert_false(forward_upstream_serves(
+		forward_upstreams_find(*state, "u1"), START));
+}
+
+/* An upstream that fails twice in a row is left alone while others serve. */
+static void test_a_failing_upstream_is_avoided_and_tried_again(void **state)
+{
+	forward_upstream_t *bad;
+
+	list(*state, "u1", 1, FORWARD_SERVING, START);
+	list(*state, "u2", 2, FORWARD_SERVING, START);
+	bad = forward_upstreams_find(*state, "u1");
+	forward_upstream_failed(bad, START);
+	forward_upstream_failed(bad, START);
+	forward_upstreams_find(*state, "u2")->running = 3;
+	assert_string_equal(choose(*state, START)->id, "u2");
+	assert_string_equal(choose(*state, START + 10 * PD_SEC)->id, "u1");
+	forward_upstream_answered(bad);
+	assert_string_equal(choose(*state, START)->id, "u1");
+}
+
+static void test_a_full_upstream_is_passed_over(void **state)
+{
+	list(*state, "u1", 1, FORWARD_SERVING, START);
+	forward_upstreams_find(*state, "u1")->running = 1;
+	forward_upstreams_find(*state, "u1")->peers_running = 3;
+	assert_null(choose(*state, START));
+}
+
+static forward_call_t subject_call(uint64_t subject)
+{
+	forward_call_t call = { .prompt_tokens = 6000,
+				.parts = { { 1, 500 }, { subject, 5000 },
+					   { 99, 500 } },
+				.part_count = 3 };
+
+	return call;
+}
+
+/*
+ * Two entries know nothing of each other's requests. If each sent a subject's
+ * requests elsewhere, every upstream would read the same long prompt.
+ */
+static void test_entries_agree_on_a_subjects_upstream(void **state)
+{
+	forward_upstreams_t *other = forward_upstreams_create();
+	unsigned int moved = 0;
+
+	for (unsigned int i = 0; i < 6; i++) {
+		char id[8];
+
+		g_snprintf(id, sizeof(id), "u%u", i);
+		list(*state, id, i + 1, FORWARD_SERVING, START);
+		g_snprintf(id, sizeof(id), "u%u", 5 - i);
+		list(other, id, i + 1, FORWARD_SERVING, START);
+	}
+	for (uint64_t subject = 100; subject < 150; subject++) {
+		forward_call_t call = subject_call(subject);
+		const forward_ask_t ask = { .service = "s",
+					    .zone = "a",
+					    .call = &call,
+					    .has_prompt = true,
+					    .overfill = 1 };
+		forward_upstream_t *one;
+		forward_upstream_t *two;
+
+		forward_upstreams_choose(*state, &ask, START, &one);
+		forward_upstreams_choose(other, &ask, START, &two);
+		assert_string_equal(one->id, two->id);
+		moved += strcmp(one->id, "u0") != 0;
+	}
+	assert_true(moved > 25); /* the subjects are spread */
+	forward_upstreams_destroy(other);
+}
+
+/* A shared prompt draws requests only while its upstream has no long queue. */
+static void test_a_loaded_home_loses_its_subject(void **state)
+{
+	forward_call_t call = subject_call(7);
+	const forward_ask_t ask = { .service = "s",
+				    .zone = "a",
+				    .call = &call,
+				    .has_prompt = true,
+				    .overfill = 1 };
+	forward_upstream_t *home;
+	forward_upstream_t *next;
+
+	list(*state, "u1", 1, FORWARD_SERVING, START);
+	list(*state, "u2", 2, FORWARD_SERVING, START);
+	forward_upstreams_choose(*state, &ask, START, &home);
+	home->reading = 20000;
+	forward_upstreams_choose(*state, &ask, START, &next);
+	assert_ptr_not_equal(home, next);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			test_a_draining_upstream_gets_nothing_new, setup,
+			teardown),
+		cmocka_unit_test_setup_teardown(test_old_news_changes_nothing,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_entries_that_lapsed_get_time_to_come_back, setup,
+			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_old_news_does_not_undo_a_lapse, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_an_entry_that_goes_is_gone_at_once, setup,
+			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_what_a_new_listing_lacks_is_gone, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_a_failing_upstream_is_avoided_and_tried_again,
+			setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_a_full_upstream_is_passed_over, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_entries_agree_on_a_subjects_upstream, setup,
+			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_a_loaded_home_loses_its_subject, setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test_scale_plan.c
@@ -0,0 +1,225 @@
+/* How many upstreams are ordered, and that none is let go too early. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "core/forward/scale_plan.h"
+
+#define START (1000 * PD_SEC)
+#define TICK (500 * PD_MSEC)
+#define ENGINE 117000.0 /* work that keeps one engine busy */
+
+typedef struct rig {
+	forward_config_t *config;
+	forward_service_t *service;
+	forward_upstreams_t *upstreams;
+	scale_plan_t *plan;
+	scale_zone_t zones[SCALE_ZONES_MAX];
+	unsigned int count;
+	uint64_t revision;
+	pd_time_t now;
+} rig_t;
+
+static void add_zone(forward_service_t *service, const char *name, double price)
+{
+	forward_zone_price_t zone = { g_strdup(name), price };
+
+	g_array_append_val(service->zone_prices, zone);
+}
+
+static int setup(void **state)
+{
+	rig_t *rig = g_new0(rig_t, 1);
+
+	rig->config = forward_config_create();
+	rig->service = forward_config_add_service(rig->config);
+	rig->service->name = g_strdup("s");
+	rig->service->scaled = true;
+	rig->service->zone_min = 1;
+	rig->service->zone_max = 6;
+	rig->service->engine_slots = 96;
+	add_zone(rig->service, "a", 1);
+	add_zone(rig->service, "b", 0.8);
+	add_zone(rig->service, "c", 1.2);
+	rig->upstreams = forward_upstreams_create();
+	rig->plan = scale_plan_create();
+	rig->now = START;
+	*state = rig;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	rig_t *rig = *state;
+
+	scale_plan_destroy(rig->plan);
+	forward_upstreams_destroy(rig->upstreams);
+	forward_config_unref(rig->config);
+	g_free(rig);
+	return 0;
+}
+
+static void start(rig_t *rig, const char *zone, unsigned int number,
+		  bool reclaimable)
+{
+	char id[32];
+	forward_listing_t listing = { .id = id,
+				      .service = "s",
+				      .address = "127.0.0.1",
+				      .port = 1,
+				      .zone = zone,
+				      .slots = 96,
+				      .reclaimable = reclaimable };
+
+	for (unsigned int i = 0; i < number; i++) {
+		listing.revision = ++rig->revision;
+		snprintf(id, sizeof(id), "u%u", (unsigned int)rig->revision);
+		forward_upstreams_apply(rig->upstreams, &listing, rig->now);
+	}
+}
+
+/* Lets time pass with a load, in engines' worth of work. */
+static void pass(rig_t *rig, pd_time_t time, double load)
+{
+	for (pd_time_t end = rig->now + time; rig->now < end; rig->now += TICK)
+		rig->count = scale_plan_make(rig->plan, rig->service,
+					     rig->upstreams, load * ENGINE,
+					     rig->now, rig->zones);
+}
+
+static unsigned int lasting(const rig_t *rig)
+{
+	unsigned int sum = 0;
+
+	for (unsigned int i = 0; i < rig->count; i++)
+		sum += rig->zones[i].lasting;
+	return sum;
+}
+
+static unsigned int reclaimable(const rig_t *rig)
+{
+	unsigned int sum = 0;
+
+	for (unsigned int i = 0; i < rig->count; i++)
+		sum += rig->zones[i].reclaimable;
+	return sum;
+}
+
+/*
+ * The fleet lists itself one by one after a start. Planned on the first few, the
+ * others would be let go before any caller comes.
+ */
+static void test_no_plan_while_the_fleet_lists_itself(void **state)
+{
+	rig_t *rig = *state;
+
+	start(rig, "a", 1, false);
+	pass(rig, PD_SEC, 0);
+	assert_int_equal(rig->count, 0);
+	start(rig, "b", 4, false);
+	pass(rig, PD_SEC, 0);
+	assert_int_equal(rig->count, 0);
+	pass(rig, 2 * PD_SEC, 0);
+	assert_int_equal(rig->count, 3);
+}
+
+/*
+ * Reclaimable upstreams take seconds to start. Lasting ones let go at the order
+ * leave callers with too few until then.
+ */
+static void test_lasting_ones_stay_until_others_serve(void **state)
+{
+	rig_t *rig = *state;
+	unsigned int before;
+
+	start(rig, "a", 3, false);
+	start(rig, "b", 3, false);
+	start(rig, "c", 3, false);
+	pass(rig, 4 * PD_SEC, 0);
+	before = lasting(rig);
+	assert_true(reclaimable(rig) >= 4);
+	assert_true(before >= 5);
+	start(rig, "a", 3, true);
+	start(rig, "b", 3, true);
+	pass(rig, 4 * PD_SEC, 0);
+	assert_true(lasting(rig) < before);
+}
+
+/* A whole zone of reclaimable upstreams goes, and no others are to be had. */
+static void test_lasting_ones_fill_a_shortage(void **state)
+{
+	rig_t *rig = *state;
+	unsigned int before;
+
+	start(rig, "a", 3, false);
+	start(rig, "b", 3, true);
+	start(rig, "c", 3, true);
+	pass(rig, 10 * PD_SEC, 6);
+	before = lasting(rig);
+	forward_upstreams_begin_listing(rig->upstreams);
+	start(rig, "a", 3, false);
+	forward_upstreams_end_listing(rig->upstreams, rig->revision, rig->now);
+	scale_plan_refused(rig->plan, "b", rig->now);
+	pass(rig, PD_SEC, 6);
+	assert_true(lasting(rig) > before);
+}
+
+/* Load that swings from second to second moves no upstream about. */
+static void test_noise_changes_nothing(void **state)
+{
+	rig_t *rig = *state;
+	unsigned int changes = 0;
+	scale_zone_t before[SCALE_ZONES_MAX];
+
+	start(rig, "a", 6, false);
+	start(rig, "b", 6, true);
+	pass(rig, 30 * PD_SEC, 5);
+	for (int i = 0; i < 60; i++) {
+		memcpy(before, rig->zones, sizeof(before));
+		pass(rig, PD_SEC, i % 2 ? 4.5 : 5);
+		for (unsigned int k = 0; k < rig->count; k++)
+			changes += before[k].lasting != rig->zones[k].lasting ||
+				   before[k].reclaimable !=
+					   rig->zones[k].reclaimable;
+	}
+	assert_int_equal(changes, 0);
+}
+
+static void test_zones_keep_their_bounds(void **state)
+{
+	rig_t *rig = *state;
+
+	start(rig, "a", 3, false);
+	pass(rig, 60 * PD_SEC, 100);
+	for (unsigned int i = 0; i < rig->count; i++) {
+		unsigned int sum =
+			rig->zones[i].lasting + rig->zones[i].reclaimable;
+
+		assert_true(sum >= 1 && sum <= 6);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			test_no_plan_while_the_fleet_lists_itself, setup,
+			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_lasting_ones_stay_until_others_serve, setup,
+			teardown),
+		cmocka_unit_test_setup_teardown(test_lasting_ones_fill_a_shortage,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_noise_changes_nothing,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_zones_keep_their_bounds,
+						setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test_token_limits.c
@@ -0,0 +1,253 @@
+/* Limits of client accounts in sum over entries that hear of each other late. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+
+#include "core/forward/token_limits.h"
+
+#define START (1000 * PD_SEC)
+#define STEP (10 * PD_MSEC)
+#define TELL_STEPS 25 /* peers tell each other every 250 ms */
+#define ENTRIES 6
+#define STEPS 2400 /* 24 s */
+#define WINDOW_STEPS 800 /* 8 s */
+#define REQUEST 2000.0 /* tokens */
+
+static const token_rules_t rules = { .window = 8 * PD_SEC,
+				     .overage = 0.1,
+				     .slack = 140000 };
+static const forward_account_t account = { .name = (char *)"mill",
+					   .in_tokens = true,
+					   .rate = 200000,
+					   .burst = 200000 };
+
+typedef struct fleet {
+	token_limits_t *entries[ENTRIES];
+	unsigned int lives[ENTRIES]; /* names the start of each */
+	double granted[STEPS];
+	double asked;
+} fleet_t;
+
+static void fleet_start(fleet_t *fleet, bool filled)
+{
+	for (unsigned int i = 0; i < ENTRIES; i++) {
+		fleet->entries[i] = token_limits_create(&rules, filled);
+		token_limits_set_entries(fleet->entries[i], ENTRIES);
+		fleet->lives[i]++;
+	}
+}
+
+static void fleet_end(fleet_t *fleet)
+{
+	for (unsigned int i = 0; i < ENTRIES; i++)
+		token_limits_destroy(fleet->entries[i]);
+}
+
+typedef struct teller {
+	fleet_t *fleet;
+	unsigned int from;
+	pd_time_t now;
+} teller_t;
+
+static void tell(void *ctx, const char *name, double total, double level)
+{
+	const teller_t *teller = ctx;
+	char who[32];
+
+	(void)level;
+	snprintf(who, sizeof(who), "%u#%u", teller->from,
+		 teller->fleet->lives[teller->from]);
+	for (unsigned int i = 0; i < ENTRIES; i++) {
+		if (i != teller->from)
+			token_limits_heard(teller->fleet->entries[i], name, who,
+					   total, true, teller->now);
+	}
+}
+
+static void fleet_tell(fleet_t *fleet, pd_time_t now)
+{
+	for (unsigned int i = 0; i < ENTRIES; i++) {
+		teller_t teller = { fleet, i, now };
+
+		token_limits_each(fleet->entries[i], tell, &teller);
+	}
+}
+
+/* Callers ask for RATE tokens a second, evenly at all entries. */
+static void fleet_ask(fleet_t *fleet, unsigned int step, double rate,
+		      pd_time_t now)
+{
+	pd_time_t retry_after;
+
+	fleet->asked += rate * (double)STEP / PD_SEC;
+	for (unsigned int i = 0; fleet->asked >= REQUEST; i++) {
+		fleet->asked -= REQUEST;
+		if (token_limits_take(fleet->entries[(step + i) % ENTRIES],
+				      &account, REQUEST, now, &retry_after))
+			fleet->granted[step] += REQUEST;
+	}
+}
+
+static double allowed(void)
+{
+	return (account.rate * 8 + account.burst) * (1 + rules.overage) +
+	       rules.slack;
+}
+
+static double worst_window(const fleet_t *fleet)
+{
+	double sum = 0;
+	double worst = 0;
+
+	for (unsigned int i = 0; i < STEPS; i++) {
+		sum += fleet->granted[i];
+		if (i >= WINDOW_STEPS)
+			sum -= fleet->granted[i - WINDOW_STEPS];
+		worst = MAX(worst, sum);
+	}
+	print_message("worst window %.3f of what is allowed\n",
+		      worst / allowed());
+	return worst;
+}
+
+/*
+ * An account asks for many times its limit at all entries at once. Each grants
+ * on news of the others that is a quarter of a second old.
+ */
+static void test_a_flood_stays_within_the_limit(void **state)
+{
+	fleet_t fleet = { 0 };
+
+	(void)state;
+	fleet_start(&fleet, true);
+	for (unsigned int step = 0; step < STEPS; step++) {
+		pd_time_t now = START + step * STEP;
+
+		if (step % TELL_STEPS == 0)
+			fleet_tell(&fleet, now);
+		fleet_ask(&fleet, step, account.rate * 7.5, now);
+	}
+	assert_true(worst_window(&fleet) <= allowed());
+	/* And the account gets what it may use. */
+	assert_true(worst_window(&fleet) >= account.rate * 8);
+	fleet_end(&fleet);
+}
+
+/*
+ * All entries are killed at the height of a flood and know nothing when they
+ * are back. If each handed out the whole limit anew, the upstreams would get
+ * twice what the account may use.
+ */
+static void test_a_restart_of_all_grants_no_second_limit(void **state)
+{
+	(void)state;
+	for (unsigned int killed_at = 50; killed_at < 1000; killed_at += 50) {
+		fleet_t fleet = { 0 };
+
+		fleet_start(&fleet, true);
+		for (unsigned int step = 0; step < STEPS; step++) {
+			pd_time_t now = START + step * STEP;
+
+			if (step == killed_at) {
+				fleet_end(&fleet);
+				fleet_start(&fleet, false);
+			}
+			if (step % TELL_STEPS == 0)
+				fleet_tell(&fleet, now);
+			/* They are down for a second. */
+			if (step < killed_at || step >= killed_at + 100)
+				fleet_ask(&fleet, step, account.rate * 7.5, now);
+		}
+		assert_true(worst_window(&fleet) <= allowed());
+		fleet_end(&fleet);
+	}
+}
+
+/*
+ * The links between entries go silent. Each then knows only what the others
+ * used before, and would grant the whole limit if it took silence for idleness.
+ */
+static void test_silent_peers_are_taken_to_go_on(void **state)
+{
+	fleet_t fleet = { 0 };
+
+	(void)state;
+	fleet_start(&fleet, true);
+	for (unsigned int step = 0; step < STEPS; step++) {
+		pd_time_t now = START + step * STEP;
+
+		if (step % TELL_STEPS == 0 && step < 1200)
+			fleet_tell(&fleet, now);
+		fleet_ask(&fleet, step, account.rate * 3, now);
+	}
+	assert_true(worst_window(&fleet) <= allowed());
+	fleet_end(&fleet);
+}
+
+/* Requests come in clumps; an account well below its limit is not refused. */
+static void test_clumps_below_the_limit_are_granted(void **state)
+{
+	fleet_t fleet = { 0 };
+	double granted = 0;
+
+	(void)state;
+	fleet_start(&fleet, true);
+	for (unsigned int step = 0; step < STEPS; step++) {
+		pd_time_t now = START + step * STEP;
+
+		if (step % TELL_STEPS == 0)
+			fleet_tell(&fleet, now);
+		/* A quarter of the time at twice the rate. */
+		fleet_ask(&fleet, step,
+			  step % 100 < 25 ? account.rate * 2 : 0, now);
+		granted += fleet.granted[step];
+	}
+	assert_true(granted > account.rate * 0.5 * 24 * 0.98);
+	fleet_end(&fleet);
+}
+
+static void test_a_refusal_says_when_to_come_back(void **state)
+{
+	token_limits_t *limits = token_limits_create(&rules, false);
+	pd_time_t retry_after = 0;
+
+	(void)state;
+	assert_false(token_limits_take(limits, &account, REQUEST, START,
+				       &retry_after));
+	assert_int_equal(retry_after, 100 * PD_MSEC);
+	assert_true(token_limits_take(limits, &account, REQUEST,
+				      START + retry_after, &retry_after));
+	token_limits_destroy(limits);
+}
+
+/* A request larger than the bucket would otherwise never be let through. */
+static void test_a_huge_request_is_not_starved(void **state)
+{
+	const forward_account_t small = { .name = (char *)"small",
+					  .rate = 10,
+					  .burst = 10 };
+	token_limits_t *limits = token_limits_create(&rules, true);
+	pd_time_t retry_after;
+
+	(void)state;
+	assert_true(token_limits_take(limits, &small, 1000, START, &retry_after));
+	token_limits_destroy(limits);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_a_flood_stays_within_the_limit),
+		cmocka_unit_test(test_a_restart_of_all_grants_no_second_limit),
+		cmocka_unit_test(test_silent_peers_are_taken_to_go_on),
+		cmocka_unit_test(test_clumps_below_the_limit_are_granted),
+		cmocka_unit_test(test_a_refusal_says_when_to_come_back),
+		cmocka_unit_test(test_a_huge_request_is_not_starved),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
