--- /dev/null
+++ b/tests/unit/test_wire.c
@@ -0,0 +1,276 @@
+/* What the platform speaks, in the project's types and back. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "platform/wire.h"
+
+static forward_call_t *read_call(const header_t *headers, size_t count)
+{
+	return wire_call_read("POST", "/a/b?c", headers, count);
+}
+
+/*
+ * A caller sets headers that are the system's: it would run in another
+ * account's name, reserve memory of engines, or have its key shown to them.
+ */
+static void test_headers_of_the_system_are_dropped(void **state)
+{
+	const header_t headers[] = {
+		{ "Host", "h" },
+		{ "X-Tenant", "other" },
+		{ "Authorization", "Bearer k1" },
+		{ "X-Hold", "1" },
+		{ "X-Pin-Ms", "1" },
+		{ "X-Kv-Backup", "1.2.3.4:5" },
+		{ "Kv-From", "x" },
+		{ "X-Request-Priority", "0" },
+		{ "X-Expect-Instance", "i" },
+		{ "Connection", "close, X-Mine" },
+		{ "X-Mine", "1" },
+		{ "X-Other", "2" },
+	};
+	forward_call_t *call = read_call(headers, G_N_ELEMENTS(headers));
+
+	(void)state;
+	assert_string_equal(call->headers->str, "Host: h\r\nX-Other: 2\r\n");
+	assert_string_equal(call->api_key, "k1");
+	forward_call_destroy(call);
+}
+
+static void test_a_call_is_read(void **state)
+{
+	const header_t headers[] = {
+		{ "Host", "h" },
+		{ "X-Attempt-Id", "9c41" },
+		{ "X-Deadline-Ms", "1500" },
+		{ "X-Token-Count", "1460,80" },
+		{ "X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410" },
+		{ "Last-Event-Id", "12" },
+	};
+	forward_call_t *call = read_call(headers, G_N_ELEMENTS(headers));
+
+	(void)state;
+	assert_string_equal(call->id, "9c41");
+	assert_string_equal(call->resume_after, "12");
+	assert_int_equal(call->patience, 1500 * PD_MSEC);
+	assert_int_equal(call->prompt_tokens, 1460);
+	assert_int_equal(call->output_tokens, 80);
+	assert_int_equal(call->part_count, 2);
+	assert_int_equal(call->parts[1].id, 0x91bd3f06);
+	assert_int_equal(call->parts[1].tokens, 410);
+	forward_call_destroy(call);
+}
+
+/* Whatever a caller writes there, nothing is read beyond its end. */
+static void test_bad_prompt_parts_are_left_out(void **state)
+{
+	static const char *const bad[] = { "",	   ",",	  ":",	   "zz:1",
+					   "1:",   "1:x", "1",	   "1:2,",
+					   "1:2,3", "::",  ",,1:2,", "-1:-1" };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		const header_t header = { "X-Prompt-Prefix", bad[i] };
+		forward_call_t *call = read_call(&header, 1);
+
+		assert_true(call->part_count <= 1);
+		forward_call_destroy(call);
+	}
+}
+
+static void test_a_call_is_written(void **state)
+{
+	const header_t headers[] = { { "Host", "h" }, { "X-Attempt-Id", "9" } };
+	forward_call_t *call = read_call(headers, G_N_ELEMENTS(headers));
+	const wire_send_t send = { .time_left = 1200 * PD_MSEC,
+				   .account = "mill",
+				   .upstream_id = "i-1",
+				   .resume_after = "7",
+				   .urgency = 2,
+				   .body_len = 3,
+				   .has_body = true };
+	GString *out = g_string_new(NULL);
+
+	(void)state;
+	wire_call_write(out, call, &send);
+	assert_string_equal(out->str, "POST /a/b?c HTTP/1.1\r\n"
+				      "Host: h\r\n"
+				      "X-Attempt-Id: 9\r\n"
+				      "X-Deadline-Ms: 1200\r\n"
+				      "X-Expect-Instance: i-1\r\n"
+				      "X-Tenant: mill\r\n"
+				      "Last-Event-Id: 7\r\n"
+				      "X-Request-Priority: 2\r\n"
+				      "Content-Length: 3\r\n\r\n");
+	g_string_free(out, TRUE);
+	forward_call_destroy(call);
+}
+
+static const char config_text[] =
+	"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"H.example\","
+	"\"pathPrefix\":\"/a/\",\"kind\":\"stream\",\"timeoutMs\":15000,"
+	"\"goalMs\":600,\"priority\":1,\"split\":[{\"service\":\"s\","
+	"\"weight\":90},{\"service\":\"t\",\"weight\":10}],"
+	"\"maxAttempts\":2,\"public\":true,\"sticky\":true,"
+	"\"resumable\":true,\"gapGoalMs\":250}],\"services\":[{\"name\":\"s\","
+	"\"maxConns\":480,\"engine\":{\"slots\":96,\"kvCapacity\":1000,"
+	"\"moves\":true},\"scaling\":{\"min\":1,\"max\":6,\"bootS\":4.0,"
+	"\"spotPrice\":0.22,\"zonePrices\":{\"a\":1.0,\"b\":0.8}}}],"
+	"\"limits\":{\"maxHeaderBytes\":100,\"maxBodyBytes\":200,"
+	"\"headerTimeoutMs\":300,\"idleTimeoutMs\":400},\"tenants\":["
+	"{\"name\":\"mill\",\"apiKeys\":[\"k\"],\"priority\":0,"
+	"\"unit\":\"tokens\",\"plainTokens\":200,\"ratePerS\":10,"
+	"\"burst\":20}]}";
+
+static void test_a_configuration_is_read(void **state)
+{
+	pd_error_t err;
+	forward_config_t *config =
+		wire_config_read(config_text, strlen(config_text), &err);
+	const forward_route_t *route;
+	const forward_service_t *service;
+	const forward_account_t *account;
+
+	(void)state;
+	assert_non_null(config);
+	assert_int_equal(config->version, 7);
+	assert_int_equal(config->body_max, 200);
+	assert_int_equal(config->idle_timeout, 400 * PD_MSEC);
+	route = forward_config_route(config, "h.example", "/a/x");
+	assert_int_equal(route->kind, FORWARD_STREAM);
+	assert_int_equal(route->timeout, 15 * PD_SEC);
+	assert_true(route->resumable && route->open && route->has_prompt);
+	assert_string_equal(forward_route_service(route, 0.95), "t");
+	service = forward_config_service(config, "s");
+	assert_true(service->is_engine && service->scaled);
+	assert_int_equal(service->boot_time, 4 * PD_SEC);
+	assert_true(forward_service_price(service, "b") == 0.8);
+	account = forward_config_account(config, "k");
+	assert_true(account->in_tokens);
+	assert_true(account->rate == 10 && account->burst == 20);
+	forward_config_unref(config);
+}
+
+/* A kind that is not known must not be repeated. */
+static void test_an_unknown_kind_is_not_repeated(void **state)
+{
+	static const char text[] = "{\"version\":1,\"routes\":[{\"host\":\"h\","
+				   "\"pathPrefix\":\"/\",\"kind\":\"new\"}]}";
+	pd_error_t err;
+	forward_config_t *config = wire_config_read(text, strlen(text), &err);
+
+	(void)state;
+	assert_int_equal(forward_config_route(config, "h", "/")->kind,
+			 FORWARD_UNSAFE);
+	forward_config_unref(config);
+}
+
+/* What is cut off or of other types is refused or left out, and never crashes. */
+static void test_a_cut_configuration_is_refused(void **state)
+{
+	(void)state;
+	for (size_t len = 0; len < strlen(config_text); len++) {
+		pd_error_t err;
+
+		assert_null(wire_config_read(config_text, len, &err));
+		assert_int_equal(err.kind, PD_ERROR_INPUT);
+	}
+}
+
+static void test_a_list_and_a_watch_are_read(void **state)
+{
+	static const char list[] =
+		"{\"items\":[{\"metadata\":{\"name\":\"i-1\",\"revision\":4},"
+		"\"spec\":{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
+		"\"zone\":\"a\",\"slots\":6,\"state\":\"draining\","
+		"\"preemptible\":true}}],\"hasMore\":true,\"asOf\":9}";
+	static const char watch[] =
+		"{\"events\":[{\"tombstone\":true,\"object\":{\"metadata\":"
+		"{\"name\":\"i-1\",\"revision\":4}}}],\"asOf\":12}";
+	forward_listing_t listing;
+	pd_error_t err;
+	wire_page_t *page = wire_page_read(list, strlen(list), &err);
+
+	(void)state;
+	assert_int_equal(wire_page_revision(page), 9);
+	assert_true(wire_page_has_more(page));
+	assert_int_equal(wire_page_upstream(page, 0, &listing, &err), 0);
+	assert_string_equal(listing.address, "10.0.0.9");
+	assert_int_equal(listing.port, 80);
+	assert_int_equal(listing.stage, FORWARD_DRAINING);
+	assert_true(listing.reclaimable);
+	wire_page_destroy(page);
+	page = wire_page_read(watch, strlen(watch), &err);
+	assert_true(wire_page_is_gone(page, 0));
+	assert_string_equal(wire_page_name(page, 0), "i-1");
+	wire_page_destroy(page);
+}
+
+static void test_a_lease_survives_the_round_trip(void **state)
+{
+	lease_record_t *record = lease_record_create();
+	lease_record_t *read;
+	uint64_t revision;
+	pd_error_t err;
+	char *text;
+
+	(void)state;
+	record->holder = g_strdup("e1");
+	record->fence = 12;
+	record->renewals = 3;
+	record->note = g_strdup("7 {\"a\":1}");
+	text = wire_lease_write("duties", record, 42);
+	read = wire_lease_read(text, strlen(text), &revision, &err);
+	assert_int_equal(revision, 42);
+	assert_string_equal(read->holder, "e1");
+	assert_int_equal(read->fence, 12);
+	assert_string_equal(read->note, record->note);
+	lease_record_destroy(read);
+	lease_record_destroy(record);
+	g_free(text);
+}
+
+/*
+ * A report that is sent twice must be the same bytes; a hash table's order is
+ * not the same in every process.
+ */
+static void test_a_usage_report_has_one_form(void **state)
+{
+	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
+	uint64_t one = 1;
+	uint64_t two = 2;
+	char *text;
+
+	(void)state;
+	g_hash_table_insert(counts, (char *)"b", &two);
+	g_hash_table_insert(counts, (char *)"a", &one);
+	text = wire_usage_write(7, counts);
+	assert_string_equal(text,
+			    "{\"counts\":{\"a\":1,\"b\":2},\"windowId\":7}");
+	g_free(text);
+	g_hash_table_unref(counts);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_headers_of_the_system_are_dropped),
+		cmocka_unit_test(test_a_call_is_read),
+		cmocka_unit_test(test_bad_prompt_parts_are_left_out),
+		cmocka_unit_test(test_a_call_is_written),
+		cmocka_unit_test(test_a_configuration_is_read),
+		cmocka_unit_test(test_an_unknown_kind_is_not_repeated),
+		cmocka_unit_test(test_a_cut_configuration_is_refused),
+		cmocka_unit_test(test_a_list_and_a_watch_are_read),
+		cmocka_unit_test(test_a_lease_survives_the_round_trip),
+		cmocka_unit_test(test_a_usage_report_has_one_form),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
