--- /dev/null
+++ b/tests/harness/gateway_rig.h
@@ -0,0 +1,101 @@
+/*
+ * Gateways as real processes between stand-ins that the test plays itself, in
+ * one loop: the platform's store and cloud, upstreams that behave as told, and
+ * callers.
+ */
+#ifndef PISTACHIO_TEST_GATEWAY_RIG_H
+#define PISTACHIO_TEST_GATEWAY_RIG_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <uv.h>
+
+#include "adapters/http1/http1.h"
+#include "core/list.h"
+#include "tests/harness/process.h"
+
+#define RIG_UPSTREAMS 3
+#define RIG_GATEWAYS 3
+#define RIG_TIMEOUT_MS 10000 /* of a wait for a condition */
+
+/* What an upstream does with a request. */
+typedef enum rig_act {
+	RIG_ANSWER,
+	RIG_FAIL, /* runs it and says that it failed */
+	RIG_REJECT, /* does not run it and says so */
+	RIG_HANG, /* runs it and never answers */
+	RIG_CUT, /* breaks off in the middle of its answer */
+	RIG_DOUBLE, /* answers another call first */
+	RIG_SLOW, /* answers after RIG_SLOW_MS */
+	RIG_STREAM, /* RIG_EVENTS events, one every 20 ms */
+	RIG_STREAM_CUT /* the same, but stops in the middle of the fourth */
+} rig_act_t;
+
+#define RIG_SLOW_MS 1000
+#define RIG_EVENTS 6
+
+typedef struct gateway_rig gateway_rig_t;
+
+typedef struct rig_server {
+	gateway_rig_t *rig;
+	uv_tcp_t listener;
+	uint16_t port;
+	int number;
+	bool down; /* closes every connection at its first request */
+	unsigned int arrivals;
+	unsigned int hang_ups; /* callers that left before their answer */
+	rig_act_t act;
+	GString *last; /* the last request: head lines, then the body */
+} rig_server_t;
+
+struct gateway_rig {
+	uv_loop_t loop;
+	uv_timer_t pacer;
+	char *dir;
+	rig_server_t stores[RIG_GATEWAYS]; /* one store, a door for each */
+	rig_server_t cloud;
+	rig_server_t upstreams[RIG_UPSTREAMS];
+	json_t *objects; /* kind -> name -> object */
+	json_t *events; /* array, in the order of their revisions */
+	json_int_t revision;
+	list_node_t watches;
+	GPtrArray *usage; /* bodies of the reports that came in */
+	GPtrArray *orders; /* bodies of the orders that came in */
+	process_t *gateways[RIG_GATEWAYS];
+	uint16_t peer_ports[RIG_GATEWAYS];
+};
+
+/* A caller's connection and all that came back on it. */
+typedef struct rig_caller {
+	int fd;
+	GString *got;
+	bool closed;
+} rig_caller_t;
+
+gateway_rig_t *gateway_rig_create(void);
+void gateway_rig_destroy(gateway_rig_t *rig);
+void rig_put(gateway_rig_t *rig, const char *kind, const char *name,
+	     const char *spec);
+void rig_remove(gateway_rig_t *rig, const char *kind, const char *name);
+void rig_put_config(gateway_rig_t *rig, int version, const char *more_routes);
+void rig_put_upstream(gateway_rig_t *rig, int number, const char *state);
+void rig_start(gateway_rig_t *rig, int number);
+void rig_turn(gateway_rig_t *rig);
+uint16_t rig_port(gateway_rig_t *rig, int number, const char *what);
+rig_caller_t *rig_call(gateway_rig_t *rig, uint16_t port, const char *text);
+void rig_say(rig_caller_t *caller, const char *text);
+void rig_hear(rig_caller_t *caller);
+void rig_hang_up(rig_caller_t *caller);
+void rig_caller_destroy(rig_caller_t *caller);
+
+/* Turns the loop until a condition holds; fails the test after the timeout. */
+#define RIG_UNTIL(rig, condition)                                         \
+	do {                                                              \
+		uint64_t end = uv_hrtime() / 1000000 + RIG_TIMEOUT_MS;    \
+		while (!(condition) && uv_hrtime() / 1000000 < end)       \
+			rig_turn(rig);                                    \
+		if (!(condition))                                         \
+			fail_msg("gave up waiting for: %s", #condition); \
+	} while (0)
+
+#endif
--- /dev/null
+++ b/tests/process/test_gateway.c
@@ -0,0 +1,497 @@
+/* The gateway as a process between stand-ins: what callers and upstreams see. */
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "tests/harness/gateway_rig.h"
+
+static bool heard(rig_caller_t *caller, const char *text)
+{
+	rig_hear(caller);
+	return strstr(caller->got->str, text) != NULL;
+}
+
+static bool is_closed(rig_caller_t *caller)
+{
+	rig_hear(caller);
+	return caller->closed;
+}
+
+static bool is_ready(gateway_rig_t *rig, int number)
+{
+	uint16_t port = rig_port(rig, number, "health");
+	rig_caller_t *caller;
+	bool ready;
+
+	if (!port)
+		return false;
+	caller = rig_call(rig, port,
+			  "GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n");
+	RIG_UNTIL(rig, is_closed(caller));
+	ready = strstr(caller->got->str, "HTTP/1.1 200") != NULL;
+	rig_caller_destroy(caller);
+	return ready;
+}
+
+static int setup_bare(void **state)
+{
+	gateway_rig_t *rig = gateway_rig_create();
+
+	rig_start(rig, 0);
+	RIG_UNTIL(rig, rig_port(rig, 0, "health"));
+	rig->peer_ports[0] = rig_port(rig, 0, "peers");
+	*state = rig;
+	return 0;
+}
+
+static int setup(void **state)
+{
+	gateway_rig_t *rig;
+
+	setup_bare(state);
+	rig = *state;
+	rig_put_config(rig, 1, "");
+	for (int i = 0; i < 2; i++)
+		rig_put_upstream(rig, i, "ready");
+	RIG_UNTIL(rig, is_ready(rig, 0));
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	gateway_rig_destroy(*state);
+	return 0;
+}
+
+static rig_caller_t *call_at(gateway_rig_t *rig, int number, const char *method,
+			     const char *path, const char *id)
+{
+	char *text = g_strdup_printf("%s %s HTTP/1.1\r\nHost: h\r\n"
+				     "X-Attempt-Id: %s\r\n"
+				     "X-Deadline-Ms: 3000\r\n"
+				     "Authorization: Bearer k\r\n"
+				     "Content-Length: 4\r\n\r\nbody",
+				     method, path, id);
+	rig_caller_t *caller =
+		rig_call(rig, rig_port(rig, number, "callers"), text);
+
+	g_free(text);
+	return caller;
+}
+
+static rig_caller_t *call(gateway_rig_t *rig, const char *path)
+{
+	return call_at(rig, 0, "POST", path, "c1");
+}
+
+static unsigned int arrivals(const gateway_rig_t *rig)
+{
+	unsigned int sum = 0;
+
+	for (int i = 0; i < RIG_UPSTREAMS; i++)
+		sum += rig->upstreams[i].arrivals;
+	return sum;
+}
+
+static unsigned int hang_ups(const gateway_rig_t *rig)
+{
+	unsigned int sum = 0;
+
+	for (int i = 0; i < RIG_UPSTREAMS; i++)
+		sum += rig->upstreams[i].hang_ups;
+	return sum;
+}
+
+static void all_act(gateway_rig_t *rig, rig_act_t act)
+{
+	for (int i = 0; i < RIG_UPSTREAMS; i++)
+		rig->upstreams[i].act = act;
+}
+
+static const char *last_request(const gateway_rig_t *rig)
+{
+	return rig->upstreams[rig->upstreams[0].arrivals ? 0 : 1].last->str;
+}
+
+static void test_a_call_goes_through_as_it_is(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller = rig_call(
+		rig, rig_port(rig, 0, "callers"),
+		"PATCH /unsafe/x%20y?q=1&r HTTP/1.1\r\nHost: h\r\n"
+		"X-Attempt-Id: c1\r\nX-Tenant: other\r\nX-Mine: 1\r\n"
+		"Authorization: Bearer k\r\nX-Deadline-Ms: 3000\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n");
+	const char *last;
+
+	RIG_UNTIL(rig, heard(caller, "from "));
+	assert_true(heard(caller, "HTTP/1.1 200"));
+	assert_true(heard(caller, "X-Response-Seal: s"));
+	last = last_request(rig);
+	assert_non_null(strstr(last, "PATCH /unsafe/x%20y?q=1&r\n"));
+	assert_non_null(strstr(last, "X-Tenant: mill\n"));
+	assert_non_null(strstr(last, "X-Mine: 1\n"));
+	assert_non_null(strstr(last, "X-Expect-Instance: u"));
+	assert_non_null(strstr(last, "\nContent-Length: 4\n"));
+	assert_non_null(strstr(last, "body"));
+	assert_null(strstr(last, "Authorization"));
+	assert_null(strstr(last, "other"));
+	rig_caller_destroy(caller);
+}
+
+/*
+ * A gateway that has just started knows no routes. It must neither be sent
+ * callers nor tell one that comes that there is nothing.
+ */
+static void test_no_configuration_is_no_404(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller = call(rig, "/safe/");
+
+	RIG_UNTIL(rig, heard(caller, "\r\n\r\n"));
+	assert_true(heard(caller, "HTTP/1.1 503"));
+	assert_true(heard(caller, "Retry-After: "));
+	assert_false(is_ready(rig, 0));
+	rig_caller_destroy(caller);
+	rig_put_config(rig, 1, "");
+	rig_put_upstream(rig, 0, "ready");
+	RIG_UNTIL(rig, is_ready(rig, 0));
+	caller = call(rig, "/safe/");
+	RIG_UNTIL(rig, heard(caller, "HTTP/1.1 200"));
+	rig_caller_destroy(caller);
+}
+
+static void test_unknown_routes_and_keys(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller = call(rig, "/nowhere/");
+
+	RIG_UNTIL(rig, heard(caller, "HTTP/1.1 404"));
+	rig_caller_destroy(caller);
+	caller = rig_call(rig, rig_port(rig, 0, "callers"),
+			  "GET /safe/ HTTP/1.1\r\nHost: h\r\n"
+			  "Authorization: Bearer wrong\r\n\r\n");
+	RIG_UNTIL(rig, heard(caller, "HTTP/1.1 401"));
+	assert_int_equal(arrivals(rig), 0);
+	rig_caller_destroy(caller);
+}
+
+/*
+ * A caller hangs up before any answer. An upstream that is not told works for
+ * nobody, while others wait for its place.
+ */
+static void test_a_hang_up_reaches_the_upstream(void **state)
+{
+	static const char *const paths[] = { "/safe/", "/unsafe/", "/stream/" };
+	gateway_rig_t *rig = *state;
+
+	all_act(rig, RIG_HANG);
+	for (unsigned int i = 0; i < G_N_ELEMENTS(paths); i++) {
+		rig_caller_t *caller = call(rig, paths[i]);
+		uint64_t left_at;
+
+		RIG_UNTIL(rig, arrivals(rig) == i + 1);
+		rig_hang_up(caller);
+		left_at = uv_hrtime();
+		RIG_UNTIL(rig, hang_ups(rig) == i + 1);
+		assert_true(uv_hrtime() - left_at < 500000000);
+		rig_caller_destroy(caller);
+	}
+}
+
+/*
+ * An upstream runs a call that must not be repeated and its answer is cut. Sent
+ * on, the call would run twice; a refusal that promises "not run" would have
+ * its caller send it again.
+ */
+static void test_an_unsafe_call_is_sent_once(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller;
+
+	all_act(rig, RIG_CUT);
+	caller = call(rig, "/unsafe/");
+	RIG_UNTIL(rig, heard(caller, "\r\n\r\n"));
+	assert_true(heard(caller, "HTTP/1.1 502"));
+	assert_false(heard(caller, "Retry-After"));
+	assert_int_equal(arrivals(rig), 1);
+	rig_caller_destroy(caller);
+}
+
+/* The same happens to a call that may be repeated: its caller sees nothing. */
+static void test_a_safe_call_goes_to_another_upstream(void **state)
+{
+	static const rig_act_t acts[] = { RIG_CUT, RIG_FAIL, RIG_REJECT };
+	gateway_rig_t *rig = *state;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(acts); i++) {
+		rig_caller_t *caller;
+
+		rig->upstreams[0].act = acts[i];
+		for (int tries = 0; tries < 4; tries++) {
+			caller = call(rig, "/safe/");
+			RIG_UNTIL(rig, heard(caller, "from 1"));
+			assert_true(heard(caller, "HTTP/1.1 200"));
+			rig_caller_destroy(caller);
+		}
+	}
+}
+
+/* All upstreams turn a call away: it has not run, and its caller may come back. */
+static void test_a_rejected_call_is_refused_as_not_run(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller;
+
+	all_act(rig, RIG_REJECT);
+	caller = call(rig, "/unsafe/");
+	RIG_UNTIL(rig, heard(caller, "\r\n\r\n"));
+	assert_true(heard(caller, "HTTP/1.1 503"));
+	assert_true(heard(caller, "Retry-After: "));
+	rig_caller_destroy(caller);
+}
+
+/*
+ * An upstream answers a call twice, and the second answer comes where the next
+ * call's is due. Its caller would read what was meant for another.
+ */
+static void test_the_answer_to_another_call_is_skipped(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller;
+
+	all_act(rig, RIG_DOUBLE);
+	caller = call(rig, "/unsafe/");
+	RIG_UNTIL(rig, heard(caller, "from "));
+	assert_true(heard(caller, "X-Attempt-Id: c1"));
+	assert_false(heard(caller, "of-another-call"));
+	rig_caller_destroy(caller);
+}
+
+static void assert_events(rig_caller_t *caller)
+{
+	const char *at = caller->got->str;
+
+	for (int i = 1; i <= RIG_EVENTS; i++) {
+		char event[32];
+
+		snprintf(event, sizeof(event), "id: %d\ndata: e%d\n\n", i, i);
+		at = strstr(at, event);
+		assert_non_null(at);
+		at += strlen(event);
+		assert_null(strstr(at, event));
+	}
+}
+
+/*
+ * An engine goes in the middle of an event. Another goes on after the last whole
+ * one, inside the same answer: no event twice, none missing.
+ */
+static void test_a_stream_goes_on_at_another_upstream(void **state)
+{
+	gateway_rig_t *rig = *state;
+
+	rig->upstreams[0].act = RIG_STREAM_CUT;
+	rig->upstreams[1].act = RIG_STREAM;
+	for (int i = 0; i < 4; i++) {
+		rig_caller_t *caller = call(rig, "/stream/");
+
+		RIG_UNTIL(rig, heard(caller, "\r\n0\r\n\r\n"));
+		assert_events(caller);
+		rig_caller_destroy(caller);
+	}
+	assert_true(rig->upstreams[0].arrivals > 0);
+	assert_non_null(strstr(rig->upstreams[1].last->str, "/stream/"));
+}
+
+/* A stream that may not be run again is cut; its caller must see that. */
+static void test_a_cut_stream_does_not_look_whole(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller;
+
+	all_act(rig, RIG_STREAM_CUT);
+	caller = call(rig, "/once/");
+	RIG_UNTIL(rig, is_closed(caller));
+	assert_true(heard(caller, "id: 3\n"));
+	assert_false(heard(caller, "id: 4\n"));
+	assert_false(heard(caller, "\r\n0\r\n\r\n"));
+	assert_int_equal(arrivals(rig), 1);
+	rig_caller_destroy(caller);
+}
+
+/* No upstream answers: the caller gets a final answer when its time is over. */
+static void test_a_hung_call_is_answered_in_time(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller;
+	uint64_t began = uv_hrtime();
+
+	all_act(rig, RIG_HANG);
+	caller = call(rig, "/unsafe/");
+	RIG_UNTIL(rig, heard(caller, "HTTP/1.1 504"));
+	assert_true(uv_hrtime() - began < 3500000000);
+	assert_int_equal(arrivals(rig), 1);
+	rig_caller_destroy(caller);
+}
+
+/* Callers are turned away at once, and a call in progress gets its answer. */
+static void test_a_stop_cuts_nothing(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller;
+
+	all_act(rig, RIG_SLOW);
+	caller = call(rig, "/unsafe/");
+	RIG_UNTIL(rig, arrivals(rig) == 1);
+	process_signal(rig->gateways[0], SIGTERM);
+	RIG_UNTIL(rig, !is_ready(rig, 0));
+	RIG_UNTIL(rig, heard(caller, "from "));
+	assert_true(heard(caller, "HTTP/1.1 200"));
+	assert_true(heard(caller, "Connection: close"));
+	RIG_UNTIL(rig, process_ended(rig->gateways[0]));
+	assert_int_equal(rig->gateways[0]->status, 0);
+	rig_caller_destroy(caller);
+}
+
+/* A long request that comes after the order to stop could not end in time. */
+static void test_a_stopping_gateway_refuses_long_requests(void **state)
+{
+	gateway_rig_t *rig = *state;
+	uint64_t told;
+
+	all_act(rig, RIG_STREAM);
+	process_signal(rig->gateways[0], SIGTERM);
+	RIG_UNTIL(rig, !is_ready(rig, 0));
+	told = uv_hrtime();
+	RIG_UNTIL(rig, uv_hrtime() - told > 2700000000);
+	rig_caller_t *caller = call(rig, "/stream/");
+	RIG_UNTIL(rig, heard(caller, "\r\n\r\n"));
+	assert_true(heard(caller, "HTTP/1.1 503"));
+	assert_int_equal(arrivals(rig), 0);
+	rig_caller_destroy(caller);
+}
+
+static void test_a_draining_upstream_is_left(void **state)
+{
+	gateway_rig_t *rig = *state;
+	unsigned int before;
+	rig_caller_t *caller;
+
+	rig_put_upstream(rig, 0, "draining");
+	caller = call(rig, "/safe/");
+	RIG_UNTIL(rig, heard(caller, "from "));
+	rig_caller_destroy(caller);
+	before = rig->upstreams[0].arrivals;
+	for (int i = 0; i < 5; i++) {
+		caller = call(rig, "/safe/");
+		RIG_UNTIL(rig, heard(caller, "from 1"));
+		rig_caller_destroy(caller);
+	}
+	assert_int_equal(rig->upstreams[0].arrivals, before);
+}
+
+/*
+ * The store turns one gateway away and serves the others. It learns of a new
+ * route, and of an upstream that leaves, from them.
+ */
+static void test_peers_tell_whom_the_store_turns_away(void **state)
+{
+	static const char route[] =
+		",{\"name\":\"new\",\"host\":\"h\",\"pathPrefix\":\"/new/\","
+		"\"kind\":\"safe\",\"timeoutMs\":4000,\"service\":\"s\"}";
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller;
+	unsigned int before;
+
+	rig_start(rig, 1);
+	RIG_UNTIL(rig, is_ready(rig, 1));
+	rig->stores[1].down = true;
+	rig_put_config(rig, 2, route);
+	rig_put_upstream(rig, 0, "draining");
+	caller = call_at(rig, 1, "GET", "/new/", "c1");
+	RIG_UNTIL(rig, heard(caller, "\r\n\r\n"));
+	/* The news takes a moment; after it there is no way back. */
+	while (!strstr(caller->got->str, "HTTP/1.1 200")) {
+		rig_caller_destroy(caller);
+		caller = call_at(rig, 1, "GET", "/new/", "c1");
+		RIG_UNTIL(rig, heard(caller, "\r\n\r\n"));
+	}
+	rig_caller_destroy(caller);
+	RIG_UNTIL(rig, rig->upstreams[1].arrivals > 0);
+	before = rig->upstreams[0].arrivals;
+	for (int i = 0; i < 4; i++) {
+		caller = call_at(rig, 1, "GET", "/new/", "c1");
+		RIG_UNTIL(rig, heard(caller, "from 1"));
+		rig_caller_destroy(caller);
+	}
+	assert_true(rig->upstreams[0].arrivals <= before + 1);
+}
+
+/*
+ * The holder of the duties dies after it reported a window. Whoever follows
+ * must not report that window with other counts, nor leave later ones out.
+ */
+static void test_windows_are_reported_once(void **state)
+{
+	gateway_rig_t *rig = *state;
+	GHashTable *seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						 g_free);
+
+	rig_start(rig, 1);
+	RIG_UNTIL(rig, is_ready(rig, 1));
+	RIG_UNTIL(rig, rig->usage->len >= 2);
+	process_destroy(rig->gateways[0]);
+	rig->gateways[0] = NULL;
+	{
+		guint before = rig->usage->len;
+		uint64_t end = uv_hrtime() / 1000000 + 20000;
+
+		while (rig->usage->len < before + 4 &&
+		       uv_hrtime() / 1000000 < end)
+			rig_turn(rig);
+		assert_true(rig->usage->len >= before + 4);
+	}
+	for (guint i = 0; i < rig->usage->len; i++) {
+		const char *body = g_ptr_array_index(rig->usage, i);
+		char *window = g_strdup(strstr(body, "windowId"));
+		const char *known = g_hash_table_lookup(seen, window);
+
+		assert_true(!known || !strcmp(known, body));
+		g_hash_table_replace(seen, window, g_strdup(body));
+	}
+	g_hash_table_unref(seen);
+}
+
+#define GATEWAY_TEST(test) cmocka_unit_test_setup_teardown(test, setup, teardown)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		GATEWAY_TEST(test_a_call_goes_through_as_it_is),
+		cmocka_unit_test_setup_teardown(test_no_configuration_is_no_404,
+						setup_bare, teardown),
+		GATEWAY_TEST(test_unknown_routes_and_keys),
+		GATEWAY_TEST(test_a_hang_up_reaches_the_upstream),
+		GATEWAY_TEST(test_an_unsafe_call_is_sent_once),
+		GATEWAY_TEST(test_a_safe_call_goes_to_another_upstream),
+		GATEWAY_TEST(test_a_rejected_call_is_refused_as_not_run),
+		GATEWAY_TEST(test_the_answer_to_another_call_is_skipped),
+		GATEWAY_TEST(test_a_stream_goes_on_at_another_upstream),
+		GATEWAY_TEST(test_a_cut_stream_does_not_look_whole),
+		GATEWAY_TEST(test_a_hung_call_is_answered_in_time),
+		GATEWAY_TEST(test_a_stop_cuts_nothing),
+		GATEWAY_TEST(test_a_stopping_gateway_refuses_long_requests),
+		GATEWAY_TEST(test_a_draining_upstream_is_left),
+		GATEWAY_TEST(test_peers_tell_whom_the_store_turns_away),
+		GATEWAY_TEST(test_windows_are_reported_once),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
