--- a/adapters/frame_link.c
+++ b/adapters/frame_link.c
@@ -251,8 +251,8 @@
 }
 
 /* Starts listening for peers. NULL with ERR set if that fails. */
-frame_link_t *frame_link_create(uv_loop_t *loop, const frame_link_config_t *config,
-			      pd_error_t *err)
+frame_link_t *frame_link_create(uv_loop_t *loop,
+				const frame_link_config_t *config, pd_error_t *err)
 {
 	frame_link_t *link = g_new0(frame_link_t, 1);
 
--- a/adapters/frame_link.h
+++ b/adapters/frame_link.h
@@ -23,8 +23,7 @@
 	void *ctx;
 } frame_link_config_t;
 
-frame_link_t *frame_link_create(uv_loop_t *loop,
-				const frame_link_config_t *config,
+frame_link_t *frame_link_create(uv_loop_t *loop, const frame_link_config_t *config,
 				pd_error_t *err);
 void frame_link_destroy(frame_link_t *link);
 uint16_t frame_link_port(const frame_link_t *link);
--- a/adapters/gateway/caller.c
+++ b/adapters/gateway/caller.c
@@ -32,8 +32,8 @@
 static void on_head(void *ctx, const http1_head_t *head)
 {
 	caller_t *caller = ctx;
-	const char *expect = header_find(head->headers, head->header_count,
-					 "Expect");
+	const char *expect =
+		header_find(head->headers, head->header_count, "Expect");
 
 	caller->keep = head->keep_alive;
 	caller->reading = true;
@@ -47,8 +47,7 @@
 {
 	caller_t *caller = ctx;
 
-	if (caller->request &&
-	    !request_add_body(caller->request, data, len))
+	if (caller->request && !request_add_body(caller->request, data, len))
 		caller->keep = false;
 }
 
--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -130,7 +130,9 @@
 					      action->lease.version)
 			   : NULL;
 	http1_ask_t ask = {
-		.method = create ? "POST" : write ? "PUT" : "GET",
+		.method = create  ? "POST"
+			  : write ? "PUT"
+				  : "GET",
 		.path = path,
 		.body = body,
 		.timeout_ms = STORE_TIMEOUT_MS,
@@ -152,8 +154,7 @@
 	list_init(&actions);
 	lease_run(duties->lease, now, &actions);
 	while ((node = list_pop(&actions)) != NULL) {
-		placer_action_t *action =
-			LIST_ENTRY(node, placer_action_t, node);
+		placer_action_t *action = LIST_ENTRY(node, placer_action_t, node);
 
 		lease_call(duties, action);
 		placer_action_destroy(action);
@@ -173,8 +174,7 @@
 		 */
 		duties->fence = fence;
 		duties->acts_from =
-			now +
-			duties->gateway->settings->lease_gap_ms * PD_MSEC;
+			now + duties->gateway->settings->lease_gap_ms * PD_MSEC;
 		log_line(G_LOG_LEVEL_INFO, PART, "holder=self fence=%" PRIu64,
 			 fence);
 	}
@@ -242,8 +242,7 @@
 	g_string_free(headers, TRUE);
 }
 
-static void add_count(void *ctx, int64_t window, const char *account,
-		      uint64_t count)
+static void add_count(void *ctx, int64_t window, const char *account, uint64_t count)
 {
 	GHashTable *counts = ctx;
 	uint64_t *sum = g_hash_table_lookup(counts, account);
@@ -262,8 +261,8 @@
  */
 static void note_report(gateway_duties_t *duties, int64_t window, pd_time_t now)
 {
-	GHashTable *counts = g_hash_table_new_full(g_str_hash, g_str_equal,
-						   g_free, g_free);
+	GHashTable *counts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	char *report;
 	char *note;
 
@@ -280,8 +279,7 @@
 static void run_usage(gateway_duties_t *duties, pd_time_t now)
 {
 	const gateway_t *gateway = duties->gateway;
-	pd_time_t length =
-		(pd_time_t)(gateway->settings->usage_window_s * PD_SEC);
+	pd_time_t length = (pd_time_t)(gateway->settings->usage_window_s * PD_SEC);
 	pd_time_t wall = time_vote_wall(gateway->vote, gateway_wall(), now);
 	int64_t ended = (wall - COUNTS_SETTLE) / length - 1;
 	int64_t noted = 0;
@@ -344,8 +342,8 @@
 {
 	gateway_duties_t *duties = order->duties;
 	GString *headers = g_string_new(NULL);
-	char *body = wire_scale_write(order->service, order->zone, order->wanted,
-				      order->reclaimable);
+	char *body = wire_scale_write(order->service, order->zone,
+				      order->wanted, order->reclaimable);
 	http1_ask_t ask = {
 		.method = "POST",
 		.path = wire_scale_path(),
@@ -373,9 +371,9 @@
 static void order_run(order_t *order, const forward_service_t *service,
 		      unsigned int wanted, pd_time_t now)
 {
-	unsigned int serving = scale_plan_serving(
-		order->duties->gateway->upstreams, order->service, order->zone,
-		order->reclaimable);
+	unsigned int serving = scale_plan_serving(order->duties->gateway->upstreams,
+						  order->service, order->zone,
+						  order->reclaimable);
 	bool late = serving < wanted &&
 		    now - order->taken_at > service->boot_time + BOOT_MARGIN;
 
@@ -391,15 +389,15 @@
 {
 	gateway_t *gateway = duties->gateway;
 	scale_zone_t zones[SCALE_ZONES_MAX];
-	unsigned int count = scale_plan_make(
-		duties->plan, service, gateway->upstreams,
-		work_rate_of(gateway->work, service->name), now, zones);
+	unsigned int count =
+		scale_plan_make(duties->plan, service, gateway->upstreams,
+				work_rate_of(gateway->work, service->name), now,
+				zones);
 
 	for (unsigned int i = 0; i < count; i++) {
 		order_run(duties_order(duties, service->name, zones[i].zone, true),
 			  service, zones[i].reclaimable, now);
-		order_run(duties_order(duties, service->name, zones[i].zone,
-				       false),
+		order_run(duties_order(duties, service->name, zones[i].zone, false),
 			  service, zones[i].lasting, now);
 	}
 }
--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -173,9 +173,8 @@
 			 feed->name, status, feed->revision);
 	feed->lost = true;
 	feed->lost_alone |= gateway_peers_have_store(gateway->peers);
-	feed->next_at = gateway_now() +
-			(pd_time_t)(g_rand_double(gateway->random) * 2 *
-				    (double)RETRY_PAUSE);
+	feed->next_at = gateway_now() + (pd_time_t)(g_rand_double(gateway->random) *
+						    2 * (double)RETRY_PAUSE);
 }
 
 static void feed_regained(feed_t *feed)
@@ -234,16 +233,16 @@
 
 static void feed_ask(feed_t *feed)
 {
-	char *path = feed->listing ? wire_list_path(feed->kind, feed->after,
-						    false)
-				   : wire_watch_path(feed->kind, feed->revision,
-						     WATCH_WAIT);
+	char *path = feed->listing
+			     ? wire_list_path(feed->kind, feed->after, false)
+			     : wire_watch_path(feed->kind, feed->revision,
+					       WATCH_WAIT);
 	http1_ask_t ask = {
 		.method = "GET",
 		.path = path,
-		.timeout_ms = feed->listing ? LIST_TIMEOUT_MS
-					    : WATCH_WAIT / PD_MSEC +
-						      WATCH_MARGIN_MS,
+		.timeout_ms = feed->listing
+				      ? LIST_TIMEOUT_MS
+				      : WATCH_WAIT / PD_MSEC + WATCH_MARGIN_MS,
 		.on_reply = feed_replied,
 		.ctx = feed,
 	};
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -57,11 +57,10 @@
 /* Returns the number of the usage window that it is by the fleet's clocks. */
 int64_t gateway_window(const gateway_t *gateway)
 {
-	pd_time_t wall = time_vote_wall(gateway->vote, gateway_wall(),
-					gateway_now());
+	pd_time_t wall =
+		time_vote_wall(gateway->vote, gateway_wall(), gateway_now());
 
-	return wall /
-	       (pd_time_t)(gateway->settings->usage_window_s * PD_SEC);
+	return wall / (pd_time_t)(gateway->settings->usage_window_s * PD_SEC);
 }
 
 /* Returns how many gateways share what is limited in sum. */
@@ -85,8 +84,7 @@
  * Takes a configuration if it is newer than the one in force, and tells the
  * peers. SOURCE says who brought it. Returns whether it was newer.
  */
-bool gateway_take_config(gateway_t *gateway, const char *text,
-			 const char *source)
+bool gateway_take_config(gateway_t *gateway, const char *text, const char *source)
 {
 	pd_error_t err;
 	forward_config_t *config = wire_config_read(text, strlen(text), &err);
@@ -114,8 +112,7 @@
 }
 
 /* Logs what became known of an upstream and passes it on to the peers. */
-void gateway_upstream_news(gateway_t *gateway, const char *id,
-			   const char *source)
+void gateway_upstream_news(gateway_t *gateway, const char *id, const char *source)
 {
 	static const char *const stages[] = {
 		[FORWARD_SERVING] = "serving",
@@ -139,8 +136,7 @@
 /* Says whether a request that may take seconds can still be taken. */
 bool gateway_admits_long(const gateway_t *gateway)
 {
-	return !gateway->stop_at ||
-	       gateway_now() - gateway->stop_at < STOP_ADMIT;
+	return !gateway->stop_at || gateway_now() - gateway->stop_at < STOP_ADMIT;
 }
 
 static void stop_step(gateway_t *gateway, pd_time_t now)
@@ -218,8 +214,8 @@
 {
 	struct sockaddr_in addr;
 	int len = sizeof(addr);
-	char *host;
-	int port;
+	char *host = NULL;
+	int port = 0;
 	int rc;
 
 	if (split(address, &host, &port, err) < 0)
@@ -246,8 +242,8 @@
 				  pd_error_t *err)
 {
 	http1_client_t *client;
-	char *host;
-	int port;
+	char *host = NULL;
+	int port = 0;
 
 	if (split(address, &host, &port, err) < 0)
 		return NULL;
@@ -272,8 +268,9 @@
 	};
 
 	gateway->upstreams = forward_upstreams_create();
-	gateway->limits = token_limits_create(
-		&limits, !strcmp(settings->node_start, "first"));
+	gateway->limits =
+		token_limits_create(&limits,
+				    !strcmp(settings->node_start, "first"));
 	gateway->retries = retry_windows_create(&retries);
 	gateway->usage = usage_create();
 	gateway->work = work_rate_create();
@@ -316,8 +313,7 @@
 	gateway->tick.data = gateway;
 	uv_timer_start(&gateway->tick, on_tick, 1, TICK_MS);
 	log_line(G_LOG_LEVEL_INFO, PART, "start node=%s zone=%s callers=%s",
-		 settings->node_id, settings->node_zone,
-		 settings->callers_listen);
+		 settings->node_id, settings->node_zone, settings->callers_listen);
 	return gateway;
 }
 
--- a/adapters/gateway/health.c
+++ b/adapters/gateway/health.c
@@ -33,11 +33,12 @@
 
 static void visitor_answer(visitor_t *visitor, int status, const char *body)
 {
-	char *text = g_strdup_printf(
-		"HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\n"
-		"Content-Length: %zu\r\n%s\r\n%s",
-		status, http1_reason(status), strlen(body),
-		visitor->keep ? "" : "Connection: close\r\n", body);
+	char *text =
+		g_strdup_printf("HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\n"
+				"Content-Length: %zu\r\n%s\r\n%s",
+				status, http1_reason(status), strlen(body),
+				visitor->keep ? "" : "Connection: close\r\n",
+				body);
 
 	http1_write(visitor->conn, text, strlen(text));
 	g_free(text);
@@ -50,8 +51,7 @@
 
 	if (!strcmp(path, wire_ready_path())) {
 		visitor_answer(visitor,
-			       gateway_is_ready(visitor->gateway) ? 200 : 503,
-			       "");
+			       gateway_is_ready(visitor->gateway) ? 200 : 503, "");
 	} else if (!strcmp(path, METRICS_PATH)) {
 		char *text = metrics_text(visitor->gateway->metrics);
 
@@ -89,8 +89,7 @@
 	visitor_t *visitor = g_new0(visitor_t, 1);
 
 	visitor->gateway = gateway;
-	visitor->conn = http1_create(gateway->loop, HTTP1_SERVER, &events,
-				     visitor);
+	visitor->conn = http1_create(gateway->loop, HTTP1_SERVER, &events, visitor);
 	if (http1_accept(visitor->conn, listener) < 0) {
 		http1_close(visitor->conn);
 		g_free(visitor);
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -98,8 +98,7 @@
 		sums_add(values, name, *(double *)amount);
 }
 
-static void add_own_total(void *ctx, const char *account, double total,
-			  double level)
+static void add_own_total(void *ctx, const char *account, double total, double level)
 {
 	sums_t *sums = ctx;
 
@@ -132,8 +131,7 @@
 
 		msgpack_pack_array(packer, 3);
 		pack_text(packer, name);
-		msgpack_pack_uint64(packer,
-				    (uint64_t)MAX(*(double *)value, 0));
+		msgpack_pack_uint64(packer, (uint64_t)MAX(*(double *)value, 0));
 		msgpack_pack_float(packer, level ? (float)*level : 0);
 	}
 	g_hash_table_unref(sums.values);
@@ -167,8 +165,7 @@
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		msgpack_pack_array(packer, 2);
 		pack_text(packer, name);
-		msgpack_pack_uint64(packer,
-				    (uint64_t)MAX(*(double *)value, 0));
+		msgpack_pack_uint64(packer, (uint64_t)MAX(*(double *)value, 0));
 	}
 	g_hash_table_unref(sums);
 }
@@ -241,8 +238,7 @@
 	((usage_writer_t *)ctx)->count++;
 }
 
-static void pack_usage(void *ctx, int64_t window, const char *account,
-		       uint64_t count)
+static void pack_usage(void *ctx, int64_t window, const char *account, uint64_t count)
 {
 	usage_writer_t *writer = ctx;
 
@@ -403,8 +399,7 @@
 	msgpack_pack_uint64(packer, peers_config_version(peers));
 }
 
-static void pack_upstream(msgpack_packer *packer,
-			  const forward_upstream_t *upstream)
+static void pack_upstream(msgpack_packer *packer, const forward_upstream_t *upstream)
 {
 	msgpack_pack_array(packer, 9);
 	pack_text(packer, upstream->id);
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -98,8 +98,7 @@
 void peers_unload(gateway_peers_t *peers, GArray *loads);
 void peers_send(const gateway_peers_t *peers, const peer_t *peer,
 		const msgpack_sbuffer *buffer);
-void peers_send_state(gateway_peers_t *peers, peer_t *peer, bool asks,
-		      bool full);
+void peers_send_state(gateway_peers_t *peers, peer_t *peer, bool asks, bool full);
 void peers_send_summary(gateway_peers_t *peers, peer_t *peer, bool full);
 void peers_send_fetch(gateway_peers_t *peers, peer_t *peer, unsigned int what);
 void peers_send_config(gateway_peers_t *peers, peer_t *peer);
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -38,8 +38,7 @@
 static const msgpack_object *unpack_items(const msgpack_object *object,
 					  uint32_t least, uint32_t *count)
 {
-	if (object->type != MSGPACK_OBJECT_ARRAY ||
-	    object->via.array.size < least)
+	if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size < least)
 		return NULL;
 	if (count)
 		*count = object->via.array.size;
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -116,8 +116,9 @@
 {
 	for (guint i = 0; i < loads->len; i++) {
 		const load_t *load = &g_array_index(loads, load_t, i);
-		forward_upstream_t *upstream = forward_upstreams_find(
-			peers->gateway->upstreams, load->upstream);
+		forward_upstream_t *upstream =
+			forward_upstreams_find(peers->gateway->upstreams,
+					       load->upstream);
 
 		if (!upstream)
 			continue;
@@ -180,8 +181,7 @@
 	peers->incarnation = g_strdup_printf("%s#%08x", settings->node_id,
 					     g_rand_int(gateway->random));
 	peers->hub_loads = loads_create();
-	peers->news = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					    NULL);
+	peers->news = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	list_init(&peers->list);
 	if (!split_address(settings->peers_listen, &host, &config.port)) {
 		pd_error_set(err, PD_ERROR_SETTINGS, "peers.listen: %s",
@@ -197,8 +197,7 @@
 	log_line(G_LOG_LEVEL_INFO, PART, "listen port=%u",
 		 frame_link_port(peers->link));
 	g_clear_pointer(&host, g_free);
-	for (size_t i = 0; i < GATEWAY_SEEDS_MAX && settings->peers_seeds[i];
-	     i++) {
+	for (size_t i = 0; i < GATEWAY_SEEDS_MAX && settings->peers_seeds[i]; i++) {
 		peer_t *peer = peers_add(peers, settings->peers_seeds[i]);
 
 		if (peer)
@@ -416,8 +415,7 @@
 		token_limits_forget_peers(peers->gateway->limits);
 		work_rate_forget_peers(peers->gateway->work);
 		LIST_FOR_EACH (it, &peers->list)
-			peers_unload(peers,
-				     LIST_ENTRY(it, peer_t, node)->loads);
+			peers_unload(peers, LIST_ENTRY(it, peer_t, node)->loads);
 	}
 	peers_unload(peers, peers->hub_loads);
 }
@@ -426,8 +424,7 @@
 {
 	follow_hub(peers, NULL, gateway_now());
 	LIST_FOR_EACH (it, &peers->list)
-		peers_send_state(peers, LIST_ENTRY(it, peer_t, node), false,
-				 full);
+		peers_send_state(peers, LIST_ENTRY(it, peer_t, node), false, full);
 }
 
 /* Passes a hub over that gives no summaries. */
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -193,8 +193,7 @@
 	request->link = NULL;
 }
 
-static void log_end(const gateway_request_t *request, int status,
-		    const char *reason)
+static void log_end(const gateway_request_t *request, int status, const char *reason)
 {
 	const gateway_t *gateway = request->gateway;
 	pd_time_t now = gateway_now();
@@ -212,8 +211,7 @@
 		 request->sends, request->runs,
 		 request->events ? request->events->count : 0,
 		 (double)(now - request->arrived) / PD_MSEC,
-		 request->config ? request->config->version : 0,
-		 gateway->queued);
+		 request->config ? request->config->version : 0, gateway->queued);
 }
 
 static void request_count(const gateway_request_t *request, const char *what)
@@ -238,8 +236,7 @@
 	if (request->counted || !request->account)
 		return;
 	request->counted = true;
-	usage_add(gateway->usage, gateway_window(gateway),
-		  request->account->name);
+	usage_add(gateway->usage, gateway_window(gateway), request->account->name);
 }
 
 /* Answers with a status of the gateway's own; ends the request. */
@@ -314,8 +311,7 @@
 		return 1;
 	if (!request->call->has_tokens)
 		return account->plain_tokens;
-	return (double)request->call->prompt_tokens +
-	       request->call->output_tokens;
+	return (double)request->call->prompt_tokens + request->call->output_tokens;
 }
 
 /* Finds whose request it is. False: it was refused. */
@@ -341,8 +337,8 @@
 	if (!request->account)
 		return true;
 	amount = request_amount(request);
-	if (token_limits_take(request->gateway->limits, request->account, amount,
-			      request->read_at, &retry_after)) {
+	if (token_limits_take(request->gateway->limits, request->account,
+			      amount, request->read_at, &retry_after)) {
 		request->taken = amount;
 		return true;
 	}
@@ -354,8 +350,7 @@
 {
 	int rank = request->route->priority;
 
-	if (request->account &&
-	    request->account->priority != FORWARD_PRIORITY_UNSET)
+	if (request->account && request->account->priority != FORWARD_PRIORITY_UNSET)
 		rank = request->account->priority;
 	return CLAMP(rank, 0, GATEWAY_RANKS - 1);
 }
@@ -410,8 +405,8 @@
 	}
 	request_set_deadline(request);
 	request->rank = request_rank(request);
-	request->service = forward_route_service(
-		request->route, g_rand_double(gateway->random));
+	request->service = forward_route_service(request->route,
+						 g_rand_double(gateway->random));
 	if (!request->service) {
 		request_refuse(request, 503, RETRY_AFTER_NO_UPSTREAM,
 			       "route without a service");
@@ -419,8 +414,7 @@
 	}
 	if (!request_within_limit(request))
 		return;
-	retry_windows_first(gateway->retries, request->service,
-			    request->read_at);
+	retry_windows_first(gateway->retries, request->service, request->read_at);
 	request_try(request);
 }
 
@@ -506,8 +500,7 @@
 	g_string_truncate(request->answer_head, 0);
 	for (size_t i = 0; i < head->header_count; i++) {
 		if (wire_answer_passes(head->headers, head->header_count, i))
-			g_string_append_printf(request->answer_head,
-					       "%s: %s\r\n",
+			g_string_append_printf(request->answer_head, "%s: %s\r\n",
 					       head->headers[i].name,
 					       head->headers[i].value);
 	}
@@ -515,8 +508,8 @@
 
 static bool is_event_stream(const http1_head_t *head)
 {
-	const char *type = header_find(head->headers, head->header_count,
-				       "Content-Type");
+	const char *type =
+		header_find(head->headers, head->header_count, "Content-Type");
 
 	return type && g_str_has_prefix(type, "text/event-stream");
 }
@@ -564,8 +557,7 @@
 	if (length < 0)
 		g_string_append(out, "Transfer-Encoding: chunked\r\n");
 	else
-		g_string_append_printf(out, "Content-Length: %" G_GINT64_FORMAT
-					    "\r\n",
+		g_string_append_printf(out, "Content-Length: %" G_GINT64_FORMAT "\r\n",
 				       length);
 	if (!caller_keeps(request->caller))
 		g_string_append(out, "Connection: close\r\n");
@@ -731,8 +723,7 @@
 	bool sent = request->state >= REQUEST_SENT && request->sent_at;
 
 	request->link = NULL;
-	attempt_over(request, sent ? ATTEMPT_LOST : ATTEMPT_UNSENT,
-		     reasons[end]);
+	attempt_over(request, sent ? ATTEMPT_LOST : ATTEMPT_UNSENT, reasons[end]);
 }
 
 static const upstream_link_user_t link_user = { on_connected, on_head, on_body,
@@ -821,8 +812,7 @@
 	request_give_up(request, RETRY_AFTER_FULL, reason);
 }
 
-static void attempt_start(gateway_request_t *request,
-			  forward_upstream_t *upstream)
+static void attempt_start(gateway_request_t *request, forward_upstream_t *upstream)
 {
 	pd_time_t now = gateway_now();
 
@@ -836,8 +826,8 @@
 		request->state = REQUEST_CONNECTING;
 	g_byte_array_set_size(request->answer, 0);
 	if (request->route->has_prompt) {
-		request->reading = forward_upstream_unread(upstream,
-							   request->call, now);
+		request->reading =
+			forward_upstream_unread(upstream, request->call, now);
 		request->memory = request->call->prompt_tokens +
 				  request->call->output_tokens;
 		work_rate_add(request->gateway->work, request->service,
--- a/adapters/gateway/upstream_link.c
+++ b/adapters/gateway/upstream_link.c
@@ -189,8 +189,7 @@
 		return;
 	}
 	if (idle_timeout > 0)
-		idle = MIN((pd_time_t)((double)idle_timeout * IDLE_PART),
-			   IDLE_MAX);
+		idle = MIN((pd_time_t)((double)idle_timeout * IDLE_PART), IDLE_MAX);
 	link->user = NULL;
 	link->ctx = NULL;
 	link->idle_since = now;
--- a/adapters/http1/http1.c
+++ b/adapters/http1/http1.c
@@ -98,8 +98,8 @@
 	conn->text = g_string_sized_new(256);
 	conn->spans = g_array_sized_new(FALSE, FALSE, sizeof(span_t), 16);
 	conn->head_max = HEAD_BYTES_MAX;
-	http_parser_init(&conn->parser, side == HTTP1_SERVER ? HTTP_REQUEST
-							      : HTTP_RESPONSE);
+	http_parser_init(&conn->parser,
+			 side == HTTP1_SERVER ? HTTP_REQUEST : HTTP_RESPONSE);
 	conn->parser.data = conn;
 	uv_tcp_init(loop, &conn->tcp);
 	conn->tcp.data = conn;
@@ -238,8 +238,7 @@
 	if (uv_ip4_addr(address, port, &addr) < 0)
 		return -1;
 	return uv_tcp_connect(&conn->connecting, &conn->tcp,
-			      (const struct sockaddr *)&addr,
-			      conn_connected) < 0
+			      (const struct sockaddr *)&addr, conn_connected) < 0
 		       ? -1
 		       : 0;
 }
@@ -273,16 +272,14 @@
 	write = g_malloc(sizeof(*write) + len - (size_t)sent);
 	memcpy(write->bytes, data + sent, len - (size_t)sent);
 	buf = uv_buf_init(write->bytes, (unsigned int)(len - (size_t)sent));
-	if (uv_write(&write->req, (uv_stream_t *)&conn->tcp, &buf, 1,
-		     write_done) < 0)
+	if (uv_write(&write->req, (uv_stream_t *)&conn->tcp, &buf, 1, write_done) < 0)
 		g_free(write);
 }
 
 /* Returns how many written bytes the kernel has not taken yet. */
 size_t http1_unsent(const http1_t *conn)
 {
-	return uv_stream_get_write_queue_size(
-		(const uv_stream_t *)&conn->tcp);
+	return uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
 }
 
 /*
@@ -359,8 +356,7 @@
 			conn->text->len;
 		conn->in_value = true;
 	}
-	if (memchr(at, '\0', len) || memchr(at, '\r', len) ||
-	    memchr(at, '\n', len))
+	if (memchr(at, '\0', len) || memchr(at, '\r', len) || memchr(at, '\n', len))
 		conn->bad = true;
 	add_text(conn, at, len);
 	return conn->too_large || conn->bad;
@@ -415,13 +411,11 @@
 		head.method = http_method_str(parser->method);
 		head.target = conn->text->str;
 		head.has_body = chunked || (parser->content_length &&
-					    parser->content_length !=
-						    ULLONG_MAX);
+					    parser->content_length != ULLONG_MAX);
 	} else {
 		head.status = (int)parser->status_code;
 		head.ends_with_connection = !chunked &&
-					    parser->content_length ==
-						    ULLONG_MAX;
+					    parser->content_length == ULLONG_MAX;
 		head.has_body = chunked || parser->content_length;
 	}
 	conn->events.on_head(conn->ctx, &head);
@@ -492,8 +486,8 @@
 
 static void conn_parse(http1_t *conn, const char *data, size_t len)
 {
-	size_t used = http_parser_execute(&conn->parser, &parser_settings, data,
-					  len);
+	size_t used =
+		http_parser_execute(&conn->parser, &parser_settings, data, len);
 	enum http_errno failure = HTTP_PARSER_ERRNO(&conn->parser);
 
 	if (conn->ended)
--- a/adapters/http1/http1_call.c
+++ b/adapters/http1/http1_call.c
@@ -152,8 +152,7 @@
 	channel->client = client;
 	channel->request = g_string_new(NULL);
 	channel->body = g_string_new(NULL);
-	channel->conn = http1_create(client->loop, HTTP1_CLIENT, &events,
-				     channel);
+	channel->conn = http1_create(client->loop, HTTP1_CLIENT, &events, channel);
 	uv_timer_init(client->loop, &channel->timer);
 	channel->timer.data = channel;
 	list_append(&client->channels, &channel->node);
@@ -205,9 +204,8 @@
 {
 	const http1_client_t *client = channel->client;
 
-	g_string_printf(channel->request,
-			"%s %s HTTP/1.1\r\nHost: %s:%u\r\n%s", ask->method,
-			ask->path, client->address, client->port,
+	g_string_printf(channel->request, "%s %s HTTP/1.1\r\nHost: %s:%u\r\n%s",
+			ask->method, ask->path, client->address, client->port,
 			ask->headers ? ask->headers : "");
 	if (ask->body)
 		g_string_append_printf(channel->request,
--- a/adapters/setting_table.c
+++ b/adapters/setting_table.c
@@ -9,8 +9,7 @@
 
 #include "adapters/toml_reader.h"
 
-static const setting_t *setting_find(const setting_table_t *table,
-				     const char *key)
+static const setting_t *setting_find(const setting_table_t *table, const char *key)
 {
 	for (size_t i = 0; i < table->count; i++) {
 		if (!strcmp(table->rows[i].key, key))
@@ -122,8 +121,8 @@
 }
 
 static int settings_take(const setting_table_t *table, void *settings,
-			 const toml_leaf_t *leaf,
-			 const char *where, pd_error_t *err)
+			 const toml_leaf_t *leaf, const char *where,
+			 pd_error_t *err)
 {
 	char *key = g_strdup(leaf->key);
 	char *bracket = strchr(key, '[');
@@ -154,8 +153,8 @@
 }
 
 static int settings_defaults(const setting_table_t *table, void *settings,
-			     const char *path,
-			     const toml_document_t *document, pd_error_t *err)
+			     const char *path, const toml_document_t *document,
+			     pd_error_t *err)
 {
 	for (size_t i = 0; i < table->count; i++) {
 		const setting_t *setting = &table->rows[i];
--- a/bench/bench_lease.c
+++ b/bench/bench_lease.c
@@ -106,7 +106,8 @@
 	for (unsigned int i = 0; i < count; i++) {
 		char *id = g_strdup_printf("placer-%u", i);
 
-		fake.leases[i] = lease_create(id, &lease_timing_placer, seed * PLACERS_MAX + i);
+		fake.leases[i] = lease_create(id, &lease_timing_placer,
+					      seed * PLACERS_MAX + i);
 		g_free(id);
 	}
 	start_peak = run_seconds(&fake, SETTLE_SECONDS, &total);
--- a/core/forward/config.c
+++ b/core/forward/config.c
@@ -101,8 +101,7 @@
 }
 
 /* Lets a route send a share of its requests to a service. */
-void forward_route_share(forward_route_t *route, const char *service,
-			 double weight)
+void forward_route_share(forward_route_t *route, const char *service, double weight)
 {
 	forward_share_t share = { g_strdup(service), weight };
 
@@ -153,8 +152,7 @@
 {
 	for (guint i = 0; i < config->routes->len; i++) {
 		forward_route_t *route = g_ptr_array_index(config->routes, i);
-		GPtrArray *list =
-			g_hash_table_lookup(config->by_host, route->host);
+		GPtrArray *list = g_hash_table_lookup(config->by_host, route->host);
 
 		if (!list) {
 			list = g_ptr_array_new();
@@ -247,8 +245,9 @@
 double forward_service_price(const forward_service_t *service, const char *zone)
 {
 	for (guint i = 0; i < service->zone_prices->len; i++) {
-		const forward_zone_price_t *price = &g_array_index(
-			service->zone_prices, forward_zone_price_t, i);
+		const forward_zone_price_t *price =
+			&g_array_index(service->zone_prices,
+				       forward_zone_price_t, i);
 
 		if (!strcmp(price->zone, zone))
 			return price->price;
--- a/core/forward/event_stream.c
+++ b/core/forward/event_stream.c
@@ -60,8 +60,7 @@
 }
 
 /* Takes bytes in; returns how many events became whole by them. */
-unsigned int event_stream_feed(event_stream_t *stream, const char *data,
-			       size_t len)
+unsigned int event_stream_feed(event_stream_t *stream, const char *data, size_t len)
 {
 	unsigned int found = 0;
 	const char *all;
--- a/core/forward/header.c
+++ b/core/forward/header.c
@@ -36,13 +36,12 @@
  * that a Connection header names. Passed on, they would speak of a connection
  * that the next side does not have.
  */
-bool header_is_hop_by_hop(const header_t *headers, size_t count,
-			  const char *name)
+bool header_is_hop_by_hop(const header_t *headers, size_t count, const char *name)
 {
 	static const char *const fixed[] = {
-		"Connection",	       "Keep-Alive", "Proxy-Connection",
-		"Proxy-Authenticate",  "TE",	     "Trailer",
-		"Transfer-Encoding",   "Upgrade",    "Proxy-Authorization",
+		"Connection",	      "Keep-Alive", "Proxy-Connection",
+		"Proxy-Authenticate", "TE",	    "Trailer",
+		"Transfer-Encoding",  "Upgrade",    "Proxy-Authorization",
 		"Content-Length",
 	};
 
--- a/core/forward/header.h
+++ b/core/forward/header.h
@@ -11,7 +11,6 @@
 } header_t;
 
 const char *header_find(const header_t *headers, size_t count, const char *name);
-bool header_is_hop_by_hop(const header_t *headers, size_t count,
-			  const char *name);
+bool header_is_hop_by_hop(const header_t *headers, size_t count, const char *name);
 
 #endif
--- a/core/forward/scale_plan.c
+++ b/core/forward/scale_plan.c
@@ -94,8 +94,7 @@
 	zone_state_t fresh = { 0 };
 
 	for (guint i = 0; i < plan->zones->len; i++) {
-		zone_state_t *state =
-			&g_array_index(plan->zones, zone_state_t, i);
+		zone_state_t *state = &g_array_index(plan->zones, zone_state_t, i);
 
 		if (!strcmp(state->zone, zone))
 			return state;
@@ -112,9 +111,8 @@
 }
 
 /* Returns how many serve in a zone, or in all if that is NULL. */
-unsigned int scale_plan_serving(forward_upstreams_t *upstreams,
-				const char *service, const char *zone,
-				bool reclaimable)
+unsigned int scale_plan_serving(forward_upstreams_t *upstreams, const char *service,
+				const char *zone, bool reclaimable)
 {
 	unsigned int count = 0;
 
@@ -160,8 +158,7 @@
 }
 
 /* Returns the load to plan for: what is seen, or what the fleet was made for. */
-static double plan_need(scale_plan_t *plan, double load, double found,
-			pd_time_t now)
+static double plan_need(scale_plan_t *plan, double load, double found, pd_time_t now)
 {
 	/* What was ordered since says nothing of the size that was meant. */
 	if (!plan->begun && found > plan->found) {
@@ -183,8 +180,7 @@
 
 static double zone_price(const forward_service_t *service, guint i)
 {
-	return g_array_index(service->zone_prices, forward_zone_price_t, i)
-		.price;
+	return g_array_index(service->zone_prices, forward_zone_price_t, i).price;
 }
 
 static unsigned int zone_has(const scale_zone_t *zone, bool reclaimable)
@@ -209,11 +205,9 @@
 	for (unsigned int i = 0; i < count; i++) {
 		unsigned int has = zone_has(&zones[i], reclaimable);
 
-		if (zones[i].lasting + zones[i].reclaimable >=
-		    service->zone_max)
+		if (zones[i].lasting + zones[i].reclaimable >= service->zone_max)
 			continue;
-		if (best == count ||
-		    has < zone_has(&zones[best], reclaimable) ||
+		if (best == count || has < zone_has(&zones[best], reclaimable) ||
 		    (has == zone_has(&zones[best], reclaimable) &&
 		     zone_price(service, i) < zone_price(service, best)))
 			best = i;
@@ -233,11 +227,10 @@
 	for (unsigned int i = 0; i < count; i++) {
 		unsigned int has = zone_has(&zones[i], reclaimable);
 
-		if (!has || zones[i].lasting + zones[i].reclaimable <=
-				    service->zone_min)
+		if (!has ||
+		    zones[i].lasting + zones[i].reclaimable <= service->zone_min)
 			continue;
-		if (best == count ||
-		    has > zone_has(&zones[best], reclaimable) ||
+		if (best == count || has > zone_has(&zones[best], reclaimable) ||
 		    (has == zone_has(&zones[best], reclaimable) &&
 		     zone_price(service, i) > zone_price(service, best)))
 			best = i;
@@ -275,14 +268,11 @@
 static scale_sums_t plan_sums(double need, unsigned int lasting_now,
 			      unsigned int reclaimable_now, bool shortage)
 {
-	unsigned int total =
-		(unsigned int)ceil(need * FLEET_FACTOR) + FLEET_SPARE;
+	unsigned int total = (unsigned int)ceil(need * FLEET_FACTOR) + FLEET_SPARE;
 	unsigned int kept = (unsigned int)ceil(need * KEPT_FACTOR);
-	unsigned int missing =
-		kept > reclaimable_now ? kept - reclaimable_now : 0;
+	unsigned int missing = kept > reclaimable_now ? kept - reclaimable_now : 0;
 	scale_sums_t sums = {
-		.lasting = (unsigned int)ceil(need * LASTING_FACTOR +
-					      LASTING_SPARE),
+		.lasting = (unsigned int)ceil(need * LASTING_FACTOR + LASTING_SPARE),
 	};
 
 	sums.reclaimable = total > sums.lasting ? total - sums.lasting : 0;
@@ -297,8 +287,7 @@
 }
 
 /* Begins with the numbers last planned, at first with those that are there. */
-static unsigned int plan_zones(scale_plan_t *plan,
-			       const forward_service_t *service,
+static unsigned int plan_zones(scale_plan_t *plan, const forward_service_t *service,
 			       forward_upstreams_t *upstreams,
 			       scale_zone_t zones[SCALE_ZONES_MAX])
 {
@@ -311,10 +300,12 @@
 		zone_state_t *state = plan_zone(plan, zone);
 
 		if (!plan->begun) {
-			state->lasting = scale_plan_serving(
-				upstreams, service->name, zone, false);
-			state->reclaimable = scale_plan_serving(
-				upstreams, service->name, zone, true);
+			state->lasting = scale_plan_serving(upstreams,
+							    service->name, zone,
+							    false);
+			state->reclaimable = scale_plan_serving(upstreams,
+								service->name,
+								zone, true);
 		}
 		zones[i] = (scale_zone_t){ zone, state->lasting,
 					   state->reclaimable };
@@ -326,8 +317,7 @@
 static bool plan_is_short(const scale_plan_t *plan, pd_time_t now)
 {
 	for (guint i = 0; i < plan->zones->len; i++) {
-		if (now < g_array_index(plan->zones, zone_state_t, i)
-				  .refused_until)
+		if (now < g_array_index(plan->zones, zone_state_t, i).refused_until)
 			return true;
 	}
 	return false;
@@ -346,9 +336,9 @@
 		scale_plan_serving(upstreams, service->name, NULL, false);
 	unsigned int reclaimable_now =
 		scale_plan_serving(upstreams, service->name, NULL, true);
-	double need = plan_need(
-		plan, plan_load(plan, service, upstreams, work_rate),
-		lasting_now + reclaimable_now, now);
+	double need = plan_need(plan,
+				plan_load(plan, service, upstreams, work_rate),
+				lasting_now + reclaimable_now, now);
 	scale_sums_t sums = plan_sums(need, lasting_now, reclaimable_now,
 				      plan_is_short(plan, now));
 	unsigned int count;
@@ -362,8 +352,7 @@
 	for (unsigned int i = 0; i < count; i++) {
 		zone_state_t *state = plan_zone(plan, zones[i].zone);
 
-		while (zones[i].lasting + zones[i].reclaimable <
-		       service->zone_min)
+		while (zones[i].lasting + zones[i].reclaimable < service->zone_min)
 			zones[i].reclaimable++;
 		state->lasting = zones[i].lasting;
 		state->reclaimable = zones[i].reclaimable;
--- a/core/forward/scale_plan.h
+++ b/core/forward/scale_plan.h
@@ -22,9 +22,8 @@
 scale_plan_t *scale_plan_create(void);
 void scale_plan_destroy(scale_plan_t *plan);
 void scale_plan_refused(scale_plan_t *plan, const char *zone, pd_time_t now);
-unsigned int scale_plan_serving(forward_upstreams_t *upstreams,
-				const char *service, const char *zone,
-				bool reclaimable);
+unsigned int scale_plan_serving(forward_upstreams_t *upstreams, const char *service,
+				const char *zone, bool reclaimable);
 unsigned int scale_plan_make(scale_plan_t *plan, const forward_service_t *service,
 			     forward_upstreams_t *upstreams, double work_rate,
 			     pd_time_t now, scale_zone_t zones[SCALE_ZONES_MAX]);
--- a/core/forward/time_vote.c
+++ b/core/forward/time_vote.c
@@ -65,8 +65,7 @@
 }
 
 /* Returns the time of day that the middle of all votes says. */
-pd_time_t time_vote_wall(const time_vote_t *vote, pd_time_t own_wall,
-			 pd_time_t now)
+pd_time_t time_vote_wall(const time_vote_t *vote, pd_time_t own_wall, pd_time_t now)
 {
 	pd_time_t votes[VOTES_MAX];
 	size_t count = 0;
--- a/core/forward/token_limits.c
+++ b/core/forward/token_limits.c
@@ -149,8 +149,7 @@
 		if (limits->filled)
 			bucket->level += size;
 	}
-	bucket->level +=
-		account->rate * (double)(now - bucket->filled_at) / PD_SEC;
+	bucket->level += account->rate * (double)(now - bucket->filled_at) / PD_SEC;
 	bucket->filled_at = now;
 	bucket_guess(bucket, now);
 	bucket->level = CLAMP(bucket->level, -size, size);
@@ -195,22 +194,20 @@
 	/* Only now all peers of the round were heard. */
 	if (bucket->taken_level < 0)
 		bucket->taken_level = MAX(bucket->level, 0);
-	if (bucket->level >= needed &&
-	    bucket_shares(bucket, limits->entries)) {
+	if (bucket->level >= needed && bucket_shares(bucket, limits->entries)) {
 		bucket->level -= amount;
 		bucket->taken += amount;
 		bucket->own_total += amount;
 		return true;
 	}
-	*retry_after = (pd_time_t)((needed - bucket->level) / account->rate *
-				   PD_SEC);
+	*retry_after =
+		(pd_time_t)((needed - bucket->level) / account->rate * PD_SEC);
 	*retry_after = MAX(*retry_after, RATE_SPAN_MIN);
 	return false;
 }
 
 /* Gives back what a request took that then did not run. */
-void token_limits_return(token_limits_t *limits, const char *account,
-			 double amount)
+void token_limits_return(token_limits_t *limits, const char *account, double amount)
 {
 	bucket_t *bucket = g_hash_table_lookup(limits->buckets, account);
 
@@ -226,8 +223,7 @@
  * peer only what it takes from now on can be told.
  */
 void token_limits_heard(token_limits_t *limits, const char *account,
-			const char *peer, double total, bool recent,
-			pd_time_t now)
+			const char *peer, double total, bool recent, pd_time_t now)
 {
 	bucket_t *bucket = limits_bucket(limits, account);
 	peer_use_t *use = g_hash_table_lookup(bucket->peers, peer);
@@ -253,8 +249,7 @@
 		use->guessed = 0;
 		return;
 	}
-	use->rate += (used * PD_SEC / (double)(now - use->heard_at) -
-		      use->rate) *
+	use->rate += (used * PD_SEC / (double)(now - use->heard_at) - use->rate) *
 		     RATE_WEIGHT;
 	bucket->level -= used - use->guessed;
 	bucket_round(bucket, now);
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -98,8 +98,7 @@
 }
 
 /* Returns an upstream by its id, or NULL. */
-forward_upstream_t *forward_upstreams_find(forward_upstreams_t *set,
-					   const char *id)
+forward_upstream_t *forward_upstreams_find(forward_upstreams_t *set, const char *id)
 {
 	return g_hash_table_lookup(set->by_id, id);
 }
@@ -151,8 +150,7 @@
 	 * left in use for seconds.
 	 */
 	upstream->gone_at = 0;
-	if (listing->stage != FORWARD_SERVING &&
-	    upstream->stage == FORWARD_SERVING)
+	if (listing->stage != FORWARD_SERVING && upstream->stage == FORWARD_SERVING)
 		upstream->left_at = now;
 	replace(&upstream->service, listing->service);
 	replace(&upstream->address, listing->address);
@@ -209,8 +207,7 @@
 			LIST_ENTRY(it, forward_upstream_t, node);
 
 		if (!upstream->listed && upstream->revision <= revision)
-			forward_upstreams_remove(set, upstream->id, revision,
-						 now);
+			forward_upstreams_remove(set, upstream->id, revision, now);
 	}
 }
 
@@ -250,8 +247,7 @@
 	return upstream->stage == FORWARD_SERVING && upstream->revision;
 }
 
-static bool believes(const forward_upstream_t *upstream, uint64_t id,
-		     pd_time_t now)
+static bool believes(const forward_upstream_t *upstream, uint64_t id, pd_time_t now)
 {
 	const pd_time_t *used = g_hash_table_lookup(upstream->parts, &id);
 
@@ -284,11 +280,10 @@
 			   const forward_call_t *call, pd_time_t now)
 {
 	if (g_hash_table_size(upstream->parts) > PARTS_MAX)
-		g_hash_table_foreach_remove(upstream->parts, part_is_stale,
-					    &now);
+		g_hash_table_foreach_remove(upstream->parts, part_is_stale, &now);
 	for (unsigned int i = 0; i < call->part_count; i++) {
-		pd_time_t *used = g_hash_table_lookup(upstream->parts,
-						      &call->parts[i].id);
+		pd_time_t *used =
+			g_hash_table_lookup(upstream->parts, &call->parts[i].id);
 
 		if (!used) {
 			uint64_t *id = g_new(uint64_t, 1);
@@ -474,9 +469,8 @@
 static void best_offer(best_t *best, forward_upstream_t *upstream, bool avoided,
 		       double cost)
 {
-	if (best->upstream &&
-	    (avoided > best->avoided ||
-	     (avoided == best->avoided && cost >= best->cost)))
+	if (best->upstream && (avoided > best->avoided ||
+			       (avoided == best->avoided && cost >= best->cost)))
 		return;
 	best->upstream = upstream;
 	best->avoided = avoided;
@@ -489,8 +483,7 @@
  * all pick the same one; compared with a few at random, they spread.
  */
 forward_choice_t forward_upstreams_choose(forward_upstreams_t *set,
-					  const forward_ask_t *ask,
-					  pd_time_t now,
+					  const forward_ask_t *ask, pd_time_t now,
 					  forward_upstream_t **chosen)
 {
 	const forward_upstream_t *home = subject_home(set, ask, now);
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -92,14 +92,12 @@
 				   pd_time_t now);
 void forward_upstreams_store_back(forward_upstreams_t *set, pd_time_t now);
 void forward_upstreams_run(forward_upstreams_t *set, pd_time_t now,
-			   void (*on_gone)(void *ctx, const char *id),
-			   void *ctx);
+			   void (*on_gone)(void *ctx, const char *id), void *ctx);
 list_node_t *forward_upstreams_list(forward_upstreams_t *set);
 forward_upstream_t *forward_upstreams_find(forward_upstreams_t *set,
 					   const char *id);
 forward_choice_t forward_upstreams_choose(forward_upstreams_t *set,
-					  const forward_ask_t *ask,
-					  pd_time_t now,
+					  const forward_ask_t *ask, pd_time_t now,
 					  forward_upstream_t **chosen);
 bool forward_upstream_serves(const forward_upstream_t *upstream, pd_time_t now);
 double forward_upstream_unread(const forward_upstream_t *upstream,
--- a/core/forward/usage.c
+++ b/core/forward/usage.c
@@ -79,8 +79,7 @@
 }
 
 /* Calls EACH for this entry's own counts of the windows from FROM on. */
-void usage_each_own(const usage_t *usage, int64_t from, usage_each_t each,
-		    void *ctx)
+void usage_each_own(const usage_t *usage, int64_t from, usage_each_t each, void *ctx)
 {
 	for (guint i = 0; i < usage->counts->len; i++) {
 		const count_t *count = g_ptr_array_index(usage->counts, i);
@@ -105,8 +104,7 @@
 void usage_forget(usage_t *usage, int64_t before)
 {
 	for (guint i = usage->counts->len; i > 0; i--) {
-		const count_t *count =
-			g_ptr_array_index(usage->counts, i - 1);
+		const count_t *count = g_ptr_array_index(usage->counts, i - 1);
 
 		if (count->window < before)
 			g_ptr_array_remove_index(usage->counts, i - 1);
--- a/core/forward/work_rate.c
+++ b/core/forward/work_rate.c
@@ -112,8 +112,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		service_work_t *service = value;
 		double sample = service->gained * PD_SEC / (double)passed;
-		double weight = sample > service->rate ? RISE_WEIGHT
-						       : FALL_WEIGHT;
+		double weight = sample > service->rate ? RISE_WEIGHT : FALL_WEIGHT;
 
 		if (work->sampled_at)
 			service->rate += (sample - service->rate) * weight;
@@ -125,15 +124,13 @@
 /* Returns the work a second that all entries send to a service. */
 double work_rate_of(const work_rate_t *work, const char *service)
 {
-	const service_work_t *known =
-		g_hash_table_lookup(work->services, service);
+	const service_work_t *known = g_hash_table_lookup(work->services, service);
 
 	return known ? known->rate : 0;
 }
 
 /* Calls EACH with what this entry has sent to every service. */
-void work_rate_each_own(const work_rate_t *work, work_rate_each_t each,
-			void *ctx)
+void work_rate_each_own(const work_rate_t *work, work_rate_each_t each, void *ctx)
 {
 	GHashTableIter iter;
 	gpointer name;
--- a/core/forward/work_rate.h
+++ b/core/forward/work_rate.h
@@ -21,7 +21,6 @@
 void work_rate_forget_peers(work_rate_t *work);
 void work_rate_run(work_rate_t *work, pd_time_t now);
 double work_rate_of(const work_rate_t *work, const char *service);
-void work_rate_each_own(const work_rate_t *work, work_rate_each_t each,
-			void *ctx);
+void work_rate_each_own(const work_rate_t *work, work_rate_each_t each, void *ctx);
 
 #endif
--- a/core/lease.c
+++ b/core/lease.c
@@ -53,8 +53,7 @@
 };
 
 /* Returns a lease not held; HOLDER names this process uniquely. */
-lease_t *lease_create(const char *holder, const lease_timing_t *timing,
-		      uint32_t seed)
+lease_t *lease_create(const char *holder, const lease_timing_t *timing, uint32_t seed)
 {
 	lease_t *lease = g_new0(lease_t, 1);
 
@@ -200,9 +199,10 @@
 
 	if (reply->status != STORE_OK && reply->status != STORE_MISSING) {
 		lease->next_at =
-			now + (lease_is_held(lease, now)
-				       ? HOLDER_RETRY
-				       : lease_spread(lease, lease->timing.takeover));
+			now +
+			(lease_is_held(lease, now)
+				 ? HOLDER_RETRY
+				 : lease_spread(lease, lease->timing.takeover));
 		return;
 	}
 	lease->missing = reply->status == STORE_MISSING;
@@ -213,7 +213,8 @@
 	lease->record = reply->record ? lease_record_copy(reply->record)
 				      : lease_record_create();
 	lease->dirty = false;
-	lease->takeable = lease_is_free(lease) || lease->quiet >= lease->timing.takeover;
+	lease->takeable = lease_is_free(lease) ||
+			  lease->quiet >= lease->timing.takeover;
 	/* Reading one's own name may show a write whose answer was lost. */
 	if (!lease_is_own(lease))
 		lease->held_until = 0;
@@ -235,9 +236,10 @@
 			lease->held_until = 0;
 		/* Whoever lost the race for a lapsed lease need not hurry. */
 		lease->next_at =
-			now + (was_held || reply->status == STORE_UNKNOWN
-				       ? HOLDER_RETRY
-				       : lease_spread(lease, lease->timing.standby));
+			now +
+			(was_held || reply->status == STORE_UNKNOWN
+				 ? HOLDER_RETRY
+				 : lease_spread(lease, lease->timing.standby));
 		return;
 	}
 	lease_record_destroy(lease->record);
--- a/programs/pistachio_gateway.c
+++ b/programs/pistachio_gateway.c
@@ -47,10 +47,10 @@
 		{ "check", 'c', NULL, 0, "check the settings and exit", 0 },
 		{ 0 }
 	};
-	const struct argp argp = {
-		table, parse_option, NULL, "Forward callers' requests.",
-		NULL,  NULL,	     NULL
-	};
+	const struct argp argp = { table, parse_option,
+				   NULL,  "Forward callers' requests.",
+				   NULL,  NULL,
+				   NULL };
 	options_t options = { NULL, false };
 
 	argp_err_exit_status = EX_USAGE;
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -94,10 +94,10 @@
 	g_free(visit->resume_after);
 	visit->method = g_strdup(head->method);
 	visit->target = g_strdup(head->target);
-	visit->call_id = g_strdup(header_find(
-		head->headers, head->header_count, "X-Attempt-Id"));
-	visit->resume_after = g_strdup(header_find(
-		head->headers, head->header_count, "Last-Event-Id"));
+	visit->call_id = g_strdup(
+		header_find(head->headers, head->header_count, "X-Attempt-Id"));
+	visit->resume_after = g_strdup(
+		header_find(head->headers, head->header_count, "Last-Event-Id"));
 	g_string_truncate(visit->body, 0);
 	g_string_printf(last, "%s %s\n", head->method, head->target);
 	for (size_t i = 0; i < head->header_count; i++)
@@ -236,11 +236,12 @@
 	json_t *event;
 	size_t i;
 
-	json_array_foreach (rig->events, i, event) {
+	json_array_foreach(rig->events, i, event)
+	{
 		if (json_integer_value(json_object_get(event, "at")) > since &&
-		    !strcmp(json_string_value(json_object_get(event, "kind")),
-			    kind))
-			json_array_append(found, json_object_get(event, "event"));
+		    !strcmp(json_string_value(json_object_get(event, "kind")), kind))
+			json_array_append(found,
+					  json_object_get(event, "event"));
 	}
 	return found;
 }
@@ -257,8 +258,7 @@
 	uv_timer_stop(&visit->timer);
 	list_remove(&visit->watch);
 	visit_json(visit, 200,
-		   json_pack("{s:o, s:I}", "events", events, "asOf",
-			     rig->revision));
+		   json_pack("{s:o, s:I}", "events", events, "asOf", rig->revision));
 	return true;
 }
 
@@ -270,8 +270,8 @@
 static void store_changed(gateway_rig_t *rig, const char *kind, json_t *object,
 			  bool gone)
 {
-	json_t *event = json_pack("{s:b, s:O}", "tombstone", gone, "object",
-				  object);
+	json_t *event =
+		json_pack("{s:b, s:O}", "tombstone", gone, "object", object);
 
 	json_array_append_new(rig->events,
 			      json_pack("{s:s, s:I, s:o}", "kind", kind, "at",
@@ -283,9 +283,8 @@
 static json_t *store_write(gateway_rig_t *rig, const char *kind,
 			   const char *name, json_t *spec)
 {
-	json_t *object = json_pack("{s:{s:s, s:I}, s:o}", "metadata", "name",
-				   name, "revision", ++rig->revision, "spec",
-				   spec);
+	json_t *object = json_pack("{s:{s:s, s:I}, s:o}", "metadata", "name", name,
+				   "revision", ++rig->revision, "spec", spec);
 
 	json_object_set_new(store_kind(rig, kind), name, object);
 	store_changed(rig, kind, object, false);
@@ -307,8 +306,7 @@
 /* Takes an object out of the store. */
 void rig_remove(gateway_rig_t *rig, const char *kind, const char *name)
 {
-	json_t *object =
-		json_incref(json_object_get(store_kind(rig, kind), name));
+	json_t *object = json_incref(json_object_get(store_kind(rig, kind), name));
 
 	json_object_del(store_kind(rig, kind), name);
 	rig->revision++;
@@ -323,7 +321,7 @@
 	const char *name;
 	json_t *object;
 
-	json_object_foreach (store_kind(rig, visit->kind), name, object)
+	json_object_foreach(store_kind(rig, visit->kind), name, object)
 		json_array_append(items, object);
 	visit_json(visit, 200,
 		   json_pack("{s:o, s:b, s:I}", "items", items, "hasMore", 0,
@@ -337,7 +335,8 @@
 	json_t *body = json_loads(visit->body->str, 0, &err);
 	json_t *head = json_object_get(body, "metadata");
 	json_t *known;
-	json_int_t asked = json_integer_value(json_object_get(head, "revision"));
+	json_int_t asked =
+		json_integer_value(json_object_get(head, "revision"));
 	bool conflict;
 
 	if (!name)
@@ -350,9 +349,9 @@
 		visit_json(visit, 409, json_incref(known));
 	else
 		visit_json(visit, 200,
-			   json_incref(store_write(
-				   rig, visit->kind, name,
-				   json_incref(json_object_get(body, "spec")))));
+			   json_incref(store_write(rig, visit->kind, name,
+						   json_incref(json_object_get(
+							   body, "spec")))));
 	json_decref(body);
 }
 
@@ -376,8 +375,8 @@
 				       wait ? (uint64_t)atoi(wait + 7) : 0, 0);
 		}
 	} else if (name && *name) {
-		json_t *object = json_object_get(store_kind(rig, visit->kind),
-						 name);
+		json_t *object =
+			json_object_get(store_kind(rig, visit->kind), name);
 
 		if (object)
 			visit_json(visit, 200, json_incref(object));
@@ -392,8 +391,7 @@
 static void cloud_serve(visit_t *visit)
 {
 	gateway_rig_t *rig = visit->server->rig;
-	GPtrArray *into = strstr(visit->target, "usage") ? rig->usage
-							 : rig->orders;
+	GPtrArray *into = strstr(visit->target, "usage") ? rig->usage : rig->orders;
 
 	g_ptr_array_add(into, g_strdup(visit->body->str));
 	visit_write(visit, 200, "", "{}");
@@ -445,8 +443,8 @@
 	list_init(&visit->watch);
 	uv_timer_init(&server->rig->loop, &visit->timer);
 	visit->timer.data = visit;
-	visit->conn = http1_create(&server->rig->loop, HTTP1_SERVER, &events,
-				   visit);
+	visit->conn =
+		http1_create(&server->rig->loop, HTTP1_SERVER, &events, visit);
 	http1_accept(visit->conn, listener);
 }
 
@@ -533,8 +531,7 @@
  */
 void rig_put_config(gateway_rig_t *rig, int version, const char *more_routes)
 {
-	static const char *const kinds[] = { "safe", "unsafe", "stream",
-					     "once" };
+	static const char *const kinds[] = { "safe", "unsafe", "stream", "once" };
 	GString *spec = g_string_new(NULL);
 
 	g_string_printf(spec, "{\"version\":%d,\"routes\":[", version);
@@ -580,13 +577,13 @@
 {
 	char *path = g_strdup_printf("%s/g%d.toml", rig->dir, number);
 	char *name = g_strdup_printf("g%d", number);
-	char *program = g_strdup_printf("%s/pistachio-gateway",
-					g_getenv("B") ? g_getenv("B")
-						      : "build/release");
+	char *program =
+		g_strdup_printf("%s/pistachio-gateway",
+				g_getenv("B") ? g_getenv("B") : "build/release");
 	const char *const argv[] = { program, "--settings", path, NULL };
-	char *seed = number ? g_strdup_printf("\"127.0.0.1:%u\"",
-					      rig->peer_ports[0])
-			    : g_strdup("");
+	char *seed =
+		number ? g_strdup_printf("\"127.0.0.1:%u\"", rig->peer_ports[0])
+		       : g_strdup("");
 	char *text = g_strdup_printf(
 		"[node]\nid = \"g%d\"\nzone = \"a\"\n[fleet]\nzones = [\"a\"]\n"
 		"[callers]\nlisten = \"127.0.0.1:0\"\n"
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -89,12 +89,12 @@
 void rig_caller_destroy(rig_caller_t *caller);
 
 /* Turns the loop until a condition holds; fails the test after the timeout. */
-#define RIG_UNTIL(rig, condition)                                         \
-	do {                                                              \
-		uint64_t end = uv_hrtime() / 1000000 + RIG_TIMEOUT_MS;    \
-		while (!(condition) && uv_hrtime() / 1000000 < end)       \
-			rig_turn(rig);                                    \
-		if (!(condition))                                         \
+#define RIG_UNTIL(rig, condition)                                        \
+	do {                                                             \
+		uint64_t end = uv_hrtime() / 1000000 + RIG_TIMEOUT_MS;   \
+		while (!(condition) && uv_hrtime() / 1000000 < end)      \
+			rig_turn(rig);                                   \
+		if (!(condition))                                        \
 			fail_msg("gave up waiting for: %s", #condition); \
 	} while (0)
 
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -122,12 +122,13 @@
 static void test_a_call_goes_through_as_it_is(void **state)
 {
 	gateway_rig_t *rig = *state;
-	rig_caller_t *caller = rig_call(
-		rig, rig_port(rig, 0, "callers"),
-		"PATCH /unsafe/x%20y?q=1&r HTTP/1.1\r\nHost: h\r\n"
-		"X-Attempt-Id: c1\r\nX-Tenant: other\r\nX-Mine: 1\r\n"
-		"Authorization: Bearer k\r\nX-Deadline-Ms: 3000\r\n"
-		"Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n");
+	rig_caller_t *caller =
+		rig_call(rig, rig_port(rig, 0, "callers"),
+			 "PATCH /unsafe/x%20y?q=1&r HTTP/1.1\r\nHost: h\r\n"
+			 "X-Attempt-Id: c1\r\nX-Tenant: other\r\nX-Mine: 1\r\n"
+			 "Authorization: Bearer k\r\nX-Deadline-Ms: 3000\r\n"
+			 "Transfer-Encoding: "
+			 "chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n");
 	const char *last;
 
 	RIG_UNTIL(rig, heard(caller, "from "));
@@ -441,8 +442,8 @@
 static void test_windows_are_reported_once(void **state)
 {
 	gateway_rig_t *rig = *state;
-	GHashTable *seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-						 g_free);
+	GHashTable *seen =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 
 	rig_start(rig, 1);
 	RIG_UNTIL(rig, is_ready(rig, 1));
@@ -453,8 +454,7 @@
 		guint before = rig->usage->len;
 		uint64_t end = uv_hrtime() / 1000000 + 20000;
 
-		while (rig->usage->len < before + 4 &&
-		       uv_hrtime() / 1000000 < end)
+		while (rig->usage->len < before + 4 && uv_hrtime() / 1000000 < end)
 			rig_turn(rig);
 		assert_true(rig->usage->len >= before + 4);
 	}
@@ -469,7 +469,8 @@
 	g_hash_table_unref(seen);
 }
 
-#define GATEWAY_TEST(test) cmocka_unit_test_setup_teardown(test, setup, teardown)
+#define GATEWAY_TEST(test) \
+	cmocka_unit_test_setup_teardown(test, setup, teardown)
 
 int main(void)
 {
--- a/tests/unit/test_forward_config.c
+++ b/tests/unit/test_forward_config.c
@@ -42,8 +42,7 @@
 static void assert_route(const forward_config_t *config, const char *host,
 			 const char *target, const char *name)
 {
-	const forward_route_t *route =
-		forward_config_route(config, host, target);
+	const forward_route_t *route = forward_config_route(config, host, target);
 
 	assert_string_equal(route ? route->name : "none", name);
 }
--- a/tests/unit/test_forward_counts.c
+++ b/tests/unit/test_forward_counts.c
@@ -52,8 +52,7 @@
 	retry_windows_destroy(windows);
 }
 
-static void add_up(void *ctx, int64_t window, const char *account,
-		   uint64_t count)
+static void add_up(void *ctx, int64_t window, const char *account, uint64_t count)
 {
 	(void)window;
 	(void)account;
--- a/tests/unit/test_forward_upstreams.c
+++ b/tests/unit/test_forward_upstreams.c
@@ -51,10 +51,9 @@
 static forward_upstream_t *choose(forward_upstreams_t *set, pd_time_t now)
 {
 	static forward_call_t call;
-	const forward_ask_t ask = { .service = "s",
-				    .zone = "a",
-				    .call = &call,
-				    .overfill = 1 };
+	const forward_ask_t ask = {
+		.service = "s", .zone = "a", .call = &call, .overfill = 1
+	};
 	forward_upstream_t *chosen;
 
 	forward_upstreams_choose(set, &ask, now, &chosen);
@@ -132,8 +131,9 @@
 	list(*state, "u2", 2, FORWARD_SERVING, START);
 	forward_upstreams_end_listing(*state, 9, START);
 	assert_string_equal(choose(*state, START)->id, "u2");
-	assert_false(forward_upstream_serves(
-		forward_upstreams_find(*state, "u1"), START));
+	assert_false(
+		forward_upstream_serves(forward_upstreams_find(*state, "u1"),
+					START));
 }
 
 /* An upstream that fails twice in a row is left alone while others serve. */
@@ -163,10 +163,11 @@
 
 static forward_call_t subject_call(uint64_t subject)
 {
-	forward_call_t call = { .prompt_tokens = 6000,
-				.parts = { { 1, 500 }, { subject, 5000 },
-					   { 99, 500 } },
-				.part_count = 3 };
+	forward_call_t call = {
+		.prompt_tokens = 6000,
+		.parts = { { 1, 500 }, { subject, 5000 }, { 99, 500 } },
+		.part_count = 3
+	};
 
 	return call;
 }
@@ -230,31 +231,27 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test_setup_teardown(
-			test_a_draining_upstream_gets_nothing_new, setup,
-			teardown),
+		cmocka_unit_test_setup_teardown(test_a_draining_upstream_gets_nothing_new,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_old_news_changes_nothing,
 						setup, teardown),
-		cmocka_unit_test_setup_teardown(
-			test_entries_that_lapsed_get_time_to_come_back, setup,
-			teardown),
-		cmocka_unit_test_setup_teardown(
-			test_old_news_does_not_undo_a_lapse, setup, teardown),
-		cmocka_unit_test_setup_teardown(
-			test_an_entry_that_goes_is_gone_at_once, setup,
-			teardown),
-		cmocka_unit_test_setup_teardown(
-			test_what_a_new_listing_lacks_is_gone, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_entries_that_lapsed_get_time_to_come_back,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_old_news_does_not_undo_a_lapse,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_an_entry_that_goes_is_gone_at_once,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_what_a_new_listing_lacks_is_gone,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(
 			test_a_failing_upstream_is_avoided_and_tried_again,
 			setup, teardown),
-		cmocka_unit_test_setup_teardown(
-			test_a_full_upstream_is_passed_over, setup, teardown),
-		cmocka_unit_test_setup_teardown(
-			test_entries_agree_on_a_subjects_upstream, setup,
-			teardown),
-		cmocka_unit_test_setup_teardown(
-			test_a_loaded_home_loses_its_subject, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_a_full_upstream_is_passed_over,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_entries_agree_on_a_subjects_upstream,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_a_loaded_home_loses_its_subject,
+						setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_http1.c
+++ b/tests/unit/test_http1.c
@@ -130,12 +130,12 @@
 	return 0;
 }
 
-#define TURN_UNTIL(rig, condition)                             \
-	do {                                                   \
-		int turns = 0;                                 \
-		while (!(condition) && turns++ < TURNS_MAX)    \
-			uv_run(&(rig)->loop, UV_RUN_ONCE);     \
-		assert_true(condition);                        \
+#define TURN_UNTIL(rig, condition)                          \
+	do {                                                \
+		int turns = 0;                              \
+		while (!(condition) && turns++ < TURNS_MAX) \
+			uv_run(&(rig)->loop, UV_RUN_ONCE);  \
+		assert_true(condition);                     \
 	} while (0)
 
 /* Connects the test's socket to a server side and sends it bytes. */
@@ -146,8 +146,7 @@
 
 	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	rig->fd = socket(AF_INET, SOCK_STREAM, 0);
-	assert_int_equal(connect(rig->fd, (struct sockaddr *)&addr,
-				 sizeof(addr)),
+	assert_int_equal(connect(rig->fd, (struct sockaddr *)&addr, sizeof(addr)),
 			 0);
 	assert_int_equal(write(rig->fd, bytes, len), len);
 }
@@ -208,7 +207,8 @@
 {
 	static const char *const bad[] = {
 		"POST / HTTP/1.1\r\nContent-Length: 4\r\n"
-		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET / "
+		"HTTP/1.1\r\n\r\n",
 		"POST / HTTP/1.1\r\nContent-Length: 4\r\n"
 		"Content-Length: 5\r\n\r\nabcd",
 		"POST / HTTP/1.1\r\nContent-Length: 4\r\n"
@@ -325,7 +325,8 @@
 {
 	static const char *const cut[] = {
 		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+		"chunked\r\n\r\n3\r\nabc\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Le",
 		"",
 	};
@@ -383,19 +384,19 @@
 		cmocka_unit_test(test_ambiguous_requests_are_refused),
 		cmocka_unit_test_setup_teardown(test_a_long_head_is_refused,
 						setup, teardown),
-		cmocka_unit_test_setup_teardown(test_a_held_request_waits, setup,
-						teardown),
-		cmocka_unit_test_setup_teardown(
-			test_a_hang_up_is_noticed_while_held, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_a_held_request_waits,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_a_hang_up_is_noticed_while_held,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_an_answer_without_a_length,
 						setup, teardown),
-		cmocka_unit_test_setup_teardown(
-			test_a_reset_is_no_end_of_an_answer, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_a_reset_is_no_end_of_an_answer,
+						setup, teardown),
 		cmocka_unit_test(test_cut_answers_are_told),
-		cmocka_unit_test_setup_teardown(
-			test_unasked_bytes_end_the_connection, setup, teardown),
-		cmocka_unit_test_setup_teardown(
-			test_an_interim_answer_is_passed_over, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_unasked_bytes_end_the_connection,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_an_interim_answer_is_passed_over,
+						setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_platform_boundary.c
+++ b/tests/unit/test_platform_boundary.c
@@ -10,34 +10,30 @@
 
 #define PLATFORM_LINES_MAX 1500
 
-static const char *const rooms[] = { "core",
-				     "core/forward",
-				     "ports",
-				     "adapters",
-				     "adapters/http1",
-				     "adapters/gateway",
-				     "programs",
-				     "ctl" };
+static const char *const rooms[] = { "core",	       "core/forward",
+				     "ports",	       "adapters",
+				     "adapters/http1", "adapters/gateway",
+				     "programs",       "ctl" };
 
 /*
  * Headers, paths, fields and words that no other room may know. /objects is not
  * among them: the interface of the product's own platform has that path too.
  */
 static const char *const names[] = {
-	"X-Attempt-Id",	   "X-Deadline-Ms",	"X-Prompt-Prefix",
-	"X-Response-Seal", "X-Tenant",		"X-Expect-Instance",
-	"X-Not-Run",	   "X-Token-Count",	"X-Request-Priority",
-	"X-Duty-Holder",   "X-Fence-Token",	"X-Expect-Version",
-	"X-Pin-Ms",	   "X-Hold",		"X-Kv-Backup",
-	"Kv-From",	   "Kv-Fetch",		"\"servers/",
-	"\"/usage\"",	   "\"/scale\"",	"\"/ready\"",
-	"waitMs",	   "allowStale",	"asOf",
-	"hasMore",	   "tombstone",		"pathPrefix",
-	"goalMs",	   "gapGoalMs",		"maxAttempts",
-	"apiKeys",	   "ratePerS",		"plainTokens",
-	"maxConns",	   "healthPath",	"kvCapacity",
-	"zonePrices",	   "spotPrice",		"windowId",
-	"coldLeftMs",	   "\"preemptible\"",	"\"servers\"",
+	"X-Attempt-Id",	   "X-Deadline-Ms",   "X-Prompt-Prefix",
+	"X-Response-Seal", "X-Tenant",	      "X-Expect-Instance",
+	"X-Not-Run",	   "X-Token-Count",   "X-Request-Priority",
+	"X-Duty-Holder",   "X-Fence-Token",   "X-Expect-Version",
+	"X-Pin-Ms",	   "X-Hold",	      "X-Kv-Backup",
+	"Kv-From",	   "Kv-Fetch",	      "\"servers/",
+	"\"/usage\"",	   "\"/scale\"",      "\"/ready\"",
+	"waitMs",	   "allowStale",      "asOf",
+	"hasMore",	   "tombstone",	      "pathPrefix",
+	"goalMs",	   "gapGoalMs",	      "maxAttempts",
+	"apiKeys",	   "ratePerS",	      "plainTokens",
+	"maxConns",	   "healthPath",      "kvCapacity",
+	"zonePrices",	   "spotPrice",	      "windowId",
+	"coldLeftMs",	   "\"preemptible\"", "\"servers\"",
 };
 
 static void look_into(const char *path)
@@ -86,10 +82,10 @@
 static void look_at_platform(const char *path)
 {
 	static const char *const foreign[] = {
-		"uv.h",		 "adapters/http1",  "adapters/gateway",
-		"gateway_now",	 "clock_gettime",   "g_rand",
-		"core/lease.h",	 "token_limits.h",  "retry_window.h",
-		"scale_plan.h",	 "core/entry",
+		"uv.h",		"adapters/http1", "adapters/gateway",
+		"gateway_now",	"clock_gettime",  "g_rand",
+		"core/lease.h", "token_limits.h", "retry_window.h",
+		"scale_plan.h", "core/entry",
 	};
 	char *text;
 
--- a/tests/unit/test_scale_plan.c
+++ b/tests/unit/test_scale_plan.c
@@ -64,8 +64,7 @@
 	return 0;
 }
 
-static void start(rig_t *rig, const char *zone, unsigned int number,
-		  bool reclaimable)
+static void start(rig_t *rig, const char *zone, unsigned int number, bool reclaimable)
 {
 	char id[32];
 	forward_listing_t listing = { .id = id,
@@ -197,8 +196,7 @@
 	start(rig, "a", 3, false);
 	pass(rig, 60 * PD_SEC, 100);
 	for (unsigned int i = 0; i < rig->count; i++) {
-		unsigned int sum =
-			rig->zones[i].lasting + rig->zones[i].reclaimable;
+		unsigned int sum = rig->zones[i].lasting + rig->zones[i].reclaimable;
 
 		assert_true(sum >= 1 && sum <= 6);
 	}
@@ -207,12 +205,10 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test_setup_teardown(
-			test_no_plan_while_the_fleet_lists_itself, setup,
-			teardown),
-		cmocka_unit_test_setup_teardown(
-			test_lasting_ones_stay_until_others_serve, setup,
-			teardown),
+		cmocka_unit_test_setup_teardown(test_no_plan_while_the_fleet_lists_itself,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_lasting_ones_stay_until_others_serve,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_lasting_ones_fill_a_shortage,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_noise_changes_nothing,
--- a/tests/unit/test_token_limits.c
+++ b/tests/unit/test_token_limits.c
@@ -78,8 +78,7 @@
 }
 
 /* Callers ask for RATE tokens a second, evenly at all entries. */
-static void fleet_ask(fleet_t *fleet, unsigned int step, double rate,
-		      pd_time_t now)
+static void fleet_ask(fleet_t *fleet, unsigned int step, double rate, pd_time_t now)
 {
 	pd_time_t retry_after;
 
@@ -109,8 +108,7 @@
 			sum -= fleet->granted[i - WINDOW_STEPS];
 		worst = MAX(worst, sum);
 	}
-	print_message("worst window %.3f of what is allowed\n",
-		      worst / allowed());
+	print_message("worst window %.3f of what is allowed\n", worst / allowed());
 	return worst;
 }
 
@@ -202,8 +200,8 @@
 		if (step % TELL_STEPS == 0)
 			fleet_tell(&fleet, now);
 		/* A quarter of the time at twice the rate. */
-		fleet_ask(&fleet, step,
-			  step % 100 < 25 ? account.rate * 2 : 0, now);
+		fleet_ask(&fleet, step, step % 100 < 25 ? account.rate * 2 : 0,
+			  now);
 		granted += fleet.granted[step];
 	}
 	assert_true(granted > account.rate * 0.5 * 24 * 0.98);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -70,8 +70,8 @@
 /* Whatever a caller writes there, nothing is read beyond its end. */
 static void test_bad_prompt_parts_are_left_out(void **state)
 {
-	static const char *const bad[] = { "",	   ",",	  ":",	   "zz:1",
-					   "1:",   "1:x", "1",	   "1:2,",
+	static const char *const bad[] = { "",	    ",",   ":",	     "zz:1",
+					   "1:",    "1:x", "1",	     "1:2,",
 					   "1:2,3", "::",  ",,1:2,", "-1:-1" };
 
 	(void)state;
