--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -237,6 +237,9 @@
 	if (!peer->incarnation || strcmp(peer->incarnation, who)) {
 		log_line(G_LOG_LEVEL_INFO, PART, "found=%s address=%s", who,
 			 address);
+		if (peer->incarnation)
+			token_limits_forget_peer(peers->gateway->limits,
+						 peer->incarnation);
 		g_hash_table_remove_all(peer->totals);
 		g_hash_table_remove_all(peer->works);
 	}
--- a/core/forward/token_limits.c
+++ b/core/forward/token_limits.c
@@ -21,7 +21,14 @@
  * at once took a tenth more than a window allows, as each emptied the whole
  * bucket by itself. Uneven entries still get what they need in a few rounds.
  */
-#define SHARE_FACTOR 1.2
+#define SHARE_FACTOR 4.0
+/*
+ * What a bucket holds at the start of an entry that does not know what was used
+ * before. That much fits beside a bucket that was emptied just before all
+ * entries were killed; with nothing, callers within their limits were refused
+ * for seconds after each such kill.
+ */
+#define START_PART 0.2
 /* A request larger than the bucket needs this part of it to be there. */
 #define FULL_PART 0.8
 
@@ -146,8 +153,7 @@
 
 	if (!bucket->filled_at) {
 		bucket->filled_at = now;
-		if (limits->filled)
-			bucket->level += size;
+		bucket->level += limits->filled ? size : size * START_PART;
 	}
 	bucket->level += account->rate * (double)(now - bucket->filled_at) / PD_SEC;
 	bucket->filled_at = now;
@@ -272,6 +278,17 @@
 		g_hash_table_remove_all(((bucket_t *)value)->peers);
 }
 
+/* Forgets a peer that has ended, and what it was taken to go on with. */
+void token_limits_forget_peer(token_limits_t *limits, const char *peer)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, limits->buckets);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_hash_table_remove(((bucket_t *)value)->peers, peer);
+}
+
 /*
  * Takes over a bucket's level from a peer that has run for longer, for an entry
  * that has just started and does not know what was used before.
--- a/core/forward/token_limits.h
+++ b/core/forward/token_limits.h
@@ -29,6 +29,7 @@
 void token_limits_heard(token_limits_t *limits, const char *account,
 			const char *peer, double total, bool recent,
 			pd_time_t now);
+void token_limits_forget_peer(token_limits_t *limits, const char *peer);
 void token_limits_forget_peers(token_limits_t *limits);
 void token_limits_adopt(token_limits_t *limits, const char *account,
 			double level, pd_time_t now);
