--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -40,6 +40,9 @@
  * some 40 requests a step of 5 ms makes 40 tokens.
  */
 #define OUTPUT_TOKEN_WORK 6.0
+/* Priorities that are told apart: of accounts, and of routes in each of these. */
+#define ACCOUNT_RANKS 3
+#define RANKS_OF_ACCOUNT (GATEWAY_RANKS / ACCOUNT_RANKS)
 /* In larger fleets than this, loads of peers are known late: see upstreams.c. */
 #define SAMPLE_FLEET 12
 #define SAMPLE 2
@@ -346,13 +349,16 @@
 	return false;
 }
 
+/* Orders requests by their account's priority, and by the route's among these. */
 static int request_rank(const gateway_request_t *request)
 {
-	int rank = request->route->priority;
+	int rank = CLAMP(request->route->priority, 0, RANKS_OF_ACCOUNT - 1);
 
-	if (request->account && request->account->priority != FORWARD_PRIORITY_UNSET)
-		rank = request->account->priority;
-	return CLAMP(rank, 0, GATEWAY_RANKS - 1);
+	if (request->account &&
+	    request->account->priority != FORWARD_PRIORITY_UNSET)
+		rank += CLAMP(request->account->priority, 0, ACCOUNT_RANKS - 1) *
+			RANKS_OF_ACCOUNT;
+	return rank;
 }
 
 static void request_set_deadline(gateway_request_t *request)
