--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -13,6 +13,11 @@
  * gateway stays blind after the store is back.
  */
 #define WATCH_WAIT (2 * PD_SEC)
+/*
+ * Where a few watch for many, the others go by how long ago the store was last
+ * heard; shorter waits let them notice sooner that none of the few hears it.
+ */
+#define WATCH_WAIT_FOR_MANY (800 * PD_MSEC)
 #define WATCH_MARGIN_MS 800
 #define LIST_TIMEOUT_MS 1500
 /* The pause after a failed call, drawn at random up to twice this. */
@@ -233,16 +238,17 @@
 
 static void feed_ask(feed_t *feed)
 {
+	pd_time_t wait = gateway_peers_is_mesh(feed->fleet->gateway->peers)
+				 ? WATCH_WAIT
+				 : WATCH_WAIT_FOR_MANY;
 	char *path = feed->listing
 			     ? wire_list_path(feed->kind, feed->after, false)
-			     : wire_watch_path(feed->kind, feed->revision,
-					       WATCH_WAIT);
+			     : wire_watch_path(feed->kind, feed->revision, wait);
 	http1_ask_t ask = {
 		.method = "GET",
 		.path = path,
-		.timeout_ms = feed->listing
-				      ? LIST_TIMEOUT_MS
-				      : WATCH_WAIT / PD_MSEC + WATCH_MARGIN_MS,
+		.timeout_ms = feed->listing ? LIST_TIMEOUT_MS
+					    : wait / PD_MSEC + WATCH_MARGIN_MS,
 		.on_reply = feed_replied,
 		.ctx = feed,
 	};
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -44,10 +44,12 @@
 /* So many gateways watch the store for all, and may hold the duties. */
 #define WATCHERS 3
 /*
- * A watch answers every two seconds at least. If nobody has heard the store for
- * longer than that and two messages, each gateway asks for itself.
+ * A watch for many answers every 0.8 s at least, and the news of that takes two
+ * messages. If nobody has heard the store for longer, each gateway asks for
+ * itself: with 3.2 s, a fleet whose few watchers were all turned away went by an
+ * old configuration for longer than it may.
  */
-#define STORE_STALE (3200 * PD_MSEC)
+#define STORE_STALE (1900 * PD_MSEC)
 /* A VM with that much processor and link can carry a hub of some hundreds. */
 #define STRONG_CORES 0.24
 #define STRONG_MBPS 100
@@ -295,6 +297,12 @@
 	return count_alive(peers, now) <= MESH_MAX;
 }
 
+/* Says whether all gateways tell each other, as there are few. */
+bool gateway_peers_is_mesh(const gateway_peers_t *peers)
+{
+	return is_mesh(peers, gateway_now());
+}
+
 /* Says whether this gateway asks the store itself. */
 bool gateway_peers_watch_store(const gateway_peers_t *peers)
 {
--- a/core/forward/scale_plan.c
+++ b/core/forward/scale_plan.c
@@ -58,6 +58,7 @@
 	GArray *zones; /* of zone_state_t */
 	pd_time_t load_since; /* when load was first seen; 0: not yet */
 	double found; /* upstreams that were there before any load */
+	double found_need; /* engines' worth of load that they speak of */
 	pd_time_t found_at; /* when there were last more than before */
 	bool begun; /* a plan was made, on the numbers found */
 	double running; /* requests in progress, smoothed */
@@ -157,18 +158,35 @@
 		   plan->running / MAX(service->engine_slots, 1));
 }
 
+/*
+ * Returns the load for which a fleet was sized. Where some can be reclaimed, an
+ * earlier holder of the duty planned it, and some may just have been: then the
+ * lasting ones tell. A new holder that went by the whole let lasting ones go in
+ * the middle of a shortage.
+ */
+static double load_behind(unsigned int lasting, unsigned int reclaimable)
+{
+	double whole = (lasting + reclaimable) / FLEET_FACTOR;
+
+	if (!reclaimable || lasting <= LASTING_SPARE)
+		return whole;
+	return MAX(whole, (lasting - LASTING_SPARE) / LASTING_FACTOR);
+}
+
 /* Returns the load to plan for: what is seen, or what the fleet was made for. */
-static double plan_need(scale_plan_t *plan, double load, double found, pd_time_t now)
+static double plan_need(scale_plan_t *plan, double load, double found,
+			double found_need, pd_time_t now)
 {
 	/* What was ordered since says nothing of the size that was meant. */
 	if (!plan->begun && found > plan->found) {
 		plan->found = found;
 		plan->found_at = now;
+		plan->found_need = found_need;
 	}
 	if (!plan->load_since && load > LOAD_MIN)
 		plan->load_since = now;
 	if (!plan->load_since || now - plan->load_since < TRUST_FOUND)
-		load = MAX(load, plan->found / FLEET_FACTOR);
+		load = MAX(load, plan->found_need);
 	if (load >= plan->held) {
 		plan->held = load;
 		plan->lower_since = now;
@@ -338,7 +356,8 @@
 		scale_plan_serving(upstreams, service->name, NULL, true);
 	double need = plan_need(plan,
 				plan_load(plan, service, upstreams, work_rate),
-				lasting_now + reclaimable_now, now);
+				lasting_now + reclaimable_now,
+				load_behind(lasting_now, reclaimable_now), now);
 	scale_sums_t sums = plan_sums(need, lasting_now, reclaimable_now,
 				      plan_is_short(plan, now));
 	unsigned int count;
--- a/core/forward/token_limits.c
+++ b/core/forward/token_limits.c
@@ -28,7 +28,7 @@
  * entries were killed; with nothing, callers within their limits were refused
  * for seconds after each such kill.
  */
-#define START_PART 0.2
+#define START_PART 0.15
 /* A request larger than the bucket needs this part of it to be there. */
 #define FULL_PART 0.8
 
