--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -427,7 +427,8 @@
 	lease_step(duties, now);
 	follow_lease(duties, now);
 	gateway_peers_hold_duties(duties->gateway->peers,
-				  lease_is_held(duties->lease, now));
+				  lease_is_held(duties->lease, now),
+				  lease_fence(duties->lease));
 	if (!may_act(duties, now))
 		return;
 	run_usage(duties, now);
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -317,6 +317,44 @@
 	return gateway;
 }
 
+static unsigned int count_serving(const gateway_t *gateway)
+{
+	unsigned int count = 0;
+
+	LIST_FOR_EACH (it, forward_upstreams_list(gateway->upstreams))
+		count += forward_upstream_serves(LIST_ENTRY(it, forward_upstream_t,
+							    node),
+						 gateway_now());
+	return count;
+}
+
+static unsigned int count_nodes(const list_node_t *head)
+{
+	unsigned int count = 0;
+
+	LIST_FOR_EACH (it, head)
+		count++;
+	return count;
+}
+
+/* Sets the gauges to how things stand, for whoever reads the metrics now. */
+void gateway_gauges(gateway_t *gateway)
+{
+	metrics_t *metrics = gateway->metrics;
+
+	metrics_gauge(metrics, "gateway_config_version",
+		      gateway->config ? (double)gateway->config->version : 0);
+	metrics_gauge(metrics, "gateway_upstreams_serving", count_serving(gateway));
+	metrics_gauge(metrics, "gateway_peers", gateway_count(gateway) - 1.0);
+	metrics_gauge(metrics, "gateway_store_serves",
+		      fleet_feed_is_back(gateway->feed));
+	metrics_gauge(metrics, "gateway_requests_open",
+		      count_nodes(&gateway->requests));
+	metrics_gauge(metrics, "gateway_requests_queued", gateway->queued);
+	metrics_gauge(metrics, "gateway_callers_open",
+		      count_nodes(&gateway->callers));
+}
+
 /* Begins to stop: callers are turned away, what is in progress ends. */
 void gateway_stop(gateway_t *gateway)
 {
--- a/adapters/gateway/health.c
+++ b/adapters/gateway/health.c
@@ -53,7 +53,10 @@
 		visitor_answer(visitor,
 			       gateway_is_ready(visitor->gateway) ? 200 : 503, "");
 	} else if (!strcmp(path, METRICS_PATH)) {
-		char *text = metrics_text(visitor->gateway->metrics);
+		char *text;
+
+		gateway_gauges(visitor->gateway);
+		text = metrics_text(visitor->gateway->metrics);
 
 		visitor_answer(visitor, 200, text);
 		g_free(text);
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -308,6 +308,7 @@
 	pack_text(packer, peers->is_holder ? peers->address
 			  : peers->holder  ? peers->holder
 					   : "");
+	msgpack_pack_uint64(packer, peers->holder_fence);
 }
 
 /* Sends what this gateway did; FULL: with usage and members. */
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -28,6 +28,7 @@
 	STATE_FLAGS,
 	STATE_STORE_AGE, /* since the store was last heard */
 	STATE_HOLDER, /* address of the holder of the duties */
+	STATE_FENCE, /* of that holder; the highest is the newest */
 	STATE_TOTALS,
 	STATE_WORKS,
 	STATE_LOADS,
@@ -84,6 +85,7 @@
 	pd_time_t summed_at; /* when its last summary came */
 	GArray *hub_loads; /* of load_t, from that summary */
 	char *holder; /* address of the duties' holder; NULL: unknown */
+	uint64_t holder_fence;
 	bool is_holder;
 	pd_time_t store_heard_at; /* by anybody */
 	pd_time_t fetched_config_at;
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -213,13 +213,21 @@
 	peers->store_heard_at = MAX(peers->store_heard_at, heard_at);
 }
 
-static void take_holder(gateway_peers_t *peers, const msgpack_object *object)
+/*
+ * Takes who holds the duties, if that is newer than what is known. Without the
+ * fencing number, the many who had not heard of a new holder told the hubs the
+ * old one again and again, and usage was sent there for the rest of the day.
+ */
+static void take_holder(gateway_peers_t *peers, const msgpack_object *object,
+			uint64_t fence)
 {
 	char *holder = unpack_text(object);
 
-	if (holder && *holder) {
+	if (holder && *holder && fence > peers->holder_fence) {
 		g_free(peers->holder);
 		peers->holder = g_steal_pointer(&holder);
+		peers->holder_fence = fence;
+		peers->is_holder = false;
 	}
 	g_free(holder);
 }
@@ -248,7 +256,8 @@
 	peer->strong = flags & STATE_FLAG_STRONG;
 	peer->has_store = flags & STATE_FLAG_HAS_STORE;
 	take_store_age(peers, unpack_number(&fields[STATE_STORE_AGE]));
-	take_holder(peers, &fields[STATE_HOLDER]);
+	take_holder(peers, &fields[STATE_HOLDER],
+		    unpack_number(&fields[STATE_FENCE]));
 done:
 	g_free(address);
 	g_free(who);
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -329,9 +329,11 @@
 }
 
 /* Notes whether this gateway holds the duties: usage is told to the holder. */
-void gateway_peers_hold_duties(gateway_peers_t *peers, bool held)
+void gateway_peers_hold_duties(gateway_peers_t *peers, bool held, uint64_t fence)
 {
-	peers->is_holder = held;
+	peers->is_holder = held && fence >= peers->holder_fence;
+	if (peers->is_holder)
+		peers->holder_fence = fence;
 }
 
 /* Says whether the store serves a peer that was heard just now. */
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -12,8 +12,8 @@
 #define PART "request"
 /* A connection to an upstream takes a few milliseconds, or a lost packet more. */
 #define CONNECT_MAX (400 * PD_MSEC)
-/* Sends of one request at most, those that no upstream took included. */
-#define SENDS_MAX 4
+/* Upstreams that one request reaches at most, those that turn it away too. */
+#define ARRIVALS_MAX 4
 /* With less time left, another upstream could not answer. */
 #define TIME_LEFT_MIN (15 * PD_MSEC)
 /*
@@ -93,6 +93,7 @@
 	pd_time_t read_at; /* when it was read whole */
 	pd_time_t deadline; /* for the final answer */
 	unsigned int sends;
+	unsigned int arrivals; /* sends that reached an upstream */
 	unsigned int runs; /* sends that may have run */
 	bool counted; /* in the usage */
 	char *tried[FORWARD_TRIED_MAX];
@@ -219,8 +220,13 @@
 
 static void request_count(const gateway_request_t *request, const char *what)
 {
-	metrics_count(request->gateway->metrics, "gateway_requests_total",
-		      "outcome", what);
+	metrics_t *metrics = request->gateway->metrics;
+	pd_time_t took = gateway_now() - request->arrived;
+
+	metrics_count(metrics, "gateway_requests_total", "outcome", what);
+	metrics_time(metrics, "gateway_request_ms", "route",
+		     request->route ? request->route->name : "none",
+		     (double)took / PD_MSEC);
 }
 
 /* Gives the account back what it did not use: the request has not run. */
@@ -354,8 +360,7 @@
 {
 	int rank = CLAMP(request->route->priority, 0, RANKS_OF_ACCOUNT - 1);
 
-	if (request->account &&
-	    request->account->priority != FORWARD_PRIORITY_UNSET)
+	if (request->account && request->account->priority != FORWARD_PRIORITY_UNSET)
 		rank += CLAMP(request->account->priority, 0, ACCOUNT_RANKS - 1) *
 			RANKS_OF_ACCOUNT;
 	return rank;
@@ -488,6 +493,7 @@
 		send.resume_after = request->events->last_id;
 	wire_call_write(head, call, &send);
 	request->sent_at = now;
+	request->arrivals++;
 	if (request->state != REQUEST_STREAMING)
 		request->state = REQUEST_SENT;
 	upstream_link_send(request->link, head, request->body,
@@ -608,6 +614,9 @@
 		request->upstream->reading -= request->reading;
 		request->reading = 0;
 		forward_upstream_answered(request->upstream);
+		metrics_time(request->gateway->metrics, "gateway_first_event_ms",
+			     "route", request->route->name,
+			     (double)(gateway_now() - request->arrived) / PD_MSEC);
 	}
 	stream_pass(request);
 }
@@ -739,7 +748,7 @@
 {
 	pd_time_t now = gateway_now();
 
-	if (request->sends >= SENDS_MAX ||
+	if (request->arrivals >= ARRIVALS_MAX ||
 	    request->tried_count >= FORWARD_TRIED_MAX ||
 	    request->deadline - now < TIME_LEFT_MIN)
 		return false;
@@ -766,13 +775,17 @@
 
 	switch (end) {
 	case ATTEMPT_UNSENT:
+		forward_upstream_unreachable(request->upstream, now);
+		break;
 	case ATTEMPT_LOST:
 		forward_upstream_failed(request->upstream, now);
 		break;
 	case ATTEMPT_REJECTED:
 		/* Another one has the address: this one is gone. */
 		if (request->status == 421)
-			forward_upstream_failed(request->upstream, now);
+			forward_upstream_unreachable(request->upstream, now);
+		else
+			forward_upstream_rejected(request->upstream, now);
 		break;
 	case ATTEMPT_FAILED:
 		forward_upstream_answered(request->upstream);
@@ -822,6 +835,9 @@
 {
 	pd_time_t now = gateway_now();
 
+	metrics_add(request->gateway->metrics, "gateway_sends_total", 1);
+	if (request->sends)
+		metrics_add(request->gateway->metrics, "gateway_resends_total", 1);
 	request->upstream = forward_upstream_ref(upstream);
 	request->tried[request->tried_count++] = g_strdup(upstream->id);
 	request->sends++;
--- a/adapters/metrics.c
+++ b/adapters/metrics.c
@@ -74,6 +74,32 @@
 	metrics_series(metrics, name)->value = value;
 }
 
+/* Upper ends of a histogram's buckets, ms; from a fast call to a long stream. */
+static const double time_ends[] = { 10,	 25,   50,   100,  200,	 400,
+				    800, 1600, 3200, 6400, 12800 };
+
+/* Adds one to the histogram of a time, given in milliseconds. */
+void metrics_time(metrics_t *metrics, const char *name, const char *label,
+		  const char *value, double ms)
+{
+	char full[256];
+
+	for (gsize i = 0; i < G_N_ELEMENTS(time_ends); i++) {
+		if (ms > time_ends[i])
+			continue;
+		g_snprintf(full, sizeof(full), "%s_bucket{%s=\"%s\",le=\"%g\"}",
+			   name, label, value, time_ends[i]);
+		metrics_series(metrics, full)->value += 1;
+	}
+	g_snprintf(full, sizeof(full), "%s_bucket{%s=\"%s\",le=\"+Inf\"}", name,
+		   label, value);
+	metrics_series(metrics, full)->value += 1;
+	g_snprintf(full, sizeof(full), "%s_count{%s=\"%s\"}", name, label, value);
+	metrics_series(metrics, full)->value += 1;
+	g_snprintf(full, sizeof(full), "%s_sum{%s=\"%s\"}", name, label, value);
+	metrics_series(metrics, full)->value += ms;
+}
+
 /* Returns all series as text, owned by the caller. */
 char *metrics_text(const metrics_t *metrics)
 {
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -19,6 +19,10 @@
 #define AVOID_FIRST (150 * PD_MSEC)
 #define AVOID_MAX (3 * PD_SEC)
 #define FAILURES_BEFORE_AVOID 2
+/* One that can't be reached counts as having failed so often: 600 ms. */
+#define UNREACHABLE_FAILURES 4
+/* How long one that turned a request away counts as full. */
+#define FULL_PAUSE (150 * PD_MSEC)
 /* A test request that was not answered for so long is given up on. */
 #define PROBE_MAX (2 * PD_SEC)
 /*
@@ -313,6 +317,27 @@
 	upstream->avoid_until = now + MIN(pause, AVOID_MAX);
 }
 
+/*
+ * Notes that no connection could be had. One that has crashed runs nothing, so
+ * by its load it looks the best of all and draws request after request; it is
+ * left alone from the first time on. In a wave of crashes some hundred requests
+ * went from one to the next of them until they were given up.
+ */
+void forward_upstream_unreachable(forward_upstream_t *upstream, pd_time_t now)
+{
+	upstream->failures = MAX(upstream->failures, UNREACHABLE_FAILURES - 1);
+	forward_upstream_failed(upstream, now);
+}
+
+/*
+ * Notes that the upstream had no room. The loads of many entries are known late;
+ * its own word is newer.
+ */
+void forward_upstream_rejected(forward_upstream_t *upstream, pd_time_t now)
+{
+	upstream->full_until = now + FULL_PAUSE;
+}
+
 /* Notes a sound answer. */
 void forward_upstream_answered(forward_upstream_t *upstream)
 {
@@ -430,10 +455,13 @@
 	       (elsewhere ? OTHER_ZONE_SLOTS : 0);
 }
 
-static bool is_full(const forward_upstream_t *upstream, const forward_ask_t *ask)
+static bool is_full(const forward_upstream_t *upstream,
+		    const forward_ask_t *ask, pd_time_t now)
 {
 	double running = upstream->running + upstream->peers_running;
 
+	if (now < upstream->full_until)
+		return true;
 	if (ask->connections_max && upstream->running >= ask->connections_max)
 		return true;
 	return running >= upstream->slots * ask->overfill;
@@ -455,7 +483,8 @@
 	LIST_FOR_EACH (it, &set->list)
 		count += is_candidate(LIST_ENTRY(it, forward_upstream_t, node),
 				      ask, now) &&
-			 !is_full(LIST_ENTRY(it, forward_upstream_t, node), ask);
+			 !is_full(LIST_ENTRY(it, forward_upstream_t, node), ask,
+				  now);
 	return count;
 }
 
@@ -500,7 +529,7 @@
 		if (!is_candidate(upstream, ask, now))
 			continue;
 		any = true;
-		if (is_full(upstream, ask))
+		if (is_full(upstream, ask, now))
 			continue;
 		if (ask->sample) {
 			sampled = g_rand_double(ask->random) * left < wanted;
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -55,6 +55,7 @@
 	list_node_t idle_links; /* kept connections; the adapter's */
 	unsigned int failures; /* in a row */
 	pd_time_t avoid_until; /* after failures */
+	pd_time_t full_until; /* after it turned a request away */
 	pd_time_t probing_since; /* the one request that tests it again */
 	GHashTable *parts; /* prompt part id -> pd_time_t of the last use */
 } forward_upstream_t;
@@ -105,6 +106,8 @@
 void forward_upstream_sent(forward_upstream_t *upstream,
 			   const forward_call_t *call, pd_time_t now);
 void forward_upstream_failed(forward_upstream_t *upstream, pd_time_t now);
+void forward_upstream_unreachable(forward_upstream_t *upstream, pd_time_t now);
+void forward_upstream_rejected(forward_upstream_t *upstream, pd_time_t now);
 void forward_upstream_answered(forward_upstream_t *upstream);
 forward_upstream_t *forward_upstream_ref(forward_upstream_t *upstream);
 void forward_upstream_unref(forward_upstream_t *upstream);
--- a/tests/unit/test_docs.c
+++ b/tests/unit/test_docs.c
@@ -10,6 +10,7 @@
 #include <cmocka.h>
 
 #include "adapters/bundle_json.h"
+#include "adapters/gateway/settings.h"
 #include "adapters/settings.h"
 
 static char *read_page(const char *path)
@@ -37,7 +38,7 @@
 		snprintf(text, size, "%" PRId64 " to %" PRId64, least, most);
 }
 
-static void test_settings_page(void **state)
+static void assert_settings(const char *page, const setting_t *rows, size_t count)
 {
 	static const char *const kinds[] = {
 		[SETTING_STRING] = "string",
@@ -45,24 +46,34 @@
 		[SETTING_STRINGS] = "array of strings",
 		[SETTING_FILE] = "file",
 		[SETTING_CHOICE] = "choice",
+		[SETTING_DECIMAL] = "decimal",
 	};
-	char *page = read_page("docs/SETTINGS.md");
-	size_t count;
-	const setting_t *table = settings_table(&count);
 
-	(void)state;
 	for (size_t i = 0; i < count; i++) {
+		bool numeric = rows[i].kind == SETTING_INTEGER ||
+			       rows[i].kind == SETTING_DECIMAL;
 		char range[64];
 		char row[512];
 
-		bounds(range, sizeof(range), table[i].kind == SETTING_INTEGER,
-		       table[i].least, table[i].most);
+		bounds(range, sizeof(range), numeric, rows[i].least, rows[i].most);
 		snprintf(row, sizeof(row), "| `%s` | %s | %s | %s | %s |",
-			 table[i].key, kinds[table[i].kind],
-			 table[i].fallback ? table[i].fallback : "required",
-			 range, table[i].meaning);
+			 rows[i].key, kinds[rows[i].kind],
+			 rows[i].fallback ? rows[i].fallback : "required",
+			 range, rows[i].meaning);
 		assert_has_row(page, row);
 	}
+}
+
+static void test_settings_page(void **state)
+{
+	char *page = read_page("docs/SETTINGS.md");
+	size_t count;
+	const setting_t *rows = settings_table(&count);
+
+	(void)state;
+	assert_settings(page, rows, count);
+	assert_settings(page, gateway_settings_table()->rows,
+			gateway_settings_table()->count);
 	g_free(page);
 }
 
