--- a/tests/unit/test_gateway_settings.c
+++ b/tests/unit/test_gateway_settings.c
@@ -1,8 +1,10 @@
 /* The gateway's settings: what is refused, and the deploy file's template. */
 #include <setjmp.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
