--- a/Makefile
+++ b/Makefile
@@ -76,13 +76,15 @@
 gateway: $(B)/pistachio-gateway
 
 $(B)/pistachio-gateway: $(B)/programs/pistachio_gateway.o \
+		$(B)/programs/options.o \
 		$(B)/libpistachio-gateway.a $(B)/libpistachio-core.a
 	$(LINK) $^ $(GATEWAY_LIBS)
 
-$(B)/pistachio-%: $(B)/programs/pistachio_%.o $(B)/programs/cli.o $(LIBS)
+$(B)/pistachio-%: $(B)/programs/pistachio_%.o $(B)/programs/cli.o \
+		$(B)/programs/options.o $(LIBS)
 	$(LINK) $^ $(LDLIBS)
 
-$(B)/pistachioctl: $(B)/programs/pistachioctl.o $(B)/programs/cli.o $(CTL) \
+$(B)/pistachioctl: $(B)/programs/pistachioctl.o $(B)/programs/options.o $(CTL) \
 		$(LIBS)
 	$(LINK) $^ $(LDLIBS)
 
--- a/adapters/gateway/caller.c
+++ b/adapters/gateway/caller.c
@@ -40,14 +40,14 @@
 	caller->since = gateway_now();
 	if (expect && head->has_body)
 		caller_write(caller, "HTTP/1.1 100 Continue\r\n\r\n", 25);
-	caller->request = request_create(caller->gateway, caller, head);
+	caller->request = gateway_request_create(caller->gateway, caller, head);
 }
 
 static void on_body(void *ctx, const char *data, size_t len)
 {
 	caller_t *caller = ctx;
 
-	if (caller->request && !request_add_body(caller->request, data, len))
+	if (caller->request && !gateway_request_add_body(caller->request, data, len))
 		caller->keep = false;
 }
 
@@ -59,7 +59,7 @@
 	if (!caller->request)
 		return;
 	http1_hold(caller->conn);
-	request_start(caller->request);
+	gateway_request_start(caller->request);
 }
 
 /* The caller left, or sent what is no request. */
@@ -69,7 +69,7 @@
 
 	(void)end;
 	if (caller->request)
-		request_abandon(caller->request, "caller left");
+		gateway_request_abandon(caller->request, "caller left");
 	caller_free(caller);
 }
 
@@ -143,7 +143,8 @@
 				   "Connection: close\r\n\r\n";
 
 	if (caller->request)
-		request_abandon(caller->request, "request not read in time");
+		gateway_request_abandon(caller->request,
+					"request not read in time");
 	caller->request = NULL;
 	if (caller->reading)
 		caller_write(caller, late, sizeof(late) - 1);
@@ -164,8 +165,8 @@
 
 		if (caller->request && !caller->reading) {
 			if (http1_unsent(caller->conn) > UNREAD_MAX) {
-				request_abandon(caller->request,
-						"answer not read");
+				gateway_request_abandon(caller->request,
+							"answer not read");
 				caller_abort(caller);
 			}
 			continue;
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -172,7 +172,7 @@
 
 	forward_upstreams_run(gateway->upstreams, now, on_lapsed, gateway);
 	fleet_feed_run(gateway->feed, now);
-	requests_run(gateway, now);
+	gateway_requests_run(gateway, now);
 	callers_run(gateway, now);
 	upstream_links_run(gateway, now);
 	gateway_peers_run(gateway->peers, now);
--- a/adapters/gateway/request.h
+++ b/adapters/gateway/request.h
@@ -10,11 +10,12 @@
 
 typedef struct gateway_request gateway_request_t;
 
-gateway_request_t *request_create(gateway_t *gateway, caller_t *caller,
-				  const http1_head_t *head);
-bool request_add_body(gateway_request_t *request, const char *data, size_t len);
-void request_start(gateway_request_t *request);
-void request_abandon(gateway_request_t *request, const char *reason);
-void requests_run(gateway_t *gateway, pd_time_t now);
+gateway_request_t *gateway_request_create(gateway_t *gateway, caller_t *caller,
+					  const http1_head_t *head);
+bool gateway_request_add_body(gateway_request_t *request, const char *data,
+			      size_t len);
+void gateway_request_start(gateway_request_t *request);
+void gateway_request_abandon(gateway_request_t *request, const char *reason);
+void gateway_requests_run(gateway_t *gateway, pd_time_t now);
 
 #endif
--- /dev/null
+++ b/adapters/gateway/request_state.h
@@ -0,0 +1,94 @@
+/* A request in progress, as the files of requests share it. Private to them. */
+#ifndef PISTACHIO_GATEWAY_REQUEST_STATE_H
+#define PISTACHIO_GATEWAY_REQUEST_STATE_H
+
+#include "adapters/gateway/request.h"
+#include "adapters/gateway/upstream_link.h"
+#include "core/forward/event_stream.h"
+
+typedef enum request_state {
+	REQUEST_READING, /* from the caller */
+	REQUEST_QUEUED,
+	REQUEST_CONNECTING, /* an upstream is chosen, nothing was sent */
+	REQUEST_SENT, /* bytes may have left; no answer yet */
+	REQUEST_ANSWERED, /* an answer's head came; the caller has nothing */
+	REQUEST_STREAMING, /* the caller has a part of the answer */
+	REQUEST_ENDED
+} request_state_t;
+
+/* How an attempt at an upstream ended without an answer to pass on. */
+typedef enum attempt_end {
+	ATTEMPT_UNSENT, /* no byte left */
+	ATTEMPT_REJECTED, /* the upstream vouches that it did not run */
+	ATTEMPT_LOST, /* it may have run */
+	ATTEMPT_FAILED /* the upstream ran it and says that it failed */
+} attempt_end_t;
+
+struct gateway_request {
+	list_node_t node;
+	list_node_t wait; /* in a queue */
+	gateway_t *gateway;
+	caller_t *caller; /* NULL: it left */
+	forward_call_t *call;
+	GByteArray *body;
+	bool has_body;
+	bool too_large;
+	request_state_t state;
+	forward_config_t *config;
+	const forward_route_t *route;
+	const forward_account_t *account; /* NULL: of nobody */
+	const char *service;
+	int rank;
+	double taken; /* out of the account's limit */
+	pd_time_t arrived;
+	pd_time_t read_at; /* when it was read whole */
+	pd_time_t deadline; /* for the final answer */
+	unsigned int sends;
+	unsigned int arrivals; /* sends that reached an upstream */
+	unsigned int runs; /* sends that may have run */
+	bool counted; /* in the usage */
+	char *tried[FORWARD_TRIED_MAX];
+	unsigned int tried_count;
+	/* The attempt in progress. */
+	forward_upstream_t *upstream;
+	upstream_link_t *link;
+	pd_time_t begun_at;
+	pd_time_t sent_at; /* 0: nothing was sent yet */
+	double reading; /* prompt tokens noted at the upstream */
+	double memory;
+	bool skipping; /* the answer that comes in is of another request */
+	int status;
+	bool rejected;
+	bool sealed;
+	bool is_stream;
+	bool answer_keeps;
+	pd_time_t idle_timeout;
+	GString *answer_head; /* header lines to pass on */
+	GByteArray *answer;
+	event_stream_t *events;
+};
+
+extern const upstream_link_user_t gateway_request_link_user;
+
+void gateway_request_attempt_forget(gateway_request_t *request);
+void gateway_request_count_usage(gateway_request_t *request);
+void gateway_request_refuse(gateway_request_t *request, int status,
+			    pd_time_t retry_after, const char *reason);
+void gateway_request_give_up(gateway_request_t *request, pd_time_t retry_after,
+			     const char *reason);
+void gateway_request_drop(gateway_request_t *request, const char *reason);
+void gateway_request_cut(gateway_request_t *request, const char *reason);
+void gateway_request_finish(gateway_request_t *request);
+forward_choice_t gateway_request_choose(gateway_request_t *request,
+					forward_upstream_t **upstream);
+void gateway_request_send(gateway_request_t *request);
+bool gateway_request_may_repeat(const gateway_request_t *request);
+void gateway_request_attempt_over(gateway_request_t *request, attempt_end_t end,
+				  const char *reason);
+void gateway_request_attempt(gateway_request_t *request,
+			     forward_upstream_t *upstream);
+void gateway_request_try(gateway_request_t *request);
+void gateway_request_answer_begin(gateway_request_t *request, gint64 length);
+void gateway_request_queue(gateway_request_t *request);
+
+#endif
--- a/programs/pistachio_gateway.c
+++ b/programs/pistachio_gateway.c
@@ -1,7 +1,5 @@
 /* pistachio-gateway: forwards callers' requests on the users' platform. */
-#include <argp.h>
 #include <signal.h>
-#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sysexits.h>
@@ -11,52 +9,7 @@
 #include "adapters/gateway/gateway.h"
 #include "adapters/log_buffer.h"
 #include "adapters/log_glib.h"
-#include "programs/cli.h"
-
-const char *argp_program_version = "pistachiodrift " PISTACHIO_VERSION;
-
-typedef struct options {
-	const char *settings;
-	bool check;
-} options_t;
-
-static error_t parse_option(int key, char *arg, struct argp_state *state)
-{
-	options_t *options = state->input;
-
-	switch (key) {
-	case 's':
-		options->settings = arg;
-		return 0;
-	case 'c':
-		options->check = true;
-		return 0;
-	case ARGP_KEY_END:
-		if (!options->settings)
-			argp_error(state, "--settings is needed");
-		return 0;
-	default:
-		return ARGP_ERR_UNKNOWN;
-	}
-}
-
-static options_t read_options(int argc, char **argv)
-{
-	static const struct argp_option table[] = {
-		{ "settings", 's', "FILE", 0, "read settings from FILE", 0 },
-		{ "check", 'c', NULL, 0, "check the settings and exit", 0 },
-		{ 0 }
-	};
-	const struct argp argp = { table, parse_option,
-				   NULL,  "Forward callers' requests.",
-				   NULL,  NULL,
-				   NULL };
-	options_t options = { NULL, false };
-
-	argp_err_exit_status = EX_USAGE;
-	argp_parse(&argp, argc, argv, 0, NULL, &options);
-	return options;
-}
+#include "programs/options.h"
 
 static void on_signal(uv_signal_t *handle, int signum)
 {
@@ -79,7 +32,7 @@
 
 int main(int argc, char **argv)
 {
-	options_t options = read_options(argc, argv);
+	options_t options = options_read(argc, argv, "Forward callers' requests.");
 	uv_loop_t *loop = uv_default_loop();
 	gateway_settings_t *settings;
 	uv_signal_t terminate;
--- a/programs/pistachioctl.c
+++ b/programs/pistachioctl.c
@@ -7,7 +7,7 @@
 #include "adapters/log_glib.h"
 #include "adapters/signing.h"
 #include "ctl/ctl.h"
-#include "programs/cli.h"
+#include "programs/options.h"
 
 static const char doc[] =
 	"Operate a pistachiodrift fleet.\v"
