--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -3,6 +3,7 @@
 
 #include "adapters/gateway/fleet_feed.h"
 #include "adapters/gateway/peer_state.h"
+#include "core/hash.h"
 
 /* Windows of usage that are told again, in case a message was lost. */
 #define WINDOWS_TOLD 3
@@ -33,15 +34,6 @@
 	return config ? config->version : 0;
 }
 
-static uint64_t mix(uint64_t value)
-{
-	value ^= value >> 33;
-	value *= 0xff51afd7ed558ccdULL;
-	value ^= value >> 33;
-	value *= 0xc4ceb9fe1a85ec53ULL;
-	return value ^ (value >> 33);
-}
-
 /*
  * Returns a digest of what is known of the upstreams, 0 before a listing. Two
  * gateways that know the same have the same digest. The newest revision would
@@ -59,8 +51,8 @@
 			LIST_ENTRY(it, forward_upstream_t, node);
 
 		if (upstream->stage != FORWARD_GONE)
-			digest += mix(g_str_hash(upstream->id) ^
-				      mix(upstream->revision));
+			digest += hash_number(hash_string(upstream->id) ^
+					      hash_number(upstream->revision));
 	}
 	return digest;
 }
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "core/hash.h"
+
 /*
  * Entries of upstreams lapse while the store is away, though the upstreams
  * live; they are back about two seconds after it is. Taken as gone at once, the
@@ -364,15 +366,6 @@
 		now - upstream->probing_since < PROBE_MAX);
 }
 
-static uint64_t mix(uint64_t value)
-{
-	value ^= value >> 33;
-	value *= 0xff51afd7ed558ccdULL;
-	value ^= value >> 33;
-	value *= 0xc4ceb9fe1a85ec53ULL;
-	return value ^ (value >> 33);
-}
-
 /* Returns the part that requests about the same subject share; 0: none. */
 static uint64_t subject_of(const forward_call_t *call)
 {
@@ -405,7 +398,8 @@
 		if (!forward_upstream_serves(upstream, now) ||
 		    strcmp(upstream->service, ask->service))
 			continue;
-		rank = mix(subject ^ mix(g_str_hash(upstream->id)));
+		rank = hash_number(subject ^
+				   hash_number(hash_string(upstream->id)));
 		if (!home || rank > best) {
 			home = upstream;
 			best = rank;
--- a/core/hash.c
+++ b/core/hash.c
@@ -15,3 +15,9 @@
 {
 	return XXH64(b, strlen(b), hash_string(a));
 }
+
+/* Returns the hash of a number, every bit of which changes about half of it. */
+uint64_t hash_number(uint64_t value)
+{
+	return XXH64(&value, sizeof(value), 0);
+}
--- a/core/hash.h
+++ b/core/hash.h
@@ -9,5 +9,6 @@
 
 uint64_t hash_pair(const char *a, const char *b);
 uint64_t hash_string(const char *text);
+uint64_t hash_number(uint64_t value);
 
 #endif
