An upstream that lapsed and came back is not ended by its old end

And gateways that got the store back a little later than others took the outage for their own. Ruled out: too few upstreams ordered; those ordered were there, as lost ones.

--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -20,6 +20,8 @@
 #define WATCH_WAIT_FOR_MANY (800 * PD_MSEC)
 #define WATCH_MARGIN_MS 800
 #define LIST_TIMEOUT_MS 1500
+/* Gateways lose the store and get it back within about this of each other. */
+#define PEERS_LAG PD_SEC
 /* The pause after a failed call, drawn at random up to twice this. */
 #define RETRY_PAUSE (150 * PD_MSEC)
 
@@ -33,7 +35,8 @@
 	bool listing;
 	bool waiting; /* a call is out */
 	bool lost; /* the last call failed */
-	bool lost_alone; /* a peer had the store meanwhile */
+	pd_time_t lost_at;
+	pd_time_t peers_since; /* peers have had the store since; 0: none has */
 	pd_time_t next_at;
 	pd_time_t asked_at;
 } feed_t;
@@ -96,8 +99,13 @@
 	pd_error_t err;
 
 	if (wire_page_is_gone(page, i)) {
+		/*
+		 * Not the page's revision: an entry that lapsed and came back
+		 * may be in the same page, and would count as older than its
+		 * end. The whole fleet was lost that way after an outage.
+		 */
 		news = forward_upstreams_remove(gateway->upstreams, id,
-						wire_page_revision(page),
+						wire_page_object_revision(page, i),
 						gateway_now());
 	} else if (wire_page_upstream(page, i, &listing, &err) < 0) {
 		log_error(PART, id, &err);
@@ -176,12 +184,37 @@
 		log_line(G_LOG_LEVEL_WARNING, PART,
 			 "lost=%s status=%d revision=%" G_GUINT64_FORMAT,
 			 feed->name, status, feed->revision);
+	if (!feed->lost)
+		feed->lost_at = gateway_now();
 	feed->lost = true;
-	feed->lost_alone |= gateway_peers_have_store(gateway->peers);
 	feed->next_at = gateway_now() + (pd_time_t)(g_rand_double(gateway->random) *
 						    2 * (double)RETRY_PAUSE);
 }
 
+/*
+ * Follows whether peers have the store while this gateway has not. What they
+ * said just before they lost it too is not counted.
+ */
+static void watch_peers(feed_t *feed, pd_time_t now)
+{
+	bool have = gateway_peers_have_store(feed->fleet->gateway->peers) &&
+		    now - feed->lost_at > PEERS_LAG;
+
+	if (!feed->lost || !have)
+		feed->peers_since = 0;
+	else if (!feed->peers_since)
+		feed->peers_since = now;
+}
+
+/*
+ * Says whether peers had the store while this gateway had not. Those that got it
+ * back a moment earlier do not count: then the store was away for all.
+ */
+static bool lost_alone(const feed_t *feed)
+{
+	return feed->peers_since && gateway_now() - feed->peers_since > PEERS_LAG;
+}
+
 static void feed_regained(feed_t *feed)
 {
 	if (!feed->lost)
@@ -192,10 +225,10 @@
 	 * Entries lapse only if the store was away for all. If it turned just
 	 * this gateway away, what is no longer listed has left.
 	 */
-	if (feed->kind == WIRE_UPSTREAMS && !feed->lost_alone)
+	if (feed->kind == WIRE_UPSTREAMS && !lost_alone(feed))
 		forward_upstreams_store_back(feed->fleet->gateway->upstreams,
 					     gateway_now());
-	feed->lost_alone = false;
+	feed->peers_since = 0;
 }
 
 static void feed_relist(feed_t *feed)
@@ -261,6 +294,7 @@
 
 static void feed_run(feed_t *feed, pd_time_t now)
 {
+	watch_peers(feed, now);
 	if (feed->waiting || now < feed->next_at)
 		return;
 	if (!gateway_peers_watch_store(feed->fleet->gateway->peers)) {
--- a/core/forward/scale_plan.c
+++ b/core/forward/scale_plan.c
@@ -20,13 +20,13 @@
  */
 #define FLEET_FACTOR 1.45
 #define FLEET_SPARE 1
-#define LASTING_FACTOR 0.4
+#define LASTING_FACTOR 0.5
 #define LASTING_SPARE 1.5
 /*
  * While reclaimable ones are not to be had, lasting ones make the fleet up to
  * this. That is dear, but only for as long as the shortage.
  */
-#define SHORT_FACTOR 0.8
+#define SHORT_FACTOR 1.0
 /* Lasting ones are kept up to this until those that replace them serve. */
 #define KEPT_FACTOR 0.8
 /* With little load seen, the size that was found is trusted for so long. */
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -39,6 +39,20 @@
 	return ready;
 }
 
+static bool has_logged(gateway_rig_t *rig, int number, const char *text)
+{
+	char *log = NULL;
+	bool found;
+
+	rig_turn(rig);
+	if (!g_file_get_contents(rig->gateways[number]->out_path, &log, NULL,
+				 NULL))
+		return false;
+	found = strstr(log, text) != NULL;
+	g_free(log);
+	return found;
+}
+
 static int setup_bare(void **state)
 {
 	gateway_rig_t *rig = gateway_rig_create();
@@ -435,6 +449,41 @@
 	assert_true(rig->upstreams[0].arrivals <= before + 1);
 }
 
+/*
+ * Entries of upstreams lapse and come back while the store turns one gateway
+ * away, and that reads both with one answer. Taken for the end of what came
+ * back, no gateway would know an upstream any more and all callers be refused.
+ */
+static void test_entries_that_lapsed_and_came_back_serve(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller;
+	uint64_t began;
+
+	rig_start(rig, 1);
+	RIG_UNTIL(rig, is_ready(rig, 1));
+		rig->stores[0].down = true;
+	RIG_UNTIL(rig, has_logged(rig, 0, "lost=upstreams"));
+	for (int i = 0; i < 2; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "u%d", i);
+		rig_remove(rig, "servers", name);
+		rig_put_upstream(rig, i, "ready");
+	}
+	began = uv_hrtime();
+	RIG_UNTIL(rig, uv_hrtime() - began > 3000000000);
+	rig->stores[0].down = false;
+	began = uv_hrtime();
+	RIG_UNTIL(rig, uv_hrtime() - began > 4000000000);
+	for (int number = 0; number < 2; number++) {
+		caller = call_at(rig, number, "GET", "/safe/", "c1");
+		RIG_UNTIL(rig, heard(caller, "\r\n\r\n"));
+		assert_true(heard(caller, "HTTP/1.1 200"));
+		rig_caller_destroy(caller);
+	}
+}
+
 /*
  * The holder of the duties dies after it reported a window. Whoever follows
  * must not report that window with other counts, nor leave later ones out.
@@ -491,6 +540,7 @@
 		GATEWAY_TEST(test_a_stopping_gateway_refuses_long_requests),
 		GATEWAY_TEST(test_a_draining_upstream_is_left),
 		GATEWAY_TEST(test_peers_tell_whom_the_store_turns_away),
+		GATEWAY_TEST(test_entries_that_lapsed_and_came_back_serve),
 		GATEWAY_TEST(test_windows_are_reported_once),
 	};
 
