--- a/tests/guarantees/test_gateway_soak.c
+++ b/tests/guarantees/test_gateway_soak.c
@@ -383,6 +383,54 @@
 	g_free(call);
 }
 
+static rig_act_t always_answer(void *ctx, const char *target)
+{
+	(void)ctx;
+	(void)target;
+	return RIG_ANSWER;
+}
+
+static bool serves(soak_t *soak, int number)
+{
+	uint16_t port = rig_port(soak->rig, number, "callers");
+	rig_caller_t *caller;
+	bool served;
+
+	if (!port)
+		return false;
+	caller = rig_call(soak->rig, port,
+			  "GET /safe/ HTTP/1.1\r\nHost: h\r\n"
+			  "X-Attempt-Id: r\r\nX-Deadline-Ms: 1000\r\n"
+			  "Authorization: Bearer k\r\n"
+			  "Connection: close\r\n\r\n");
+	RIG_UNTIL(soak->rig, (rig_hear(caller), caller->closed));
+	served = strstr(caller->got->str, "HTTP/1.1 200") != NULL;
+	rig_caller_destroy(caller);
+	return served;
+}
+
+/*
+ * Once all that was done is over, every gateway serves again. How many calls
+ * are answered before that says little: with the store away for all, gateways
+ * that start know no routes and rightly refuse.
+ */
+static void check_recovery(soak_t *soak)
+{
+	soak->rig->choose_act = always_answer;
+	for (int i = 0; i < RIG_GATEWAYS; i++) {
+		soak->rig->stores[i].down = false;
+		soak->gateways[i].act_at = 0;
+	}
+	for (int i = 0; i < RIG_UPSTREAMS; i++)
+		rig_put_upstream(soak->rig, i, "ready");
+	for (int i = 0; i < RIG_GATEWAYS; i++) {
+		RIG_UNTIL(soak->rig,
+			  (mend(soak), soak->gateways[i].port &&
+					       !soak->gateways[i].stopping));
+		RIG_UNTIL(soak->rig, (mend(soak), serves(soak, i)));
+	}
+}
+
 static void run_seed(unsigned int seed)
 {
 	soak_t soak = { .rig = gateway_rig_create(),
@@ -413,8 +461,7 @@
 	}
 	print_message("seed %u: %u calls, %u answered, %u faults\n", seed,
 		      soak.calls->len, answered, soak.faults);
-	/* Gateways are down or knocked out for much of the time. */
-	assert_true(answered > soak.calls->len / 10);
+	check_recovery(&soak);
 	for (int i = 0; i < RIG_GATEWAYS; i++)
 		process_signal(soak.rig->gateways[i], SIGCONT);
 	gateway_rig_destroy(soak.rig);
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -45,8 +45,7 @@
 	bool found;
 
 	rig_turn(rig);
-	if (!g_file_get_contents(rig->gateways[number]->out_path, &log, NULL,
-				 NULL))
+	if (!g_file_get_contents(rig->gateways[number]->out_path, &log, NULL, NULL))
 		return false;
 	found = strstr(log, text) != NULL;
 	g_free(log);
@@ -462,7 +461,7 @@
 
 	rig_start(rig, 1);
 	RIG_UNTIL(rig, is_ready(rig, 1));
-		rig->stores[0].down = true;
+	rig->stores[0].down = true;
 	RIG_UNTIL(rig, has_logged(rig, 0, "lost=upstreams"));
 	for (int i = 0; i < 2; i++) {
 		char name[16];
--- a/tests/unit/test_scale_plan.c
+++ b/tests/unit/test_scale_plan.c
@@ -136,15 +136,15 @@
 	rig_t *rig = *state;
 	unsigned int before;
 
-	start(rig, "a", 3, false);
-	start(rig, "b", 3, false);
-	start(rig, "c", 3, false);
+	start(rig, "a", 4, false);
+	start(rig, "b", 4, false);
+	start(rig, "c", 4, false);
 	pass(rig, 4 * PD_SEC, 0);
 	before = lasting(rig);
 	assert_true(reclaimable(rig) >= 4);
 	assert_true(before >= 5);
-	start(rig, "a", 3, true);
-	start(rig, "b", 3, true);
+	start(rig, "a", 4, true);
+	start(rig, "b", 4, true);
 	pass(rig, 4 * PD_SEC, 0);
 	assert_true(lasting(rig) < before);
 }
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -207,7 +207,7 @@
 	assert_true(listing.reclaimable);
 	wire_page_destroy(page);
 	page = wire_page_read(watch, strlen(watch), &err);
-		assert_true(wire_page_is_gone(page, 0));
+	assert_true(wire_page_is_gone(page, 0));
 	/* What came back between the two must not count as older than this. */
 	assert_int_equal(wire_page_object_revision(page, 0), 4);
 	assert_int_equal(wire_page_revision(page), 12);
