--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -238,14 +238,9 @@
 	if (!request->sent_at)
 		return request->link && !upstream_link_is_up(request->link) &&
 		       now - request->begun_at > CONNECT_MAX;
-	if (!gateway_request_may_repeat(request) ||
+	if (request->route->kind != FORWARD_SAFE || !request->route->goal ||
 	    request->runs + 1 >= request->route->upstreams_max)
 		return false;
-	/* A stream that was begun goes on elsewhere if its engine is mute. */
-	if (request->route->kind == FORWARD_STREAM)
-		return forward_upstream_is_silent(request->upstream, now);
-	if (!request->route->goal)
-		return false;
 	return now - request->sent_at >
 	       (pd_time_t)((double)request->route->goal * SILENCE_GOALS);
 }
--- a/adapters/gateway/request_end.c
+++ b/adapters/gateway/request_end.c
@@ -34,8 +34,6 @@
 	if (!upstream)
 		return;
 	upstream->running--;
-	if (!upstream->running)
-		upstream->waiting_since = 0;
 	upstream->reading -= request->reading;
 	upstream->memory -= request->memory;
 	request->reading = 0;
--- a/adapters/gateway/upstream_link.c
+++ b/adapters/gateway/upstream_link.c
@@ -52,8 +52,6 @@
 {
 	upstream_link_t *link = ctx;
 
-	forward_upstream_heard(link->upstream, gateway_now());
-
 	if (link->user)
 		link->user->on_head(link->ctx, head);
 }
@@ -62,8 +60,6 @@
 {
 	upstream_link_t *link = ctx;
 
-	forward_upstream_heard(link->upstream, gateway_now());
-
 	if (link->user)
 		link->user->on_body(link->ctx, data, len);
 }
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -23,12 +23,6 @@
 #define FAILURES_BEFORE_AVOID 2
 /* One that can't be reached counts as having failed so often: 600 ms. */
 #define UNREACHABLE_FAILURES 4
-/*
- * An engine that works sends something to somebody every few milliseconds. One
- * that has crashed without a reset, or is cut off, sends nothing; its
- * connections stay, and each request put there waits until its caller leaves.
- */
-#define SILENCE_MAX (900 * PD_MSEC)
 /* How long one that turned a request away counts as full. */
 #define FULL_PAUSE (150 * PD_MSEC)
 /* A test request that was not answered for so long is given up on. */
@@ -308,8 +302,6 @@
 	}
 	if (upstream->failures >= FAILURES_BEFORE_AVOID)
 		upstream->probing_since = now;
-	if (upstream->running <= 1)
-		upstream->waiting_since = now;
 }
 
 /* Notes a failure that speaks against the upstream. */
@@ -348,26 +340,6 @@
 	upstream->full_until = now + FULL_PAUSE;
 }
 
-/* Says whether requests wait and nothing at all has come for long. */
-static bool is_silent(const forward_upstream_t *upstream, pd_time_t now)
-{
-	pd_time_t since = MAX(upstream->waiting_since, upstream->heard_at);
-
-	return upstream->waiting_since && now - since > SILENCE_MAX;
-}
-
-/* Notes that bytes of the upstream came in. */
-void forward_upstream_heard(forward_upstream_t *upstream, pd_time_t now)
-{
-	upstream->heard_at = now;
-}
-
-/* Says whether the upstream has been silent to all for so long by now. */
-bool forward_upstream_is_silent(const forward_upstream_t *upstream, pd_time_t now)
-{
-	return is_silent(upstream, now);
-}
-
 /* Notes a sound answer. */
 void forward_upstream_answered(forward_upstream_t *upstream)
 {
@@ -387,9 +359,6 @@
 
 static bool is_avoided(const forward_upstream_t *upstream, pd_time_t now)
 {
-	if (is_silent(upstream, now))
-		return true;
-
 	if (upstream->failures < FAILURES_BEFORE_AVOID)
 		return false;
 	return now < upstream->avoid_until ||
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -56,8 +56,6 @@
 	unsigned int failures; /* in a row */
 	pd_time_t avoid_until; /* after failures */
 	pd_time_t full_until; /* after it turned a request away */
-	pd_time_t heard_at; /* when bytes of it last came in */
-	pd_time_t waiting_since; /* for any bytes; 0: nothing is due */
 	pd_time_t probing_since; /* the one request that tests it again */
 	GHashTable *parts; /* prompt part id -> pd_time_t of the last use */
 } forward_upstream_t;
@@ -111,8 +109,6 @@
 void forward_upstream_unreachable(forward_upstream_t *upstream, pd_time_t now);
 void forward_upstream_rejected(forward_upstream_t *upstream, pd_time_t now);
 void forward_upstream_answered(forward_upstream_t *upstream);
-void forward_upstream_heard(forward_upstream_t *upstream, pd_time_t now);
-bool forward_upstream_is_silent(const forward_upstream_t *upstream, pd_time_t now);
 forward_upstream_t *forward_upstream_ref(forward_upstream_t *upstream);
 void forward_upstream_unref(forward_upstream_t *upstream);
 
