--- a/Makefile
+++ b/Makefile
@@ -119,6 +119,11 @@
 soak: all $(B)/guarantees/test_soak
 	B=$(B) SEEDS=$(SEEDS) $(B)/guarantees/test_soak
 
+# The same for gateways: make gateway-soak SEEDS=50 FIRST_SEED=1.
+gateway-soak: all $(B)/guarantees/test_gateway_soak
+	B=$(B) SEEDS=$(SEEDS) FIRST_SEED=$(FIRST_SEED) \
+		$(B)/guarantees/test_gateway_soak
+
 # Measures the slopes that docs/CAPACITY.md is worked out from.
 capacity: all $(B)/capacity
 	B=$(B) $(B)/capacity
@@ -157,7 +162,7 @@
 clean:
 	rm -rf build
 
-.PHONY: all gateway tests capacity soak check core-symbols demo lint format format-check tidy \
+.PHONY: all gateway gateway-soak tests capacity soak check core-symbols demo lint format format-check tidy \
 	bench clean
 .SECONDARY:
 -include $(shell find build $(B) -name '*.d' 2>/dev/null)
