--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -38,7 +38,6 @@
 	pd_time_t lost_at;
 	pd_time_t peers_since; /* peers have had the store since; 0: none has */
 	pd_time_t next_at;
-	pd_time_t asked_at;
 } feed_t;
 
 struct fleet_feed {
@@ -111,8 +110,7 @@
 		log_error(PART, id, &err);
 		return;
 	} else {
-		news = forward_upstreams_apply(gateway->upstreams, &listing,
-					       gateway_now());
+		news = forward_upstreams_apply(gateway->upstreams, &listing);
 	}
 	if (news)
 		gateway_upstream_news(gateway, id, "store");
@@ -275,7 +273,7 @@
 				 ? WATCH_WAIT
 				 : WATCH_WAIT_FOR_MANY;
 	char *path = feed->listing
-			     ? wire_list_path(feed->kind, feed->after, false)
+			     ? wire_list_path(feed->kind, feed->after)
 			     : wire_watch_path(feed->kind, feed->revision, wait);
 	http1_ask_t ask = {
 		.method = "GET",
@@ -287,7 +285,6 @@
 	};
 
 	feed->waiting = true;
-	feed->asked_at = gateway_now();
 	http1_client_call(feed->fleet->gateway->store, &ask);
 	g_free(path);
 }
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -81,7 +81,6 @@
 	unsigned int round;
 	bool adopted; /* levels of buckets, from an older peer */
 	char *hub; /* whose summaries are followed; NULL: peers are heard */
-	pd_time_t hub_since;
 	pd_time_t summed_at; /* when its last summary came */
 	GArray *hub_loads; /* of load_t, from that summary */
 	char *holder; /* address of the duties' holder; NULL: unknown */
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -376,8 +376,7 @@
 		news = forward_upstreams_remove(gateway->upstreams, listing.id,
 						listing.revision, gateway_now());
 	else
-		news = forward_upstreams_apply(gateway->upstreams, &listing,
-					       gateway_now());
+		news = forward_upstreams_apply(gateway->upstreams, &listing);
 	/* Passed on, as a peer may reach some that the sender does not. */
 	if (news)
 		gateway_upstream_news(gateway, listing.id, "peer");
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -418,7 +418,6 @@
 		 peers->hub ? peers->hub : "self");
 	g_free(peers->hub);
 	peers->hub = g_strdup(hub);
-	peers->hub_since = now;
 	peers->summed_at = now;
 	if (followed != (hub != NULL)) {
 		/* The same use would be counted by both. */
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -211,15 +211,12 @@
 	if (request->route->has_prompt) {
 		request->reading =
 			forward_upstream_unread(upstream, request->call, now);
-		request->memory = request->call->prompt_tokens +
-				  request->call->output_tokens;
 		work_rate_add(request->gateway->work, request->service,
 			      request->reading + request->call->output_tokens *
 							 OUTPUT_TOKEN_WORK);
 	}
 	upstream->running++;
 	upstream->reading += request->reading;
-	upstream->memory += request->memory;
 	forward_upstream_sent(upstream, request->call, now);
 	request->link = upstream_link_open(request->gateway, upstream,
 					   !gateway_request_may_repeat(request),
--- a/adapters/gateway/request_end.c
+++ b/adapters/gateway/request_end.c
@@ -35,9 +35,7 @@
 		return;
 	upstream->running--;
 	upstream->reading -= request->reading;
-	upstream->memory -= request->memory;
 	request->reading = 0;
-	request->memory = 0;
 }
 
 void gateway_request_attempt_forget(gateway_request_t *request)
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -109,8 +109,7 @@
 	return g_hash_table_lookup(set->by_id, id);
 }
 
-static forward_upstream_t *set_add(forward_upstreams_t *set, const char *id,
-				   pd_time_t now)
+static forward_upstream_t *set_add(forward_upstreams_t *set, const char *id)
 {
 	forward_upstream_t *upstream = g_new0(forward_upstream_t, 1);
 
@@ -119,7 +118,6 @@
 	upstream->service = g_strdup("");
 	upstream->address = g_strdup("");
 	upstream->zone = g_strdup("");
-	upstream->started_at = now;
 	list_init(&upstream->idle_links);
 	upstream->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						g_free, g_free);
@@ -141,12 +139,12 @@
  * is known. Returns whether that was news.
  */
 bool forward_upstreams_apply(forward_upstreams_t *set,
-			     const forward_listing_t *listing, pd_time_t now)
+			     const forward_listing_t *listing)
 {
 	forward_upstream_t *upstream = forward_upstreams_find(set, listing->id);
 
 	if (!upstream)
-		upstream = set_add(set, listing->id, now);
+		upstream = set_add(set, listing->id);
 	upstream->listed = true;
 	if (listing->revision <= upstream->revision)
 		return false;
@@ -156,8 +154,6 @@
 	 * left in use for seconds.
 	 */
 	upstream->gone_at = 0;
-	if (listing->stage != FORWARD_SERVING && upstream->stage == FORWARD_SERVING)
-		upstream->left_at = now;
 	replace(&upstream->service, listing->service);
 	replace(&upstream->address, listing->address);
 	replace(&upstream->zone, listing->zone);
@@ -181,7 +177,7 @@
 	bool lapsed = now < set->grace_until;
 
 	if (!upstream)
-		upstream = set_add(set, id, now);
+		upstream = set_add(set, id);
 	if (revision < upstream->revision || upstream->stage == FORWARD_GONE)
 		return false;
 	if (upstream->gone_at)
@@ -192,7 +188,6 @@
 		return false; /* news only when that time is over */
 	}
 	upstream->stage = FORWARD_GONE;
-	upstream->left_at = now;
 	upstream->revision = revision;
 	return true;
 }
@@ -238,7 +233,6 @@
 			continue;
 		if (upstream->stage != FORWARD_GONE) {
 			upstream->stage = FORWARD_GONE;
-			upstream->left_at = now;
 			on_gone(ctx, upstream->id);
 		}
 		if (now - upstream->gone_at > GONE_KEPT)
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -44,11 +44,8 @@
 	uint64_t revision;
 	bool listed; /* seen in the listing that is being read */
 	pd_time_t gone_at; /* it counts as gone from then on; 0: it does not */
-	pd_time_t left_at; /* when it was last seen to drain or go */
-	pd_time_t started_at; /* when this entry first heard of it */
 	unsigned int running; /* requests of this entry */
 	double reading; /* prompt tokens of this entry's requests not yet read */
-	double memory; /* tokens of this entry's requests */
 	unsigned int peers_running; /* as the other entries told */
 	double peers_reading;
 	unsigned int connections; /* of this entry */
@@ -85,7 +82,7 @@
 forward_upstreams_t *forward_upstreams_create(void);
 void forward_upstreams_destroy(forward_upstreams_t *set);
 bool forward_upstreams_apply(forward_upstreams_t *set,
-			     const forward_listing_t *listing, pd_time_t now);
+			     const forward_listing_t *listing);
 bool forward_upstreams_remove(forward_upstreams_t *set, const char *id,
 			      uint64_t revision, pd_time_t now);
 void forward_upstreams_begin_listing(forward_upstreams_t *set);
--- a/tests/unit/test_forward_upstreams.c
+++ b/tests/unit/test_forward_upstreams.c
@@ -34,7 +34,7 @@
 }
 
 static bool list(forward_upstreams_t *set, const char *id, uint64_t revision,
-		 forward_stage_t stage, pd_time_t now)
+		 forward_stage_t stage)
 {
 	const forward_listing_t listing = { .id = id,
 					    .service = "s",
@@ -45,7 +45,7 @@
 					    .stage = stage,
 					    .revision = revision };
 
-	return forward_upstreams_apply(set, &listing, now);
+	return forward_upstreams_apply(set, &listing);
 }
 
 static forward_upstream_t *choose(forward_upstreams_t *set, pd_time_t now)
@@ -66,17 +66,17 @@
  */
 static void test_a_draining_upstream_gets_nothing_new(void **state)
 {
-	list(*state, "u1", 1, FORWARD_SERVING, START);
+	list(*state, "u1", 1, FORWARD_SERVING);
 	assert_non_null(choose(*state, START));
-	assert_true(list(*state, "u1", 2, FORWARD_DRAINING, START));
+	assert_true(list(*state, "u1", 2, FORWARD_DRAINING));
 	assert_null(choose(*state, START));
 }
 
 /* Peers tell each other late; an old state must not undo a newer one. */
 static void test_old_news_changes_nothing(void **state)
 {
-	list(*state, "u1", 5, FORWARD_DRAINING, START);
-	assert_false(list(*state, "u1", 4, FORWARD_SERVING, START));
+	list(*state, "u1", 5, FORWARD_DRAINING);
+	assert_false(list(*state, "u1", 4, FORWARD_SERVING));
 	assert_false(forward_upstreams_remove(*state, "u1", 4, START));
 	assert_null(choose(*state, START));
 }
@@ -88,11 +88,11 @@
  */
 static void test_entries_that_lapsed_get_time_to_come_back(void **state)
 {
-	list(*state, "u1", 1, FORWARD_SERVING, START);
+	list(*state, "u1", 1, FORWARD_SERVING);
 	forward_upstreams_store_back(*state, START);
 	forward_upstreams_remove(*state, "u1", 2, START);
 	assert_non_null(choose(*state, START + PD_SEC));
-	list(*state, "u1", 3, FORWARD_SERVING, START + 2 * PD_SEC);
+	list(*state, "u1", 3, FORWARD_SERVING);
 	forward_upstreams_run(*state, START + 5 * PD_SEC, on_gone, NULL);
 	assert_non_null(choose(*state, START + 5 * PD_SEC));
 	assert_int_equal(gone_count, 0);
@@ -105,10 +105,10 @@
  */
 static void test_old_news_does_not_undo_a_lapse(void **state)
 {
-	list(*state, "u1", 1, FORWARD_SERVING, START);
+	list(*state, "u1", 1, FORWARD_SERVING);
 	forward_upstreams_store_back(*state, START);
 	forward_upstreams_remove(*state, "u1", 2, START);
-	list(*state, "u1", 1, FORWARD_SERVING, START + PD_SEC);
+	list(*state, "u1", 1, FORWARD_SERVING);
 	forward_upstreams_run(*state, START + 3 * PD_SEC, on_gone, NULL);
 	assert_null(choose(*state, START + 3 * PD_SEC));
 	assert_int_equal(gone_count, 1);
@@ -117,7 +117,7 @@
 /* Without an outage before, an entry that goes means an upstream that left. */
 static void test_an_entry_that_goes_is_gone_at_once(void **state)
 {
-	list(*state, "u1", 1, FORWARD_SERVING, START);
+	list(*state, "u1", 1, FORWARD_SERVING);
 	assert_true(forward_upstreams_remove(*state, "u1", 2, START));
 	assert_null(choose(*state, START));
 }
@@ -125,10 +125,10 @@
 /* A watch may lose its past; what the new list lacks has left meanwhile. */
 static void test_what_a_new_listing_lacks_is_gone(void **state)
 {
-	list(*state, "u1", 1, FORWARD_SERVING, START);
-	list(*state, "u2", 2, FORWARD_SERVING, START);
+	list(*state, "u1", 1, FORWARD_SERVING);
+	list(*state, "u2", 2, FORWARD_SERVING);
 	forward_upstreams_begin_listing(*state);
-	list(*state, "u2", 2, FORWARD_SERVING, START);
+	list(*state, "u2", 2, FORWARD_SERVING);
 	forward_upstreams_end_listing(*state, 9, START);
 	assert_string_equal(choose(*state, START)->id, "u2");
 	assert_false(
@@ -141,8 +141,8 @@
 {
 	forward_upstream_t *bad;
 
-	list(*state, "u1", 1, FORWARD_SERVING, START);
-	list(*state, "u2", 2, FORWARD_SERVING, START);
+	list(*state, "u1", 1, FORWARD_SERVING);
+	list(*state, "u2", 2, FORWARD_SERVING);
 	bad = forward_upstreams_find(*state, "u1");
 	forward_upstream_failed(bad, START);
 	forward_upstream_failed(bad, START);
@@ -159,8 +159,8 @@
  */
 static void test_an_unreachable_upstream_is_left_at_once(void **state)
 {
-	list(*state, "u1", 1, FORWARD_SERVING, START);
-	list(*state, "u2", 2, FORWARD_SERVING, START);
+	list(*state, "u1", 1, FORWARD_SERVING);
+	list(*state, "u2", 2, FORWARD_SERVING);
 	forward_upstream_unreachable(forward_upstreams_find(*state, "u1"), START);
 	forward_upstreams_find(*state, "u2")->running = 3;
 	assert_string_equal(choose(*state, START)->id, "u2");
@@ -169,7 +169,7 @@
 /* What an upstream says itself of its room is newer than what peers told. */
 static void test_an_upstream_that_rejected_is_full(void **state)
 {
-	list(*state, "u1", 1, FORWARD_SERVING, START);
+	list(*state, "u1", 1, FORWARD_SERVING);
 	forward_upstream_rejected(forward_upstreams_find(*state, "u1"), START);
 	assert_null(choose(*state, START));
 	assert_non_null(choose(*state, START + PD_SEC));
@@ -177,7 +177,7 @@
 
 static void test_a_full_upstream_is_passed_over(void **state)
 {
-	list(*state, "u1", 1, FORWARD_SERVING, START);
+	list(*state, "u1", 1, FORWARD_SERVING);
 	forward_upstreams_find(*state, "u1")->running = 1;
 	forward_upstreams_find(*state, "u1")->peers_running = 3;
 	assert_null(choose(*state, START));
@@ -207,9 +207,9 @@
 		char id[8];
 
 		g_snprintf(id, sizeof(id), "u%u", i);
-		list(*state, id, i + 1, FORWARD_SERVING, START);
+		list(*state, id, i + 1, FORWARD_SERVING);
 		g_snprintf(id, sizeof(id), "u%u", 5 - i);
-		list(other, id, i + 1, FORWARD_SERVING, START);
+		list(other, id, i + 1, FORWARD_SERVING);
 	}
 	for (uint64_t subject = 100; subject < 150; subject++) {
 		forward_call_t call = subject_call(subject);
@@ -242,8 +242,8 @@
 	forward_upstream_t *home;
 	forward_upstream_t *next;
 
-	list(*state, "u1", 1, FORWARD_SERVING, START);
-	list(*state, "u2", 2, FORWARD_SERVING, START);
+	list(*state, "u1", 1, FORWARD_SERVING);
+	list(*state, "u2", 2, FORWARD_SERVING);
 	forward_upstreams_choose(*state, &ask, START, &home);
 	home->reading = 20000;
 	forward_upstreams_choose(*state, &ask, START, &next);
--- a/tests/unit/test_scale_plan.c
+++ b/tests/unit/test_scale_plan.c
@@ -78,7 +78,7 @@
 	for (unsigned int i = 0; i < number; i++) {
 		listing.revision = ++rig->revision;
 		snprintf(id, sizeof(id), "u%u", (unsigned int)rig->revision);
-		forward_upstreams_apply(rig->upstreams, &listing, rig->now);
+		forward_upstreams_apply(rig->upstreams, &listing);
 	}
 }
 
