--- a/tests/guarantees/test_gateway_soak.c
+++ b/tests/guarantees/test_gateway_soak.c
@@ -153,8 +153,10 @@
 
 		snprintf(event, sizeof(event), "id: %d\ndata: e%d\n\n", i, i);
 		at = strstr(at, event);
-		if (!at)
+		if (!at) {
 			violation(soak, call, "an event is missing");
+			return;
+		}
 		at += strlen(event);
 		if (strstr(at, event))
 			violation(soak, call, "an event comes twice");
