--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -183,6 +183,7 @@
 	gateway_request_try(request);
 }
 
+/* Lets a request wait for room, behind others of its rank. */
 void gateway_request_queue(gateway_request_t *request)
 {
 	gateway_t *gateway = request->gateway;
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -41,6 +41,10 @@
 		   1);
 }
 
+/*
+ * Asks for the best upstream that was not tried yet; sets UPSTREAM, borrowed, if
+ * one was chosen.
+ */
 forward_choice_t gateway_request_choose(gateway_request_t *request,
 					forward_upstream_t **upstream)
 {
@@ -64,6 +68,7 @@
 					upstream);
 }
 
+/* Sends the request on its attempt's link, which is up. */
 void gateway_request_send(gateway_request_t *request)
 {
 	GString *head = g_string_sized_new(512);
@@ -91,6 +96,7 @@
 	g_string_free(head, TRUE);
 }
 
+/* Says whether a request that may have run may be sent to another upstream. */
 bool gateway_request_may_repeat(const gateway_request_t *request)
 {
 	switch (request->route->kind) {
@@ -192,6 +198,7 @@
 	gateway_request_give_up(request, RETRY_AFTER_FULL, reason);
 }
 
+/* Begins an attempt at an upstream: counts it, and sends or connects first. */
 void gateway_request_attempt(gateway_request_t *request, forward_upstream_t *upstream)
 {
 	pd_time_t now = gateway_now();
--- a/adapters/gateway/request_end.c
+++ b/adapters/gateway/request_end.c
@@ -38,6 +38,7 @@
 	request->reading = 0;
 }
 
+/* Ends the attempt's part in the upstream's counts; its link is not closed. */
 void gateway_request_attempt_forget(gateway_request_t *request)
 {
 	attempt_uncount(request);
@@ -88,6 +89,7 @@
 	request->taken = 0;
 }
 
+/* Counts the request in the usage, once however often it is sent. */
 void gateway_request_count_usage(gateway_request_t *request)
 {
 	gateway_t *gateway = request->gateway;
@@ -154,6 +156,11 @@
 	gateway_request_drop(request, reason);
 }
 
+/*
+ * Ends a request whose caller has a part of an answer that will not go on. The
+ * connection is closed without the answer's end, so that the part does not look
+ * like the whole.
+ */
 void gateway_request_cut(gateway_request_t *request, const char *reason)
 {
 	caller_t *caller = request->caller;
@@ -162,6 +169,7 @@
 	caller_abort(caller);
 }
 
+/* Ends a request with the upstream's answer, or with the end of its stream. */
 void gateway_request_finish(gateway_request_t *request)
 {
 	caller_t *caller = request->caller;
