A plan for each service that is scaled

Found while reading: services shared one plan, so that a second scaled service would have been sized by the load and shortages of the first. The sites have one each; no run shows the fault.

--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -50,7 +50,7 @@
 	int64_t reported; /* the last window that the platform took */
 	bool reporting; /* a report is out */
 	pd_time_t report_at;
-	scale_plan_t *plan;
+	GHashTable *plans; /* service -> scale_plan_t */
 	GHashTable *orders; /* "service zone kind" -> order_t */
 	pd_time_t plan_at;
 };
@@ -76,7 +76,7 @@
 	gateway_duties_t *duties = g_new0(gateway_duties_t, 1);
 
 	duties->gateway = gateway;
-	duties->plan = scale_plan_create();
+	duties->plans = g_hash_table_new(g_str_hash, g_str_equal);
 	duties->orders = g_hash_table_new(g_str_hash, g_str_equal);
 	duties->lease = lease_create(gateway->settings->node_id, &timing,
 				     g_rand_int(gateway->random));
@@ -317,6 +317,18 @@
 	return order;
 }
 
+/* Returns the plan of a service; each has its own load and shortages. */
+static scale_plan_t *duties_plan(gateway_duties_t *duties, const char *service)
+{
+	scale_plan_t *plan = g_hash_table_lookup(duties->plans, service);
+
+	if (!plan) {
+		plan = scale_plan_create();
+		g_hash_table_insert(duties->plans, g_strdup(service), plan);
+	}
+	return plan;
+}
+
 static void order_replied(void *ctx, const http1_reply_t *reply)
 {
 	order_t *order = ctx;
@@ -334,7 +346,8 @@
 		order->confirmed = true;
 		order->taken_at = now;
 	} else if (reply->status == 409) {
-		scale_plan_refused(duties->plan, order->zone, now);
+		scale_plan_refused(duties_plan(duties, order->service),
+				   order->zone, now);
 	}
 }
 
@@ -390,7 +403,8 @@
 	gateway_t *gateway = duties->gateway;
 	scale_zone_t zones[SCALE_ZONES_MAX];
 	unsigned int count =
-		scale_plan_make(duties->plan, service, gateway->upstreams,
+		scale_plan_make(duties_plan(duties, service->name), service,
+				gateway->upstreams,
 				work_rate_of(gateway->work, service->name), now,
 				zones);
 
