--- a/tests/guarantees/test_gateway_soak.c
+++ b/tests/guarantees/test_gateway_soak.c
@@ -149,7 +149,7 @@
 	const char *at = body_of(call);
 
 	for (int i = 1; i <= RIG_EVENTS; i++) {
-		char event[32];
+		char event[64];
 
 		snprintf(event, sizeof(event), "id: %d\ndata: e%d\n\n", i, i);
 		at = strstr(at, event);
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -293,7 +293,7 @@
 	const char *at = caller->got->str;
 
 	for (int i = 1; i <= RIG_EVENTS; i++) {
-		char event[32];
+		char event[64];
 
 		snprintf(event, sizeof(event), "id: %d\ndata: e%d\n\n", i, i);
 		at = strstr(at, event);
