Gateway: one address splitter, one post of the duties, nothing unread

Cause: a second reading of the gateway's code. Ruled out: a change of what it does; no bound, test assertion or log line differs.

- address:port was split in gateway.c and in peers.c; both call gateway_split_address() now.
- The usage report and a scaling order composed the same fenced POST; both call duties_post().
- The number of gateways was counted twice for each choice of an upstream; it is counted once.
- How often a state is full stood as a constant and as a literal 4.
- forward_upstream_serves() took a time it did not read, and so did what called it.
Fields that were only written and two functions nobody called are gone.

--- a/adapters/gateway/caller.c
+++ b/adapters/gateway/caller.c
@@ -18,7 +18,6 @@
 	http1_t *conn;
 	gateway_request_t *request; /* NULL: none in progress */
 	bool keep; /* the connection serves further requests */
-	bool ended; /* the request in progress has its answer */
 	pd_time_t since; /* the last request's end, or the connection's start */
 	bool reading; /* a request's head or body is on its way */
 };
@@ -103,12 +102,6 @@
 	http1_write(caller->conn, data, len);
 }
 
-/* Returns how much of what was sent the caller has yet to take. */
-size_t caller_unsent(const caller_t *caller)
-{
-	return http1_unsent(caller->conn);
-}
-
 /* Says whether the connection stays after the answer in progress. */
 bool caller_keeps(const caller_t *caller)
 {
--- a/adapters/gateway/caller.h
+++ b/adapters/gateway/caller.h
@@ -8,7 +8,6 @@
 
 void caller_accept(gateway_t *gateway, uv_stream_t *listener);
 void caller_write(caller_t *caller, const char *data, size_t len);
-size_t caller_unsent(const caller_t *caller);
 bool caller_keeps(const caller_t *caller);
 void caller_answered(caller_t *caller);
 void caller_abort(caller_t *caller);
--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -222,26 +222,33 @@
 		duties->report_at = gateway_now() + REPORT_RETRY;
 }
 
-static void send_report(gateway_duties_t *duties, const char *report)
+/* Posts under the fence of the lease held; PATH and BODY are borrowed. */
+static void duties_post(const gateway_duties_t *duties, const char *path,
+			const char *body, http1_replied_t on_reply, void *ctx)
 {
 	GString *headers = g_string_new(NULL);
 	http1_ask_t ask = {
 		.method = "POST",
-		.path = wire_usage_path(),
-		.body = report,
+		.path = path,
+		.body = body,
 		.timeout_ms = CLOUD_TIMEOUT_MS,
-		.on_reply = report_replied,
-		.ctx = duties,
+		.on_reply = on_reply,
+		.ctx = ctx,
 	};
 
 	wire_duty_headers(headers, duties->gateway->settings->node_id,
 			  duties->fence);
 	ask.headers = headers->str;
-	duties->reporting = true;
 	http1_client_call(duties->gateway->cloud, &ask);
 	g_string_free(headers, TRUE);
 }
 
+static void send_report(gateway_duties_t *duties, const char *report)
+{
+	duties->reporting = true;
+	duties_post(duties, wire_usage_path(), report, report_replied, duties);
+}
+
 static void add_count(void *ctx, int64_t window, const char *account, uint64_t count)
 {
 	GHashTable *counts = ctx;
@@ -353,26 +360,12 @@
 
 static void order_send(order_t *order)
 {
-	gateway_duties_t *duties = order->duties;
-	GString *headers = g_string_new(NULL);
 	char *body = wire_scale_write(order->service, order->zone,
 				      order->wanted, order->reclaimable);
-	http1_ask_t ask = {
-		.method = "POST",
-		.path = wire_scale_path(),
-		.body = body,
-		.timeout_ms = CLOUD_TIMEOUT_MS,
-		.on_reply = order_replied,
-		.ctx = order,
-	};
 
-	wire_duty_headers(headers, duties->gateway->settings->node_id,
-			  duties->fence);
-	ask.headers = headers->str;
 	order->out = true;
 	order->asked = order->wanted;
-	http1_client_call(duties->gateway->cloud, &ask);
-	g_string_free(headers, TRUE);
+	duties_post(order->duties, wire_scale_path(), body, order_replied, order);
 	g_free(body);
 }
 
--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -178,12 +178,12 @@
 {
 	gateway_t *gateway = feed->fleet->gateway;
 
-	if (!feed->lost)
+	if (!feed->lost) {
 		log_line(G_LOG_LEVEL_WARNING, PART,
 			 "lost=%s status=%d revision=%" G_GUINT64_FORMAT,
 			 feed->name, status, feed->revision);
-	if (!feed->lost)
 		feed->lost_at = gateway_now();
+	}
 	feed->lost = true;
 	feed->next_at = gateway_now() + (pd_time_t)(g_rand_double(gateway->random) *
 						    2 * (double)RETRY_PAUSE);
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -196,16 +196,28 @@
 		health_accept(listener->data, listener);
 }
 
-static int split(const char *address, char **host, int *port, pd_error_t *err)
+/*
+ * Splits address:port; HOST is a copy that the caller frees. False, and nothing
+ * set, if there is no colon.
+ */
+bool gateway_split_address(const char *address, char **host, uint16_t *port)
 {
 	const char *colon = strrchr(address, ':');
 
 	if (!colon)
-		return pd_error_set(err, PD_ERROR_SETTINGS,
-				    "%s: expected address:port", address);
+		return false;
 	*host = g_strndup(address, (gsize)(colon - address));
-	*port = (int)strtol(colon + 1, NULL, 10);
-	return 0;
+	*port = (uint16_t)strtoul(colon + 1, NULL, 10);
+	return true;
+}
+
+static int split_setting(const char *address, char **host, uint16_t *port,
+			 pd_error_t *err)
+{
+	if (gateway_split_address(address, host, port))
+		return 0;
+	return pd_error_set(err, PD_ERROR_SETTINGS, "%s: expected address:port",
+			    address);
 }
 
 static int listen_on(gateway_t *gateway, uv_tcp_t *listener, const char *what,
@@ -215,10 +227,10 @@
 	struct sockaddr_in addr;
 	int len = sizeof(addr);
 	char *host = NULL;
-	int port = 0;
+	uint16_t port = 0;
 	int rc;
 
-	if (split(address, &host, &port, err) < 0)
+	if (split_setting(address, &host, &port, err) < 0)
 		return -1;
 	uv_tcp_init(gateway->loop, listener);
 	listener->data = gateway;
@@ -243,11 +255,11 @@
 {
 	http1_client_t *client;
 	char *host = NULL;
-	int port = 0;
+	uint16_t port = 0;
 
-	if (split(address, &host, &port, err) < 0)
+	if (split_setting(address, &host, &port, err) < 0)
 		return NULL;
-	client = http1_client_create(gateway->loop, host, (uint16_t)port);
+	client = http1_client_create(gateway->loop, host, port);
 	g_free(host);
 	return client;
 }
@@ -322,9 +334,8 @@
 	unsigned int count = 0;
 
 	LIST_FOR_EACH (it, forward_upstreams_list(gateway->upstreams))
-		count += forward_upstream_serves(LIST_ENTRY(it, forward_upstream_t,
-							    node),
-						 gateway_now());
+		count += forward_upstream_serves(
+			LIST_ENTRY(it, forward_upstream_t, node));
 	return count;
 }
 
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -57,5 +57,6 @@
 int64_t gateway_window(const gateway_t *gateway);
 unsigned int gateway_count(const gateway_t *gateway);
 bool gateway_admits_long(const gateway_t *gateway);
+bool gateway_split_address(const char *address, char **host, uint16_t *port);
 
 #endif
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -41,6 +41,9 @@
 #define STATE_FLAG_STRONG 2u
 #define STATE_FLAG_ASKS 4u /* for a summary in return */
 
+/* Every so many states carry members and usage, which need not be as fresh. */
+#define PEERS_FULL_EVERY 4
+
 #define FETCH_CONFIG 1u
 #define FETCH_UPSTREAMS 2u
 
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -291,7 +291,8 @@
 		take_loads(peers, peer->loads, &fields[STATE_LOADS]);
 	}
 	if (flags & STATE_FLAG_ASKS)
-		peers_send_summary(peers, peer, peers->round % 4 == 0 || first);
+		peers_send_summary(peers, peer,
+				   peers->round % PEERS_FULL_EVERY == 0 || first);
 	else if (first)
 		peers_send_state(peers, peer, false, true);
 	fetch_newer(peers, peer, unpack_number(&fields[STATE_CONFIG]),
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -20,8 +20,6 @@
 /* Counts that others act on; what is older is guessed on the last rate. */
 #define MESH_PERIOD (250 * PD_MSEC)
 #define HUB_PERIOD (400 * PD_MSEC)
-/* Every so many states carry members and usage, which need not be as fresh. */
-#define FULL_EVERY 4
 /* A peer not heard for so long runs nothing any more, as far as loads go. */
 #define LOAD_KEPT (2 * PD_SEC)
 /* A peer heard within this is alive; messages can be late by a lost packet. */
@@ -67,17 +65,6 @@
 	return loads;
 }
 
-static bool split_address(const char *address, char **host, uint16_t *port)
-{
-	const char *colon = strrchr(address, ':');
-
-	if (!colon)
-		return false;
-	*host = g_strndup(address, (gsize)(colon - address));
-	*port = (uint16_t)strtoul(colon + 1, NULL, 10);
-	return true;
-}
-
 /* Returns the peer at an address, or NULL. */
 peer_t *peers_find(gateway_peers_t *peers, const char *address)
 {
@@ -98,7 +85,7 @@
 	if (peer || !strcmp(address, peers->address))
 		return peer;
 	peer = g_new0(peer_t, 1);
-	if (!split_address(address, &peer->host, &peer->port)) {
+	if (!gateway_split_address(address, &peer->host, &peer->port)) {
 		g_free(peer);
 		return NULL;
 	}
@@ -185,7 +172,7 @@
 	peers->hub_loads = loads_create();
 	peers->news = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	list_init(&peers->list);
-	if (!split_address(settings->peers_listen, &host, &config.port)) {
+	if (!gateway_split_address(settings->peers_listen, &host, &config.port)) {
 		pd_error_set(err, PD_ERROR_SETTINGS, "peers.listen: %s",
 			     settings->peers_listen);
 		goto error;
@@ -498,7 +485,7 @@
 	mesh = is_mesh(peers, now);
 	peers->next_at = now + (mesh ? MESH_PERIOD : HUB_PERIOD);
 	forget_lost(peers, now);
-	full = peers->round++ % FULL_EVERY == 0;
+	full = peers->round++ % PEERS_FULL_EVERY == 0;
 	if (mesh)
 		tell_mesh(peers, full);
 	else
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -28,11 +28,11 @@
 /* The connection limit is for all entries; uneven ones need some room. */
 #define CONNECTION_SHARE 1.3
 
-static unsigned int connection_cap(const gateway_request_t *request)
+static unsigned int connection_cap(const gateway_request_t *request,
+				   unsigned int entries)
 {
 	const forward_service_t *service =
 		forward_config_service(request->config, request->service);
-	unsigned int entries = gateway_count(request->gateway);
 
 	if (!service || !service->connections_max)
 		return 0;
@@ -49,6 +49,7 @@
 					forward_upstream_t **upstream)
 {
 	const gateway_t *gateway = request->gateway;
+	unsigned int entries = gateway_count(gateway);
 	forward_ask_t ask = {
 		.service = request->service,
 		.zone = gateway->settings->node_zone,
@@ -56,8 +57,8 @@
 		.has_prompt = request->route->has_prompt,
 		.overfill = request->route->has_prompt ? ENGINE_OVERFILL
 						       : PLAIN_OVERFILL,
-		.connections_max = connection_cap(request),
-		.sample = gateway_count(gateway) > SAMPLE_FLEET ? SAMPLE : 0,
+		.connections_max = connection_cap(request, entries),
+		.sample = entries > SAMPLE_FLEET ? SAMPLE : 0,
 		.random = gateway->random,
 		.tried_count = request->tried_count,
 	};
--- a/adapters/gateway/upstream_link.c
+++ b/adapters/gateway/upstream_link.c
@@ -19,7 +19,6 @@
 	const upstream_link_user_t *user; /* NULL: idle */
 	void *ctx;
 	bool up;
-	bool kept;
 	pd_time_t idle_since;
 	pd_time_t idle_until;
 };
@@ -97,7 +96,6 @@
 	    (young && now - link->idle_since >= YOUNG_MAX))
 		return NULL;
 	list_remove(&link->node);
-	link->kept = true;
 	return link;
 }
 
@@ -144,12 +142,6 @@
 	return link->up;
 }
 
-/* Says whether the link served another request before. */
-bool upstream_link_was_kept(const upstream_link_t *link)
-{
-	return link->kept;
-}
-
 /* Sends a request, whose answer is then awaited. */
 void upstream_link_send(upstream_link_t *link, const GString *head,
 			const GByteArray *body, bool to_head)
@@ -183,8 +175,7 @@
 	pd_time_t now = gateway_now();
 	pd_time_t idle = IDLE_UNSTATED;
 
-	if (http1_unsent(link->conn) ||
-	    !forward_upstream_serves(link->upstream, now)) {
+	if (http1_unsent(link->conn) || !forward_upstream_serves(link->upstream)) {
 		upstream_link_close(link);
 		return;
 	}
@@ -203,7 +194,7 @@
 	LIST_FOR_EACH (it, forward_upstreams_list(gateway->upstreams)) {
 		forward_upstream_t *upstream =
 			LIST_ENTRY(it, forward_upstream_t, node);
-		bool leaving = !forward_upstream_serves(upstream, now);
+		bool leaving = !forward_upstream_serves(upstream);
 
 		LIST_FOR_EACH_SAFE (idle, &upstream->idle_links) {
 			upstream_link_t *link =
--- a/adapters/gateway/upstream_link.h
+++ b/adapters/gateway/upstream_link.h
@@ -19,7 +19,6 @@
 				    forward_upstream_t *upstream, bool young,
 				    const upstream_link_user_t *user, void *ctx);
 bool upstream_link_is_up(const upstream_link_t *link);
-bool upstream_link_was_kept(const upstream_link_t *link);
 void upstream_link_send(upstream_link_t *link, const GString *head,
 			const GByteArray *body, bool to_head);
 void upstream_link_await(upstream_link_t *link);
--- a/adapters/http1/http1.c
+++ b/adapters/http1/http1.c
@@ -43,7 +43,6 @@
 	http_parser parser;
 	GString *text; /* the head's strings, each with its end mark */
 	GArray *spans; /* of span_t */
-	size_t target; /* offset of a request's target */
 	bool in_value;
 	bool in_message; /* a message has begun and not ended */
 	bool expecting; /* a client side: an answer is due */
@@ -51,7 +50,6 @@
 	bool held; /* the next message is kept back */
 	bool bad; /* the head broke a rule of ours */
 	bool too_large;
-	bool connected;
 	bool reading;
 	bool closing;
 	bool ended; /* on_end was called, or is not wanted */
@@ -208,7 +206,6 @@
 {
 	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) < 0)
 		return -1;
-	conn->connected = true;
 	conn_tune(conn);
 	conn_start_reading(conn);
 	return 0;
@@ -224,7 +221,6 @@
 		conn_end(conn, HTTP1_END_REFUSED);
 		return;
 	}
-	conn->connected = true;
 	conn_tune(conn);
 	conn_start_reading(conn);
 	conn->events.on_connected(conn->ctx);
@@ -306,7 +302,6 @@
 
 	conn->in_message = true;
 	conn->in_value = false;
-	conn->target = 0;
 	conn->head_bytes = 0;
 	g_string_truncate(conn->text, 0);
 	g_array_set_size(conn->spans, 0);
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -241,9 +241,8 @@
 }
 
 /* Says whether an upstream may get something new. */
-bool forward_upstream_serves(const forward_upstream_t *upstream, pd_time_t now)
+bool forward_upstream_serves(const forward_upstream_t *upstream)
 {
-	(void)now;
 	return upstream->stage == FORWARD_SERVING && upstream->revision;
 }
 
@@ -375,8 +374,7 @@
  * what the subject's requests share.
  */
 static const forward_upstream_t *subject_home(const forward_upstreams_t *set,
-					      const forward_ask_t *ask,
-					      pd_time_t now)
+					      const forward_ask_t *ask)
 {
 	const forward_upstream_t *home = NULL;
 	uint64_t subject = subject_of(ask->call);
@@ -389,7 +387,7 @@
 			LIST_ENTRY(it, forward_upstream_t, node);
 		uint64_t rank;
 
-		if (!forward_upstream_serves(upstream, now) ||
+		if (!forward_upstream_serves(upstream) ||
 		    strcmp(upstream->service, ask->service))
 			continue;
 		rank = hash_number(subject ^
@@ -456,9 +454,9 @@
 }
 
 static bool is_candidate(const forward_upstream_t *upstream,
-			 const forward_ask_t *ask, pd_time_t now)
+			 const forward_ask_t *ask)
 {
-	return forward_upstream_serves(upstream, now) &&
+	return forward_upstream_serves(upstream) &&
 	       !strcmp(upstream->service, ask->service) &&
 	       !is_tried(ask, upstream->id);
 }
@@ -470,7 +468,7 @@
 
 	LIST_FOR_EACH (it, &set->list)
 		count += is_candidate(LIST_ENTRY(it, forward_upstream_t, node),
-				      ask, now) &&
+				      ask) &&
 			 !is_full(LIST_ENTRY(it, forward_upstream_t, node), ask,
 				  now);
 	return count;
@@ -503,7 +501,7 @@
 					  const forward_ask_t *ask, pd_time_t now,
 					  forward_upstream_t **chosen)
 {
-	const forward_upstream_t *home = subject_home(set, ask, now);
+	const forward_upstream_t *home = subject_home(set, ask);
 	unsigned int left = ask->sample ? count_candidates(set, ask, now) : 0;
 	unsigned int wanted = ask->sample;
 	best_t best = { NULL, true, 0 };
@@ -514,7 +512,7 @@
 			LIST_ENTRY(it, forward_upstream_t, node);
 		bool sampled = true;
 
-		if (!is_candidate(upstream, ask, now))
+		if (!is_candidate(upstream, ask))
 			continue;
 		any = true;
 		if (is_full(upstream, ask, now))
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -97,7 +97,7 @@
 forward_choice_t forward_upstreams_choose(forward_upstreams_t *set,
 					  const forward_ask_t *ask, pd_time_t now,
 					  forward_upstream_t **chosen);
-bool forward_upstream_serves(const forward_upstream_t *upstream, pd_time_t now);
+bool forward_upstream_serves(const forward_upstream_t *upstream);
 double forward_upstream_unread(const forward_upstream_t *upstream,
 			       const forward_call_t *call, pd_time_t now);
 void forward_upstream_sent(forward_upstream_t *upstream,
--- a/tests/unit/test_forward_upstreams.c
+++ b/tests/unit/test_forward_upstreams.c
@@ -132,8 +132,7 @@
 	forward_upstreams_end_listing(*state, 9, START);
 	assert_string_equal(choose(*state, START)->id, "u2");
 	assert_false(
-		forward_upstream_serves(forward_upstreams_find(*state, "u1"),
-					START));
+		forward_upstream_serves(forward_upstreams_find(*state, "u1")));
 }
 
 /* An upstream that fails twice in a row is left alone while others serve. */
