Split the table of upstreams; choose among those that serve, without a scan

The choice, and what is known of one upstream, got files of their own. The table keeps the serving upstreams of a service in an array and its digests up to date, so a choice by sample no longer walks the table three times, a message no longer hashes all of it, and a tick no longer visits every upstream.

--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -3,7 +3,6 @@
 
 #include "adapters/gateway/fleet_feed.h"
 #include "adapters/gateway/peer_state.h"
-#include "core/hash.h"
 
 /* Windows of usage that are told again, in case a message was lost. */
 #define WINDOWS_TOLD 3
@@ -34,26 +33,15 @@
 	return config ? config->version : 0;
 }
 
-/*
- * Returns a digest of what is known of the upstreams, 0 before a listing. Two
- * gateways that know the same have the same digest. The newest revision would
- * not do: whoever missed one piece of news and got the next has that as well.
- * Gone upstreams are left out, as they are forgotten at different times.
- */
+/* Returns a digest of what is known of the upstreams, 0 before a listing. */
 uint64_t peers_digest(const gateway_peers_t *peers)
 {
 	uint64_t digest = 1;
 
 	if (!peers->gateway->upstreams_known)
 		return 0;
-	LIST_FOR_EACH (it, forward_upstreams_list(peers->gateway->upstreams)) {
-		const forward_upstream_t *upstream =
-			LIST_ENTRY(it, forward_upstream_t, node);
-
-		if (upstream->stage != FORWARD_GONE)
-			digest += hash_number(hash_string(upstream->id) ^
-					      hash_number(upstream->revision));
-	}
+	for (unsigned int i = 0; i < FORWARD_BUCKETS; i++)
+		digest += forward_upstreams_digest(peers->gateway->upstreams, i);
 	return digest;
 }
 
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -4,6 +4,7 @@
 
 #include "adapters/gateway/request.h"
 #include "adapters/gateway/upstream_link.h"
+#include "core/forward/choice.h"
 #include "core/forward/event_stream.h"
 
 typedef enum request_state {
--- /dev/null
+++ b/core/forward/choice.c
@@ -0,0 +1,224 @@
+/* Which upstream gets a request; upstreams-notes.md weighs the ways. */
+#include "core/forward/choice.h"
+
+#include <string.h>
+
+#include "core/hash.h"
+
+/*
+ * What one running request costs the others at an engine, in prompt tokens: a
+ * batch step grows by 0.05 ms a request, over some 50 steps until a new prompt
+ * is through, at about 150 tokens read in a millisecond.
+ */
+#define RUNNING_TOKENS 350.0
+/* An upstream elsewhere costs bytes between zones and 0.5 ms each way. */
+#define OTHER_ZONE_SLOTS 0.15
+#define OTHER_ZONE_TOKENS 60.0
+
+static bool is_tried(const forward_ask_t *ask, const char *id)
+{
+	for (unsigned int i = 0; i < ask->tried_count; i++) {
+		if (!strcmp(ask->tried[i], id))
+			return true;
+	}
+	return false;
+}
+
+/* Returns the part that requests about the same subject share; 0: none. */
+static uint64_t subject_of(const forward_call_t *call)
+{
+	/* The last part is the request's own. */
+	if (call->part_count < 2)
+		return 0;
+	return call->parts[call->part_count - 2].id;
+}
+
+/*
+ * All entries give a subject the same first upstream without talking about it:
+ * the one for which the hash of both is highest. Only that one needs to read
+ * what the subject's requests share.
+ */
+static forward_upstream_t *subject_home(const GPtrArray *serving,
+					const forward_ask_t *ask)
+{
+	forward_upstream_t *home = NULL;
+	uint64_t subject = subject_of(ask->call);
+	uint64_t best = 0;
+
+	if (!ask->has_prompt || !subject)
+		return NULL;
+	for (guint i = 0; i < serving->len; i++) {
+		forward_upstream_t *upstream = g_ptr_array_index(serving, i);
+		uint64_t rank = hash_number(subject ^ upstream->mark);
+
+		if (!home || rank > best) {
+			home = upstream;
+			best = rank;
+		}
+	}
+	return home;
+}
+
+static double shared_tokens(const forward_call_t *call)
+{
+	double sum = 0;
+
+	for (unsigned int i = 0; i + 1 < call->part_count; i++)
+		sum += call->parts[i].tokens;
+	return sum;
+}
+
+/*
+ * What sending a call to an engine would cost it and its others, in prompt
+ * tokens: what it has to read before, what it would have to read for this one,
+ * and the slowing by what runs.
+ */
+static double engine_cost(const forward_upstream_t *upstream,
+			  const forward_ask_t *ask, bool home, pd_time_t now)
+{
+	double unread = forward_upstream_unread(upstream, ask->call, now);
+	double shared = shared_tokens(ask->call);
+	double running = upstream->running + upstream->peers_running;
+
+	if (home)
+		unread = MIN(unread, MAX(ask->call->prompt_tokens - shared, 0));
+	return upstream->reading + upstream->peers_reading + unread +
+	       running * RUNNING_TOKENS;
+}
+
+static double upstream_cost(const forward_upstream_t *upstream,
+			    const forward_ask_t *ask,
+			    const forward_upstream_t *home, pd_time_t now)
+{
+	bool elsewhere = strcmp(upstream->zone, ask->zone) != 0;
+	double running = upstream->running + upstream->peers_running;
+
+	if (ask->has_prompt)
+		return engine_cost(upstream, ask, upstream == home, now) +
+		       (elsewhere ? OTHER_ZONE_TOKENS : 0);
+	return running / MAX(upstream->slots, 1) +
+	       (elsewhere ? OTHER_ZONE_SLOTS : 0);
+}
+
+static bool is_full(const forward_upstream_t *upstream,
+		    const forward_ask_t *ask, pd_time_t now)
+{
+	double running = upstream->running + upstream->peers_running;
+
+	if (now < upstream->full_until)
+		return true;
+	if (ask->connections_max && upstream->running >= ask->connections_max)
+		return true;
+	return running >= upstream->slots * ask->overfill;
+}
+
+/* The best so far of a choice. */
+typedef struct best {
+	forward_upstream_t *upstream;
+	bool avoided;
+	double cost;
+} best_t;
+
+static void best_offer(best_t *best, forward_upstream_t *upstream, bool avoided,
+		       double cost)
+{
+	if (best->upstream && (avoided > best->avoided ||
+			       (avoided == best->avoided && cost >= best->cost)))
+		return;
+	best->upstream = upstream;
+	best->avoided = avoided;
+	best->cost = cost;
+}
+
+/* A choice in progress; the upstreams are borrowed. */
+typedef struct search {
+	const forward_ask_t *ask;
+	const GPtrArray *serving;
+	forward_upstream_t *home;
+	pd_time_t now;
+	best_t best;
+	bool any; /* one was not tried yet, full or not */
+} search_t;
+
+/* Offers an upstream. Says whether it could be chosen. */
+static bool search_offer(search_t *search, forward_upstream_t *upstream)
+{
+	const forward_ask_t *ask = search->ask;
+	pd_time_t now = search->now;
+
+	if (is_tried(ask, upstream->id))
+		return false;
+	search->any = true;
+	if (is_full(upstream, ask, now))
+		return false;
+	best_offer(&search->best, upstream,
+		   forward_upstream_is_avoided(upstream, now),
+		   upstream_cost(upstream, ask, search->home, now));
+	return true;
+}
+
+/*
+ * Offers the first upstream from a random place on that can be chosen. False if
+ * none can.
+ */
+static bool offer_at_random(search_t *search)
+{
+	const GPtrArray *serving = search->serving;
+	guint from = (guint)g_rand_int_range(search->ask->random, 0,
+					     (gint32)serving->len);
+
+	for (guint i = 0; i < serving->len; i++) {
+		guint at = (from + i) % serving->len;
+
+		if (search_offer(search, g_ptr_array_index(serving, at)))
+			return true;
+	}
+	return false;
+}
+
+static void offer_some(search_t *search)
+{
+	for (unsigned int i = 0; i < search->ask->sample; i++) {
+		if (!offer_at_random(search))
+			return;
+	}
+	if (search->home)
+		search_offer(search, search->home);
+}
+
+static void offer_all(search_t *search)
+{
+	for (guint i = 0; i < search->serving->len; i++)
+		search_offer(search, g_ptr_array_index(search->serving, i));
+}
+
+/*
+ * Picks the upstream with the least cost. Those that failed lately are taken
+ * only if there is no other. Many entries that hear of each other late would
+ * all pick the same one; compared with a few at random, they spread, and a
+ * choice costs the same before ten upstreams and before a thousand.
+ */
+forward_choice_t forward_upstreams_choose(forward_upstreams_t *set,
+					  const forward_ask_t *ask, pd_time_t now,
+					  forward_upstream_t **chosen)
+{
+	search_t search = {
+		.ask = ask,
+		.serving = forward_upstreams_serving(set, ask->service),
+		.now = now,
+		.best = { NULL, true, 0 },
+	};
+
+	*chosen = NULL;
+	if (!search.serving || !search.serving->len)
+		return FORWARD_NONE_LEFT;
+	search.home = subject_home(search.serving, ask);
+	if (ask->sample)
+		offer_some(&search);
+	else
+		offer_all(&search);
+	*chosen = search.best.upstream;
+	if (*chosen)
+		return FORWARD_CHOSEN;
+	return search.any ? FORWARD_ALL_FULL : FORWARD_NONE_LEFT;
+}
--- /dev/null
+++ b/core/forward/choice.h
@@ -0,0 +1,33 @@
+/* The choice of an upstream for a request. */
+#ifndef PISTACHIO_FORWARD_CHOICE_H
+#define PISTACHIO_FORWARD_CHOICE_H
+
+#include "core/forward/upstreams.h"
+
+#define FORWARD_TRIED_MAX 8
+
+/* What a request asks of an upstream. */
+typedef struct forward_ask {
+	const char *service;
+	const char *zone; /* of this entry */
+	const forward_call_t *call;
+	bool has_prompt;
+	double overfill; /* of the slots, that may be used; 1: all */
+	unsigned int connections_max; /* of this entry at one upstream; 0: any */
+	unsigned int sample; /* upstreams to compare, at random; 0: all */
+	GRand *random;
+	const char *tried[FORWARD_TRIED_MAX]; /* ids to leave out */
+	unsigned int tried_count;
+} forward_ask_t;
+
+typedef enum forward_choice {
+	FORWARD_CHOSEN,
+	FORWARD_ALL_FULL,
+	FORWARD_NONE_LEFT /* none serves, or all were tried */
+} forward_choice_t;
+
+forward_choice_t forward_upstreams_choose(forward_upstreams_t *set,
+					  const forward_ask_t *ask, pd_time_t now,
+					  forward_upstream_t **chosen);
+
+#endif
--- /dev/null
+++ b/core/forward/upstream_record.c
@@ -0,0 +1,128 @@
+/* What this entry knows of one upstream: its failures, and prompts that it holds. */
+#include "core/forward/upstreams.h"
+
+/*
+ * An upstream that failed is left alone, twice as long each time, and then
+ * tried with one request. The first pause is about one aim of a plain call; the
+ * last is short enough that one which recovers is used again within seconds.
+ */
+#define AVOID_FIRST (150 * PD_MSEC)
+#define AVOID_MAX (3 * PD_SEC)
+#define FAILURES_BEFORE_AVOID 2
+/* One that can't be reached counts as having failed so often: 600 ms. */
+#define UNREACHABLE_FAILURES 4
+/* How long one that turned a request away counts as full. */
+#define FULL_PAUSE (150 * PD_MSEC)
+/* A test request that was not answered for so long is given up on. */
+#define PROBE_MAX (2 * PD_SEC)
+/*
+ * Parts of prompts stay at an engine until memory runs out; belief in them ends
+ * after this long without use, or a lost cache would draw requests for ever.
+ */
+#define PART_BELIEF (30 * PD_SEC)
+#define PARTS_MAX 4096
+
+static bool believes(const forward_upstream_t *upstream, uint64_t id, pd_time_t now)
+{
+	const pd_time_t *used = g_hash_table_lookup(upstream->parts, &id);
+
+	return used && now - *used < PART_BELIEF;
+}
+
+/* Returns how many tokens of the call's prompt the upstream has still to read. */
+double forward_upstream_unread(const forward_upstream_t *upstream,
+			       const forward_call_t *call, pd_time_t now)
+{
+	double known = 0;
+
+	for (unsigned int i = 0; i < call->part_count; i++) {
+		/* A part counts only if all before it are there too. */
+		if (!believes(upstream, call->parts[i].id, now))
+			break;
+		known += call->parts[i].tokens;
+	}
+	return MAX(call->prompt_tokens - known, 0);
+}
+
+static gboolean part_is_stale(gpointer key, gpointer value, gpointer data)
+{
+	(void)key;
+	return *(pd_time_t *)data - *(pd_time_t *)value >= PART_BELIEF;
+}
+
+/* Notes that an upstream gets a call, whose prompt it then holds. */
+void forward_upstream_sent(forward_upstream_t *upstream,
+			   const forward_call_t *call, pd_time_t now)
+{
+	if (g_hash_table_size(upstream->parts) > PARTS_MAX)
+		g_hash_table_foreach_remove(upstream->parts, part_is_stale, &now);
+	for (unsigned int i = 0; i < call->part_count; i++) {
+		pd_time_t *used =
+			g_hash_table_lookup(upstream->parts, &call->parts[i].id);
+
+		if (!used) {
+			uint64_t *id = g_new(uint64_t, 1);
+
+			*id = call->parts[i].id;
+			used = g_new(pd_time_t, 1);
+			g_hash_table_insert(upstream->parts, id, used);
+		}
+		*used = now;
+	}
+	if (upstream->failures >= FAILURES_BEFORE_AVOID)
+		upstream->probing_since = now;
+}
+
+/* Notes a failure that speaks against the upstream. */
+void forward_upstream_failed(forward_upstream_t *upstream, pd_time_t now)
+{
+	pd_time_t pause = AVOID_FIRST;
+
+	upstream->failures++;
+	upstream->probing_since = 0;
+	if (upstream->failures < FAILURES_BEFORE_AVOID)
+		return;
+	for (unsigned int i = FAILURES_BEFORE_AVOID;
+	     i < upstream->failures && pause < AVOID_MAX; i++)
+		pause *= 2;
+	upstream->avoid_until = now + MIN(pause, AVOID_MAX);
+}
+
+/*
+ * Notes that no connection could be had. One that has crashed runs nothing, so
+ * by its load it looks the best of all and draws request after request; it is
+ * left alone from the first time on. In a wave of crashes some hundred requests
+ * went from one to the next of them until they were given up.
+ */
+void forward_upstream_unreachable(forward_upstream_t *upstream, pd_time_t now)
+{
+	upstream->failures = MAX(upstream->failures, UNREACHABLE_FAILURES - 1);
+	forward_upstream_failed(upstream, now);
+}
+
+/*
+ * Notes that the upstream had no room. The loads of many entries are known late;
+ * its own word is newer.
+ */
+void forward_upstream_rejected(forward_upstream_t *upstream, pd_time_t now)
+{
+	upstream->full_until = now + FULL_PAUSE;
+}
+
+/* Notes a sound answer. */
+void forward_upstream_answered(forward_upstream_t *upstream)
+{
+	upstream->failures = 0;
+	upstream->avoid_until = 0;
+	upstream->probing_since = 0;
+}
+
+/* Says whether it failed lately, or is being tested by one request. */
+bool forward_upstream_is_avoided(const forward_upstream_t *upstream, pd_time_t now)
+{
+	if (upstream->failures < FAILURES_BEFORE_AVOID)
+		return false;
+	return now < upstream->avoid_until ||
+	       (upstream->probing_since &&
+		now - upstream->probing_since < PROBE_MAX);
+}
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -13,40 +13,14 @@
 #define RELIST_GRACE (2300 * PD_MSEC)
 /* How long a record of a gone upstream guards against older news of it. */
 #define GONE_KEPT (60 * PD_SEC)
-/*
- * An upstream that failed is left alone, twice as long each time, and then
- * tried with one request. The first pause is about one aim of a plain call; the
- * last is short enough that one which recovers is used again within seconds.
- */
-#define AVOID_FIRST (150 * PD_MSEC)
-#define AVOID_MAX (3 * PD_SEC)
-#define FAILURES_BEFORE_AVOID 2
-/* One that can't be reached counts as having failed so often: 600 ms. */
-#define UNREACHABLE_FAILURES 4
-/* How long one that turned a request away counts as full. */
-#define FULL_PAUSE (150 * PD_MSEC)
-/* A test request that was not answered for so long is given up on. */
-#define PROBE_MAX (2 * PD_SEC)
-/*
- * What one running request costs the others at an engine, in prompt tokens: a
- * batch step grows by 0.05 ms a request, over some 50 steps until a new prompt
- * is through, at about 150 tokens read in a millisecond.
- */
-#define RUNNING_TOKENS 350.0
-/*
- * Parts of prompts stay at an engine until memory runs out; belief in them ends
- * after this long without use, or a lost cache would draw requests for ever.
- */
-#define PART_BELIEF (30 * PD_SEC)
-#define PARTS_MAX 4096
-/* An upstream elsewhere costs bytes between zones and 0.5 ms each way. */
-#define OTHER_ZONE_SLOTS 0.15
-#define OTHER_ZONE_TOKENS 60.0
 
 struct forward_upstreams {
 	list_node_t list; /* of forward_upstream_t */
 	GHashTable *by_id; /* borrows the ids */
+	GHashTable *groups; /* service -> GPtrArray of those that serve it */
+	uint64_t digests[FORWARD_BUCKETS];
 	pd_time_t grace_until;
+	pd_time_t run_at; /* when time next changes something; 0: never */
 };
 
 /* Returns an empty table; the caller owns it. */
@@ -56,6 +30,8 @@
 
 	list_init(&set->list);
 	set->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	set->groups = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    (GDestroyNotify)g_ptr_array_unref);
 	return set;
 }
 
@@ -79,8 +55,61 @@
 	g_free(upstream);
 }
 
+static void group_leave(forward_upstream_t *upstream)
+{
+	GPtrArray *group = upstream->group;
+	forward_upstream_t *last;
+
+	if (!group)
+		return;
+	last = g_ptr_array_index(group, group->len - 1);
+	last->group_at = upstream->group_at;
+	g_ptr_array_remove_index_fast(group, upstream->group_at);
+	upstream->group = NULL;
+}
+
+static void group_join(forward_upstreams_t *set, forward_upstream_t *upstream)
+{
+	GPtrArray *group = g_hash_table_lookup(set->groups, upstream->service);
+
+	if (!group) {
+		group = g_ptr_array_new();
+		g_hash_table_insert(set->groups, g_strdup(upstream->service),
+				    group);
+	}
+	upstream->group = group;
+	upstream->group_at = group->len;
+	g_ptr_array_add(group, upstream);
+}
+
+/* Returns the part of the table, for digests, that an upstream belongs to. */
+unsigned int forward_upstream_bucket(const forward_upstream_t *upstream)
+{
+	return (unsigned int)(upstream->mark % FORWARD_BUCKETS);
+}
+
+/*
+ * Brings the groups and digests in line with an upstream that changed. Gone ones
+ * are left out of the digests, as they are forgotten at different times.
+ */
+static void set_changed(forward_upstreams_t *set, forward_upstream_t *upstream)
+{
+	uint64_t digest = upstream->stage == FORWARD_GONE
+				  ? 0
+				  : hash_number(upstream->mark ^
+						hash_number(upstream->revision));
+
+	set->digests[forward_upstream_bucket(upstream)] += digest - upstream->digest;
+	upstream->digest = digest;
+	group_leave(upstream);
+	if (forward_upstream_serves(upstream))
+		group_join(set, upstream);
+}
+
 static void set_drop(forward_upstreams_t *set, forward_upstream_t *upstream)
 {
+	upstream->stage = FORWARD_GONE;
+	set_changed(set, upstream);
 	g_hash_table_remove(set->by_id, upstream->id);
 	list_remove(&upstream->node);
 	forward_upstream_unref(upstream);
@@ -94,6 +123,7 @@
 	LIST_FOR_EACH_SAFE (it, &set->list)
 		set_drop(set, LIST_ENTRY(it, forward_upstream_t, node));
 	g_hash_table_unref(set->by_id);
+	g_hash_table_unref(set->groups);
 	g_free(set);
 }
 
@@ -103,6 +133,23 @@
 	return &set->list;
 }
 
+/* Returns the upstreams of a service that may get something new; NULL: none. */
+const GPtrArray *forward_upstreams_serving(const forward_upstreams_t *set,
+					   const char *service)
+{
+	return g_hash_table_lookup(set->groups, service);
+}
+
+/*
+ * Returns a digest of what is known of the upstreams of a bucket. Two tables
+ * that hold the same have the same digests. The newest revision would not do:
+ * whoever missed one piece of news and got the next has that as well.
+ */
+uint64_t forward_upstreams_digest(const forward_upstreams_t *set, unsigned int bucket)
+{
+	return set->digests[bucket];
+}
+
 /* Returns an upstream by its id, or NULL. */
 forward_upstream_t *forward_upstreams_find(forward_upstreams_t *set, const char *id)
 {
@@ -115,6 +162,7 @@
 
 	upstream->refs = 1;
 	upstream->id = g_strdup(id);
+	upstream->mark = hash_number(hash_string(id));
 	upstream->service = g_strdup("");
 	upstream->address = g_strdup("");
 	upstream->zone = g_strdup("");
@@ -148,6 +196,7 @@
 	upstream->listed = true;
 	if (listing->revision <= upstream->revision)
 		return false;
+	group_leave(upstream); /* the service may change */
 	/*
 	 * Listed anew after it had lapsed. The same revision, told once more by
 	 * a peer, is no sign of life: taken for one, it kept upstreams that had
@@ -162,6 +211,7 @@
 	upstream->stage = listing->stage;
 	upstream->reclaimable = listing->reclaimable;
 	upstream->revision = listing->revision;
+	set_changed(set, upstream);
 	return true;
 }
 
@@ -183,12 +233,14 @@
 	if (upstream->gone_at)
 		return false;
 	upstream->gone_at = now;
+	set->run_at = now;
 	if (lapsed && upstream->stage == FORWARD_SERVING && upstream->revision) {
 		upstream->gone_at = set->grace_until;
 		return false; /* news only when that time is over */
 	}
 	upstream->stage = FORWARD_GONE;
 	upstream->revision = revision;
+	set_changed(set, upstream);
 	return true;
 }
 
@@ -218,6 +270,12 @@
 	set->grace_until = now + RELIST_GRACE;
 }
 
+static void set_run_by(forward_upstreams_t *set, pd_time_t when)
+{
+	if (!set->run_at || when < set->run_at)
+		set->run_at = when;
+}
+
 /*
  * Lets time pass: lapsed entries that did not come back are gone, and ON_GONE
  * is called for each.
@@ -225,18 +283,26 @@
 void forward_upstreams_run(forward_upstreams_t *set, pd_time_t now,
 			   void (*on_gone)(void *ctx, const char *id), void *ctx)
 {
+	if (!set->run_at || now < set->run_at)
+		return;
+	set->run_at = 0;
 	LIST_FOR_EACH_SAFE (it, &set->list) {
 		forward_upstream_t *upstream =
 			LIST_ENTRY(it, forward_upstream_t, node);
 
-		if (!upstream->gone_at || now < upstream->gone_at)
+		if (!upstream->gone_at)
 			continue;
-		if (upstream->stage != FORWARD_GONE) {
+		if (now >= upstream->gone_at && upstream->stage != FORWARD_GONE) {
 			upstream->stage = FORWARD_GONE;
+			set_changed(set, upstream);
 			on_gone(ctx, upstream->id);
 		}
 		if (now - upstream->gone_at > GONE_KEPT)
 			set_drop(set, upstream);
+		else
+			set_run_by(set, now >= upstream->gone_at
+						? upstream->gone_at + GONE_KEPT + 1
+						: upstream->gone_at);
 	}
 }
 
@@ -245,289 +311,3 @@
 {
 	return upstream->stage == FORWARD_SERVING && upstream->revision;
 }
-
-static bool believes(const forward_upstream_t *upstream, uint64_t id, pd_time_t now)
-{
-	const pd_time_t *used = g_hash_table_lookup(upstream->parts, &id);
-
-	return used && now - *used < PART_BELIEF;
-}
-
-/* Returns how many tokens of the call's prompt the upstream has still to read. */
-double forward_upstream_unread(const forward_upstream_t *upstream,
-			       const forward_call_t *call, pd_time_t now)
-{
-	double known = 0;
-
-	for (unsigned int i = 0; i < call->part_count; i++) {
-		/* A part counts only if all before it are there too. */
-		if (!believes(upstream, call->parts[i].id, now))
-			break;
-		known += call->parts[i].tokens;
-	}
-	return MAX(call->prompt_tokens - known, 0);
-}
-
-static gboolean part_is_stale(gpointer key, gpointer value, gpointer data)
-{
-	(void)key;
-	return *(pd_time_t *)data - *(pd_time_t *)value >= PART_BELIEF;
-}
-
-/* Notes that an upstream gets a call, whose prompt it then holds. */
-void forward_upstream_sent(forward_upstream_t *upstream,
-			   const forward_call_t *call, pd_time_t now)
-{
-	if (g_hash_table_size(upstream->parts) > PARTS_MAX)
-		g_hash_table_foreach_remove(upstream->parts, part_is_stale, &now);
-	for (unsigned int i = 0; i < call->part_count; i++) {
-		pd_time_t *used =
-			g_hash_table_lookup(upstream->parts, &call->parts[i].id);
-
-		if (!used) {
-			uint64_t *id = g_new(uint64_t, 1);
-
-			*id = call->parts[i].id;
-			used = g_new(pd_time_t, 1);
-			g_hash_table_insert(upstream->parts, id, used);
-		}
-		*used = now;
-	}
-	if (upstream->failures >= FAILURES_BEFORE_AVOID)
-		upstream->probing_since = now;
-}
-
-/* Notes a failure that speaks against the upstream. */
-void forward_upstream_failed(forward_upstream_t *upstream, pd_time_t now)
-{
-	pd_time_t pause = AVOID_FIRST;
-
-	upstream->failures++;
-	upstream->probing_since = 0;
-	if (upstream->failures < FAILURES_BEFORE_AVOID)
-		return;
-	for (unsigned int i = FAILURES_BEFORE_AVOID;
-	     i < upstream->failures && pause < AVOID_MAX; i++)
-		pause *= 2;
-	upstream->avoid_until = now + MIN(pause, AVOID_MAX);
-}
-
-/*
- * Notes that no connection could be had. One that has crashed runs nothing, so
- * by its load it looks the best of all and draws request after request; it is
- * left alone from the first time on. In a wave of crashes some hundred requests
- * went from one to the next of them until they were given up.
- */
-void forward_upstream_unreachable(forward_upstream_t *upstream, pd_time_t now)
-{
-	upstream->failures = MAX(upstream->failures, UNREACHABLE_FAILURES - 1);
-	forward_upstream_failed(upstream, now);
-}
-
-/*
- * Notes that the upstream had no room. The loads of many entries are known late;
- * its own word is newer.
- */
-void forward_upstream_rejected(forward_upstream_t *upstream, pd_time_t now)
-{
-	upstream->full_until = now + FULL_PAUSE;
-}
-
-/* Notes a sound answer. */
-void forward_upstream_answered(forward_upstream_t *upstream)
-{
-	upstream->failures = 0;
-	upstream->avoid_until = 0;
-	upstream->probing_since = 0;
-}
-
-static bool is_tried(const forward_ask_t *ask, const char *id)
-{
-	for (unsigned int i = 0; i < ask->tried_count; i++) {
-		if (!strcmp(ask->tried[i], id))
-			return true;
-	}
-	return false;
-}
-
-static bool is_avoided(const forward_upstream_t *upstream, pd_time_t now)
-{
-	if (upstream->failures < FAILURES_BEFORE_AVOID)
-		return false;
-	return now < upstream->avoid_until ||
-	       (upstream->probing_since &&
-		now - upstream->probing_since < PROBE_MAX);
-}
-
-/* Returns the part that requests about the same subject share; 0: none. */
-static uint64_t subject_of(const forward_call_t *call)
-{
-	/* The last part is the request's own. */
-	if (call->part_count < 2)
-		return 0;
-	return call->parts[call->part_count - 2].id;
-}
-
-/*
- * All entries give a subject the same first upstream without talking about it:
- * the one for which the hash of both is highest. Only that one needs to read
- * what the subject's requests share.
- */
-static const forward_upstream_t *subject_home(const forward_upstreams_t *set,
-					      const forward_ask_t *ask)
-{
-	const forward_upstream_t *home = NULL;
-	uint64_t subject = subject_of(ask->call);
-	uint64_t best = 0;
-
-	if (!ask->has_prompt || !subject)
-		return NULL;
-	LIST_FOR_EACH (it, &set->list) {
-		const forward_upstream_t *upstream =
-			LIST_ENTRY(it, forward_upstream_t, node);
-		uint64_t rank;
-
-		if (!forward_upstream_serves(upstream) ||
-		    strcmp(upstream->service, ask->service))
-			continue;
-		rank = hash_number(subject ^
-				   hash_number(hash_string(upstream->id)));
-		if (!home || rank > best) {
-			home = upstream;
-			best = rank;
-		}
-	}
-	return home;
-}
-
-static double shared_tokens(const forward_call_t *call)
-{
-	double sum = 0;
-
-	for (unsigned int i = 0; i + 1 < call->part_count; i++)
-		sum += call->parts[i].tokens;
-	return sum;
-}
-
-/*
- * What sending a call to an engine would cost it and its others, in prompt
- * tokens: what it has to read before, what it would have to read for this one,
- * and the slowing by what runs.
- */
-static double engine_cost(const forward_upstream_t *upstream,
-			  const forward_ask_t *ask, bool home, pd_time_t now)
-{
-	double unread = forward_upstream_unread(upstream, ask->call, now);
-	double shared = shared_tokens(ask->call);
-	double running = upstream->running + upstream->peers_running;
-
-	if (home)
-		unread = MIN(unread, MAX(ask->call->prompt_tokens - shared, 0));
-	return upstream->reading + upstream->peers_reading + unread +
-	       running * RUNNING_TOKENS;
-}
-
-static double upstream_cost(const forward_upstream_t *upstream,
-			    const forward_ask_t *ask,
-			    const forward_upstream_t *home, pd_time_t now)
-{
-	bool elsewhere = strcmp(upstream->zone, ask->zone) != 0;
-	double running = upstream->running + upstream->peers_running;
-
-	if (ask->has_prompt)
-		return engine_cost(upstream, ask, upstream == home, now) +
-		       (elsewhere ? OTHER_ZONE_TOKENS : 0);
-	return running / MAX(upstream->slots, 1) +
-	       (elsewhere ? OTHER_ZONE_SLOTS : 0);
-}
-
-static bool is_full(const forward_upstream_t *upstream,
-		    const forward_ask_t *ask, pd_time_t now)
-{
-	double running = upstream->running + upstream->peers_running;
-
-	if (now < upstream->full_until)
-		return true;
-	if (ask->connections_max && upstream->running >= ask->connections_max)
-		return true;
-	return running >= upstream->slots * ask->overfill;
-}
-
-static bool is_candidate(const forward_upstream_t *upstream,
-			 const forward_ask_t *ask)
-{
-	return forward_upstream_serves(upstream) &&
-	       !strcmp(upstream->service, ask->service) &&
-	       !is_tried(ask, upstream->id);
-}
-
-static unsigned int count_candidates(const forward_upstreams_t *set,
-				     const forward_ask_t *ask, pd_time_t now)
-{
-	unsigned int count = 0;
-
-	LIST_FOR_EACH (it, &set->list)
-		count += is_candidate(LIST_ENTRY(it, forward_upstream_t, node),
-				      ask) &&
-			 !is_full(LIST_ENTRY(it, forward_upstream_t, node), ask,
-				  now);
-	return count;
-}
-
-/* The best so far of a choice. */
-typedef struct best {
-	forward_upstream_t *upstream;
-	bool avoided;
-	double cost;
-} best_t;
-
-static void best_offer(best_t *best, forward_upstream_t *upstream, bool avoided,
-		       double cost)
-{
-	if (best->upstream && (avoided > best->avoided ||
-			       (avoided == best->avoided && cost >= best->cost)))
-		return;
-	best->upstream = upstream;
-	best->avoided = avoided;
-	best->cost = cost;
-}
-
-/*
- * Picks the upstream with the least cost. Those that failed lately are taken
- * only if there is no other. Many entries that hear of each other late would
- * all pick the same one; compared with a few at random, they spread.
- */
-forward_choice_t forward_upstreams_choose(forward_upstreams_t *set,
-					  const forward_ask_t *ask, pd_time_t now,
-					  forward_upstream_t **chosen)
-{
-	const forward_upstream_t *home = subject_home(set, ask);
-	unsigned int left = ask->sample ? count_candidates(set, ask, now) : 0;
-	unsigned int wanted = ask->sample;
-	best_t best = { NULL, true, 0 };
-	bool any = false;
-
-	LIST_FOR_EACH (it, &set->list) {
-		forward_upstream_t *upstream =
-			LIST_ENTRY(it, forward_upstream_t, node);
-		bool sampled = true;
-
-		if (!is_candidate(upstream, ask))
-			continue;
-		any = true;
-		if (is_full(upstream, ask, now))
-			continue;
-		if (ask->sample) {
-			sampled = g_rand_double(ask->random) * left < wanted;
-			wanted -= sampled && wanted;
-			left--;
-		}
-		if (sampled || upstream == home)
-			best_offer(&best, upstream, is_avoided(upstream, now),
-				   upstream_cost(upstream, ask, home, now));
-	}
-	*chosen = best.upstream;
-	if (best.upstream)
-		return FORWARD_CHOSEN;
-	return any ? FORWARD_ALL_FULL : FORWARD_NONE_LEFT;
-}
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -1,7 +1,4 @@
-/*
- * The upstreams that the platform lists, what this entry knows of each, and the
- * choice of one for a request. upstreams-notes.md weighs the choice.
- */
+/* The upstreams that the platform lists, and what this entry knows of each. */
 #ifndef PISTACHIO_FORWARD_UPSTREAMS_H
 #define PISTACHIO_FORWARD_UPSTREAMS_H
 
@@ -9,14 +6,15 @@
 #include "core/forward/config.h"
 #include "core/list.h"
 
-#define FORWARD_TRIED_MAX 8
-
 typedef enum forward_stage {
 	FORWARD_SERVING,
 	FORWARD_DRAINING, /* ends what it has; gets nothing new */
 	FORWARD_GONE
 } forward_stage_t;
 
+/* Parts that digests of the table are kept of, so that two can be compared. */
+#define FORWARD_BUCKETS 32
+
 /* What the platform says of an upstream, at one revision of its entry. */
 typedef struct forward_listing {
 	const char *id; /* of this start of it; never used again */
@@ -34,6 +32,10 @@
 	list_node_t node;
 	unsigned int refs;
 	char *id;
+	uint64_t mark; /* hash of the id */
+	GPtrArray *group; /* of those that serve its service; NULL: none */
+	guint group_at; /* its place there */
+	uint64_t digest; /* its part of the table's digest */
 	char *service;
 	char *address;
 	uint16_t port;
@@ -59,26 +61,6 @@
 
 typedef struct forward_upstreams forward_upstreams_t;
 
-/* What a request asks of an upstream. */
-typedef struct forward_ask {
-	const char *service;
-	const char *zone; /* of this entry */
-	const forward_call_t *call;
-	bool has_prompt;
-	double overfill; /* of the slots, that may be used; 1: all */
-	unsigned int connections_max; /* of this entry at one upstream; 0: any */
-	unsigned int sample; /* upstreams to compare, at random; 0: all */
-	GRand *random;
-	const char *tried[FORWARD_TRIED_MAX]; /* ids to leave out */
-	unsigned int tried_count;
-} forward_ask_t;
-
-typedef enum forward_choice {
-	FORWARD_CHOSEN,
-	FORWARD_ALL_FULL,
-	FORWARD_NONE_LEFT /* none serves, or all were tried */
-} forward_choice_t;
-
 forward_upstreams_t *forward_upstreams_create(void);
 void forward_upstreams_destroy(forward_upstreams_t *set);
 bool forward_upstreams_apply(forward_upstreams_t *set,
@@ -92,11 +74,13 @@
 void forward_upstreams_run(forward_upstreams_t *set, pd_time_t now,
 			   void (*on_gone)(void *ctx, const char *id), void *ctx);
 list_node_t *forward_upstreams_list(forward_upstreams_t *set);
+const GPtrArray *forward_upstreams_serving(const forward_upstreams_t *set,
+					   const char *service);
+uint64_t forward_upstreams_digest(const forward_upstreams_t *set,
+				  unsigned int bucket);
+unsigned int forward_upstream_bucket(const forward_upstream_t *upstream);
 forward_upstream_t *forward_upstreams_find(forward_upstreams_t *set,
 					   const char *id);
-forward_choice_t forward_upstreams_choose(forward_upstreams_t *set,
-					  const forward_ask_t *ask, pd_time_t now,
-					  forward_upstream_t **chosen);
 bool forward_upstream_serves(const forward_upstream_t *upstream);
 double forward_upstream_unread(const forward_upstream_t *upstream,
 			       const forward_call_t *call, pd_time_t now);
@@ -106,6 +90,7 @@
 void forward_upstream_unreachable(forward_upstream_t *upstream, pd_time_t now);
 void forward_upstream_rejected(forward_upstream_t *upstream, pd_time_t now);
 void forward_upstream_answered(forward_upstream_t *upstream);
+bool forward_upstream_is_avoided(const forward_upstream_t *upstream, pd_time_t now);
 forward_upstream_t *forward_upstream_ref(forward_upstream_t *upstream);
 void forward_upstream_unref(forward_upstream_t *upstream);
 
--- a/tests/unit/test_forward_upstreams.c
+++ b/tests/unit/test_forward_upstreams.c
@@ -7,7 +7,7 @@
 
 #include <cmocka.h>
 
-#include "core/forward/upstreams.h"
+#include "core/forward/choice.h"
 
 #define START (1000 * PD_SEC)
 
@@ -249,6 +249,70 @@
 	assert_ptr_not_equal(home, next);
 }
 
+/*
+ * Two gateways hear of the same changes in another order. If their digests
+ * differed, each would fetch the whole table from the other, over and over.
+ */
+static void test_digests_go_by_what_is_known(void **state)
+{
+	forward_upstreams_t *other = forward_upstreams_create();
+
+	list(*state, "u1", 1, FORWARD_SERVING);
+	list(*state, "u2", 2, FORWARD_SERVING);
+	list(*state, "u2", 3, FORWARD_DRAINING);
+	list(*state, "u3", 4, FORWARD_SERVING);
+	forward_upstreams_remove(*state, "u3", 5, START);
+	list(other, "u2", 3, FORWARD_DRAINING);
+	list(other, "u1", 1, FORWARD_SERVING);
+	for (unsigned int i = 0; i < FORWARD_BUCKETS; i++)
+		assert_int_equal(forward_upstreams_digest(*state, i),
+				 forward_upstreams_digest(other, i));
+	list(other, "u1", 6, FORWARD_SERVING);
+	assert_int_not_equal(
+		forward_upstreams_digest(
+			*state, forward_upstream_bucket(
+					forward_upstreams_find(other, "u1"))),
+		forward_upstreams_digest(
+			other, forward_upstream_bucket(
+				       forward_upstreams_find(other, "u1"))));
+	forward_upstreams_destroy(other);
+}
+
+/*
+ * In a large fleet a request is compared with a few upstreams at random. With
+ * nearly all of them full, the one that has room must be found all the same, or
+ * callers would be refused beside a free place.
+ */
+static void test_a_sample_finds_the_one_with_room(void **state)
+{
+	GRand *random = g_rand_new_with_seed(7);
+	forward_call_t call = { 0 };
+	const forward_ask_t ask = { .service = "s",
+				    .zone = "a",
+				    .call = &call,
+				    .overfill = 1,
+				    .sample = 2,
+				    .random = random };
+	char id[16];
+
+	for (unsigned int i = 0; i < 200; i++) {
+		g_snprintf(id, sizeof(id), "u%u", i);
+		list(*state, id, i + 1, FORWARD_SERVING);
+		forward_upstreams_find(*state, id)->running = i == 77 ? 0 : 4;
+	}
+	for (unsigned int i = 0; i < 20; i++) {
+		forward_upstream_t *chosen;
+
+		assert_int_equal(forward_upstreams_choose(*state, &ask, START,
+							  &chosen),
+				 FORWARD_CHOSEN);
+		assert_string_equal(chosen->id, "u77");
+	}
+	forward_upstreams_find(*state, "u77")->running = 4;
+	assert_null(choose(*state, START));
+	g_rand_free(random);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -277,6 +341,10 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_a_loaded_home_loses_its_subject,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_digests_go_by_what_is_known,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_a_sample_finds_the_one_with_room,
+						setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
