--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -43,6 +43,7 @@
 	uv_tcp_t callers_listener;
 	uv_tcp_t health_listener;
 	uv_timer_t tick;
+	pd_time_t links_at; /* when idle links are looked at next */
 	list_node_t callers; /* connections */
 	list_node_t requests; /* all in progress */
 	list_node_t queues[GATEWAY_RANKS]; /* those that wait for room */
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -6,6 +6,8 @@
 
 /* Windows of usage that are told again, in case a message was lost. */
 #define WINDOWS_TOLD 3
+/* Of the members that are named, so many are those that go first. */
+#define MEMBERS_FIRST 8
 
 static void pack_text(msgpack_packer *packer, const char *text)
 {
@@ -67,15 +69,19 @@
 	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
-static void add_all(GHashTable *values, GHashTable *more)
+/* Adds the peers' sums, without what EXCEPT told: it knows that itself. */
+static void add_peers(GHashTable *values, GHashTable *sums, GHashTable *except)
 {
 	GHashTableIter iter;
 	gpointer name;
-	gpointer amount;
+	gpointer sum;
 
-	g_hash_table_iter_init(&iter, more);
-	while (g_hash_table_iter_next(&iter, &name, &amount))
-		sums_add(values, name, *(double *)amount);
+	g_hash_table_iter_init(&iter, sums);
+	while (g_hash_table_iter_next(&iter, &name, &sum)) {
+		const double *without = g_hash_table_lookup(except, name);
+
+		sums_add(values, name, *(double *)sum - (without ? *without : 0));
+	}
 }
 
 static void add_own_total(void *ctx, const char *account, double total, double level)
@@ -88,7 +94,7 @@
 
 /* Packs what each account used, here or at all but EXCEPT, and the levels. */
 static void pack_totals(msgpack_packer *packer, const gateway_peers_t *peers,
-			bool all, const peer_t *except)
+			const peer_t *except)
 {
 	sums_t sums = { sums_create(), sums_create() };
 	GHashTableIter iter;
@@ -96,14 +102,8 @@
 	gpointer value;
 
 	token_limits_each(peers->gateway->limits, add_own_total, &sums);
-	if (all) {
-		LIST_FOR_EACH (it, &peers->list) {
-			const peer_t *peer = LIST_ENTRY(it, peer_t, node);
-
-			if (peer != except)
-				add_all(sums.values, peer->totals);
-		}
-	}
+	if (except)
+		add_peers(sums.values, peers->totals, except->totals);
 	msgpack_pack_array(packer, g_hash_table_size(sums.values));
 	g_hash_table_iter_init(&iter, sums.values);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
@@ -124,7 +124,7 @@
 }
 
 static void pack_works(msgpack_packer *packer, const gateway_peers_t *peers,
-		       bool all, const peer_t *except)
+		       const peer_t *except)
 {
 	GHashTable *sums = sums_create();
 	GHashTableIter iter;
@@ -132,14 +132,8 @@
 	gpointer value;
 
 	work_rate_each_own(peers->gateway->work, add_own_work, sums);
-	if (all) {
-		LIST_FOR_EACH (it, &peers->list) {
-			const peer_t *peer = LIST_ENTRY(it, peer_t, node);
-
-			if (peer != except)
-				add_all(sums, peer->works);
-		}
-	}
+	if (except)
+		add_peers(sums, peers->works, except->works);
 	msgpack_pack_array(packer, g_hash_table_size(sums));
 	g_hash_table_iter_init(&iter, sums);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
@@ -150,60 +144,6 @@
 	g_hash_table_unref(sums);
 }
 
-static const load_t *find_load(const GArray *loads, const char *upstream)
-{
-	for (guint i = 0; loads && i < loads->len; i++) {
-		const load_t *load = &g_array_index(loads, load_t, i);
-
-		if (!strcmp(load->upstream, upstream))
-			return load;
-	}
-	return NULL;
-}
-
-/* Returns what runs at an upstream, here or at all but EXCEPT. */
-static load_t load_of(const forward_upstream_t *upstream, bool all,
-		      const peer_t *except)
-{
-	load_t load = { upstream->id, upstream->running, upstream->reading };
-	const load_t *without;
-
-	if (!all)
-		return load;
-	load.running += upstream->peers_running;
-	load.reading += upstream->peers_reading;
-	without = except ? find_load(except->loads, upstream->id) : NULL;
-	if (without) {
-		load.running -= MIN(load.running, without->running);
-		load.reading = MAX(load.reading - without->reading, 0);
-	}
-	return load;
-}
-
-static void pack_loads(msgpack_packer *packer, const gateway_peers_t *peers,
-		       bool all, const peer_t *except)
-{
-	list_node_t *list = forward_upstreams_list(peers->gateway->upstreams);
-	uint32_t count = 0;
-
-	LIST_FOR_EACH (it, list)
-		count += load_of(LIST_ENTRY(it, forward_upstream_t, node), all,
-				 except)
-				 .running > 0;
-	msgpack_pack_array(packer, count);
-	LIST_FOR_EACH (it, list) {
-		load_t load = load_of(LIST_ENTRY(it, forward_upstream_t, node),
-				      all, except);
-
-		if (!load.running)
-			continue;
-		msgpack_pack_array(packer, 3);
-		pack_text(packer, load.upstream);
-		msgpack_pack_uint32(packer, load.running);
-		msgpack_pack_uint64(packer, (uint64_t)MAX(load.reading, 0));
-	}
-}
-
 typedef struct usage_writer {
 	msgpack_packer *packer;
 	uint32_t count;
@@ -238,22 +178,52 @@
 	usage_each_own(gateway->usage, from, pack_usage, &writer);
 }
 
+static void pack_member(msgpack_packer *packer, const peer_t *peer)
+{
+	msgpack_pack_array(packer, 2);
+	pack_text(packer, peer->address);
+	msgpack_pack_uint8(packer, peer->strong);
+}
+
+static bool is_among(const peer_t *peer, peer_t *const *peers, unsigned int count)
+{
+	for (unsigned int i = 0; i < count; i++) {
+		if (peers[i] == peer)
+			return true;
+	}
+	return false;
+}
+
+/* Packs peers that are heard: those that go first, and others at random. */
 static void pack_members(msgpack_packer *packer, const gateway_peers_t *peers,
 			 pd_time_t now)
 {
-	uint32_t count = 0;
+	peer_t *first[MEMBERS_FIRST + 1];
+	unsigned int firsts = peers_first(peers, first, MEMBERS_FIRST, now);
+	unsigned int heard = 0;
+	unsigned int left;
 
-	LIST_FOR_EACH (it, &peers->list)
-		count += peer_is_heard(LIST_ENTRY(it, peer_t, node), now);
-	msgpack_pack_array(packer, count);
 	LIST_FOR_EACH (it, &peers->list) {
 		const peer_t *peer = LIST_ENTRY(it, peer_t, node);
 
-		if (!peer_is_heard(peer, now))
+		heard += peer_is_heard(peer, now) &&
+			 !is_among(peer, first, firsts);
+	}
+	left = MIN(heard, MEMBERS_TOLD - MEMBERS_FIRST);
+	msgpack_pack_array(packer, firsts + left);
+	for (unsigned int i = 0; i < firsts; i++)
+		pack_member(packer, first[i]);
+	LIST_FOR_EACH (it, &peers->list) {
+		const peer_t *peer = LIST_ENTRY(it, peer_t, node);
+
+		if (!peer_is_heard(peer, now) || is_among(peer, first, firsts))
 			continue;
-		msgpack_pack_array(packer, 2);
-		pack_text(packer, peer->address);
-		msgpack_pack_uint8(packer, peer->strong);
+		/* Each of those left is as likely to be among the chosen. */
+		if (g_rand_double(peers->gateway->random) * heard < left) {
+			pack_member(packer, peer);
+			left--;
+		}
+		heard--;
 	}
 }
 
@@ -270,7 +240,7 @@
 	return flags;
 }
 
-static void pack_head(msgpack_packer *packer, const gateway_peers_t *peers,
+static void pack_head(msgpack_packer *packer, gateway_peers_t *peers,
 		      message_kind_t kind, pd_time_t wall, bool asks)
 {
 	pd_time_t now = gateway_now();
@@ -289,6 +259,7 @@
 			  : peers->holder  ? peers->holder
 					   : "");
 	msgpack_pack_uint64(packer, peers->holder_fence);
+	msgpack_pack_uint32(packer, peers_view(peers, now)->counted);
 }
 
 /* Sends what this gateway did; FULL: with usage and members. */
@@ -300,9 +271,9 @@
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
 	pack_head(&packer, peers, MESSAGE_STATE, gateway_wall(), asks);
-	pack_totals(&packer, peers, false, NULL);
-	pack_works(&packer, peers, false, NULL);
-	pack_loads(&packer, peers, false, NULL);
+	pack_totals(&packer, peers, NULL);
+	pack_works(&packer, peers, NULL);
+	peers_pack_own_loads(&packer, peers);
 	if (full) {
 		pack_usages(&packer, peers->gateway);
 		pack_members(&packer, peers, gateway_now());
@@ -326,9 +297,9 @@
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
 	pack_head(&packer, peers, MESSAGE_SUMMARY,
 		  time_vote_wall(gateway->vote, gateway_wall(), now), false);
-	pack_totals(&packer, peers, true, peer);
-	pack_works(&packer, peers, true, peer);
-	pack_loads(&packer, peers, true, peer);
+	pack_totals(&packer, peers, peer);
+	pack_works(&packer, peers, peer);
+	peers_pack_all_loads(&buffer, peers, now);
 	msgpack_pack_nil(&packer);
 	if (full)
 		pack_members(&packer, peers, now);
@@ -338,6 +309,15 @@
 	msgpack_sbuffer_destroy(&buffer);
 }
 
+static void pack_digests(msgpack_packer *packer, const gateway_peers_t *peers)
+{
+	msgpack_pack_array(packer, FORWARD_BUCKETS);
+	for (unsigned int i = 0; i < FORWARD_BUCKETS; i++)
+		msgpack_pack_uint64(packer,
+				    forward_upstreams_digest(peers->gateway->upstreams,
+							     i));
+}
+
 /* Asks a peer for what this gateway lacks. */
 void peers_send_fetch(gateway_peers_t *peers, peer_t *peer, unsigned int what)
 {
@@ -346,10 +326,14 @@
 
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-	msgpack_pack_array(&packer, 3);
+	msgpack_pack_array(&packer, 4);
 	msgpack_pack_uint8(&packer, MESSAGE_FETCH);
 	pack_text(&packer, peers->address);
 	msgpack_pack_uint8(&packer, (uint8_t)what);
+	if ((what & FETCH_UPSTREAMS) && peers->gateway->upstreams_known)
+		pack_digests(&packer, peers);
+	else
+		msgpack_pack_nil(&packer);
 	peers_send(peers, peer, &buffer);
 	msgpack_sbuffer_destroy(&buffer);
 }
@@ -394,33 +378,67 @@
 	msgpack_pack_uint64(packer, upstream->revision);
 }
 
-/* Packs what is known of some upstreams; IDS is NULL for all. */
-void peers_pack_news(msgpack_packer *packer, const gateway_peers_t *peers,
-		     GHashTable *ids)
+/* Which upstreams a message tells about. */
+typedef struct news_choice {
+	GHashTable *ids; /* only these; NULL: any */
+	const uint64_t *digests; /* only in buckets with others; NULL: in any */
+} news_choice_t;
+
+static bool news_includes(const gateway_peers_t *peers, const news_choice_t *choice,
+			  const forward_upstream_t *upstream)
+{
+	unsigned int bucket = forward_upstream_bucket(upstream);
+
+	if (choice->ids && !g_hash_table_contains(choice->ids, upstream->id))
+		return false;
+	return !choice->digests ||
+	       choice->digests[bucket] !=
+		       forward_upstreams_digest(peers->gateway->upstreams, bucket);
+}
+
+static uint32_t pack_news(msgpack_packer *packer, const gateway_peers_t *peers,
+			  const news_choice_t *choice)
 {
 	list_node_t *list = forward_upstreams_list(peers->gateway->upstreams);
+	bool all = !choice->ids && !choice->digests;
 	uint32_t count = 0;
 
 	LIST_FOR_EACH (it, list)
-		count += !ids ||
-			 g_hash_table_contains(
-				 ids, LIST_ENTRY(it, forward_upstream_t, node)->id);
+		count += news_includes(peers, choice,
+				       LIST_ENTRY(it, forward_upstream_t, node));
 	msgpack_pack_array(packer, 3);
 	msgpack_pack_uint8(packer, MESSAGE_NEWS);
-	msgpack_pack_uint8(packer, !ids); /* these are all */
+	msgpack_pack_uint8(packer, all);
 	msgpack_pack_array(packer, count);
 	LIST_FOR_EACH (it, list) {
 		const forward_upstream_t *upstream =
 			LIST_ENTRY(it, forward_upstream_t, node);
 
-		if (!ids || g_hash_table_contains(ids, upstream->id))
+		if (news_includes(peers, choice, upstream))
 			pack_upstream(packer, upstream);
 	}
+	return count;
+}
+
+/* Packs what is known of some upstreams. */
+void peers_pack_news(msgpack_packer *packer, const gateway_peers_t *peers,
+		     GHashTable *ids)
+{
+	const news_choice_t choice = { .ids = ids };
+
+	pack_news(packer, peers, &choice);
 }
 
-/* Sends all upstreams, if a whole listing is known. */
-void peers_send_upstreams(gateway_peers_t *peers, peer_t *peer)
+/*
+ * Sends upstreams, if a whole listing is known: those of the buckets in which
+ * the receiver's digests differ, or all. A thousand upstreams are 80 KB, and in
+ * a large fleet one of them changes nearly always: whole lists would fill the
+ * links of small VMs.
+ */
+void peers_send_upstreams(gateway_peers_t *peers, peer_t *peer,
+			  const uint64_t *digests)
 {
+	const news_choice_t choice = { .digests = digests };
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
 
@@ -428,7 +446,7 @@
 		return;
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-	peers_pack_news(&packer, peers, NULL);
-	peers_send(peers, peer, &buffer);
+	if (pack_news(&packer, peers, &choice) || !digests)
+		peers_send(peers, peer, &buffer);
 	msgpack_sbuffer_destroy(&buffer);
 }
--- /dev/null
+++ b/adapters/gateway/peer_rank.c
@@ -0,0 +1,145 @@
+/* Which gateways are alive, which of them go first, and what follows for this. */
+#include <string.h>
+
+#include "adapters/gateway/peer_state.h"
+
+/*
+ * Up to so many gateways all tell each other. Beyond, each tells two hubs, and
+ * one of them tells it the sums: the cost of a node is the same in any fleet,
+ * and a hub's grows with the fleet by one message each way for a node.
+ */
+#define MESH_MAX 12
+/* A peer heard within this is alive; messages can be late by a lost packet. */
+#define HEARD_MAX (3 * PD_SEC)
+/* A mention comes with every few states of whoever hears the peer. */
+#define MENTION_MAX (6 * PD_SEC)
+/*
+ * Who is alive changes within seconds, and is asked for many times a tick, which
+ * in a fleet of hundreds cost more than the requests did.
+ */
+#define VIEW_KEPT (100 * PD_MSEC)
+
+/* Says whether the peer itself was heard lately. */
+bool peer_is_heard(const peer_t *peer, pd_time_t now)
+{
+	return peer->heard_at && now - peer->heard_at < HEARD_MAX;
+}
+
+/* Says whether the peer was heard lately, here or by somebody who told. */
+bool peer_is_alive(const peer_t *peer, pd_time_t now)
+{
+	return peer_is_heard(peer, now) ||
+	       (peer->mentioned_at && now - peer->mentioned_at < MENTION_MAX);
+}
+
+static bool peer_counts(const peer_t *peer, pd_time_t now)
+{
+	pd_time_t last = MAX(peer->heard_at, peer->mentioned_at);
+
+	return last && now - last < COUNT_KEPT;
+}
+
+/* Says whether one gateway goes before another, by address, hash and strength. */
+static bool goes_before(bool strong, guint hash, const char *address,
+			const peer_t *other)
+{
+	if (strong != other->strong)
+		return strong;
+	if (hash != other->hash)
+		return hash < other->hash;
+	return strcmp(address, other->address) < 0;
+}
+
+static bool peer_goes_before(const peer_t *peer, const peer_t *other)
+{
+	return goes_before(peer->strong, peer->hash, peer->address, other);
+}
+
+/* Returns what follows from who is alive. */
+const peer_view_t *peers_view(gateway_peers_t *peers, pd_time_t now)
+{
+	guint hash = g_str_hash(peers->address);
+	peer_view_t view = { .at = now, .alive = 1, .counted = 1 };
+
+	if (peers->view.at && now - peers->view.at < VIEW_KEPT)
+		return &peers->view;
+	LIST_FOR_EACH (it, &peers->list) {
+		const peer_t *peer = LIST_ENTRY(it, peer_t, node);
+
+		view.counted += peer_counts(peer, now);
+		if (!peer_is_alive(peer, now))
+			continue;
+		view.alive++;
+		view.rank +=
+			!goes_before(peers->strong, hash, peers->address, peer);
+	}
+	/* A hub hears all; whoever follows it hears of some of many only. */
+	if (peers->hub && peers->told_count > MEMBERS_TOLD) {
+		view.alive = MAX(view.alive, peers->told_count);
+		view.counted = MAX(view.counted, peers->told_count);
+	}
+	peers->view = view;
+	return &peers->view;
+}
+
+/* Fills in the live peers that go first; returns how many there are. */
+unsigned int peers_first(const gateway_peers_t *peers, peer_t **first,
+			 unsigned int most, pd_time_t now)
+{
+	unsigned int count = 0;
+
+	LIST_FOR_EACH (it, &peers->list) {
+		peer_t *peer = LIST_ENTRY(it, peer_t, node);
+		unsigned int place = 0;
+
+		if (!peer_is_alive(peer, now) || now < peer->passed_over_until)
+			continue;
+		while (place < count && peer_goes_before(first[place], peer))
+			place++;
+		if (place >= most)
+			continue;
+		count = MIN(count + 1, most);
+		memmove(&first[place + 1], &first[place],
+			(count - place - 1) * sizeof(peer_t *));
+		first[place] = peer;
+	}
+	return count;
+}
+
+/* Says whether all gateways tell each other, as there are few. */
+bool peers_is_mesh(gateway_peers_t *peers, pd_time_t now)
+{
+	return peers_view(peers, now)->alive <= MESH_MAX;
+}
+
+/* The same, as of now. */
+bool gateway_peers_is_mesh(gateway_peers_t *peers)
+{
+	return peers_is_mesh(peers, gateway_now());
+}
+
+/* Returns how many gateways there are, this one included. */
+unsigned int gateway_peers_count(gateway_peers_t *peers)
+{
+	return peers_view(peers, gateway_now())->counted;
+}
+
+/* Says whether this gateway asks the store itself. */
+bool gateway_peers_watch_store(gateway_peers_t *peers)
+{
+	pd_time_t now = gateway_now();
+
+	return peers_is_mesh(peers, now) ||
+	       peers_view(peers, now)->rank < WATCHERS ||
+	       now - peers->store_heard_at > peers_store_stale(peers, now) ||
+	       !peers->gateway->config || !peers->gateway->upstreams_known;
+}
+
+/* Says whether this gateway may take the lease on the duties. */
+bool gateway_peers_stand_for_duties(gateway_peers_t *peers)
+{
+	pd_time_t now = gateway_now();
+
+	return peers->is_holder || peers_is_mesh(peers, now) ||
+	       peers_view(peers, now)->rank < WATCHERS;
+}
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -29,6 +29,7 @@
 	STATE_STORE_AGE, /* since the store was last heard */
 	STATE_HOLDER, /* address of the holder of the duties */
 	STATE_FENCE, /* of that holder; the highest is the newest */
+	STATE_COUNT, /* of gateways that the sender counts */
 	STATE_TOTALS,
 	STATE_WORKS,
 	STATE_LOADS,
@@ -44,21 +45,49 @@
 /* Every so many states carry members and usage, which need not be as fresh. */
 #define PEERS_FULL_EVERY 4
 
+/* So many gateways go first: two sum up, and three watch the store. */
+#define HUBS 2
+#define WATCHERS 3
+/*
+ * Members that one message names: in larger fleets those that go first, and
+ * others at random. Naming all, messages would grow with the fleet.
+ */
+#define MEMBERS_TOLD 100
+/* Upstreams whose loads one message names; of the others it tells the mean. */
+#define LOADS_TOLD 128
+/* A peer not heard of for so long no longer counts as one of the fleet. */
+#define COUNT_KEPT (60 * PD_SEC)
+/*
+ * Prompt tokens in a load are told in this unit: one byte for most upstreams,
+ * and finer than one request's part of a prompt.
+ */
+#define READING_UNIT 64
+#define LOAD_FIELDS 3 /* of a load: mark, running, units to read */
+
 #define FETCH_CONFIG 1u
 #define FETCH_UPSTREAMS 2u
 
-/* What a gateway has running at an upstream. */
+/* What gateways have running at an upstream. */
 typedef struct load {
-	char *upstream;
+	uint32_t mark; /* of the upstream */
 	unsigned int running;
 	double reading;
 } load_t;
 
+/* What follows from who is alive; worked out anew every so often. */
+typedef struct peer_view {
+	pd_time_t at; /* when that was */
+	unsigned int alive; /* gateways, this one included */
+	unsigned int counted; /* also those that were lost lately */
+	unsigned int rank; /* live gateways that go before this one */
+} peer_view_t;
+
 typedef struct peer {
 	list_node_t node;
 	char *address; /* address:port */
 	char *host;
 	uint16_t port;
+	guint hash; /* of the address, for ranks */
 	char *incarnation; /* NULL: not heard yet */
 	bool seed;
 	bool strong; /* its VM has a processor and a link to spare */
@@ -79,6 +108,14 @@
 	char *incarnation; /* the node's id and a number of this start */
 	bool strong;
 	list_node_t list; /* of peer_t */
+	GHashTable *by_address; /* address -> peer_t; borrows both */
+	peer_view_t view;
+	unsigned int told_count; /* gateways, as the hub counts them */
+	GHashTable *totals; /* account -> double: the sum over all peers */
+	GHashTable *works; /* service -> double: the same */
+	msgpack_sbuffer loads_packed; /* the loads of all, for summaries */
+	pd_time_t loads_packed_at;
+	GArray *loads_told; /* of load_t: own ones, as last told */
 	pd_time_t started_at;
 	pd_time_t next_at;
 	unsigned int round;
@@ -92,6 +129,8 @@
 	pd_time_t store_heard_at; /* by anybody */
 	pd_time_t fetched_config_at;
 	pd_time_t fetched_upstreams_at;
+	pd_time_t fetch_pause; /* before upstreams are fetched again */
+	uint64_t fetched_for; /* the two digests that differed then */
 	GHashTable *news; /* ids of upstreams to tell about */
 };
 
@@ -100,13 +139,31 @@
 bool peer_is_heard(const peer_t *peer, pd_time_t now);
 bool peer_is_alive(const peer_t *peer, pd_time_t now);
 void peers_unload(gateway_peers_t *peers, GArray *loads);
+void peers_pack_own_loads(msgpack_packer *packer, gateway_peers_t *peers);
+void peers_pack_all_loads(msgpack_sbuffer *buffer, gateway_peers_t *peers,
+			  pd_time_t now);
+void peers_take_own_loads(gateway_peers_t *peers, GArray *loads,
+			  const msgpack_object *object);
+void peers_take_all_loads(gateway_peers_t *peers, const msgpack_object *object);
+const msgpack_object *peers_items(const msgpack_object *object, uint32_t least,
+				  uint32_t *count);
+uint64_t peers_number(const msgpack_object *object);
+double peers_decimal(const msgpack_object *object);
+char *peers_text(const msgpack_object *object);
+void peers_forget_counts(gateway_peers_t *peers, peer_t *peer);
+const peer_view_t *peers_view(gateway_peers_t *peers, pd_time_t now);
+bool peers_is_mesh(gateway_peers_t *peers, pd_time_t now);
+pd_time_t peers_store_stale(gateway_peers_t *peers, pd_time_t now);
+unsigned int peers_first(const gateway_peers_t *peers, peer_t **first,
+			 unsigned int most, pd_time_t now);
 void peers_send(const gateway_peers_t *peers, const peer_t *peer,
 		const msgpack_sbuffer *buffer);
 void peers_send_state(gateway_peers_t *peers, peer_t *peer, bool asks, bool full);
 void peers_send_summary(gateway_peers_t *peers, peer_t *peer, bool full);
 void peers_send_fetch(gateway_peers_t *peers, peer_t *peer, unsigned int what);
 void peers_send_config(gateway_peers_t *peers, peer_t *peer);
-void peers_send_upstreams(gateway_peers_t *peers, peer_t *peer);
+void peers_send_upstreams(gateway_peers_t *peers, peer_t *peer,
+			  const uint64_t *digests);
 void peers_pack_announce(msgpack_packer *packer, const gateway_peers_t *peers);
 void peers_pack_news(msgpack_packer *packer, const gateway_peers_t *peers,
 		     GHashTable *ids);
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -12,31 +12,35 @@
 #define ADOPT_MAX (3 * PD_SEC)
 /* What was asked for is asked for again only after so long. */
 #define FETCH_PERIOD (400 * PD_MSEC)
+#define FETCH_PERIOD_MAX (6400 * PD_MSEC)
 
-static char *unpack_text(const msgpack_object *object)
+/* Returns a copy of a text, which the caller frees; NULL: it is none. */
+char *peers_text(const msgpack_object *object)
 {
 	if (object->type != MSGPACK_OBJECT_STR)
 		return NULL;
 	return g_strndup(object->via.str.ptr, object->via.str.size);
 }
 
-static uint64_t unpack_number(const msgpack_object *object)
+/* Returns a number, 0 if it is none. */
+uint64_t peers_number(const msgpack_object *object)
 {
 	return object->type == MSGPACK_OBJECT_POSITIVE_INTEGER ? object->via.u64
 							       : 0;
 }
 
-static double unpack_decimal(const msgpack_object *object)
+/* Returns a decimal or whole number, 0 if it is none. */
+double peers_decimal(const msgpack_object *object)
 {
 	if (object->type == MSGPACK_OBJECT_FLOAT32 ||
 	    object->type == MSGPACK_OBJECT_FLOAT64)
 		return object->via.f64;
-	return (double)unpack_number(object);
+	return (double)peers_number(object);
 }
 
 /* Returns the items of an array of at least LEAST, or NULL. */
-static const msgpack_object *unpack_items(const msgpack_object *object,
-					  uint32_t least, uint32_t *count)
+const msgpack_object *peers_items(const msgpack_object *object, uint32_t least,
+				  uint32_t *count)
 {
 	if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size < least)
 		return NULL;
@@ -45,109 +49,94 @@
 	return object->via.array.ptr;
 }
 
-static void remember(GHashTable *values, const char *name, double value)
+/* A peer's values by name, and the sums of all peers' that they are part of. */
+typedef struct part {
+	GHashTable *values;
+	GHashTable *sums;
+} part_t;
+
+static double *value_of(GHashTable *values, const char *name)
 {
-	double *known = g_hash_table_lookup(values, name);
+	double *value = g_hash_table_lookup(values, name);
 
-	if (!known) {
-		known = g_new(double, 1);
-		g_hash_table_insert(values, g_strdup(name), known);
+	if (!value) {
+		value = g_new0(double, 1);
+		g_hash_table_insert(values, g_strdup(name), value);
 	}
+	return value;
+}
+
+static void part_set(const part_t *part, const char *name, double value)
+{
+	double *known = value_of(part->values, name);
+
+	*value_of(part->sums, name) += value - *known;
 	*known = value;
 }
 
-/* Takes what the accounts used; VALUES, if not NULL, keeps it for summaries. */
+/* Takes what the accounts used; PART, if not NULL, keeps it for summaries. */
 static void take_totals(gateway_t *gateway, const char *who,
 			const msgpack_object *object, bool adopt, bool recent,
-			GHashTable *values)
+			const part_t *part)
 {
 	uint32_t count = 0;
-	const msgpack_object *items = unpack_items(object, 0, &count);
+	const msgpack_object *items = peers_items(object, 0, &count);
 	pd_time_t now = gateway_now();
 
 	for (uint32_t i = 0; i < count; i++) {
-		const msgpack_object *fields = unpack_items(&items[i], 3, NULL);
-		char *account = fields ? unpack_text(&fields[0]) : NULL;
+		const msgpack_object *fields = peers_items(&items[i], 3, NULL);
+		char *account = fields ? peers_text(&fields[0]) : NULL;
 		double total;
 
 		if (!account)
 			continue;
-		total = unpack_decimal(&fields[1]);
+		total = peers_decimal(&fields[1]);
 		if (adopt)
 			token_limits_adopt(gateway->limits, account,
-					   unpack_decimal(&fields[2]), now);
+					   peers_decimal(&fields[2]), now);
 		token_limits_heard(gateway->limits, account, who, total, recent,
 				   now);
-		if (values)
-			remember(values, account, total);
+		if (part)
+			part_set(part, account, total);
 		g_free(account);
 	}
 }
 
 static void take_works(gateway_t *gateway, const char *who,
-		       const msgpack_object *object, GHashTable *values)
+		       const msgpack_object *object, const part_t *part)
 {
 	uint32_t count = 0;
-	const msgpack_object *items = unpack_items(object, 0, &count);
+	const msgpack_object *items = peers_items(object, 0, &count);
 
 	for (uint32_t i = 0; i < count; i++) {
-		const msgpack_object *pair = unpack_items(&items[i], 2, NULL);
-		char *service = pair ? unpack_text(&pair[0]) : NULL;
+		const msgpack_object *pair = peers_items(&items[i], 2, NULL);
+		char *service = pair ? peers_text(&pair[0]) : NULL;
 		double total;
 
 		if (!service)
 			continue;
-		total = unpack_decimal(&pair[1]);
+		total = peers_decimal(&pair[1]);
 		work_rate_heard(gateway->work, who, service, total);
-		if (values)
-			remember(values, service, total);
+		if (part)
+			part_set(part, service, total);
 		g_free(service);
 	}
 }
 
-/* Puts loads in the place of those that were heard before. */
-static void take_loads(gateway_peers_t *peers, GArray *loads,
-		       const msgpack_object *object)
-{
-	uint32_t count = 0;
-	const msgpack_object *items = unpack_items(object, 0, &count);
-
-	peers_unload(peers, loads);
-	for (uint32_t i = 0; i < count; i++) {
-		const msgpack_object *fields = unpack_items(&items[i], 3, NULL);
-		load_t load = { fields ? unpack_text(&fields[0]) : NULL, 0, 0 };
-		forward_upstream_t *upstream;
-
-		if (!load.upstream)
-			continue;
-		upstream = forward_upstreams_find(peers->gateway->upstreams,
-						  load.upstream);
-		if (!upstream) {
-			g_free(load.upstream);
-			continue;
-		}
-		load.running = (unsigned int)unpack_number(&fields[1]);
-		load.reading = unpack_decimal(&fields[2]);
-		upstream->peers_running += load.running;
-		upstream->peers_reading += load.reading;
-		g_array_append_val(loads, load);
-	}
-}
-
 static void take_usages(gateway_t *gateway, const char *who,
 			const msgpack_object *object)
 {
 	uint32_t count = 0;
-	const msgpack_object *items = unpack_items(object, 0, &count);
+	const msgpack_object *items = peers_items(object, 0, &count);
 
 	for (uint32_t i = 0; i < count; i++) {
-		const msgpack_object *fields = unpack_items(&items[i], 3, NULL);
-		char *account = fields ? unpack_text(&fields[1]) : NULL;
+		const msgpack_object *fields = peers_items(&items[i], 3, NULL);
+		char *account = fields ? peers_text(&fields[1]) : NULL;
 
 		if (account)
 			usage_heard(gateway->usage, who,
-				    (int64_t)unpack_number(&fields[0]), account,
-				    unpack_number(&fields[2]));
+				    (int64_t)peers_number(&fields[0]), account,
+				    peers_number(&fields[2]));
 		g_free(account);
 	}
 }
@@ -155,16 +144,16 @@
 static void take_members(gateway_peers_t *peers, const msgpack_object *object)
 {
 	uint32_t count = 0;
-	const msgpack_object *items = unpack_items(object, 0, &count);
+	const msgpack_object *items = peers_items(object, 0, &count);
 
 	for (uint32_t i = 0; i < count; i++) {
-		const msgpack_object *pair = unpack_items(&items[i], 2, NULL);
-		char *address = pair ? unpack_text(&pair[0]) : NULL;
+		const msgpack_object *pair = peers_items(&items[i], 2, NULL);
+		char *address = pair ? peers_text(&pair[0]) : NULL;
 		peer_t *peer = address ? peers_add(peers, address) : NULL;
 
 		if (peer) {
 			peer->mentioned_at = gateway_now();
-			peer->strong = unpack_number(&pair[1]) != 0;
+			peer->strong = peers_number(&pair[1]) != 0;
 		}
 		g_free(address);
 	}
@@ -185,6 +174,27 @@
 	return true;
 }
 
+/*
+ * Says whether upstreams may be fetched from a peer with another digest. If
+ * fetching did not help, as the peer is the one that is behind, it is done less
+ * and less often until one of the two learns something.
+ */
+static bool may_fetch_upstreams(gateway_peers_t *peers, uint64_t digest,
+				pd_time_t now)
+{
+	uint64_t differing = digest ^ peers_digest(peers);
+
+	if (now - peers->fetched_upstreams_at < peers->fetch_pause)
+		return false;
+	if (differing == peers->fetched_for)
+		peers->fetch_pause = MIN(peers->fetch_pause * 2, FETCH_PERIOD_MAX);
+	else
+		peers->fetch_pause = FETCH_PERIOD;
+	peers->fetched_for = differing;
+	peers->fetched_upstreams_at = now;
+	return true;
+}
+
 /* Asks for what the peer has newer, or knows otherwise; 0: not told. */
 static void fetch_newer(gateway_peers_t *peers, peer_t *peer, uint64_t version,
 			uint64_t digest)
@@ -198,10 +208,8 @@
 		what |= FETCH_CONFIG;
 	}
 	if (digest && digest != peers_digest(peers) &&
-	    now - peers->fetched_upstreams_at > FETCH_PERIOD) {
-		peers->fetched_upstreams_at = now;
+	    may_fetch_upstreams(peers, digest, now))
 		what |= FETCH_UPSTREAMS;
-	}
 	if (what)
 		peers_send_fetch(peers, peer, what);
 }
@@ -221,7 +229,7 @@
 static void take_holder(gateway_peers_t *peers, const msgpack_object *object,
 			uint64_t fence)
 {
-	char *holder = unpack_text(object);
+	char *holder = peers_text(object);
 
 	if (holder && *holder && fence > peers->holder_fence) {
 		g_free(peers->holder);
@@ -235,9 +243,9 @@
 /* Notes who sent a state or summary; NULL if that can't be read. */
 static peer_t *take_sender(gateway_peers_t *peers, const msgpack_object *fields)
 {
-	unsigned int flags = (unsigned int)unpack_number(&fields[STATE_FLAGS]);
-	char *address = unpack_text(&fields[STATE_ADDRESS]);
-	char *who = unpack_text(&fields[STATE_INCARNATION]);
+	unsigned int flags = (unsigned int)peers_number(&fields[STATE_FLAGS]);
+	char *address = peers_text(&fields[STATE_ADDRESS]);
+	char *who = peers_text(&fields[STATE_INCARNATION]);
 	peer_t *peer = address && who ? peers_add(peers, address) : NULL;
 
 	if (!peer)
@@ -248,16 +256,15 @@
 		if (peer->incarnation)
 			token_limits_forget_peer(peers->gateway->limits,
 						 peer->incarnation);
-		g_hash_table_remove_all(peer->totals);
-		g_hash_table_remove_all(peer->works);
+		peers_forget_counts(peers, peer);
 	}
 	g_free(peer->incarnation);
 	peer->incarnation = g_strdup(who);
 	peer->strong = flags & STATE_FLAG_STRONG;
 	peer->has_store = flags & STATE_FLAG_HAS_STORE;
-	take_store_age(peers, unpack_number(&fields[STATE_STORE_AGE]));
+	take_store_age(peers, peers_number(&fields[STATE_STORE_AGE]));
 	take_holder(peers, &fields[STATE_HOLDER],
-		    unpack_number(&fields[STATE_FENCE]));
+		    peers_number(&fields[STATE_FENCE]));
 done:
 	g_free(address);
 	g_free(who);
@@ -267,10 +274,10 @@
 static int take_state(gateway_peers_t *peers, const msgpack_object *fields)
 {
 	gateway_t *gateway = peers->gateway;
-	unsigned int flags = (unsigned int)unpack_number(&fields[STATE_FLAGS]);
+	unsigned int flags = (unsigned int)peers_number(&fields[STATE_FLAGS]);
 	peer_t *peer = take_sender(peers, fields);
 	pd_time_t now = gateway_now();
-	uint64_t age = unpack_number(&fields[STATE_AGE]);
+	uint64_t age = peers_number(&fields[STATE_AGE]);
 	bool first;
 
 	if (!peer)
@@ -278,25 +285,28 @@
 	first = !peer_is_heard(peer, now);
 	peer->heard_at = now;
 	time_vote_hear(gateway->vote, peer->address,
-		       (pd_time_t)unpack_number(&fields[STATE_WALL]), now);
+		       (pd_time_t)peers_number(&fields[STATE_WALL]), now);
 	take_usages(gateway, peer->incarnation, &fields[STATE_USAGES]);
 	take_members(peers, &fields[STATE_MEMBERS]);
 	/* Whoever follows a hub has this peer in the hub's sums already. */
 	if (!peers->hub) {
+		const part_t totals = { peer->totals, peers->totals };
+		const part_t works = { peer->works, peers->works };
+
 		take_totals(gateway, peer->incarnation, &fields[STATE_TOTALS],
 			    peer_knows_more(peers, age),
-			    (pd_time_t)age < limits_window(peers), peer->totals);
+			    (pd_time_t)age < limits_window(peers), &totals);
 		take_works(gateway, peer->incarnation, &fields[STATE_WORKS],
-			   peer->works);
-		take_loads(peers, peer->loads, &fields[STATE_LOADS]);
+			   &works);
+		peers_take_own_loads(peers, peer->loads, &fields[STATE_LOADS]);
 	}
 	if (flags & STATE_FLAG_ASKS)
 		peers_send_summary(peers, peer,
 				   peers->round % PEERS_FULL_EVERY == 0 || first);
 	else if (first)
 		peers_send_state(peers, peer, false, true);
-	fetch_newer(peers, peer, unpack_number(&fields[STATE_CONFIG]),
-		    unpack_number(&fields[STATE_DIGEST]));
+	fetch_newer(peers, peer, peers_number(&fields[STATE_CONFIG]),
+		    peers_number(&fields[STATE_DIGEST]));
 	return 0;
 }
 
@@ -310,36 +320,37 @@
 		return -1;
 	peer->heard_at = now;
 	take_members(peers, &fields[STATE_MEMBERS]);
-	fetch_newer(peers, peer, unpack_number(&fields[STATE_CONFIG]),
-		    unpack_number(&fields[STATE_DIGEST]));
+	fetch_newer(peers, peer, peers_number(&fields[STATE_CONFIG]),
+		    peers_number(&fields[STATE_DIGEST]));
 	if (!peers->hub || strcmp(peers->hub, peer->address))
 		return 0;
 	peers->summed_at = now;
+	peers->told_count = (unsigned int)peers_number(&fields[STATE_COUNT]);
 	time_vote_follow(gateway->vote,
-			 (pd_time_t)unpack_number(&fields[STATE_WALL]), now);
+			 (pd_time_t)peers_number(&fields[STATE_WALL]), now);
 	take_totals(gateway, EVERYBODY, &fields[STATE_TOTALS],
-		    peer_knows_more(peers, unpack_number(&fields[STATE_AGE])),
+		    peer_knows_more(peers, peers_number(&fields[STATE_AGE])),
 		    false, NULL);
 	take_works(gateway, EVERYBODY, &fields[STATE_WORKS], NULL);
-	take_loads(peers, peers->hub_loads, &fields[STATE_LOADS]);
+	peers_take_all_loads(peers, &fields[STATE_LOADS]);
 	return 0;
 }
 
 static int take_announce(gateway_peers_t *peers, const msgpack_object *fields)
 {
-	char *address = unpack_text(&fields[1]);
+	char *address = peers_text(&fields[1]);
 	peer_t *peer = address ? peers_add(peers, address) : NULL;
 
 	g_free(address);
 	if (!peer)
 		return -1;
-	fetch_newer(peers, peer, unpack_number(&fields[2]), 0);
+	fetch_newer(peers, peer, peers_number(&fields[2]), 0);
 	return 0;
 }
 
 static int take_config(gateway_peers_t *peers, const msgpack_object *fields)
 {
-	char *text = unpack_text(&fields[1]);
+	char *text = peers_text(&fields[1]);
 
 	if (!text)
 		return -1;
@@ -351,26 +362,26 @@
 /* Takes one upstream that a peer knows of. */
 static void take_upstream(gateway_t *gateway, const msgpack_object *object)
 {
-	const msgpack_object *fields = unpack_items(object, 9, NULL);
+	const msgpack_object *fields = peers_items(object, 9, NULL);
 	char *texts[4] = { NULL };
 	forward_listing_t listing = { 0 };
 	bool news = false;
 
 	if (!fields)
 		return;
-	texts[0] = unpack_text(&fields[0]);
-	texts[1] = unpack_text(&fields[1]);
-	texts[2] = unpack_text(&fields[2]);
-	texts[3] = unpack_text(&fields[4]);
+	texts[0] = peers_text(&fields[0]);
+	texts[1] = peers_text(&fields[1]);
+	texts[2] = peers_text(&fields[2]);
+	texts[3] = peers_text(&fields[4]);
 	listing.id = texts[0];
 	listing.service = texts[1];
 	listing.address = texts[2];
-	listing.port = (uint16_t)unpack_number(&fields[3]);
+	listing.port = (uint16_t)peers_number(&fields[3]);
 	listing.zone = texts[3];
-	listing.slots = (unsigned int)unpack_number(&fields[5]);
-	listing.stage = (forward_stage_t)unpack_number(&fields[6]);
-	listing.reclaimable = unpack_number(&fields[7]) != 0;
-	listing.revision = unpack_number(&fields[8]);
+	listing.slots = (unsigned int)peers_number(&fields[5]);
+	listing.stage = (forward_stage_t)peers_number(&fields[6]);
+	listing.reclaimable = peers_number(&fields[7]) != 0;
+	listing.revision = peers_number(&fields[8]);
 	if (!texts[0] || !texts[1] || !texts[2] || !texts[3])
 		goto done;
 	if (listing.stage == FORWARD_GONE)
@@ -389,21 +400,35 @@
 static int take_news(gateway_peers_t *peers, const msgpack_object *fields)
 {
 	uint32_t count = 0;
-	const msgpack_object *items = unpack_items(&fields[2], 0, &count);
+	const msgpack_object *items = peers_items(&fields[2], 0, &count);
 
 	if (!items)
 		return -1;
 	for (uint32_t i = 0; i < count; i++)
 		take_upstream(peers->gateway, &items[i]);
-	if (unpack_number(&fields[1]))
+	if (peers_number(&fields[1]))
 		peers->gateway->upstreams_known = true;
 	return 0;
 }
 
+/* Reads the digests that a peer sent along. False: it sent none. */
+static bool take_digests(const msgpack_object *object,
+			 uint64_t digests[FORWARD_BUCKETS])
+{
+	const msgpack_object *items = peers_items(object, FORWARD_BUCKETS, NULL);
+
+	if (!items)
+		return false;
+	for (unsigned int i = 0; i < FORWARD_BUCKETS; i++)
+		digests[i] = peers_number(&items[i]);
+	return true;
+}
+
 static int take_fetch(gateway_peers_t *peers, const msgpack_object *fields)
 {
-	uint64_t what = unpack_number(&fields[2]);
-	char *address = unpack_text(&fields[1]);
+	uint64_t digests[FORWARD_BUCKETS];
+	uint64_t what = peers_number(&fields[2]);
+	char *address = peers_text(&fields[1]);
 	peer_t *peer = address ? peers_add(peers, address) : NULL;
 
 	g_free(address);
@@ -412,7 +437,9 @@
 	if (what & FETCH_CONFIG)
 		peers_send_config(peers, peer);
 	if (what & FETCH_UPSTREAMS)
-		peers_send_upstreams(peers, peer);
+		peers_send_upstreams(peers, peer,
+				     take_digests(&fields[3], digests) ? digests
+								       : NULL);
 	return 0;
 }
 
@@ -424,11 +451,11 @@
 		[MESSAGE_NEWS] = 3,
 		[MESSAGE_ANNOUNCE] = 3,
 		[MESSAGE_CONFIG] = 2,
-		[MESSAGE_FETCH] = 3,
+		[MESSAGE_FETCH] = 4,
 	};
 	uint32_t count = 0;
-	const msgpack_object *fields = unpack_items(object, 1, &count);
-	uint64_t kind = fields ? unpack_number(&fields[0]) : UINT64_MAX;
+	const msgpack_object *fields = peers_items(object, 1, &count);
+	uint64_t kind = fields ? peers_number(&fields[0]) : UINT64_MAX;
 
 	if (kind > MESSAGE_FETCH || count < lengths[kind])
 		return -1;
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -10,26 +10,16 @@
 #define PART "peers"
 /* A configuration of some thousand routes; longer frames end the connection. */
 #define FRAME_MAX (4 * 1024 * 1024)
-/*
- * Up to so many gateways all tell each other. Beyond, each tells two hubs, and
- * one of them tells it the sums: the cost of a node is the same in any fleet,
- * and a hub's grows with the fleet by one message each way for a node.
- */
-#define MESH_MAX 12
-#define HUBS 2
 /* Counts that others act on; what is older is guessed on the last rate. */
 #define MESH_PERIOD (250 * PD_MSEC)
 #define HUB_PERIOD (400 * PD_MSEC)
+/* Beyond so many gateways the period grows with them, to bound a hub's load. */
+#define HUB_PERIOD_FLEET 100
+#define HUB_PERIOD_MAX (800 * PD_MSEC)
 /* A peer not heard for so long runs nothing any more, as far as loads go. */
 #define LOAD_KEPT (2 * PD_SEC)
-/* A peer heard within this is alive; messages can be late by a lost packet. */
-#define HEARD_MAX (3 * PD_SEC)
-/* A mention comes with every few states of whoever hears the peer. */
-#define MENTION_MAX (6 * PD_SEC)
-/* Whoever is not heard of for so long no longer counts as one of the fleet. */
-#define COUNT_KEPT (60 * PD_SEC)
-/* A hub that has not answered for so long is passed over for a while. */
-#define HUB_SILENCE (1500 * PD_MSEC)
+/* A hub that has not answered so many times is passed over for a while. */
+#define HUB_SILENCE_PERIODS 3.75
 #define HUB_PAUSE (5 * PD_SEC)
 /*
  * News goes to so many peers at random, and on from each that had not heard it.
@@ -39,42 +29,28 @@
 #define NEWS_FANOUT 5
 /* What a peer said of the store holds for a few states. */
 #define STORE_NEWS_KEPT (700 * PD_MSEC)
-/* So many gateways watch the store for all, and may hold the duties. */
-#define WATCHERS 3
 /*
  * A watch for many answers every 0.8 s at least, and the news of that takes two
- * messages. If nobody has heard the store for longer, each gateway asks for
- * itself: with 3.2 s, a fleet whose few watchers were all turned away went by an
- * old configuration for longer than it may.
+ * messages, a period apart, and some time on the way. If nobody has heard the
+ * store for longer, each gateway asks for itself: with 3.2 s at periods of 0.4 s,
+ * a fleet whose few watchers were all turned away went by an old configuration
+ * for longer than it may.
  */
-#define STORE_STALE (1900 * PD_MSEC)
+#define STORE_STALE (1100 * PD_MSEC)
+#define STORE_STALE_PERIODS 2
 /* A VM with that much processor and link can carry a hub of some hundreds. */
 #define STRONG_CORES 0.24
 #define STRONG_MBPS 100
 
-static void load_clear(void *data)
-{
-	g_free(((load_t *)data)->upstream);
-}
-
 static GArray *loads_create(void)
 {
-	GArray *loads = g_array_new(FALSE, TRUE, sizeof(load_t));
-
-	g_array_set_clear_func(loads, load_clear);
-	return loads;
+	return g_array_new(FALSE, TRUE, sizeof(load_t));
 }
 
 /* Returns the peer at an address, or NULL. */
 peer_t *peers_find(gateway_peers_t *peers, const char *address)
 {
-	LIST_FOR_EACH (it, &peers->list) {
-		peer_t *peer = LIST_ENTRY(it, peer_t, node);
-
-		if (!strcmp(peer->address, address))
-			return peer;
-	}
-	return NULL;
+	return g_hash_table_lookup(peers->by_address, address);
 }
 
 /* Returns the peer at an address, a new one if need be; NULL: it is oneself. */
@@ -90,6 +66,7 @@
 		return NULL;
 	}
 	peer->address = g_strdup(address);
+	peer->hash = g_str_hash(address);
 	peer->added_at = gateway_now();
 	peer->loads = loads_create();
 	peer->totals =
@@ -97,31 +74,38 @@
 	peer->works =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	list_append(&peers->list, &peer->node);
+	g_hash_table_insert(peers->by_address, peer->address, peer);
 	return peer;
 }
 
-/* Takes loads off the upstreams and empties the list. */
-void peers_unload(gateway_peers_t *peers, GArray *loads)
+static void sum_without(GHashTable *sums, GHashTable *values)
 {
-	for (guint i = 0; i < loads->len; i++) {
-		const load_t *load = &g_array_index(loads, load_t, i);
-		forward_upstream_t *upstream =
-			forward_upstreams_find(peers->gateway->upstreams,
-					       load->upstream);
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
 
-		if (!upstream)
-			continue;
-		upstream->peers_running -=
-			MIN(upstream->peers_running, load->running);
-		upstream->peers_reading =
-			MAX(upstream->peers_reading - load->reading, 0);
+	g_hash_table_iter_init(&iter, values);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		double *sum = g_hash_table_lookup(sums, name);
+
+		if (sum)
+			*sum -= *(double *)value;
 	}
-	g_array_set_size(loads, 0);
+	g_hash_table_remove_all(values);
+}
+
+/* Takes what a peer has told of its accounts and work out of the sums. */
+void peers_forget_counts(gateway_peers_t *peers, peer_t *peer)
+{
+	sum_without(peers->totals, peer->totals);
+	sum_without(peers->works, peer->works);
 }
 
 static void peer_destroy(gateway_peers_t *peers, peer_t *peer)
 {
 	peers_unload(peers, peer->loads);
+	peers_forget_counts(peers, peer);
+	g_hash_table_remove(peers->by_address, peer->address);
 	list_remove(&peer->node);
 	g_array_unref(peer->loads);
 	g_hash_table_unref(peer->totals);
@@ -132,19 +116,6 @@
 	g_free(peer);
 }
 
-/* Says whether the peer itself was heard lately. */
-bool peer_is_heard(const peer_t *peer, pd_time_t now)
-{
-	return peer->heard_at && now - peer->heard_at < HEARD_MAX;
-}
-
-/* Says whether the peer was heard lately, here or by somebody who told. */
-bool peer_is_alive(const peer_t *peer, pd_time_t now)
-{
-	return peer_is_heard(peer, now) ||
-	       (peer->mentioned_at && now - peer->mentioned_at < MENTION_MAX);
-}
-
 static int on_frame(void *ctx, const char *data, size_t len)
 {
 	return peers_take(ctx, data, len);
@@ -170,6 +141,13 @@
 	peers->incarnation = g_strdup_printf("%s#%08x", settings->node_id,
 					     g_rand_int(gateway->random));
 	peers->hub_loads = loads_create();
+	peers->loads_told = loads_create();
+	peers->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	peers->totals =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	peers->works =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	msgpack_sbuffer_init(&peers->loads_packed);
 	peers->news = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	list_init(&peers->list);
 	if (!gateway_split_address(settings->peers_listen, &host, &config.port)) {
@@ -196,119 +174,16 @@
 error:
 	g_free(host);
 	g_free(peers->incarnation);
+	g_array_unref(peers->hub_loads);
+	g_array_unref(peers->loads_told);
+	g_hash_table_unref(peers->by_address);
+	g_hash_table_unref(peers->totals);
+	g_hash_table_unref(peers->works);
+	g_hash_table_unref(peers->news);
 	g_free(peers);
 	return NULL;
 }
 
-/* Returns how many gateways there are, this one included. */
-unsigned int gateway_peers_count(const gateway_peers_t *peers)
-{
-	pd_time_t now = gateway_now();
-	unsigned int count = 1;
-
-	LIST_FOR_EACH (it, &peers->list) {
-		const peer_t *peer = LIST_ENTRY(it, peer_t, node);
-		pd_time_t last = MAX(peer->heard_at, peer->mentioned_at);
-
-		count += last && now - last < COUNT_KEPT;
-	}
-	return count;
-}
-
-static unsigned int count_alive(const gateway_peers_t *peers, pd_time_t now)
-{
-	unsigned int count = 1;
-
-	LIST_FOR_EACH (it, &peers->list)
-		count += peer_is_alive(LIST_ENTRY(it, peer_t, node), now);
-	return count;
-}
-
-/* Says whether one address goes before another in the order of ranks. */
-static bool goes_before(bool strong, const char *address, bool other_strong,
-			const char *other)
-{
-	guint hash = g_str_hash(address);
-	guint other_hash = g_str_hash(other);
-
-	if (strong != other_strong)
-		return strong;
-	if (hash != other_hash)
-		return hash < other_hash;
-	return strcmp(address, other) < 0;
-}
-
-/* Returns how many live gateways go before this one. */
-static unsigned int own_rank(const gateway_peers_t *peers, pd_time_t now)
-{
-	unsigned int rank = 0;
-
-	LIST_FOR_EACH (it, &peers->list) {
-		const peer_t *peer = LIST_ENTRY(it, peer_t, node);
-
-		rank += peer_is_alive(peer, now) &&
-			goes_before(peer->strong, peer->address, peers->strong,
-				    peers->address);
-	}
-	return rank;
-}
-
-/* Fills in the live peers that go first; returns how many there are. */
-static unsigned int first_peers(const gateway_peers_t *peers, peer_t **first,
-				unsigned int most, pd_time_t now)
-{
-	unsigned int count = 0;
-
-	LIST_FOR_EACH (it, &peers->list) {
-		peer_t *peer = LIST_ENTRY(it, peer_t, node);
-		unsigned int place = 0;
-
-		if (!peer_is_alive(peer, now) || now < peer->passed_over_until)
-			continue;
-		while (place < count &&
-		       goes_before(first[place]->strong, first[place]->address,
-				   peer->strong, peer->address))
-			place++;
-		if (place >= most)
-			continue;
-		count = MIN(count + 1, most);
-		memmove(&first[place + 1], &first[place],
-			(count - place - 1) * sizeof(peer_t *));
-		first[place] = peer;
-	}
-	return count;
-}
-
-static bool is_mesh(const gateway_peers_t *peers, pd_time_t now)
-{
-	return count_alive(peers, now) <= MESH_MAX;
-}
-
-/* Says whether all gateways tell each other, as there are few. */
-bool gateway_peers_is_mesh(const gateway_peers_t *peers)
-{
-	return is_mesh(peers, gateway_now());
-}
-
-/* Says whether this gateway asks the store itself. */
-bool gateway_peers_watch_store(const gateway_peers_t *peers)
-{
-	pd_time_t now = gateway_now();
-
-	return is_mesh(peers, now) || own_rank(peers, now) < WATCHERS ||
-	       now - peers->store_heard_at > STORE_STALE ||
-	       !peers->gateway->config || !peers->gateway->upstreams_known;
-}
-
-/* Says whether this gateway may take the lease on the duties. */
-bool gateway_peers_stand_for_duties(const gateway_peers_t *peers)
-{
-	pd_time_t now = gateway_now();
-
-	return peers->is_holder || is_mesh(peers, now) ||
-	       own_rank(peers, now) < WATCHERS;
-}
-
 /* Notes that the store answered this gateway. */
 void gateway_peers_store_heard(gateway_peers_t *peers)
 {
@@ -338,12 +213,21 @@
 	return false;
 }
 
+static unsigned int count_alive(const gateway_peers_t *peers, pd_time_t now)
+{
+	unsigned int count = 0;
+
+	LIST_FOR_EACH (it, &peers->list)
+		count += peer_is_alive(LIST_ENTRY(it, peer_t, node), now);
+	return count;
+}
+
 /* Sends a message to all peers of a mesh, or to some of a larger fleet. */
 static void peers_spread(gateway_peers_t *peers, const msgpack_sbuffer *buffer,
 			 pd_time_t now)
 {
-	unsigned int alive = count_alive(peers, now) - 1;
-	unsigned int left = is_mesh(peers, now) ? alive : NEWS_FANOUT;
+	unsigned int alive = count_alive(peers, now);
+	unsigned int left = peers_is_mesh(peers, now) ? alive : NEWS_FANOUT;
 
 	LIST_FOR_EACH (it, &peers->list) {
 		const peer_t *peer = LIST_ENTRY(it, peer_t, node);
@@ -423,24 +307,41 @@
 		peers_send_state(peers, LIST_ENTRY(it, peer_t, node), false, full);
 }
 
+/* How often hubs are told and tell; it grows with the fleet up to a bound. */
+static pd_time_t hub_period(gateway_peers_t *peers, pd_time_t now)
+{
+	pd_time_t period =
+		HUB_PERIOD * peers_view(peers, now)->counted / HUB_PERIOD_FLEET;
+
+	return CLAMP(period, HUB_PERIOD, HUB_PERIOD_MAX);
+}
+
+/* After how long without news of the store each gateway asks for itself. */
+pd_time_t peers_store_stale(gateway_peers_t *peers, pd_time_t now)
+{
+	return STORE_STALE + STORE_STALE_PERIODS * hub_period(peers, now);
+}
+
 /* Passes a hub over that gives no summaries. */
 static void judge_hub(gateway_peers_t *peers, pd_time_t now)
 {
 	peer_t *hub = peers->hub ? peers_find(peers, peers->hub) : NULL;
+	pd_time_t silence =
+		(pd_time_t)((double)hub_period(peers, now) * HUB_SILENCE_PERIODS);
 
-	if (hub && now - peers->summed_at > HUB_SILENCE)
+	if (hub && now - peers->summed_at > silence)
 		hub->passed_over_until = now + HUB_PAUSE;
 }
 
 static void tell_hubs(gateway_peers_t *peers, bool full, pd_time_t now)
 {
-	bool is_hub = own_rank(peers, now) < HUBS;
+	bool is_hub = peers_view(peers, now)->rank < HUBS;
 	peer_t *first[HUBS + 1];
 	unsigned int count;
 	peer_t *holder;
 
 	judge_hub(peers, now);
-	count = first_peers(peers, first, HUBS, now);
+	count = peers_first(peers, first, HUBS, now);
 	follow_hub(peers, is_hub || !count ? NULL : first[0]->address, now);
 	for (unsigned int i = 0; i < count; i++)
 		peers_send_state(peers, first[i], !is_hub && i == 0, full);
@@ -482,8 +383,8 @@
 	spread_news(peers, now);
 	if (now < peers->next_at)
 		return;
-	mesh = is_mesh(peers, now);
-	peers->next_at = now + (mesh ? MESH_PERIOD : HUB_PERIOD);
+	mesh = peers_is_mesh(peers, now);
+	peers->next_at = now + (mesh ? MESH_PERIOD : hub_period(peers, now));
 	forget_lost(peers, now);
 	full = peers->round++ % PEERS_FULL_EVERY == 0;
 	if (mesh)
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -16,9 +16,9 @@
 void gateway_peers_store_heard(gateway_peers_t *peers);
 void gateway_peers_hold_duties(gateway_peers_t *peers, bool held, uint64_t fence);
 bool gateway_peers_have_store(const gateway_peers_t *peers);
-bool gateway_peers_is_mesh(const gateway_peers_t *peers);
-bool gateway_peers_watch_store(const gateway_peers_t *peers);
-bool gateway_peers_stand_for_duties(const gateway_peers_t *peers);
-unsigned int gateway_peers_count(const gateway_peers_t *peers);
+bool gateway_peers_is_mesh(gateway_peers_t *peers);
+bool gateway_peers_watch_store(gateway_peers_t *peers);
+bool gateway_peers_stand_for_duties(gateway_peers_t *peers);
+unsigned int gateway_peers_count(gateway_peers_t *peers);
 
 #endif
--- a/adapters/gateway/upstream_link.c
+++ b/adapters/gateway/upstream_link.c
@@ -9,6 +9,8 @@
 #define IDLE_PART 0.6
 #define IDLE_UNSTATED (250 * PD_MSEC)
 #define IDLE_MAX (8 * PD_SEC)
+/* Idle links are looked at this often: a walk over all upstreams. */
+#define LINKS_PERIOD (100 * PD_MSEC)
 /* For requests that may not be repeated, a link must have been used lately. */
 #define YOUNG_MAX (500 * PD_MSEC)
 
@@ -191,6 +193,9 @@
 /* Closes links that were idle for long, and those of upstreams that left. */
 void upstream_links_run(gateway_t *gateway, pd_time_t now)
 {
+	if (now < gateway->links_at)
+		return;
+	gateway->links_at = now + LINKS_PERIOD;
 	LIST_FOR_EACH (it, forward_upstreams_list(gateway->upstreams)) {
 		forward_upstream_t *upstream =
 			LIST_ENTRY(it, forward_upstream_t, node);
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -17,12 +17,18 @@
 struct forward_upstreams {
 	list_node_t list; /* of forward_upstream_t */
 	GHashTable *by_id; /* borrows the ids */
+	GHashTable *by_mark;
 	GHashTable *groups; /* service -> GPtrArray of those that serve it */
 	uint64_t digests[FORWARD_BUCKETS];
 	pd_time_t grace_until;
 	pd_time_t run_at; /* when time next changes something; 0: never */
 };
 
+static gpointer mark_key(uint32_t mark)
+{
+	return GUINT_TO_POINTER(mark);
+}
+
 /* Returns an empty table; the caller owns it. */
 forward_upstreams_t *forward_upstreams_create(void)
 {
@@ -30,6 +36,7 @@
 
 	list_init(&set->list);
 	set->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	set->by_mark = g_hash_table_new(g_direct_hash, g_direct_equal);
 	set->groups = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    (GDestroyNotify)g_ptr_array_unref);
 	return set;
@@ -108,9 +115,13 @@
 
 static void set_drop(forward_upstreams_t *set, forward_upstream_t *upstream)
 {
+	uint32_t mark = forward_upstream_mark(upstream);
+
 	upstream->stage = FORWARD_GONE;
 	set_changed(set, upstream);
 	g_hash_table_remove(set->by_id, upstream->id);
+	if (forward_upstreams_marked(set, mark) == upstream)
+		g_hash_table_remove(set->by_mark, mark_key(mark));
 	list_remove(&upstream->node);
 	forward_upstream_unref(upstream);
 }
@@ -123,6 +134,7 @@
 	LIST_FOR_EACH_SAFE (it, &set->list)
 		set_drop(set, LIST_ENTRY(it, forward_upstream_t, node));
 	g_hash_table_unref(set->by_id);
+	g_hash_table_unref(set->by_mark);
 	g_hash_table_unref(set->groups);
 	g_free(set);
 }
@@ -150,6 +162,22 @@
 	return set->digests[bucket];
 }
 
+/*
+ * Returns the short name of an upstream, for messages that name many of them. Of
+ * a thousand upstreams two have the same in one fleet of some ten thousand; then
+ * one of these two is told the other's load.
+ */
+uint32_t forward_upstream_mark(const forward_upstream_t *upstream)
+{
+	return (uint32_t)upstream->mark;
+}
+
+/* Returns an upstream by its short name, or NULL. */
+forward_upstream_t *forward_upstreams_marked(forward_upstreams_t *set, uint32_t mark)
+{
+	return g_hash_table_lookup(set->by_mark, mark_key(mark));
+}
+
 /* Returns an upstream by its id, or NULL. */
 forward_upstream_t *forward_upstreams_find(forward_upstreams_t *set, const char *id)
 {
@@ -171,6 +199,8 @@
 						g_free, g_free);
 	list_append(&set->list, &upstream->node);
 	g_hash_table_insert(set->by_id, upstream->id, upstream);
+	g_hash_table_insert(set->by_mark,
+			    mark_key(forward_upstream_mark(upstream)), upstream);
 	return upstream;
 }
 
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -81,6 +81,9 @@
 unsigned int forward_upstream_bucket(const forward_upstream_t *upstream);
 forward_upstream_t *forward_upstreams_find(forward_upstreams_t *set,
 					   const char *id);
+forward_upstream_t *forward_upstreams_marked(forward_upstreams_t *set,
+					     uint32_t mark);
+uint32_t forward_upstream_mark(const forward_upstream_t *upstream);
 bool forward_upstream_serves(const forward_upstream_t *upstream);
 double forward_upstream_unread(const forward_upstream_t *upstream,
 			       const forward_call_t *call, pd_time_t now);
--- /dev/null
+++ b/tests/unit/test_peer_loads.c
@@ -0,0 +1,169 @@
+/* What gateways tell each other of the load of upstreams. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+
+#include "adapters/gateway/peer_state.h"
+
+#define START (1000 * PD_SEC)
+#define FEW 20
+#define MANY 1000
+#define MESSAGE_MAX 2048 /* bytes */
+
+/* A gateway of which only the table of upstreams and the loads are used. */
+typedef struct fixture {
+	gateway_t gateway;
+	gateway_peers_t peers;
+} fixture_t;
+
+static void list_upstreams(forward_upstreams_t *set, unsigned int count)
+{
+	char id[16];
+
+	for (unsigned int i = 0; i < count; i++) {
+		const forward_listing_t listing = { .id = id,
+						    .service = "s",
+						    .address = "127.0.0.1",
+						    .port = 1,
+						    .zone = "a",
+						    .slots = 12,
+						    .stage = FORWARD_SERVING,
+						    .revision = i + 1 };
+
+		snprintf(id, sizeof(id), "u%u", i);
+		forward_upstreams_apply(set, &listing);
+	}
+}
+
+static fixture_t *fixture_create(unsigned int upstreams)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	gateway_peers_t *peers = &fixture->peers;
+
+	fixture->gateway.upstreams = forward_upstreams_create();
+	fixture->gateway.config = forward_config_create();
+	forward_config_add_service(fixture->gateway.config)->name = g_strdup("s");
+	list_upstreams(fixture->gateway.upstreams, upstreams);
+	peers->gateway = &fixture->gateway;
+	peers->hub_loads = g_array_new(FALSE, FALSE, sizeof(load_t));
+	peers->loads_told = g_array_new(FALSE, FALSE, sizeof(load_t));
+	msgpack_sbuffer_init(&peers->loads_packed);
+	return fixture;
+}
+
+static void fixture_destroy(fixture_t *fixture)
+{
+	forward_upstreams_destroy(fixture->gateway.upstreams);
+	forward_config_unref(fixture->gateway.config);
+	g_array_unref(fixture->peers.hub_loads);
+	g_array_unref(fixture->peers.loads_told);
+	msgpack_sbuffer_destroy(&fixture->peers.loads_packed);
+	g_free(fixture);
+}
+
+static forward_upstream_t *upstream_at(fixture_t *fixture, unsigned int i)
+{
+	char id[16];
+
+	snprintf(id, sizeof(id), "u%u", i);
+	return forward_upstreams_find(fixture->gateway.upstreams, id);
+}
+
+/* Has one gateway tell the other all loads; returns the message's size. */
+static size_t tell_all(fixture_t *from, fixture_t *to)
+{
+	msgpack_sbuffer buffer;
+	msgpack_unpacked unpacked;
+	size_t offset = 0;
+	size_t size;
+
+	msgpack_sbuffer_init(&buffer);
+	peers_pack_all_loads(&buffer, &from->peers, START);
+	msgpack_unpacked_init(&unpacked);
+	assert_int_equal(msgpack_unpack_next(&unpacked, buffer.data,
+					     buffer.size, &offset),
+			 MSGPACK_UNPACK_SUCCESS);
+	peers_take_all_loads(&to->peers, &unpacked.data);
+	size = buffer.size;
+	msgpack_unpacked_destroy(&unpacked);
+	msgpack_sbuffer_destroy(&buffer);
+	return size;
+}
+
+/* Has a gateway note what it told last of its own requests. */
+static void tell_own(fixture_t *fixture)
+{
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	peers_pack_own_loads(&packer, &fixture->peers);
+	msgpack_sbuffer_destroy(&buffer);
+}
+
+/*
+ * A hub sums up its own requests and its peers'. A gateway that counted its own
+ * part of these sums as well would think the upstreams that it uses itself twice
+ * as loaded as they are.
+ */
+static void test_own_requests_are_not_counted_twice(void **state)
+{
+	fixture_t *hub = fixture_create(FEW);
+	fixture_t *node = fixture_create(FEW);
+
+	(void)state;
+	upstream_at(hub, 3)->running = 2;
+	upstream_at(hub, 3)->peers_running = 3;
+	upstream_at(hub, 3)->peers_reading = 6400;
+	upstream_at(node, 3)->running = 1;
+	upstream_at(node, 3)->reading = 640;
+	tell_own(node);
+	tell_all(hub, node);
+	assert_int_equal(upstream_at(node, 3)->peers_running, 4);
+	assert_int_equal((int)upstream_at(node, 3)->peers_reading, 5760);
+	assert_int_equal(upstream_at(node, 4)->peers_running, 0);
+	tell_all(hub, node);
+	assert_int_equal(upstream_at(node, 3)->peers_running, 4);
+	fixture_destroy(hub);
+	fixture_destroy(node);
+}
+
+/*
+ * In a large fleet a message that names every upstream fills the links of small
+ * VMs, and answers reach their callers late. The most loaded are named, the
+ * others get the mean of the rest.
+ */
+static void test_a_message_does_not_grow_with_the_fleet(void **state)
+{
+	fixture_t *hub = fixture_create(MANY);
+	fixture_t *node = fixture_create(MANY);
+	size_t size;
+
+	(void)state;
+	for (unsigned int i = 0; i < MANY; i++) {
+		upstream_at(hub, i)->peers_running = i < LOADS_TOLD ? 12 : 3;
+		upstream_at(hub, i)->peers_reading = i < LOADS_TOLD ? 20000 : 1000;
+	}
+	size = tell_all(hub, node);
+	assert_true(size < MESSAGE_MAX);
+	assert_int_equal(upstream_at(node, 5)->peers_running, 12);
+	assert_int_equal(upstream_at(node, MANY - 1)->peers_running, 3);
+	assert_int_equal((int)upstream_at(node, MANY - 1)->peers_reading, 1000);
+	fixture_destroy(hub);
+	fixture_destroy(node);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_own_requests_are_not_counted_twice),
+		cmocka_unit_test(test_a_message_does_not_grow_with_the_fleet),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
