--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -1,6 +1,7 @@
 /* Requests on their way in: what is checked, who waits, whose time is over. */
 #include "adapters/gateway/request_state.h"
 
+#include "adapters/log_glib.h"
 #include "platform/wire.h"
 
 /* A connection to an upstream takes a few milliseconds, or a lost packet more. */
@@ -92,18 +93,25 @@
 
 static bool request_within_limit(gateway_request_t *request)
 {
-	pd_time_t retry_after = 0;
+	token_verdict_t verdict;
 	double amount;
 
 	if (!request->account)
 		return true;
 	amount = request_amount(request);
 	if (token_limits_take(request->gateway->limits, request->account,
-			      amount, request->read_at, &retry_after)) {
+			      amount, request->read_at, &verdict)) {
 		request->taken = amount;
 		return true;
 	}
-	gateway_request_refuse(request, 429, retry_after,
+	log_line(G_LOG_LEVEL_INFO, "limit",
+		 "id=%s account=%s tokens=%.0f needed=%.0f level=%.0f "
+		 "rate=%.0f "
+		 "gateways=%u",
+		 request->call->id ? request->call->id : "-",
+		 request->account->name, amount, verdict.needed, verdict.level,
+		 request->account->rate, gateway_count(request->gateway));
+	gateway_request_refuse(request, 429, verdict.retry_after,
 			       "over the account's limit");
 	return false;
 }
--- a/adapters/gateway/request_end.c
+++ b/adapters/gateway/request_end.c
@@ -56,6 +56,7 @@
 	log_line(G_LOG_LEVEL_INFO, PART,
 		 "id=%s route=%s service=%s account=%s status=%d "
 		 "reason=\"%s\" upstream=%s sends=%u ran=%u events=%u "
+		 "tokens=%.0f "
 		 "ms=%.1f config=%" G_GUINT64_FORMAT " queued=%u",
 		 request->call->id ? request->call->id : "-",
 		 request->route ? request->route->name : "-",
@@ -64,7 +65,7 @@
 		 request->tried_count ? request->tried[request->tried_count - 1]
 				      : "-",
 		 request->sends, request->runs,
-		 request->events ? request->events->count : 0,
+		 request->events ? request->events->count : 0, request->taken,
 		 (double)(now - request->arrived) / PD_MSEC,
 		 request->config ? request->config->version : 0, gateway->queued);
 }
--- a/core/forward/token_limits.c
+++ b/core/forward/token_limits.c
@@ -182,14 +182,15 @@
 
 /*
  * Takes AMOUNT out of the account's bucket. Returns false if there is not as
- * much, and then sets RETRY_AFTER to when there will be.
+ * much. VERDICT says what that was judged by, and when there will be.
  */
 bool token_limits_take(token_limits_t *limits, const forward_account_t *account,
-		       double amount, pd_time_t now, pd_time_t *retry_after)
+		       double amount, pd_time_t now, token_verdict_t *verdict)
 {
 	bucket_t *bucket;
 	double needed;
 
+	*verdict = (token_verdict_t){ 0 };
 	if (account->rate <= 0)
 		return true;
 	bucket = limits_bucket(limits, account->name);
@@ -200,15 +201,17 @@
 	/* Only now all peers of the round were heard. */
 	if (bucket->taken_level < 0)
 		bucket->taken_level = MAX(bucket->level, 0);
+	verdict->level = bucket->level;
+	verdict->needed = needed;
 	if (bucket->level >= needed && bucket_shares(bucket, limits->entries)) {
 		bucket->level -= amount;
 		bucket->taken += amount;
 		bucket->own_total += amount;
 		return true;
 	}
-	*retry_after =
+	verdict->retry_after =
 		(pd_time_t)((needed - bucket->level) / account->rate * PD_SEC);
-	*retry_after = MAX(*retry_after, RATE_SPAN_MIN);
+	verdict->retry_after = MAX(verdict->retry_after, RATE_SPAN_MIN);
 	return false;
 }
 
--- a/core/forward/token_limits.h
+++ b/core/forward/token_limits.h
@@ -15,6 +15,13 @@
 
 typedef struct token_limits token_limits_t;
 
+/* What a request was judged by. */
+typedef struct token_verdict {
+	double level; /* of the bucket before it */
+	double needed; /* of the level */
+	pd_time_t retry_after; /* 0 if it was granted */
+} token_verdict_t;
+
 /* TOTAL: taken since this entry's start; LEVEL: of the shared bucket. */
 typedef void (*token_limits_each_t)(void *ctx, const char *account,
 				    double total, double level);
@@ -23,7 +30,7 @@
 void token_limits_set_entries(token_limits_t *limits, unsigned int entries);
 void token_limits_destroy(token_limits_t *limits);
 bool token_limits_take(token_limits_t *limits, const forward_account_t *account,
-		       double amount, pd_time_t now, pd_time_t *retry_after);
+		       double amount, pd_time_t now, token_verdict_t *verdict);
 void token_limits_return(token_limits_t *limits, const char *account,
 			 double amount);
 void token_limits_heard(token_limits_t *limits, const char *account,
--- a/tests/unit/test_token_limits.c
+++ b/tests/unit/test_token_limits.c
@@ -80,13 +80,13 @@
 /* Callers ask for RATE tokens a second, evenly at all entries. */
 static void fleet_ask(fleet_t *fleet, unsigned int step, double rate, pd_time_t now)
 {
-	pd_time_t retry_after;
+	token_verdict_t verdict;
 
 	fleet->asked += rate * (double)STEP / PD_SEC;
 	for (unsigned int i = 0; fleet->asked >= REQUEST; i++) {
 		fleet->asked -= REQUEST;
 		if (token_limits_take(fleet->entries[(step + i) % ENTRIES],
-				      &account, REQUEST, now, &retry_after))
+				      &account, REQUEST, now, &verdict))
 			fleet->granted[step] += REQUEST;
 	}
 }
@@ -211,14 +211,14 @@
 static void test_a_refusal_says_when_to_come_back(void **state)
 {
 	token_limits_t *limits = token_limits_create(&rules, false);
-	pd_time_t retry_after = 0;
+	token_verdict_t verdict;
 
 	(void)state;
-	while (token_limits_take(limits, &account, REQUEST, START, &retry_after))
+	while (token_limits_take(limits, &account, REQUEST, START, &verdict))
 		continue;
-	assert_true(retry_after >= 100 * PD_MSEC);
+	assert_true(verdict.retry_after >= 100 * PD_MSEC);
 	assert_true(token_limits_take(limits, &account, REQUEST,
-				      START + retry_after, &retry_after));
+				      START + verdict.retry_after, &verdict));
 	token_limits_destroy(limits);
 }
 
@@ -229,10 +229,10 @@
 					  .rate = 10,
 					  .burst = 10 };
 	token_limits_t *limits = token_limits_create(&rules, true);
-	pd_time_t retry_after;
+	token_verdict_t verdict;
 
 	(void)state;
-	assert_true(token_limits_take(limits, &small, 1000, START, &retry_after));
+	assert_true(token_limits_take(limits, &small, 1000, START, &verdict));
 	token_limits_destroy(limits);
 }
 
