Turn the least urgent away while engines are pressed

Cause: with more streams than places (an account at 7.5 times its usual, 29 of 83 gateways cut off) engines turned requests away; turned away at once they looked empty and drew more, 50 of 90 engines got all the load, and 1,100 of 4,700 requests in two seconds were in time. Ruled out: the account's limit (it was held, at 1.2 of 1.28 million tokens a second), prompts to read (half of what the engines can).

A share of the work is let in, by rank, that follows how many places are taken and what became of own sends; what is turned away counts as load for the fleet's size.

With the shed out, the tests that play the burst fail.

--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -395,11 +395,13 @@
 {
 	gateway_t *gateway = duties->gateway;
 	scale_zone_t zones[SCALE_ZONES_MAX];
-	unsigned int count =
-		scale_plan_make(duties_plan(duties, service->name), service,
-				gateway->upstreams,
-				work_rate_of(gateway->work, service->name), now,
-				zones);
+	const scale_demand_t demand = {
+		.sent = work_rate_of(gateway->work, service->name),
+		.away = work_rate_away(gateway->work, service->name),
+	};
+	unsigned int count = scale_plan_make(duties_plan(duties, service->name),
+					     service, gateway->upstreams,
+					     &demand, now, zones);
 
 	for (unsigned int i = 0; i < count; i++) {
 		order_run(duties_order(duties, service->name, zones[i].zone, true),
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -14,6 +14,7 @@
 #include "adapters/gateway/upstream_link.h"
 #include "adapters/log_buffer.h"
 #include "adapters/log_glib.h"
+#include "core/forward/shed.h"
 #include "platform/wire.h"
 
 #define PART "gateway"
@@ -286,6 +287,8 @@
 	gateway->retries = retry_windows_create(&retries);
 	gateway->usage = usage_create();
 	gateway->work = work_rate_create();
+	gateway->sheds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       (GDestroyNotify)shed_destroy);
 	gateway->vote = time_vote_create();
 	gateway->metrics = metrics_create();
 	gateway->random = g_rand_new();
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -32,6 +32,7 @@
 	retry_windows_t *retries;
 	usage_t *usage;
 	work_rate_t *work;
+	GHashTable *sheds; /* service -> shed_t */
 	time_vote_t *vote;
 	metrics_t *metrics;
 	http1_client_t *store;
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -13,6 +13,8 @@
 #define HEARD_MAX (3 * PD_SEC)
 /* A mention comes with every few states of whoever hears the peer. */
 #define MENTION_MAX (6 * PD_SEC)
+/* Sums of loads older than this say little: most requests have ended since. */
+#define LOADS_KNOWN (2 * PD_SEC)
 /*
  * Who is alive changes within seconds, and is asked for many times a tick, which
  * in a fleet of hundreds cost more than the requests did.
@@ -143,3 +145,17 @@
 	return peers->is_holder || peers_is_mesh(peers, now) ||
 	       peers_view(peers, now)->rank < WATCHERS;
 }
+
+/*
+ * Says whether the loads at the upstreams include those of the other gateways. A
+ * gateway that is cut off sees only its own requests, and would take upstreams
+ * that are full for empty.
+ */
+bool gateway_peers_know_loads(gateway_peers_t *peers, pd_time_t now)
+{
+	const peer_view_t *view = peers_view(peers, now);
+
+	if (peers->hub)
+		return now - peers->summed_at < LOADS_KNOWN;
+	return 2 * view->alive > view->counted;
+}
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -185,7 +185,7 @@
 				       "route without a service");
 		return;
 	}
-	if (!request_within_limit(request))
+	if (!request_within_limit(request) || !gateway_request_let_in(request))
 		return;
 	retry_windows_first(gateway->retries, request->service, request->read_at);
 	gateway_request_try(request);
@@ -284,6 +284,7 @@
 /* Lets time pass: queues, timeouts, silent upstreams. */
 void gateway_requests_run(gateway_t *gateway, pd_time_t now)
 {
+	gateway_sheds_run(gateway, now);
 	queues_run(gateway, now);
 	LIST_FOR_EACH_SAFE (it, &gateway->requests) {
 		gateway_request_t *request =
@@ -291,6 +292,7 @@
 
 		if (request->state == REQUEST_READING)
 			continue;
+		gateway_request_watch(request, now);
 		if (now >= request->deadline)
 			request_expire(request);
 		else if (attempt_is_stuck(request, now))
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -18,7 +18,7 @@
  * What making a token costs an engine, in prompt tokens read: in a batch of
  * some 40 requests a step of 5 ms makes 40 tokens.
  */
-#define OUTPUT_TOKEN_WORK 6.0
+#define REQUEST_OUTPUT_TOKEN_WORK 6.0
 /* In larger fleets than this, loads of peers are known late: see upstreams.c. */
 #define SAMPLE_FLEET 12
 #define SAMPLE 2
@@ -154,6 +154,7 @@
 			forward_upstream_unreachable(request->upstream, now);
 		else
 			forward_upstream_rejected(request->upstream, now);
+		gateway_request_judge(request, true);
 		break;
 	case ATTEMPT_FAILED:
 		forward_upstream_answered(request->upstream);
@@ -221,7 +222,7 @@
 			forward_upstream_unread(upstream, request->call, now);
 		work_rate_add(request->gateway->work, request->service,
 			      request->reading + request->call->output_tokens *
-							 OUTPUT_TOKEN_WORK);
+							 REQUEST_OUTPUT_TOKEN_WORK);
 	}
 	upstream->running++;
 	upstream->reading += request->reading;
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -7,6 +7,12 @@
 #include "core/forward/choice.h"
 #include "core/forward/event_stream.h"
 
+/*
+ * What making a token costs an engine, in prompt tokens: in a batch of some 40
+ * requests a step of 5 ms makes 40 tokens.
+ */
+#define REQUEST_OUTPUT_TOKEN_WORK 6.0
+
 typedef enum request_state {
 	REQUEST_READING, /* from the caller */
 	REQUEST_QUEUED,
@@ -48,6 +54,7 @@
 	unsigned int arrivals; /* sends that reached an upstream */
 	unsigned int runs; /* sends that may have run */
 	bool counted; /* in the usage */
+	bool judged; /* its first send's outcome was noted */
 	char *tried[FORWARD_TRIED_MAX];
 	unsigned int tried_count;
 	/* The attempt in progress. */
@@ -90,5 +97,10 @@
 void gateway_request_try(gateway_request_t *request);
 void gateway_request_answer_begin(gateway_request_t *request, gint64 length);
 void gateway_request_queue(gateway_request_t *request);
+bool gateway_request_let_in(gateway_request_t *request);
+void gateway_request_judge(gateway_request_t *request, bool pressed);
+void gateway_request_begun(gateway_request_t *request);
+void gateway_request_watch(gateway_request_t *request, pd_time_t now);
+void gateway_sheds_run(gateway_t *gateway, pd_time_t now);
 
 #endif
--- a/core/forward/scale_plan.c
+++ b/core/forward/scale_plan.c
@@ -148,14 +148,18 @@
  * or by the places that requests in progress take.
  */
 static double plan_load(scale_plan_t *plan, const forward_service_t *service,
-			forward_upstreams_t *upstreams, double work_rate)
+			forward_upstreams_t *upstreams,
+			const scale_demand_t *demand)
 {
+	double asked = demand->sent + demand->away;
 	double running = count_running(upstreams, service->name);
 
 	plan->running += (running - plan->running) *
 			 (running > plan->running ? RISE_WEIGHT : FALL_WEIGHT);
-	return MAX(work_rate / ENGINE_WORK,
-		   plan->running / MAX(service->engine_slots, 1));
+	/* What was turned away would have taken as many places as the rest. */
+	return MAX(asked / ENGINE_WORK, plan->running /
+						MAX(service->engine_slots, 1) *
+						asked / MAX(demand->sent, 1));
 }
 
 /*
@@ -347,15 +351,15 @@
  * order given twice changes nothing.
  */
 unsigned int scale_plan_make(scale_plan_t *plan, const forward_service_t *service,
-			     forward_upstreams_t *upstreams, double work_rate,
-			     pd_time_t now, scale_zone_t zones[SCALE_ZONES_MAX])
+			     forward_upstreams_t *upstreams,
+			     const scale_demand_t *demand, pd_time_t now,
+			     scale_zone_t zones[SCALE_ZONES_MAX])
 {
 	unsigned int lasting_now =
 		scale_plan_serving(upstreams, service->name, NULL, false);
 	unsigned int reclaimable_now =
 		scale_plan_serving(upstreams, service->name, NULL, true);
-	double need = plan_need(plan,
-				plan_load(plan, service, upstreams, work_rate),
+	double need = plan_need(plan, plan_load(plan, service, upstreams, demand),
 				lasting_now + reclaimable_now,
 				load_behind(lasting_now, reclaimable_now), now);
 	scale_sums_t sums = plan_sums(need, lasting_now, reclaimable_now,
--- a/core/forward/scale_plan.h
+++ b/core/forward/scale_plan.h
@@ -17,6 +17,12 @@
 	unsigned int reclaimable;
 } scale_zone_t;
 
+/* Work a second that is asked of a service, by all entries. */
+typedef struct scale_demand {
+	double sent;
+	double away; /* turned away for want of engines */
+} scale_demand_t;
+
 typedef struct scale_plan scale_plan_t;
 
 scale_plan_t *scale_plan_create(void);
@@ -25,7 +31,8 @@
 unsigned int scale_plan_serving(forward_upstreams_t *upstreams, const char *service,
 				const char *zone, bool reclaimable);
 unsigned int scale_plan_make(scale_plan_t *plan, const forward_service_t *service,
-			     forward_upstreams_t *upstreams, double work_rate,
-			     pd_time_t now, scale_zone_t zones[SCALE_ZONES_MAX]);
+			     forward_upstreams_t *upstreams,
+			     const scale_demand_t *demand, pd_time_t now,
+			     scale_zone_t zones[SCALE_ZONES_MAX]);
 
 #endif
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -152,6 +152,25 @@
 	return g_hash_table_lookup(set->groups, service);
 }
 
+/*
+ * Returns the part of a service's places that requests of all entries take, as
+ * far as is known; over 1: some wait at the upstreams. 0 if none serves.
+ */
+double forward_upstreams_fill(const forward_upstreams_t *set, const char *service)
+{
+	const GPtrArray *serving = forward_upstreams_serving(set, service);
+	double running = 0;
+	double slots = 0;
+
+	for (guint i = 0; serving && i < serving->len; i++) {
+		const forward_upstream_t *upstream = g_ptr_array_index(serving, i);
+
+		running += upstream->running + upstream->peers_running;
+		slots += upstream->slots;
+	}
+	return slots > 0 ? running / slots : 0;
+}
+
 /*
  * Returns a digest of what is known of the upstreams of a bucket. Two tables
  * that hold the same have the same digests. The newest revision would not do:
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -76,6 +76,7 @@
 list_node_t *forward_upstreams_list(forward_upstreams_t *set);
 const GPtrArray *forward_upstreams_serving(const forward_upstreams_t *set,
 					   const char *service);
+double forward_upstreams_fill(const forward_upstreams_t *set, const char *service);
 uint64_t forward_upstreams_digest(const forward_upstreams_t *set,
 				  unsigned int bucket);
 unsigned int forward_upstream_bucket(const forward_upstream_t *upstream);
--- a/core/forward/work_rate.c
+++ b/core/forward/work_rate.c
@@ -10,6 +10,9 @@
 #define RISE_WEIGHT 0.1 /* of a sample above the rate */
 #define FALL_WEIGHT 0.02 /* of a sample below it */
 
+/* Work that was turned away is kept as that of a service of such a name. */
+#define AWAY_PREFIX "away:"
+
 typedef struct service_work {
 	double own;
 	GHashTable *peers; /* peer -> double: its total as last heard */
@@ -71,6 +74,18 @@
 	known->gained += amount;
 }
 
+/*
+ * Adds what this entry turned away for want of engines. Without it the fleet is
+ * sized by what it got done, and stays too small for what is asked of it.
+ */
+void work_rate_add_away(work_rate_t *work, const char *service, double amount)
+{
+	char *name = g_strconcat(AWAY_PREFIX, service, NULL);
+
+	work_rate_add(work, name, amount);
+	g_free(name);
+}
+
 /* Hears what a peer has sent since it started; the first time sets the base. */
 void work_rate_heard(work_rate_t *work, const char *peer, const char *service,
 		     double total)
@@ -129,6 +144,16 @@
 	return known ? known->rate : 0;
 }
 
+/* Returns the work a second that all entries turn away from a service. */
+double work_rate_away(const work_rate_t *work, const char *service)
+{
+	char *name = g_strconcat(AWAY_PREFIX, service, NULL);
+	double rate = work_rate_of(work, name);
+
+	g_free(name);
+	return rate;
+}
+
 /* Calls EACH with what this entry has sent to every service. */
 void work_rate_each_own(const work_rate_t *work, work_rate_each_t each, void *ctx)
 {
