News of known upstreams in 13 bytes; fetch only the parts of the table that differ

Every change of an upstream went out in full (90 bytes) to five peers from each gateway, and a differing digest, usual while news is on its way, fetched a thirty-second of the table at once.

Now a peer that knows an upstream is told mark, stage and revision; digests are of 128 parts; a difference must last 0.3 s before anything is fetched. A stage out of range in a message is refused: it was an index beyond a table in the log.

--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -366,7 +366,7 @@
 
 static void pack_upstream(msgpack_packer *packer, const forward_upstream_t *upstream)
 {
-	msgpack_pack_array(packer, 9);
+	msgpack_pack_array(packer, NEWS_FULL_FIELDS);
 	pack_text(packer, upstream->id);
 	pack_text(packer, upstream->service);
 	pack_text(packer, upstream->address);
@@ -378,6 +378,18 @@
 	msgpack_pack_uint64(packer, upstream->revision);
 }
 
+/*
+ * Packs the stage of an upstream that peers know: a sixth of the bytes. Whoever
+ * does not know it skips it, and fetches it in full as the digests differ.
+ */
+static void pack_stage(msgpack_packer *packer, const forward_upstream_t *upstream)
+{
+	msgpack_pack_array(packer, NEWS_BRIEF_FIELDS);
+	msgpack_pack_uint32(packer, forward_upstream_mark(upstream));
+	msgpack_pack_uint8(packer, (uint8_t)upstream->stage);
+	msgpack_pack_uint64(packer, upstream->revision);
+}
+
 /* Which upstreams a message tells about. */
 typedef struct news_choice {
 	GHashTable *ids; /* only these; NULL: any */
@@ -411,11 +423,16 @@
 	msgpack_pack_uint8(packer, all);
 	msgpack_pack_array(packer, count);
 	LIST_FOR_EACH (it, list) {
-		const forward_upstream_t *upstream =
+		forward_upstream_t *upstream =
 			LIST_ENTRY(it, forward_upstream_t, node);
 
-		if (news_includes(peers, choice, upstream))
+		if (!news_includes(peers, choice, upstream))
+			continue;
+		if (choice->ids && upstream->told)
+			pack_stage(packer, upstream);
+		else
 			pack_upstream(packer, upstream);
+		upstream->told |= choice->ids != NULL;
 	}
 	return count;
 }
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -64,6 +64,10 @@
 #define READING_UNIT 64
 #define LOAD_FIELDS 3 /* of a load: mark, running, units to read */
 
+/* An upstream in full, and just its mark, stage and revision. */
+#define NEWS_FULL_FIELDS 9
+#define NEWS_BRIEF_FIELDS 3
+
 #define FETCH_CONFIG 1u
 #define FETCH_UPSTREAMS 2u
 
@@ -129,6 +133,7 @@
 	pd_time_t store_heard_at; /* by anybody */
 	pd_time_t fetched_config_at;
 	pd_time_t fetched_upstreams_at;
+	pd_time_t differs_since; /* from what a peer knows; 0: it did not */
 	pd_time_t fetch_pause; /* before upstreams are fetched again */
 	uint64_t fetched_for; /* the two digests that differed then */
 	GHashTable *news; /* ids of upstreams to tell about */
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -12,6 +12,11 @@
 #define ADOPT_MAX (3 * PD_SEC)
 /* What was asked for is asked for again only after so long. */
 #define FETCH_PERIOD (400 * PD_MSEC)
+/*
+ * News is on its way for some tens of milliseconds, during which two gateways
+ * differ; nothing is missing then.
+ */
+#define DIFFERS_MIN (300 * PD_MSEC)
 #define FETCH_PERIOD_MAX (6400 * PD_MSEC)
 
 /* Returns a copy of a text, which the caller frees; NULL: it is none. */
@@ -184,6 +189,13 @@
 {
 	uint64_t differing = digest ^ peers_digest(peers);
 
+	if (!differing)
+		peers->differs_since = 0;
+	else if (!peers->differs_since)
+		peers->differs_since = now;
+	if (!differing || (peers->gateway->upstreams_known &&
+			   now - peers->differs_since < DIFFERS_MIN))
+		return false;
 	if (now - peers->fetched_upstreams_at < peers->fetch_pause)
 		return false;
 	if (differing == peers->fetched_for)
@@ -207,8 +219,7 @@
 		peers->fetched_config_at = now;
 		what |= FETCH_CONFIG;
 	}
-	if (digest && digest != peers_digest(peers) &&
-	    may_fetch_upstreams(peers, digest, now))
+	if (digest && may_fetch_upstreams(peers, digest, now))
 		what |= FETCH_UPSTREAMS;
 	if (what)
 		peers_send_fetch(peers, peer, what);
@@ -359,16 +370,34 @@
 	return 0;
 }
 
+/* Takes the stage of an upstream that is known already. */
+static void take_stage(gateway_t *gateway, const msgpack_object *fields)
+{
+	forward_upstream_t *upstream =
+		forward_upstreams_marked(gateway->upstreams,
+					 (uint32_t)peers_number(&fields[0]));
+	forward_stage_t stage = (forward_stage_t)peers_number(&fields[1]);
+
+	if (upstream && stage <= FORWARD_GONE &&
+	    forward_upstreams_restage(gateway->upstreams, upstream, stage,
+				      peers_number(&fields[2]), gateway_now()))
+		gateway_upstream_news(gateway, upstream->id, "peer");
+}
+
 /* Takes one upstream that a peer knows of. */
 static void take_upstream(gateway_t *gateway, const msgpack_object *object)
 {
-	const msgpack_object *fields = peers_items(object, 9, NULL);
+	const msgpack_object *fields = peers_items(object, NEWS_FULL_FIELDS, NULL);
 	char *texts[4] = { NULL };
 	forward_listing_t listing = { 0 };
 	bool news = false;
 
-	if (!fields)
+	if (!fields) {
+		fields = peers_items(object, NEWS_BRIEF_FIELDS, NULL);
+		if (fields)
+			take_stage(gateway, fields);
 		return;
+	}
 	texts[0] = peers_text(&fields[0]);
 	texts[1] = peers_text(&fields[1]);
 	texts[2] = peers_text(&fields[2]);
@@ -382,7 +411,8 @@
 	listing.stage = (forward_stage_t)peers_number(&fields[6]);
 	listing.reclaimable = peers_number(&fields[7]) != 0;
 	listing.revision = peers_number(&fields[8]);
-	if (!texts[0] || !texts[1] || !texts[2] || !texts[3])
+	if (!texts[0] || !texts[1] || !texts[2] || !texts[3] ||
+	    listing.stage > FORWARD_GONE)
 		goto done;
 	if (listing.stage == FORWARD_GONE)
 		news = forward_upstreams_remove(gateway->upstreams, listing.id,
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -293,6 +293,31 @@
 	return true;
 }
 
+/*
+ * Takes what a peer says of the stage of an upstream that is known, as of a
+ * revision. Returns whether that was news.
+ */
+bool forward_upstreams_restage(forward_upstreams_t *set,
+			       forward_upstream_t *upstream, forward_stage_t stage,
+			       uint64_t revision, pd_time_t now)
+{
+	const forward_listing_t listing = {
+		.id = upstream->id,
+		.service = upstream->service,
+		.address = upstream->address,
+		.port = upstream->port,
+		.zone = upstream->zone,
+		.slots = upstream->slots,
+		.stage = stage,
+		.reclaimable = upstream->reclaimable,
+		.revision = revision,
+	};
+
+	if (stage == FORWARD_GONE)
+		return forward_upstreams_remove(set, upstream->id, revision, now);
+	return forward_upstreams_apply(set, &listing);
+}
+
 /* Begins to read a whole listing of the platform. */
 void forward_upstreams_begin_listing(forward_upstreams_t *set)
 {
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -13,7 +13,7 @@
 } forward_stage_t;
 
 /* Parts that digests of the table are kept of, so that two can be compared. */
-#define FORWARD_BUCKETS 32
+#define FORWARD_BUCKETS 128
 
 /* What the platform says of an upstream, at one revision of its entry. */
 typedef struct forward_listing {
@@ -45,6 +45,7 @@
 	bool reclaimable;
 	uint64_t revision;
 	bool listed; /* seen in the listing that is being read */
+	bool told; /* peers were told of it in full */
 	pd_time_t gone_at; /* it counts as gone from then on; 0: it does not */
 	unsigned int running; /* requests of this entry */
 	double reading; /* prompt tokens of this entry's requests not yet read */
@@ -65,6 +66,9 @@
 void forward_upstreams_destroy(forward_upstreams_t *set);
 bool forward_upstreams_apply(forward_upstreams_t *set,
 			     const forward_listing_t *listing);
+bool forward_upstreams_restage(forward_upstreams_t *set,
+			       forward_upstream_t *upstream, forward_stage_t stage,
+			       uint64_t revision, pd_time_t now);
 bool forward_upstreams_remove(forward_upstreams_t *set, const char *id,
 			      uint64_t revision, pd_time_t now);
 void forward_upstreams_begin_listing(forward_upstreams_t *set);
--- a/tests/unit/test_scale_plan.c
+++ b/tests/unit/test_scale_plan.c
@@ -82,13 +82,21 @@
 	}
 }
 
-/* Lets time pass with a load, in engines' worth of work. */
-static void pass(rig_t *rig, pd_time_t time, double load)
+/* Lets time pass with a load that is sent, and one that is turned away. */
+static void pass_short(rig_t *rig, pd_time_t time, double load, double away)
 {
+	const scale_demand_t demand = { load * ENGINE, away * ENGINE };
+
 	for (pd_time_t end = rig->now + time; rig->now < end; rig->now += TICK)
 		rig->count = scale_plan_make(rig->plan, rig->service,
-					     rig->upstreams, load * ENGINE,
-					     rig->now, rig->zones);
+					     rig->upstreams, &demand, rig->now,
+					     rig->zones);
+}
+
+/* Lets time pass with a load, in engines' worth of work. */
+static void pass(rig_t *rig, pd_time_t time, double load)
+{
+	pass_short(rig, time, load, 0);
 }
 
 static unsigned int lasting(const rig_t *rig)
@@ -202,6 +210,22 @@
 	}
 }
 
+/*
+ * A fleet that is too small turns requests away. Sized by what it gets done, it
+ * stays as it is, and callers go on being refused.
+ */
+static void test_what_is_turned_away_is_load(void **state)
+{
+	rig_t *rig = *state;
+	unsigned int before;
+
+	start(rig, "a", 4, false);
+	pass(rig, 20 * PD_SEC, 3);
+	before = lasting(rig) + reclaimable(rig);
+	pass_short(rig, 5 * PD_SEC, 3, 3);
+	assert_true(lasting(rig) + reclaimable(rig) >= before + 4);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -215,6 +239,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_zones_keep_their_bounds,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_what_is_turned_away_is_load,
+						setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
