--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -22,8 +22,14 @@
 #define LIST_TIMEOUT_MS 1500
 /* Gateways lose the store and get it back within about this of each other. */
 #define PEERS_LAG PD_SEC
-/* The pause after a failed call, drawn at random up to twice this. */
+/*
+ * The pause after a failed call, drawn at random up to twice this. Where a few
+ * gateways watch for many, the others wait twice as long after each failure, up
+ * to so many doublings: 83 of them made 1,000 calls in an outage of four seconds,
+ * more than in the rest of a day, and each is paid for.
+ */
 #define RETRY_PAUSE (150 * PD_MSEC)
+#define RETRY_DOUBLINGS 3
 
 typedef struct feed {
 	fleet_feed_t *fleet;
@@ -35,6 +41,7 @@
 	bool listing;
 	bool waiting; /* a call is out */
 	bool lost; /* the last call failed */
+	unsigned int failures; /* in a row */
 	pd_time_t lost_at;
 	pd_time_t peers_since; /* peers have had the store since; 0: none has */
 	pd_time_t next_at;
@@ -174,6 +181,16 @@
 	feed->after = g_strdup(wire_page_name(page, count - 1));
 }
 
+/* Returns the mean pause after a failed call. */
+static pd_time_t feed_pause(const feed_t *feed)
+{
+	gateway_peers_t *peers = feed->fleet->gateway->peers;
+
+	if (gateway_peers_go_first(peers))
+		return RETRY_PAUSE;
+	return RETRY_PAUSE << MIN(feed->failures, RETRY_DOUBLINGS);
+}
+
 static void feed_failed(feed_t *feed, int status)
 {
 	gateway_t *gateway = feed->fleet->gateway;
@@ -185,8 +202,10 @@
 		feed->lost_at = gateway_now();
 	}
 	feed->lost = true;
-	feed->next_at = gateway_now() + (pd_time_t)(g_rand_double(gateway->random) *
-						    2 * (double)RETRY_PAUSE);
+	feed->next_at =
+		gateway_now() + (pd_time_t)(g_rand_double(gateway->random) * 2 *
+					    (double)feed_pause(feed));
+	feed->failures++;
 }
 
 /*
@@ -259,6 +278,7 @@
 		feed_failed(feed, reply->status);
 		return;
 	}
+	feed->failures = 0;
 	feed_regained(feed);
 	gateway_peers_store_heard(feed->fleet->gateway->peers);
 	feed_take(feed, page);
--- a/adapters/gateway/peer_loads.c
+++ b/adapters/gateway/peer_loads.c
@@ -8,7 +8,7 @@
 #include "adapters/gateway/peer_state.h"
 
 /* Summaries that are sent within this share what they say of all loads. */
-#define PACKED_KEPT (100 * PD_MSEC)
+#define PACKED_KEPT (50 * PD_MSEC)
 /* A running request weighs as much as so many prompt tokens to read. */
 #define RUNNING_WEIGHT 350.0
 
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -318,6 +318,32 @@
 							     i));
 }
 
+static void pack_fetch_head(msgpack_packer *packer,
+			    const gateway_peers_t *peers, unsigned int what)
+{
+	msgpack_pack_array(packer, FETCH_FIELDS);
+	msgpack_pack_uint8(packer, MESSAGE_FETCH);
+	pack_text(packer, peers->address);
+	msgpack_pack_uint8(packer, (uint8_t)what);
+}
+
+/* Asks a peer for upstreams by their marks. */
+void peers_send_fetch_marked(gateway_peers_t *peers, peer_t *peer,
+			     const GArray *marks)
+{
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	pack_fetch_head(&packer, peers, FETCH_MARKED);
+	msgpack_pack_array(&packer, marks->len);
+	for (guint i = 0; i < marks->len; i++)
+		msgpack_pack_uint64(&packer, g_array_index(marks, uint64_t, i));
+	peers_send(peers, peer, &buffer);
+	msgpack_sbuffer_destroy(&buffer);
+}
+
 /* Asks a peer for what this gateway lacks. */
 void peers_send_fetch(gateway_peers_t *peers, peer_t *peer, unsigned int what)
 {
@@ -326,10 +352,7 @@
 
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-	msgpack_pack_array(&packer, 4);
-	msgpack_pack_uint8(&packer, MESSAGE_FETCH);
-	pack_text(&packer, peers->address);
-	msgpack_pack_uint8(&packer, (uint8_t)what);
+	pack_fetch_head(&packer, peers, what);
 	if ((what & FETCH_UPSTREAMS) && peers->gateway->upstreams_known)
 		pack_digests(&packer, peers);
 	else
@@ -379,13 +402,13 @@
 }
 
 /*
- * Packs the stage of an upstream that peers know: a sixth of the bytes. Whoever
- * does not know it skips it, and fetches it in full as the digests differ.
+ * Packs the stage of an upstream: a sixth of the bytes of all of it. Everybody
+ * hears it from several peers, and who does not know it asks one for the rest.
  */
 static void pack_stage(msgpack_packer *packer, const forward_upstream_t *upstream)
 {
 	msgpack_pack_array(packer, NEWS_BRIEF_FIELDS);
-	msgpack_pack_uint32(packer, forward_upstream_mark(upstream));
+	msgpack_pack_uint64(packer, upstream->mark);
 	msgpack_pack_uint8(packer, (uint8_t)upstream->stage);
 	msgpack_pack_uint64(packer, upstream->revision);
 }
@@ -408,6 +431,15 @@
 		       forward_upstreams_digest(peers->gateway->upstreams, bucket);
 }
 
+static void pack_news_head(msgpack_packer *packer, const gateway_peers_t *peers,
+			   bool all)
+{
+	msgpack_pack_array(packer, NEWS_FIELDS);
+	msgpack_pack_uint8(packer, MESSAGE_NEWS);
+	pack_text(packer, peers->address);
+	msgpack_pack_uint8(packer, all);
+}
+
 static uint32_t pack_news(msgpack_packer *packer, const gateway_peers_t *peers,
 			  const news_choice_t *choice)
 {
@@ -418,21 +450,18 @@
 	LIST_FOR_EACH (it, list)
 		count += news_includes(peers, choice,
 				       LIST_ENTRY(it, forward_upstream_t, node));
-	msgpack_pack_array(packer, 3);
-	msgpack_pack_uint8(packer, MESSAGE_NEWS);
-	msgpack_pack_uint8(packer, all);
+	pack_news_head(packer, peers, all);
 	msgpack_pack_array(packer, count);
 	LIST_FOR_EACH (it, list) {
-		forward_upstream_t *upstream =
+		const forward_upstream_t *upstream =
 			LIST_ENTRY(it, forward_upstream_t, node);
 
 		if (!news_includes(peers, choice, upstream))
 			continue;
-		if (choice->ids && upstream->told)
+		if (choice->ids)
 			pack_stage(packer, upstream);
 		else
 			pack_upstream(packer, upstream);
-		upstream->told |= choice->ids != NULL;
 	}
 	return count;
 }
@@ -467,3 +496,30 @@
 		peers_send(peers, peer, &buffer);
 	msgpack_sbuffer_destroy(&buffer);
 }
+
+/* Sends upstreams in full that a peer named by their marks. */
+void peers_send_marked(gateway_peers_t *peers, peer_t *peer, const GArray *marks)
+{
+	GPtrArray *found = g_ptr_array_new();
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+
+	for (guint i = 0; i < marks->len; i++) {
+		uint64_t mark = g_array_index(marks, uint64_t, i);
+		forward_upstream_t *upstream =
+			forward_upstreams_marked(peers->gateway->upstreams,
+						 (uint32_t)mark);
+
+		if (upstream && upstream->mark == mark)
+			g_ptr_array_add(found, upstream);
+	}
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	pack_news_head(&packer, peers, false);
+	msgpack_pack_array(&packer, found->len);
+	for (guint i = 0; i < found->len; i++)
+		pack_upstream(&packer, g_ptr_array_index(found, i));
+	peers_send(peers, peer, &buffer);
+	msgpack_sbuffer_destroy(&buffer);
+	g_ptr_array_unref(found);
+}
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -126,13 +126,20 @@
 	return peers_view(peers, gateway_now())->counted;
 }
 
+/* Says whether this gateway is one of the few that ask the store for all. */
+bool gateway_peers_go_first(gateway_peers_t *peers)
+{
+	pd_time_t now = gateway_now();
+
+	return peers_is_mesh(peers, now) || peers_view(peers, now)->rank < WATCHERS;
+}
+
 /* Says whether this gateway asks the store itself. */
 bool gateway_peers_watch_store(gateway_peers_t *peers)
 {
 	pd_time_t now = gateway_now();
 
-	return peers_is_mesh(peers, now) ||
-	       peers_view(peers, now)->rank < WATCHERS ||
+	return gateway_peers_go_first(peers) ||
 	       now - peers->store_heard_at > peers_store_stale(peers, now) ||
 	       !peers->gateway->config || !peers->gateway->upstreams_known;
 }
@@ -140,10 +147,7 @@
 /* Says whether this gateway may take the lease on the duties. */
 bool gateway_peers_stand_for_duties(gateway_peers_t *peers)
 {
-	pd_time_t now = gateway_now();
-
-	return peers->is_holder || peers_is_mesh(peers, now) ||
-	       peers_view(peers, now)->rank < WATCHERS;
+	return peers->is_holder || gateway_peers_go_first(peers);
 }
 
 /*
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -43,7 +43,7 @@
 #define STATE_FLAG_ASKS 4u /* for a summary in return */
 
 /* Every so many states carry members and usage, which need not be as fresh. */
-#define PEERS_FULL_EVERY 4
+#define PEERS_FULL_EVERY 8
 
 /* So many gateways go first: two sum up, and three watch the store. */
 #define HUBS 2
@@ -64,12 +64,15 @@
 #define READING_UNIT 64
 #define LOAD_FIELDS 3 /* of a load: mark, running, units to read */
 
+#define NEWS_FIELDS 4 /* kind, sender, whether these are all, upstreams */
+#define FETCH_FIELDS 4 /* kind, sender, what, digests or marks */
 /* An upstream in full, and just its mark, stage and revision. */
 #define NEWS_FULL_FIELDS 9
 #define NEWS_BRIEF_FIELDS 3
 
 #define FETCH_CONFIG 1u
-#define FETCH_UPSTREAMS 2u
+#define FETCH_UPSTREAMS 2u /* those of the parts whose digests differ */
+#define FETCH_MARKED 4u /* those that are named */
 
 /* What gateways have running at an upstream. */
 typedef struct load {
@@ -137,6 +140,8 @@
 	pd_time_t fetch_pause; /* before upstreams are fetched again */
 	uint64_t fetched_for; /* the two digests that differed then */
 	GHashTable *news; /* ids of upstreams to tell about */
+	GHashTable *asked; /* marks of unknown upstreams, until fetched */
+	pd_time_t asked_at; /* when these were begun to be gathered */
 };
 
 peer_t *peers_find(gateway_peers_t *peers, const char *address);
@@ -166,6 +171,9 @@
 void peers_send_state(gateway_peers_t *peers, peer_t *peer, bool asks, bool full);
 void peers_send_summary(gateway_peers_t *peers, peer_t *peer, bool full);
 void peers_send_fetch(gateway_peers_t *peers, peer_t *peer, unsigned int what);
+void peers_send_fetch_marked(gateway_peers_t *peers, peer_t *peer,
+			     const GArray *marks);
+void peers_send_marked(gateway_peers_t *peers, peer_t *peer, const GArray *marks);
 void peers_send_config(gateway_peers_t *peers, peer_t *peer);
 void peers_send_upstreams(gateway_peers_t *peers, peer_t *peer,
 			  const uint64_t *digests);
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -370,23 +370,48 @@
 	return 0;
 }
 
-/* Takes the stage of an upstream that is known already. */
-static void take_stage(gateway_t *gateway, const msgpack_object *fields)
+/* Says whether an upstream's rest may be asked for; not of several peers. */
+static bool may_ask(gateway_peers_t *peers, uint64_t mark)
 {
-	forward_upstream_t *upstream =
-		forward_upstreams_marked(gateway->upstreams,
-					 (uint32_t)peers_number(&fields[0]));
+	pd_time_t now = gateway_now();
+
+	if (now - peers->asked_at > FETCH_PERIOD) {
+		g_hash_table_remove_all(peers->asked);
+		peers->asked_at = now;
+	}
+	return g_hash_table_add(peers->asked, GSIZE_TO_POINTER(mark));
+}
+
+/*
+ * Takes the stage of an upstream; adds its mark to UNKNOWN if that is all that
+ * is known of it. One that is gone is of no interest then.
+ */
+static void take_stage(gateway_peers_t *peers, const msgpack_object *fields,
+		       GArray *unknown)
+{
+	gateway_t *gateway = peers->gateway;
+	uint64_t mark = peers_number(&fields[0]);
 	forward_stage_t stage = (forward_stage_t)peers_number(&fields[1]);
+	forward_upstream_t *upstream =
+		forward_upstreams_marked(gateway->upstreams, (uint32_t)mark);
 
-	if (upstream && stage <= FORWARD_GONE &&
-	    forward_upstreams_restage(gateway->upstreams, upstream, stage,
+	if (stage > FORWARD_GONE)
+		return;
+	if (!upstream || upstream->mark != mark) {
+		if (stage != FORWARD_GONE && may_ask(peers, mark))
+			g_array_append_val(unknown, mark);
+		return;
+	}
+	if (forward_upstreams_restage(gateway->upstreams, upstream, stage,
 				      peers_number(&fields[2]), gateway_now()))
 		gateway_upstream_news(gateway, upstream->id, "peer");
 }
 
 /* Takes one upstream that a peer knows of. */
-static void take_upstream(gateway_t *gateway, const msgpack_object *object)
+static void take_upstream(gateway_peers_t *peers, const msgpack_object *object,
+			  GArray *unknown)
 {
+	gateway_t *gateway = peers->gateway;
 	const msgpack_object *fields = peers_items(object, NEWS_FULL_FIELDS, NULL);
 	char *texts[4] = { NULL };
 	forward_listing_t listing = { 0 };
@@ -395,7 +420,7 @@
 	if (!fields) {
 		fields = peers_items(object, NEWS_BRIEF_FIELDS, NULL);
 		if (fields)
-			take_stage(gateway, fields);
+			take_stage(peers, fields, unknown);
 		return;
 	}
 	texts[0] = peers_text(&fields[0]);
@@ -430,17 +455,41 @@
 static int take_news(gateway_peers_t *peers, const msgpack_object *fields)
 {
 	uint32_t count = 0;
-	const msgpack_object *items = peers_items(&fields[2], 0, &count);
+	const msgpack_object *items = peers_items(&fields[3], 0, &count);
+	char *address = peers_text(&fields[1]);
+	peer_t *peer = address ? peers_add(peers, address) : NULL;
+	GArray *unknown;
 
-	if (!items)
+	g_free(address);
+	if (!peer || !items)
 		return -1;
+	unknown = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	for (uint32_t i = 0; i < count; i++)
-		take_upstream(peers->gateway, &items[i]);
-	if (peers_number(&fields[1]))
+		take_upstream(peers, &items[i], unknown);
+	if (peers_number(&fields[2]))
 		peers->gateway->upstreams_known = true;
+	if (unknown->len)
+		peers_send_fetch_marked(peers, peer, unknown);
+	g_array_unref(unknown);
 	return 0;
 }
 
+static void give_marked(gateway_peers_t *peers, peer_t *peer,
+			const msgpack_object *object)
+{
+	uint32_t count = 0;
+	const msgpack_object *items = peers_items(object, 0, &count);
+	GArray *marks = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+
+	for (uint32_t i = 0; i < count; i++) {
+		uint64_t mark = peers_number(&items[i]);
+
+		g_array_append_val(marks, mark);
+	}
+	peers_send_marked(peers, peer, marks);
+	g_array_unref(marks);
+}
+
 /* Reads the digests that a peer sent along. False: it sent none. */
 static bool take_digests(const msgpack_object *object,
 			 uint64_t digests[FORWARD_BUCKETS])
@@ -466,6 +515,8 @@
 		return -1;
 	if (what & FETCH_CONFIG)
 		peers_send_config(peers, peer);
+	if (what & FETCH_MARKED)
+		give_marked(peers, peer, &fields[3]);
 	if (what & FETCH_UPSTREAMS)
 		peers_send_upstreams(peers, peer,
 				     take_digests(&fields[3], digests) ? digests
@@ -478,10 +529,10 @@
 	static const uint32_t lengths[] = {
 		[MESSAGE_STATE] = STATE_FIELDS,
 		[MESSAGE_SUMMARY] = STATE_FIELDS,
-		[MESSAGE_NEWS] = 3,
+		[MESSAGE_NEWS] = NEWS_FIELDS,
 		[MESSAGE_ANNOUNCE] = 3,
 		[MESSAGE_CONFIG] = 2,
-		[MESSAGE_FETCH] = 4,
+		[MESSAGE_FETCH] = FETCH_FIELDS,
 	};
 	uint32_t count = 0;
 	const msgpack_object *fields = peers_items(object, 1, &count);
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -10,16 +10,21 @@
 #define PART "peers"
 /* A configuration of some thousand routes; longer frames end the connection. */
 #define FRAME_MAX (4 * 1024 * 1024)
-/* Counts that others act on; what is older is guessed on the last rate. */
+/*
+ * Counts that others act on; what is older is guessed on the last rate. Loads of
+ * upstreams are as old as two periods, and requests are spread by them: at 0.4 s
+ * instead of 0.2 s, 808 instead of 836 in 1,000 of callers' worth was served by
+ * 83 gateways on a day with reclaims and crashes.
+ */
 #define MESH_PERIOD (250 * PD_MSEC)
-#define HUB_PERIOD (400 * PD_MSEC)
+#define HUB_PERIOD (200 * PD_MSEC)
 /* Beyond so many gateways the period grows with them, to bound a hub's load. */
 #define HUB_PERIOD_FLEET 100
 #define HUB_PERIOD_MAX (800 * PD_MSEC)
 /* A peer not heard for so long runs nothing any more, as far as loads go. */
 #define LOAD_KEPT (2 * PD_SEC)
-/* A hub that has not answered so many times is passed over for a while. */
-#define HUB_SILENCE_PERIODS 3.75
+/* A hub that has not answered for so long is passed over for a while. */
+#define HUB_SILENCE (1500 * PD_MSEC)
 #define HUB_PAUSE (5 * PD_SEC)
 /*
  * News goes to so many peers at random, and on from each that had not heard it.
@@ -32,8 +37,7 @@
 /*
  * A watch for many answers every 0.8 s at least, and the news of that takes two
  * messages, a period apart, and some time on the way. If nobody has heard the
- * store for longer, each gateway asks for itself: with 3.2 s at periods of 0.4 s,
- * a fleet whose few watchers were all turned away went by an old configuration
+ * store for longer, each gateway asks for itself: with 3.2 s in all, a fleet whose few watchers were all turned away went by an old configuration
  * for longer than it may.
  */
 #define STORE_STALE (1100 * PD_MSEC)
@@ -149,6 +153,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	msgpack_sbuffer_init(&peers->loads_packed);
 	peers->news = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	peers->asked = g_hash_table_new(g_direct_hash, g_direct_equal);
 	list_init(&peers->list);
 	if (!gateway_split_address(settings->peers_listen, &host, &config.port)) {
 		pd_error_set(err, PD_ERROR_SETTINGS, "peers.listen: %s",
@@ -180,6 +185,7 @@
 	g_hash_table_unref(peers->totals);
 	g_hash_table_unref(peers->works);
 	g_hash_table_unref(peers->news);
+	g_hash_table_unref(peers->asked);
 	g_free(peers);
 	return NULL;
 }
@@ -326,8 +332,7 @@
 static void judge_hub(gateway_peers_t *peers, pd_time_t now)
 {
 	peer_t *hub = peers->hub ? peers_find(peers, peers->hub) : NULL;
-	pd_time_t silence =
-		(pd_time_t)((double)hub_period(peers, now) * HUB_SILENCE_PERIODS);
+	pd_time_t silence = MAX(HUB_SILENCE, 3 * hub_period(peers, now));
 
 	if (hub && now - peers->summed_at > silence)
 		hub->passed_over_until = now + HUB_PAUSE;
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -18,6 +18,7 @@
 bool gateway_peers_have_store(const gateway_peers_t *peers);
 bool gateway_peers_know_loads(gateway_peers_t *peers, pd_time_t now);
 bool gateway_peers_is_mesh(gateway_peers_t *peers);
+bool gateway_peers_go_first(gateway_peers_t *peers);
 bool gateway_peers_watch_store(gateway_peers_t *peers);
 bool gateway_peers_stand_for_duties(gateway_peers_t *peers);
 unsigned int gateway_peers_count(gateway_peers_t *peers);
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -45,7 +45,6 @@
 	bool reclaimable;
 	uint64_t revision;
 	bool listed; /* seen in the listing that is being read */
-	bool told; /* peers were told of it in full */
 	pd_time_t gone_at; /* it counts as gone from then on; 0: it does not */
 	unsigned int running; /* requests of this entry */
 	double reading; /* prompt tokens of this entry's requests not yet read */
