Settings are read again at SIGHUP, and when the file changes without one

What is not who and where a process is takes effect while it runs: store and cloud address, seeds, bounds of retries, limits, stops and duties. Wrong settings leave the old ones in force, with one line that says why. The three new process tests failed before, as the file was read at start only.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -10,6 +10,7 @@
 #include "adapters/gateway/fleet_feed.h"
 #include "adapters/gateway/health.h"
 #include "adapters/gateway/peers.h"
+#include "adapters/gateway/reload.h"
 #include "adapters/gateway/request.h"
 #include "adapters/gateway/upstream_link.h"
 #include "adapters/log_buffer.h"
@@ -180,6 +181,7 @@
 	token_limits_set_entries(gateway->limits, gateway_count(gateway));
 	work_rate_run(gateway->work, now);
 	gateway_duties_run(gateway->duties, now);
+	gateway_reload_run(gateway, now);
 	log_buffer_flush(now);
 	if (gateway->stop_at)
 		stop_step(gateway, now);
@@ -268,17 +270,8 @@
 static void create_decisions(gateway_t *gateway)
 {
 	const gateway_settings_t *settings = gateway->settings;
-	const retry_limits_t retries = {
-		.ratio = settings->retry_ratio,
-		.slack = settings->retry_slack,
-		.window = (pd_time_t)(settings->retry_window_s * PD_SEC),
-	};
-
-	const token_rules_t limits = {
-		.window = (pd_time_t)(settings->limits_window_s * PD_SEC),
-		.overage = settings->limits_overage,
-		.slack = settings->limits_slack,
-	};
+	const retry_limits_t retries = gateway_settings_retries(settings);
+	const token_rules_t limits = gateway_settings_limits(settings);
 
 	gateway->upstreams = forward_upstreams_create();
 	gateway->limits =
@@ -299,10 +292,10 @@
 }
 
 /*
- * Starts a gateway on a loop. NULL with ERR set if an address can't be used;
+ * Starts a gateway on a loop; it owns the settings from then on. NULL with ERR set if an address can't be used;
  * what was begun by then ends with the process.
  */
-gateway_t *gateway_create(uv_loop_t *loop, const gateway_settings_t *settings,
+gateway_t *gateway_create(uv_loop_t *loop, gateway_settings_t *settings,
 			  pd_error_t *err)
 {
 	gateway_t *gateway = g_new0(gateway_t, 1);
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -8,7 +8,7 @@
 #include "adapters/gateway/gateway_state.h"
 #include "core/error.h"
 
-gateway_t *gateway_create(uv_loop_t *loop, const gateway_settings_t *settings,
+gateway_t *gateway_create(uv_loop_t *loop, gateway_settings_t *settings,
 			  pd_error_t *err);
 void gateway_stop(gateway_t *gateway);
 void gateway_gauges(gateway_t *gateway);
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -23,7 +23,10 @@
 
 typedef struct gateway {
 	uv_loop_t *loop;
-	const gateway_settings_t *settings;
+	const char *settings_path; /* NULL: they are not read again */
+	gateway_settings_t *settings;
+	pd_time_t settings_at; /* when the file is looked at next */
+	int64_t settings_stamp; /* of the file when it was read last */
 	forward_config_t *config; /* NULL: none yet */
 	char *config_text; /* as the platform gave it, for peers */
 	bool upstreams_known; /* a whole listing was read, here or by a peer */
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -168,8 +168,8 @@
 			 unsigned int most, pd_time_t now);
 void peers_send(const gateway_peers_t *peers, const peer_t *peer,
 		const msgpack_sbuffer *buffer);
-void peers_pack_state(msgpack_sbuffer *buffer, gateway_peers_t *peers, bool asks,
-		      bool full);
+void peers_pack_state(msgpack_sbuffer *buffer, gateway_peers_t *peers,
+		      bool asks, bool full);
 void peers_pack_summary(msgpack_sbuffer *buffer, gateway_peers_t *peers,
 			const peer_t *receiver, bool full);
 void peers_send_state(gateway_peers_t *peers, peer_t *peer, bool asks, bool full);
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -125,6 +125,19 @@
 	return peers_take(ctx, data, len);
 }
 
+/* Takes the gateways to begin with from the settings. */
+void gateway_peers_take_seeds(gateway_peers_t *peers)
+{
+	char *const *seeds = peers->gateway->settings->peers_seeds;
+
+	for (size_t i = 0; i < GATEWAY_SEEDS_MAX && seeds[i]; i++) {
+		peer_t *peer = peers_add(peers, seeds[i]);
+
+		if (peer)
+			peer->seed = true;
+	}
+}
+
 /* Starts to listen and to talk to the seeds. NULL with ERR set on failure. */
 gateway_peers_t *gateway_peers_create(gateway_t *gateway, pd_error_t *err)
 {
@@ -169,12 +182,7 @@
 	log_line(G_LOG_LEVEL_INFO, PART, "listen port=%u",
 		 frame_link_port(peers->link));
 	g_clear_pointer(&host, g_free);
-	for (size_t i = 0; i < GATEWAY_SEEDS_MAX && settings->peers_seeds[i]; i++) {
-		peer_t *peer = peers_add(peers, settings->peers_seeds[i]);
-
-		if (peer)
-			peer->seed = true;
-	}
+	gateway_peers_take_seeds(peers);
 	return peers;
 error:
 	g_free(host);
--- a/adapters/gateway/settings.c
+++ b/adapters/gateway/settings.c
@@ -76,6 +76,26 @@
 	return NULL;
 }
 
+/* Returns what bounds repeated sends. */
+retry_limits_t gateway_settings_retries(const gateway_settings_t *settings)
+{
+	return (retry_limits_t){
+		.ratio = settings->retry_ratio,
+		.slack = settings->retry_slack,
+		.window = (pd_time_t)(settings->retry_window_s * PD_SEC),
+	};
+}
+
+/* Returns how accounts' limits are kept. */
+token_rules_t gateway_settings_limits(const gateway_settings_t *settings)
+{
+	return (token_rules_t){
+		.window = (pd_time_t)(settings->limits_window_s * PD_SEC),
+		.overage = settings->limits_overage,
+		.slack = settings->limits_slack,
+	};
+}
+
 /* Frees the settings; NULL is allowed. */
 void gateway_settings_destroy(gateway_settings_t *settings)
 {
--- a/adapters/gateway/settings.h
+++ b/adapters/gateway/settings.h
@@ -3,6 +3,8 @@
 #define PISTACHIO_GATEWAY_SETTINGS_H
 
 #include "adapters/setting_table.h"
+#include "core/forward/retry_window.h"
+#include "core/forward/token_limits.h"
 
 #define GATEWAY_SEEDS_MAX 8
 #define GATEWAY_ZONES_MAX 32
@@ -34,6 +36,8 @@
 
 const setting_table_t *gateway_settings_table(void);
 gateway_settings_t *gateway_settings_read(const char *path, pd_error_t *err);
+retry_limits_t gateway_settings_retries(const gateway_settings_t *settings);
+token_rules_t gateway_settings_limits(const gateway_settings_t *settings);
 void gateway_settings_destroy(gateway_settings_t *settings);
 
 #endif
--- a/adapters/http1/http1_call.c
+++ b/adapters/http1/http1_call.c
@@ -217,6 +217,21 @@
 		g_string_append(channel->request, ask->body);
 }
 
+/* Has calls from now on go to another address; those under way end as they are. */
+void http1_client_move(http1_client_t *client, const char *address, uint16_t port)
+{
+	LIST_FOR_EACH_SAFE (it, &client->channels) {
+		channel_t *channel = LIST_ENTRY(it, channel_t, node);
+
+		channel->reusable = false;
+		if (!channel->busy)
+			channel_drop(channel);
+	}
+	g_free(client->address);
+	client->address = g_strdup(address);
+	client->port = port;
+}
+
 /* Makes a call; the reply comes later, never from within this function. */
 void http1_client_call(http1_client_t *client, const http1_ask_t *ask)
 {
--- a/adapters/http1/http1_call.h
+++ b/adapters/http1/http1_call.h
@@ -32,6 +32,7 @@
 http1_client_t *http1_client_create(uv_loop_t *loop, const char *address,
 				    uint16_t port);
 void http1_client_destroy(http1_client_t *client);
+void http1_client_move(http1_client_t *client, const char *address, uint16_t port);
 void http1_client_call(http1_client_t *client, const http1_ask_t *ask);
 
 #endif
--- a/adapters/setting_table.c
+++ b/adapters/setting_table.c
@@ -216,6 +216,52 @@
 	return -1;
 }
 
+/* Returns how many bytes a setting takes in its struct. */
+static size_t setting_size(const setting_t *setting)
+{
+	switch (setting->kind) {
+	case SETTING_INTEGER:
+		return sizeof(int64_t);
+	case SETTING_DECIMAL:
+		return sizeof(double);
+	case SETTING_STRINGS:
+		return sizeof(char *) * (size_t)setting->most;
+	case SETTING_STRING:
+	case SETTING_FILE:
+	case SETTING_CHOICE:
+		return sizeof(char *);
+	}
+	return 0;
+}
+
+/* Says whether a setting has the same value in two structs. */
+bool setting_same(const setting_t *setting, const void *one, const void *other)
+{
+	const char *left = (const char *)one + setting->offset;
+	const char *right = (const char *)other + setting->offset;
+	size_t count = setting_size(setting) / sizeof(char *);
+
+	if (setting->kind == SETTING_INTEGER || setting->kind == SETTING_DECIMAL)
+		return !memcmp(left, right, setting_size(setting));
+	for (size_t i = 0; i < count; i++) {
+		if (g_strcmp0(((char *const *)left)[i], ((char *const *)right)[i]))
+			return false;
+	}
+	return true;
+}
+
+/* Exchanges the values of a setting in two structs. */
+void setting_swap(const setting_t *setting, void *one, void *other)
+{
+	size_t size = setting_size(setting);
+	char *kept = g_memdup2((char *)one + setting->offset, size);
+
+	memcpy((char *)one + setting->offset, (char *)other + setting->offset,
+	       size);
+	memcpy((char *)other + setting->offset, kept, size);
+	g_free(kept);
+}
+
 /* Frees what was read into SETTINGS, but not the struct. */
 void setting_table_clear(const setting_table_t *table, void *settings)
 {
--- a/core/forward/retry_window.c
+++ b/core/forward/retry_window.c
@@ -31,6 +31,14 @@
 	return windows;
 }
 
+/* Goes by other limits from now on. With another window, counts begin anew. */
+void retry_windows_change(retry_windows_t *windows, const retry_limits_t *limits)
+{
+	if (limits->window != windows->limits.window)
+		g_hash_table_remove_all(windows->services);
+	windows->limits = *limits;
+}
+
 /* Frees the count; NULL is allowed. */
 void retry_windows_destroy(retry_windows_t *windows)
 {
--- a/core/forward/retry_window.h
+++ b/core/forward/retry_window.h
@@ -21,6 +21,7 @@
 typedef struct retry_windows retry_windows_t;
 
 retry_windows_t *retry_windows_create(const retry_limits_t *limits);
+void retry_windows_change(retry_windows_t *windows, const retry_limits_t *limits);
 void retry_windows_destroy(retry_windows_t *windows);
 void retry_windows_first(retry_windows_t *windows, const char *service,
 			 pd_time_t now);
--- a/core/forward/token_limits.c
+++ b/core/forward/token_limits.c
@@ -81,6 +81,12 @@
 	return limits;
 }
 
+/* Goes by other rules from now on; what is in the buckets stays. */
+void token_limits_change(token_limits_t *limits, const token_rules_t *rules)
+{
+	limits->rules = *rules;
+}
+
 /* Says how many entries share the buckets. */
 void token_limits_set_entries(token_limits_t *limits, unsigned int entries)
 {
--- a/core/forward/token_limits.h
+++ b/core/forward/token_limits.h
@@ -27,6 +27,7 @@
 				    double total, double level);
 
 token_limits_t *token_limits_create(const token_rules_t *rules, bool filled);
+void token_limits_change(token_limits_t *limits, const token_rules_t *rules);
 void token_limits_set_entries(token_limits_t *limits, unsigned int entries);
 void token_limits_destroy(token_limits_t *limits);
 bool token_limits_take(token_limits_t *limits, const forward_account_t *account,
--- a/programs/pistachio_gateway.c
+++ b/programs/pistachio_gateway.c
@@ -7,19 +7,17 @@
 #include <uv.h>
 
 #include "adapters/gateway/gateway.h"
+#include "adapters/gateway/reload.h"
 #include "adapters/log_buffer.h"
 #include "adapters/log_glib.h"
 #include "programs/options.h"
 
 static void on_signal(uv_signal_t *handle, int signum)
 {
-	if (signum == SIGHUP) {
-		/* Addresses and bounds hold for a process's whole life. */
-		log_line(G_LOG_LEVEL_INFO, "gateway",
-			 "reload changed=none reason=\"read at start only\"");
-		return;
-	}
-	gateway_stop(handle->data);
+	if (signum == SIGHUP)
+		gateway_reload(handle->data);
+	else
+		gateway_stop(handle->data);
 }
 
 static void watch_signal(uv_loop_t *loop, uv_signal_t *handle, int signum,
@@ -55,6 +53,7 @@
 	gateway = gateway_create(loop, settings, &err);
 	if (!gateway)
 		goto error;
+	gateway->settings_path = options.settings;
 	watch_signal(loop, &terminate, SIGTERM, gateway);
 	watch_signal(loop, &interrupt, SIGINT, gateway);
 	watch_signal(loop, &hangup, SIGHUP, gateway);
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -585,15 +585,18 @@
 	rig_put(rig, "servers", name, spec);
 }
 
-/* Starts a gateway, whose seeds are the others whose ports are known. */
-void rig_start(gateway_rig_t *rig, int number)
+static char *settings_path(const gateway_rig_t *rig, int number)
 {
-	char *path = g_strdup_printf("%s/g%d.toml", rig->dir, number);
-	char *name = g_strdup_printf("g%d", number);
-	char *program =
-		g_strdup_printf("%s/pistachio-gateway",
-				g_getenv("B") ? g_getenv("B") : "build/release");
-	const char *const argv[] = { program, "--settings", path, NULL };
+	return g_strdup_printf("%s/g%d.toml", rig->dir, number);
+}
+
+/*
+ * Writes a gateway's settings: its door to the store, and for seeds the others
+ * whose ports are known.
+ */
+void rig_write_settings(gateway_rig_t *rig, int number, int door)
+{
+	char *path = settings_path(rig, number);
 	GString *seeds = g_string_new(NULL);
 	char *text;
 
@@ -612,12 +615,34 @@
 		"[cloud]\naddress = \"127.0.0.1:%u\"\n"
 		"[retry]\nslack = 100\n[stop]\ngrace_s = 8\n"
 		"[duties]\nusage_window_s = 1\nlease_gap_ms = 300\n",
-		number, seeds->str, rig->stores[number].port, rig->cloud.port);
-
+		number, seeds->str, rig->stores[door].port, rig->cloud.port);
 	g_file_set_contents(path, text, -1, NULL);
-	rig->gateways[number] = process_start(rig->dir, name, argv);
 	g_free(text);
 	g_string_free(seeds, TRUE);
+	g_free(path);
+}
+
+/* Spoils a gateway's settings. */
+void rig_spoil_settings(gateway_rig_t *rig, int number)
+{
+	char *path = settings_path(rig, number);
+
+	g_file_set_contents(path, "[retry]\nslack = \"many\"\n", -1, NULL);
+	g_free(path);
+}
+
+/* Starts a gateway on settings of its own. */
+void rig_start(gateway_rig_t *rig, int number)
+{
+	char *path = settings_path(rig, number);
+	char *name = g_strdup_printf("g%d", number);
+	char *program =
+		g_strdup_printf("%s/pistachio-gateway",
+				g_getenv("B") ? g_getenv("B") : "build/release");
+	const char *const argv[] = { program, "--settings", path, NULL };
+
+	rig_write_settings(rig, number, number);
+	rig->gateways[number] = process_start(rig->dir, name, argv);
 	g_free(program);
 	g_free(name);
 	g_free(path);
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -517,6 +517,73 @@
 	g_hash_table_unref(seen);
 }
 
+/* Puts a route in force that only the store knows, and waits until it serves. */
+static void await_new_route(gateway_rig_t *rig)
+{
+	static const char route[] =
+		",{\"name\":\"new\",\"host\":\"h\",\"pathPrefix\":\"/new/\","
+		"\"kind\":\"safe\",\"timeoutMs\":4000,\"service\":\"s\"}";
+	uint64_t until = uv_hrtime() / 1000000 + RIG_TIMEOUT_MS;
+	bool served = false;
+
+	rig_put_config(rig, 2, route);
+	while (!served && uv_hrtime() / 1000000 < until) {
+		rig_caller_t *caller = call_at(rig, 0, "GET", "/new/", "c1");
+
+		RIG_UNTIL(rig, heard(caller, "\r\n\r\n"));
+		served = strstr(caller->got->str, "HTTP/1.1 200") != NULL;
+		rig_caller_destroy(caller);
+	}
+	assert_true(served);
+}
+
+/*
+ * The store moves to another address; the settings say so, and a signal tells.
+ * A gateway that read them at start only would go by an old configuration.
+ */
+static void test_changed_settings_are_taken_at_a_signal(void **state)
+{
+	gateway_rig_t *rig = *state;
+
+	rig->stores[0].down = true;
+	rig_write_settings(rig, 0, 2);
+	process_signal(rig->gateways[0], SIGHUP);
+	RIG_UNTIL(rig, has_logged(rig, 0, "key=store.address changed=yes"));
+	await_new_route(rig);
+}
+
+/* The same, and nobody sends a signal. */
+static void test_changed_settings_are_noticed(void **state)
+{
+	gateway_rig_t *rig = *state;
+
+	/* The file must have been looked at once to be seen to change. */
+	RIG_UNTIL(rig, has_logged(rig, 0, "start node="));
+	for (uint64_t end = uv_hrtime() + 50 * 1000000; uv_hrtime() < end;)
+		rig_turn(rig);
+	rig->stores[0].down = true;
+	rig_write_settings(rig, 0, 2);
+	RIG_UNTIL(rig, has_logged(rig, 0, "key=store.address changed=yes"));
+	await_new_route(rig);
+}
+
+/*
+ * Somebody slips in the settings. A gateway that ended, or went on with half of
+ * them, would take its callers with it.
+ */
+static void test_wrong_settings_change_nothing(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller;
+
+	rig_spoil_settings(rig, 0);
+	process_signal(rig->gateways[0], SIGHUP);
+	RIG_UNTIL(rig, has_logged(rig, 0, "settings: reload"));
+	caller = call(rig, "/safe/");
+	RIG_UNTIL(rig, heard(caller, "HTTP/1.1 200"));
+	rig_caller_destroy(caller);
+}
+
 #define GATEWAY_TEST(test) \
 	cmocka_unit_test_setup_teardown(test, setup, teardown)
 
@@ -541,6 +608,9 @@
 		GATEWAY_TEST(test_peers_tell_whom_the_store_turns_away),
 		GATEWAY_TEST(test_entries_that_lapsed_and_came_back_serve),
 		GATEWAY_TEST(test_windows_are_reported_once),
+		GATEWAY_TEST(test_changed_settings_are_taken_at_a_signal),
+		GATEWAY_TEST(test_changed_settings_are_noticed),
+		GATEWAY_TEST(test_wrong_settings_change_nothing),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
