Soak of the gateway with links that fail: cut, refused, delayed, silent, one way

Schedules of their own, so that the seeds played before mean what they did. Links stand between gateways and upstreams, and between gateways and the store.

--- a/tests/guarantees/test_gateway_soak.c
+++ b/tests/guarantees/test_gateway_soak.c
@@ -1,8 +1,10 @@
 /*
  * Random failures over real gateways: kills, pauses, stops and restarts, a store
  * that turns gateways away, upstreams that fail in every way and leave, callers
- * that hang up. What callers got and upstreams ran is checked from outside. A
- * seed gives one schedule; SEEDS=N runs N of them, FIRST_SEED=K begins with K.
+ * that hang up; and, in schedules of their own, links to upstreams and the store
+ * that are cut, delayed, silent or pass one way only. What callers got and
+ * upstreams ran is checked from outside. A seed gives one schedule; SEEDS=N runs
+ * N of each sort, FIRST_SEED=K begins with K.
  */
 #include <setjmp.h>
 #include <signal.h>
@@ -15,6 +17,7 @@
 
 #include <cmocka.h>
 
+#include "tests/harness/forwarder.h"
 #include "tests/harness/gateway_rig.h"
 
 #define SEEDS_DEFAULT 3
@@ -26,6 +29,8 @@
 /* After a notice gateways have two seconds; lost contact gives them three more. */
 #define DRAIN_MAX_MS 2300
 #define TROUBLE_MS 3500
+/* Links are held back by this at most; a call is answered in time all the same. */
+#define DELAY_MAX_MS 150
 
 typedef enum call_kind {
 	CALL_SAFE,
@@ -62,6 +67,10 @@
 	uint64_t drained_at[RIG_UPSTREAMS]; /* 0: it serves */
 	unsigned int faults;
 	int version;
+	bool links; /* the links fail too */
+	forwarder_t *to_store[RIG_GATEWAYS];
+	forwarder_t *to_upstream[RIG_UPSTREAMS];
+	uint64_t store_link_mends_at[RIG_GATEWAYS]; /* 0: it is sound */
 } soak_t;
 
 static uint64_t now_ms(void)
@@ -253,11 +262,80 @@
 	soak->drained_at[number] = drained ? 0 : now_ms();
 }
 
+/* Has a link fail; returns whether it stays so until it is mended. */
+static bool fail_link(soak_t *soak, forwarder_t *link)
+{
+	switch (g_rand_int_range(soak->random, 0, 5)) {
+	case 0:
+		forwarder_cut(link);
+		return false;
+	case 1:
+		forwarder_silence(link);
+		return false;
+	case 2:
+		forwarder_one_way(link);
+		return false;
+	case 3:
+		forwarder_delay(link,
+				(unsigned int)g_rand_int_range(soak->random, 10,
+							       DELAY_MAX_MS));
+		return true;
+	default:
+		forwarder_refuse(link, true);
+		return true;
+	}
+}
+
+static void mend_link(forwarder_t *link)
+{
+	forwarder_delay(link, 0);
+	forwarder_refuse(link, false);
+}
+
+/* Has the link to an upstream or to a gateway's door of the store fail. */
+static void hit_link(soak_t *soak)
+{
+	int number;
+
+	if (g_rand_boolean(soak->random)) {
+		number = g_rand_int_range(soak->random, 0, RIG_UPSTREAMS);
+		mend_link(soak->to_upstream[number]);
+		fail_link(soak, soak->to_upstream[number]);
+		return;
+	}
+	number = g_rand_int_range(soak->random, 0, RIG_GATEWAYS);
+	mend_link(soak->to_store[number]);
+	soak->gateways[number].troubled_at = now_ms();
+	soak->store_link_mends_at[number] =
+		fail_link(soak, soak->to_store[number])
+			? now_ms() + (uint64_t)g_rand_int_range(soak->random,
+								200, 2000)
+			: 0;
+}
+
+/* A gateway that can't reach the store is excused for as long. */
+static void follow_links(soak_t *soak)
+{
+	for (int i = 0; i < RIG_GATEWAYS; i++) {
+		if (!soak->store_link_mends_at[i])
+			continue;
+		soak->gateways[i].troubled_at = now_ms();
+		if (now_ms() < soak->store_link_mends_at[i])
+			continue;
+		mend_link(soak->to_store[i]);
+		soak->store_link_mends_at[i] = 0;
+	}
+}
+
 static void hit(soak_t *soak)
 {
 	int number = g_rand_int_range(soak->random, 0, RIG_GATEWAYS);
 
 	soak->faults++;
+	if (soak->links && g_rand_boolean(soak->random)) {
+		hit_link(soak);
+		return;
+	}
 	switch (g_rand_int_range(soak->random, 0, 6)) {
 	case 0:
 	case 1:
@@ -340,6 +418,7 @@
 	rig_turn(soak->rig);
 	check_drained(soak, before);
 	mend(soak);
+	follow_links(soak);
 	for (guint i = 0; i < soak->calls->len; i++)
 		check_answered(soak, g_ptr_array_index(soak->calls, i));
 }
@@ -421,10 +500,15 @@
 	soak->rig->choose_act = always_answer;
 	for (int i = 0; i < RIG_GATEWAYS; i++) {
 		soak->rig->stores[i].down = false;
+		if (soak->links)
+			mend_link(soak->to_store[i]);
 		soak->gateways[i].act_at = 0;
 	}
-	for (int i = 0; i < RIG_UPSTREAMS; i++)
+	for (int i = 0; i < RIG_UPSTREAMS; i++) {
+		if (soak->links)
+			mend_link(soak->to_upstream[i]);
 		rig_put_upstream(soak->rig, i, "ready");
+	}
 	for (int i = 0; i < RIG_GATEWAYS; i++) {
 		RIG_UNTIL(soak->rig,
 			  (mend(soak), soak->gateways[i].port &&
@@ -433,17 +517,38 @@
 	}
 }
 
-static void run_seed(unsigned int seed)
+/* Puts forwarders before the upstreams and the doors of the store. */
+static void put_links(soak_t *soak)
+{
+	gateway_rig_t *rig = soak->rig;
+
+	for (int i = 0; i < RIG_UPSTREAMS; i++) {
+		soak->to_upstream[i] =
+			forwarder_create(&rig->loop, rig->upstreams[i].port);
+		rig->upstream_via[i] =
+			(uint16_t)forwarder_port(soak->to_upstream[i]);
+	}
+	for (int i = 0; i < RIG_GATEWAYS; i++) {
+		soak->to_store[i] =
+			forwarder_create(&rig->loop, rig->stores[i].port);
+		rig->store_via[i] = (uint16_t)forwarder_port(soak->to_store[i]);
+	}
+}
+
+static void run_seed(unsigned int seed, bool links)
 {
 	soak_t soak = { .rig = gateway_rig_create(),
 			.random = g_rand_new_with_seed(seed),
 			.seed = seed,
-			.version = 1 };
+			.version = 1,
+			.links = links };
 	unsigned int answered = 0;
 
 	soak.calls = g_ptr_array_new_with_free_func(call_destroy);
 	soak.rig->choose_act = choose_act;
 	soak.rig->ctx = &soak;
+	if (links)
+		put_links(&soak);
 	rig_put_config(soak.rig, soak.version, "");
 	for (int i = 0; i < RIG_UPSTREAMS; i++)
 		rig_put_upstream(soak.rig, i, "ready");
@@ -461,8 +566,9 @@
 		check_call(&soak, call);
 		answered += status_of(call) == 200 && is_whole(call);
 	}
-	print_message("seed %u: %u calls, %u answered, %u faults\n", seed,
-		      soak.calls->len, answered, soak.faults);
+	print_message("seed %u%s: %u calls, %u answered, %u faults\n", seed,
+		      links ? " (links)" : "", soak.calls->len, answered,
+		      soak.faults);
 	check_recovery(&soak);
 	for (int i = 0; i < RIG_GATEWAYS; i++)
 		process_signal(soak.rig->gateways[i], SIGCONT);
@@ -478,20 +584,32 @@
 	return text && *text ? (unsigned int)strtoul(text, NULL, 10) : fallback;
 }
 
-static void test_random_failures(void **state)
+static void run_seeds(bool links)
 {
 	unsigned int first = from_environment("FIRST_SEED", 1);
 	unsigned int seeds = from_environment("SEEDS", SEEDS_DEFAULT);
 
-	(void)state;
 	for (unsigned int seed = first; seed < first + seeds; seed++)
-		run_seed(seed);
+		run_seed(seed, links);
+}
+
+static void test_random_failures(void **state)
+{
+	(void)state;
+	run_seeds(false);
+}
+
+static void test_random_failures_of_links(void **state)
+{
+	(void)state;
+	run_seeds(true);
 }
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_random_failures),
+		cmocka_unit_test(test_random_failures_of_links),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/harness/forwarder.c
+++ b/tests/harness/forwarder.c
@@ -6,6 +6,7 @@
 #include "core/list.h"
 
 #define BACKLOG 128
+#define PACE_MS 5 /* how exactly delays are kept */
 
 typedef struct side {
 	uv_tcp_t tcp;
@@ -22,6 +23,7 @@
 	uv_connect_t connect;
 	size_t passed; /* bytes from caller to target */
 	bool silent;
+	bool one_way; /* answers are swallowed */
 	bool closing;
 	unsigned int closed; /* sides */
 } pair_t;
@@ -31,6 +33,15 @@
 	char *data;
 } chunk_t;
 
+/* Bytes that are held back for a while. */
+typedef struct held {
+	list_node_t node;
+	side_t *to;
+	char *data;
+	size_t len;
+	uint64_t due; /* ms of the loop's clock */
+} held_t;
+
 struct forwarder {
 	uv_loop_t *loop;
 	uv_tcp_t listener;
@@ -40,6 +51,9 @@
 	bool cut_answers;
 	size_t cut_after; /* 0: never */
 	unsigned int open;
+	unsigned int delay_ms;
+	uv_timer_t pacer;
+	list_node_t held; /* of held_t, the oldest first */
 	list_node_t pairs;
 };
 
@@ -51,11 +65,24 @@
 		g_free(pair);
 }
 
+static void held_free(held_t *held)
+{
+	list_remove(&held->node);
+	g_free(held->data);
+	g_free(held);
+}
+
 static void pair_close(pair_t *pair)
 {
 	if (pair->closing)
 		return;
 	pair->closing = true;
+	LIST_FOR_EACH_SAFE (it, &pair->forwarder->held) {
+		held_t *held = LIST_ENTRY(it, held_t, node);
+
+		if (held->to->pair == pair)
+			held_free(held);
+	}
 	pair->forwarder->open--;
 	list_remove(&pair->node);
 	uv_close((uv_handle_t *)&pair->caller.tcp, side_closed);
@@ -82,6 +109,33 @@
 	uv_write(&chunk->req, (uv_stream_t *)&side->tcp, &buf, 1, chunk_written);
 }
 
+static void hold(side_t *to, const char *data, size_t len)
+{
+	forwarder_t *forwarder = to->pair->forwarder;
+	held_t *held = g_new0(held_t, 1);
+
+	held->to = to;
+	held->data = g_memdup2(data, len);
+	held->len = len;
+	held->due = uv_now(forwarder->loop) + forwarder->delay_ms;
+	list_append(&forwarder->held, &held->node);
+}
+
+/* Lets go what was held for long enough, in order. */
+static void on_pace(uv_timer_t *timer)
+{
+	forwarder_t *forwarder = timer->data;
+
+	LIST_FOR_EACH_SAFE (it, &forwarder->held) {
+		held_t *held = LIST_ENTRY(it, held_t, node);
+
+		if (held->due > uv_now(forwarder->loop))
+			return;
+		side_write(held->to, held->data, held->len);
+		held_free(held);
+	}
+}
+
 static void side_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
 {
 	(void)handle;
@@ -108,9 +162,15 @@
 		pair_close(pair);
 		return;
 	}
+	if (!request && pair->one_way)
+		return;
 	if (request)
 		pair->passed += len;
-	side_write(side->other, data, len);
+	/* What is held goes first, also once there is no delay any more. */
+	if (forwarder->delay_ms || !list_empty(&forwarder->held))
+		hold(side->other, data, len);
+	else
+		side_write(side->other, data, len);
 }
 
 static void side_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
@@ -177,6 +237,10 @@
 	forwarder->loop = loop;
 	forwarder->target_port = target_port;
 	list_init(&forwarder->pairs);
+	list_init(&forwarder->held);
+	uv_timer_init(loop, &forwarder->pacer);
+	forwarder->pacer.data = forwarder;
+	uv_timer_start(&forwarder->pacer, on_pace, PACE_MS, PACE_MS);
 	uv_tcp_init(loop, &forwarder->listener);
 	forwarder->listener.data = forwarder;
 	uv_ip4_addr("127.0.0.1", 0, &addr);
@@ -218,6 +282,22 @@
 		LIST_ENTRY(it, pair_t, node)->silent = true;
 }
 
+/*
+ * Has every open connection pass on what its caller sends and swallow what comes
+ * back. New ones work.
+ */
+void forwarder_one_way(forwarder_t *forwarder)
+{
+	LIST_FOR_EACH (it, &forwarder->pairs)
+		LIST_ENTRY(it, pair_t, node)->one_way = true;
+}
+
+/* Holds all bytes back for so long; 0: no longer. */
+void forwarder_delay(forwarder_t *forwarder, unsigned int ms)
+{
+	forwarder->delay_ms = ms;
+}
+
 /* Closes each new connection before a byte is passed, or stops doing so. */
 void forwarder_refuse(forwarder_t *forwarder, bool refuse)
 {
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -571,6 +571,11 @@
 	g_string_free(spec, TRUE);
 }
 
+static uint16_t via(uint16_t between, uint16_t port)
+{
+	return between ? between : port;
+}
+
 /* Lists an upstream in the store: "ready" or "draining". */
 void rig_put_upstream(gateway_rig_t *rig, int number, const char *state)
 {
@@ -581,7 +586,8 @@
 	snprintf(spec, sizeof(spec),
 		 "{\"service\":\"s\",\"address\":\"127.0.0.1:%u\","
 		 "\"zone\":\"a\",\"slots\":8,\"state\":\"%s\"}",
-		 rig->upstreams[number].port, state);
+		 via(rig->upstream_via[number], rig->upstreams[number].port),
+		 state);
 	rig_put(rig, "servers", name, spec);
 }
 
@@ -615,7 +621,9 @@
 		"[cloud]\naddress = \"127.0.0.1:%u\"\n"
 		"[retry]\nslack = 100\n[stop]\ngrace_s = 8\n"
 		"[duties]\nusage_window_s = 1\nlease_gap_ms = 300\n",
-		number, seeds->str, rig->stores[door].port, rig->cloud.port);
+		number, seeds->str,
+		via(rig->store_via[door], rig->stores[door].port),
+		rig->cloud.port);
 	g_file_set_contents(path, text, -1, NULL);
 	g_free(text);
 	g_string_free(seeds, TRUE);
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -64,6 +64,8 @@
 	GHashTable *runs; /* call id -> how often it ran, as a pointer */
 	rig_act_t (*choose_act)(void *ctx, const char *target); /* NULL: as set */
 	void *ctx;
+	uint16_t store_via[RIG_GATEWAYS]; /* ports in between; 0: none */
+	uint16_t upstream_via[RIG_UPSTREAMS];
 	process_t *gateways[RIG_GATEWAYS];
 	uint16_t peer_ports[RIG_GATEWAYS];
 };
