Heads must come in within their time, and bodies while their callers wait

The configuration's timeout for heads was read and not used: half a head held a connection until the idle limit. A body that came in for longer than the idle limit was refused although it went on coming; it is now given up when nothing comes for that long, or when its caller waits no longer.

--- a/adapters/gateway/caller.c
+++ b/adapters/gateway/caller.c
@@ -18,7 +18,8 @@
 	http1_t *conn;
 	gateway_request_t *request; /* NULL: none in progress */
 	bool keep; /* the connection serves further requests */
-	pd_time_t since; /* the last request's end, or the connection's start */
+	pd_time_t since; /* when something last came of a request, or the last ended */
+	pd_time_t head_since; /* a head has been coming in since; 0: none is */
 	bool reading; /* a request's head or body is on its way */
 };
 
@@ -46,6 +47,7 @@
 {
 	caller_t *caller = ctx;
 
+	caller->since = gateway_now();
 	if (caller->request && !gateway_request_add_body(caller->request, data, len))
 		caller->keep = false;
 }
@@ -139,22 +141,49 @@
 		gateway_request_abandon(caller->request,
 					"request not read in time");
 	caller->request = NULL;
-	if (caller->reading)
+	if (http1_in_message(caller->conn))
 		caller_write(caller, late, sizeof(late) - 1);
 	http1_close_when_sent(caller->conn);
 	caller_free(caller);
 }
 
+/*
+ * Says whether a head has been coming in for too long. Callers that send one byte
+ * after the other would hold connections for as long as they like.
+ */
+static bool head_is_late(caller_t *caller, pd_time_t now)
+{
+	const forward_config_t *config = caller->gateway->config;
+
+	if (!http1_in_message(caller->conn) || caller->reading) {
+		caller->head_since = 0;
+		return false;
+	}
+	if (!caller->head_since)
+		caller->head_since = now;
+	return config->head_timeout > 0 &&
+	       now - caller->head_since > config->head_timeout;
+}
+
+/* Says whether the connection is idle, or slow to send, for too long. */
+static bool caller_is_late(caller_t *caller, pd_time_t now)
+{
+	const forward_config_t *config = caller->gateway->config;
+
+	if (now - caller->since > config->idle_timeout + IDLE_MARGIN)
+		return true;
+	if (caller->request)
+		return gateway_request_is_overdue(caller->request, now);
+	return head_is_late(caller, now);
+}
+
 /* Closes connections that are idle, or slow to send, for too long. */
 void callers_run(gateway_t *gateway, pd_time_t now)
 {
-	const forward_config_t *config = gateway->config;
-
-	if (!config)
+	if (!gateway->config)
 		return;
 	LIST_FOR_EACH_SAFE (it, &gateway->callers) {
 		caller_t *caller = LIST_ENTRY(it, caller_t, node);
-		pd_time_t allowed = config->idle_timeout + IDLE_MARGIN;
 
 		if (caller->request && !caller->reading) {
 			if (http1_unsent(caller->conn) > UNREAD_MAX) {
@@ -164,7 +193,7 @@
 			}
 			continue;
 		}
-		if (now - caller->since > allowed)
+		if (caller_is_late(caller, now))
 			caller_timeout(caller);
 	}
 }
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -65,6 +65,13 @@
 	return true;
 }
 
+/* Says whether the caller has given the request up, by its own word. */
+bool gateway_request_is_overdue(const gateway_request_t *request, pd_time_t now)
+{
+	return request->call->patience > 0 &&
+	       now - request->arrived > request->call->patience;
+}
+
 static double request_amount(const gateway_request_t *request)
 {
 	const forward_account_t *account = request->account;
--- a/adapters/gateway/request.h
+++ b/adapters/gateway/request.h
@@ -14,6 +14,7 @@
 					  const http1_head_t *head);
 bool gateway_request_add_body(gateway_request_t *request, const char *data,
 			      size_t len);
+bool gateway_request_is_overdue(const gateway_request_t *request, pd_time_t now);
 void gateway_request_start(gateway_request_t *request);
 void gateway_request_abandon(gateway_request_t *request, const char *reason);
 void gateway_requests_run(gateway_t *gateway, pd_time_t now);
--- a/adapters/http1/http1.c
+++ b/adapters/http1/http1.c
@@ -278,6 +278,12 @@
 	return uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
 }
 
+/* Says whether a message has begun to come in and has not ended. */
+bool http1_in_message(const http1_t *conn)
+{
+	return conn->in_message;
+}
+
 /*
  * A client side: says that an answer is due, so that one is let in. An answer
  * to HEAD states a length and has no body.
--- a/adapters/http1/http1.h
+++ b/adapters/http1/http1.h
@@ -58,6 +58,7 @@
 void http1_limit_head(http1_t *conn, size_t bytes);
 void http1_write(http1_t *conn, const char *data, size_t len);
 size_t http1_unsent(const http1_t *conn);
+bool http1_in_message(const http1_t *conn);
 void http1_expect_message(http1_t *conn, bool to_head);
 void http1_hold(http1_t *conn);
 void http1_resume(http1_t *conn);
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -517,6 +517,43 @@
 	g_hash_table_unref(seen);
 }
 
+/*
+ * A caller sends its head a little at a time and never ends it. Connections would
+ * be held for as long as callers like, until there are none left for others.
+ */
+static void test_a_slow_head_is_given_up(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller = rig_call(rig, rig_port(rig, 0, "callers"),
+					"GET /safe/ HTTP/1.1\r\nHost: h\r\n");
+	uint64_t begun = uv_hrtime() / 1000000;
+
+	/* The limit in the configuration is three seconds. */
+	RIG_UNTIL(rig, heard(caller, "HTTP/1.1 408"));
+	assert_true(uv_hrtime() / 1000000 - begun < 5000);
+	RIG_UNTIL(rig, (rig_hear(caller), caller->closed));
+	rig_caller_destroy(caller);
+}
+
+/*
+ * A caller's body does not come in within the time that the caller itself waits.
+ * Nobody would hear an answer any more.
+ */
+static void test_a_body_that_comes_too_late_is_given_up(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller = rig_call(rig, rig_port(rig, 0, "callers"),
+					"POST /safe/ HTTP/1.1\r\nHost: h\r\n"
+					"X-Attempt-Id: c1\r\n"
+					"X-Deadline-Ms: 500\r\n"
+					"Authorization: Bearer k\r\n"
+					"Content-Length: 4\r\n\r\nbo");
+
+	RIG_UNTIL(rig, heard(caller, "HTTP/1.1 408"));
+	assert_int_equal(arrivals(rig), 0);
+	rig_caller_destroy(caller);
+}
+
 /* Puts a route in force that only the store knows, and waits until it serves. */
 static void await_new_route(gateway_rig_t *rig)
 {
@@ -608,6 +645,8 @@
 		GATEWAY_TEST(test_peers_tell_whom_the_store_turns_away),
 		GATEWAY_TEST(test_entries_that_lapsed_and_came_back_serve),
 		GATEWAY_TEST(test_windows_are_reported_once),
+		GATEWAY_TEST(test_a_slow_head_is_given_up),
+		GATEWAY_TEST(test_a_body_that_comes_too_late_is_given_up),
 		GATEWAY_TEST(test_changed_settings_are_taken_at_a_signal),
 		GATEWAY_TEST(test_changed_settings_are_noticed),
 		GATEWAY_TEST(test_wrong_settings_change_nothing),
