--- /dev/null
+++ b/bench/bench_gateway.c
@@ -0,0 +1,85 @@
+/*
+ * A driver for instruction counts of the gateway program: sends so many calls
+ * through one gateway and stops it. Run twice under callgrind with different
+ * counts, the difference is what one call costs.
+ *
+ *   bench_gateway [safe|stream [COUNT]]
+ *
+ * bench/gateway-instructions does that.
+ */
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "tests/harness/gateway_rig.h"
+
+#define AT_ONCE 20 /* calls under way, so that the ticks between weigh little */
+
+static const char *kind;
+static unsigned int count;
+
+static void send_batch(gateway_rig_t *rig, uint16_t port, unsigned int calls)
+{
+	rig_caller_t *callers[AT_ONCE];
+
+	for (unsigned int i = 0; i < calls; i++) {
+		char *text = g_strdup_printf(
+			"POST /%s/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: c%u\r\n"
+			"X-Deadline-Ms: 60000\r\nAuthorization: Bearer k\r\n"
+			"Connection: close\r\nContent-Length: 4\r\n\r\nbody",
+			kind, i);
+
+		callers[i] = rig_call(rig, port, text);
+		g_free(text);
+	}
+	for (unsigned int i = 0; i < calls; i++) {
+		RIG_UNTIL(rig, (rig_hear(callers[i]), callers[i]->closed));
+		assert_non_null(strstr(callers[i]->got->str, "HTTP/1.1 200"));
+		rig_caller_destroy(callers[i]);
+	}
+}
+
+static void bench(void **state)
+{
+	gateway_rig_t *rig = gateway_rig_create();
+	uint16_t port;
+
+	(void)state;
+	rig_put_config(rig, 1, "");
+	for (int i = 0; i < RIG_UPSTREAMS; i++) {
+		rig->upstreams[i].act = strcmp(kind, "safe") ? RIG_STREAM
+							     : RIG_ANSWER;
+		rig_put_upstream(rig, i, "ready");
+	}
+	rig_start(rig, 0);
+	RIG_UNTIL(rig, rig_port(rig, 0, "health"));
+	port = rig_port(rig, 0, "callers");
+	/* Ready once it has both lists; a call before that is refused. */
+	for (uint64_t end = uv_hrtime() / 1000000 + 3000;
+	     uv_hrtime() / 1000000 < end;)
+		rig_turn(rig);
+	for (unsigned int left = count; left;) {
+		unsigned int calls = MIN(left, AT_ONCE);
+
+		send_batch(rig, port, calls);
+		left -= calls;
+	}
+	process_signal(rig->gateways[0], SIGTERM);
+	RIG_UNTIL(rig, process_ended(rig->gateways[0]));
+	gateway_rig_destroy(rig);
+}
+
+int main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = { cmocka_unit_test(bench) };
+
+	kind = argc > 1 ? argv[1] : "safe";
+	count = argc > 2 ? (unsigned int)strtoul(argv[2], NULL, 10) : AT_ONCE;
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
