--- a/adapters/gateway/peer_loads.c
+++ b/adapters/gateway/peer_loads.c
@@ -6,11 +6,10 @@
 #include <string.h>
 
 #include "adapters/gateway/peer_state.h"
+#include "core/forward/engine_cost.h"
 
 /* Summaries that are sent within this share what they say of all loads. */
 #define PACKED_KEPT (50 * PD_MSEC)
-/* A running request weighs as much as so many prompt tokens to read. */
-#define RUNNING_WEIGHT 350.0
 
 static void pack_load(msgpack_packer *packer, uint32_t mark,
 		      unsigned int running, double reading)
@@ -46,7 +45,7 @@
 
 static double load_weight(const load_t *load)
 {
-	return load->reading + load->running * RUNNING_WEIGHT;
+	return load->reading + load->running * ENGINE_RUNNING_TOKENS;
 }
 
 static gint by_weight(gconstpointer a, gconstpointer b)
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -23,12 +23,9 @@
 /* Priorities that are told apart: of accounts, and of routes in each of these. */
 #define ACCOUNT_RANKS 3
 #define RANKS_OF_ACCOUNT (GATEWAY_RANKS / ACCOUNT_RANKS)
-/* When callers may come back after a refusal for want of room. */
-#define RETRY_AFTER_FULL (400 * PD_MSEC)
 /* Another gateway takes the caller at once. */
 #define RETRY_AFTER_STOPPING (20 * PD_MSEC)
 #define RETRY_AFTER_NO_CONFIG (500 * PD_MSEC)
-#define RETRY_AFTER_NO_UPSTREAM (600 * PD_MSEC)
 
 /* Begins a request whose head was read; it owns itself until it is answered. */
 gateway_request_t *gateway_request_create(gateway_t *gateway, caller_t *caller,
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "adapters/log_glib.h"
+#include "core/forward/engine_cost.h"
 #include "platform/wire.h"
 
 #define PART "request"
@@ -18,13 +19,10 @@
  * What making a token costs an engine, in prompt tokens read: in a batch of
  * some 40 requests a step of 5 ms makes 40 tokens.
  */
-#define REQUEST_OUTPUT_TOKEN_WORK 6.0
+#define ENGINE_OUTPUT_TOKENS 6.0
 /* In larger fleets than this, loads of peers are known late: see upstreams.c. */
 #define SAMPLE_FLEET 12
 #define SAMPLE 2
-/* When callers may come back after a refusal for want of room. */
-#define RETRY_AFTER_FULL (400 * PD_MSEC)
-#define RETRY_AFTER_NO_UPSTREAM (600 * PD_MSEC)
 /* The connection limit is for all entries; uneven ones need some room. */
 #define CONNECTION_SHARE 1.3
 
@@ -222,7 +220,7 @@
 			forward_upstream_unread(upstream, request->call, now);
 		work_rate_add(request->gateway->work, request->service,
 			      request->reading + request->call->output_tokens *
-							 REQUEST_OUTPUT_TOKEN_WORK);
+							 ENGINE_OUTPUT_TOKENS);
 	}
 	upstream->running++;
 	upstream->reading += request->reading;
--- a/adapters/gateway/request_shed.c
+++ b/adapters/gateway/request_shed.c
@@ -2,6 +2,7 @@
 #include "adapters/gateway/request_state.h"
 #include "adapters/gateway/peers.h"
 #include "adapters/log_glib.h"
+#include "core/forward/engine_cost.h"
 #include "core/forward/shed.h"
 
 /*
@@ -11,8 +12,6 @@
 #define RETRY_PART 0.3
 #define RETRY_MIN (400 * PD_MSEC)
 #define RETRY_MAX (3 * PD_SEC)
-/* What an engine reads in a second, in prompt tokens. */
-#define READ_RATE 117000.0
 
 static shed_t *shed_of(gateway_t *gateway, const char *service)
 {
@@ -33,7 +32,7 @@
 	for (unsigned int i = 0; i + 1 < call->part_count; i++)
 		shared += call->parts[i].tokens;
 	return MAX(call->prompt_tokens - shared, 0) +
-	       call->output_tokens * REQUEST_OUTPUT_TOKEN_WORK;
+	       call->output_tokens * ENGINE_OUTPUT_TOKENS;
 }
 
 /* Says whether a request is let in; if not, it was refused. */
@@ -59,7 +58,7 @@
 /* How long after its arrival the request's first event is late. */
 static pd_time_t late_after(const gateway_request_t *request)
 {
-	double reading = request->call->prompt_tokens / READ_RATE * PD_SEC;
+	double reading = request->call->prompt_tokens / ENGINE_READ_RATE * PD_SEC;
 
 	return request->route->goal + (pd_time_t)reading;
 }
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -8,10 +8,11 @@
 #include "core/forward/event_stream.h"
 
 /*
- * What making a token costs an engine, in prompt tokens: in a batch of some 40
- * requests a step of 5 ms makes 40 tokens.
+ * When callers may come back: after a refusal for want of room about the time in
+ * which some requests end, and without any upstream a few looks at the store.
  */
-#define REQUEST_OUTPUT_TOKEN_WORK 6.0
+#define RETRY_AFTER_FULL (400 * PD_MSEC)
+#define RETRY_AFTER_NO_UPSTREAM (600 * PD_MSEC)
 
 typedef enum request_state {
 	REQUEST_READING, /* from the caller */
--- a/core/forward/choice.c
+++ b/core/forward/choice.c
@@ -3,14 +3,9 @@
 
 #include <string.h>
 
+#include "core/forward/engine_cost.h"
 #include "core/hash.h"
 
-/*
- * What one running request costs the others at an engine, in prompt tokens: a
- * batch step grows by 0.05 ms a request, over some 50 steps until a new prompt
- * is through, at about 150 tokens read in a millisecond.
- */
-#define RUNNING_TOKENS 350.0
 /* An upstream elsewhere costs bytes between zones and 0.5 ms each way. */
 #define OTHER_ZONE_SLOTS 0.15
 #define OTHER_ZONE_TOKENS 60.0
@@ -83,7 +78,7 @@
 	if (home)
 		unread = MIN(unread, MAX(ask->call->prompt_tokens - shared, 0));
 	return upstream->reading + upstream->peers_reading + unread +
-	       running * RUNNING_TOKENS;
+	       running * ENGINE_RUNNING_TOKENS;
 }
 
 static double upstream_cost(const forward_upstream_t *upstream,
--- a/core/forward/scale_plan.c
+++ b/core/forward/scale_plan.c
@@ -4,11 +4,8 @@
 #include <math.h>
 #include <string.h>
 
-/*
- * What one engine gets done a second, in prompt tokens: some 2,000 are read in
- * a step of 17 ms beside the tokens of running requests.
- */
-#define ENGINE_WORK 117000.0
+#include "core/forward/engine_cost.h"
+
 /*
  * How many engines there are for each that would be busy throughout. Prompts
  * are of very uneven length and come in clumps, so queues grow long before an
@@ -157,9 +154,9 @@
 	plan->running += (running - plan->running) *
 			 (running > plan->running ? RISE_WEIGHT : FALL_WEIGHT);
 	/* What was turned away would have taken as many places as the rest. */
-	return MAX(asked / ENGINE_WORK, plan->running /
-						MAX(service->engine_slots, 1) *
-						asked / MAX(demand->sent, 1));
+	return MAX(asked / ENGINE_READ_RATE,
+		   plan->running / MAX(service->engine_slots, 1) * asked /
+			   MAX(demand->sent, 1));
 }
 
 /*
