--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -1,7 +1,6 @@
 /* Takes in the messages of other gateways. */
 #include <string.h>
 
-#include "adapters/gateway/fleet_feed.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peer_state.h"
 #include "adapters/log_glib.h"
@@ -14,10 +13,6 @@
 #define ADOPT_MAX (3 * PD_SEC)
 /* What was asked for is asked for again only after so long. */
 #define FETCH_PERIOD (400 * PD_MSEC)
-/* How long a gateway that starts reads the store before it asks a peer instead. */
-#define OWN_LISTING_MAX (1500 * PD_MSEC)
-/* A thousand upstreams are 90 KB, and a hub has many to give them to. */
-#define FETCH_ALL_PERIOD (3 * PD_SEC)
 /*
  * News is on its way for some tens of milliseconds, during which two gateways
  * differ; nothing is missing then.
@@ -186,32 +181,12 @@
 }
 
 /*
- * Says whether all upstreams may be fetched, by a gateway that has just started.
- * In a large fleet it first reads the store itself: after a restart of all, some
- * hundred gateways at once would ask the hub for its whole table, several times
- * each as the answers queue on the hub's link.
+ * Says whether upstreams may be fetched from a peer with another digest. If
+ * fetching did not help, as the peer is the one that is behind, it is done less
+ * and less often until one of the two learns something.
  */
-static bool may_fetch_all(gateway_peers_t *peers, pd_time_t now)
-{
-	bool reads_store = fleet_feed_is_back(peers->gateway->feed) &&
-			   now - peers->started_at < OWN_LISTING_MAX;
-
-	if (reads_store && !peers_is_mesh(peers, now))
-		return false;
-	if (now - peers->fetched_upstreams_at < peers->fetch_pause)
-		return false;
-	peers->fetch_pause = peers_is_mesh(peers, now) ? FETCH_PERIOD
-						       : FETCH_ALL_PERIOD;
-	peers->fetched_upstreams_at = now;
-	return true;
-}
-
-/*
- * Says whether the parts that differ may be fetched from a peer with another
- * digest. If fetching did not help, as the peer is the one that is behind, it is
- * done less and less often until one of the two learns something.
- */
-static bool may_fetch_parts(gateway_peers_t *peers, uint64_t digest, pd_time_t now)
+static bool may_fetch_upstreams(gateway_peers_t *peers, uint64_t digest,
+				pd_time_t now)
 {
 	uint64_t differing = digest ^ peers_digest(peers);
 
@@ -219,8 +194,10 @@
 		peers->differs_since = 0;
 	else if (!peers->differs_since)
 		peers->differs_since = now;
-	if (!differing || now - peers->differs_since < DIFFERS_MIN ||
-	    now - peers->fetched_upstreams_at < peers->fetch_pause)
+	if (!differing || (peers->gateway->upstreams_known &&
+			   now - peers->differs_since < DIFFERS_MIN))
+		return false;
+	if (now - peers->fetched_upstreams_at < peers->fetch_pause)
 		return false;
 	if (differing == peers->fetched_for)
 		peers->fetch_pause = MIN(peers->fetch_pause * 2, FETCH_PERIOD_MAX);
@@ -231,14 +208,6 @@
 	return true;
 }
 
-static bool may_fetch_upstreams(gateway_peers_t *peers, uint64_t digest,
-				pd_time_t now)
-{
-	return peers->gateway->upstreams_known
-		       ? may_fetch_parts(peers, digest, now)
-		       : may_fetch_all(peers, now);
-}
-
 /* Asks for what the peer has newer, or knows otherwise; 0: not told. */
 static void fetch_newer(gateway_peers_t *peers, peer_t *peer, uint64_t version,
 			uint64_t digest)
