Members are told every 1.6 s, whatever the period

Told in every eighth message they came every 5 s in fleets of 300, where a mention lasts 6 s: with one message lost or late a gateway no longer counts those who go before it, takes itself for a hub and follows nobody's sums. In fleets of up to 100 nothing changes.

--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -326,6 +326,8 @@
 
 	msgpack_sbuffer_init(&buffer);
 	peers_pack_summary(&buffer, peers, peer, full);
+	if (full)
+		peer->members_at = gateway_now();
 	peers_send(peers, peer, &buffer);
 	msgpack_sbuffer_destroy(&buffer);
 }
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -42,8 +42,13 @@
 #define STATE_FLAG_STRONG 2u
 #define STATE_FLAG_ASKS 4u /* for a summary in return */
 
-/* Every so many states carry members and usage, which need not be as fresh. */
-#define PEERS_FULL_EVERY 8
+/*
+ * Members and usage need not be as fresh as loads, but they must come several
+ * times before a mention runs out, whatever the period: told in every eighth
+ * message, they came every five seconds in a fleet of 300, and with one message
+ * late a gateway took itself for a hub.
+ */
+#define PEERS_FULL_PERIOD (1600 * PD_MSEC)
 
 /* So many gateways go first: two sum up, and three watch the store. */
 #define HUBS 2
@@ -102,6 +107,7 @@
 	pd_time_t added_at;
 	pd_time_t heard_at; /* 0: never */
 	pd_time_t mentioned_at; /* by another peer that hears it; 0: never */
+	pd_time_t members_at; /* when it was told the members last, as a summary */
 	pd_time_t passed_over_until; /* as a hub, for it did not answer */
 	GArray *loads; /* of load_t */
 	GHashTable *totals; /* account -> double */
@@ -125,7 +131,7 @@
 	GArray *loads_told; /* of load_t: own ones, as last told */
 	pd_time_t started_at;
 	pd_time_t next_at;
-	unsigned int round;
+	pd_time_t full_at; /* when members and usage are told next */
 	bool adopted; /* levels of buckets, from an older peer */
 	char *hub; /* whose summaries are followed; NULL: peers are heard */
 	pd_time_t summed_at; /* when its last summary came */
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -314,7 +314,8 @@
 	}
 	if (flags & STATE_FLAG_ASKS)
 		peers_send_summary(peers, peer,
-				   peers->round % PEERS_FULL_EVERY == 0 || first);
+				   first || now - peer->members_at >=
+						    PEERS_FULL_PERIOD);
 	else if (first)
 		peers_send_state(peers, peer, false, true);
 	fetch_newer(peers, peer, peers_number(&fields[STATE_CONFIG]),
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -399,7 +399,9 @@
 	mesh = peers_is_mesh(peers, now);
 	peers->next_at = now + (mesh ? MESH_PERIOD : hub_period(peers, now));
 	forget_lost(peers, now);
-	full = peers->round++ % PEERS_FULL_EVERY == 0;
+	full = now >= peers->full_at;
+	if (full)
+		peers->full_at = now + PEERS_FULL_PERIOD;
 	if (mesh)
 		tell_mesh(peers, full);
 	else
