One count of shared tokens, one table of numbers; the fill is worked out when it is used

The tokens of a prompt's shared parts were added up in two places, and twice for a refused request; numbers by name were found or added by two functions of the gossip. The fill of a service, a walk over its upstreams, was worked out each tick though it is used every 250 ms, and the own address was hashed before the kept view was looked at.

--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -55,18 +55,7 @@
 
 static void sums_add(GHashTable *values, const char *name, double amount)
 {
-	double *value = g_hash_table_lookup(values, name);
-
-	if (!value) {
-		value = g_new0(double, 1);
-		g_hash_table_insert(values, g_strdup(name), value);
-	}
-	*value += amount;
-}
-
-static GHashTable *sums_create(void)
-{
-	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	*peers_value(values, name) += amount;
 }
 
 /* Adds the peers' sums, without what EXCEPT told: it knows that itself. */
@@ -97,7 +86,7 @@
 static void pack_totals(msgpack_packer *packer, const gateway_peers_t *peers,
 			const peer_t *except)
 {
-	sums_t sums = { sums_create(), sums_create() };
+	sums_t sums = { peers_values_create(), peers_values_create() };
 	GHashTableIter iter;
 	gpointer name;
 	gpointer value;
@@ -131,7 +120,7 @@
 static void pack_works(msgpack_packer *packer, const gateway_peers_t *peers,
 		       const peer_t *except)
 {
-	GHashTable *sums = sums_create();
+	GHashTable *sums = peers_values_create();
 	GHashTableIter iter;
 	gpointer name;
 	gpointer value;
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -60,11 +60,12 @@
 /* Returns what follows from who is alive. */
 const peer_view_t *peers_view(gateway_peers_t *peers, pd_time_t now)
 {
-	guint hash = g_str_hash(peers->address);
 	peer_view_t view = { .at = now, .alive = 1, .counted = 1 };
+	guint hash;
 
 	if (peers->view.at && now - peers->view.at < VIEW_KEPT)
 		return &peers->view;
+	hash = g_str_hash(peers->address);
 	LIST_FOR_EACH (it, &peers->list) {
 		const peer_t *peer = LIST_ENTRY(it, peer_t, node);
 
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -150,6 +150,8 @@
 	pd_time_t asked_at; /* when these were begun to be gathered */
 };
 
+GHashTable *peers_values_create(void);
+double *peers_value(GHashTable *values, const char *name);
 peer_t *peers_find(gateway_peers_t *peers, const char *address);
 peer_t *peers_add(gateway_peers_t *peers, const char *address);
 bool peer_is_heard(const peer_t *peer, pd_time_t now);
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -61,22 +61,11 @@
 	GHashTable *sums;
 } part_t;
 
-static double *value_of(GHashTable *values, const char *name)
-{
-	double *value = g_hash_table_lookup(values, name);
-
-	if (!value) {
-		value = g_new0(double, 1);
-		g_hash_table_insert(values, g_strdup(name), value);
-	}
-	return value;
-}
-
 static void part_set(const part_t *part, const char *name, double value)
 {
-	double *known = value_of(part->values, name);
+	double *known = peers_value(part->values, name);
 
-	*value_of(part->sums, name) += value - *known;
+	*peers_value(part->sums, name) += value - *known;
 	*known = value;
 }
 
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -51,6 +51,24 @@
 	return g_array_new(FALSE, TRUE, sizeof(load_t));
 }
 
+/* Returns an empty table of numbers by name; the caller owns it. */
+GHashTable *peers_values_create(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+/* Returns the number of that name in a table, added as 0 if it is not there. */
+double *peers_value(GHashTable *values, const char *name)
+{
+	double *value = g_hash_table_lookup(values, name);
+
+	if (!value) {
+		value = g_new0(double, 1);
+		g_hash_table_insert(values, g_strdup(name), value);
+	}
+	return value;
+}
+
 /* Returns the peer at an address, or NULL. */
 peer_t *peers_find(gateway_peers_t *peers, const char *address)
 {
@@ -73,10 +91,8 @@
 	peer->hash = g_str_hash(address);
 	peer->added_at = gateway_now();
 	peer->loads = loads_create();
-	peer->totals =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	peer->works =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	peer->totals = peers_values_create();
+	peer->works = peers_values_create();
 	list_append(&peers->list, &peer->node);
 	g_hash_table_insert(peers->by_address, peer->address, peer);
 	return peer;
@@ -160,10 +176,8 @@
 	peers->hub_loads = loads_create();
 	peers->loads_told = loads_create();
 	peers->by_address = g_hash_table_new(g_str_hash, g_str_equal);
-	peers->totals =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	peers->works =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	peers->totals = peers_values_create();
+	peers->works = peers_values_create();
 	msgpack_sbuffer_init(&peers->loads_packed);
 	peers->news = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	peers->asked = g_hash_table_new(g_direct_hash, g_direct_equal);
--- a/adapters/gateway/request_shed.c
+++ b/adapters/gateway/request_shed.c
@@ -27,11 +27,7 @@
 /* Returns the work of a call whose shared parts an engine holds already. */
 static double unshared_work(const forward_call_t *call)
 {
-	double shared = 0;
-
-	for (unsigned int i = 0; i + 1 < call->part_count; i++)
-		shared += call->parts[i].tokens;
-	return MAX(call->prompt_tokens - shared, 0) +
+	return MAX(call->prompt_tokens - forward_call_shared(call), 0) +
 	       call->output_tokens * ENGINE_OUTPUT_TOKENS;
 }
 
@@ -50,7 +46,7 @@
 	if (shed_admits(shed_of(gateway, request->service), request->rank, work,
 			g_rand_double(gateway->random)))
 		return true;
-	work_rate_add_away(gateway->work, request->service, unshared_work(call));
+	work_rate_add_away(gateway->work, request->service, work);
 	gateway_request_refuse(request, 503, retry_after, "engines pressed");
 	return false;
 }
@@ -99,6 +95,9 @@
 
 	g_hash_table_iter_init(&iter, gateway->sheds);
 	while (g_hash_table_iter_next(&iter, &service, &shed)) {
+		/* The fill is a walk over all upstreams. */
+		if (!shed_is_due(shed, now))
+			continue;
 		fill.part = forward_upstreams_fill(gateway->upstreams, service);
 		if (shed_run(shed, &fill, now))
 			log_line(G_LOG_LEVEL_INFO, "shed",
--- a/core/forward/call.c
+++ b/core/forward/call.c
@@ -24,3 +24,14 @@
 	g_string_free(call->headers, TRUE);
 	g_free(call);
 }
+
+/* Returns the tokens of a call's prompt in parts that other calls may share. */
+double forward_call_shared(const forward_call_t *call)
+{
+	double sum = 0;
+
+	/* The last part is the request's own. */
+	for (unsigned int i = 0; i + 1 < call->part_count; i++)
+		sum += call->parts[i].tokens;
+	return sum;
+}
--- a/core/forward/call.h
+++ b/core/forward/call.h
@@ -36,5 +36,6 @@
 
 forward_call_t *forward_call_create(void);
 void forward_call_destroy(forward_call_t *call);
+double forward_call_shared(const forward_call_t *call);
 
 #endif
--- a/core/forward/choice.c
+++ b/core/forward/choice.c
@@ -54,15 +54,6 @@
 	return home;
 }
 
-static double shared_tokens(const forward_call_t *call)
-{
-	double sum = 0;
-
-	for (unsigned int i = 0; i + 1 < call->part_count; i++)
-		sum += call->parts[i].tokens;
-	return sum;
-}
-
 /*
  * What sending a call to an engine would cost it and its others, in prompt
  * tokens: what it has to read before, what it would have to read for this one,
@@ -72,7 +63,7 @@
 			  const forward_ask_t *ask, bool home, pd_time_t now)
 {
 	double unread = forward_upstream_unread(upstream, ask->call, now);
-	double shared = shared_tokens(ask->call);
+	double shared = forward_call_shared(ask->call);
 	double running = upstream->running + upstream->peers_running;
 
 	if (home)
--- a/core/forward/shed.c
+++ b/core/forward/shed.c
@@ -114,12 +114,18 @@
 	shed->share = CLAMP(shed->share, SHARE_MIN, 1);
 }
 
+/* Says whether the share is to be thought over now. */
+bool shed_is_due(const shed_t *shed, pd_time_t now)
+{
+	return now >= shed->step_at;
+}
+
 /*
  * Lets time pass. Returns whether the share has changed so much that it is worth a line.
  */
 bool shed_run(shed_t *shed, const shed_fill_t *fill, pd_time_t now)
 {
-	if (now < shed->step_at)
+	if (!shed_is_due(shed, now))
 		return false;
 	shed->step_at = now + STEP;
 	share_follow(shed, fill);
--- a/core/forward/shed.h
+++ b/core/forward/shed.h
@@ -23,6 +23,7 @@
 void shed_destroy(shed_t *shed);
 bool shed_admits(shed_t *shed, int rank, double work, double draw);
 void shed_outcome(shed_t *shed, bool pressed);
+bool shed_is_due(const shed_t *shed, pd_time_t now);
 bool shed_run(shed_t *shed, const shed_fill_t *fill, pd_time_t now);
 double shed_share(const shed_t *shed);
 double shed_pressed(const shed_t *shed);
