Upstreams that restart under their id; entries that others spoil

Cause: an upstream was known by its id alone. One that crashed and started again under it was taken for the old one: believed to hold prompts that it had lost, avoided for failures that had ended, sent requests on connections of before; and callers whose runs it had lost waited until their time was over if no reset came. Entries of other writers were taken with defaults, an unknown state as draining; and one string that is no UTF-8 made the JSON library refuse the whole page, so all upstreams stayed unknown.

Now a listing has when the upstream was born; another time there ends all that was believed, in gossip too. Pages that the library refuses are repaired first, and an entry that is not as an upstream writes it names none.

Ruled out: X-Expect-Instance, which both starts bear alike; telling starts by a gap in the listing, which outages of the store make too.

Both process tests and the unit tests of pages failed on the code before.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 # The gateway, with what it takes of the rest; it needs fewer libraries.
 GATEWAY := $(patsubst %.c,$(B)/%.o,$(wildcard adapters/http1/*.c \
 	adapters/gateway/*.c platform/*.c) adapters/frame_link.c \
-	adapters/json.c adapters/log_buffer.c adapters/log_glib.c \
+	adapters/json.c adapters/json_shared.c adapters/log_buffer.c adapters/log_glib.c \
 	adapters/metrics.c adapters/msgpack_check.c adapters/setting_table.c) \
 	$(B)/adapters/toml_reader.o
 GATEWAY_PACKAGES := glib-2.0 libuv jansson msgpack libxxhash
--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -31,6 +31,10 @@
 #define RETRY_PAUSE (150 * PD_MSEC)
 #define RETRY_DOUBLINGS 3
 
+/* Lines about spoiled entries in each such time. */
+#define SPOILED_TOLD 5
+#define SPOILED_PERIOD (10 * PD_SEC)
+
 typedef struct feed {
 	fleet_feed_t *fleet;
 	wire_kind_t kind;
@@ -45,6 +49,8 @@
 	pd_time_t lost_at;
 	pd_time_t peers_since; /* peers have had the store since; 0: none has */
 	pd_time_t next_at;
+	pd_time_t spoiled_at; /* when such entries were begun to be told */
+	unsigned int spoiled_told; /* since then */
 } feed_t;
 
 struct fleet_feed {
@@ -91,20 +97,44 @@
 		if (wire_page_is_gone(page, i))
 			continue;
 		text = wire_page_config_text(page, i);
-		gateway_take_config(gateway, text, "store");
+		if (text)
+			gateway_take_config(gateway, text, "store");
+		else
+			log_line(G_LOG_LEVEL_WARNING, PART,
+				 "dropped a configuration: no object");
 		g_free(text);
 	}
 }
 
+/*
+ * Notes an entry that can't be used. Others may write many of them, again and
+ * again, so few are told one by one.
+ */
+static void feed_spoiled(feed_t *feed, const char *id, const pd_error_t *err)
+{
+	pd_time_t now = gateway_now();
+
+	metrics_add(feed->fleet->gateway->metrics,
+		    "gateway_spoiled_entries_total", 1);
+	if (now - feed->spoiled_at > SPOILED_PERIOD) {
+		feed->spoiled_at = now;
+		feed->spoiled_told = 0;
+	}
+	if (feed->spoiled_told++ < SPOILED_TOLD)
+		log_error(PART, id, err);
+}
+
 static void apply_upstream(feed_t *feed, const wire_page_t *page, size_t i)
 {
 	gateway_t *gateway = feed->fleet->gateway;
 	const char *id = wire_page_name(page, i);
 	forward_listing_t listing;
-	bool news;
+	bool news = false;
 	pd_error_t err;
 
 	if (wire_page_is_gone(page, i)) {
+		if (!*id)
+			return;
 		/*
 		 * Not the page's revision: an entry that lapsed and came back
 		 * may be in the same page, and would count as older than its
@@ -114,8 +144,12 @@
 						wire_page_object_revision(page, i),
 						gateway_now());
 	} else if (wire_page_upstream(page, i, &listing, &err) < 0) {
-		log_error(PART, id, &err);
-		return;
+		feed_spoiled(feed, id, &err);
+		/* What stood there before no longer does. */
+		if (forward_upstreams_find(gateway->upstreams, id))
+			news = forward_upstreams_remove(
+				gateway->upstreams, id,
+				wire_page_object_revision(page, i), gateway_now());
 	} else {
 		news = forward_upstreams_apply(gateway->upstreams, &listing);
 	}
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -411,6 +411,7 @@
 	msgpack_pack_uint8(packer, (uint8_t)upstream->stage);
 	msgpack_pack_uint8(packer, upstream->reclaimable);
 	msgpack_pack_uint64(packer, upstream->revision);
+	msgpack_pack_int64(packer, upstream->born);
 }
 
 /*
@@ -423,6 +424,7 @@
 	msgpack_pack_uint64(packer, upstream->mark);
 	msgpack_pack_uint8(packer, (uint8_t)upstream->stage);
 	msgpack_pack_uint64(packer, upstream->revision);
+	msgpack_pack_int64(packer, upstream->born);
 }
 
 /* Which upstreams a message tells about. */
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -71,9 +71,9 @@
 
 #define NEWS_FIELDS 4 /* kind, sender, whether these are all, upstreams */
 #define FETCH_FIELDS 4 /* kind, sender, what, digests or marks */
-/* An upstream in full, and just its mark, stage and revision. */
-#define NEWS_FULL_FIELDS 9
-#define NEWS_BRIEF_FIELDS 3
+/* An upstream in full, and just its mark, stage, revision and start. */
+#define NEWS_FULL_FIELDS 10
+#define NEWS_BRIEF_FIELDS 4
 
 #define FETCH_CONFIG 1u
 #define FETCH_UPSTREAMS 2u /* those of the parts whose digests differ */
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -382,19 +382,23 @@
 {
 	gateway_t *gateway = peers->gateway;
 	uint64_t mark = peers_number(&fields[0]);
-	forward_stage_t stage = (forward_stage_t)peers_number(&fields[1]);
+	const forward_change_t change = {
+		.stage = (forward_stage_t)peers_number(&fields[1]),
+		.revision = peers_number(&fields[2]),
+		.born = (int64_t)peers_number(&fields[3]),
+	};
 	forward_upstream_t *upstream =
 		forward_upstreams_marked(gateway->upstreams, (uint32_t)mark);
 
-	if (stage > FORWARD_GONE)
+	if (change.stage > FORWARD_GONE)
 		return;
 	if (!upstream || upstream->mark != mark) {
-		if (stage != FORWARD_GONE && may_ask(peers, mark))
+		if (change.stage != FORWARD_GONE && may_ask(peers, mark))
 			g_array_append_val(unknown, mark);
 		return;
 	}
-	if (forward_upstreams_restage(gateway->upstreams, upstream, stage,
-				      peers_number(&fields[2]), gateway_now()))
+	if (forward_upstreams_restage(gateway->upstreams, upstream, &change,
+				      gateway_now()))
 		gateway_upstream_news(gateway, upstream->id, "peer");
 }
 
@@ -427,6 +431,7 @@
 	listing.stage = (forward_stage_t)peers_number(&fields[6]);
 	listing.reclaimable = peers_number(&fields[7]) != 0;
 	listing.revision = peers_number(&fields[8]);
+	listing.born = (int64_t)peers_number(&fields[9]);
 	if (!texts[0] || !texts[1] || !texts[2] || !texts[3] ||
 	    listing.stage > FORWARD_GONE)
 		goto done;
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -258,15 +258,25 @@
 	       (pd_time_t)((double)request->route->goal * SILENCE_GOALS);
 }
 
-static void attempt_leave(gateway_request_t *request)
+/*
+ * Says whether the upstream runs anew since the attempt began. What ran there is
+ * lost, and if its VM was cut off, no reset ever says so: the caller would wait
+ * until its time is over for an answer that can't come.
+ */
+static bool attempt_is_orphaned(const gateway_request_t *request)
+{
+	return request->upstream && request->link &&
+	       request->start != request->upstream->starts;
+}
+
+static void attempt_leave(gateway_request_t *request, const char *reason)
 {
 	bool sent = request->sent_at != 0;
 
 	upstream_link_close(request->link);
 	request->link = NULL;
 	gateway_request_attempt_over(request, sent ? ATTEMPT_LOST : ATTEMPT_UNSENT,
-				     sent ? "no answer in time"
-					  : "no connection in time");
+				     reason);
 }
 
 static void request_expire(gateway_request_t *request)
@@ -299,7 +309,12 @@
 		gateway_request_watch(request, now);
 		if (now >= request->deadline)
 			request_expire(request);
+		else if (attempt_is_orphaned(request))
+			attempt_leave(request, "upstream restarted");
 		else if (attempt_is_stuck(request, now))
-			attempt_leave(request);
+			attempt_leave(request,
+				      request->sent_at
+					      ? "no answer in time"
+					      : "no connection in time");
 	}
 }
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -207,6 +207,7 @@
 	if (request->sends)
 		metrics_add(request->gateway->metrics, "gateway_resends_total", 1);
 	request->upstream = forward_upstream_ref(upstream);
+	request->start = upstream->starts;
 	request->tried[request->tried_count++] = g_strdup(upstream->id);
 	request->sends++;
 	request->begun_at = now;
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -60,6 +60,7 @@
 	unsigned int tried_count;
 	/* The attempt in progress. */
 	forward_upstream_t *upstream;
+	unsigned int start; /* of the upstream, that the attempt is made at */
 	upstream_link_t *link;
 	pd_time_t begun_at;
 	pd_time_t sent_at; /* 0: nothing was sent yet */
--- a/adapters/gateway/upstream_link.c
+++ b/adapters/gateway/upstream_link.c
@@ -18,6 +18,7 @@
 	list_node_t node; /* in the upstream's idle links */
 	http1_t *conn;
 	forward_upstream_t *upstream;
+	unsigned int start; /* of the upstream, to which it was opened */
 	const upstream_link_user_t *user; /* NULL: idle */
 	void *ctx;
 	bool up;
@@ -94,7 +95,7 @@
 	if (last == &upstream->idle_links)
 		return NULL;
 	link = LIST_ENTRY(last, upstream_link_t, node);
-	if (now >= link->idle_until ||
+	if (now >= link->idle_until || link->start != upstream->starts ||
 	    (young && now - link->idle_since >= YOUNG_MAX))
 		return NULL;
 	list_remove(&link->node);
@@ -109,6 +110,7 @@
 
 	list_init(&link->node);
 	link->upstream = forward_upstream_ref(upstream);
+	link->start = upstream->starts;
 	upstream->connections++;
 	link->conn = http1_create(gateway->loop, HTTP1_CLIENT, &events, link);
 	if (http1_connect(link->conn, upstream->address, upstream->port) < 0) {
@@ -177,7 +179,8 @@
 	pd_time_t now = gateway_now();
 	pd_time_t idle = IDLE_UNSTATED;
 
-	if (http1_unsent(link->conn) || !forward_upstream_serves(link->upstream)) {
+	if (http1_unsent(link->conn) || !forward_upstream_serves(link->upstream) ||
+	    link->start != link->upstream->starts) {
 		upstream_link_close(link);
 		return;
 	}
@@ -205,7 +208,8 @@
 			upstream_link_t *link =
 				LIST_ENTRY(idle, upstream_link_t, node);
 
-			if (leaving || now >= link->idle_until)
+			if (leaving || link->start != upstream->starts ||
+			    now >= link->idle_until)
 				upstream_link_close(link);
 		}
 	}
--- a/adapters/json.c
+++ b/adapters/json.c
@@ -1,7 +1,11 @@
 /* Typed reading of JSON members. */
 #include "adapters/json.h"
 
+#include <math.h>
+
 #define JSON_DEPTH_ERROR "not a JSON object"
+/* The largest number up to which a real holds every whole one: 2 to the 53. */
+#define JSON_WHOLE_MAX 9007199254740992.0
 
 /* Parses a JSON object; the caller owns it. NULL with ERR set if it is none. */
 json_t *json_parse(const char *data, size_t len, pd_error_t *err)
@@ -39,12 +43,10 @@
 int json_read_integer(const json_t *object, const char *key, int64_t *value,
 		      pd_error_t *err)
 {
-	const json_t *member = json_object_get(object, key);
-
-	if (!json_is_integer(member))
+	if (!json_has_integer(object, key))
 		return pd_error_set(err, PD_ERROR_INPUT,
 				    "%s: expected an integer", key);
-	*value = json_integer_value(member);
+	*value = json_integer_or(object, key, 0);
 	return 0;
 }
 
@@ -74,6 +76,20 @@
 int64_t json_integer_or(const json_t *object, const char *key, int64_t fallback)
 {
 	const json_t *member = json_object_get(object, key);
+	double value;
 
-	return json_is_integer(member) ? json_integer_value(member) : fallback;
+	if (json_is_integer(member))
+		return json_integer_value(member);
+	/* A text that was repaired has its whole numbers as reals. */
+	value = json_real_value(member);
+	if (!json_is_real(member) || value != trunc(value) ||
+	    fabs(value) > JSON_WHOLE_MAX)
+		return fallback;
+	return (int64_t)value;
+}
+
+/* Says whether there is an integer member. */
+bool json_has_integer(const json_t *object, const char *key)
+{
+	return json_integer_or(object, key, 0) == json_integer_or(object, key, 1);
 }
--- a/core/forward/upstream_record.c
+++ b/core/forward/upstream_record.c
@@ -109,6 +109,25 @@
 	upstream->full_until = now + FULL_PAUSE;
 }
 
+/*
+ * Forgets what is known of the start before. One that crashed and runs again
+ * under its id holds no prompts and has no runs; believed to be the old one, it
+ * would be left alone for failures that ended, or draw the requests of subjects
+ * that it has to read anew. What this entry has in progress there is counted
+ * until each of it ends.
+ */
+void forward_upstream_restarted(forward_upstream_t *upstream)
+{
+	upstream->starts++;
+	upstream->peers_running = 0;
+	upstream->peers_reading = 0;
+	upstream->failures = 0;
+	upstream->avoid_until = 0;
+	upstream->full_until = 0;
+	upstream->probing_since = 0;
+	g_hash_table_remove_all(upstream->parts);
+}
+
 /* Notes a sound answer. */
 void forward_upstream_answered(forward_upstream_t *upstream)
 {
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -231,6 +231,16 @@
 	*text = g_strdup(with);
 }
 
+/* Takes when an upstream was started; another time means another start. */
+static void take_born(forward_upstream_t *upstream, int64_t born)
+{
+	if (!born)
+		return;
+	if (upstream->born && upstream->born != born)
+		forward_upstream_restarted(upstream);
+	upstream->born = born;
+}
+
 /*
  * Takes what the platform or a peer says of an upstream, unless something newer
  * is known. Returns whether that was news.
@@ -245,6 +255,7 @@
 	upstream->listed = true;
 	if (listing->revision <= upstream->revision)
 		return false;
+	take_born(upstream, listing->born);
 	group_leave(upstream); /* the service may change */
 	/*
 	 * Listed anew after it had lapsed. The same revision, told once more by
@@ -298,23 +309,25 @@
  * revision. Returns whether that was news.
  */
 bool forward_upstreams_restage(forward_upstreams_t *set,
-			       forward_upstream_t *upstream, forward_stage_t stage,
-			       uint64_t revision, pd_time_t now)
+			       forward_upstream_t *upstream,
+			       const forward_change_t *change, pd_time_t now)
 {
 	const forward_listing_t listing = {
 		.id = upstream->id,
+		.born = change->born,
 		.service = upstream->service,
 		.address = upstream->address,
 		.port = upstream->port,
 		.zone = upstream->zone,
 		.slots = upstream->slots,
-		.stage = stage,
+		.stage = change->stage,
 		.reclaimable = upstream->reclaimable,
-		.revision = revision,
+		.revision = change->revision,
 	};
 
-	if (stage == FORWARD_GONE)
-		return forward_upstreams_remove(set, upstream->id, revision, now);
+	if (change->stage == FORWARD_GONE)
+		return forward_upstreams_remove(set, upstream->id,
+						change->revision, now);
 	return forward_upstreams_apply(set, &listing);
 }
 
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -17,7 +17,12 @@
 
 /* What the platform says of an upstream, at one revision of its entry. */
 typedef struct forward_listing {
-	const char *id; /* of this start of it; never used again */
+	const char *id;
+	/*
+	 * When it started, in milliseconds of the time of day of its VM; 0: not
+	 * told. One that starts again may have the id of before: only this differs.
+	 */
+	int64_t born;
 	const char *service;
 	const char *address;
 	uint16_t port;
@@ -28,10 +33,19 @@
 	uint64_t revision;
 } forward_listing_t;
 
+/* What of a listing may change while its address and service stay. */
+typedef struct forward_change {
+	forward_stage_t stage;
+	int64_t born;
+	uint64_t revision;
+} forward_change_t;
+
 typedef struct forward_upstream {
 	list_node_t node;
 	unsigned int refs;
 	char *id;
+	int64_t born; /* as listed; 0: not told */
+	unsigned int starts; /* starts under this id that were seen, less one */
 	uint64_t mark; /* hash of the id */
 	GPtrArray *group; /* of those that serve its service; NULL: none */
 	guint group_at; /* its place there */
@@ -66,8 +80,8 @@
 bool forward_upstreams_apply(forward_upstreams_t *set,
 			     const forward_listing_t *listing);
 bool forward_upstreams_restage(forward_upstreams_t *set,
-			       forward_upstream_t *upstream, forward_stage_t stage,
-			       uint64_t revision, pd_time_t now);
+			       forward_upstream_t *upstream,
+			       const forward_change_t *change, pd_time_t now);
 bool forward_upstreams_remove(forward_upstreams_t *set, const char *id,
 			      uint64_t revision, pd_time_t now);
 void forward_upstreams_begin_listing(forward_upstreams_t *set);
@@ -96,6 +110,7 @@
 void forward_upstream_failed(forward_upstream_t *upstream, pd_time_t now);
 void forward_upstream_unreachable(forward_upstream_t *upstream, pd_time_t now);
 void forward_upstream_rejected(forward_upstream_t *upstream, pd_time_t now);
+void forward_upstream_restarted(forward_upstream_t *upstream);
 void forward_upstream_answered(forward_upstream_t *upstream);
 bool forward_upstream_is_avoided(const forward_upstream_t *upstream, pd_time_t now);
 forward_upstream_t *forward_upstream_ref(forward_upstream_t *upstream);
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -487,6 +487,85 @@
  * The holder of the duties dies after it reported a window. Whoever follows
  * must not report that window with other counts, nor leave later ones out.
  */
+static void put_upstream_born(gateway_rig_t *rig, int number, long born)
+{
+	char spec[256];
+
+	snprintf(spec, sizeof(spec),
+		 "{\"service\":\"s\",\"address\":\"127.0.0.1:%u\",\"zone\":"
+		 "\"a\",\"slots\":8,\"state\":\"ready\",\"born\":%ld}",
+		 rig->upstreams[number].port, born);
+	rig_put(rig, "servers", number ? "u1" : "u0", spec);
+}
+
+/*
+ * An upstream crashes behind a cut and starts again under its id. Its callers'
+ * runs are lost, but no reset says so: they would wait until their time is over.
+ * What may be repeated is answered by another upstream at once, and what may not
+ * gets its final answer at once.
+ */
+static void test_calls_at_one_that_restarted_do_not_wait(void **state)
+{
+	gateway_rig_t *rig = *state;
+	uint16_t port = rig_port(rig, 0, "callers");
+	rig_caller_t *safe;
+	rig_caller_t *unsafe;
+
+	put_upstream_born(rig, 0, 1000);
+	rig_remove(rig, "servers", "u1");
+	RIG_UNTIL(rig, has_logged(rig, 0, "id=u1 stage=gone"));
+	rig->upstreams[0].act = RIG_HANG;
+	safe = rig_call(rig, port,
+			"GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: "
+			"s1\r\n"
+			"Authorization: Bearer k\r\n\r\n");
+	unsafe = rig_call(rig, port,
+			  "POST /unsafe/x HTTP/1.1\r\nHost: h\r\n"
+			  "X-Attempt-Id: n1\r\nAuthorization: Bearer k\r\n"
+			  "Content-Length: 0\r\n\r\n");
+	RIG_UNTIL(rig, rig_runs(rig, "s1") && rig_runs(rig, "n1"));
+	put_upstream_born(rig, 1, 1500);
+	RIG_UNTIL(rig, has_logged(rig, 0, "id=u1 stage=serving"));
+	put_upstream_born(rig, 0, 2000);
+	RIG_UNTIL(rig, heard(safe, "HTTP/1.1 200"));
+	RIG_UNTIL(rig, heard(unsafe, "HTTP/1.1 502"));
+	assert_true(has_logged(rig, 0, "upstream restarted"));
+	assert_int_equal(rig_runs(rig, "n1"), 1);
+	rig_caller_destroy(safe);
+	rig_caller_destroy(unsafe);
+}
+
+/*
+ * Somebody writes entries that are none beside those of upstreams, and over one
+ * of them. The gateway says so, in few lines, leaves what they name alone, and
+ * serves by the others.
+ */
+static void test_spoiled_entries_cost_nobody_else_anything(void **state)
+{
+	gateway_rig_t *rig = *state;
+	uint16_t port = rig_port(rig, 0, "callers");
+	rig_caller_t *caller;
+	char name[16];
+
+	for (int i = 0; i < 20; i++) {
+		snprintf(name, sizeof(name), "odd%d", i);
+		rig_put(rig, "servers", name, "{\"service\":\"s\",\"slots\":[]}");
+	}
+	rig_put(rig, "servers", "u0", "{\"service\":7}");
+	RIG_UNTIL(rig, has_logged(rig, 0, "id=u0 stage=gone"));
+	assert_true(has_logged(rig, 0, "odd0"));
+	assert_false(has_logged(rig, 0, "odd19"));
+	caller = rig_call(rig, port,
+			  "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: "
+			  "p1\r\n"
+			  "Authorization: Bearer k\r\n\r\n");
+	RIG_UNTIL(rig, heard(caller, "HTTP/1.1 200"));
+	assert_int_equal(rig->upstreams[0].arrivals, 0);
+	rig_put_upstream(rig, 0, "ready");
+	RIG_UNTIL(rig, has_logged(rig, 0, "id=u0 stage=serving"));
+	rig_caller_destroy(caller);
+}
+
 static void test_windows_are_reported_once(void **state)
 {
 	gateway_rig_t *rig = *state;
@@ -644,6 +723,8 @@
 		GATEWAY_TEST(test_a_draining_upstream_is_left),
 		GATEWAY_TEST(test_peers_tell_whom_the_store_turns_away),
 		GATEWAY_TEST(test_entries_that_lapsed_and_came_back_serve),
+		GATEWAY_TEST(test_calls_at_one_that_restarted_do_not_wait),
+		GATEWAY_TEST(test_spoiled_entries_cost_nobody_else_anything),
 		GATEWAY_TEST(test_windows_are_reported_once),
 		GATEWAY_TEST(test_a_slow_head_is_given_up),
 		GATEWAY_TEST(test_a_body_that_comes_too_late_is_given_up),
--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -37,6 +37,7 @@
 	"{\"items\":[{\"metadata\":{\"name\":\"i-1\",\"revision\":4},"
 	"\"spec\":{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
 	"\"zone\":\"a\",\"slots\":6,\"state\":\"draining\","
+	"\"born\":1775915655123,"
 	"\"preemptible\":true}}],\"hasMore\":true,\"asOf\":9}";
 
 static const char watch_text[] =
--- a/tests/unit/test_forward_upstreams.c
+++ b/tests/unit/test_forward_upstreams.c
@@ -313,6 +313,67 @@
 	g_rand_free(random);
 }
 
+static void list_born(forward_upstreams_t *set, uint64_t revision, int64_t born)
+{
+	const forward_listing_t listing = { .id = "u1",
+					    .born = born,
+					    .service = "s",
+					    .address = "127.0.0.1",
+					    .port = 1,
+					    .zone = "a",
+					    .slots = 4,
+					    .revision = revision };
+
+	forward_upstreams_apply(set, &listing);
+}
+
+/*
+ * An upstream crashes and starts again under its id. It has lost the prompts that
+ * it had read: believed to hold them still, it draws the requests of subjects
+ * that it must read anew; avoided for failures of before, it stands idle.
+ */
+static void test_one_that_restarted_holds_nothing(void **state)
+{
+	const forward_call_t call = subject_call(7);
+	forward_upstream_t *upstream;
+	double fresh;
+
+	list_born(*state, 1, 1000);
+	upstream = forward_upstreams_find(*state, "u1");
+	fresh = forward_upstream_unread(upstream, &call, START);
+	forward_upstream_sent(upstream, &call, START);
+	forward_upstream_unreachable(upstream, START);
+	upstream->peers_running = 3;
+	assert_true(forward_upstream_unread(upstream, &call, START) < fresh);
+	list_born(*state, 2, 1000);
+	assert_true(forward_upstream_unread(upstream, &call, START) < fresh);
+	assert_int_equal(upstream->starts, 0);
+	list_born(*state, 3, 2000);
+	assert_ptr_equal(forward_upstreams_find(*state, "u1"), upstream);
+	assert_int_equal(upstream->starts, 1);
+	assert_true(forward_upstream_unread(upstream, &call, START) == fresh);
+	assert_false(forward_upstream_is_avoided(upstream, START));
+	assert_int_equal(upstream->peers_running, 0);
+	assert_ptr_equal(choose(*state, START), upstream);
+}
+
+/* The same told by a peer in brief, and after the entry had gone in between. */
+static void test_a_restart_is_known_by_peers_and_after_a_gap(void **state)
+{
+	const forward_change_t change = { FORWARD_SERVING, 2000, 2 };
+	forward_upstream_t *upstream;
+
+	list_born(*state, 1, 1000);
+	upstream = forward_upstreams_find(*state, "u1");
+	assert_true(forward_upstreams_restage(*state, upstream, &change, START));
+	assert_int_equal(upstream->starts, 1);
+	assert_true(forward_upstreams_remove(*state, "u1", 2, START));
+	assert_null(choose(*state, START));
+	list_born(*state, 3, 3000);
+	assert_int_equal(upstream->starts, 2);
+	assert_ptr_equal(choose(*state, START), upstream);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -345,6 +406,10 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_a_sample_finds_the_one_with_room,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_one_that_restarted_holds_nothing,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_a_restart_is_known_by_peers_and_after_a_gap,
+						setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -215,6 +215,138 @@
 	wire_page_destroy(page);
 }
 
+#define SOUND(name)                                                       \
+	"{\"metadata\":{\"name\":\"" name "\",\"revision\":4},\"spec\":{" \
+	"\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"a\","   \
+	"\"slots\":6,\"state\":\"ready\",\"born\":1775915655123}}"
+
+/* Reads a page of a sound entry, one with a spec, and another sound one. */
+static int read_between(const char *spec, size_t len,
+			forward_listing_t *between, pd_error_t *err)
+{
+	static const char head[] = "{\"items\":[" SOUND(
+		"i-1") ",{\"metadata\":"
+		       "{\"name\":\"i-2\",\"revision\":5},\"spec\":";
+	static const char tail[] = "}," SOUND("i-3") "],\"asOf\":9}";
+	GString *text = g_string_new(head);
+	forward_listing_t sound;
+	wire_page_t *page;
+	int rc;
+
+	g_string_append_len(text, spec, (gssize)len);
+	g_string_append(text, tail);
+	page = wire_page_read(text->str, text->len, err);
+	assert_non_null(page);
+	assert_int_equal(wire_page_revision(page), 9);
+	assert_int_equal(wire_page_count(page), 3);
+	for (size_t i = 0; i < 3; i += 2) {
+		assert_int_equal(wire_page_upstream(page, i, &sound, err), 0);
+		assert_int_equal(sound.slots, 6);
+		assert_int_equal(sound.revision, 4);
+		assert_int_equal(sound.born, 1775915655123);
+	}
+	assert_string_equal(sound.id, "i-3");
+	rc = wire_page_upstream(page, 1, between, err);
+	wire_page_destroy(page);
+	g_string_free(text, TRUE);
+	return rc;
+}
+
+/*
+ * Somebody else writes an entry among those of upstreams: members are missing
+ * or of other types, or the state is none that is known. Sent requests, nobody
+ * would answer them; and the entries beside it must hold.
+ */
+static void test_a_spoiled_entry_names_no_upstream(void **state)
+{
+	static const char *const spoiled[] = {
+		"null",
+		"7",
+		"\"x\"",
+		"[]",
+		"{}",
+		"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"a\","
+		"\"slots\":1}",
+		"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"a\","
+		"\"slots\":1,\"state\":\"tired\"}",
+		"{\"service\":7,\"address\":\"1.2.3.4:5\",\"zone\":\"a\","
+		"\"slots\":1,\"state\":\"ready\"}",
+		"{\"service\":\"s\",\"address\":\"1.2.3.4\",\"zone\":\"a\","
+		"\"slots\":1,\"state\":\"ready\"}",
+		"{\"service\":\"s\",\"address\":\"1.2.3.4:5x\",\"zone\":\"a\","
+		"\"slots\":1,\"state\":\"ready\"}",
+		"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"a\","
+		"\"slots\":\"1\",\"state\":\"ready\"}",
+		"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"a\","
+		"\"slots\":-1,\"state\":\"ready\"}",
+		"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"a\","
+		"\"slots\":1,\"state\":\"ready\",\"born\":\"today\"}",
+		"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"a\","
+		"\"slots\":1,\"state\":\"ready\",\"born\":0.5}",
+	};
+	forward_listing_t listing;
+	pd_error_t err;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(spoiled); i++) {
+		assert_int_equal(read_between(spoiled[i], strlen(spoiled[i]),
+					      &listing, &err),
+				 -1);
+		assert_int_equal(err.kind, PD_ERROR_INPUT);
+	}
+}
+
+/*
+ * An entry holds bytes that are no text, halves of characters or numbers beyond
+ * all bounds. The JSON library refuses a page with one such string as a whole;
+ * a gateway would then know of no upstream, and refuse every caller.
+ */
+static void test_bytes_that_are_no_text_hide_no_other_entry(void **state)
+{
+	static const char *const bytes[] = {
+		"\xff\xfe", "\xc3",	      "\xed\xa0\x80",
+		"\\ud800",  "\\udc00\\ud800", "\\u0000x",
+		"a\x01z",   "a\nz",	      "\\\\\xf8",
+	};
+	forward_listing_t listing;
+	pd_error_t err;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(bytes); i++) {
+		char *spec = g_strdup_printf("{\"service\":\"s\",\"address\":"
+					     "\"1.2.3.4:5\",\"zone\":\"%s\","
+					     "\"slots\":1,\"state\":\"tired\"}",
+					     bytes[i]);
+
+		assert_int_equal(read_between(spec, strlen(spec), &listing, &err),
+				 -1);
+		g_free(spec);
+	}
+	assert_int_equal(read_between("\"\0\"", 3, &listing, &err), -1);
+	assert_int_equal(read_between("{\"slots\":99999999999999999999}", 30,
+				      &listing, &err),
+			 -1);
+	assert_int_equal(read_between("{\"slots\":1,\"slots\":2}", 21, &listing,
+				      &err),
+			 -1);
+}
+
+/* A name cut at a NUL is that of another upstream, which must not be removed. */
+static void test_a_name_with_a_nul_is_no_name(void **state)
+{
+	static const char text[] =
+		"{\"events\":[{\"tombstone\":true,\"object\":"
+		"{\"metadata\":{\"name\":\"i-1\\u0000x\","
+		"\"revision\":4}}}],\"asOf\":12}";
+	pd_error_t err;
+	wire_page_t *page = wire_page_read(text, strlen(text), &err);
+
+	(void)state;
+	assert_non_null(page);
+	assert_string_equal(wire_page_name(page, 0), "");
+	wire_page_destroy(page);
+}
+
 static void test_a_lease_survives_the_round_trip(void **state)
 {
 	lease_record_t *record = lease_record_create();
@@ -271,6 +403,9 @@
 		cmocka_unit_test(test_an_unknown_kind_is_not_repeated),
 		cmocka_unit_test(test_a_cut_configuration_is_refused),
 		cmocka_unit_test(test_a_list_and_a_watch_are_read),
+		cmocka_unit_test(test_a_spoiled_entry_names_no_upstream),
+		cmocka_unit_test(test_bytes_that_are_no_text_hide_no_other_entry),
+		cmocka_unit_test(test_a_name_with_a_nul_is_no_name),
 		cmocka_unit_test(test_a_lease_survives_the_round_trip),
 		cmocka_unit_test(test_a_usage_report_has_one_form),
 	};
