Learn how fast engines read, in place of one customer's figure

Cause: the fleet was sized, upstreams compared and late answers told by 117,000 tokens a second, a figure of one customer's engines.

Now entries follow the median speed of prompts that were read alone, and tell each other. What a running request and a made token cost became times.

--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -394,10 +394,15 @@
 			  const forward_service_t *service, pd_time_t now)
 {
 	gateway_t *gateway = duties->gateway;
+	const engine_speeds_t *speeds =
+		forward_upstreams_speeds(gateway->upstreams);
 	scale_zone_t zones[SCALE_ZONES_MAX];
 	const scale_demand_t demand = {
 		.sent = work_rate_of(gateway->work, service->name),
 		.away = work_rate_away(gateway->work, service->name),
+		.rate = engine_speeds_known(speeds, service->name)
+				? engine_speeds_rate(speeds, service->name)
+				: 0,
 	};
 	unsigned int count = scale_plan_make(duties_plan(duties, service->name),
 					     service, gateway->upstreams,
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -56,6 +56,13 @@
 	return (pd_time_t)now.tv_sec * PD_SEC + now.tv_nsec / 1000;
 }
 
+/* Returns the prompt tokens that an engine of a service reads in a second. */
+double gateway_engine_rate(const gateway_t *gateway, const char *service)
+{
+	return engine_speeds_rate(forward_upstreams_speeds(gateway->upstreams),
+				  service);
+}
+
 /* Returns the number of the usage window that it is by the fleet's clocks. */
 int64_t gateway_window(const gateway_t *gateway)
 {
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -61,6 +61,7 @@
 pd_time_t gateway_wall(void);
 int64_t gateway_window(const gateway_t *gateway);
 unsigned int gateway_count(const gateway_t *gateway);
+double gateway_engine_rate(const gateway_t *gateway, const char *service);
 bool gateway_admits_long(const gateway_t *gateway);
 bool gateway_split_address(const char *address, char **host, uint16_t *port);
 
--- a/adapters/gateway/peer_loads.c
+++ b/adapters/gateway/peer_loads.c
@@ -43,15 +43,31 @@
 	}
 }
 
-static double load_weight(const load_t *load)
+/* The tokens that one running request stands for; the same for all loads. */
+static double running_tokens(const gateway_t *gateway)
 {
-	return load->reading + load->running * ENGINE_RUNNING_TOKENS;
+	double rate = 0;
+
+	for (guint i = 0; i < gateway->config->services->len; i++) {
+		const forward_service_t *service =
+			g_ptr_array_index(gateway->config->services, i);
+
+		if (service->is_engine)
+			rate = MAX(rate,
+				   gateway_engine_rate(gateway, service->name));
+	}
+	return engine_tokens(rate, ENGINE_RUNNING_TIME);
+}
+
+static double load_weight(const load_t *load, double running_tokens)
+{
+	return load->reading + load->running * running_tokens;
 }
 
-static gint by_weight(gconstpointer a, gconstpointer b)
+static gint by_weight(gconstpointer a, gconstpointer b, gpointer tokens)
 {
-	double left = load_weight(a);
-	double right = load_weight(b);
+	double left = load_weight(a, *(double *)tokens);
+	double right = load_weight(b, *(double *)tokens);
 
 	return (left < right) - (left > right);
 }
@@ -72,14 +88,16 @@
 	double reading;
 } rest_t;
 
-static rest_t rest_of(const GPtrArray *serving, const load_t *least)
+static rest_t rest_of(const GPtrArray *serving, const load_t *least,
+		      double running_tokens)
 {
 	rest_t rest = { 0 };
 
 	for (guint i = 0; i < serving->len; i++) {
 		load_t load = load_of_all(g_ptr_array_index(serving, i));
 
-		if (load_weight(&load) >= load_weight(least))
+		if (load_weight(&load, running_tokens) >=
+		    load_weight(least, running_tokens))
 			continue;
 		rest.count++;
 		rest.running += load.running;
@@ -89,7 +107,7 @@
 }
 
 static void pack_rest(msgpack_packer *packer, const gateway_t *gateway,
-		      const load_t *least)
+		      const load_t *least, double running_tokens)
 {
 	const GPtrArray *services = gateway->config->services;
 
@@ -102,7 +120,7 @@
 		rest_t rest = { 0 };
 
 		if (serving)
-			rest = rest_of(serving, least);
+			rest = rest_of(serving, least, running_tokens);
 		msgpack_pack_array(packer, 3);
 		msgpack_pack_str_with_body(packer, service->name,
 					   strlen(service->name));
@@ -117,6 +135,7 @@
 {
 	const gateway_t *gateway = peers->gateway;
 	GArray *loads = g_array_new(FALSE, FALSE, sizeof(load_t));
+	double tokens = 0;
 	bool some;
 
 	LIST_FOR_EACH (it, forward_upstreams_list(gateway->upstreams)) {
@@ -127,8 +146,10 @@
 			g_array_append_val(loads, load);
 	}
 	some = loads->len > LOADS_TOLD && gateway->config;
-	if (some)
-		g_array_sort(loads, by_weight);
+	if (some) {
+		tokens = running_tokens(gateway);
+		g_array_sort_with_data(loads, by_weight, &tokens);
+	}
 	msgpack_pack_array(packer, 2);
 	msgpack_pack_array(packer, (some ? LOADS_TOLD : loads->len) * LOAD_FIELDS);
 	for (guint i = 0; i < (some ? LOADS_TOLD : loads->len); i++) {
@@ -138,7 +159,7 @@
 	}
 	if (some)
 		pack_rest(packer, gateway,
-			  &g_array_index(loads, load_t, LOADS_TOLD - 1));
+			  &g_array_index(loads, load_t, LOADS_TOLD - 1), tokens);
 	else
 		msgpack_pack_array(packer, 0);
 	g_array_unref(loads);
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -256,6 +256,34 @@
 	msgpack_pack_uint32(packer, peers_view(peers, now)->counted);
 }
 
+static void add_speed(void *ctx, const char *service, double rate)
+{
+	sums_add(ctx, service, rate);
+}
+
+/*
+ * Packs the speeds of engines that this gateway has seen itself. What it was only
+ * told is not told on, or a wrong figure would go round for ever.
+ */
+static void pack_speeds(msgpack_packer *packer, const gateway_peers_t *peers)
+{
+	GHashTable *speeds = peers_values_create();
+	GHashTableIter iter;
+	gpointer name;
+	gpointer rate;
+
+	engine_speeds_each_own(forward_upstreams_speeds(peers->gateway->upstreams),
+			       add_speed, speeds);
+	msgpack_pack_array(packer, g_hash_table_size(speeds));
+	g_hash_table_iter_init(&iter, speeds);
+	while (g_hash_table_iter_next(&iter, &name, &rate)) {
+		msgpack_pack_array(packer, 2);
+		pack_text(packer, name);
+		msgpack_pack_float(packer, (float)*(double *)rate);
+	}
+	g_hash_table_unref(speeds);
+}
+
 /* Packs what this gateway did; FULL: with usage and members. */
 void peers_pack_state(msgpack_sbuffer *buffer, gateway_peers_t *peers,
 		      bool asks, bool full)
@@ -274,6 +302,7 @@
 		msgpack_pack_nil(&packer);
 		msgpack_pack_nil(&packer);
 	}
+	pack_speeds(&packer, peers);
 }
 
 /* Sends what this gateway did. */
@@ -306,6 +335,7 @@
 		pack_members(&packer, peers, now);
 	else
 		msgpack_pack_nil(&packer);
+	pack_speeds(&packer, peers);
 }
 
 /* Sends what all gateways but the receiver did. */
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -35,6 +35,7 @@
 	STATE_LOADS,
 	STATE_USAGES,
 	STATE_MEMBERS,
+	STATE_SPEEDS, /* at which engines read prompts, by service */
 	STATE_FIELDS /* how many there are */
 } state_field_t;
 
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -118,6 +118,26 @@
 	}
 }
 
+/* Takes the speeds of engines that a peer has seen. */
+static void take_speeds(gateway_t *gateway, const msgpack_object *object)
+{
+	uint32_t count = 0;
+	const msgpack_object *items = peers_items(object, 0, &count);
+
+	for (uint32_t i = 0; i < count; i++) {
+		const msgpack_object *pair = peers_items(&items[i], 2, NULL);
+		char *service = pair ? peers_text(&pair[0]) : NULL;
+
+		/* A peer may not have this gateway keep services of its own. */
+		if (service && gateway->config &&
+		    forward_config_service(gateway->config, service))
+			engine_speeds_told(forward_upstreams_speeds(
+						   gateway->upstreams),
+					   service, peers_decimal(&pair[1]));
+		g_free(service);
+	}
+}
+
 static void take_usages(gateway_t *gateway, const char *who,
 			const msgpack_object *object)
 {
@@ -288,6 +308,7 @@
 	time_vote_hear(gateway->vote, peer->address,
 		       (pd_time_t)peers_number(&fields[STATE_WALL]), now);
 	take_usages(gateway, peer->incarnation, &fields[STATE_USAGES]);
+	take_speeds(gateway, &fields[STATE_SPEEDS]);
 	take_members(peers, &fields[STATE_MEMBERS]);
 	/* Whoever follows a hub has this peer in the hub's sums already. */
 	if (!peers->hub) {
@@ -334,6 +355,7 @@
 		    peer_knows_more(peers, peers_number(&fields[STATE_AGE])),
 		    false, NULL);
 	take_works(gateway, EVERYBODY, &fields[STATE_WORKS], NULL);
+	take_speeds(gateway, &fields[STATE_SPEEDS]);
 	peers_take_all_loads(peers, &fields[STATE_LOADS]);
 	return 0;
 }
--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -118,6 +118,11 @@
 		return;
 	if (request->reading > 0) {
 		/* The first event: the prompt was read. */
+		if (request->reads_alone)
+			engine_speeds_seen(forward_upstreams_speeds(
+						   request->gateway->upstreams),
+					   request->service, request->reading,
+					   gateway_now() - request->sent_at);
 		request->upstream->reading -= request->reading;
 		request->reading = 0;
 		forward_upstream_answered(request->upstream);
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -15,11 +15,6 @@
 /* A plain upstream queues a few requests more than it has places. */
 #define PLAIN_OVERFILL 2.5
 #define ENGINE_OVERFILL 1.0
-/*
- * What making a token costs an engine, in prompt tokens read: in a batch of
- * some 40 requests a step of 5 ms makes 40 tokens.
- */
-#define ENGINE_OUTPUT_TOKENS 6.0
 /* In larger fleets than this, loads of peers are known late: see upstreams.c. */
 #define SAMPLE_FLEET 12
 #define SAMPLE 2
@@ -198,6 +193,28 @@
 	gateway_request_give_up(request, RETRY_AFTER_FULL, reason);
 }
 
+/* Returns what an engine has to read until it has nothing else to read. */
+static double unread_there(const forward_upstream_t *upstream)
+{
+	return upstream->reading + upstream->peers_reading;
+}
+
+/* Notes what the attempt will cost its engine. */
+static void attempt_add_work(gateway_request_t *request, pd_time_t now)
+{
+	const forward_upstream_t *upstream = request->upstream;
+	double output = request->call->output_tokens *
+			engine_tokens(gateway_engine_rate(request->gateway,
+							  request->service),
+				      ENGINE_OUTPUT_TIME);
+
+	request->reading = forward_upstream_unread(upstream, request->call, now);
+	/* Only alone at its engine a prompt tells how fast that reads. */
+	request->reads_alone = unread_there(upstream) < 1;
+	work_rate_add(request->gateway->work, request->service,
+		      request->reading + output);
+}
+
 /* Begins an attempt at an upstream: counts it, and sends or connects first. */
 void gateway_request_attempt(gateway_request_t *request, forward_upstream_t *upstream)
 {
@@ -216,13 +233,8 @@
 	if (request->state != REQUEST_STREAMING)
 		request->state = REQUEST_CONNECTING;
 	g_byte_array_set_size(request->answer, 0);
-	if (request->route->has_prompt) {
-		request->reading =
-			forward_upstream_unread(upstream, request->call, now);
-		work_rate_add(request->gateway->work, request->service,
-			      request->reading + request->call->output_tokens *
-							 ENGINE_OUTPUT_TOKENS);
-	}
+	if (request->route->has_prompt)
+		attempt_add_work(request, now);
 	upstream->running++;
 	upstream->reading += request->reading;
 	forward_upstream_sent(upstream, request->call, now);
--- a/adapters/gateway/request_shed.c
+++ b/adapters/gateway/request_shed.c
@@ -25,18 +25,20 @@
 }
 
 /* Returns the work of a call whose shared parts an engine holds already. */
-static double unshared_work(const forward_call_t *call)
+static double unshared_work(const gateway_request_t *request)
 {
+	const forward_call_t *call = request->call;
+	double rate = gateway_engine_rate(request->gateway, request->service);
+
 	return MAX(call->prompt_tokens - forward_call_shared(call), 0) +
-	       call->output_tokens * ENGINE_OUTPUT_TOKENS;
+	       call->output_tokens * engine_tokens(rate, ENGINE_OUTPUT_TIME);
 }
 
 /* Says whether a request is let in; if not, it was refused. */
 bool gateway_request_let_in(gateway_request_t *request)
 {
 	gateway_t *gateway = request->gateway;
-	const forward_call_t *call = request->call;
-	double work = unshared_work(call);
+	double work = unshared_work(request);
 	pd_time_t left = request->deadline - gateway_now();
 	pd_time_t retry_after = CLAMP((pd_time_t)((double)left * RETRY_PART),
 				      RETRY_MIN, RETRY_MAX);
@@ -54,7 +56,8 @@
 /* How long after its arrival the request's first event is late. */
 static pd_time_t late_after(const gateway_request_t *request)
 {
-	double reading = request->call->prompt_tokens / ENGINE_READ_RATE * PD_SEC;
+	double reading = request->call->prompt_tokens * (double)PD_SEC /
+			 gateway_engine_rate(request->gateway, request->service);
 
 	return request->route->goal + (pd_time_t)reading;
 }
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -65,6 +65,7 @@
 	pd_time_t begun_at;
 	pd_time_t sent_at; /* 0: nothing was sent yet */
 	double reading; /* prompt tokens noted at the upstream */
+	bool reads_alone; /* the upstream had nothing else to read */
 	bool skipping; /* the answer that comes in is of another request */
 	int status;
 	bool rejected;
--- a/core/forward/choice.c
+++ b/core/forward/choice.c
@@ -8,7 +8,7 @@
 
 /* An upstream elsewhere costs bytes between zones and 0.5 ms each way. */
 #define OTHER_ZONE_SLOTS 0.15
-#define OTHER_ZONE_TOKENS 60.0
+#define OTHER_ZONE_TIME (400 * PD_USEC)
 
 static bool is_tried(const forward_ask_t *ask, const char *id)
 {
@@ -54,34 +54,53 @@
 	return home;
 }
 
+/* The best so far of a choice. */
+typedef struct best {
+	forward_upstream_t *upstream;
+	bool avoided;
+	double cost;
+} best_t;
+
+/* A choice in progress; the upstreams are borrowed. */
+typedef struct search {
+	const forward_ask_t *ask;
+	const GPtrArray *serving;
+	forward_upstream_t *home;
+	double rate; /* prompt tokens that an engine reads in a second */
+	pd_time_t now;
+	best_t best;
+	bool any; /* one was not tried yet, full or not */
+} search_t;
+
 /*
  * What sending a call to an engine would cost it and its others, in prompt
  * tokens: what it has to read before, what it would have to read for this one,
  * and the slowing by what runs.
  */
-static double engine_cost(const forward_upstream_t *upstream,
-			  const forward_ask_t *ask, bool home, pd_time_t now)
+static double engine_cost(const search_t *search, const forward_upstream_t *upstream)
 {
-	double unread = forward_upstream_unread(upstream, ask->call, now);
+	const forward_ask_t *ask = search->ask;
+	bool elsewhere = strcmp(upstream->zone, ask->zone) != 0;
+	double unread = forward_upstream_unread(upstream, ask->call, search->now);
 	double shared = forward_call_shared(ask->call);
 	double running = upstream->running + upstream->peers_running;
 
-	if (home)
+	if (upstream == search->home)
 		unread = MIN(unread, MAX(ask->call->prompt_tokens - shared, 0));
 	return upstream->reading + upstream->peers_reading + unread +
-	       running * ENGINE_RUNNING_TOKENS;
+	       running * engine_tokens(search->rate, ENGINE_RUNNING_TIME) +
+	       (elsewhere ? engine_tokens(search->rate, OTHER_ZONE_TIME) : 0);
 }
 
-static double upstream_cost(const forward_upstream_t *upstream,
-			    const forward_ask_t *ask,
-			    const forward_upstream_t *home, pd_time_t now)
+static double upstream_cost(const search_t *search,
+			    const forward_upstream_t *upstream)
 {
+	const forward_ask_t *ask = search->ask;
 	bool elsewhere = strcmp(upstream->zone, ask->zone) != 0;
 	double running = upstream->running + upstream->peers_running;
 
 	if (ask->has_prompt)
-		return engine_cost(upstream, ask, upstream == home, now) +
-		       (elsewhere ? OTHER_ZONE_TOKENS : 0);
+		return engine_cost(search, upstream);
 	return running / MAX(upstream->slots, 1) +
 	       (elsewhere ? OTHER_ZONE_SLOTS : 0);
 }
@@ -98,13 +117,6 @@
 	return running >= upstream->slots * ask->overfill;
 }
 
-/* The best so far of a choice. */
-typedef struct best {
-	forward_upstream_t *upstream;
-	bool avoided;
-	double cost;
-} best_t;
-
 static void best_offer(best_t *best, forward_upstream_t *upstream, bool avoided,
 		       double cost)
 {
@@ -116,16 +128,6 @@
 	best->cost = cost;
 }
 
-/* A choice in progress; the upstreams are borrowed. */
-typedef struct search {
-	const forward_ask_t *ask;
-	const GPtrArray *serving;
-	forward_upstream_t *home;
-	pd_time_t now;
-	best_t best;
-	bool any; /* one was not tried yet, full or not */
-} search_t;
-
 /* Offers an upstream. Says whether it could be chosen. */
 static bool search_offer(search_t *search, forward_upstream_t *upstream)
 {
@@ -139,7 +141,7 @@
 		return false;
 	best_offer(&search->best, upstream,
 		   forward_upstream_is_avoided(upstream, now),
-		   upstream_cost(upstream, ask, search->home, now));
+		   upstream_cost(search, upstream));
 	return true;
 }
 
@@ -191,6 +193,8 @@
 	search_t search = {
 		.ask = ask,
 		.serving = forward_upstreams_serving(set, ask->service),
+		.rate = engine_speeds_rate(forward_upstreams_speeds(set),
+					   ask->service),
 		.now = now,
 		.best = { NULL, true, 0 },
 	};
--- a/core/forward/engine_cost.h
+++ b/core/forward/engine_cost.h
@@ -1,25 +1,29 @@
 /*
  * What work costs an engine, in prompt tokens that it reads: the unit in which
- * loads are told, upstreams compared and fleets sized.
+ * loads are told, upstreams compared and fleets sized. What does not depend on a
+ * prompt is given as a time, and becomes tokens by the speed that is learned
+ * (engine_speed.h).
  */
 #ifndef PISTACHIO_ENGINE_COST_H
 #define PISTACHIO_ENGINE_COST_H
 
-/*
- * What one engine gets done a second: some 2,000 prompt tokens are read in a step
- * of 17 ms beside the tokens of running requests.
- */
-#define ENGINE_READ_RATE 117000.0
+#include "ports/clock.h"
+
 /*
  * What one running request costs the others there: a batch step grows by 0.05 ms
- * a request, over some 50 steps until a new prompt is through, at about 150 tokens
- * read in a millisecond.
+ * a request, over some 50 steps until a new prompt is through.
  */
-#define ENGINE_RUNNING_TOKENS 350.0
+#define ENGINE_RUNNING_TIME (2300 * PD_USEC)
 /*
- * What making a token costs: in a batch of some 40 requests a step of 5 ms makes
- * 40 tokens.
+ * What making a token costs: in a batch of some 40 requests a step of a few
+ * milliseconds makes 40 tokens, while prompts are read beside them.
  */
-#define ENGINE_OUTPUT_TOKENS 6.0
+#define ENGINE_OUTPUT_TIME (40 * PD_USEC)
+
+/* Returns how many prompt tokens are read in a time, at RATE a second. */
+static inline double engine_tokens(double rate, pd_time_t time)
+{
+	return rate * (double)time / PD_SEC;
+}
 
 #endif
--- /dev/null
+++ b/core/forward/engine_speed.c
@@ -0,0 +1,154 @@
+/* Follows the median of the speeds at which prompts were read. */
+#include "core/forward/engine_speed.h"
+
+/*
+ * Tokens a second, until anything was seen. Engines that two customers run read
+ * 40,000 and 160,000; a guess between them is wrong by a factor of two for a
+ * second or so.
+ */
+#define RATE_GUESS 80000.0
+/* What is seen or told outside these bounds is no engine's speed. */
+#define RATE_MIN 100.0
+#define RATE_MAX 1e8
+/* Own sights from which on an entry goes by them, and tells them. */
+#define SIGHTS_ENOUGH 15
+/*
+ * A sight moves the estimate by this part of it divided by the number of sights,
+ * at least by STEP_LEAST: the first ones find the speed, the later ones follow
+ * engines that were replaced by others within some hundred requests.
+ */
+#define STEP_FIRST 1.0
+#define STEP_LEAST 0.02
+/* What peers tell is smoothed, so that no single one decides. */
+#define TOLD_WEIGHT 0.2
+/* Prompts shorter than the mean tell of the pace of steps, not of reading. */
+#define MEAN_WEIGHT 0.05
+
+typedef struct speed {
+	double rate; /* own estimate; 0: nothing seen */
+	unsigned int sights;
+	double mean_tokens; /* of prompts that were read alone */
+	double told; /* by peers; 0: nothing */
+} speed_t;
+
+struct engine_speeds {
+	GHashTable *services; /* name -> speed_t */
+};
+
+/* Returns speeds of which nothing is known; the caller owns them. */
+engine_speeds_t *engine_speeds_create(void)
+{
+	engine_speeds_t *speeds = g_new0(engine_speeds_t, 1);
+
+	speeds->services =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return speeds;
+}
+
+/* Frees them; NULL is allowed. */
+void engine_speeds_destroy(engine_speeds_t *speeds)
+{
+	if (!speeds)
+		return;
+	g_hash_table_unref(speeds->services);
+	g_free(speeds);
+}
+
+static speed_t *speed_of(engine_speeds_t *speeds, const char *service)
+{
+	speed_t *speed = g_hash_table_lookup(speeds->services, service);
+
+	if (!speed) {
+		speed = g_new0(speed_t, 1);
+		g_hash_table_insert(speeds->services, g_strdup(service), speed);
+	}
+	return speed;
+}
+
+/*
+ * Moves towards the median: up or down by the same step, however far off the
+ * sight is. With a mean, an upstream that hangs or is several times slower than
+ * the others would teach all entries a wrong speed.
+ */
+static void speed_follow(speed_t *speed, double rate)
+{
+	double step;
+
+	speed->sights++;
+	if (speed->sights == 1) {
+		speed->rate = rate;
+		return;
+	}
+	step = MAX(STEP_FIRST / speed->sights, STEP_LEAST);
+	if (rate > speed->rate)
+		speed->rate = MIN(speed->rate * (1 + step), rate);
+	else
+		speed->rate = MAX(speed->rate / (1 + step), rate);
+}
+
+/*
+ * Notes that an engine which had nothing else to read took so long from the send
+ * of a prompt with so many unread tokens to its first event.
+ */
+void engine_speeds_seen(engine_speeds_t *speeds, const char *service,
+			double tokens, pd_time_t took)
+{
+	speed_t *speed = speed_of(speeds, service);
+	double rate = tokens * PD_SEC / (double)MAX(took, 1);
+	bool is_long = tokens >= speed->mean_tokens;
+
+	speed->mean_tokens += (tokens - speed->mean_tokens) * MEAN_WEIGHT;
+	if (is_long && rate >= RATE_MIN && rate <= RATE_MAX)
+		speed_follow(speed, rate);
+}
+
+/* Notes the speed that a peer learned. */
+void engine_speeds_told(engine_speeds_t *speeds, const char *service, double rate)
+{
+	speed_t *speed;
+
+	if (!(rate >= RATE_MIN && rate <= RATE_MAX))
+		return;
+	speed = speed_of(speeds, service);
+	speed->told += speed->told > 0 ? (rate - speed->told) * TOLD_WEIGHT : rate;
+}
+
+static double speed_rate(const speed_t *speed)
+{
+	if (!speed)
+		return 0;
+	if (speed->sights >= SIGHTS_ENOUGH || speed->told <= 0)
+		return speed->rate;
+	return speed->told;
+}
+
+/* Says whether anything was seen or told of a service's engines. */
+bool engine_speeds_known(const engine_speeds_t *speeds, const char *service)
+{
+	return speed_rate(g_hash_table_lookup(speeds->services, service)) > 0;
+}
+
+/* Returns the prompt tokens that an engine of a service reads in a second. */
+double engine_speeds_rate(const engine_speeds_t *speeds, const char *service)
+{
+	double rate = speed_rate(g_hash_table_lookup(speeds->services, service));
+
+	return rate > 0 ? rate : RATE_GUESS;
+}
+
+/* Calls EACH with what this entry has seen itself, where that is enough. */
+void engine_speeds_each_own(const engine_speeds_t *speeds,
+			    engine_speeds_each_t each, void *ctx)
+{
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, speeds->services);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const speed_t *speed = value;
+
+		if (speed->sights >= SIGHTS_ENOUGH)
+			each(ctx, name, speed->rate);
+	}
+}
--- a/core/forward/scale_plan.c
+++ b/core/forward/scale_plan.c
@@ -4,8 +4,6 @@
 #include <math.h>
 #include <string.h>
 
-#include "core/forward/engine_cost.h"
-
 /*
  * How many engines there are for each that would be busy throughout. Prompts
  * are of very uneven length and come in clumps, so queues grow long before an
@@ -154,7 +152,7 @@
 	plan->running += (running - plan->running) *
 			 (running > plan->running ? RISE_WEIGHT : FALL_WEIGHT);
 	/* What was turned away would have taken as many places as the rest. */
-	return MAX(asked / ENGINE_READ_RATE,
+	return MAX(demand->rate > 0 ? asked / demand->rate : 0,
 		   plan->running / MAX(service->engine_slots, 1) * asked /
 			   MAX(demand->sent, 1));
 }
--- a/core/forward/scale_plan.h
+++ b/core/forward/scale_plan.h
@@ -21,6 +21,7 @@
 typedef struct scale_demand {
 	double sent;
 	double away; /* turned away for want of engines */
+	double rate; /* what one engine gets done; 0: not known yet */
 } scale_demand_t;
 
 typedef struct scale_plan scale_plan_t;
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -19,6 +19,7 @@
 	GHashTable *by_id; /* borrows the ids */
 	GHashTable *by_mark;
 	GHashTable *groups; /* service -> GPtrArray of those that serve it */
+	engine_speeds_t *speeds;
 	uint64_t digests[FORWARD_BUCKETS];
 	pd_time_t grace_until;
 	pd_time_t run_at; /* when time next changes something; 0: never */
@@ -39,6 +40,7 @@
 	set->by_mark = g_hash_table_new(g_direct_hash, g_direct_equal);
 	set->groups = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    (GDestroyNotify)g_ptr_array_unref);
+	set->speeds = engine_speeds_create();
 	return set;
 }
 
@@ -136,6 +138,7 @@
 	g_hash_table_unref(set->by_id);
 	g_hash_table_unref(set->by_mark);
 	g_hash_table_unref(set->groups);
+	engine_speeds_destroy(set->speeds);
 	g_free(set);
 }
 
@@ -145,6 +148,12 @@
 	return &set->list;
 }
 
+/* Returns what is learned of the speed of engines, borrowed. */
+engine_speeds_t *forward_upstreams_speeds(const forward_upstreams_t *set)
+{
+	return set->speeds;
+}
+
 /* Returns the upstreams of a service that may get something new; NULL: none. */
 const GPtrArray *forward_upstreams_serving(const forward_upstreams_t *set,
 					   const char *service)
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -4,6 +4,7 @@
 
 #include "core/forward/call.h"
 #include "core/forward/config.h"
+#include "core/forward/engine_speed.h"
 #include "core/list.h"
 
 typedef enum forward_stage {
@@ -91,6 +92,7 @@
 void forward_upstreams_run(forward_upstreams_t *set, pd_time_t now,
 			   void (*on_gone)(void *ctx, const char *id), void *ctx);
 list_node_t *forward_upstreams_list(forward_upstreams_t *set);
+engine_speeds_t *forward_upstreams_speeds(const forward_upstreams_t *set);
 const GPtrArray *forward_upstreams_serving(const forward_upstreams_t *set,
 					   const char *service);
 double forward_upstreams_fill(const forward_upstreams_t *set, const char *service);
--- a/tests/unit/test_scale_plan.c
+++ b/tests/unit/test_scale_plan.c
@@ -85,7 +85,7 @@
 /* Lets time pass with a load that is sent, and one that is turned away. */
 static void pass_short(rig_t *rig, pd_time_t time, double load, double away)
 {
-	const scale_demand_t demand = { load * ENGINE, away * ENGINE };
+	const scale_demand_t demand = { load * ENGINE, away * ENGINE, ENGINE };
 
 	for (pd_time_t end = rig->now + time; rig->now < end; rig->now += TICK)
 		rig->count = scale_plan_make(rig->plan, rig->service,
