Few lasting engines; a shortage is answered in full; loads by what all send

Both hung on a load that was taken for twice of what it was: what subjects share counted as unread unless this gateway had sent it itself, and the speed learned by the median of all prompts was half of the engines' (21,000 of 42,800 tokens a second), as most sights are disturbed.

Now a third of the load lasts; while reclaimable ones are refused, lasting ones make a whole fleet by themselves, by the load as seen then; a new holder goes on with the load that was planned for; the fleet shrinks 20 s after it was too large. Speed is learned from prompts that share little and are well above the mean, as a high quantile.

--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -15,6 +15,8 @@
 /* A plain upstream queues a few requests more than it has places. */
 #define PLAIN_OVERFILL 2.5
 #define ENGINE_OVERFILL 1.0
+/* The part of a prompt that may be shared if it is to tell an engine's speed. */
+#define SHARED_LITTLE 0.3
 /* In larger fleets than this, loads of peers are known late: see upstreams.c. */
 #define SAMPLE_FLEET 12
 #define SAMPLE 2
@@ -207,10 +209,22 @@
 			engine_tokens(gateway_engine_rate(request->gateway,
 							  request->service),
 				      ENGINE_OUTPUT_TIME);
+	const forward_ask_t ask = {
+		.service = request->service,
+		.call = request->call,
+		.has_prompt = true,
+	};
 
-	request->reading = forward_upstream_unread(upstream, request->call, now);
-	/* Only alone at its engine a prompt tells how fast that reads. */
-	request->reads_alone = unread_there(upstream) < 1;
+	request->reading = forward_upstreams_unread(request->gateway->upstreams,
+						    &ask, upstream, now);
+	/*
+	 * A prompt tells how fast its engine reads only if nothing else is read
+	 * there, and if it shares little: whether shared parts are still held
+	 * there, or were read for another entry, is not known.
+	 */
+	request->reads_alone = unread_there(upstream) < 1 &&
+			       forward_call_shared(request->call) <=
+				       request->call->prompt_tokens * SHARED_LITTLE;
 	work_rate_add(request->gateway->work, request->service,
 		      request->reading + output);
 }
--- a/core/forward/choice.c
+++ b/core/forward/choice.c
@@ -72,6 +72,36 @@
 	bool any; /* one was not tried yet, full or not */
 } search_t;
 
+/* Returns the tokens of a call's prompt that an upstream has still to read. */
+static double unread_at(const forward_ask_t *ask,
+			const forward_upstream_t *upstream,
+			const forward_upstream_t *home, pd_time_t now)
+{
+	double unread = forward_upstream_unread(upstream, ask->call, now);
+	double shared = forward_call_shared(ask->call);
+
+	if (upstream == home)
+		return MIN(unread, MAX(ask->call->prompt_tokens - shared, 0));
+	return unread;
+}
+
+/*
+ * Returns what an upstream has still to read of a call's prompt, by what all
+ * entries send there: a subject's first upstream has read what its requests
+ * share, whoever sent them. By an entry's own requests alone, nine entries took
+ * the work for twice of what it was, and ordered as many engines.
+ */
+double forward_upstreams_unread(const forward_upstreams_t *set,
+				const forward_ask_t *ask,
+				const forward_upstream_t *upstream, pd_time_t now)
+{
+	const GPtrArray *serving = forward_upstreams_serving(set, ask->service);
+	const forward_upstream_t *home = serving ? subject_home(serving, ask)
+						 : NULL;
+
+	return unread_at(ask, upstream, home, now);
+}
+
 /*
  * What sending a call to an engine would cost it and its others, in prompt
  * tokens: what it has to read before, what it would have to read for this one,
@@ -81,13 +111,10 @@
 {
 	const forward_ask_t *ask = search->ask;
 	bool elsewhere = strcmp(upstream->zone, ask->zone) != 0;
-	double unread = forward_upstream_unread(upstream, ask->call, search->now);
-	double shared = forward_call_shared(ask->call);
 	double running = upstream->running + upstream->peers_running;
 
-	if (upstream == search->home)
-		unread = MIN(unread, MAX(ask->call->prompt_tokens - shared, 0));
-	return upstream->reading + upstream->peers_reading + unread +
+	return upstream->reading + upstream->peers_reading +
+	       unread_at(ask, upstream, search->home, search->now) +
 	       running * engine_tokens(search->rate, ENGINE_RUNNING_TIME) +
 	       (elsewhere ? engine_tokens(search->rate, OTHER_ZONE_TIME) : 0);
 }
--- a/core/forward/choice.h
+++ b/core/forward/choice.h
@@ -26,6 +26,9 @@
 	FORWARD_NONE_LEFT /* none serves, or all were tried */
 } forward_choice_t;
 
+double forward_upstreams_unread(const forward_upstreams_t *set,
+				const forward_ask_t *ask,
+				const forward_upstream_t *upstream, pd_time_t now);
 forward_choice_t forward_upstreams_choose(forward_upstreams_t *set,
 					  const forward_ask_t *ask, pd_time_t now,
 					  forward_upstream_t **chosen);
--- a/core/forward/engine_speed.c
+++ b/core/forward/engine_speed.c
@@ -11,7 +11,7 @@
 #define RATE_MIN 100.0
 #define RATE_MAX 1e8
 /* Own sights from which on an entry goes by them, and tells them. */
-#define SIGHTS_ENOUGH 15
+#define SIGHTS_ENOUGH 10
 /*
  * A sight moves the estimate by this part of it divided by the number of sights,
  * at least by STEP_LEAST: the first ones find the speed, the later ones follow
@@ -19,9 +19,21 @@
  */
 #define STEP_FIRST 1.0
 #define STEP_LEAST 0.02
+/*
+ * Steps down are this part of steps up, so that one sight in ten is faster than
+ * the estimate. Most sights are slower than the engine: requests of other entries
+ * were there that this one had not heard of. By the median, an engine that read
+ * 42,800 tokens a second was taken for one of 21,000, and twice as many ordered.
+ */
+#define SLOW_WEIGHT 0.11
 /* What peers tell is smoothed, so that no single one decides. */
 #define TOLD_WEIGHT 0.2
-/* Prompts shorter than the mean tell of the pace of steps, not of reading. */
+/*
+ * Prompts that are not well above the mean tell of connections and of the pace of
+ * steps, not of reading: by all above it, an engine that read 157,000 tokens a
+ * second was taken for one of 70,000.
+ */
+#define LONG_FACTOR 1.5
 #define MEAN_WEIGHT 0.05
 
 typedef struct speed {
@@ -66,8 +78,7 @@
 }
 
 /*
- * Moves towards the median: up or down by the same step, however far off the
- * sight is. With a mean, an upstream that hangs or is several times slower than
+ * Moves towards a high quantile: by the same steps, however far off the sight is. With a mean, an upstream that hangs or is several times slower than
  * the others would teach all entries a wrong speed.
  */
 static void speed_follow(speed_t *speed, double rate)
@@ -83,7 +94,7 @@
 	if (rate > speed->rate)
 		speed->rate = MIN(speed->rate * (1 + step), rate);
 	else
-		speed->rate = MAX(speed->rate / (1 + step), rate);
+		speed->rate = MAX(speed->rate / (1 + step * SLOW_WEIGHT), rate);
 }
 
 /*
@@ -95,7 +106,7 @@
 {
 	speed_t *speed = speed_of(speeds, service);
 	double rate = tokens * PD_SEC / (double)MAX(took, 1);
-	bool is_long = tokens >= speed->mean_tokens;
+	bool is_long = tokens >= speed->mean_tokens * LONG_FACTOR;
 
 	speed->mean_tokens += (tokens - speed->mean_tokens) * MEAN_WEIGHT;
 	if (is_long && rate >= RATE_MIN && rate <= RATE_MAX)
@@ -122,10 +133,16 @@
 	return speed->told;
 }
 
-/* Says whether anything was seen or told of a service's engines. */
+/*
+ * Says whether enough was seen or told of a service's engines to order some by
+ * it. After a start the first prompts wait for others that nobody has told of
+ * yet; a fleet was ordered five times too large by three of them.
+ */
 bool engine_speeds_known(const engine_speeds_t *speeds, const char *service)
 {
-	return speed_rate(g_hash_table_lookup(speeds->services, service)) > 0;
+	const speed_t *speed = g_hash_table_lookup(speeds->services, service);
+
+	return speed && (speed->sights >= SIGHTS_ENOUGH || speed->told > 0);
 }
 
 /* Returns the prompt tokens that an engine of a service reads in a second. */
--- a/core/forward/scale_plan.c
+++ b/core/forward/scale_plan.c
@@ -7,23 +7,32 @@
 /*
  * How many engines there are for each that would be busy throughout. Prompts
  * are of very uneven length and come in clumps, so queues grow long before an
- * engine is busy. Most of the engines can be reclaimed, at a fifth of the price:
- * 5 that last and 10 that can go kept more of the worth of callers' requests
- * than 9 that last, for three quarters of the price, in days with reclaims of
- * whole zones; with 2 or 3 that last, first tokens came late while no others
- * were to be had.
+ * engine is busy. Nearly all can be reclaimed, at a fifth of the price: that a
+ * zone of them goes is answered within the notice (ALARM_FACTOR).
  */
-#define FLEET_FACTOR 1.45
-#define FLEET_SPARE 1
-#define LASTING_FACTOR 0.5
-#define LASTING_SPARE 1.5
+#define FLEET_FACTOR 2.0
 /*
- * While reclaimable ones are not to be had, lasting ones make the fleet up to
- * this. That is dear, but only for as long as the shortage.
+ * Lasting ones while no shortage is seen. They carry the most urgent work from
+ * the end of a notice until others serve. With none, first events were late
+ * for seconds at each reclaim; each more costs as much as five reclaimable ones.
  */
-#define SHORT_FACTOR 1.0
+#define LASTING_FACTOR 0.35
+#define LASTING_SPARE 0.5
+/*
+ * While reclaimable ones are refused, lasting ones make a fleet of this by
+ * themselves: where one zone is reclaimed and no others are to be had, the next
+ * zone is likely to go too, and lasting ones start later than a notice runs out.
+ * Counting on those that were left, first events were late until the shortage
+ * was over. It is dear, but only for as long as the shortage.
+ */
+#define ALARM_FACTOR 1.5
 /* Lasting ones are kept up to this until those that replace them serve. */
-#define KEPT_FACTOR 0.8
+#define KEPT_FACTOR 1.0
+/*
+ * Places that running requests take, of a fleet with FLEET_FACTOR, as a part of
+ * what they may take at most: a place taken is no queue, as a busy engine is.
+ */
+#define PLACES_FACTOR 0.7
 /* With little load seen, the size that was found is trusted for so long. */
 #define TRUST_FOUND (15 * PD_SEC)
 /* A fleet that has not grown for so long has listed itself. */
@@ -35,12 +44,13 @@
 /* How long a zone that had none to give is not counted on. */
 #define REFUSED_KEPT (3 * PD_SEC)
 /*
- * The fleet shrinks only after it was too large for so long. Each change drains
- * engines and loses what they have cached: a fleet that followed the load up and
- * down served 85 in 100 in time where one of constant size and the same price
- * served 91.
+ * The fleet shrinks only after it was too large for so long, and once in such a
+ * time. Each change drains engines and loses what they have cached: a fleet that
+ * followed the load up and down served 85 in 100 in time where one of constant
+ * size and the same price served 91. Held for two minutes instead, a fleet that a
+ * first wave had made too large cost 0.01 more of worth.
  */
-#define SHRINK_AFTER (120 * PD_SEC)
+#define SHRINK_AFTER (20 * PD_SEC)
 
 typedef struct zone_state {
 	char *zone;
@@ -58,7 +68,9 @@
 	bool begun; /* a plan was made, on the numbers found */
 	double running; /* requests in progress, smoothed */
 	double held; /* engines' worth of load that is planned for */
+	double kept; /* the same, as an earlier holder noted it; 0: not known */
 	pd_time_t lower_since;
+	scale_basis_t basis;
 };
 
 static void zone_clear(void *data)
@@ -100,6 +112,23 @@
 	return &g_array_index(plan->zones, zone_state_t, plan->zones->len - 1);
 }
 
+/*
+ * Takes over the load that an earlier holder of the duty planned for. Without it
+ * a new holder takes what it finds for the size that was meant, and if that is in
+ * the middle of a shortage, it lets lasting ones go.
+ */
+void scale_plan_restore(scale_plan_t *plan, double need)
+{
+	if (need > 0 && isfinite(need))
+		plan->kept = need;
+}
+
+/* Returns what the last plan was made by. */
+const scale_basis_t *scale_plan_basis(const scale_plan_t *plan)
+{
+	return &plan->basis;
+}
+
 /* Notes that a zone had no reclaimable upstream to give. */
 void scale_plan_refused(scale_plan_t *plan, const char *zone, pd_time_t now)
 {
@@ -148,49 +177,45 @@
 {
 	double asked = demand->sent + demand->away;
 	double running = count_running(upstreams, service->name);
+	double places;
 
 	plan->running += (running - plan->running) *
 			 (running > plan->running ? RISE_WEIGHT : FALL_WEIGHT);
 	/* What was turned away would have taken as many places as the rest. */
-	return MAX(demand->rate > 0 ? asked / demand->rate : 0,
-		   plan->running / MAX(service->engine_slots, 1) * asked /
-			   MAX(demand->sent, 1));
+	places = plan->running / MAX(service->engine_slots, 1) * PLACES_FACTOR *
+		 asked / MAX(demand->sent, 1);
+	return MAX(demand->rate > 0 ? asked / demand->rate : 0, places);
 }
 
-/*
- * Returns the load for which a fleet was sized. Where some can be reclaimed, an
- * earlier holder of the duty planned it, and some may just have been: then the
- * lasting ones tell. A new holder that went by the whole let lasting ones go in
- * the middle of a shortage.
- */
-static double load_behind(unsigned int lasting, unsigned int reclaimable)
+/* Says whether the load has been seen for long enough to go by it. */
+static bool plan_is_measured(const scale_plan_t *plan, pd_time_t now)
 {
-	double whole = (lasting + reclaimable) / FLEET_FACTOR;
-
-	if (!reclaimable || lasting <= LASTING_SPARE)
-		return whole;
-	return MAX(whole, (lasting - LASTING_SPARE) / LASTING_FACTOR);
+	return plan->load_since && now - plan->load_since >= TRUST_FOUND;
 }
 
 /* Returns the load to plan for: what is seen, or what the fleet was made for. */
-static double plan_need(scale_plan_t *plan, double load, double found,
-			double found_need, pd_time_t now)
+static double plan_need(scale_plan_t *plan, double load, double found, pd_time_t now)
 {
+	if (!plan->found_at)
+		plan->found_at = now;
 	/* What was ordered since says nothing of the size that was meant. */
 	if (!plan->begun && found > plan->found) {
 		plan->found = found;
 		plan->found_at = now;
-		plan->found_need = found_need;
+		plan->found_need = found / FLEET_FACTOR;
 	}
+	if (plan->kept > 0)
+		plan->found_need = plan->kept;
 	if (!plan->load_since && load > LOAD_MIN)
 		plan->load_since = now;
-	if (!plan->load_since || now - plan->load_since < TRUST_FOUND)
+	if (!plan_is_measured(plan, now))
 		load = MAX(load, plan->found_need);
 	if (load >= plan->held) {
 		plan->held = load;
 		plan->lower_since = now;
 	} else if (now - plan->lower_since > SHRINK_AFTER) {
 		plan->held = load;
+		plan->lower_since = now;
 	}
 	return plan->held;
 }
@@ -282,22 +307,28 @@
 	unsigned int reclaimable;
 } scale_sums_t;
 
-static scale_sums_t plan_sums(double need, unsigned int lasting_now,
+static unsigned int whole(double number)
+{
+	return (unsigned int)ceil(MAX(number, 0));
+}
+
+/*
+ * NEED is the load that the fleet is held for, LOAD what is seen at present; a
+ * shortage is answered by that, as it is soon over.
+ */
+static scale_sums_t plan_sums(double need, double load, unsigned int lasting_now,
 			      unsigned int reclaimable_now, bool shortage)
 {
-	unsigned int total = (unsigned int)ceil(need * FLEET_FACTOR) + FLEET_SPARE;
-	unsigned int kept = (unsigned int)ceil(need * KEPT_FACTOR);
+	unsigned int total = whole(need * FLEET_FACTOR);
+	unsigned int kept = whole(load * KEPT_FACTOR);
 	unsigned int missing = kept > reclaimable_now ? kept - reclaimable_now : 0;
 	scale_sums_t sums = {
-		.lasting = (unsigned int)ceil(need * LASTING_FACTOR + LASTING_SPARE),
+		.lasting = whole(need * LASTING_FACTOR + LASTING_SPARE),
 	};
 
 	sums.reclaimable = total > sums.lasting ? total - sums.lasting : 0;
-	/* Lasting ones start in time only if they are ordered at the notice. */
-	if (shortage && need * SHORT_FACTOR > reclaimable_now)
-		sums.lasting = MAX(sums.lasting,
-				   (unsigned int)ceil(need * SHORT_FACTOR) -
-					   reclaimable_now);
+	if (shortage)
+		sums.lasting = MAX(sums.lasting, whole(load * ALARM_FACTOR));
 	/* None is let go before those that take its place serve. */
 	sums.lasting = MAX(sums.lasting, MIN(lasting_now, missing));
 	return sums;
@@ -354,13 +385,15 @@
 		scale_plan_serving(upstreams, service->name, NULL, false);
 	unsigned int reclaimable_now =
 		scale_plan_serving(upstreams, service->name, NULL, true);
-	double need = plan_need(plan, plan_load(plan, service, upstreams, demand),
-				lasting_now + reclaimable_now,
-				load_behind(lasting_now, reclaimable_now), now);
-	scale_sums_t sums = plan_sums(need, lasting_now, reclaimable_now,
-				      plan_is_short(plan, now));
+	double load = plan_load(plan, service, upstreams, demand);
+	double need = plan_need(plan, load, lasting_now + reclaimable_now, now);
+	bool shortage = plan_is_short(plan, now);
+	scale_sums_t sums = plan_sums(need,
+				      plan_is_measured(plan, now) ? load : need,
+				      lasting_now, reclaimable_now, shortage);
 	unsigned int count;
 
+	plan->basis = (scale_basis_t){ need, load, demand->rate, shortage };
 	/* The fleet is still listing itself. */
 	if (!plan->load_since && now - plan->found_at < FOUND_SETTLE)
 		return 0;
--- a/core/forward/scale_plan.h
+++ b/core/forward/scale_plan.h
@@ -24,10 +24,20 @@
 	double rate; /* what one engine gets done; 0: not known yet */
 } scale_demand_t;
 
+/* What a plan was made by. */
+typedef struct scale_basis {
+	double need; /* engines' worth of load that the fleet is held for */
+	double load; /* the same, as seen at present */
+	double rate; /* what one engine gets done a second; 0: not known */
+	bool shortage; /* reclaimable upstreams were refused lately */
+} scale_basis_t;
+
 typedef struct scale_plan scale_plan_t;
 
 scale_plan_t *scale_plan_create(void);
 void scale_plan_destroy(scale_plan_t *plan);
+void scale_plan_restore(scale_plan_t *plan, double need);
+const scale_basis_t *scale_plan_basis(const scale_plan_t *plan);
 void scale_plan_refused(scale_plan_t *plan, const char *zone, pd_time_t now);
 unsigned int scale_plan_serving(forward_upstreams_t *upstreams, const char *service,
 				const char *zone, bool reclaimable);
