Whoever takes over the duties acts sooner, and goes on with what was planned

Cause: with the holder cut off while zones are reclaimed, nobody ordered engines for 7 s and more: others looked at the lease every 4 s on average, waited 3.5 s, and then 3 s more before the first act.

Now a holder that is silent for 1 s in a mesh has those who stand by look at once; a new one waits until the calls of the one before must have come in or been given up (0.8 s), as it takes over a second after the other's term and the other gets the duties back after another takeover at the earliest; and the lease's note has the load that each fleet is planned for, written with renewals that are due anyway.

--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -2,10 +2,9 @@
 #include "adapters/gateway/duties.h"
 
 #include <inttypes.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
+#include "adapters/gateway/duties_note.h"
 #include "adapters/gateway/peers.h"
 #include "adapters/log_glib.h"
 #include "core/forward/scale_plan.h"
@@ -16,11 +15,13 @@
 #define LEASE_NAME "duties"
 #define STORE_TIMEOUT_MS 1500
 #define CLOUD_TIMEOUT_MS 1500
+/* Ticks, and clocks that run unevenly, between a holder and the next. */
+#define CALLS_MARGIN (300 * PD_MSEC)
 /* Counts of a window come in with the peers' states; the slowest take so long. */
 #define COUNTS_SETTLE (2200 * PD_MSEC)
 #define REPORT_RETRY (500 * PD_MSEC)
 /* How often the fleet's size is thought over, and an order is tried again. */
-#define PLAN_PERIOD (500 * PD_MSEC)
+#define PLAN_PERIOD (200 * PD_MSEC)
 #define ORDER_RETRY (1500 * PD_MSEC)
 /* Upstreams list themselves a little after they have started. */
 #define BOOT_MARGIN (1500 * PD_MSEC)
@@ -48,6 +49,7 @@
 	pd_time_t acts_from; /* a new holder waits until then */
 	bool held;
 	int64_t reported; /* the last window that the platform took */
+	int64_t sent; /* the window of the report that is out */
 	bool reporting; /* a report is out */
 	pd_time_t report_at;
 	GHashTable *plans; /* service -> scale_plan_t */
@@ -76,7 +78,8 @@
 	gateway_duties_t *duties = g_new0(gateway_duties_t, 1);
 
 	duties->gateway = gateway;
-	duties->plans = g_hash_table_new(g_str_hash, g_str_equal);
+	duties->plans = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      (GDestroyNotify)scale_plan_destroy);
 	duties->orders = g_hash_table_new(g_str_hash, g_str_equal);
 	duties->lease = lease_create(gateway->settings->node_id, &timing,
 				     g_rand_int(gateway->random));
@@ -161,6 +164,22 @@
 	}
 }
 
+/*
+ * How long a new holder waits before it acts: until the calls of the one before
+ * have come in or were given up. Whoever takes over does so TAKEOVER after the
+ * last renewal, so the one before made its last call TAKEOVER - TERM ago at least.
+ * And no holder may act, lose the duties and act again within the configured gap:
+ * it gets them back TAKEOVER after another had them, at the earliest.
+ */
+static pd_time_t wait_before_acts(const gateway_duties_t *duties)
+{
+	pd_time_t gap = duties->gateway->settings->lease_gap_ms * PD_MSEC;
+	pd_time_t calls = CLOUD_TIMEOUT_MS * PD_MSEC -
+			  (timing.takeover - timing.term) + CALLS_MARGIN;
+
+	return MAX(calls, gap + CALLS_MARGIN - timing.takeover);
+}
+
 /* Notes when the lease is won or lost. */
 static void follow_lease(gateway_duties_t *duties, pd_time_t now)
 {
@@ -168,13 +187,10 @@
 	uint64_t fence = lease_fence(duties->lease);
 
 	if (held && fence != duties->fence) {
-		/*
-		 * A holder before the last may not act again within the gap
-		 * between two holders, so each waits that long before it acts.
-		 */
 		duties->fence = fence;
-		duties->acts_from =
-			now + duties->gateway->settings->lease_gap_ms * PD_MSEC;
+		duties->acts_from = now + wait_before_acts(duties);
+		/* What was planned under an earlier lease is no longer so. */
+		g_hash_table_remove_all(duties->plans);
 		log_line(G_LOG_LEVEL_INFO, PART, "holder=self fence=%" PRIu64,
 			 fence);
 	}
@@ -192,32 +208,56 @@
 	       lease_fence(duties->lease) == duties->fence;
 }
 
-/* Reads "WINDOW REPORT" of the lease's note; NULL if there is none. */
-static const char *noted_report(const gateway_duties_t *duties, int64_t *window)
+/* Returns what the lease's record notes; the caller owns it. */
+static duties_note_t *noted(const gateway_duties_t *duties)
 {
 	const lease_record_t *record = lease_record(duties->lease);
-	const char *note = record ? record->note : NULL;
-	char *end;
 
-	if (!note || !*note)
-		return NULL;
-	*window = strtoll(note, &end, 10);
-	return *end == ' ' ? end + 1 : NULL;
+	return duties_note_read(record ? record->note : NULL);
+}
+
+/* Adds the loads that the fleets are planned for at present. */
+static void note_needs(gateway_duties_t *duties, duties_note_t *note)
+{
+	GHashTableIter iter;
+	gpointer service;
+	gpointer plan;
+
+	g_hash_table_iter_init(&iter, duties->plans);
+	while (g_hash_table_iter_next(&iter, &service, &plan))
+		duties_note_set_need(note, service, scale_plan_basis(plan)->need);
+}
+
+/*
+ * Has the next renewal write what the fleets are planned for. All gateways may be
+ * killed in the middle of a shortage: whoever came next took the few upstreams
+ * that it found for the fleet that was meant, and let lasting ones go.
+ */
+static void keep_needs(gateway_duties_t *duties, pd_time_t now)
+{
+	duties_note_t *note;
+	char *text;
+
+	if (!lease_is_settled(duties->lease, now))
+		return;
+	note = noted(duties);
+	note_needs(duties, note);
+	text = duties_note_write(note);
+	lease_update_note(duties->lease, text, now);
+	g_free(text);
+	duties_note_destroy(note);
 }
 
 static void report_replied(void *ctx, const http1_reply_t *reply)
 {
 	gateway_duties_t *duties = ctx;
-	int64_t window = 0;
 
 	duties->reporting = false;
-	if (!noted_report(duties, &window))
-		return;
 	log_line(G_LOG_LEVEL_INFO, PART, "usage window=%" PRId64 " status=%d",
-		 window, reply->status);
+		 duties->sent, reply->status);
 	/* A report that is refused for what it says is not sent again. */
 	if (reply->status >= 200 && reply->status < 500 && reply->status != 429)
-		duties->reported = window;
+		duties->reported = duties->sent;
 	else
 		duties->report_at = gateway_now() + REPORT_RETRY;
 }
@@ -243,10 +283,12 @@
 	g_string_free(headers, TRUE);
 }
 
-static void send_report(gateway_duties_t *duties, const char *report)
+static void send_report(gateway_duties_t *duties, const duties_note_t *note)
 {
 	duties->reporting = true;
-	duties_post(duties, wire_usage_path(), report, report_replied, duties);
+	duties->sent = note->window;
+	duties_post(duties, wire_usage_path(), note->report, report_replied,
+		    duties);
 }
 
 static void add_count(void *ctx, int64_t window, const char *account, uint64_t count)
@@ -266,43 +308,56 @@
  * Writes a window's report into the lease before it is sent: whoever holds the
  * lease next sends the same once more, and never other counts for it.
  */
-static void note_report(gateway_duties_t *duties, int64_t window, pd_time_t now)
+static void note_report(gateway_duties_t *duties, duties_note_t *note,
+			int64_t window, pd_time_t now)
 {
 	GHashTable *counts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	char *report;
-	char *note;
+	char *text;
 
 	usage_sum(duties->gateway->usage, window, add_count, counts);
 	report = wire_usage_write(window, counts);
-	note = g_strdup_printf("%" PRId64 " %s", window, report);
-	lease_set_note(duties->lease, note, now);
+	duties_note_set_report(note, window, report);
+	note_needs(duties, note);
+	text = duties_note_write(note);
+	lease_set_note(duties->lease, text, now);
 	usage_forget(duties->gateway->usage, window - WINDOWS_KEPT);
-	g_free(note);
+	g_free(text);
 	g_free(report);
 	g_hash_table_unref(counts);
 }
 
-static void run_usage(gateway_duties_t *duties, pd_time_t now)
+/* Sends what is noted and was not taken yet, or notes the next window. */
+static void report_next(gateway_duties_t *duties, duties_note_t *note, pd_time_t now)
 {
 	const gateway_t *gateway = duties->gateway;
 	pd_time_t length = (pd_time_t)(gateway->settings->usage_window_s * PD_SEC);
 	pd_time_t wall = time_vote_wall(gateway->vote, gateway_wall(), now);
 	int64_t ended = (wall - COUNTS_SETTLE) / length - 1;
-	int64_t noted = 0;
-	const char *report = noted_report(duties, &noted);
 
-	if (duties->reporting || now < duties->report_at ||
-	    !lease_is_settled(duties->lease, now))
-		return;
-	if (report && duties->reported < noted) {
-		send_report(duties, report);
+	if (note->report && duties->reported < note->window) {
+		send_report(duties, note);
 		return;
 	}
-	if (report && noted >= ended)
+	if (note->report && note->window >= ended)
+		return;
+	note_report(duties, note,
+		    note->report ? MAX(note->window + 1, ended - WINDOWS_BACK)
+				 : ended,
+		    now);
+}
+
+static void run_usage(gateway_duties_t *duties, pd_time_t now)
+{
+	duties_note_t *note;
+
+	if (duties->reporting || now < duties->report_at ||
+	    !lease_is_settled(duties->lease, now))
 		return;
-	note_report(duties,
-		    report ? MAX(noted + 1, ended - WINDOWS_BACK) : ended, now);
+	note = noted(duties);
+	report_next(duties, note, now);
+	duties_note_destroy(note);
 }
 
 static order_t *duties_order(gateway_duties_t *duties, const char *service,
@@ -330,8 +385,12 @@
 	scale_plan_t *plan = g_hash_table_lookup(duties->plans, service);
 
 	if (!plan) {
+		duties_note_t *note = noted(duties);
+
 		plan = scale_plan_create();
+		scale_plan_restore(plan, duties_note_need(note, service));
 		g_hash_table_insert(duties->plans, g_strdup(service), plan);
+		duties_note_destroy(note);
 	}
 	return plan;
 }
@@ -355,16 +414,25 @@
 	} else if (reply->status == 409) {
 		scale_plan_refused(duties_plan(duties, order->service),
 				   order->zone, now);
+		duties->plan_at = now; /* lasting ones start late enough */
 	}
 }
 
 static void order_send(order_t *order)
 {
+	const scale_basis_t *basis =
+		scale_plan_basis(duties_plan(order->duties, order->service));
 	char *body = wire_scale_write(order->service, order->zone,
 				      order->wanted, order->reclaimable);
 
 	order->out = true;
 	order->asked = order->wanted;
+	log_line(G_LOG_LEVEL_INFO, PART,
+		 "ask service=%s zone=%s reclaimable=%d wanted=%u before=%u "
+		 "need=%.2f load=%.2f rate=%.0f shortage=%d",
+		 order->service, order->zone, order->reclaimable, order->wanted,
+		 order->ordered, basis->need, basis->load, basis->rate,
+		 basis->shortage);
 	duties_post(order->duties, wire_scale_path(), body, order_replied, order);
 	g_free(body);
 }
@@ -438,6 +506,10 @@
 	if (duties->gateway->stop_at ||
 	    !gateway_peers_stand_for_duties(duties->gateway->peers))
 		return;
+	if (gateway_peers_holder_is_silent(duties->gateway->peers, now))
+		lease_hurry(duties->lease, now);
+	if (may_act(duties, now))
+		keep_needs(duties, now);
 	lease_step(duties, now);
 	follow_lease(duties, now);
 	gateway_peers_hold_duties(duties->gateway->peers,
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -11,6 +11,8 @@
 #define MESH_MAX 12
 /* A peer heard within this is alive; messages can be late by a lost packet. */
 #define HEARD_MAX (3 * PD_SEC)
+/* Four states of the holder were lost, or it has ended: the lease is looked at. */
+#define HOLDER_SILENT PD_SEC
 /* A mention comes with every few states of whoever hears the peer. */
 #define MENTION_MAX (6 * PD_SEC)
 /* Sums of loads older than this say little: most requests have ended since. */
@@ -151,6 +153,21 @@
 	return peers->is_holder || gateway_peers_go_first(peers);
 }
 
+/*
+ * Says whether the holder of the duties was heard of, and is silent now. It tells
+ * its state every 0.25 s in a mesh.
+ */
+bool gateway_peers_holder_is_silent(gateway_peers_t *peers, pd_time_t now)
+{
+	const peer_t *holder = peers->holder && !peers->is_holder
+				       ? peers_find(peers, peers->holder)
+				       : NULL;
+
+	return holder && holder->heard_at &&
+	       now - holder->heard_at > HOLDER_SILENT &&
+	       peers_is_mesh(peers, now);
+}
+
 /*
  * Says whether the loads at the upstreams include those of the other gateways. A
  * gateway that is cut off sees only its own requests, and would take upstreams
--- a/core/lease.c
+++ b/core/lease.c
@@ -155,6 +155,31 @@
 	return true;
 }
 
+/*
+ * Changes what the holder writes down with its next renewal, for whoever holds
+ * the lease next. Nothing may be done on the strength of it before. False if the
+ * lease is not settled.
+ */
+bool lease_update_note(lease_t *lease, const char *note, pd_time_t now)
+{
+	if (!lease_is_settled(lease, now))
+		return false;
+	g_free(lease->record->note);
+	lease->record->note = g_strdup(note);
+	return true;
+}
+
+/*
+ * Looks at the lease now, where this process stands by and its holder seems to
+ * have ended: left to the usual look, that shows some seconds later.
+ */
+void lease_hurry(lease_t *lease, pd_time_t now)
+{
+	if (lease->op || lease->confirming || lease_is_held(lease, now))
+		return;
+	lease->next_at = MIN(lease->next_at, now);
+}
+
 static bool lease_is_own(const lease_t *lease)
 {
 	return !g_strcmp0(lease->record->holder, lease->holder);
--- a/core/lease.h
+++ b/core/lease.h
@@ -30,6 +30,8 @@
 uint64_t lease_fence(const lease_t *lease);
 const lease_record_t *lease_record(const lease_t *lease);
 bool lease_set_note(lease_t *lease, const char *note, pd_time_t now);
+bool lease_update_note(lease_t *lease, const char *note, pd_time_t now);
+void lease_hurry(lease_t *lease, pd_time_t now);
 bool lease_add_intent(lease_t *lease, const intent_t *intent);
 void lease_drop_intent(lease_t *lease, const char *tag);
 
--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -12,6 +12,7 @@
 #include "tests/property/mutated.h"
 
 extern "C" {
+#include "adapters/gateway/duties_note.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peer_state.h"
 #include "adapters/log_glib.h"
@@ -190,6 +191,18 @@
 	});
 }
 
+static bool prop_note()
+{
+	return rc::check("the note of the duties' holder", [] {
+		auto bytes = mutated("{\"needs\":{\"s\":4.5},\"report\":\"r\","
+				     "\"window\":5}");
+		duties_note_t *note = duties_note_read(bytes.c_str());
+
+		RC_ASSERT(duties_note_need(note, "s") >= 0);
+		duties_note_destroy(note);
+	});
+}
+
 /* However an answer is cut into pieces, the same whole events are passed on. */
 static bool prop_events()
 {
@@ -247,6 +260,7 @@
 	ok &= prop_config();
 	ok &= prop_pages();
 	ok &= prop_lease();
+	ok &= prop_note();
 	ok &= prop_events();
 	ok &= prop_calls();
 	return ok ? 0 : 1;
--- /dev/null
+++ b/tests/unit/test_duties_note.c
@@ -0,0 +1,159 @@
+/* What a holder of the duties leaves to the next one. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "adapters/gateway/duties_note.h"
+#include "core/lease.h"
+
+#define START (1000 * PD_SEC)
+#define OTHER "other"
+
+static const lease_timing_t timing = {
+	.term = 2500 * PD_MSEC,
+	.renew = 1000 * PD_MSEC,
+	.takeover = 3500 * PD_MSEC,
+	.standby = 4000 * PD_MSEC,
+};
+
+static void test_a_note_survives_the_round_trip(void **state)
+{
+	duties_note_t *note = duties_note_create();
+	duties_note_t *read;
+	char *text;
+
+	(void)state;
+	duties_note_set_report(note, 7, "{\"counts\":{},\"windowId\":7}");
+	duties_note_set_need(note, "s", 4.25);
+	duties_note_set_need(note, "t", -1);
+	text = duties_note_write(note);
+	read = duties_note_read(text);
+	assert_int_equal(read->window, 7);
+	assert_string_equal(read->report, note->report);
+	assert_true(duties_note_need(read, "s") == 4.25);
+	assert_true(duties_note_need(read, "t") == 0);
+	duties_note_destroy(read);
+	duties_note_destroy(note);
+	g_free(text);
+}
+
+/* Somebody spoils the lease's record. Whoever takes it over must start anew. */
+static void test_a_spoiled_note_says_nothing(void **state)
+{
+	static const char *const spoiled[] = { NULL,
+					       "",
+					       "7 {}",
+					       "[]",
+					       "{",
+					       "{\"needs\":7}",
+					       "{\"needs\":{\"s\":\"x\"}}",
+					       "{\"report\":7}" };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(spoiled); i++) {
+		duties_note_t *note = duties_note_read(spoiled[i]);
+
+		assert_null(note->report);
+		assert_true(duties_note_need(note, "s") == 0);
+		duties_note_destroy(note);
+	}
+}
+
+/* Runs the lease until it asks for something; returns that, or NULL. */
+static placer_action_t *next_action(lease_t *lease, pd_time_t now)
+{
+	list_node_t actions;
+	list_node_t *node;
+
+	list_init(&actions);
+	lease_run(lease, now, &actions);
+	node = list_pop(&actions);
+	return node ? LIST_ENTRY(node, placer_action_t, node) : NULL;
+}
+
+static void answer(lease_t *lease, const placer_action_t *action,
+		   lease_record_t *record, uint64_t version, pd_time_t now)
+{
+	const lease_reply_t reply = {
+		.op = action->lease.op,
+		.status = record ? STORE_OK : STORE_MISSING,
+		.version = version,
+		.record = record,
+	};
+
+	lease_reply(lease, &reply, now);
+}
+
+/*
+ * What the fleets are planned for goes along with the next renewal. It must cost
+ * the store no call of its own, and keep nobody from acting until then.
+ */
+static void test_an_update_waits_for_the_renewal(void **state)
+{
+	lease_t *lease = lease_create("me", &timing, 1);
+	pd_time_t now = START;
+	placer_action_t *action;
+
+	(void)state;
+	while (!(action = next_action(lease, now)))
+		now += 20 * PD_MSEC;
+	answer(lease, action, NULL, 0, now);
+	placer_action_destroy(action);
+	action = next_action(lease, now);
+	assert_int_equal(action->kind, PLACER_LEASE_WRITE);
+	answer(lease, action, action->lease.record, 1, now);
+	placer_action_destroy(action);
+	assert_true(lease_update_note(lease, "n", now));
+	assert_true(lease_is_settled(lease, now));
+	assert_null(next_action(lease, now + timing.renew / 2));
+	action = next_action(lease, now + timing.renew);
+	assert_int_equal(action->kind, PLACER_LEASE_WRITE);
+	assert_string_equal(action->lease.record->note, "n");
+	placer_action_destroy(action);
+	lease_destroy(lease);
+}
+
+/*
+ * The holder has ended. Left to the usual look every few seconds, nobody orders
+ * upstreams or reports usage until twice the time of a takeover is over.
+ */
+static void test_a_silent_holder_is_looked_at_at_once(void **state)
+{
+	lease_t *lease = lease_create("me", &timing, 1);
+	lease_record_t *record = lease_record_create();
+	pd_time_t now = START;
+	placer_action_t *action;
+
+	(void)state;
+	record->holder = g_strdup(OTHER);
+	for (uint64_t version = 1; version < 3; version++) {
+		while (!(action = next_action(lease, now)))
+			now += 20 * PD_MSEC;
+		answer(lease, action, record, version, now);
+		placer_action_destroy(action);
+	}
+	assert_null(next_action(lease, now + 100 * PD_MSEC));
+	lease_hurry(lease, now + 100 * PD_MSEC);
+	action = next_action(lease, now + 100 * PD_MSEC);
+	assert_non_null(action);
+	assert_int_equal(action->kind, PLACER_LEASE_READ);
+	placer_action_destroy(action);
+	lease_record_destroy(record);
+	lease_destroy(lease);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_a_note_survives_the_round_trip),
+		cmocka_unit_test(test_a_spoiled_note_says_nothing),
+		cmocka_unit_test(test_an_update_waits_for_the_renewal),
+		cmocka_unit_test(test_a_silent_holder_is_looked_at_at_once),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
