Two places for a subject where a choice compares a few

Now a choice compares the subject's first two engines and one at random. In small fleets, where loads are known, one stays.

--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -19,7 +19,7 @@
 #define SHARED_LITTLE 0.3
 /* In larger fleets than this, loads of peers are known late: see upstreams.c. */
 #define SAMPLE_FLEET 12
-#define SAMPLE 2
+#define SAMPLE 1
 /* The connection limit is for all entries; uneven ones need some room. */
 #define CONNECTION_SHARE 1.3
 
@@ -36,6 +36,12 @@
 		   1);
 }
 
+/* How many upstreams at random a choice compares; 0: all of them. */
+static unsigned int sample_of(const gateway_t *gateway)
+{
+	return gateway_count(gateway) > SAMPLE_FLEET ? SAMPLE : 0;
+}
+
 /*
  * Asks for the best upstream that was not tried yet; sets UPSTREAM, borrowed, if
  * one was chosen.
@@ -53,7 +59,7 @@
 		.overfill = request->route->has_prompt ? ENGINE_OVERFILL
 						       : PLAIN_OVERFILL,
 		.connections_max = connection_cap(request, entries),
-		.sample = entries > SAMPLE_FLEET ? SAMPLE : 0,
+		.sample = sample_of(gateway),
 		.random = gateway->random,
 		.tried_count = request->tried_count,
 	};
@@ -213,6 +219,7 @@
 		.service = request->service,
 		.call = request->call,
 		.has_prompt = true,
+		.sample = sample_of(request->gateway),
 	};
 
 	request->reading = forward_upstreams_unread(request->gateway->upstreams,
--- a/core/forward/choice.c
+++ b/core/forward/choice.c
@@ -28,30 +28,45 @@
 	return call->parts[call->part_count - 2].id;
 }
 
+/* The upstreams that a subject's requests go to first, borrowed; NULL: none. */
+typedef struct homes {
+	forward_upstream_t *first;
+	forward_upstream_t *second; /* only where a choice compares a few */
+} homes_t;
+
 /*
- * All entries give a subject the same first upstream without talking about it:
- * the one for which the hash of both is highest. Only that one needs to read
- * what the subject's requests share.
+ * All entries give a subject the same first upstreams without talking about it:
+ * those for which the hash of both is highest. Only they need to read what the
+ * subject's requests share. Where loads of others are known late, as a choice that
+ * compares a few supposes, one is at times loaded before anybody hears of it; the
+ * second then has the shared parts as well.
  */
-static forward_upstream_t *subject_home(const GPtrArray *serving,
-					const forward_ask_t *ask)
+static homes_t subject_homes(const GPtrArray *serving, const forward_ask_t *ask)
 {
-	forward_upstream_t *home = NULL;
+	homes_t homes = { 0 };
 	uint64_t subject = subject_of(ask->call);
 	uint64_t best = 0;
+	uint64_t next = 0;
 
 	if (!ask->has_prompt || !subject)
-		return NULL;
+		return homes;
 	for (guint i = 0; i < serving->len; i++) {
 		forward_upstream_t *upstream = g_ptr_array_index(serving, i);
 		uint64_t rank = hash_number(subject ^ upstream->mark);
 
-		if (!home || rank > best) {
-			home = upstream;
+		if (!homes.first || rank > best) {
+			homes.second = homes.first;
+			next = best;
+			homes.first = upstream;
 			best = rank;
+		} else if (!homes.second || rank > next) {
+			homes.second = upstream;
+			next = rank;
 		}
 	}
-	return home;
+	if (!ask->sample)
+		homes.second = NULL;
+	return homes;
 }
 
 /* The best so far of a choice. */
@@ -65,7 +80,7 @@
 typedef struct search {
 	const forward_ask_t *ask;
 	const GPtrArray *serving;
-	forward_upstream_t *home;
+	homes_t homes;
 	double rate; /* prompt tokens that an engine reads in a second */
 	pd_time_t now;
 	best_t best;
@@ -75,12 +90,12 @@
 /* Returns the tokens of a call's prompt that an upstream has still to read. */
 static double unread_at(const forward_ask_t *ask,
 			const forward_upstream_t *upstream,
-			const forward_upstream_t *home, pd_time_t now)
+			const homes_t *homes, pd_time_t now)
 {
 	double unread = forward_upstream_unread(upstream, ask->call, now);
 	double shared = forward_call_shared(ask->call);
 
-	if (upstream == home)
+	if (upstream == homes->first || upstream == homes->second)
 		return MIN(unread, MAX(ask->call->prompt_tokens - shared, 0));
 	return unread;
 }
@@ -96,10 +111,10 @@
 				const forward_upstream_t *upstream, pd_time_t now)
 {
 	const GPtrArray *serving = forward_upstreams_serving(set, ask->service);
-	const forward_upstream_t *home = serving ? subject_home(serving, ask)
-						 : NULL;
+	const homes_t homes = serving ? subject_homes(serving, ask)
+				      : (homes_t){ 0 };
 
-	return unread_at(ask, upstream, home, now);
+	return unread_at(ask, upstream, &homes, now);
 }
 
 /*
@@ -114,7 +129,7 @@
 	double running = upstream->running + upstream->peers_running;
 
 	return upstream->reading + upstream->peers_reading +
-	       unread_at(ask, upstream, search->home, search->now) +
+	       unread_at(ask, upstream, &search->homes, search->now) +
 	       running * engine_tokens(search->rate, ENGINE_RUNNING_TIME) +
 	       (elsewhere ? engine_tokens(search->rate, OTHER_ZONE_TIME) : 0);
 }
@@ -197,8 +212,10 @@
 		if (!offer_at_random(search))
 			return;
 	}
-	if (search->home)
-		search_offer(search, search->home);
+	if (search->homes.first)
+		search_offer(search, search->homes.first);
+	if (search->homes.second)
+		search_offer(search, search->homes.second);
 }
 
 static void offer_all(search_t *search)
@@ -229,7 +246,7 @@
 	*chosen = NULL;
 	if (!search.serving || !search.serving->len)
 		return FORWARD_NONE_LEFT;
-	search.home = subject_home(search.serving, ask);
+	search.homes = subject_homes(search.serving, ask);
 	if (ask->sample)
 		offer_some(&search);
 	else
--- a/tests/unit/test_forward_upstreams.c
+++ b/tests/unit/test_forward_upstreams.c
@@ -313,6 +313,47 @@
 	g_rand_free(random);
 }
 
+/*
+ * In a large fleet the upstream that holds what a subject's requests share is
+ * loaded. Sent to any other at random, nearly each of them would read thousands
+ * of shared tokens anew; one other place that all entries agree on reads them once.
+ */
+static void test_a_loaded_home_has_a_second(void **state)
+{
+	forward_call_t call = subject_call(7);
+	GRand *random = g_rand_new_with_seed(3);
+	const forward_ask_t all = { .service = "s",
+				    .zone = "a",
+				    .call = &call,
+				    .has_prompt = true,
+				    .overfill = 1 };
+	forward_ask_t few = all;
+	forward_upstream_t *home;
+	forward_upstream_t *second = NULL;
+	forward_upstream_t *chosen;
+	char id[16];
+
+	few.sample = 1;
+	few.random = random;
+	for (unsigned int i = 0; i < 90; i++) {
+		g_snprintf(id, sizeof(id), "u%u", i);
+		list(*state, id, i + 1, FORWARD_SERVING);
+	}
+	forward_upstreams_choose(*state, &all, START, &home);
+	assert_true(forward_upstreams_unread(*state, &all, home, START) < 1000);
+	home->reading = 50000;
+	for (int i = 0; i < 50; i++) {
+		forward_upstreams_choose(*state, &few, START, &chosen);
+		assert_ptr_not_equal(chosen, home);
+		if (!second)
+			second = chosen;
+		assert_ptr_equal(chosen, second);
+	}
+	assert_true(forward_upstreams_unread(*state, &few, second, START) < 1000);
+	assert_true(forward_upstreams_unread(*state, &all, second, START) > 1000);
+	g_rand_free(random);
+}
+
 static void list_born(forward_upstreams_t *set, uint64_t revision, int64_t born)
 {
 	const forward_listing_t listing = { .id = "u1",
@@ -410,6 +451,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_a_restart_is_known_by_peers_and_after_a_gap,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_a_loaded_home_has_a_second,
+						setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
