None is let go in a shortage, whoever holds the duties

Now lasting engines only become more while a shortage lasts, and the lease's note says whether there was one.

--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -217,15 +217,19 @@
 }
 
 /* Adds the loads that the fleets are planned for at present. */
-static void note_needs(gateway_duties_t *duties, duties_note_t *note)
+static void note_fleets(gateway_duties_t *duties, duties_note_t *note)
 {
 	GHashTableIter iter;
 	gpointer service;
 	gpointer plan;
 
 	g_hash_table_iter_init(&iter, duties->plans);
-	while (g_hash_table_iter_next(&iter, &service, &plan))
-		duties_note_set_need(note, service, scale_plan_basis(plan)->need);
+	while (g_hash_table_iter_next(&iter, &service, &plan)) {
+		const scale_basis_t *basis = scale_plan_basis(plan);
+		const duties_fleet_t fleet = { basis->need, basis->shortage };
+
+		duties_note_set_fleet(note, service, &fleet);
+	}
 }
 
 /*
@@ -233,7 +237,7 @@
  * killed in the middle of a shortage: whoever came next took the few upstreams
  * that it found for the fleet that was meant, and let lasting ones go.
  */
-static void keep_needs(gateway_duties_t *duties, pd_time_t now)
+static void keep_fleets(gateway_duties_t *duties, pd_time_t now)
 {
 	duties_note_t *note;
 	char *text;
@@ -241,7 +245,7 @@
 	if (!lease_is_settled(duties->lease, now))
 		return;
 	note = noted(duties);
-	note_needs(duties, note);
+	note_fleets(duties, note);
 	text = duties_note_write(note);
 	lease_update_note(duties->lease, text, now);
 	g_free(text);
@@ -319,7 +323,7 @@
 	usage_sum(duties->gateway->usage, window, add_count, counts);
 	report = wire_usage_write(window, counts);
 	duties_note_set_report(note, window, report);
-	note_needs(duties, note);
+	note_fleets(duties, note);
 	text = duties_note_write(note);
 	lease_set_note(duties->lease, text, now);
 	usage_forget(duties->gateway->usage, window - WINDOWS_KEPT);
@@ -386,9 +390,10 @@
 
 	if (!plan) {
 		duties_note_t *note = noted(duties);
+		duties_fleet_t fleet = duties_note_fleet(note, service);
 
 		plan = scale_plan_create();
-		scale_plan_restore(plan, duties_note_need(note, service));
+		scale_plan_restore(plan, fleet.need, fleet.shortage, gateway_now());
 		g_hash_table_insert(duties->plans, g_strdup(service), plan);
 		duties_note_destroy(note);
 	}
@@ -509,7 +514,7 @@
 	if (gateway_peers_holder_is_silent(duties->gateway->peers, now))
 		lease_hurry(duties->lease, now);
 	if (may_act(duties, now))
-		keep_needs(duties, now);
+		keep_fleets(duties, now);
 	lease_step(duties, now);
 	follow_lease(duties, now);
 	gateway_peers_hold_duties(duties->gateway->peers,
