Revert: none is let go in a shortage, whoever holds the duties

A first wave, in which the speed of engines is not learned well yet, made a shortage's lasting part too large, and it was then held until the shortage was over. The incident's finding stays open: lasting engines are let go when the load begins to be measured in a shortage, and by a new holder until it is refused others itself.

--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -217,19 +217,15 @@
 }
 
 /* Adds the loads that the fleets are planned for at present. */
-static void note_fleets(gateway_duties_t *duties, duties_note_t *note)
+static void note_needs(gateway_duties_t *duties, duties_note_t *note)
 {
 	GHashTableIter iter;
 	gpointer service;
 	gpointer plan;
 
 	g_hash_table_iter_init(&iter, duties->plans);
-	while (g_hash_table_iter_next(&iter, &service, &plan)) {
-		const scale_basis_t *basis = scale_plan_basis(plan);
-		const duties_fleet_t fleet = { basis->need, basis->shortage };
-
-		duties_note_set_fleet(note, service, &fleet);
-	}
+	while (g_hash_table_iter_next(&iter, &service, &plan))
+		duties_note_set_need(note, service, scale_plan_basis(plan)->need);
 }
 
 /*
@@ -237,7 +233,7 @@
  * killed in the middle of a shortage: whoever came next took the few upstreams
  * that it found for the fleet that was meant, and let lasting ones go.
  */
-static void keep_fleets(gateway_duties_t *duties, pd_time_t now)
+static void keep_needs(gateway_duties_t *duties, pd_time_t now)
 {
 	duties_note_t *note;
 	char *text;
@@ -245,7 +241,7 @@
 	if (!lease_is_settled(duties->lease, now))
 		return;
 	note = noted(duties);
-	note_fleets(duties, note);
+	note_needs(duties, note);
 	text = duties_note_write(note);
 	lease_update_note(duties->lease, text, now);
 	g_free(text);
@@ -323,7 +319,7 @@
 	usage_sum(duties->gateway->usage, window, add_count, counts);
 	report = wire_usage_write(window, counts);
 	duties_note_set_report(note, window, report);
-	note_fleets(duties, note);
+	note_needs(duties, note);
 	text = duties_note_write(note);
 	lease_set_note(duties->lease, text, now);
 	usage_forget(duties->gateway->usage, window - WINDOWS_KEPT);
@@ -390,10 +386,9 @@
 
 	if (!plan) {
 		duties_note_t *note = noted(duties);
-		duties_fleet_t fleet = duties_note_fleet(note, service);
 
 		plan = scale_plan_create();
-		scale_plan_restore(plan, fleet.need, fleet.shortage, gateway_now());
+		scale_plan_restore(plan, duties_note_need(note, service));
 		g_hash_table_insert(duties->plans, g_strdup(service), plan);
 		duties_note_destroy(note);
 	}
@@ -514,7 +509,7 @@
 	if (gateway_peers_holder_is_silent(duties->gateway->peers, now))
 		lease_hurry(duties->lease, now);
 	if (may_act(duties, now))
-		keep_fleets(duties, now);
+		keep_needs(duties, now);
 	lease_step(duties, now);
 	follow_lease(duties, now);
 	gateway_peers_hold_duties(duties->gateway->peers,
--- a/adapters/gateway/duties_note.c
+++ b/adapters/gateway/duties_note.c
@@ -15,7 +15,7 @@
 {
 	duties_note_t *note = g_new0(duties_note_t, 1);
 
-	note->fleets =
+	note->needs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return note;
 }
@@ -25,7 +25,7 @@
 {
 	if (!note)
 		return;
-	g_hash_table_unref(note->fleets);
+	g_hash_table_unref(note->needs);
 	g_free(note->report);
 	g_free(note);
 }
@@ -40,32 +40,24 @@
 	note->window = window;
 }
 
-/* Sets what a service's fleet is planned for, copied; no load is left out. */
-void duties_note_set_fleet(duties_note_t *note, const char *service,
-			   const duties_fleet_t *fleet)
+/* Sets the load that a service's fleet is planned for; what is none is left out. */
+void duties_note_set_need(duties_note_t *note, const char *service, double need)
 {
-	if (!isfinite(fleet->need) || fleet->need <= 0)
-		return;
-	g_hash_table_insert(note->fleets, g_strdup(service),
-			    g_memdup2(fleet, sizeof(*fleet)));
-}
-
-/* Returns what a service's fleet is planned for. */
-duties_fleet_t duties_note_fleet(const duties_note_t *note, const char *service)
-{
-	const duties_fleet_t *fleet = g_hash_table_lookup(note->fleets, service);
+	double *value;
 
-	return fleet ? *fleet : (duties_fleet_t){ 0 };
+	if (!isfinite(need) || need <= 0)
+		return;
+	value = g_new(double, 1);
+	*value = need;
+	g_hash_table_insert(note->needs, g_strdup(service), value);
 }
 
-static void read_fleet(duties_note_t *note, const char *service, const json_t *object)
+/* Returns the load that a service's fleet is planned for; 0: not noted. */
+double duties_note_need(const duties_note_t *note, const char *service)
 {
-	const duties_fleet_t fleet = {
-		.need = json_number_value(json_object_get(object, "need")),
-		.shortage = json_is_true(json_object_get(object, "short")),
-	};
+	const double *need = g_hash_table_lookup(note->needs, service);
 
-	duties_note_set_fleet(note, service, &fleet);
+	return need ? *need : 0;
 }
 
 /*
@@ -77,7 +69,7 @@
 {
 	duties_note_t *note = duties_note_create();
 	json_t *root;
-	json_t *fleet;
+	json_t *need;
 	const char *service;
 	const char *report;
 	pd_error_t err;
@@ -93,8 +85,8 @@
 	if (report)
 		duties_note_set_report(note, json_integer_or(root, "window", 0),
 				       report);
-	json_object_foreach(json_object_get(root, "fleets"), service, fleet)
-		read_fleet(note, service, fleet);
+	json_object_foreach(json_object_get(root, "needs"), service, need)
+		duties_note_set_need(note, service, json_number_value(need));
 	json_decref(root);
 	return note;
 }
@@ -103,10 +95,10 @@
 char *duties_note_write(const duties_note_t *note)
 {
 	json_t *root = json_object();
-	json_t *fleets = json_object();
+	json_t *needs = json_object();
 	GHashTableIter iter;
 	gpointer service;
-	gpointer value;
+	gpointer need;
 	char *text;
 	char *copy;
 
@@ -115,15 +107,10 @@
 				    json_integer((json_int_t)note->window));
 		json_object_set_new(root, "report", json_string(note->report));
 	}
-	g_hash_table_iter_init(&iter, note->fleets);
-	while (g_hash_table_iter_next(&iter, &service, &value)) {
-		const duties_fleet_t *fleet = value;
-
-		json_object_set_new(fleets, service,
-				    json_pack("{s:f, s:b}", "need", fleet->need,
-					      "short", fleet->shortage));
-	}
-	json_object_set_new(root, "fleets", fleets);
+	g_hash_table_iter_init(&iter, note->needs);
+	while (g_hash_table_iter_next(&iter, &service, &need))
+		json_object_set_new(needs, service, json_real(*(double *)need));
+	json_object_set_new(root, "needs", needs);
 	text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
 	copy = g_strdup(text);
 	free(text);
--- a/core/forward/scale_plan.c
+++ b/core/forward/scale_plan.c
@@ -69,8 +69,6 @@
 	double running; /* requests in progress, smoothed */
 	double held; /* engines' worth of load that is planned for */
 	double kept; /* the same, as an earlier holder noted it; 0: not known */
-	pd_time_t short_until; /* by an earlier holder's word */
-	unsigned int lasting; /* in all zones, as planned last */
 	pd_time_t lower_since;
 	scale_basis_t basis;
 };
@@ -115,17 +113,14 @@
 }
 
 /*
- * Takes over the load that an earlier holder of the duty planned for, and whether
- * that was in a shortage. Without it a new holder takes what it finds for the size
- * that was meant, and lets lasting ones go until it is refused others itself.
+ * Takes over the load that an earlier holder of the duty planned for. Without it
+ * a new holder takes what it finds for the size that was meant, and if that is in
+ * the middle of a shortage, it lets lasting ones go.
  */
-void scale_plan_restore(scale_plan_t *plan, double need, bool shortage,
-			pd_time_t now)
+void scale_plan_restore(scale_plan_t *plan, double need)
 {
 	if (need > 0 && isfinite(need))
 		plan->kept = need;
-	if (shortage)
-		plan->short_until = now + REFUSED_KEPT;
 }
 
 /* Returns what the last plan was made by. */
@@ -317,38 +312,25 @@
 	return (unsigned int)ceil(MAX(number, 0));
 }
 
-/* What the sums of a plan are worked out from. */
-typedef struct sums_basis {
-	double need; /* the load that the fleet is held for */
-	double load; /* what is seen; answers a shortage, which is soon over */
-	unsigned int lasting_now;
-	unsigned int reclaimable_now;
-	unsigned int lasting_planned;
-	bool shortage;
-} sums_basis_t;
-
-static scale_sums_t plan_sums(const sums_basis_t *basis)
+/*
+ * NEED is the load that the fleet is held for, LOAD what is seen at present; a
+ * shortage is answered by that, as it is soon over.
+ */
+static scale_sums_t plan_sums(double need, double load, unsigned int lasting_now,
+			      unsigned int reclaimable_now, bool shortage)
 {
-	unsigned int total = whole(basis->need * FLEET_FACTOR);
-	unsigned int kept = whole(basis->load * KEPT_FACTOR);
-	unsigned int missing =
-		kept > basis->reclaimable_now ? kept - basis->reclaimable_now : 0;
+	unsigned int total = whole(need * FLEET_FACTOR);
+	unsigned int kept = whole(load * KEPT_FACTOR);
+	unsigned int missing = kept > reclaimable_now ? kept - reclaimable_now : 0;
 	scale_sums_t sums = {
-		.lasting = whole(basis->need * LASTING_FACTOR + LASTING_SPARE),
+		.lasting = whole(need * LASTING_FACTOR + LASTING_SPARE),
 	};
 
 	sums.reclaimable = total > sums.lasting ? total - sums.lasting : 0;
-	if (basis->shortage) {
-		sums.lasting =
-			MAX(sums.lasting, whole(basis->load * ALARM_FACTOR));
-		/*
-		 * None is let go in a shortage. When the load began to be gone
-		 * by, four of nine were, and missing some seconds later.
-		 */
-		sums.lasting = MAX(sums.lasting, basis->lasting_planned);
-	}
+	if (shortage)
+		sums.lasting = MAX(sums.lasting, whole(load * ALARM_FACTOR));
 	/* None is let go before those that take its place serve. */
-	sums.lasting = MAX(sums.lasting, MIN(basis->lasting_now, missing));
+	sums.lasting = MAX(sums.lasting, MIN(lasting_now, missing));
 	return sums;
 }
 
@@ -382,8 +364,6 @@
 
 static bool plan_is_short(const scale_plan_t *plan, pd_time_t now)
 {
-	if (now < plan->short_until)
-		return true;
 	for (guint i = 0; i < plan->zones->len; i++) {
 		if (now < g_array_index(plan->zones, zone_state_t, i).refused_until)
 			return true;
@@ -407,25 +387,19 @@
 		scale_plan_serving(upstreams, service->name, NULL, true);
 	double load = plan_load(plan, service, upstreams, demand);
 	double need = plan_need(plan, load, lasting_now + reclaimable_now, now);
-	const sums_basis_t basis = {
-		.need = need,
-		.load = plan_is_measured(plan, now) ? load : need,
-		.lasting_now = lasting_now,
-		.reclaimable_now = reclaimable_now,
-		.lasting_planned = plan->begun ? plan->lasting : lasting_now,
-		.shortage = plan_is_short(plan, now),
-	};
-	scale_sums_t sums = plan_sums(&basis);
+	bool shortage = plan_is_short(plan, now);
+	scale_sums_t sums = plan_sums(need,
+				      plan_is_measured(plan, now) ? load : need,
+				      lasting_now, reclaimable_now, shortage);
 	unsigned int count;
 
-	plan->basis = (scale_basis_t){ need, load, demand->rate, basis.shortage };
+	plan->basis = (scale_basis_t){ need, load, demand->rate, shortage };
 	/* The fleet is still listing itself. */
 	if (!plan->load_since && now - plan->found_at < FOUND_SETTLE)
 		return 0;
 	count = plan_zones(plan, service, upstreams, zones);
 	bring_to(service, zones, count, false, sums.lasting);
 	bring_to(service, zones, count, true, sums.reclaimable);
-	plan->lasting = 0;
 	for (unsigned int i = 0; i < count; i++) {
 		zone_state_t *state = plan_zone(plan, zones[i].zone);
 
@@ -433,7 +407,6 @@
 			zones[i].reclaimable++;
 		state->lasting = zones[i].lasting;
 		state->reclaimable = zones[i].reclaimable;
-		plan->lasting += state->lasting;
 	}
 	return count;
 }
--- a/core/forward/scale_plan.h
+++ b/core/forward/scale_plan.h
@@ -36,8 +36,7 @@
 
 scale_plan_t *scale_plan_create(void);
 void scale_plan_destroy(scale_plan_t *plan);
-void scale_plan_restore(scale_plan_t *plan, double need, bool shortage,
-			pd_time_t now);
+void scale_plan_restore(scale_plan_t *plan, double need);
 const scale_basis_t *scale_plan_basis(const scale_plan_t *plan);
 void scale_plan_refused(scale_plan_t *plan, const char *zone, pd_time_t now);
 unsigned int scale_plan_serving(forward_upstreams_t *upstreams, const char *service,
