--- a/adapters/gateway/settings.c
+++ b/adapters/gateway/settings.c
@@ -45,7 +45,9 @@
 	{ "stop.grace_s", SETTING_DECIMAL, OFFSET(stop_grace_s), 1, 600, "8",
 	  "seconds from the order to stop until the process is killed" },
 	{ "duties.lease_gap_ms", SETTING_INTEGER, OFFSET(lease_gap_ms), 100,
-	  60000, "3000", "milliseconds between acts of two holders" },
+	  60000, "3000",
+	  "milliseconds within which no holder may act, lose the duties and "
+	  "act again" },
 	{ "duties.usage_window_s", SETTING_DECIMAL, OFFSET(usage_window_s), 1,
 	  3600, "5", "seconds of a window of usage" },
 	{ "duties.usage_due_s", SETTING_DECIMAL, OFFSET(usage_due_s), 1, 3600,
