--- a/core/forward/engine_speed.c
+++ b/core/forward/engine_speed.c
@@ -1,4 +1,4 @@
-/* Follows the median of the speeds at which prompts were read. */
+/* Follows a high quantile of the speeds at which prompts were read. */
 #include "core/forward/engine_speed.h"
 
 /*
