A choice says what is still to be read; the lease's note is read when it changes

No change of behaviour is meant; found on reading the whole change again.

- What a call has still to read at its upstream was worked out twice for each send, with a walk over all upstreams for the subject's engines each time.
The choice now gives it along with the upstream, and forward_upstreams_unread goes.
- The holder of the duties read the lease's note as JSON at every tick (20 ms), and wrote it anew as well.
It is read when its text changes, and the loads planned for are written where they change, after a plan (200 ms; at most that much older than before in the record).
A spoiled note is logged once and not at each tick.

Tests keep their assertions. test_a_loaded_home_has_a_second shows that the second place counts for nobody in a small fleet by a choice in which only that one has room.

--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -55,6 +55,8 @@
 	GHashTable *plans; /* service -> scale_plan_t */
 	GHashTable *orders; /* "service zone kind" -> order_t */
 	pd_time_t plan_at;
+	duties_note_t *note; /* of the lease's record, as read last */
+	char *note_text;
 };
 
 /* What was last ordered of one kind of upstream in one zone. */
@@ -208,12 +210,29 @@
 	       lease_fence(duties->lease) == duties->fence;
 }
 
-/* Returns what the lease's record notes; the caller owns it. */
-static duties_note_t *noted(const gateway_duties_t *duties)
+/* Returns the text of what the lease's record notes, borrowed; NULL: none. */
+static const char *noted_text(const gateway_duties_t *duties)
 {
 	const lease_record_t *record = lease_record(duties->lease);
 
-	return duties_note_read(record ? record->note : NULL);
+	return record ? record->note : NULL;
+}
+
+/*
+ * Returns what the lease's record notes, borrowed until the record changes. It is
+ * asked for at every tick, and read only when it is another one.
+ */
+static const duties_note_t *noted(gateway_duties_t *duties)
+{
+	const char *text = noted_text(duties);
+
+	if (!duties->note || g_strcmp0(text, duties->note_text)) {
+		duties_note_destroy(duties->note);
+		g_free(duties->note_text);
+		duties->note = duties_note_read(text);
+		duties->note_text = g_strdup(text);
+	}
+	return duties->note;
 }
 
 /* Adds the loads that the fleets are planned for at present. */
@@ -240,7 +259,7 @@
 
 	if (!lease_is_settled(duties->lease, now))
 		return;
-	note = noted(duties);
+	note = duties_note_read(noted_text(duties));
 	note_needs(duties, note);
 	text = duties_note_write(note);
 	lease_update_note(duties->lease, text, now);
@@ -308,11 +327,11 @@
  * Writes a window's report into the lease before it is sent: whoever holds the
  * lease next sends the same once more, and never other counts for it.
  */
-static void note_report(gateway_duties_t *duties, duties_note_t *note,
-			int64_t window, pd_time_t now)
+static void note_report(gateway_duties_t *duties, int64_t window, pd_time_t now)
 {
 	GHashTable *counts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	duties_note_t *note = duties_note_read(noted_text(duties));
 	char *report;
 	char *text;
 
@@ -323,43 +342,36 @@
 	text = duties_note_write(note);
 	lease_set_note(duties->lease, text, now);
 	usage_forget(duties->gateway->usage, window - WINDOWS_KEPT);
+	duties_note_destroy(note);
 	g_free(text);
 	g_free(report);
 	g_hash_table_unref(counts);
 }
 
-/* Sends what is noted and was not taken yet, or notes the next window. */
-static void report_next(gateway_duties_t *duties, duties_note_t *note, pd_time_t now)
+static void run_usage(gateway_duties_t *duties, pd_time_t now)
 {
 	const gateway_t *gateway = duties->gateway;
 	pd_time_t length = (pd_time_t)(gateway->settings->usage_window_s * PD_SEC);
 	pd_time_t wall = time_vote_wall(gateway->vote, gateway_wall(), now);
 	int64_t ended = (wall - COUNTS_SETTLE) / length - 1;
+	const duties_note_t *note;
 
+	if (duties->reporting || now < duties->report_at ||
+	    !lease_is_settled(duties->lease, now))
+		return;
+	note = noted(duties);
 	if (note->report && duties->reported < note->window) {
 		send_report(duties, note);
 		return;
 	}
 	if (note->report && note->window >= ended)
 		return;
-	note_report(duties, note,
+	note_report(duties,
 		    note->report ? MAX(note->window + 1, ended - WINDOWS_BACK)
 				 : ended,
 		    now);
 }
 
-static void run_usage(gateway_duties_t *duties, pd_time_t now)
-{
-	duties_note_t *note;
-
-	if (duties->reporting || now < duties->report_at ||
-	    !lease_is_settled(duties->lease, now))
-		return;
-	note = noted(duties);
-	report_next(duties, note, now);
-	duties_note_destroy(note);
-}
-
 static order_t *duties_order(gateway_duties_t *duties, const char *service,
 			     const char *zone, bool reclaimable)
 {
@@ -385,12 +397,9 @@
 	scale_plan_t *plan = g_hash_table_lookup(duties->plans, service);
 
 	if (!plan) {
-		duties_note_t *note = noted(duties);
-
 		plan = scale_plan_create();
-		scale_plan_restore(plan, duties_note_need(note, service));
+		scale_plan_restore(plan, duties_note_need(noted(duties), service));
 		g_hash_table_insert(duties->plans, g_strdup(service), plan);
-		duties_note_destroy(note);
 	}
 	return plan;
 }
@@ -498,6 +507,7 @@
 		if (service->scaled)
 			scale_service(duties, service, now);
 	}
+	keep_needs(duties, now);
 }
 
 /* Renews or takes the lease, and does what is due if it is held. */
@@ -508,8 +518,6 @@
 		return;
 	if (gateway_peers_holder_is_silent(duties->gateway->peers, now))
 		lease_hurry(duties->lease, now);
-	if (may_act(duties, now))
-		keep_needs(duties, now);
 	lease_step(duties, now);
 	follow_lease(duties, now);
 	gateway_peers_hold_duties(duties->gateway->peers,
--- a/adapters/gateway/peer_loads.c
+++ b/adapters/gateway/peer_loads.c
@@ -75,8 +75,8 @@
 static load_t load_of_all(const forward_upstream_t *upstream)
 {
 	load_t load = { forward_upstream_mark(upstream),
-			upstream->running + upstream->peers_running,
-			upstream->reading + upstream->peers_reading };
+			forward_upstream_running(upstream),
+			forward_upstream_reading(upstream) };
 
 	return load;
 }
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -220,13 +220,13 @@
 		LIST_FOR_EACH_SAFE (it, &gateway->queues[rank]) {
 			gateway_request_t *request =
 				LIST_ENTRY(it, gateway_request_t, wait);
-			forward_upstream_t *upstream;
+			forward_pick_t pick;
 
-			switch (gateway_request_choose(request, &upstream)) {
+			switch (gateway_request_choose(request, &pick)) {
 			case FORWARD_CHOSEN:
 				list_remove(&request->wait);
 				gateway->queued--;
-				gateway_request_attempt(request, upstream);
+				gateway_request_attempt(request, &pick);
 				continue;
 			case FORWARD_ALL_FULL:
 				break;
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -36,18 +36,12 @@
 		   1);
 }
 
-/* How many upstreams at random a choice compares; 0: all of them. */
-static unsigned int sample_of(const gateway_t *gateway)
-{
-	return gateway_count(gateway) > SAMPLE_FLEET ? SAMPLE : 0;
-}
-
 /*
- * Asks for the best upstream that was not tried yet; sets UPSTREAM, borrowed, if
- * one was chosen.
+ * Asks for the best upstream that was not tried yet; fills in PICK if one was
+ * chosen.
  */
 forward_choice_t gateway_request_choose(gateway_request_t *request,
-					forward_upstream_t **upstream)
+					forward_pick_t *pick)
 {
 	const gateway_t *gateway = request->gateway;
 	unsigned int entries = gateway_count(gateway);
@@ -59,7 +53,7 @@
 		.overfill = request->route->has_prompt ? ENGINE_OVERFILL
 						       : PLAIN_OVERFILL,
 		.connections_max = connection_cap(request, entries),
-		.sample = sample_of(gateway),
+		.sample = entries > SAMPLE_FLEET ? SAMPLE : 0,
 		.random = gateway->random,
 		.tried_count = request->tried_count,
 	};
@@ -67,7 +61,7 @@
 	for (unsigned int i = 0; i < request->tried_count; i++)
 		ask.tried[i] = request->tried[i];
 	return forward_upstreams_choose(gateway->upstreams, &ask, gateway_now(),
-					upstream);
+					pick);
 }
 
 /* Sends the request on its attempt's link, which is up. */
@@ -201,44 +195,30 @@
 	gateway_request_give_up(request, RETRY_AFTER_FULL, reason);
 }
 
-/* Returns what an engine has to read until it has nothing else to read. */
-static double unread_there(const forward_upstream_t *upstream)
-{
-	return upstream->reading + upstream->peers_reading;
-}
-
-/* Notes what the attempt will cost its engine. */
-static void attempt_add_work(gateway_request_t *request, pd_time_t now)
+/* Notes what the attempt will cost its engine, which has UNREAD to read for it. */
+static void attempt_add_work(gateway_request_t *request, double unread)
 {
-	const forward_upstream_t *upstream = request->upstream;
-	double output = request->call->output_tokens *
-			engine_tokens(gateway_engine_rate(request->gateway,
-							  request->service),
-				      ENGINE_OUTPUT_TIME);
-	const forward_ask_t ask = {
-		.service = request->service,
-		.call = request->call,
-		.has_prompt = true,
-		.sample = sample_of(request->gateway),
-	};
+	const forward_call_t *call = request->call;
+	double rate = gateway_engine_rate(request->gateway, request->service);
+	double output =
+		call->output_tokens * engine_tokens(rate, ENGINE_OUTPUT_TIME);
 
-	request->reading = forward_upstreams_unread(request->gateway->upstreams,
-						    &ask, upstream, now);
+	request->reading = unread;
 	/*
 	 * A prompt tells how fast its engine reads only if nothing else is read
 	 * there, and if it shares little: whether shared parts are still held
 	 * there, or were read for another entry, is not known.
 	 */
-	request->reads_alone = unread_there(upstream) < 1 &&
-			       forward_call_shared(request->call) <=
-				       request->call->prompt_tokens * SHARED_LITTLE;
-	work_rate_add(request->gateway->work, request->service,
-		      request->reading + output);
+	request->reads_alone =
+		forward_upstream_reading(request->upstream) < 1 &&
+		forward_call_shared(call) <= call->prompt_tokens * SHARED_LITTLE;
+	work_rate_add(request->gateway->work, request->service, unread + output);
 }
 
 /* Begins an attempt at an upstream: counts it, and sends or connects first. */
-void gateway_request_attempt(gateway_request_t *request, forward_upstream_t *upstream)
+void gateway_request_attempt(gateway_request_t *request, const forward_pick_t *pick)
 {
+	forward_upstream_t *upstream = pick->upstream;
 	pd_time_t now = gateway_now();
 
 	metrics_add(request->gateway->metrics, "gateway_sends_total", 1);
@@ -255,7 +235,7 @@
 		request->state = REQUEST_CONNECTING;
 	g_byte_array_set_size(request->answer, 0);
 	if (request->route->has_prompt)
-		attempt_add_work(request, now);
+		attempt_add_work(request, pick->unread);
 	upstream->running++;
 	upstream->reading += request->reading;
 	forward_upstream_sent(upstream, request->call, now);
@@ -274,11 +254,11 @@
 /* Sends a request to the best upstream, queues it, or ends it. */
 void gateway_request_try(gateway_request_t *request)
 {
-	forward_upstream_t *upstream;
+	forward_pick_t pick;
 
-	switch (gateway_request_choose(request, &upstream)) {
+	switch (gateway_request_choose(request, &pick)) {
 	case FORWARD_CHOSEN:
-		gateway_request_attempt(request, upstream);
+		gateway_request_attempt(request, &pick);
 		return;
 	case FORWARD_ALL_FULL:
 		if (request->state == REQUEST_STREAMING)
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -90,13 +90,13 @@
 void gateway_request_cut(gateway_request_t *request, const char *reason);
 void gateway_request_finish(gateway_request_t *request);
 forward_choice_t gateway_request_choose(gateway_request_t *request,
-					forward_upstream_t **upstream);
+					forward_pick_t *pick);
 void gateway_request_send(gateway_request_t *request);
 bool gateway_request_may_repeat(const gateway_request_t *request);
 void gateway_request_attempt_over(gateway_request_t *request, attempt_end_t end,
 				  const char *reason);
 void gateway_request_attempt(gateway_request_t *request,
-			     forward_upstream_t *upstream);
+			     const forward_pick_t *pick);
 void gateway_request_try(gateway_request_t *request);
 void gateway_request_answer_begin(gateway_request_t *request, gint64 length);
 void gateway_request_queue(gateway_request_t *request);
--- a/adapters/json.c
+++ b/adapters/json.c
@@ -2,6 +2,7 @@
 #include "adapters/json.h"
 
 #include <math.h>
+#include <stdbool.h>
 
 #define JSON_DEPTH_ERROR "not a JSON object"
 /* The largest number up to which a real holds every whole one: 2 to the 53. */
@@ -39,14 +40,31 @@
 	return 0;
 }
 
+/* Reads a whole number. False if it is none. */
+static bool read_whole(const json_t *number, int64_t *value)
+{
+	double real;
+
+	if (json_is_integer(number)) {
+		*value = json_integer_value(number);
+		return true;
+	}
+	/* A text that was repaired has its whole numbers as reals. */
+	real = json_real_value(number);
+	if (!json_is_real(number) || real != trunc(real) ||
+	    fabs(real) > JSON_WHOLE_MAX)
+		return false;
+	*value = (int64_t)real;
+	return true;
+}
+
 /* Reads an integer member. */
 int json_read_integer(const json_t *object, const char *key, int64_t *value,
 		      pd_error_t *err)
 {
-	if (!json_has_integer(object, key))
+	if (!read_whole(json_object_get(object, key), value))
 		return pd_error_set(err, PD_ERROR_INPUT,
 				    "%s: expected an integer", key);
-	*value = json_integer_or(object, key, 0);
 	return 0;
 }
 
@@ -75,21 +93,7 @@
 /* Returns an integer member, or FALLBACK if there is no such. */
 int64_t json_integer_or(const json_t *object, const char *key, int64_t fallback)
 {
-	const json_t *member = json_object_get(object, key);
-	double value;
+	int64_t value;
 
-	if (json_is_integer(member))
-		return json_integer_value(member);
-	/* A text that was repaired has its whole numbers as reals. */
-	value = json_real_value(member);
-	if (!json_is_real(member) || value != trunc(value) ||
-	    fabs(value) > JSON_WHOLE_MAX)
-		return fallback;
-	return (int64_t)value;
-}
-
-/* Says whether there is an integer member. */
-bool json_has_integer(const json_t *object, const char *key)
-{
-	return json_integer_or(object, key, 0) == json_integer_or(object, key, 1);
+	return read_whole(json_object_get(object, key), &value) ? value : fallback;
 }
--- a/adapters/json.h
+++ b/adapters/json.h
@@ -3,7 +3,6 @@
 #define PISTACHIO_JSON_H
 
 #include <jansson.h>
-#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -18,7 +17,6 @@
 		    pd_error_t *err);
 const char *json_string_or(const json_t *object, const char *key,
 			   const char *fallback);
-bool json_has_integer(const json_t *object, const char *key);
 int64_t json_integer_or(const json_t *object, const char *key, int64_t fallback);
 
 #endif
--- a/core/forward/choice.c
+++ b/core/forward/choice.c
@@ -69,12 +69,13 @@
 	return homes;
 }
 
-/* The best so far of a choice. */
-typedef struct best {
-	forward_upstream_t *upstream;
+/* An upstream that may be chosen. */
+typedef struct offer {
+	forward_upstream_t *upstream; /* NULL: none yet */
 	bool avoided;
+	double unread; /* of the call's prompt, there */
 	double cost;
-} best_t;
+} offer_t;
 
 /* A choice in progress; the upstreams are borrowed. */
 typedef struct search {
@@ -83,38 +84,26 @@
 	homes_t homes;
 	double rate; /* prompt tokens that an engine reads in a second */
 	pd_time_t now;
-	best_t best;
+	offer_t best; /* so far */
 	bool any; /* one was not tried yet, full or not */
 } search_t;
 
-/* Returns the tokens of a call's prompt that an upstream has still to read. */
-static double unread_at(const forward_ask_t *ask,
-			const forward_upstream_t *upstream,
-			const homes_t *homes, pd_time_t now)
-{
-	double unread = forward_upstream_unread(upstream, ask->call, now);
-	double shared = forward_call_shared(ask->call);
-
-	if (upstream == homes->first || upstream == homes->second)
-		return MIN(unread, MAX(ask->call->prompt_tokens - shared, 0));
-	return unread;
-}
-
 /*
  * Returns what an upstream has still to read of a call's prompt, by what all
- * entries send there: a subject's first upstream has read what its requests
+ * entries send there: a subject's first upstreams have read what its requests
  * share, whoever sent them. By an entry's own requests alone, nine entries took
  * the work for twice of what it was, and ordered as many engines.
  */
-double forward_upstreams_unread(const forward_upstreams_t *set,
-				const forward_ask_t *ask,
-				const forward_upstream_t *upstream, pd_time_t now)
+static double unread_at(const search_t *search, const forward_upstream_t *upstream)
 {
-	const GPtrArray *serving = forward_upstreams_serving(set, ask->service);
-	const homes_t homes = serving ? subject_homes(serving, ask)
-				      : (homes_t){ 0 };
+	const forward_call_t *call = search->ask->call;
+	const homes_t *homes = &search->homes;
+	double unread = forward_upstream_unread(upstream, call, search->now);
 
-	return unread_at(ask, upstream, &homes, now);
+	if (upstream == homes->first || upstream == homes->second)
+		return MIN(unread,
+			   MAX(call->prompt_tokens - forward_call_shared(call), 0));
+	return unread;
 }
 
 /*
@@ -122,68 +111,74 @@
  * tokens: what it has to read before, what it would have to read for this one,
  * and the slowing by what runs.
  */
-static double engine_cost(const search_t *search, const forward_upstream_t *upstream)
+static double engine_cost(const search_t *search,
+			  const forward_upstream_t *upstream, double unread,
+			  bool elsewhere)
 {
-	const forward_ask_t *ask = search->ask;
-	bool elsewhere = strcmp(upstream->zone, ask->zone) != 0;
-	double running = upstream->running + upstream->peers_running;
-
-	return upstream->reading + upstream->peers_reading +
-	       unread_at(ask, upstream, &search->homes, search->now) +
-	       running * engine_tokens(search->rate, ENGINE_RUNNING_TIME) +
+	return forward_upstream_reading(upstream) + unread +
+	       forward_upstream_running(upstream) *
+		       engine_tokens(search->rate, ENGINE_RUNNING_TIME) +
 	       (elsewhere ? engine_tokens(search->rate, OTHER_ZONE_TIME) : 0);
 }
 
-static double upstream_cost(const search_t *search,
-			    const forward_upstream_t *upstream)
+static double plain_cost(const forward_upstream_t *upstream, bool elsewhere)
+{
+	return (double)forward_upstream_running(upstream) /
+		       MAX(upstream->slots, 1) +
+	       (elsewhere ? OTHER_ZONE_SLOTS : 0);
+}
+
+static offer_t make_offer(const search_t *search, forward_upstream_t *upstream)
 {
 	const forward_ask_t *ask = search->ask;
 	bool elsewhere = strcmp(upstream->zone, ask->zone) != 0;
-	double running = upstream->running + upstream->peers_running;
+	offer_t offer = {
+		.upstream = upstream,
+		.avoided = forward_upstream_is_avoided(upstream, search->now),
+	};
 
-	if (ask->has_prompt)
-		return engine_cost(search, upstream);
-	return running / MAX(upstream->slots, 1) +
-	       (elsewhere ? OTHER_ZONE_SLOTS : 0);
+	if (ask->has_prompt) {
+		offer.unread = unread_at(search, upstream);
+		offer.cost = engine_cost(search, upstream, offer.unread, elsewhere);
+	} else {
+		offer.cost = plain_cost(upstream, elsewhere);
+	}
+	return offer;
 }
 
 static bool is_full(const forward_upstream_t *upstream,
 		    const forward_ask_t *ask, pd_time_t now)
 {
-	double running = upstream->running + upstream->peers_running;
-
 	if (now < upstream->full_until)
 		return true;
 	if (ask->connections_max && upstream->running >= ask->connections_max)
 		return true;
-	return running >= upstream->slots * ask->overfill;
+	return forward_upstream_running(upstream) >= upstream->slots * ask->overfill;
 }
 
-static void best_offer(best_t *best, forward_upstream_t *upstream, bool avoided,
-		       double cost)
+static bool is_better(const offer_t *offer, const offer_t *best)
 {
-	if (best->upstream && (avoided > best->avoided ||
-			       (avoided == best->avoided && cost >= best->cost)))
-		return;
-	best->upstream = upstream;
-	best->avoided = avoided;
-	best->cost = cost;
+	if (!best->upstream)
+		return true;
+	if (offer->avoided != best->avoided)
+		return !offer->avoided;
+	return offer->cost < best->cost;
 }
 
 /* Offers an upstream. Says whether it could be chosen. */
 static bool search_offer(search_t *search, forward_upstream_t *upstream)
 {
 	const forward_ask_t *ask = search->ask;
-	pd_time_t now = search->now;
+	offer_t offer;
 
 	if (is_tried(ask, upstream->id))
 		return false;
 	search->any = true;
-	if (is_full(upstream, ask, now))
+	if (is_full(upstream, ask, search->now))
 		return false;
-	best_offer(&search->best, upstream,
-		   forward_upstream_is_avoided(upstream, now),
-		   upstream_cost(search, upstream));
+	offer = make_offer(search, upstream);
+	if (is_better(&offer, &search->best))
+		search->best = offer;
 	return true;
 }
 
@@ -231,8 +226,8 @@
  * choice costs the same before ten upstreams and before a thousand.
  */
 forward_choice_t forward_upstreams_choose(forward_upstreams_t *set,
-					  const forward_ask_t *ask, pd_time_t now,
-					  forward_upstream_t **chosen)
+					  const forward_ask_t *ask,
+					  pd_time_t now, forward_pick_t *pick)
 {
 	search_t search = {
 		.ask = ask,
@@ -240,10 +235,9 @@
 		.rate = engine_speeds_rate(forward_upstreams_speeds(set),
 					   ask->service),
 		.now = now,
-		.best = { NULL, true, 0 },
 	};
 
-	*chosen = NULL;
+	*pick = (forward_pick_t){ 0 };
 	if (!search.serving || !search.serving->len)
 		return FORWARD_NONE_LEFT;
 	search.homes = subject_homes(search.serving, ask);
@@ -251,8 +245,9 @@
 		offer_some(&search);
 	else
 		offer_all(&search);
-	*chosen = search.best.upstream;
-	if (*chosen)
+	pick->upstream = search.best.upstream;
+	pick->unread = search.best.unread;
+	if (pick->upstream)
 		return FORWARD_CHOSEN;
 	return search.any ? FORWARD_ALL_FULL : FORWARD_NONE_LEFT;
 }
--- a/core/forward/choice.h
+++ b/core/forward/choice.h
@@ -20,17 +20,20 @@
 	unsigned int tried_count;
 } forward_ask_t;
 
+/* What was chosen. */
+typedef struct forward_pick {
+	forward_upstream_t *upstream; /* borrowed; NULL: none */
+	double unread; /* tokens of the call's prompt that it has still to read */
+} forward_pick_t;
+
 typedef enum forward_choice {
 	FORWARD_CHOSEN,
 	FORWARD_ALL_FULL,
 	FORWARD_NONE_LEFT /* none serves, or all were tried */
 } forward_choice_t;
 
-double forward_upstreams_unread(const forward_upstreams_t *set,
-				const forward_ask_t *ask,
-				const forward_upstream_t *upstream, pd_time_t now);
 forward_choice_t forward_upstreams_choose(forward_upstreams_t *set,
-					  const forward_ask_t *ask, pd_time_t now,
-					  forward_upstream_t **chosen);
+					  const forward_ask_t *ask,
+					  pd_time_t now, forward_pick_t *pick);
 
 #endif
--- a/core/forward/scale_plan.c
+++ b/core/forward/scale_plan.c
@@ -162,7 +162,7 @@
 			LIST_ENTRY(it, forward_upstream_t, node);
 
 		if (!strcmp(upstream->service, service))
-			sum += upstream->running + upstream->peers_running;
+			sum += forward_upstream_running(upstream);
 	}
 	return sum;
 }
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -174,7 +174,7 @@
 	for (guint i = 0; serving && i < serving->len; i++) {
 		const forward_upstream_t *upstream = g_ptr_array_index(serving, i);
 
-		running += upstream->running + upstream->peers_running;
+		running += forward_upstream_running(upstream);
 		slots += upstream->slots;
 	}
 	return slots > 0 ? running / slots : 0;
@@ -407,3 +407,15 @@
 {
 	return upstream->stage == FORWARD_SERVING && upstream->revision;
 }
+
+/* Returns the requests of all entries there, as far as is known. */
+unsigned int forward_upstream_running(const forward_upstream_t *upstream)
+{
+	return upstream->running + upstream->peers_running;
+}
+
+/* Returns the prompt tokens that it has still to read for all entries. */
+double forward_upstream_reading(const forward_upstream_t *upstream)
+{
+	return upstream->reading + upstream->peers_reading;
+}
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -105,6 +105,8 @@
 					     uint32_t mark);
 uint32_t forward_upstream_mark(const forward_upstream_t *upstream);
 bool forward_upstream_serves(const forward_upstream_t *upstream);
+unsigned int forward_upstream_running(const forward_upstream_t *upstream);
+double forward_upstream_reading(const forward_upstream_t *upstream);
 double forward_upstream_unread(const forward_upstream_t *upstream,
 			       const forward_call_t *call, pd_time_t now);
 void forward_upstream_sent(forward_upstream_t *upstream,
--- a/core/lease.c
+++ b/core/lease.c
@@ -141,31 +141,29 @@
 }
 
 /*
- * Sets what the holder writes down before it acts on it, to be written at once.
- * Returns false if the lease is not settled: a change made while a write is out
- * could be lost with that write's answer.
+ * Changes what the holder writes down with its next renewal, for whoever holds
+ * the lease next. Nothing may be done on the strength of it before. False if the
+ * lease is not settled.
  */
-bool lease_set_note(lease_t *lease, const char *note, pd_time_t now)
+bool lease_update_note(lease_t *lease, const char *note, pd_time_t now)
 {
 	if (!lease_is_settled(lease, now))
 		return false;
 	g_free(lease->record->note);
 	lease->record->note = g_strdup(note);
-	lease->dirty = true;
 	return true;
 }
 
 /*
- * Changes what the holder writes down with its next renewal, for whoever holds
- * the lease next. Nothing may be done on the strength of it before. False if the
- * lease is not settled.
+ * Sets what the holder writes down before it acts on it, to be written at once.
+ * Returns false if the lease is not settled: a change made while a write is out
+ * could be lost with that write's answer.
  */
-bool lease_update_note(lease_t *lease, const char *note, pd_time_t now)
+bool lease_set_note(lease_t *lease, const char *note, pd_time_t now)
 {
-	if (!lease_is_settled(lease, now))
+	if (!lease_update_note(lease, note, now))
 		return false;
-	g_free(lease->record->note);
-	lease->record->note = g_strdup(note);
+	lease->dirty = true;
 	return true;
 }
 
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -579,8 +579,8 @@
 	return between ? between : port;
 }
 
-/* Lists an upstream in the store: "ready" or "draining". */
-void rig_put_upstream(gateway_rig_t *rig, int number, const char *state)
+static void put_entry(gateway_rig_t *rig, int number, const char *state,
+		      const char *more)
 {
 	char name[16];
 	char spec[256];
@@ -588,12 +588,27 @@
 	snprintf(name, sizeof(name), "u%d", number);
 	snprintf(spec, sizeof(spec),
 		 "{\"service\":\"s\",\"address\":\"127.0.0.1:%u\","
-		 "\"zone\":\"a\",\"slots\":8,\"state\":\"%s\"}",
+		 "\"zone\":\"a\",\"slots\":8,\"state\":\"%s\"%s}",
 		 via(rig->upstream_via[number], rig->upstreams[number].port),
-		 state);
+		 state, more);
 	rig_put(rig, "servers", name, spec);
 }
 
+/* Lists an upstream in the store: "ready" or "draining". */
+void rig_put_upstream(gateway_rig_t *rig, int number, const char *state)
+{
+	put_entry(rig, number, state, "");
+}
+
+/* Lists an upstream that serves and was started at BORN, in milliseconds. */
+void rig_put_started(gateway_rig_t *rig, int number, long born)
+{
+	char more[32];
+
+	snprintf(more, sizeof(more), ",\"born\":%ld", born);
+	put_entry(rig, number, "ready", more);
+}
+
 static char *settings_path(const gateway_rig_t *rig, int number)
 {
 	return g_strdup_printf("%s/g%d.toml", rig->dir, number);
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -84,6 +84,7 @@
 void rig_remove(gateway_rig_t *rig, const char *kind, const char *name);
 void rig_put_config(gateway_rig_t *rig, int version, const char *more_routes);
 void rig_put_upstream(gateway_rig_t *rig, int number, const char *state);
+void rig_put_started(gateway_rig_t *rig, int number, long born);
 void rig_write_settings(gateway_rig_t *rig, int number, int door);
 void rig_spoil_settings(gateway_rig_t *rig, int number);
 void rig_start(gateway_rig_t *rig, int number);
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -487,17 +487,6 @@
  * The holder of the duties dies after it reported a window. Whoever follows
  * must not report that window with other counts, nor leave later ones out.
  */
-static void put_upstream_born(gateway_rig_t *rig, int number, long born)
-{
-	char spec[256];
-
-	snprintf(spec, sizeof(spec),
-		 "{\"service\":\"s\",\"address\":\"127.0.0.1:%u\",\"zone\":"
-		 "\"a\",\"slots\":8,\"state\":\"ready\",\"born\":%ld}",
-		 rig->upstreams[number].port, born);
-	rig_put(rig, "servers", number ? "u1" : "u0", spec);
-}
-
 /*
  * An upstream crashes behind a cut and starts again under its id. Its callers'
  * runs are lost, but no reset says so: they would wait until their time is over.
@@ -507,26 +496,19 @@
 static void test_calls_at_one_that_restarted_do_not_wait(void **state)
 {
 	gateway_rig_t *rig = *state;
-	uint16_t port = rig_port(rig, 0, "callers");
 	rig_caller_t *safe;
 	rig_caller_t *unsafe;
 
-	put_upstream_born(rig, 0, 1000);
+	rig_put_started(rig, 0, 1000);
 	rig_remove(rig, "servers", "u1");
 	RIG_UNTIL(rig, has_logged(rig, 0, "id=u1 stage=gone"));
 	rig->upstreams[0].act = RIG_HANG;
-	safe = rig_call(rig, port,
-			"GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: "
-			"s1\r\n"
-			"Authorization: Bearer k\r\n\r\n");
-	unsafe = rig_call(rig, port,
-			  "POST /unsafe/x HTTP/1.1\r\nHost: h\r\n"
-			  "X-Attempt-Id: n1\r\nAuthorization: Bearer k\r\n"
-			  "Content-Length: 0\r\n\r\n");
+	safe = call_at(rig, 0, "GET", "/safe/x", "s1");
+	unsafe = call_at(rig, 0, "POST", "/unsafe/x", "n1");
 	RIG_UNTIL(rig, rig_runs(rig, "s1") && rig_runs(rig, "n1"));
-	put_upstream_born(rig, 1, 1500);
+	rig_put_started(rig, 1, 1500);
 	RIG_UNTIL(rig, has_logged(rig, 0, "id=u1 stage=serving"));
-	put_upstream_born(rig, 0, 2000);
+	rig_put_started(rig, 0, 2000);
 	RIG_UNTIL(rig, heard(safe, "HTTP/1.1 200"));
 	RIG_UNTIL(rig, heard(unsafe, "HTTP/1.1 502"));
 	assert_true(has_logged(rig, 0, "upstream restarted"));
@@ -543,7 +525,6 @@
 static void test_spoiled_entries_cost_nobody_else_anything(void **state)
 {
 	gateway_rig_t *rig = *state;
-	uint16_t port = rig_port(rig, 0, "callers");
 	rig_caller_t *caller;
 	char name[16];
 
@@ -555,10 +536,7 @@
 	RIG_UNTIL(rig, has_logged(rig, 0, "id=u0 stage=gone"));
 	assert_true(has_logged(rig, 0, "odd0"));
 	assert_false(has_logged(rig, 0, "odd19"));
-	caller = rig_call(rig, port,
-			  "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: "
-			  "p1\r\n"
-			  "Authorization: Bearer k\r\n\r\n");
+	caller = call(rig, "/safe/x");
 	RIG_UNTIL(rig, heard(caller, "HTTP/1.1 200"));
 	assert_int_equal(rig->upstreams[0].arrivals, 0);
 	rig_put_upstream(rig, 0, "ready");
--- a/tests/unit/test_forward_upstreams.c
+++ b/tests/unit/test_forward_upstreams.c
@@ -33,10 +33,12 @@
 	return 0;
 }
 
-static bool list(forward_upstreams_t *set, const char *id, uint64_t revision,
-		 forward_stage_t stage)
+/* Lists an upstream that was started at BORN; 0: it is not told. */
+static bool list_start(forward_upstreams_t *set, const char *id,
+		       uint64_t revision, forward_stage_t stage, int64_t born)
 {
 	const forward_listing_t listing = { .id = id,
+					    .born = born,
 					    .service = "s",
 					    .address = "127.0.0.1",
 					    .port = 1,
@@ -48,16 +50,22 @@
 	return forward_upstreams_apply(set, &listing);
 }
 
+static bool list(forward_upstreams_t *set, const char *id, uint64_t revision,
+		 forward_stage_t stage)
+{
+	return list_start(set, id, revision, stage, 0);
+}
+
 static forward_upstream_t *choose(forward_upstreams_t *set, pd_time_t now)
 {
 	static forward_call_t call;
 	const forward_ask_t ask = {
 		.service = "s", .zone = "a", .call = &call, .overfill = 1
 	};
-	forward_upstream_t *chosen;
+	forward_pick_t pick;
 
-	forward_upstreams_choose(set, &ask, now, &chosen);
-	return chosen;
+	forward_upstreams_choose(set, &ask, now, &pick);
+	return pick.upstream;
 }
 
 /*
@@ -217,13 +225,13 @@
 					    .call = &call,
 					    .has_prompt = true,
 					    .overfill = 1 };
-		forward_upstream_t *one;
-		forward_upstream_t *two;
+		forward_pick_t one;
+		forward_pick_t two;
 
 		forward_upstreams_choose(*state, &ask, START, &one);
 		forward_upstreams_choose(other, &ask, START, &two);
-		assert_string_equal(one->id, two->id);
-		moved += strcmp(one->id, "u0") != 0;
+		assert_string_equal(one.upstream->id, two.upstream->id);
+		moved += strcmp(one.upstream->id, "u0") != 0;
 	}
 	assert_true(moved > 25); /* the subjects are spread */
 	forward_upstreams_destroy(other);
@@ -238,15 +246,15 @@
 				    .call = &call,
 				    .has_prompt = true,
 				    .overfill = 1 };
-	forward_upstream_t *home;
-	forward_upstream_t *next;
+	forward_pick_t home;
+	forward_pick_t next;
 
 	list(*state, "u1", 1, FORWARD_SERVING);
 	list(*state, "u2", 2, FORWARD_SERVING);
 	forward_upstreams_choose(*state, &ask, START, &home);
-	home->reading = 20000;
+	home.upstream->reading = 20000;
 	forward_upstreams_choose(*state, &ask, START, &next);
-	assert_ptr_not_equal(home, next);
+	assert_ptr_not_equal(home.upstream, next.upstream);
 }
 
 /*
@@ -301,12 +309,11 @@
 		forward_upstreams_find(*state, id)->running = i == 77 ? 0 : 4;
 	}
 	for (unsigned int i = 0; i < 20; i++) {
-		forward_upstream_t *chosen;
+		forward_pick_t pick;
 
-		assert_int_equal(forward_upstreams_choose(*state, &ask, START,
-							  &chosen),
+		assert_int_equal(forward_upstreams_choose(*state, &ask, START, &pick),
 				 FORWARD_CHOSEN);
-		assert_string_equal(chosen->id, "u77");
+		assert_string_equal(pick.upstream->id, "u77");
 	}
 	forward_upstreams_find(*state, "u77")->running = 4;
 	assert_null(choose(*state, START));
@@ -330,7 +337,7 @@
 	forward_ask_t few = all;
 	forward_upstream_t *home;
 	forward_upstream_t *second = NULL;
-	forward_upstream_t *chosen;
+	forward_pick_t pick;
 	char id[16];
 
 	few.sample = 1;
@@ -339,33 +346,34 @@
 		g_snprintf(id, sizeof(id), "u%u", i);
 		list(*state, id, i + 1, FORWARD_SERVING);
 	}
-	forward_upstreams_choose(*state, &all, START, &home);
-	assert_true(forward_upstreams_unread(*state, &all, home, START) < 1000);
+	forward_upstreams_choose(*state, &all, START, &pick);
+	assert_true(pick.unread < 1000);
+	home = pick.upstream;
 	home->reading = 50000;
 	for (int i = 0; i < 50; i++) {
-		forward_upstreams_choose(*state, &few, START, &chosen);
-		assert_ptr_not_equal(chosen, home);
+		forward_upstreams_choose(*state, &few, START, &pick);
+		assert_ptr_not_equal(pick.upstream, home);
 		if (!second)
-			second = chosen;
-		assert_ptr_equal(chosen, second);
+			second = pick.upstream;
+		assert_ptr_equal(pick.upstream, second);
+		assert_true(pick.unread < 1000);
 	}
-	assert_true(forward_upstreams_unread(*state, &few, second, START) < 1000);
-	assert_true(forward_upstreams_unread(*state, &all, second, START) > 1000);
+	/* Where loads are known, it is a second place to nobody. */
+	LIST_FOR_EACH (it, forward_upstreams_list(*state)) {
+		forward_upstream_t *other =
+			LIST_ENTRY(it, forward_upstream_t, node);
+
+		other->running = other == second ? 0 : other->slots;
+	}
+	forward_upstreams_choose(*state, &all, START, &pick);
+	assert_ptr_equal(pick.upstream, second);
+	assert_true(pick.unread > 1000);
 	g_rand_free(random);
 }
 
 static void list_born(forward_upstreams_t *set, uint64_t revision, int64_t born)
 {
-	const forward_listing_t listing = { .id = "u1",
-					    .born = born,
-					    .service = "s",
-					    .address = "127.0.0.1",
-					    .port = 1,
-					    .zone = "a",
-					    .slots = 4,
-					    .revision = revision };
-
-	forward_upstreams_apply(set, &listing);
+	list_start(set, "u1", revision, FORWARD_SERVING, born);
 }
 
 /*
