Tests of gateways share their calls; the gossip's port is logged as others are

The rig asked for 'listen peers=' and the gateway logged 'listen port=', so the port was 0 and gateways of one test never were peers. The log line now has the form of the other two. What tests ask of gateways as callers and as the balancer moves out of test_gateway.c, as the next test needs it too.

--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -193,7 +193,7 @@
 		goto error;
 	peers->address =
 		g_strdup_printf("%s:%u", host, frame_link_port(peers->link));
-	log_line(G_LOG_LEVEL_INFO, PART, "listen port=%u",
+	log_line(G_LOG_LEVEL_INFO, PART, "listen peers=%u",
 		 frame_link_port(peers->link));
 	g_clear_pointer(&host, g_free);
 	gateway_peers_take_seeds(peers);
--- /dev/null
+++ b/tests/harness/gateway_calls.c
@@ -0,0 +1,57 @@
+/* Callers and the balancer's question before the gateways of a rig. */
+#include "tests/harness/gateway_calls.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+/* Says whether a caller was told TEXT by now. */
+bool rig_heard(rig_caller_t *caller, const char *text)
+{
+	rig_hear(caller);
+	return strstr(caller->got->str, text) != NULL;
+}
+
+/* Says whether a caller's connection was closed by now. */
+bool rig_is_closed(rig_caller_t *caller)
+{
+	rig_hear(caller);
+	return caller->closed;
+}
+
+/* Says whether a gateway tells the balancer that it takes callers. */
+bool rig_is_ready(gateway_rig_t *rig, int number)
+{
+	uint16_t port = rig_port(rig, number, "health");
+	rig_caller_t *caller;
+	bool ready;
+
+	if (!port)
+		return false;
+	caller = rig_call(rig, port,
+			  "GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n");
+	RIG_UNTIL(rig, rig_is_closed(caller));
+	ready = strstr(caller->got->str, "HTTP/1.1 200") != NULL;
+	rig_caller_destroy(caller);
+	return ready;
+}
+
+/* Sends a call with a body of four bytes; the caller owns what comes back. */
+rig_caller_t *rig_call_at(gateway_rig_t *rig, int number, const char *method,
+			  const char *path, const char *id)
+{
+	char *text = g_strdup_printf("%s %s HTTP/1.1\r\nHost: h\r\n"
+				     "X-Attempt-Id: %s\r\n"
+				     "X-Deadline-Ms: 3000\r\n"
+				     "Authorization: Bearer k\r\n"
+				     "Content-Length: 4\r\n\r\nbody",
+				     method, path, id);
+	rig_caller_t *caller =
+		rig_call(rig, rig_port(rig, number, "callers"), text);
+
+	g_free(text);
+	return caller;
+}
--- /dev/null
+++ b/tests/harness/gateway_calls.h
@@ -0,0 +1,13 @@
+/* What tests of gateways ask of them as callers and as the balancer. */
+#ifndef PISTACHIO_TEST_GATEWAY_CALLS_H
+#define PISTACHIO_TEST_GATEWAY_CALLS_H
+
+#include "tests/harness/gateway_rig.h"
+
+bool rig_heard(rig_caller_t *caller, const char *text);
+bool rig_is_closed(rig_caller_t *caller);
+bool rig_is_ready(gateway_rig_t *rig, int number);
+rig_caller_t *rig_call_at(gateway_rig_t *rig, int number, const char *method,
+			  const char *path, const char *id);
+
+#endif
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -9,35 +9,7 @@
 
 #include <cmocka.h>
 
-#include "tests/harness/gateway_rig.h"
-
-static bool heard(rig_caller_t *caller, const char *text)
-{
-	rig_hear(caller);
-	return strstr(caller->got->str, text) != NULL;
-}
-
-static bool is_closed(rig_caller_t *caller)
-{
-	rig_hear(caller);
-	return caller->closed;
-}
-
-static bool is_ready(gateway_rig_t *rig, int number)
-{
-	uint16_t port = rig_port(rig, number, "health");
-	rig_caller_t *caller;
-	bool ready;
-
-	if (!port)
-		return false;
-	caller = rig_call(rig, port,
-			  "GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n");
-	RIG_UNTIL(rig, is_closed(caller));
-	ready = strstr(caller->got->str, "HTTP/1.1 200") != NULL;
-	rig_caller_destroy(caller);
-	return ready;
-}
+#include "tests/harness/gateway_calls.h"
 
 static bool has_logged(gateway_rig_t *rig, int number, const char *text)
 {
@@ -72,7 +44,7 @@
 	rig_put_config(rig, 1, "");
 	for (int i = 0; i < 2; i++)
 		rig_put_upstream(rig, i, "ready");
-	RIG_UNTIL(rig, is_ready(rig, 0));
+	RIG_UNTIL(rig, rig_is_ready(rig, 0));
 	return 0;
 }
 
@@ -82,25 +54,9 @@
 	return 0;
 }
 
-static rig_caller_t *call_at(gateway_rig_t *rig, int number, const char *method,
-			     const char *path, const char *id)
-{
-	char *text = g_strdup_printf("%s %s HTTP/1.1\r\nHost: h\r\n"
-				     "X-Attempt-Id: %s\r\n"
-				     "X-Deadline-Ms: 3000\r\n"
-				     "Authorization: Bearer k\r\n"
-				     "Content-Length: 4\r\n\r\nbody",
-				     method, path, id);
-	rig_caller_t *caller =
-		rig_call(rig, rig_port(rig, number, "callers"), text);
-
-	g_free(text);
-	return caller;
-}
-
 static rig_caller_t *call(gateway_rig_t *rig, const char *path)
 {
-	return call_at(rig, 0, "POST", path, "c1");
+	return rig_call_at(rig, 0, "POST", path, "c1");
 }
 
 static unsigned int arrivals(const gateway_rig_t *rig)
@@ -144,9 +100,9 @@
 			 "chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n");
 	const char *last;
 
-	RIG_UNTIL(rig, heard(caller, "from "));
-	assert_true(heard(caller, "HTTP/1.1 200"));
-	assert_true(heard(caller, "X-Response-Seal: s"));
+	RIG_UNTIL(rig, rig_heard(caller, "from "));
+	assert_true(rig_heard(caller, "HTTP/1.1 200"));
+	assert_true(rig_heard(caller, "X-Response-Seal: s"));
 	last = last_request(rig);
 	assert_non_null(strstr(last, "PATCH /unsafe/x%20y?q=1&r\n"));
 	assert_non_null(strstr(last, "X-Tenant: mill\n"));
@@ -168,16 +124,16 @@
 	gateway_rig_t *rig = *state;
 	rig_caller_t *caller = call(rig, "/safe/");
 
-	RIG_UNTIL(rig, heard(caller, "\r\n\r\n"));
-	assert_true(heard(caller, "HTTP/1.1 503"));
-	assert_true(heard(caller, "Retry-After: "));
-	assert_false(is_ready(rig, 0));
+	RIG_UNTIL(rig, rig_heard(caller, "\r\n\r\n"));
+	assert_true(rig_heard(caller, "HTTP/1.1 503"));
+	assert_true(rig_heard(caller, "Retry-After: "));
+	assert_false(rig_is_ready(rig, 0));
 	rig_caller_destroy(caller);
 	rig_put_config(rig, 1, "");
 	rig_put_upstream(rig, 0, "ready");
-	RIG_UNTIL(rig, is_ready(rig, 0));
+	RIG_UNTIL(rig, rig_is_ready(rig, 0));
 	caller = call(rig, "/safe/");
-	RIG_UNTIL(rig, heard(caller, "HTTP/1.1 200"));
+	RIG_UNTIL(rig, rig_heard(caller, "HTTP/1.1 200"));
 	rig_caller_destroy(caller);
 }
 
@@ -186,12 +142,12 @@
 	gateway_rig_t *rig = *state;
 	rig_caller_t *caller = call(rig, "/nowhere/");
 
-	RIG_UNTIL(rig, heard(caller, "HTTP/1.1 404"));
+	RIG_UNTIL(rig, rig_heard(caller, "HTTP/1.1 404"));
 	rig_caller_destroy(caller);
 	caller = rig_call(rig, rig_port(rig, 0, "callers"),
 			  "GET /safe/ HTTP/1.1\r\nHost: h\r\n"
 			  "Authorization: Bearer wrong\r\n\r\n");
-	RIG_UNTIL(rig, heard(caller, "HTTP/1.1 401"));
+	RIG_UNTIL(rig, rig_heard(caller, "HTTP/1.1 401"));
 	assert_int_equal(arrivals(rig), 0);
 	rig_caller_destroy(caller);
 }
@@ -231,9 +187,9 @@
 
 	all_act(rig, RIG_CUT);
 	caller = call(rig, "/unsafe/");
-	RIG_UNTIL(rig, heard(caller, "\r\n\r\n"));
-	assert_true(heard(caller, "HTTP/1.1 502"));
-	assert_false(heard(caller, "Retry-After"));
+	RIG_UNTIL(rig, rig_heard(caller, "\r\n\r\n"));
+	assert_true(rig_heard(caller, "HTTP/1.1 502"));
+	assert_false(rig_heard(caller, "Retry-After"));
 	assert_int_equal(arrivals(rig), 1);
 	rig_caller_destroy(caller);
 }
@@ -250,8 +206,8 @@
 		rig->upstreams[0].act = acts[i];
 		for (int tries = 0; tries < 4; tries++) {
 			caller = call(rig, "/safe/");
-			RIG_UNTIL(rig, heard(caller, "from 1"));
-			assert_true(heard(caller, "HTTP/1.1 200"));
+			RIG_UNTIL(rig, rig_heard(caller, "from 1"));
+			assert_true(rig_heard(caller, "HTTP/1.1 200"));
 			rig_caller_destroy(caller);
 		}
 	}
@@ -265,9 +221,9 @@
 
 	all_act(rig, RIG_REJECT);
 	caller = call(rig, "/unsafe/");
-	RIG_UNTIL(rig, heard(caller, "\r\n\r\n"));
-	assert_true(heard(caller, "HTTP/1.1 503"));
-	assert_true(heard(caller, "Retry-After: "));
+	RIG_UNTIL(rig, rig_heard(caller, "\r\n\r\n"));
+	assert_true(rig_heard(caller, "HTTP/1.1 503"));
+	assert_true(rig_heard(caller, "Retry-After: "));
 	rig_caller_destroy(caller);
 }
 
@@ -282,9 +238,9 @@
 
 	all_act(rig, RIG_DOUBLE);
 	caller = call(rig, "/unsafe/");
-	RIG_UNTIL(rig, heard(caller, "from "));
-	assert_true(heard(caller, "X-Attempt-Id: c1"));
-	assert_false(heard(caller, "of-another-call"));
+	RIG_UNTIL(rig, rig_heard(caller, "from "));
+	assert_true(rig_heard(caller, "X-Attempt-Id: c1"));
+	assert_false(rig_heard(caller, "of-another-call"));
 	rig_caller_destroy(caller);
 }
 
@@ -316,7 +272,7 @@
 	for (int i = 0; i < 4; i++) {
 		rig_caller_t *caller = call(rig, "/stream/");
 
-		RIG_UNTIL(rig, heard(caller, "\r\n0\r\n\r\n"));
+		RIG_UNTIL(rig, rig_heard(caller, "\r\n0\r\n\r\n"));
 		assert_events(caller);
 		rig_caller_destroy(caller);
 	}
@@ -332,10 +288,10 @@
 
 	all_act(rig, RIG_STREAM_CUT);
 	caller = call(rig, "/once/");
-	RIG_UNTIL(rig, is_closed(caller));
-	assert_true(heard(caller, "id: 3\n"));
-	assert_false(heard(caller, "id: 4\n"));
-	assert_false(heard(caller, "\r\n0\r\n\r\n"));
+	RIG_UNTIL(rig, rig_is_closed(caller));
+	assert_true(rig_heard(caller, "id: 3\n"));
+	assert_false(rig_heard(caller, "id: 4\n"));
+	assert_false(rig_heard(caller, "\r\n0\r\n\r\n"));
 	assert_int_equal(arrivals(rig), 1);
 	rig_caller_destroy(caller);
 }
@@ -349,7 +305,7 @@
 
 	all_act(rig, RIG_HANG);
 	caller = call(rig, "/unsafe/");
-	RIG_UNTIL(rig, heard(caller, "HTTP/1.1 504"));
+	RIG_UNTIL(rig, rig_heard(caller, "HTTP/1.1 504"));
 	assert_true(uv_hrtime() - began < 3500000000);
 	assert_int_equal(arrivals(rig), 1);
 	rig_caller_destroy(caller);
@@ -365,10 +321,10 @@
 	caller = call(rig, "/unsafe/");
 	RIG_UNTIL(rig, arrivals(rig) == 1);
 	process_signal(rig->gateways[0], SIGTERM);
-	RIG_UNTIL(rig, !is_ready(rig, 0));
-	RIG_UNTIL(rig, heard(caller, "from "));
-	assert_true(heard(caller, "HTTP/1.1 200"));
-	assert_true(heard(caller, "Connection: close"));
+	RIG_UNTIL(rig, !rig_is_ready(rig, 0));
+	RIG_UNTIL(rig, rig_heard(caller, "from "));
+	assert_true(rig_heard(caller, "HTTP/1.1 200"));
+	assert_true(rig_heard(caller, "Connection: close"));
 	RIG_UNTIL(rig, process_ended(rig->gateways[0]));
 	assert_int_equal(rig->gateways[0]->status, 0);
 	rig_caller_destroy(caller);
@@ -382,12 +338,12 @@
 
 	all_act(rig, RIG_STREAM);
 	process_signal(rig->gateways[0], SIGTERM);
-	RIG_UNTIL(rig, !is_ready(rig, 0));
+	RIG_UNTIL(rig, !rig_is_ready(rig, 0));
 	told = uv_hrtime();
 	RIG_UNTIL(rig, uv_hrtime() - told > 2700000000);
 	rig_caller_t *caller = call(rig, "/stream/");
-	RIG_UNTIL(rig, heard(caller, "\r\n\r\n"));
-	assert_true(heard(caller, "HTTP/1.1 503"));
+	RIG_UNTIL(rig, rig_heard(caller, "\r\n\r\n"));
+	assert_true(rig_heard(caller, "HTTP/1.1 503"));
 	assert_int_equal(arrivals(rig), 0);
 	rig_caller_destroy(caller);
 }
@@ -400,12 +356,12 @@
 
 	rig_put_upstream(rig, 0, "draining");
 	caller = call(rig, "/safe/");
-	RIG_UNTIL(rig, heard(caller, "from "));
+	RIG_UNTIL(rig, rig_heard(caller, "from "));
 	rig_caller_destroy(caller);
 	before = rig->upstreams[0].arrivals;
 	for (int i = 0; i < 5; i++) {
 		caller = call(rig, "/safe/");
-		RIG_UNTIL(rig, heard(caller, "from 1"));
+		RIG_UNTIL(rig, rig_heard(caller, "from 1"));
 		rig_caller_destroy(caller);
 	}
 	assert_int_equal(rig->upstreams[0].arrivals, before);
@@ -425,24 +381,24 @@
 	unsigned int before;
 
 	rig_start(rig, 1);
-	RIG_UNTIL(rig, is_ready(rig, 1));
+	RIG_UNTIL(rig, rig_is_ready(rig, 1));
 	rig->stores[1].down = true;
 	rig_put_config(rig, 2, route);
 	rig_put_upstream(rig, 0, "draining");
-	caller = call_at(rig, 1, "GET", "/new/", "c1");
-	RIG_UNTIL(rig, heard(caller, "\r\n\r\n"));
+	caller = rig_call_at(rig, 1, "GET", "/new/", "c1");
+	RIG_UNTIL(rig, rig_heard(caller, "\r\n\r\n"));
 	/* The news takes a moment; after it there is no way back. */
 	while (!strstr(caller->got->str, "HTTP/1.1 200")) {
 		rig_caller_destroy(caller);
-		caller = call_at(rig, 1, "GET", "/new/", "c1");
-		RIG_UNTIL(rig, heard(caller, "\r\n\r\n"));
+		caller = rig_call_at(rig, 1, "GET", "/new/", "c1");
+		RIG_UNTIL(rig, rig_heard(caller, "\r\n\r\n"));
 	}
 	rig_caller_destroy(caller);
 	RIG_UNTIL(rig, rig->upstreams[1].arrivals > 0);
 	before = rig->upstreams[0].arrivals;
 	for (int i = 0; i < 4; i++) {
-		caller = call_at(rig, 1, "GET", "/new/", "c1");
-		RIG_UNTIL(rig, heard(caller, "from 1"));
+		caller = rig_call_at(rig, 1, "GET", "/new/", "c1");
+		RIG_UNTIL(rig, rig_heard(caller, "from 1"));
 		rig_caller_destroy(caller);
 	}
 	assert_true(rig->upstreams[0].arrivals <= before + 1);
@@ -460,7 +416,7 @@
 	uint64_t began;
 
 	rig_start(rig, 1);
-	RIG_UNTIL(rig, is_ready(rig, 1));
+	RIG_UNTIL(rig, rig_is_ready(rig, 1));
 	rig->stores[0].down = true;
 	RIG_UNTIL(rig, has_logged(rig, 0, "lost=upstreams"));
 	for (int i = 0; i < 2; i++) {
@@ -476,9 +432,9 @@
 	began = uv_hrtime();
 	RIG_UNTIL(rig, uv_hrtime() - began > 4000000000);
 	for (int number = 0; number < 2; number++) {
-		caller = call_at(rig, number, "GET", "/safe/", "c1");
-		RIG_UNTIL(rig, heard(caller, "\r\n\r\n"));
-		assert_true(heard(caller, "HTTP/1.1 200"));
+		caller = rig_call_at(rig, number, "GET", "/safe/", "c1");
+		RIG_UNTIL(rig, rig_heard(caller, "\r\n\r\n"));
+		assert_true(rig_heard(caller, "HTTP/1.1 200"));
 		rig_caller_destroy(caller);
 	}
 }
@@ -503,14 +459,14 @@
 	rig_remove(rig, "servers", "u1");
 	RIG_UNTIL(rig, has_logged(rig, 0, "id=u1 stage=gone"));
 	rig->upstreams[0].act = RIG_HANG;
-	safe = call_at(rig, 0, "GET", "/safe/x", "s1");
-	unsafe = call_at(rig, 0, "POST", "/unsafe/x", "n1");
+	safe = rig_call_at(rig, 0, "GET", "/safe/x", "s1");
+	unsafe = rig_call_at(rig, 0, "POST", "/unsafe/x", "n1");
 	RIG_UNTIL(rig, rig_runs(rig, "s1") && rig_runs(rig, "n1"));
 	rig_put_started(rig, 1, 1500);
 	RIG_UNTIL(rig, has_logged(rig, 0, "id=u1 stage=serving"));
 	rig_put_started(rig, 0, 2000);
-	RIG_UNTIL(rig, heard(safe, "HTTP/1.1 200"));
-	RIG_UNTIL(rig, heard(unsafe, "HTTP/1.1 502"));
+	RIG_UNTIL(rig, rig_heard(safe, "HTTP/1.1 200"));
+	RIG_UNTIL(rig, rig_heard(unsafe, "HTTP/1.1 502"));
 	assert_true(has_logged(rig, 0, "upstream restarted"));
 	assert_int_equal(rig_runs(rig, "n1"), 1);
 	rig_caller_destroy(safe);
@@ -537,7 +493,7 @@
 	assert_true(has_logged(rig, 0, "odd0"));
 	assert_false(has_logged(rig, 0, "odd19"));
 	caller = call(rig, "/safe/x");
-	RIG_UNTIL(rig, heard(caller, "HTTP/1.1 200"));
+	RIG_UNTIL(rig, rig_heard(caller, "HTTP/1.1 200"));
 	assert_int_equal(rig->upstreams[0].arrivals, 0);
 	rig_put_upstream(rig, 0, "ready");
 	RIG_UNTIL(rig, has_logged(rig, 0, "id=u0 stage=serving"));
@@ -551,7 +507,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 
 	rig_start(rig, 1);
-	RIG_UNTIL(rig, is_ready(rig, 1));
+	RIG_UNTIL(rig, rig_is_ready(rig, 1));
 	RIG_UNTIL(rig, rig->usage->len >= 2);
 	process_destroy(rig->gateways[0]);
 	rig->gateways[0] = NULL;
@@ -586,7 +542,7 @@
 	uint64_t begun = uv_hrtime() / 1000000;
 
 	/* The limit in the configuration is three seconds. */
-	RIG_UNTIL(rig, heard(caller, "HTTP/1.1 408"));
+	RIG_UNTIL(rig, rig_heard(caller, "HTTP/1.1 408"));
 	assert_true(uv_hrtime() / 1000000 - begun < 5000);
 	RIG_UNTIL(rig, (rig_hear(caller), caller->closed));
 	rig_caller_destroy(caller);
@@ -606,7 +562,7 @@
 					"Authorization: Bearer k\r\n"
 					"Content-Length: 4\r\n\r\nbo");
 
-	RIG_UNTIL(rig, heard(caller, "HTTP/1.1 408"));
+	RIG_UNTIL(rig, rig_heard(caller, "HTTP/1.1 408"));
 	assert_int_equal(arrivals(rig), 0);
 	rig_caller_destroy(caller);
 }
@@ -622,9 +578,9 @@
 
 	rig_put_config(rig, 2, route);
 	while (!served && uv_hrtime() / 1000000 < until) {
-		rig_caller_t *caller = call_at(rig, 0, "GET", "/new/", "c1");
+		rig_caller_t *caller = rig_call_at(rig, 0, "GET", "/new/", "c1");
 
-		RIG_UNTIL(rig, heard(caller, "\r\n\r\n"));
+		RIG_UNTIL(rig, rig_heard(caller, "\r\n\r\n"));
 		served = strstr(caller->got->str, "HTTP/1.1 200") != NULL;
 		rig_caller_destroy(caller);
 	}
@@ -674,7 +630,7 @@
 	process_signal(rig->gateways[0], SIGHUP);
 	RIG_UNTIL(rig, has_logged(rig, 0, "settings: reload"));
 	caller = call(rig, "/safe/");
-	RIG_UNTIL(rig, heard(caller, "HTTP/1.1 200"));
+	RIG_UNTIL(rig, rig_heard(caller, "HTTP/1.1 200"));
 	rig_caller_destroy(caller);
 }
 
