Limits of accounts hold over kills of all gateways

Callers of other accounts waited while an account that floods got more than its limit allows: all gateways killed, upstreams ran up to 12.6 % more of its tokens in eight seconds. Without the kill the rule holds.

Cause: what accounts had used was known to nobody after the kill, so each start guessed 0.15 of a bucket; each gateway granted at least one request a round whatever its share; and whoever follows a hub took the first sum that it heard for what was used before its start, so what all others granted meanwhile never left its bucket. In half a second after a start 1.6 buckets went out.

Now the fleet's record also holds the level and the demand of each account; a start takes half of the level, or all of a debt, and whoever could not read the record starts with nothing. Where callers ask for more than flows in and what is left covers, each request is granted by lot, so the sum does not grow with the number of gateways or the size of requests.

--- a/adapters/gateway/fleet_record.c
+++ b/adapters/gateway/fleet_record.c
@@ -14,11 +14,18 @@
 	g_free((char *)((usage_entry_t *)data)->account);
 }
 
+static void account_clear(void *data)
+{
+	g_free(((account_record_t *)data)->account);
+}
+
 /* Returns a record that says nothing; the caller owns it. */
 fleet_record_t *fleet_record_create(void)
 {
 	fleet_record_t *record = g_new0(fleet_record_t, 1);
 
+	record->accounts = g_array_new(FALSE, TRUE, sizeof(account_record_t));
+	g_array_set_clear_func(record->accounts, account_clear);
 	record->counts = g_array_new(FALSE, TRUE, sizeof(usage_entry_t));
 	g_array_set_clear_func(record->counts, count_clear);
 	return record;
@@ -29,10 +36,20 @@
 {
 	if (!record)
 		return;
+	g_array_unref(record->accounts);
 	g_array_unref(record->counts);
 	g_free(record);
 }
 
+/* Adds what is left of an account's limit. */
+void fleet_record_account(fleet_record_t *record, const char *account,
+			  double level, double demand)
+{
+	const account_record_t entry = { g_strdup(account), level, demand };
+
+	g_array_append_val(record->accounts, entry);
+}
+
 /* Adds the count of an account in a window. */
 void fleet_record_count(fleet_record_t *record, int64_t window,
 			const char *account, uint64_t count)
@@ -50,6 +67,23 @@
 	return number > 0 ? (uint64_t)number : 0;
 }
 
+static void read_accounts(fleet_record_t *record, json_t *accounts)
+{
+	const char *account;
+	json_t *pair;
+
+	json_object_foreach(accounts, account, pair)
+	{
+		const json_t *level = json_array_get(pair, 0);
+		const json_t *demand = json_array_get(pair, 1);
+
+		if (json_is_integer(level) && json_is_integer(demand))
+			fleet_record_account(record, account,
+					     (double)json_integer_value(level),
+					     (double)natural(demand));
+	}
+}
+
 static void read_counts(fleet_record_t *record, json_t *windows)
 {
 	const char *window;
@@ -81,11 +115,27 @@
 	record->gateways =
 		(unsigned int)MIN(natural(json_object_get(root, "gateways")),
 				  GATEWAYS_MAX);
+	read_accounts(record, json_object_get(root, "accounts"));
 	read_counts(record, json_object_get(root, "windows"));
 	json_decref(root);
 	return record;
 }
 
+static json_t *write_accounts(const fleet_record_t *record)
+{
+	json_t *accounts = json_object();
+
+	for (guint i = 0; i < record->accounts->len; i++) {
+		const account_record_t *entry =
+			&g_array_index(record->accounts, account_record_t, i);
+
+		json_object_set_new(accounts, entry->account,
+				    json_pack("[I, I]", (json_int_t)entry->level,
+					      (json_int_t)entry->demand));
+	}
+	return accounts;
+}
+
 static json_t *write_counts(const fleet_record_t *record)
 {
 	json_t *windows = json_object();
@@ -110,8 +160,10 @@
 /* Returns the record as text, owned by the caller. */
 char *fleet_record_write(const fleet_record_t *record)
 {
-	json_t *root = json_pack("{s:i, s:o}", "gateways", (int)record->gateways,
-				 "windows", write_counts(record));
+	json_t *root = json_pack("{s:i, s:o, s:o}", "gateways",
+				 (int)record->gateways, "accounts",
+				 write_accounts(record), "windows",
+				 write_counts(record));
 	char *text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
 	char *copy = g_strdup(text);
 
--- a/adapters/gateway/fleet_record.h
+++ b/adapters/gateway/fleet_record.h
@@ -1,6 +1,7 @@
 /*
  * What all gateways know together and none may forget, as it lies in the store:
- * how many they are and what their counts of usage are. Whoever starts reads it.
+ * how many they are, what accounts have left of their limits, and the counts of
+ * usage. Whoever starts reads it.
  */
 #ifndef PISTACHIO_GATEWAY_FLEET_RECORD_H
 #define PISTACHIO_GATEWAY_FLEET_RECORD_H
@@ -10,14 +11,24 @@
 #include "core/error.h"
 #include "core/forward/usage.h"
 
+/* What is left of an account's limit, and what its callers ask for. */
+typedef struct account_record {
+	char *account;
+	double level; /* of the bucket that all gateways share, in tokens */
+	double demand; /* in tokens a second, refused ones included */
+} account_record_t;
+
 typedef struct fleet_record {
 	unsigned int gateways; /* that share what is limited in sum */
+	GArray *accounts; /* of account_record_t */
 	GArray *counts; /* of usage_entry_t, with names of their own */
 } fleet_record_t;
 
 fleet_record_t *fleet_record_create(void);
 fleet_record_t *fleet_record_read(const char *text, pd_error_t *err);
 void fleet_record_destroy(fleet_record_t *record);
+void fleet_record_account(fleet_record_t *record, const char *account,
+			  double level, double demand);
 void fleet_record_count(fleet_record_t *record, int64_t window,
 			const char *account, uint64_t count);
 char *fleet_record_write(const fleet_record_t *record);
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -202,6 +202,23 @@
 	usage_forget(gateway->usage, window - WINDOWS_HELD);
 }
 
+/*
+ * Has the buckets of all accounts there, also of those of which no request came
+ * yet, as others go by this gateway's levels. Not before the record was read: a
+ * bucket that is there keeps its level.
+ */
+static void know_accounts(gateway_t *gateway, pd_time_t now)
+{
+	const forward_config_t *config = gateway->config;
+
+	if (!gateway_is_set_up(gateway) || gateway->limits_version == config->version)
+		return;
+	gateway->limits_version = config->version;
+	for (guint i = 0; i < config->accounts->len; i++)
+		token_limits_know(gateway->limits,
+				  g_ptr_array_index(config->accounts, i), now);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	gateway_t *gateway = timer->data;
@@ -215,7 +232,10 @@
 	callers_run(gateway, now);
 	upstream_links_run(gateway, now);
 	gateway_peers_run(gateway->peers, now);
+	know_accounts(gateway, now);
 	token_limits_set_entries(gateway->limits, gateway_count(gateway));
+	token_limits_set_lag(gateway->limits,
+			     gateway_peers_lag(gateway->peers, now));
 	work_rate_run(gateway->work, now);
 	gateway_duties_run(gateway->duties, now);
 	gateway_reload_run(gateway, now);
@@ -322,6 +342,7 @@
 	gateway->vote = time_vote_create();
 	gateway->metrics = metrics_create();
 	gateway->random = g_rand_new();
+	token_limits_seed(gateway->limits, g_rand_int(gateway->random));
 	list_init(&gateway->callers);
 	list_init(&gateway->requests);
 	for (int i = 0; i < GATEWAY_RANKS; i++)
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -33,6 +33,7 @@
 	bool upstreams_known; /* a whole listing was read, here or by a peer */
 	forward_upstreams_t *upstreams;
 	token_limits_t *limits;
+	uint64_t limits_version; /* of the configuration whose accounts it knows */
 	retry_windows_t *retries;
 	usage_t *usage;
 	int64_t usage_window; /* that it was when old counts were dropped last */
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -47,10 +47,11 @@
 	return digest;
 }
 
-/* Names with numbers, gathered before they are packed: the count goes first. */
+/* Use by account, gathered before it is packed: the count goes first. */
 typedef struct sums {
-	GHashTable *values; /* name -> double */
-	GHashTable *levels; /* account -> double, if known; of totals only */
+	GHashTable *totals; /* account -> double */
+	GHashTable *asked; /* account -> double */
+	GHashTable *levels; /* account -> double, if known */
 } sums_t;
 
 static void sums_add(GHashTable *values, const char *name, double amount)
@@ -77,38 +78,62 @@
 {
 	sums_t *sums = ctx;
 
-	sums_add(sums->values, account, use->total);
+	sums_add(sums->totals, account, use->total);
+	sums_add(sums->asked, account, use->asked);
 	if (use->has_level)
 		sums_add(sums->levels, account, use->level);
 }
 
+static void pack_use(msgpack_packer *packer, const char *account,
+		     const token_use_t *use)
+{
+	msgpack_pack_array(packer, USE_FIELDS);
+	pack_text(packer, account);
+	msgpack_pack_uint64(packer, (uint64_t)MAX(use->total, 0));
+	if (use->has_level)
+		msgpack_pack_float(packer, (float)use->level);
+	else
+		msgpack_pack_nil(packer);
+	msgpack_pack_uint64(packer, (uint64_t)MAX(use->asked, 0));
+}
+
+static void pack_sum(msgpack_packer *packer, const sums_t *sums,
+		     const char *account, double total)
+{
+	const double *asked = g_hash_table_lookup(sums->asked, account);
+	const double *level = g_hash_table_lookup(sums->levels, account);
+	const token_use_t use = {
+		.total = total,
+		.asked = asked ? *asked : 0,
+		.has_level = level != NULL,
+		.level = level ? *level : 0,
+	};
+
+	pack_use(packer, account, &use);
+}
+
 /* Packs what each account used, here or at all but EXCEPT, and the levels. */
 static void pack_totals(msgpack_packer *packer, const gateway_peers_t *peers,
 			const peer_t *except)
 {
-	sums_t sums = { peers_values_create(), peers_values_create() };
+	sums_t sums = { peers_values_create(), peers_values_create(),
+			peers_values_create() };
 	GHashTableIter iter;
-	gpointer name;
-	gpointer value;
+	gpointer account;
+	gpointer total;
 
 	token_limits_each(peers->gateway->limits, gateway_now(), add_own_total,
 			  &sums);
-	if (except)
-		add_peers(sums.values, peers->totals, except->totals);
-	msgpack_pack_array(packer, g_hash_table_size(sums.values));
-	g_hash_table_iter_init(&iter, sums.values);
-	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		const double *level = g_hash_table_lookup(sums.levels, name);
-
-		msgpack_pack_array(packer, 3);
-		pack_text(packer, name);
-		msgpack_pack_uint64(packer, (uint64_t)MAX(*(double *)value, 0));
-		if (level)
-			msgpack_pack_float(packer, (float)*level);
-		else
-			msgpack_pack_nil(packer);
+	if (except) {
+		add_peers(sums.totals, peers->totals, except->totals);
+		add_peers(sums.asked, peers->asked, except->asked);
 	}
-	g_hash_table_unref(sums.values);
+	msgpack_pack_array(packer, g_hash_table_size(sums.totals));
+	g_hash_table_iter_init(&iter, sums.totals);
+	while (g_hash_table_iter_next(&iter, &account, &total))
+		pack_sum(packer, &sums, account, *(double *)total);
+	g_hash_table_unref(sums.totals);
+	g_hash_table_unref(sums.asked);
 	g_hash_table_unref(sums.levels);
 }
 
@@ -138,14 +163,14 @@
 	g_hash_table_unref(sums);
 }
 
-/* Counts of usage, packed before their number is known, which goes first. */
-typedef struct usage_writer {
+/* Items of a list, packed before their number is known, which goes first. */
+typedef struct list_writer {
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
 	uint32_t count;
-} usage_writer_t;
+} list_writer_t;
 
-static void usage_writer_init(usage_writer_t *writer)
+static void list_writer_init(list_writer_t *writer)
 {
 	writer->count = 0;
 	msgpack_sbuffer_init(&writer->buffer);
@@ -155,7 +180,7 @@
 
 static void pack_usage(void *ctx, const usage_entry_t *entry)
 {
-	usage_writer_t *writer = ctx;
+	list_writer_t *writer = ctx;
 
 	writer->count++;
 	msgpack_pack_array(&writer->packer, 4);
@@ -166,8 +191,8 @@
 }
 
 /* Appends what was gathered to a message, and frees it. */
-static void usage_writer_end(usage_writer_t *writer, msgpack_sbuffer *out,
-			     msgpack_packer *packer)
+static void list_writer_end(list_writer_t *writer, msgpack_sbuffer *out,
+			    msgpack_packer *packer)
 {
 	msgpack_pack_array(packer, writer->count);
 	msgpack_sbuffer_write(out, writer->buffer.data, writer->buffer.size);
@@ -178,30 +203,47 @@
 			const gateway_t *gateway)
 {
 	int64_t from = gateway_window(gateway) - WINDOWS_TOLD;
-	usage_writer_t writer;
+	list_writer_t writer;
 
-	usage_writer_init(&writer);
+	list_writer_init(&writer);
 	usage_each_own(gateway->usage, from, pack_usage, &writer);
-	usage_writer_end(&writer, out, packer);
+	list_writer_end(&writer, out, packer);
+}
+
+static void add_new_use(void *ctx, const char *account, const token_use_t *use)
+{
+	list_writer_t *writer = ctx;
+
+	writer->count++;
+	pack_use(&writer->packer, account, use);
 }
 
-/* Packs the counts of usage that have grown since the last time; returns how many. */
+/*
+ * Packs what has changed since the last time of what is on record: usage, and the
+ * use of limits. Returns how many numbers that are.
+ */
 unsigned int peers_pack_counts(msgpack_sbuffer *buffer, gateway_peers_t *peers)
 {
-	usage_writer_t writer;
+	list_writer_t usage;
+	list_writer_t uses;
 	msgpack_packer packer;
 
-	usage_writer_init(&writer);
-	usage_each_news(peers->gateway->usage, pack_usage, &writer);
+	list_writer_init(&usage);
+	list_writer_init(&uses);
+	usage_each_news(peers->gateway->usage, pack_usage, &usage);
+	token_limits_each_news(peers->gateway->limits, gateway_now(),
+			       add_new_use, &uses);
 	msgpack_packer_init(&packer, buffer, msgpack_sbuffer_write);
 	msgpack_pack_array(&packer, COUNTS_FIELDS);
 	msgpack_pack_uint8(&packer, MESSAGE_COUNTS);
+	pack_text(&packer, peers->address);
 	pack_text(&packer, peers->incarnation);
-	usage_writer_end(&writer, buffer, &packer);
-	return writer.count;
+	list_writer_end(&usage, buffer, &packer);
+	list_writer_end(&uses, buffer, &packer);
+	return usage.count + uses.count;
 }
 
-/* Sends the counts of usage that have grown since the last time, if any has. */
+/* Sends what has changed of what is on record, if anything has. */
 void peers_send_counts(gateway_peers_t *peers, const peer_t *peer)
 {
 	msgpack_sbuffer buffer;
@@ -352,6 +394,8 @@
 
 	msgpack_sbuffer_init(&buffer);
 	peers_pack_state(&buffer, peers, asks, full);
+	if (asks)
+		token_limits_told(peers->gateway->limits);
 	peers_send(peers, peer, &buffer);
 	msgpack_sbuffer_destroy(&buffer);
 }
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -14,7 +14,7 @@
 	MESSAGE_ANNOUNCE, /* the version of a configuration just taken */
 	MESSAGE_CONFIG,
 	MESSAGE_FETCH, /* asks for what the sender lacks */
-	MESSAGE_COUNTS /* usage since the last one, to who keeps the record */
+	MESSAGE_COUNTS /* what changed since the last, to who keeps the record */
 } message_kind_t;
 
 /* The fields of a state and a summary, in their order on the wire. */
@@ -73,7 +73,8 @@
 
 #define NEWS_FIELDS 4 /* kind, sender, whether these are all, upstreams */
 #define FETCH_FIELDS 4 /* kind, sender, what, digests or marks */
-#define COUNTS_FIELDS 3 /* kind, sender's start, usage */
+#define USE_FIELDS 4 /* account, total, level or nil, asked */
+#define COUNTS_FIELDS 5 /* kind, sender, its start, usage, use of limits */
 /* An upstream in full, and just its mark, stage, revision and start. */
 #define NEWS_FULL_FIELDS 10
 #define NEWS_BRIEF_FIELDS 4
@@ -114,6 +115,7 @@
 	pd_time_t passed_over_until; /* as a hub, for it did not answer */
 	GArray *loads; /* of load_t */
 	GHashTable *totals; /* account -> double */
+	GHashTable *asked; /* account -> double */
 	GHashTable *works; /* service -> double */
 } peer_t;
 
@@ -128,6 +130,7 @@
 	peer_view_t view;
 	unsigned int told_count; /* gateways, as the hub counts them */
 	GHashTable *totals; /* account -> double: the sum over all peers */
+	GHashTable *asked; /* account -> double: the same */
 	GHashTable *works; /* service -> double: the same */
 	msgpack_sbuffer loads_packed; /* the loads of all, for summaries */
 	pd_time_t loads_packed_at;
@@ -151,8 +154,8 @@
 	pd_time_t fetch_pause; /* before upstreams are fetched again */
 	uint64_t fetched_for; /* the two digests that differed then */
 	GHashTable *news; /* ids of upstreams to tell about */
-	GHashTable *asked; /* marks of unknown upstreams, until fetched */
-	pd_time_t asked_at; /* when these were begun to be gathered */
+	GHashTable *wanted; /* marks of unknown upstreams, until fetched */
+	pd_time_t wanted_at; /* when these were begun to be gathered */
 };
 
 GHashTable *peers_values_create(void);
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -69,31 +69,75 @@
 	*known = value;
 }
 
-/* Takes what the accounts used; PART, if not NULL, keeps it for summaries. */
-static void take_totals(gateway_t *gateway, const char *who,
-			const msgpack_object *object, bool adopt, bool recent,
-			const part_t *part)
+/* What a message says of one account's use. */
+typedef struct use_told {
+	char *account; /* owned */
+	double total;
+	double asked;
+	bool has_level;
+	double level;
+} use_told_t;
+
+/* Reads an account's use; false if it is not one. */
+static bool read_use(const msgpack_object *object, use_told_t *use)
 {
+	const msgpack_object *fields = peers_items(object, USE_FIELDS, NULL);
+
+	if (!fields)
+		return false;
+	use->account = peers_text(&fields[0]);
+	use->total = peers_decimal(&fields[1]);
+	use->has_level = fields[2].type != MSGPACK_OBJECT_NIL;
+	use->level = peers_decimal(&fields[2]);
+	use->asked = peers_decimal(&fields[3]);
+	return use->account != NULL;
+}
+
+/* Takes what accounts used at a peer; ADOPT: it knows the levels better. */
+static void take_uses(gateway_peers_t *peers, peer_t *peer,
+		      const msgpack_object *object, bool adopt, bool recent)
+{
+	const part_t totals = { peer->totals, peers->totals };
+	const part_t asked = { peer->asked, peers->asked };
+	token_limits_t *limits = peers->gateway->limits;
+	pd_time_t now = gateway_now();
 	uint32_t count = 0;
 	const msgpack_object *items = peers_items(object, 0, &count);
-	pd_time_t now = gateway_now();
+	use_told_t use;
 
 	for (uint32_t i = 0; i < count; i++) {
-		const msgpack_object *fields = peers_items(&items[i], 3, NULL);
-		char *account = fields ? peers_text(&fields[0]) : NULL;
-		double total;
+		if (!read_use(&items[i], &use))
+			continue;
+		if (adopt && use.has_level)
+			token_limits_adopt(limits, use.account, use.level, now);
+		token_limits_heard(limits, use.account, peer->incarnation,
+				   use.total, recent, now);
+		token_limits_asked(limits, use.account, peer->incarnation,
+				   use.asked, now);
+		part_set(&totals, use.account, use.total);
+		part_set(&asked, use.account, use.asked);
+		g_free(use.account);
+	}
+}
 
-		if (!account)
+/* Takes what accounts used at all but this gateway, and the levels, from a hub. */
+static void take_sums(gateway_peers_t *peers, const msgpack_object *object)
+{
+	token_limits_t *limits = peers->gateway->limits;
+	pd_time_t now = gateway_now();
+	uint32_t count = 0;
+	const msgpack_object *items = peers_items(object, 0, &count);
+	use_told_t use;
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (!read_use(&items[i], &use))
 			continue;
-		total = peers_decimal(&fields[1]);
-		if (adopt && fields[2].type != MSGPACK_OBJECT_NIL)
-			token_limits_adopt(gateway->limits, account,
-					   peers_decimal(&fields[2]), now);
-		token_limits_heard(gateway->limits, account, who, total, recent,
-				   now);
-		if (part)
-			part_set(part, account, total);
-		g_free(account);
+		token_limits_heard(limits, use.account, EVERYBODY, use.total,
+				   false, now);
+		token_limits_asked(limits, use.account, EVERYBODY, use.asked, now);
+		if (use.has_level)
+			token_limits_follow(limits, use.account, use.level, now);
+		g_free(use.account);
 	}
 }
 
@@ -323,12 +367,11 @@
 	take_members(peers, &fields[STATE_MEMBERS]);
 	/* Whoever follows a hub has this peer in the hub's sums already. */
 	if (!peers->hub) {
-		const part_t totals = { peer->totals, peers->totals };
 		const part_t works = { peer->works, peers->works };
 
-		take_totals(gateway, peer->incarnation, &fields[STATE_TOTALS],
-			    peer_knows_more(peers, age),
-			    (pd_time_t)age < limits_window(peers), &totals);
+		take_uses(peers, peer, &fields[STATE_TOTALS],
+			  peer_knows_more(peers, age),
+			  (pd_time_t)age < limits_window(peers));
 		take_works(gateway, peer->incarnation, &fields[STATE_WORKS],
 			   &works);
 		peers_take_own_loads(peers, peer->loads, &fields[STATE_LOADS]);
@@ -362,9 +405,7 @@
 	peers->told_count = (unsigned int)peers_number(&fields[STATE_COUNT]);
 	time_vote_follow(gateway->vote,
 			 (pd_time_t)peers_number(&fields[STATE_WALL]), now);
-	take_totals(gateway, EVERYBODY, &fields[STATE_TOTALS],
-		    peer_knows_more(peers, peers_number(&fields[STATE_AGE])),
-		    false, NULL);
+	take_sums(peers, &fields[STATE_TOTALS]);
 	take_works(gateway, EVERYBODY, &fields[STATE_WORKS], NULL);
 	take_speeds(gateway, &fields[STATE_SPEEDS]);
 	peers_take_all_loads(peers, &fields[STATE_LOADS]);
@@ -399,11 +440,11 @@
 {
 	pd_time_t now = gateway_now();
 
-	if (now - peers->asked_at > FETCH_PERIOD) {
-		g_hash_table_remove_all(peers->asked);
-		peers->asked_at = now;
+	if (now - peers->wanted_at > FETCH_PERIOD) {
+		g_hash_table_remove_all(peers->wanted);
+		peers->wanted_at = now;
 	}
-	return g_hash_table_add(peers->asked, GSIZE_TO_POINTER(mark));
+	return g_hash_table_add(peers->wanted, GSIZE_TO_POINTER(mark));
 }
 
 /*
@@ -555,13 +596,20 @@
 
 static int take_counts(gateway_peers_t *peers, const msgpack_object *fields)
 {
-	char *who = peers_text(&fields[1]);
-
-	if (!who)
-		return -1;
-	take_usages(peers->gateway, who, &fields[2], usage_keep);
+	char *address = peers_text(&fields[1]);
+	char *who = peers_text(&fields[2]);
+	peer_t *peer = address ? peers_find(peers, address) : NULL;
+	int rc;
+
+	if (who)
+		take_usages(peers->gateway, who, &fields[3], usage_keep);
+	/* What it had used before it was first heard comes with its state. */
+	if (peer && who && !g_strcmp0(peer->incarnation, who) && !peers->hub)
+		take_uses(peers, peer, &fields[4], false, true);
+	rc = address && who ? 0 : -1;
+	g_free(address);
 	g_free(who);
-	return 0;
+	return rc;
 }
 
 static int take_message(gateway_peers_t *peers, const msgpack_object *object)
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -26,6 +26,8 @@
  * lost when all gateways are killed, so it is a small part of a window.
  */
 #define COUNTS_PERIOD (100 * PD_MSEC)
+/* Halves of periods until a state has come back in a summary to the slowest. */
+#define LAG_PERIODS_2 5
 /* A peer not heard for so long runs nothing any more, as far as loads go. */
 #define LOAD_KEPT (2 * PD_SEC)
 /* A hub that has not answered for so long is passed over for a while. */
@@ -97,6 +99,7 @@
 	peer->added_at = gateway_now();
 	peer->loads = loads_create();
 	peer->totals = peers_values_create();
+	peer->asked = peers_values_create();
 	peer->works = peers_values_create();
 	list_append(&peers->list, &peer->node);
 	g_hash_table_insert(peers->by_address, peer->address, peer);
@@ -123,6 +126,7 @@
 void peers_forget_counts(gateway_peers_t *peers, peer_t *peer)
 {
 	sum_without(peers->totals, peer->totals);
+	sum_without(peers->asked, peer->asked);
 	sum_without(peers->works, peer->works);
 }
 
@@ -134,6 +138,7 @@
 	list_remove(&peer->node);
 	g_array_unref(peer->loads);
 	g_hash_table_unref(peer->totals);
+	g_hash_table_unref(peer->asked);
 	g_hash_table_unref(peer->works);
 	g_free(peer->address);
 	g_free(peer->host);
@@ -182,10 +187,11 @@
 	peers->loads_told = loads_create();
 	peers->by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	peers->totals = peers_values_create();
+	peers->asked = peers_values_create();
 	peers->works = peers_values_create();
 	msgpack_sbuffer_init(&peers->loads_packed);
 	peers->news = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	peers->asked = g_hash_table_new(g_direct_hash, g_direct_equal);
+	peers->wanted = g_hash_table_new(g_direct_hash, g_direct_equal);
 	list_init(&peers->list);
 	if (!gateway_split_address(settings->peers_listen, &host, &config.port)) {
 		pd_error_set(err, PD_ERROR_SETTINGS, "peers.listen: %s",
@@ -210,9 +216,10 @@
 	g_array_unref(peers->loads_told);
 	g_hash_table_unref(peers->by_address);
 	g_hash_table_unref(peers->totals);
+	g_hash_table_unref(peers->asked);
 	g_hash_table_unref(peers->works);
 	g_hash_table_unref(peers->news);
-	g_hash_table_unref(peers->asked);
+	g_hash_table_unref(peers->wanted);
 	g_free(peers);
 	return NULL;
 }
@@ -379,6 +386,14 @@
 	peers_send_counts(peers, first[0]);
 }
 
+/* Returns how long it takes until all gateways know what one has done. */
+pd_time_t gateway_peers_lag(gateway_peers_t *peers, pd_time_t now)
+{
+	if (peers_is_mesh(peers, now))
+		return MESH_PERIOD * 2;
+	return hub_period(peers, now) * LAG_PERIODS_2 / 2;
+}
+
 /* After how long without news of the store each gateway asks for itself. */
 pd_time_t peers_store_stale(gateway_peers_t *peers, pd_time_t now)
 {
--- a/adapters/gateway/recorder.c
+++ b/adapters/gateway/recorder.c
@@ -37,6 +37,7 @@
 struct gateway_recorder {
 	gateway_t *gateway;
 	pd_time_t started_at;
+	bool settled; /* the wait for the first read is over */
 	bool known; /* the object's revision, or that there is none */
 	pd_time_t known_at; /* when that was learned last; 0: never */
 	uint64_t revision; /* of the object; 0: there is none */
@@ -60,7 +61,8 @@
 /* Says whether the record was read, or is not waited for any longer. */
 bool gateway_recorder_is_settled(const gateway_recorder_t *recorder, pd_time_t now)
 {
-	return recorder->known || now - recorder->started_at > WAIT_MAX;
+	return recorder->known || recorder->settled ||
+	       now - recorder->started_at > WAIT_MAX;
 }
 
 /*
@@ -108,6 +110,21 @@
 	usage_recorded(recorder->gateway->usage);
 }
 
+/* Levels are of use to a start only; later the peers' are newer. */
+static void restore_accounts(gateway_recorder_t *recorder,
+			     const fleet_record_t *record)
+{
+	pd_time_t now = gateway_now();
+
+	for (guint i = 0; i < record->accounts->len; i++) {
+		const account_record_t *entry =
+			&g_array_index(record->accounts, account_record_t, i);
+
+		token_limits_restore(recorder->gateway->limits, entry->account,
+				     entry->level, entry->demand, now);
+	}
+}
+
 static void recorder_adopt(gateway_recorder_t *recorder, const char *text)
 {
 	pd_error_t err;
@@ -122,9 +139,12 @@
 	else
 		usage_adopt(recorder->gateway->usage, record->counts);
 	recorder->gateways = record->gateways;
+	restore_accounts(recorder, record);
 	log_line(G_LOG_LEVEL_INFO, PART,
-		 "taken revision=%" G_GUINT64_FORMAT " gateways=%u counts=%u",
-		 recorder->revision, record->gateways, record->counts->len);
+		 "taken revision=%" G_GUINT64_FORMAT
+		 " gateways=%u accounts=%u counts=%u",
+		 recorder->revision, record->gateways, record->accounts->len,
+		 record->counts->len);
 	fleet_record_destroy(record);
 }
 
@@ -228,14 +248,32 @@
 	fleet_record_count(ctx, entry->window, entry->account, entry->count);
 }
 
+typedef struct account_writer {
+	const token_limits_t *limits;
+	fleet_record_t *record;
+	pd_time_t now;
+} account_writer_t;
+
+static void add_account(void *ctx, const char *account, const token_use_t *use)
+{
+	const account_writer_t *writer = ctx;
+
+	if (use->has_level)
+		fleet_record_account(writer->record, account, use->level,
+				     token_limits_demand(writer->limits,
+							 account, writer->now));
+}
+
 /* Returns what is to be on record now, owned by the caller. */
 static char *recorder_compose(const gateway_recorder_t *recorder)
 {
 	gateway_t *gateway = recorder->gateway;
 	fleet_record_t *record = fleet_record_create();
+	account_writer_t accounts = { gateway->limits, record, gateway_now() };
 	char *text;
 
 	record->gateways = gateway_count(gateway);
+	token_limits_each(gateway->limits, accounts.now, add_account, &accounts);
 	usage_compose(gateway->usage, gateway_window(gateway) - WINDOWS_KEPT + 1,
 		      add_count, record);
 	text = fleet_record_write(record);
@@ -261,9 +299,25 @@
 	g_free(body);
 }
 
+/*
+ * Ends the wait of a start for the record. What accounts have used is not known
+ * then; taken for nothing, each kill of all would grant their limits once more.
+ */
+static void end_wait(gateway_recorder_t *recorder, pd_time_t now)
+{
+	if (recorder->settled || !gateway_recorder_is_settled(recorder, now))
+		return;
+	recorder->settled = true;
+	if (recorder->known)
+		return;
+	token_limits_begin_empty(recorder->gateway->limits);
+	log_line(G_LOG_LEVEL_WARNING, PART, "not read in time, limits start empty");
+}
+
 /* Reads the record at the start, and writes it if this gateway goes first. */
 void gateway_recorder_run(gateway_recorder_t *recorder, pd_time_t now)
 {
+	end_wait(recorder, now);
 	if (recorder->waiting || now < recorder->next_at)
 		return;
 	if (!recorder->known) {
--- a/core/forward/token_limits.c
+++ b/core/forward/token_limits.c
@@ -1,4 +1,7 @@
-/* Buckets of the client accounts, shared by all entries. */
+/*
+ * Buckets of the client accounts, shared by all entries. token-limits-notes.md
+ * adds up what they grant at worst.
+ */
 #include "core/forward/token_limits.h"
 
 /*
@@ -33,12 +36,21 @@
 #define CLUMP 3
 #define CLUMP_LEVEL 0.25
 /*
- * What a bucket holds at the start of an entry that does not know what was used
- * before. That much fits beside a bucket that was emptied just before all
- * entries were killed; with nothing, callers within their limits were refused
- * for seconds after each such kill.
+ * What a bucket holds at the start of an entry if nothing at all is on record of
+ * the account, as it is new.
  */
 #define START_PART 0.15
+/*
+ * What a start takes of the level on record, which is some 0.2 s old when all
+ * entries are killed: in that time a level falls by less than this, see
+ * token-limits-notes.md. With a quarter, 333 requests of accounts within limits
+ * were refused on six days with two kills of all each, with half of it 40.
+ */
+#define RECORD_PART 0.5
+/* A start goes by the demand on record until it has measured its own. */
+#define RECORD_DEMAND_KEPT (1500 * PD_MSEC)
+/* How long it takes at least until all entries know what one has granted. */
+#define LAG_MIN (500 * PD_MSEC)
 /* A request larger than the bucket needs this part of it to be there. */
 #define FULL_PART 0.8
 
@@ -47,14 +59,26 @@
 	double rate; /* a second */
 	pd_time_t heard_at;
 	double guessed; /* taken out of the bucket since then, on the rate */
+	double asked;
+	double demand; /* a second: the rate at which that grows */
+	pd_time_t asked_at; /* 0: never told */
 } peer_use_t;
 
 typedef struct bucket {
 	double level;
 	double own_total;
+	double told_total; /* of that: told to the hub that is followed */
+	double asked; /* own_total, and what was refused */
+	double told_asked; /* of asked: told to who keeps the record */
+	double measured; /* of asked: when the demand was measured last */
+	pd_time_t measured_at; /* 0: never */
+	double demand; /* a second, here */
+	double record_demand; /* a second, at all, before this start */
+	pd_time_t record_at; /* when that was read */
 	double rate; /* a second, as of the last request */
-	bool adopted; /* the level is a peer's */
-	double size; /* 0: no request came yet, so nothing is known of the limit */
+	bool adopted; /* the level is a peer's, or the record's */
+	double size; /* 0: nothing is known of the limit */
+	double debt_max; /* what the level may be below nothing */
 	pd_time_t filled_at; /* up to when the level was brought */
 	double taken; /* since a peer was last heard */
 	unsigned int taken_times; /* requests that took it */
@@ -65,8 +89,10 @@
 
 struct token_limits {
 	token_rules_t rules;
-	bool filled; /* buckets start full */
+	double start_part; /* of a bucket, that it starts with */
 	unsigned int entries; /* that share the buckets */
+	pd_time_t lag; /* until all entries know what one has granted */
+	GRand *random;
 	GHashTable *buckets; /* account name -> bucket_t */
 };
 
@@ -89,7 +115,9 @@
 	token_limits_t *limits = g_new0(token_limits_t, 1);
 
 	limits->rules = *rules;
-	limits->filled = filled;
+	limits->start_part = filled ? 1 : START_PART;
+	limits->lag = LAG_MIN;
+	limits->random = g_rand_new_with_seed(0);
 	limits->buckets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 						bucket_destroy);
 	return limits;
@@ -107,12 +135,31 @@
 	limits->entries = entries;
 }
 
+/* Says how long it takes until all entries know what one has granted. */
+void token_limits_set_lag(token_limits_t *limits, pd_time_t lag)
+{
+	limits->lag = MAX(lag, LAG_MIN);
+}
+
+/* Has this entry draw other lots than others with the same requests. */
+void token_limits_seed(token_limits_t *limits, uint32_t seed)
+{
+	g_rand_set_seed(limits->random, seed);
+}
+
+/* Has buckets start with nothing: what was used before could not be learned. */
+void token_limits_begin_empty(token_limits_t *limits)
+{
+	limits->start_part = 0;
+}
+
 /* Frees the buckets; NULL is allowed. */
 void token_limits_destroy(token_limits_t *limits)
 {
 	if (!limits)
 		return;
 	g_hash_table_unref(limits->buckets);
+	g_rand_free(limits->random);
 	g_free(limits);
 }
 
@@ -174,7 +221,7 @@
 	bucket->level += bucket->rate * (double)(now - bucket->filled_at) / PD_SEC;
 	bucket->filled_at = now;
 	bucket_guess(bucket, now);
-	bucket->level = CLAMP(bucket->level, -bucket->size, bucket->size);
+	bucket->level = CLAMP(bucket->level, -bucket->debt_max, bucket->size);
 }
 
 /*
@@ -190,12 +237,51 @@
 
 	bucket->size = bucket_size(limits, account);
 	bucket->rate = account->rate;
+	/* After a window without grants nobody asks what was granted before. */
+	bucket->debt_max =
+		MAX(bucket->size,
+		    account->rate * (double)limits->rules.window / PD_SEC);
 	if (first && !bucket->adopted)
-		bucket->level += limits->filled ? bucket->size
-						: bucket->size * START_PART;
+		bucket->level += bucket->size * limits->start_part;
 	bucket_run(bucket, now);
 }
 
+/* Returns what callers of an account ask of all entries in a second. */
+static double bucket_demand(const bucket_t *bucket, pd_time_t now)
+{
+	double demand = bucket->demand;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, bucket->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		demand += ((const peer_use_t *)value)->demand;
+	if (bucket->record_at && now - bucket->record_at < RECORD_DEMAND_KEPT)
+		return MAX(demand, bucket->record_demand);
+	return demand;
+}
+
+/*
+ * Says whether a request goes by lot. What the entries grant together until they
+ * have heard of it is not to be more than the bucket holds and what flows in, so
+ * where callers ask for more, each request is granted with the probability that
+ * makes it so. This holds for any number of entries and any size of requests;
+ * shares alone don't, as each entry has at least one request a round: just after
+ * all were killed, 63 that did not know each other yet took 1.6 buckets of an
+ * account that sent seven times its usual, in half a second. An account that asks
+ * for less than that never loses: the probability is one.
+ */
+static bool bucket_lets_pass(token_limits_t *limits, const bucket_t *bucket,
+			     pd_time_t now)
+{
+	double demand = bucket_demand(bucket, now);
+	double grants = bucket->rate + bucket->level * PD_SEC / (double)limits->lag;
+
+	if (limits->entries <= 1 || grants >= demand)
+		return true;
+	return g_rand_double(limits->random) * demand < grants;
+}
+
 /* Says whether this entry's share until it hears its peers allows for more. */
 static bool bucket_shares(const bucket_t *bucket, unsigned int entries)
 {
@@ -240,7 +326,9 @@
 		bucket->taken_level = MAX(bucket->level, 0);
 	verdict->level = bucket->level;
 	verdict->needed = needed;
-	if (bucket->level >= needed && bucket_shares(bucket, limits->entries)) {
+	bucket->asked += amount;
+	if (bucket->level >= needed && bucket_shares(bucket, limits->entries) &&
+	    bucket_lets_pass(limits, bucket, now)) {
 		bucket->level -= amount;
 		bucket->taken += amount;
 		bucket->taken_times++;
@@ -264,6 +352,92 @@
 	bucket->own_total -= amount;
 }
 
+/*
+ * Takes what a start finds on record of an account: the shared level, and what
+ * callers asked for in a second. A debt holds in full.
+ */
+void token_limits_restore(token_limits_t *limits, const char *account,
+			  double level, double demand, pd_time_t now)
+{
+	bucket_t *bucket = limits_bucket(limits, account, now);
+
+	if (bucket->adopted || bucket->size > 0)
+		return;
+	bucket->level += level > 0 ? level * RECORD_PART : level;
+	bucket->adopted = true;
+	bucket->record_demand = demand;
+	bucket->record_at = now;
+}
+
+/* Has an account's bucket there before its first request. */
+void token_limits_know(token_limits_t *limits, const forward_account_t *account,
+		       pd_time_t now)
+{
+	if (account->rate > 0)
+		bucket_fill(limits, limits_bucket(limits, account->name, now),
+			    account, now);
+}
+
+/*
+ * Hears from a peer how much it was asked for in all since it started, also what
+ * it refused; after token_limits_heard() of the same message.
+ */
+void token_limits_asked(token_limits_t *limits, const char *account,
+			const char *peer, double asked, pd_time_t now)
+{
+	bucket_t *bucket = limits_bucket(limits, account, now);
+	peer_use_t *use = g_hash_table_lookup(bucket->peers, peer);
+
+	if (!use || (use->asked_at && now - use->asked_at < RATE_SPAN_MIN))
+		return;
+	if (use->asked_at && asked >= use->asked)
+		use->demand += ((asked - use->asked) * PD_SEC /
+					(double)(now - use->asked_at) -
+				use->demand) *
+			       RATE_WEIGHT;
+	use->asked = asked;
+	use->asked_at = now;
+}
+
+/* Returns what callers of an account ask of all entries in a second. */
+double token_limits_demand(const token_limits_t *limits, const char *account,
+			   pd_time_t now)
+{
+	const bucket_t *bucket = g_hash_table_lookup(limits->buckets, account);
+
+	return bucket ? bucket_demand(bucket, now) : 0;
+}
+
+/* Notes that the hub that is followed was told all that was taken here. */
+void token_limits_told(token_limits_t *limits)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, limits->buckets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		bucket_t *bucket = value;
+
+		bucket->told_total = bucket->own_total;
+	}
+}
+
+/*
+ * Takes a bucket's level from the hub that hears all entries. Sums alone did not
+ * do: of the first sum that an entry hears it can't tell what was used before its
+ * start, so what all others took in the first tenths of a second after a start of
+ * all stayed in its bucket.
+ */
+void token_limits_follow(token_limits_t *limits, const char *account,
+			 double level, pd_time_t now)
+{
+	bucket_t *bucket = limits_bucket(limits, account, now);
+
+	bucket->level = level - (bucket->own_total - bucket->told_total);
+	bucket->filled_at = now;
+	bucket->adopted = true;
+}
+
 /*
  * Hears from a peer how much it has taken out in all since it started. RECENT
  * says that it started so short a time ago that all of it counts; of an older
@@ -344,6 +518,34 @@
 	bucket->adopted = true;
 }
 
+/* Measures how much callers ask for here; over short times that says nothing. */
+static void bucket_measure(bucket_t *bucket, pd_time_t now)
+{
+	pd_time_t span = now - bucket->measured_at;
+
+	if (bucket->measured_at && span < RATE_SPAN_MIN)
+		return;
+	if (bucket->measured_at)
+		bucket->demand += ((bucket->asked - bucket->measured) * PD_SEC /
+					   (double)span -
+				   bucket->demand) *
+				  RATE_WEIGHT;
+	bucket->measured = bucket->asked;
+	bucket->measured_at = now;
+}
+
+/* Brings a bucket up to now and returns what there is to tell of it. */
+static token_use_t bucket_use(bucket_t *bucket, pd_time_t now)
+{
+	if (bucket->size > 0)
+		bucket_run(bucket, now);
+	bucket_measure(bucket, now);
+	return (token_use_t){ .total = bucket->own_total,
+			      .asked = bucket->asked,
+			      .has_level = bucket->size > 0,
+			      .level = bucket->level };
+}
+
 /* Calls EACH with what this entry knows of every account's use. */
 void token_limits_each(token_limits_t *limits, pd_time_t now,
 		       token_limits_each_t each, void *ctx)
@@ -352,15 +554,31 @@
 	gpointer name;
 	gpointer value;
 
+	g_hash_table_iter_init(&iter, limits->buckets);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		token_use_t use = bucket_use(value, now);
+
+		each(ctx, name, &use);
+	}
+}
+
+/* The same for accounts of which requests came since the last time. */
+void token_limits_each_news(token_limits_t *limits, pd_time_t now,
+			    token_limits_each_t each, void *ctx)
+{
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+
 	g_hash_table_iter_init(&iter, limits->buckets);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		bucket_t *bucket = value;
-		token_use_t use = { .total = bucket->own_total,
-				    .has_level = bucket->size > 0 };
+		token_use_t use;
 
-		if (use.has_level)
-			bucket_run(bucket, now);
-		use.level = bucket->level;
+		if (bucket->told_asked == bucket->asked)
+			continue;
+		bucket->told_asked = bucket->asked;
+		use = bucket_use(bucket, now);
 		each(ctx, name, &use);
 	}
 }
--- a/core/forward/token_limits.h
+++ b/core/forward/token_limits.h
@@ -25,7 +25,8 @@
 /* What an entry knows of an account's use. */
 typedef struct token_use {
 	double total; /* taken here since this entry's start */
-	bool has_level; /* this entry has had a request of the account */
+	double asked; /* the same, and what was refused */
+	bool has_level; /* the account's limit is known here */
 	double level; /* of the shared bucket */
 } token_use_t;
 
@@ -35,6 +36,13 @@
 token_limits_t *token_limits_create(const token_rules_t *rules, bool filled);
 void token_limits_change(token_limits_t *limits, const token_rules_t *rules);
 void token_limits_set_entries(token_limits_t *limits, unsigned int entries);
+void token_limits_set_lag(token_limits_t *limits, pd_time_t lag);
+void token_limits_seed(token_limits_t *limits, uint32_t seed);
+void token_limits_begin_empty(token_limits_t *limits);
+void token_limits_restore(token_limits_t *limits, const char *account,
+			  double level, double demand, pd_time_t now);
+void token_limits_know(token_limits_t *limits, const forward_account_t *account,
+		       pd_time_t now);
 void token_limits_destroy(token_limits_t *limits);
 bool token_limits_take(token_limits_t *limits, const forward_account_t *account,
 		       double amount, pd_time_t now, token_verdict_t *verdict);
@@ -43,10 +51,19 @@
 void token_limits_heard(token_limits_t *limits, const char *account,
 			const char *peer, double total, bool recent,
 			pd_time_t now);
+void token_limits_asked(token_limits_t *limits, const char *account,
+			const char *peer, double asked, pd_time_t now);
+double token_limits_demand(const token_limits_t *limits, const char *account,
+			   pd_time_t now);
+void token_limits_told(token_limits_t *limits);
+void token_limits_follow(token_limits_t *limits, const char *account,
+			 double level, pd_time_t now);
 void token_limits_forget_peer(token_limits_t *limits, const char *peer);
 void token_limits_forget_peers(token_limits_t *limits);
 void token_limits_adopt(token_limits_t *limits, const char *account,
 			double level, pd_time_t now);
+void token_limits_each_news(token_limits_t *limits, pd_time_t now,
+			    token_limits_each_t each, void *ctx);
 void token_limits_each(token_limits_t *limits, pd_time_t now,
 		       token_limits_each_t each, void *ctx);
 
