--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -298,6 +298,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_usage_outlives_two_kills,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_counts_are_kept_when_the_keeper_dies,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(
 			test_a_call_that_comes_before_the_configuration_is_served,
 			setup, teardown),
