--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -100,8 +100,8 @@
 /* Turns the loop until a condition holds; fails the test after MS. */
 #define RIG_UNTIL_WITHIN(rig, condition, ms)                             \
 	do {                                                             \
-		uint64_t until = uv_hrtime() / 1000000 + (ms);           \
-		while (!(condition) && uv_hrtime() / 1000000 < until)    \
+		uint64_t rig_end = uv_hrtime() / 1000000 + (ms);         \
+		while (!(condition) && uv_hrtime() / 1000000 < rig_end)  \
 			rig_turn(rig);                                   \
 		if (!(condition))                                        \
 			fail_msg("gave up waiting for: %s", #condition); \
