The fleet's record names its writer

process/test_gateway_restart gave up once in some twenty runs: calls that were answered never came on record. Two gateways that had just started had served as many calls each, so their first records were the same text. The one whose write was refused as a conflict compared what it had sent with what the store showed, took the other's record for its own write, and what it had counted for recorded. That follows from the code; the failed run left no logs. The comparison is needed: a write whose answer was lost would else count twice.

The record now names the start that wrote it.

--- a/adapters/gateway/fleet_record.c
+++ b/adapters/gateway/fleet_record.c
@@ -36,6 +36,7 @@
 {
 	if (!record)
 		return;
+	g_free(record->writer);
 	g_array_unref(record->accounts);
 	g_array_unref(record->counts);
 	g_free(record);
@@ -112,6 +113,7 @@
 	if (!root)
 		return NULL;
 	record = fleet_record_create();
+	record->writer = g_strdup(json_string_or(root, "writer", NULL));
 	record->gateways =
 		(unsigned int)MIN(natural(json_object_get(root, "gateways")),
 				  GATEWAYS_MAX);
@@ -160,8 +162,9 @@
 /* Returns the record as text, owned by the caller. */
 char *fleet_record_write(const fleet_record_t *record)
 {
-	json_t *root = json_pack("{s:i, s:o, s:o}", "gateways",
-				 (int)record->gateways, "accounts",
+	json_t *root = json_pack("{s:s, s:i, s:o, s:o}", "writer",
+				 record->writer ? record->writer : "",
+				 "gateways", (int)record->gateways, "accounts",
 				 write_accounts(record), "windows",
 				 write_counts(record));
 	char *text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
--- a/adapters/gateway/fleet_record.h
+++ b/adapters/gateway/fleet_record.h
@@ -19,6 +19,7 @@
 } account_record_t;
 
 typedef struct fleet_record {
+	char *writer; /* which start of which gateway; NULL: not said */
 	unsigned int gateways; /* that share what is limited in sum */
 	GArray *accounts; /* of account_record_t */
 	GArray *counts; /* of usage_entry_t, with names of their own */
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -225,6 +225,12 @@
 	return NULL;
 }
 
+/* Returns the name of this gateway's start, borrowed. */
+const char *gateway_peers_incarnation(const gateway_peers_t *peers)
+{
+	return peers->incarnation;
+}
+
 /* Notes that the store answered this gateway. */
 void gateway_peers_store_heard(gateway_peers_t *peers)
 {
--- a/adapters/gateway/recorder.c
+++ b/adapters/gateway/recorder.c
@@ -94,7 +94,9 @@
 
 /*
  * Says whether a record that was read is what was being written: its answer was
- * lost. Taken for another's, it would have what was counted here counted twice.
+ * lost. Taken for another's, it would have what was counted here counted twice. It
+ * names its writer: just after a start two gateways may count the same, and one that
+ * took the other's record for its own lost what it had counted.
  */
 static bool recorder_sent(const gateway_recorder_t *recorder,
 			  const fleet_record_t *record)
@@ -275,6 +277,7 @@
 	account_writer_t accounts = { gateway->limits, record, gateway_now() };
 	char *text;
 
+	record->writer = g_strdup(gateway_peers_incarnation(gateway->peers));
 	record->gateways = gateway_count(gateway);
 	token_limits_each(gateway->limits, accounts.now, add_account, &accounts);
 	usage_compose(gateway->usage, gateway_window(gateway) - WINDOWS_KEPT + 1,
--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -211,11 +211,12 @@
 static bool prop_record()
 {
 	return rc::check("the fleet's record", [] {
-		auto bytes = mutated("{\"metadata\":{\"name\":\"fleet\","
-				     "\"revision\":3},\"spec\":{"
-				     "\"gateways\":63,\"accounts\":"
-				     "{\"mill\":[-5,900]},\"windows\":"
-				     "{\"7\":{\"mill\":12}}}}");
+		auto bytes = mutated(
+			"{\"metadata\":{\"name\":\"fleet\","
+			"\"revision\":3},\"spec\":{"
+			"\"writer\":\"g#1\",\"gateways\":63,\"accounts\":"
+			"{\"mill\":[-5,900]},\"windows\":"
+			"{\"7\":{\"mill\":12}}}}");
 		uint64_t revision = 0;
 		pd_error_t err;
 		char *text = wire_record_read(bytes.data(), bytes.size(),
