The test of the record reads all windows of it

process/test_gateway_restart gave up once in some 20 runs, when its calls fell into two windows. Two loops over JSON objects shared the variable of their keys, so the outer one ended early. The logs of two such runs show that the record had all calls and that they were reported (7 and 17 of 24).

--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -109,14 +109,15 @@
 	json_t *windows =
 		json_object_get(json_object_get(fleet, "spec"), "windows");
 	json_int_t sum = 0;
-	const char *name;
+	const char *window;
+	const char *account;
 	json_t *counts;
 	json_t *count;
 
 	rig_turn(rig);
-	json_object_foreach(windows, name, counts)
+	json_object_foreach(windows, window, counts)
 	{
-		json_object_foreach(counts, name, count)
+		json_object_foreach(counts, account, count)
 			sum += json_integer_value(count);
 	}
 	return sum;
