Demand of peers that are gone is forgotten; keepers are waited for by the fleet's period

Both found in reading the diff, before anybody saw them fail. The test fails without the change. And beyond some 250 gateways a hub's summary comes hardly more often than the second after which a keeper of the record was given up.

--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -13,12 +13,6 @@
 #define HEARD_MAX (3 * PD_SEC)
 /* Four states of the holder were lost, or it has ended: the lease is looked at. */
 #define HOLDER_SILENT PD_SEC
-/*
- * After so long the next in order writes the fleet's record in place of one that
- * goes before it: states come every 0.25 s, and the counts of a second are a fifth
- * of a window of usage.
- */
-#define RECORDER_SILENT PD_SEC
 /* A mention comes with every few states of whoever hears the peer. */
 #define MENTION_MAX (6 * PD_SEC)
 /* Sums of loads older than this say little: most requests have ended since. */
@@ -159,14 +153,15 @@
  * still told a keeper that had died, the one in its place wrote its own counts only,
  * and a kill of all in that time lost three quarters of a window.
  */
-peer_t *peers_first_heard(const gateway_peers_t *peers, pd_time_t now)
+peer_t *peers_first_heard(gateway_peers_t *peers, pd_time_t now)
 {
+	pd_time_t silence = peers_keeper_silence(peers, now);
 	peer_t *first = NULL;
 
 	LIST_FOR_EACH (it, &peers->list) {
 		peer_t *peer = LIST_ENTRY(it, peer_t, node);
 
-		if (peer->heard_at && now - peer->heard_at < RECORDER_SILENT &&
+		if (peer->heard_at && now - peer->heard_at < silence &&
 		    (!first || peer_goes_before(peer, first)))
 			first = peer;
 	}
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -27,6 +27,13 @@
  * writes it is to be under a twentieth of a window.
  */
 #define COUNTS_PERIOD (70 * PD_MSEC)
+/*
+ * After so long the next in order writes the fleet's record in place of one that
+ * goes before it: states come every 0.25 s, and the counts of a second are a fifth
+ * of a window of usage.
+ */
+#define KEEPER_SILENCE PD_SEC
+#define KEEPER_SILENCE_PERIODS 3
 /* Halves of periods until a state has come back in a summary to the slowest. */
 #define LAG_PERIODS_2 5
 /* A peer not heard for so long runs nothing any more, as far as loads go. */
@@ -376,6 +383,15 @@
 	return fleet_period(peers, HUB_PERIOD, now);
 }
 
+/*
+ * After how long a peer that is not heard does not keep the record any more. In
+ * large fleets hubs and those who follow them hear each other less often.
+ */
+pd_time_t peers_keeper_silence(gateway_peers_t *peers, pd_time_t now)
+{
+	return MAX(KEEPER_SILENCE, KEEPER_SILENCE_PERIODS * hub_period(peers, now));
+}
+
 /* Tells who keeps the record what was counted here since the last time. */
 static void tell_counts(gateway_peers_t *peers, pd_time_t now)
 {
--- a/core/forward/token_limits.c
+++ b/core/forward/token_limits.c
@@ -254,8 +254,13 @@
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, bucket->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		demand += ((const peer_use_t *)value)->demand;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const peer_use_t *use = value;
+
+		/* Callers of a peer that is gone ask others by then. */
+		if (now - use->asked_at < SILENCE_MAX)
+			demand += use->demand;
+	}
 	if (bucket->record_at && now - bucket->record_at < RECORD_DEMAND_KEPT)
 		return MAX(demand, bucket->record_demand);
 	return demand;
--- a/tests/unit/test_token_limits.c
+++ b/tests/unit/test_token_limits.c
@@ -302,6 +302,28 @@
 	token_limits_destroy(limits);
 }
 
+/*
+ * VMs are replaced all day. What callers asked of one that is gone is asked of the
+ * others by then: counted on, it would grow with each replacement, until accounts
+ * that keep their limits are granted by lot as if they sent many times as much.
+ */
+static void test_demand_of_a_peer_that_is_gone_is_forgotten(void **state)
+{
+	token_limits_t *limits = token_limits_create(&rules, true);
+	pd_time_t now = START;
+
+	(void)state;
+	for (int i = 0; i < 8; i++, now += 250 * PD_MSEC) {
+		token_limits_heard(limits, account.name, "gone#1", 0, true, now);
+		token_limits_asked(limits, account.name, "gone#1", i * 50000.0,
+				   now);
+	}
+	assert_true(token_limits_demand(limits, account.name, now) > 100000);
+	now += 16 * PD_SEC;
+	assert_true(token_limits_demand(limits, account.name, now) < 1);
+	token_limits_destroy(limits);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -314,6 +336,7 @@
 		cmocka_unit_test(test_a_clump_goes_in_a_large_fleet),
 		cmocka_unit_test(test_a_low_bucket_is_shared_strictly),
 		cmocka_unit_test(test_a_bucket_fills_before_the_first_request),
+		cmocka_unit_test(test_demand_of_a_peer_that_is_gone_is_forgotten),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
