Rename the fleet's record to checkpoint

The record is what the field calls a checkpoint, its recorder the checkpoint writer.

test_checkpoint_record and test_gateway_restart pass.

--- a/adapters/gateway/fleet_record.c
+++ b/adapters/gateway/checkpoint_record.c
@@ -1,5 +1,5 @@
-/* The fleet's record as JSON, and back. */
-#include "adapters/gateway/fleet_record.h"
+/* The checkpoint as JSON, and back. */
+#include "adapters/gateway/checkpoint_record.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -20,9 +20,9 @@
 }
 
 /* Returns a record that says nothing; the caller owns it. */
-fleet_record_t *fleet_record_create(void)
+checkpoint_record_t *checkpoint_record_create(void)
 {
-	fleet_record_t *record = g_new0(fleet_record_t, 1);
+	checkpoint_record_t *record = g_new0(checkpoint_record_t, 1);
 
 	record->accounts = g_array_new(FALSE, TRUE, sizeof(account_record_t));
 	g_array_set_clear_func(record->accounts, account_clear);
@@ -32,7 +32,7 @@
 }
 
 /* Frees a record; NULL is allowed. */
-void fleet_record_destroy(fleet_record_t *record)
+void checkpoint_record_destroy(checkpoint_record_t *record)
 {
 	if (!record)
 		return;
@@ -43,8 +43,8 @@
 }
 
 /* Adds what is left of an account's limit. */
-void fleet_record_account(fleet_record_t *record, const char *account,
-			  double level, double demand)
+void checkpoint_record_account(checkpoint_record_t *record, const char *account,
+			       double level, double demand)
 {
 	const account_record_t entry = { g_strdup(account), level, demand };
 
@@ -52,8 +52,8 @@
 }
 
 /* Adds the count of an account in a window. */
-void fleet_record_count(fleet_record_t *record, int64_t window,
-			const char *account, uint64_t count)
+void checkpoint_record_count(checkpoint_record_t *record, int64_t window,
+			     const char *account, uint64_t count)
 {
 	const usage_entry_t entry = { window, g_strdup(account), count, 0 };
 
@@ -68,7 +68,7 @@
 	return number > 0 ? (uint64_t)number : 0;
 }
 
-static void read_accounts(fleet_record_t *record, json_t *accounts)
+static void read_accounts(checkpoint_record_t *record, json_t *accounts)
 {
 	const char *account;
 	json_t *pair;
@@ -79,13 +79,13 @@
 		const json_t *demand = json_array_get(pair, 1);
 
 		if (json_is_integer(level) && json_is_integer(demand))
-			fleet_record_account(record, account,
-					     (double)json_integer_value(level),
-					     (double)natural(demand));
+			checkpoint_record_account(record, account,
+						  (double)json_integer_value(level),
+						  (double)natural(demand));
 	}
 }
 
-static void read_counts(fleet_record_t *record, json_t *windows)
+static void read_counts(checkpoint_record_t *record, json_t *windows)
 {
 	const char *window;
 	const char *account;
@@ -95,9 +95,9 @@
 	json_object_foreach(windows, window, counts)
 	{
 		json_object_foreach(counts, account, count)
-			fleet_record_count(record,
-					   g_ascii_strtoll(window, NULL, 10),
-					   account, natural(count));
+			checkpoint_record_count(record,
+						g_ascii_strtoll(window, NULL, 10),
+						account, natural(count));
 	}
 }
 
@@ -105,14 +105,14 @@
  * Reads a record; NULL with ERR set if it is none. Parts that are not as a
  * gateway writes them are left out: what they said is then unknown.
  */
-fleet_record_t *fleet_record_read(const char *text, pd_error_t *err)
+checkpoint_record_t *checkpoint_record_read(const char *text, pd_error_t *err)
 {
 	json_t *root = json_parse(text, strlen(text), err);
-	fleet_record_t *record;
+	checkpoint_record_t *record;
 
 	if (!root)
 		return NULL;
-	record = fleet_record_create();
+	record = checkpoint_record_create();
 	record->writer = g_strdup(json_string_or(root, "writer", NULL));
 	record->gateways =
 		(unsigned int)MIN(natural(json_object_get(root, "gateways")),
@@ -123,7 +123,7 @@
 	return record;
 }
 
-static json_t *write_accounts(const fleet_record_t *record)
+static json_t *write_accounts(const checkpoint_record_t *record)
 {
 	json_t *accounts = json_object();
 
@@ -138,7 +138,7 @@
 	return accounts;
 }
 
-static json_t *write_counts(const fleet_record_t *record)
+static json_t *write_counts(const checkpoint_record_t *record)
 {
 	json_t *windows = json_object();
 
@@ -160,7 +160,7 @@
 }
 
 /* Returns the record as text, owned by the caller. */
-char *fleet_record_write(const fleet_record_t *record)
+char *checkpoint_record_write(const checkpoint_record_t *record)
 {
 	json_t *root = json_pack("{s:s, s:i, s:o, s:o}", "writer",
 				 record->writer ? record->writer : "",
--- a/adapters/gateway/fleet_record.h
+++ b/adapters/gateway/checkpoint_record.h
@@ -3,8 +3,8 @@
  * how many they are, what accounts have left of their limits, and the counts of
  * usage. Whoever starts reads it.
  */
-#ifndef PISTACHIO_GATEWAY_FLEET_RECORD_H
-#define PISTACHIO_GATEWAY_FLEET_RECORD_H
+#ifndef PISTACHIO_GATEWAY_CHECKPOINT_RECORD_H
+#define PISTACHIO_GATEWAY_CHECKPOINT_RECORD_H
 
 #include <glib.h>
 
@@ -18,20 +18,20 @@
 	double demand; /* in tokens a second, refused ones included */
 } account_record_t;
 
-typedef struct fleet_record {
+typedef struct checkpoint_record {
 	char *writer; /* which start of which gateway; NULL: not said */
 	unsigned int gateways; /* that share what is limited in sum */
 	GArray *accounts; /* of account_record_t */
 	GArray *counts; /* of usage_entry_t, with names of their own */
-} fleet_record_t;
+} checkpoint_record_t;
 
-fleet_record_t *fleet_record_create(void);
-fleet_record_t *fleet_record_read(const char *text, pd_error_t *err);
-void fleet_record_destroy(fleet_record_t *record);
-void fleet_record_account(fleet_record_t *record, const char *account,
-			  double level, double demand);
-void fleet_record_count(fleet_record_t *record, int64_t window,
-			const char *account, uint64_t count);
-char *fleet_record_write(const fleet_record_t *record);
+checkpoint_record_t *checkpoint_record_create(void);
+checkpoint_record_t *checkpoint_record_read(const char *text, pd_error_t *err);
+void checkpoint_record_destroy(checkpoint_record_t *record);
+void checkpoint_record_account(checkpoint_record_t *record, const char *account,
+			       double level, double demand);
+void checkpoint_record_count(checkpoint_record_t *record, int64_t window,
+			     const char *account, uint64_t count);
+char *checkpoint_record_write(const checkpoint_record_t *record);
 
 #endif
--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -7,7 +7,7 @@
 #include "adapters/gateway/duties_note.h"
 #include "adapters/gateway/fleet_feed.h"
 #include "adapters/gateway/peers.h"
-#include "adapters/gateway/recorder.h"
+#include "adapters/gateway/checkpoint.h"
 #include "adapters/log_glib.h"
 #include "core/forward/scale_plan.h"
 #include "core/lease.h"
@@ -27,7 +27,7 @@
 #define ORDER_RETRY (1500 * PD_MSEC)
 /* Upstreams list themselves a little after they have started. */
 #define BOOT_MARGIN (1500 * PD_MSEC)
-/* Windows further back than this are not on record any more. */
+/* Windows further back than this are not checkpointed any more. */
 #define WINDOWS_BACK 3
 /* A report waits so long for the record at most. */
 #define RECORD_WAIT (700 * PD_MSEC)
@@ -348,19 +348,19 @@
 }
 
 /*
- * Has the fleet's record read before a report is made up: who keeps it has heard
+ * Has the checkpoint read before a report is made up: its writer has heard
  * what each gateway counted until a moment before it died, and the holder of the
  * duties has not. Says whether there is no more to wait for.
  */
 static bool has_record(gateway_duties_t *duties, pd_time_t now)
 {
-	gateway_recorder_t *recorder = duties->gateway->recorder;
+	gateway_checkpoint_t *checkpoint = duties->gateway->checkpoint;
 
 	if (!duties->record_asked_at) {
 		duties->record_asked_at = now;
-		gateway_recorder_read(recorder);
+		gateway_checkpoint_read(checkpoint);
 	}
-	return gateway_recorder_known_at(recorder) >= duties->record_asked_at ||
+	return gateway_checkpoint_known_at(checkpoint) >= duties->record_asked_at ||
 	       now - duties->record_asked_at > RECORD_WAIT;
 }
 
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -10,7 +10,7 @@
 #include "adapters/gateway/fleet_feed.h"
 #include "adapters/gateway/health.h"
 #include "adapters/gateway/peers.h"
-#include "adapters/gateway/recorder.h"
+#include "adapters/gateway/checkpoint.h"
 #include "adapters/gateway/reload.h"
 #include "adapters/gateway/request.h"
 #include "adapters/gateway/upstream_link.h"
@@ -84,8 +84,8 @@
 		zones++;
 	/* There is at least one in each zone, also before it was heard. */
 	zones = MAX(zones, 1);
-	zones = MAX(zones,
-		    gateway_recorder_gateways(gateway->recorder, gateway_now()));
+	zones = MAX(zones, gateway_checkpoint_gateways(gateway->checkpoint,
+						       gateway_now()));
 	return MAX(gateway_peers_count(gateway->peers), zones);
 }
 
@@ -93,7 +93,7 @@
 bool gateway_is_set_up(const gateway_t *gateway)
 {
 	return gateway->config && gateway->upstreams_known &&
-	       gateway_recorder_is_settled(gateway->recorder, gateway_now());
+	       gateway_checkpoint_is_settled(gateway->checkpoint, gateway_now());
 }
 
 /* Says whether callers may be sent here. */
@@ -227,7 +227,7 @@
 	forward_upstreams_run(gateway->upstreams, now, on_lapsed, gateway);
 	fleet_feed_run(gateway->feed, now);
 	forget_old_usage(gateway);
-	gateway_recorder_run(gateway->recorder, now);
+	gateway_checkpoint_run(gateway->checkpoint, now);
 	gateway_requests_run(gateway, now);
 	callers_run(gateway, now);
 	upstream_links_run(gateway, now);
@@ -367,7 +367,7 @@
 	gateway->cloud = client_for(gateway, settings->cloud_address, err);
 	if (!gateway->store || !gateway->cloud)
 		return NULL;
-	gateway->recorder = gateway_recorder_create(gateway);
+	gateway->checkpoint = gateway_checkpoint_create(gateway);
 	gateway->peers = gateway_peers_create(gateway, err);
 	if (!gateway->peers ||
 	    listen_on(gateway, &gateway->callers_listener, "callers",
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -19,7 +19,7 @@
 
 typedef struct gateway_peers gateway_peers_t;
 typedef struct gateway_duties gateway_duties_t;
-typedef struct gateway_recorder gateway_recorder_t;
+typedef struct gateway_checkpoint gateway_checkpoint_t;
 typedef struct fleet_feed fleet_feed_t;
 
 typedef struct gateway {
@@ -46,7 +46,7 @@
 	fleet_feed_t *feed;
 	gateway_peers_t *peers;
 	gateway_duties_t *duties;
-	gateway_recorder_t *recorder;
+	gateway_checkpoint_t *checkpoint;
 	GRand *random;
 	uv_tcp_t callers_listener;
 	uv_tcp_t health_listener;
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -219,7 +219,7 @@
 }
 
 /*
- * Packs what has changed since the last time of what is on record: usage, and the
+ * Packs what has changed since the last time of what is checkpointed: usage, and the
  * use of limits. Returns how many numbers that are.
  */
 unsigned int peers_pack_counts(msgpack_sbuffer *buffer, gateway_peers_t *peers)
@@ -243,7 +243,7 @@
 	return usage.count + uses.count;
 }
 
-/* Sends what has changed of what is on record, if anything has. */
+/* Sends what has changed of what is checkpointed, if anything has. */
 void peers_send_counts(gateway_peers_t *peers, const peer_t *peer)
 {
 	msgpack_sbuffer buffer;
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -149,13 +149,11 @@
 
 /*
  * Returns the peer that goes first of those that were heard just now; NULL: none.
- * Who counts as alive for other ends may be dead for nine seconds: while others
- * still told a keeper that had died, the one in its place wrote its own counts only,
- * and a kill of all in that time lost three quarters of a window.
+ * Who counts as alive for other ends may be dead for nine seconds.
  */
 peer_t *peers_first_heard(gateway_peers_t *peers, pd_time_t now)
 {
-	pd_time_t silence = peers_keeper_silence(peers, now);
+	pd_time_t silence = peers_writer_silence(peers, now);
 	peer_t *first = NULL;
 
 	LIST_FOR_EACH (it, &peers->list) {
@@ -169,10 +167,10 @@
 }
 
 /*
- * Says whether this gateway writes the fleet's record: the first of all that are
+ * Says whether this gateway writes the checkpoint: the first of all that are
  * heard. Two that both take themselves for the first are told by the store.
  */
-bool gateway_peers_keep_record(gateway_peers_t *peers, pd_time_t now)
+bool gateway_peers_writes_checkpoint(gateway_peers_t *peers, pd_time_t now)
 {
 	const peer_t *first = peers_first_heard(peers, now);
 
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -183,7 +183,7 @@
 unsigned int peers_first(const gateway_peers_t *peers, peer_t **first,
 			 unsigned int most, pd_time_t now);
 peer_t *peers_first_heard(gateway_peers_t *peers, pd_time_t now);
-pd_time_t peers_keeper_silence(gateway_peers_t *peers, pd_time_t now);
+pd_time_t peers_writer_silence(gateway_peers_t *peers, pd_time_t now);
 void peers_send(const gateway_peers_t *peers, const peer_t *peer,
 		const msgpack_sbuffer *buffer);
 void peers_pack_state(msgpack_sbuffer *buffer, gateway_peers_t *peers,
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -22,18 +22,18 @@
 #define HUB_PERIOD_FLEET 100
 #define HUB_PERIOD_FACTOR_MAX 4
 /*
- * How often usage is told to who keeps the fleet's record; ticks make it 80 ms.
+ * How often usage is told to the checkpoint writer; ticks make it 80 ms.
  * What was not told is lost when all gateways are killed, so with the period of the
  * writes it is to be under a twentieth of a window.
  */
 #define COUNTS_PERIOD (70 * PD_MSEC)
 /*
- * After so long the next in order writes the fleet's record in place of one that
+ * After so long the next in order writes the checkpoint in place of one that
  * goes before it: states come every 0.25 s, and the counts of a second are a fifth
  * of a window of usage.
  */
-#define KEEPER_SILENCE PD_SEC
-#define KEEPER_SILENCE_PERIODS 3
+#define WRITER_SILENCE PD_SEC
+#define WRITER_SILENCE_PERIODS 3
 /* Halves of periods until a state has come back in a summary to the slowest. */
 #define LAG_PERIODS_2 5
 /* A peer not heard for so long runs nothing any more, as far as loads go. */
@@ -387,31 +387,31 @@
  * After how long a peer that is not heard does not keep the record any more. In
  * large fleets hubs and those who follow them hear each other less often.
  */
-pd_time_t peers_keeper_silence(gateway_peers_t *peers, pd_time_t now)
+pd_time_t peers_writer_silence(gateway_peers_t *peers, pd_time_t now)
 {
-	return MAX(KEEPER_SILENCE, KEEPER_SILENCE_PERIODS * hub_period(peers, now));
+	return MAX(WRITER_SILENCE, WRITER_SILENCE_PERIODS * hub_period(peers, now));
 }
 
 /* Tells who keeps the record what was counted here since the last time. */
 static void tell_counts(gateway_peers_t *peers, pd_time_t now)
 {
-	const peer_t *keeper;
+	const peer_t *writer;
 
 	if (now < peers->counts_at)
 		return;
 	peers->counts_at = now + fleet_period(peers, COUNTS_PERIOD, now);
-	keeper = peers_first_heard(peers, now);
-	if (!keeper || gateway_peers_keep_record(peers, now)) {
+	writer = peers_first_heard(peers, now);
+	if (!writer || gateway_peers_writes_checkpoint(peers, now)) {
 		/* Whoever is told next was not told what is written here. */
 		g_clear_pointer(&peers->counts_to, g_free);
 		return;
 	}
-	if (g_strcmp0(peers->counts_to, keeper->address)) {
+	if (g_strcmp0(peers->counts_to, writer->address)) {
 		g_free(peers->counts_to);
-		peers->counts_to = g_strdup(keeper->address);
+		peers->counts_to = g_strdup(writer->address);
 		usage_other_keeper(peers->gateway->usage);
 	}
-	peers_send_counts(peers, keeper);
+	peers_send_counts(peers, writer);
 }
 
 /* Returns how long it takes until all gateways know what one has done. */
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -22,7 +22,7 @@
 bool gateway_peers_go_first(gateway_peers_t *peers);
 bool gateway_peers_watch_store(gateway_peers_t *peers);
 pd_time_t gateway_peers_lag(gateway_peers_t *peers, pd_time_t now);
-bool gateway_peers_keep_record(gateway_peers_t *peers, pd_time_t now);
+bool gateway_peers_writes_checkpoint(gateway_peers_t *peers, pd_time_t now);
 bool gateway_peers_stand_for_duties(gateway_peers_t *peers);
 bool gateway_peers_has_holder_after(const gateway_peers_t *peers, uint64_t fence);
 bool gateway_peers_holder_is_silent(gateway_peers_t *peers, pd_time_t now);
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -28,7 +28,7 @@
 #define RETRY_AFTER_STOPPING (20 * PD_MSEC)
 #define RETRY_AFTER_NO_CONFIG (500 * PD_MSEC)
 /*
- * A start reads the configuration, the upstreams and the fleet's record within some
+ * A start reads the configuration, the upstreams and the checkpoint within some
  * 0.1 s, in fleets of hundreds too. Requests that come before wait so long after
  * the start at most: refused, they were late whatever came next, 90 to 140 of them
  * after each kill of all in fleets of 63 to 83. Whoever has still not read all by
--- a/core/forward/token_limits.c
+++ b/core/forward/token_limits.c
@@ -36,18 +36,18 @@
 #define CLUMP 3
 #define CLUMP_LEVEL 0.25
 /*
- * What a bucket holds at the start of an entry if nothing at all is on record of
+ * What a bucket holds at the start of an entry if nothing at all is checkpointed of
  * the account, as it is new.
  */
 #define START_PART 0.15
 /*
- * What a start takes of the level on record, which is some 0.2 s old when all
+ * What a start takes of the level checkpointed, which is some 0.2 s old when all
  * entries are killed: in that time a level falls by less than this, see
  * token-limits-notes.md. With a quarter, 333 requests of accounts within limits
  * were refused on six days with two kills of all each, with half of it 40.
  */
 #define RECORD_PART 0.5
-/* A start goes by the demand on record until it has measured its own. */
+/* A start goes by the demand checkpointed until it has measured its own. */
 #define RECORD_DEMAND_KEPT (1500 * PD_MSEC)
 /* How long it takes at least until all entries know what one has granted. */
 #define LAG_MIN (500 * PD_MSEC)
@@ -358,7 +358,7 @@
 }
 
 /*
- * Takes what a start finds on record of an account: the shared level, and what
+ * Takes what a start finds checkpointed of an account: the shared level, and what
  * callers asked for in a second. A debt holds in full.
  */
 void token_limits_restore(token_limits_t *limits, const char *account,
--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -16,7 +16,7 @@
 #define STARTS 10
 /* With the second until another keeps the record: less than until a dead peer no
  * longer counts as alive, three seconds. */
-#define KEEPER_TOLD_MS 1000
+#define WRITER_TOLD_MS 1000
 #define READ_MS 20 /* until a gateway has read a call for certain */
 
 /* Counts what a gateway has logged, in all its starts so far. */
@@ -100,7 +100,7 @@
 	}
 }
 
-/* Returns how many calls are on record in the store. */
+/* Returns how many calls are checkpointed in the store. */
 static json_int_t calls_recorded(gateway_rig_t *rig)
 {
 	const json_t *fleet =
@@ -190,21 +190,21 @@
 	assert_int_equal(calls_reported(rig), CALLS);
 }
 
-/* Says which gateway takes itself for the keeper, if it is one alone; else -1. */
-static int keeper_of(gateway_rig_t *rig)
+/* Says which gateway takes itself for the checkpoint writer, if it is one alone; else -1. */
+static int writer_of(gateway_rig_t *rig)
 {
-	int keeper = -1;
+	int writer = -1;
 
 	for (int i = 0; i < RIG_GATEWAYS; i++) {
 		if (!rig->gateways[i] ||
-		    times_logged(rig, i, "record: keeper=self") <=
-			    times_logged(rig, i, "record: keeper=other"))
+		    times_logged(rig, i, "checkpoint: writer=self") <=
+			    times_logged(rig, i, "checkpoint: writer=other"))
 			continue;
-		if (keeper >= 0)
+		if (writer >= 0)
 			return -1;
-		keeper = i;
+		writer = i;
 	}
-	return keeper;
+	return writer;
 }
 
 /*
@@ -214,17 +214,17 @@
  * quarters of a window: 728 of 965 requests, where the log showed a record that was
  * written all the while.
  */
-static void test_counts_are_kept_when_the_keeper_dies(void **state)
+static void test_counts_are_kept_when_the_writer_dies(void **state)
 {
 	gateway_rig_t *rig = *state;
 	int number = -1;
 
-	RIG_UNTIL(rig, (number = keeper_of(rig)) >= 0);
+	RIG_UNTIL(rig, (number = writer_of(rig)) >= 0);
 	process_destroy(rig->gateways[number]);
 	rig->gateways[number] = NULL;
-	RIG_UNTIL(rig, keeper_of(rig) >= 0);
+	RIG_UNTIL(rig, writer_of(rig) >= 0);
 	make_calls(rig);
-	RIG_UNTIL_WITHIN(rig, calls_recorded(rig) == CALLS, KEEPER_TOLD_MS);
+	RIG_UNTIL_WITHIN(rig, calls_recorded(rig) == CALLS, WRITER_TOLD_MS);
 }
 
 /*
@@ -293,7 +293,7 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_usage_outlives_two_kills,
 						setup, teardown),
-		cmocka_unit_test_setup_teardown(test_counts_are_kept_when_the_keeper_dies,
+		cmocka_unit_test_setup_teardown(test_counts_are_kept_when_the_writer_dies,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(
 			test_a_call_that_comes_before_the_configuration_is_served,
--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -13,7 +13,7 @@
 
 extern "C" {
 #include "adapters/gateway/duties_note.h"
-#include "adapters/gateway/fleet_record.h"
+#include "adapters/gateway/checkpoint_record.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peer_state.h"
 #include "adapters/log_glib.h"
@@ -210,7 +210,7 @@
 
 static bool prop_record()
 {
-	return rc::check("the fleet's record", [] {
+	return rc::check("the checkpoint", [] {
 		auto bytes = mutated(
 			"{\"metadata\":{\"name\":\"fleet\","
 			"\"revision\":3},\"spec\":{"
@@ -221,14 +221,14 @@
 		pd_error_t err;
 		char *text = wire_record_read(bytes.data(), bytes.size(),
 					      &revision, &err);
-		fleet_record_t *record = text ? fleet_record_read(text, &err)
-					      : nullptr;
+		checkpoint_record_t *record =
+			text ? checkpoint_record_read(text, &err) : nullptr;
 		usage_t *usage = usage_create();
 
 		if (record)
 			usage_adopt(usage, record->counts);
 		usage_destroy(usage);
-		fleet_record_destroy(record);
+		checkpoint_record_destroy(record);
 		g_free(text);
 	});
 }
--- a/tests/unit/test_fleet_record.c
+++ b/tests/unit/test_checkpoint_record.c
@@ -7,26 +7,26 @@
 
 #include <cmocka.h>
 
-#include "adapters/gateway/fleet_record.h"
+#include "adapters/gateway/checkpoint_record.h"
 
-static fleet_record_t *record_by(const char *writer)
+static checkpoint_record_t *record_by(const char *writer)
 {
-	fleet_record_t *record = fleet_record_create();
+	checkpoint_record_t *record = checkpoint_record_create();
 
 	record->writer = g_strdup(writer);
 	record->gateways = 63;
-	fleet_record_account(record, "mill", -500, 9000);
-	fleet_record_count(record, 7, "mill", 8);
+	checkpoint_record_account(record, "mill", -500, 9000);
+	checkpoint_record_count(record, 7, "mill", 8);
 	return record;
 }
 
 static void test_a_record_survives_the_round_trip(void **state)
 {
-	fleet_record_t *record = record_by("g0#1");
-	char *text = fleet_record_write(record);
+	checkpoint_record_t *record = record_by("g0#1");
+	char *text = checkpoint_record_write(record);
 	pd_error_t err;
-	fleet_record_t *read = fleet_record_read(text, &err);
-	char *again = fleet_record_write(read);
+	checkpoint_record_t *read = checkpoint_record_read(text, &err);
+	char *again = checkpoint_record_write(read);
 
 	(void)state;
 	assert_string_equal(again, text);
@@ -35,8 +35,8 @@
 	assert_true(g_array_index(read->accounts, account_record_t, 0).level ==
 		    -500);
 	assert_int_equal(g_array_index(read->counts, usage_entry_t, 0).count, 8);
-	fleet_record_destroy(record);
-	fleet_record_destroy(read);
+	checkpoint_record_destroy(record);
+	checkpoint_record_destroy(read);
 	g_free(text);
 	g_free(again);
 }
@@ -48,15 +48,15 @@
  */
 static void test_two_writers_never_write_the_same(void **state)
 {
-	fleet_record_t *one = record_by("g0#1");
-	fleet_record_t *other = record_by("g1#1");
-	char *text = fleet_record_write(one);
-	char *other_text = fleet_record_write(other);
+	checkpoint_record_t *one = record_by("g0#1");
+	checkpoint_record_t *other = record_by("g1#1");
+	char *text = checkpoint_record_write(one);
+	char *other_text = checkpoint_record_write(other);
 
 	(void)state;
 	assert_string_not_equal(text, other_text);
-	fleet_record_destroy(one);
-	fleet_record_destroy(other);
+	checkpoint_record_destroy(one);
+	checkpoint_record_destroy(other);
 	g_free(text);
 	g_free(other_text);
 }
