--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,8 @@
 GATEWAY := $(patsubst %.c,$(B)/%.o,$(wildcard adapters/http1/*.c \
 	adapters/gateway/*.c platform/*.c) adapters/frame_link.c \
 	adapters/json.c adapters/json_shared.c adapters/log_buffer.c adapters/log_glib.c \
-	adapters/metrics.c adapters/msgpack_check.c adapters/setting_table.c) \
+	adapters/metrics.c adapters/msgpack_check.c adapters/msgpack_fields.c \
+	adapters/setting_table.c) \
 	$(B)/adapters/toml_reader.o
 GATEWAY_PACKAGES := glib-2.0 libuv jansson msgpack libxxhash
 GATEWAY_LIBS := -lhttp_parser $(shell pkg-config --libs $(GATEWAY_PACKAGES))
--- a/adapters/gateway/peer_loads.c
+++ b/adapters/gateway/peer_loads.c
@@ -226,12 +226,13 @@
 		       const msgpack_object *object, const GArray *without)
 {
 	uint32_t count = 0;
-	const msgpack_object *items = peers_items(object, 0, &count);
+	const msgpack_object *items = msgpack_field_items(object, 0, &count);
 
 	for (uint32_t i = 0; i + LOAD_FIELDS <= count; i += LOAD_FIELDS) {
-		load_t load = { (uint32_t)peers_number(&items[i]),
-				(unsigned int)peers_number(&items[i + 1]),
-				(double)peers_number(&items[i + 2]) * READING_UNIT };
+		load_t load = { (uint32_t)msgpack_field_number(&items[i]),
+				(unsigned int)msgpack_field_number(&items[i + 1]),
+				(double)msgpack_field_number(&items[i + 2]) *
+					READING_UNIT };
 		forward_upstream_t *upstream =
 			forward_upstreams_marked(peers->gateway->upstreams,
 						 load.mark);
@@ -258,8 +259,8 @@
 /* Gives the upstreams of a service that were not named the mean of the rest. */
 static void take_rest(gateway_peers_t *peers, const msgpack_object *object)
 {
-	const msgpack_object *fields = peers_items(object, 3, NULL);
-	char *service = fields ? peers_text(&fields[0]) : NULL;
+	const msgpack_object *fields = msgpack_field_items(object, 3, NULL);
+	char *service = fields ? msgpack_field_text(&fields[0]) : NULL;
 	const GPtrArray *serving =
 		service ? forward_upstreams_serving(peers->gateway->upstreams,
 						    service)
@@ -268,8 +269,9 @@
 	for (guint i = 0; serving && i < serving->len; i++) {
 		forward_upstream_t *upstream = g_ptr_array_index(serving, i);
 		load_t load = { forward_upstream_mark(upstream),
-				(unsigned int)(peers_decimal(&fields[1]) + 0.5),
-				peers_decimal(&fields[2]) };
+				(unsigned int)(msgpack_field_decimal(&fields[1]) +
+					       0.5),
+				msgpack_field_decimal(&fields[2]) };
 
 		if (!upstream->peers_running && upstream->peers_reading <= 0)
 			load_put(peers->hub_loads, upstream, &load);
@@ -280,7 +282,7 @@
 /* Puts a hub's sums in the place of those before, less this gateway's part. */
 void peers_take_all_loads(gateway_peers_t *peers, const msgpack_object *object)
 {
-	const msgpack_object *parts = peers_items(object, 2, NULL);
+	const msgpack_object *parts = msgpack_field_items(object, 2, NULL);
 	uint32_t count = 0;
 	const msgpack_object *rests;
 
@@ -288,7 +290,7 @@
 	if (!parts)
 		return;
 	take_named(peers, peers->hub_loads, &parts[0], peers->loads_told);
-	rests = peers_items(&parts[1], 0, &count);
+	rests = msgpack_field_items(&parts[1], 0, &count);
 	for (uint32_t i = 0; i < count; i++)
 		take_rest(peers, &rests[i]);
 }
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -6,6 +6,7 @@
 
 #include "adapters/frame_link.h"
 #include "adapters/gateway/peers.h"
+#include "adapters/msgpack_fields.h"
 
 typedef enum message_kind {
 	MESSAGE_STATE, /* what the sender itself did and knows */
@@ -171,11 +172,6 @@
 void peers_take_own_loads(gateway_peers_t *peers, GArray *loads,
 			  const msgpack_object *object);
 void peers_take_all_loads(gateway_peers_t *peers, const msgpack_object *object);
-const msgpack_object *peers_items(const msgpack_object *object, uint32_t least,
-				  uint32_t *count);
-uint64_t peers_number(const msgpack_object *object);
-double peers_decimal(const msgpack_object *object);
-char *peers_text(const msgpack_object *object);
 void peers_forget_counts(gateway_peers_t *peers, peer_t *peer);
 const peer_view_t *peers_view(gateway_peers_t *peers, pd_time_t now);
 bool peers_is_mesh(gateway_peers_t *peers, pd_time_t now);
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -20,41 +20,6 @@
 #define DIFFERS_MIN (300 * PD_MSEC)
 #define FETCH_PERIOD_MAX (6400 * PD_MSEC)
 
-/* Returns a copy of a text, which the caller frees; NULL: it is none. */
-char *peers_text(const msgpack_object *object)
-{
-	if (object->type != MSGPACK_OBJECT_STR)
-		return NULL;
-	return g_strndup(object->via.str.ptr, object->via.str.size);
-}
-
-/* Returns a number, 0 if it is none. */
-uint64_t peers_number(const msgpack_object *object)
-{
-	return object->type == MSGPACK_OBJECT_POSITIVE_INTEGER ? object->via.u64
-							       : 0;
-}
-
-/* Returns a decimal or whole number, 0 if it is none. */
-double peers_decimal(const msgpack_object *object)
-{
-	if (object->type == MSGPACK_OBJECT_FLOAT32 ||
-	    object->type == MSGPACK_OBJECT_FLOAT64)
-		return object->via.f64;
-	return (double)peers_number(object);
-}
-
-/* Returns the items of an array of at least LEAST, or NULL. */
-const msgpack_object *peers_items(const msgpack_object *object, uint32_t least,
-				  uint32_t *count)
-{
-	if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size < least)
-		return NULL;
-	if (count)
-		*count = object->via.array.size;
-	return object->via.array.ptr;
-}
-
 /* A peer's values by name, and the sums of all peers' that they are part of. */
 typedef struct part {
 	GHashTable *values;
@@ -81,15 +46,16 @@
 /* Reads an account's use; false if it is not one. */
 static bool read_use(const msgpack_object *object, use_told_t *use)
 {
-	const msgpack_object *fields = peers_items(object, USE_FIELDS, NULL);
+	const msgpack_object *fields =
+		msgpack_field_items(object, USE_FIELDS, NULL);
 
 	if (!fields)
 		return false;
-	use->account = peers_text(&fields[0]);
-	use->total = peers_decimal(&fields[1]);
+	use->account = msgpack_field_text(&fields[0]);
+	use->total = msgpack_field_decimal(&fields[1]);
 	use->has_level = fields[2].type != MSGPACK_OBJECT_NIL;
-	use->level = peers_decimal(&fields[2]);
-	use->asked = peers_decimal(&fields[3]);
+	use->level = msgpack_field_decimal(&fields[2]);
+	use->asked = msgpack_field_decimal(&fields[3]);
 	return use->account != NULL;
 }
 
@@ -102,7 +68,7 @@
 	token_limits_t *limits = peers->gateway->limits;
 	pd_time_t now = gateway_now();
 	uint32_t count = 0;
-	const msgpack_object *items = peers_items(object, 0, &count);
+	const msgpack_object *items = msgpack_field_items(object, 0, &count);
 	use_told_t use;
 
 	for (uint32_t i = 0; i < count; i++) {
@@ -126,7 +92,7 @@
 	token_limits_t *limits = peers->gateway->limits;
 	pd_time_t now = gateway_now();
 	uint32_t count = 0;
-	const msgpack_object *items = peers_items(object, 0, &count);
+	const msgpack_object *items = msgpack_field_items(object, 0, &count);
 	use_told_t use;
 
 	for (uint32_t i = 0; i < count; i++) {
@@ -145,16 +111,17 @@
 		       const msgpack_object *object, const part_t *part)
 {
 	uint32_t count = 0;
-	const msgpack_object *items = peers_items(object, 0, &count);
+	const msgpack_object *items = msgpack_field_items(object, 0, &count);
 
 	for (uint32_t i = 0; i < count; i++) {
-		const msgpack_object *pair = peers_items(&items[i], 2, NULL);
-		char *service = pair ? peers_text(&pair[0]) : NULL;
+		const msgpack_object *pair =
+			msgpack_field_items(&items[i], 2, NULL);
+		char *service = pair ? msgpack_field_text(&pair[0]) : NULL;
 		double total;
 
 		if (!service)
 			continue;
-		total = peers_decimal(&pair[1]);
+		total = msgpack_field_decimal(&pair[1]);
 		work_rate_heard(gateway->work, who, service, total);
 		if (part)
 			part_set(part, service, total);
@@ -166,18 +133,20 @@
 static void take_speeds(gateway_t *gateway, const msgpack_object *object)
 {
 	uint32_t count = 0;
-	const msgpack_object *items = peers_items(object, 0, &count);
+	const msgpack_object *items = msgpack_field_items(object, 0, &count);
 
 	for (uint32_t i = 0; i < count; i++) {
-		const msgpack_object *pair = peers_items(&items[i], 2, NULL);
-		char *service = pair ? peers_text(&pair[0]) : NULL;
+		const msgpack_object *pair =
+			msgpack_field_items(&items[i], 2, NULL);
+		char *service = pair ? msgpack_field_text(&pair[0]) : NULL;
 
 		/* A peer may not have this gateway keep services of its own. */
 		if (service && gateway->config &&
 		    forward_config_service(gateway->config, service))
 			engine_speeds_told(forward_upstreams_speeds(
 						   gateway->upstreams),
-					   service, peers_decimal(&pair[1]));
+					   service,
+					   msgpack_field_decimal(&pair[1]));
 		g_free(service);
 	}
 }
@@ -189,18 +158,19 @@
 			const msgpack_object *object, take_usage_t take)
 {
 	uint32_t count = 0;
-	const msgpack_object *items = peers_items(object, 0, &count);
+	const msgpack_object *items = msgpack_field_items(object, 0, &count);
 
 	for (uint32_t i = 0; i < count; i++) {
-		const msgpack_object *fields = peers_items(&items[i], 4, NULL);
-		char *account = fields ? peers_text(&fields[1]) : NULL;
+		const msgpack_object *fields =
+			msgpack_field_items(&items[i], 4, NULL);
+		char *account = fields ? msgpack_field_text(&fields[1]) : NULL;
 
 		if (account) {
 			const usage_entry_t entry = {
-				.window = (int64_t)peers_number(&fields[0]),
+				.window = (int64_t)msgpack_field_number(&fields[0]),
 				.account = account,
-				.count = peers_number(&fields[2]),
-				.prior = peers_number(&fields[3]),
+				.count = msgpack_field_number(&fields[2]),
+				.prior = msgpack_field_number(&fields[3]),
 			};
 
 			take(gateway->usage, who, &entry);
@@ -212,16 +182,17 @@
 static void take_members(gateway_peers_t *peers, const msgpack_object *object)
 {
 	uint32_t count = 0;
-	const msgpack_object *items = peers_items(object, 0, &count);
+	const msgpack_object *items = msgpack_field_items(object, 0, &count);
 
 	for (uint32_t i = 0; i < count; i++) {
-		const msgpack_object *pair = peers_items(&items[i], 2, NULL);
-		char *address = pair ? peers_text(&pair[0]) : NULL;
+		const msgpack_object *pair =
+			msgpack_field_items(&items[i], 2, NULL);
+		char *address = pair ? msgpack_field_text(&pair[0]) : NULL;
 		peer_t *peer = address ? peers_add(peers, address) : NULL;
 
 		if (peer) {
 			peer->mentioned_at = gateway_now();
-			peer->strong = peers_number(&pair[1]) != 0;
+			peer->strong = msgpack_field_number(&pair[1]) != 0;
 		}
 		g_free(address);
 	}
@@ -303,7 +274,7 @@
 static void take_holder(gateway_peers_t *peers, const msgpack_object *object,
 			uint64_t fence)
 {
-	char *holder = peers_text(object);
+	char *holder = msgpack_field_text(object);
 
 	if (holder && *holder && fence > peers->holder_fence) {
 		g_free(peers->holder);
@@ -317,9 +288,10 @@
 /* Notes who sent a state or summary; NULL if that can't be read. */
 static peer_t *take_sender(gateway_peers_t *peers, const msgpack_object *fields)
 {
-	unsigned int flags = (unsigned int)peers_number(&fields[STATE_FLAGS]);
-	char *address = peers_text(&fields[STATE_ADDRESS]);
-	char *who = peers_text(&fields[STATE_INCARNATION]);
+	unsigned int flags =
+		(unsigned int)msgpack_field_number(&fields[STATE_FLAGS]);
+	char *address = msgpack_field_text(&fields[STATE_ADDRESS]);
+	char *who = msgpack_field_text(&fields[STATE_INCARNATION]);
 	peer_t *peer = address && who ? peers_add(peers, address) : NULL;
 
 	if (!peer)
@@ -338,9 +310,9 @@
 	peer->has_store = flags & STATE_FLAG_HAS_STORE;
 	if (!g_strcmp0(address, peers->counts_to))
 		usage_keeper_answered(peers->gateway->usage);
-	take_store_age(peers, peers_number(&fields[STATE_STORE_AGE]));
+	take_store_age(peers, msgpack_field_number(&fields[STATE_STORE_AGE]));
 	take_holder(peers, &fields[STATE_HOLDER],
-		    peers_number(&fields[STATE_FENCE]));
+		    msgpack_field_number(&fields[STATE_FENCE]));
 done:
 	g_free(address);
 	g_free(who);
@@ -350,10 +322,11 @@
 static int take_state(gateway_peers_t *peers, const msgpack_object *fields)
 {
 	gateway_t *gateway = peers->gateway;
-	unsigned int flags = (unsigned int)peers_number(&fields[STATE_FLAGS]);
+	unsigned int flags =
+		(unsigned int)msgpack_field_number(&fields[STATE_FLAGS]);
 	peer_t *peer = take_sender(peers, fields);
 	pd_time_t now = gateway_now();
-	uint64_t age = peers_number(&fields[STATE_AGE]);
+	uint64_t age = msgpack_field_number(&fields[STATE_AGE]);
 	bool first;
 
 	if (!peer)
@@ -361,7 +334,7 @@
 	first = !peer_is_heard(peer, now);
 	peer->heard_at = now;
 	time_vote_hear(gateway->vote, peer->address,
-		       (pd_time_t)peers_number(&fields[STATE_WALL]), now);
+		       (pd_time_t)msgpack_field_number(&fields[STATE_WALL]), now);
 	take_usages(gateway, peer->incarnation, &fields[STATE_USAGES], usage_heard);
 	take_speeds(gateway, &fields[STATE_SPEEDS]);
 	take_members(peers, &fields[STATE_MEMBERS]);
@@ -382,8 +355,8 @@
 						    PEERS_FULL_PERIOD);
 	else if (first)
 		peers_send_state(peers, peer, false, true);
-	fetch_newer(peers, peer, peers_number(&fields[STATE_CONFIG]),
-		    peers_number(&fields[STATE_DIGEST]));
+	fetch_newer(peers, peer, msgpack_field_number(&fields[STATE_CONFIG]),
+		    msgpack_field_number(&fields[STATE_DIGEST]));
 	return 0;
 }
 
@@ -397,14 +370,16 @@
 		return -1;
 	peer->heard_at = now;
 	take_members(peers, &fields[STATE_MEMBERS]);
-	fetch_newer(peers, peer, peers_number(&fields[STATE_CONFIG]),
-		    peers_number(&fields[STATE_DIGEST]));
+	fetch_newer(peers, peer, msgpack_field_number(&fields[STATE_CONFIG]),
+		    msgpack_field_number(&fields[STATE_DIGEST]));
 	if (!peers->hub || strcmp(peers->hub, peer->address))
 		return 0;
 	peers->summed_at = now;
-	peers->told_count = (unsigned int)peers_number(&fields[STATE_COUNT]);
+	peers->told_count =
+		(unsigned int)msgpack_field_number(&fields[STATE_COUNT]);
 	time_vote_follow(gateway->vote,
-			 (pd_time_t)peers_number(&fields[STATE_WALL]), now);
+			 (pd_time_t)msgpack_field_number(&fields[STATE_WALL]),
+			 now);
 	take_sums(peers, &fields[STATE_TOTALS]);
 	take_works(gateway, EVERYBODY, &fields[STATE_WORKS], NULL);
 	take_speeds(gateway, &fields[STATE_SPEEDS]);
@@ -414,19 +389,19 @@
 
 static int take_announce(gateway_peers_t *peers, const msgpack_object *fields)
 {
-	char *address = peers_text(&fields[1]);
+	char *address = msgpack_field_text(&fields[1]);
 	peer_t *peer = address ? peers_add(peers, address) : NULL;
 
 	g_free(address);
 	if (!peer)
 		return -1;
-	fetch_newer(peers, peer, peers_number(&fields[2]), 0);
+	fetch_newer(peers, peer, msgpack_field_number(&fields[2]), 0);
 	return 0;
 }
 
 static int take_config(gateway_peers_t *peers, const msgpack_object *fields)
 {
-	char *text = peers_text(&fields[1]);
+	char *text = msgpack_field_text(&fields[1]);
 
 	if (!text)
 		return -1;
@@ -455,11 +430,11 @@
 		       GArray *unknown)
 {
 	gateway_t *gateway = peers->gateway;
-	uint64_t mark = peers_number(&fields[0]);
+	uint64_t mark = msgpack_field_number(&fields[0]);
 	const forward_change_t change = {
-		.stage = (forward_stage_t)peers_number(&fields[1]),
-		.revision = peers_number(&fields[2]),
-		.born = (int64_t)peers_number(&fields[3]),
+		.stage = (forward_stage_t)msgpack_field_number(&fields[1]),
+		.revision = msgpack_field_number(&fields[2]),
+		.born = (int64_t)msgpack_field_number(&fields[3]),
 	};
 	forward_upstream_t *upstream =
 		forward_upstreams_marked(gateway->upstreams, (uint32_t)mark);
@@ -481,31 +456,32 @@
 			  GArray *unknown)
 {
 	gateway_t *gateway = peers->gateway;
-	const msgpack_object *fields = peers_items(object, NEWS_FULL_FIELDS, NULL);
+	const msgpack_object *fields =
+		msgpack_field_items(object, NEWS_FULL_FIELDS, NULL);
 	char *texts[4] = { NULL };
 	forward_listing_t listing = { 0 };
 	bool news = false;
 
 	if (!fields) {
-		fields = peers_items(object, NEWS_BRIEF_FIELDS, NULL);
+		fields = msgpack_field_items(object, NEWS_BRIEF_FIELDS, NULL);
 		if (fields)
 			take_stage(peers, fields, unknown);
 		return;
 	}
-	texts[0] = peers_text(&fields[0]);
-	texts[1] = peers_text(&fields[1]);
-	texts[2] = peers_text(&fields[2]);
-	texts[3] = peers_text(&fields[4]);
+	texts[0] = msgpack_field_text(&fields[0]);
+	texts[1] = msgpack_field_text(&fields[1]);
+	texts[2] = msgpack_field_text(&fields[2]);
+	texts[3] = msgpack_field_text(&fields[4]);
 	listing.id = texts[0];
 	listing.service = texts[1];
 	listing.address = texts[2];
-	listing.port = (uint16_t)peers_number(&fields[3]);
+	listing.port = (uint16_t)msgpack_field_number(&fields[3]);
 	listing.zone = texts[3];
-	listing.slots = (unsigned int)peers_number(&fields[5]);
-	listing.stage = (forward_stage_t)peers_number(&fields[6]);
-	listing.reclaimable = peers_number(&fields[7]) != 0;
-	listing.revision = peers_number(&fields[8]);
-	listing.born = (int64_t)peers_number(&fields[9]);
+	listing.slots = (unsigned int)msgpack_field_number(&fields[5]);
+	listing.stage = (forward_stage_t)msgpack_field_number(&fields[6]);
+	listing.reclaimable = msgpack_field_number(&fields[7]) != 0;
+	listing.revision = msgpack_field_number(&fields[8]);
+	listing.born = (int64_t)msgpack_field_number(&fields[9]);
 	if (!texts[0] || !texts[1] || !texts[2] || !texts[3] ||
 	    listing.stage > FORWARD_GONE)
 		goto done;
@@ -525,8 +501,8 @@
 static int take_news(gateway_peers_t *peers, const msgpack_object *fields)
 {
 	uint32_t count = 0;
-	const msgpack_object *items = peers_items(&fields[3], 0, &count);
-	char *address = peers_text(&fields[1]);
+	const msgpack_object *items = msgpack_field_items(&fields[3], 0, &count);
+	char *address = msgpack_field_text(&fields[1]);
 	peer_t *peer = address ? peers_add(peers, address) : NULL;
 	GArray *unknown;
 
@@ -536,7 +512,7 @@
 	unknown = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	for (uint32_t i = 0; i < count; i++)
 		take_upstream(peers, &items[i], unknown);
-	if (peers_number(&fields[2]))
+	if (msgpack_field_number(&fields[2]))
 		peers->gateway->upstreams_known = true;
 	if (unknown->len)
 		peers_send_fetch_marked(peers, peer, unknown);
@@ -548,11 +524,11 @@
 			const msgpack_object *object)
 {
 	uint32_t count = 0;
-	const msgpack_object *items = peers_items(object, 0, &count);
+	const msgpack_object *items = msgpack_field_items(object, 0, &count);
 	GArray *marks = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 
 	for (uint32_t i = 0; i < count; i++) {
-		uint64_t mark = peers_number(&items[i]);
+		uint64_t mark = msgpack_field_number(&items[i]);
 
 		g_array_append_val(marks, mark);
 	}
@@ -564,20 +540,21 @@
 static bool take_digests(const msgpack_object *object,
 			 uint64_t digests[FORWARD_BUCKETS])
 {
-	const msgpack_object *items = peers_items(object, FORWARD_BUCKETS, NULL);
+	const msgpack_object *items =
+		msgpack_field_items(object, FORWARD_BUCKETS, NULL);
 
 	if (!items)
 		return false;
 	for (unsigned int i = 0; i < FORWARD_BUCKETS; i++)
-		digests[i] = peers_number(&items[i]);
+		digests[i] = msgpack_field_number(&items[i]);
 	return true;
 }
 
 static int take_fetch(gateway_peers_t *peers, const msgpack_object *fields)
 {
 	uint64_t digests[FORWARD_BUCKETS];
-	uint64_t what = peers_number(&fields[2]);
-	char *address = peers_text(&fields[1]);
+	uint64_t what = msgpack_field_number(&fields[2]);
+	char *address = msgpack_field_text(&fields[1]);
 	peer_t *peer = address ? peers_add(peers, address) : NULL;
 
 	g_free(address);
@@ -596,8 +573,8 @@
 
 static int take_counts(gateway_peers_t *peers, const msgpack_object *fields)
 {
-	char *address = peers_text(&fields[1]);
-	char *who = peers_text(&fields[2]);
+	char *address = msgpack_field_text(&fields[1]);
+	char *who = msgpack_field_text(&fields[2]);
 	peer_t *peer = address ? peers_find(peers, address) : NULL;
 	int rc;
 
@@ -624,8 +601,8 @@
 		[MESSAGE_COUNTS] = COUNTS_FIELDS,
 	};
 	uint32_t count = 0;
-	const msgpack_object *fields = peers_items(object, 1, &count);
-	uint64_t kind = fields ? peers_number(&fields[0]) : UINT64_MAX;
+	const msgpack_object *fields = msgpack_field_items(object, 1, &count);
+	uint64_t kind = fields ? msgpack_field_number(&fields[0]) : UINT64_MAX;
 
 	if (kind > MESSAGE_COUNTS || count < lengths[kind])
 		return -1;
