Hold the first watch of a start in a large fleet

Operators pay for each call to the store. When all 295 gateways start at once, each watched the configuration and the upstreams as soon as it had listed them: until it has heard its peers it takes itself for one of the three that watch.

Change: a start whose checkpoint says that the fleet is larger than a mesh waits 0.2 to 0.4 s after its first listing before it watches. Changes in between are not missed, as the watch begins at the revision of the listing. The checkpoint is asked for first, so that its answer is there by then.

Ruled out: waiting in every fleet.

--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -20,6 +20,13 @@
 #define WATCH_WAIT_FOR_MANY (800 * PD_MSEC)
 #define WATCH_MARGIN_MS 800
 #define LIST_TIMEOUT_MS 1500
+/*
+ * In a large fleet a start waits after its first listing before it watches. Until it
+ * has heard its peers it takes itself for one of the few that watch, and hundreds
+ * that start at once would all make calls that all but three don't need.
+ */
+#define FIRST_WATCH (200 * PD_MSEC)
+#define FIRST_WATCH_SPREAD (200 * PD_MSEC)
 /* Gateways lose the store and get it back within about this of each other. */
 #define PEERS_LAG PD_SEC
 /*
@@ -43,6 +50,7 @@
 	uint64_t listed_at; /* revision of the listing's first page */
 	char *after; /* the last name of the page before; NULL: the first */
 	bool listing;
+	pd_time_t first_watch_at; /* in a large fleet; 0: nothing is listed yet */
 	bool waiting; /* a call is out */
 	bool lost; /* the last call failed */
 	unsigned int failures; /* in a row */
@@ -60,6 +68,7 @@
 };
 
 static void feed_ask(feed_t *feed);
+static void feed_run(feed_t *feed, pd_time_t now);
 
 static void feed_init(feed_t *feed, fleet_feed_t *fleet, wire_kind_t kind,
 		      const char *name)
@@ -184,6 +193,10 @@
 	gateway_t *gateway = feed->fleet->gateway;
 
 	feed->listing = false;
+	if (!feed->first_watch_at)
+		feed->first_watch_at = gateway_now() + FIRST_WATCH +
+				       (pd_time_t)(g_rand_double(gateway->random) *
+						   (double)FIRST_WATCH_SPREAD);
 	feed->revision = feed->listed_at;
 	g_clear_pointer(&feed->after, g_free);
 	if (feed->kind != WIRE_UPSTREAMS)
@@ -319,8 +332,10 @@
 	gateway_peers_store_heard(feed->fleet->gateway->peers);
 	feed_take(feed, page);
 	wire_page_destroy(page);
-	if (feed->listing || gateway_peers_watch_store(feed->fleet->gateway->peers))
+	if (feed->listing)
 		feed_ask(feed);
+	else
+		feed_run(feed, gateway_now());
 }
 
 static void feed_ask(feed_t *feed)
@@ -345,10 +360,19 @@
 	g_free(path);
 }
 
+/* Returns whether a start waits until it knows who of a large fleet watches. */
+static bool feed_holds_off(const feed_t *feed, pd_time_t now)
+{
+	const gateway_t *gateway = feed->fleet->gateway;
+
+	return !feed->listing && now < feed->first_watch_at &&
+	       gateway_count(gateway) > GATEWAY_MESH_MAX;
+}
+
 static void feed_run(feed_t *feed, pd_time_t now)
 {
 	watch_peers(feed, now);
-	if (feed->waiting || now < feed->next_at)
+	if (feed->waiting || now < feed->next_at || feed_holds_off(feed, now))
 		return;
 	if (!gateway_peers_watch_store(feed->fleet->gateway->peers)) {
 		feed->lost = false;
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -225,9 +225,10 @@
 	pd_time_t now = gateway_now();
 
 	forward_upstreams_run(gateway->upstreams, now, on_lapsed, gateway);
+	/* First, as it tells a start how large the fleet is. */
+	gateway_checkpoint_run(gateway->checkpoint, now);
 	fleet_feed_run(gateway->feed, now);
 	forget_old_usage(gateway);
-	gateway_checkpoint_run(gateway->checkpoint, now);
 	gateway_requests_run(gateway, now);
 	callers_run(gateway, now);
 	upstream_links_run(gateway, now);
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -3,12 +3,6 @@
 
 #include "adapters/gateway/peer_state.h"
 
-/*
- * Up to so many gateways all tell each other. Beyond, each tells two hubs, and
- * one of them tells it the sums: the cost of a node is the same in any fleet,
- * and a hub's grows with the fleet by one message each way for a node.
- */
-#define MESH_MAX 12
 /* A peer heard within this is alive; messages can be late by a lost packet. */
 #define HEARD_MAX (3 * PD_SEC)
 /* Four states of the holder were lost, or it has ended: the lease is looked at. */
@@ -126,7 +120,7 @@
 /* Says whether all gateways tell each other, as there are few. */
 bool peers_is_mesh(gateway_peers_t *peers, pd_time_t now)
 {
-	return peers_view(peers, now)->alive <= MESH_MAX;
+	return peers_view(peers, now)->alive <= GATEWAY_MESH_MAX;
 }
 
 /* The same, as of now. */
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -9,6 +9,12 @@
 #include "adapters/gateway/gateway_state.h"
 #include "core/error.h"
 
+/*
+ * Up to so many gateways all send to each other. Beyond, each sends to two hubs, and
+ * one of them sends it the sums: the cost of a node is the same in any fleet, and a
+ * hub's grows with the fleet by one message each way for a node.
+ */
+#define GATEWAY_MESH_MAX 12
 /* So many gateways write the checkpoint, each an object of its own. */
 #define CHECKPOINT_SLOTS 2
 
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -382,6 +382,20 @@
 	json_decref(body);
 }
 
+static void note_reading(gateway_rig_t *rig, const char *kind, bool watch)
+{
+	uint64_t now = uv_hrtime() / 1000000;
+
+	if (strcmp(kind, "servers") != 0)
+		return;
+	if (!watch) {
+		rig->listed_ms = now;
+		rig->watched_ms = 0;
+	} else if (!rig->watched_ms) {
+		rig->watched_ms = now;
+	}
+}
+
 static void store_serve(visit_t *visit)
 {
 	gateway_rig_t *rig = visit->server->rig;
@@ -392,6 +406,7 @@
 
 	g_free(visit->kind);
 	visit->kind = g_strdup(parts[2]);
+	note_reading(rig, visit->kind, watch != NULL);
 	if (strcmp(visit->method, "GET") != 0) {
 		store_change(visit, name);
 	} else if (watch) {
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -59,6 +59,8 @@
 	json_t *events; /* array, in the order of their revisions */
 	json_int_t revision;
 	unsigned int answers_lost; /* so many writes to a checkpoint get no answer */
+	uint64_t listed_ms; /* when upstreams were listed last */
+	uint64_t watched_ms; /* when they were watched first after that; 0: not yet */
 	list_node_t watches;
 	GPtrArray *usage; /* bodies of the reports that came in */
 	GPtrArray *orders; /* bodies of the orders that came in */
--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -18,6 +18,7 @@
 /* With the second until another keeps the record: less than until a dead peer no
  * longer counts as alive, three seconds. */
 #define WRITER_TOLD_MS 1000
+#define FIRST_WATCH_MS 150 /* a start has heard its peers by then */
 #define READ_MS 20 /* until a gateway has read a call for certain */
 
 /* Counts what a gateway has logged, in all its starts so far. */
@@ -277,6 +278,20 @@
 	assert_true(served);
 }
 
+/* Guards against calls of hundreds of starts that do not know yet who watches. */
+static void test_a_start_does_not_watch_at_once(void **state)
+{
+	gateway_rig_t *rig = *state;
+
+	kill_all(rig);
+	rig_put(rig, "records", "slot-0", "{\"gateways\":63,\"accounts\":{}}");
+	rig->listed_ms = 0;
+	rig->watched_ms = 0;
+	rig_start(rig, 0);
+	RIG_UNTIL(rig, rig->listed_ms && rig->watched_ms);
+	assert_true(rig->watched_ms - rig->listed_ms >= FIRST_WATCH_MS);
+}
+
 /*
  * The holder of the duties is told to stop, and a caller's request keeps it for some
  * seconds more. It stopped acting at once, while others waited for its lease to
@@ -320,6 +335,8 @@
 		cmocka_unit_test_setup_teardown(
 			test_a_call_that_comes_before_the_configuration_is_served,
 			setup, teardown),
+		cmocka_unit_test_setup_teardown(test_a_start_does_not_watch_at_once,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_a_stopping_holder_goes_on_until_it_ends,
 						setup, teardown),
 	};
