Report windows with counts that no lease has noted

Cause: a leader goes on after the window that the lease notes; without a note it began with the last one that had ended.

Change: without a note it begins with the first window that has counts and is still due.

--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -362,6 +362,21 @@
 	       now - duties->counts_asked_at > COUNTS_WAIT;
 }
 
+/*
+ * Returns the window to report next. If no report was ever noted, as all gateways
+ * were killed before the lease was taken, windows with counts may still be due.
+ */
+static int64_t next_window(const gateway_duties_t *duties,
+			   const duties_note_t *note, int64_t ended)
+{
+	const gateway_t *gateway = duties->gateway;
+	int64_t due = gateway_first_window_due(gateway);
+
+	if (note->report)
+		return MAX(note->window + 1, due);
+	return usage_first_window(gateway->usage, due, ended);
+}
+
 static void run_usage(gateway_duties_t *duties, pd_time_t now)
 {
 	const gateway_t *gateway = duties->gateway;
@@ -369,7 +384,6 @@
 	pd_time_t wall = time_vote_wall(gateway->vote, gateway_wall(), now);
 	int64_t ended = (wall - COUNTS_SETTLE) / length - 1;
 	const duties_note_t *note;
-	int64_t next;
 
 	if (duties->reporting || now < duties->report_at ||
 	    !lease_is_settled(duties->lease, now))
@@ -382,8 +396,7 @@
 	if ((note->report && note->window >= ended) || !has_counts(duties, now))
 		return;
 	duties->counts_asked_at = 0;
-	next = MAX(note->window + 1, gateway_first_window_due(gateway));
-	note_report(duties, note->report ? next : ended, now);
+	note_report(duties, next_window(duties, note, ended), now);
 }
 
 static order_t *duties_order(gateway_duties_t *duties, const char *service,
--- a/core/forward/usage.c
+++ b/core/forward/usage.c
@@ -283,6 +283,20 @@
 	g_hash_table_unref(sums);
 }
 
+/* Returns the first window from FROM on that has counts, TO if none before it has. */
+int64_t usage_first_window(const usage_t *usage, int64_t from, int64_t to)
+{
+	int64_t first = to;
+
+	for (guint i = 0; i < usage->windows->len; i++) {
+		const window_t *window = g_ptr_array_index(usage->windows, i);
+
+		if (window->number >= from)
+			first = MIN(first, window->number);
+	}
+	return first;
+}
+
 /* Drops the windows before one. */
 void usage_forget(usage_t *usage, int64_t before)
 {
--- a/core/forward/usage.h
+++ b/core/forward/usage.h
@@ -38,6 +38,7 @@
 void usage_resend(usage_t *usage);
 void usage_sum(const usage_t *usage, int64_t window, usage_sum_each_t each,
 	       void *ctx);
+int64_t usage_first_window(const usage_t *usage, int64_t from, int64_t to);
 void usage_forget(usage_t *usage, int64_t before);
 int64_t usage_windows_due(pd_time_t window, pd_time_t due);
 pd_time_t usage_write_period(pd_time_t window, pd_time_t send_period);
--- a/tests/unit/test_forward_counts.c
+++ b/tests/unit/test_forward_counts.c
@@ -134,10 +134,17 @@
 /* Guards against counts that are dropped or skipped before their report is due. */
 static void test_windows_are_kept_until_their_report_is_due(void **state)
 {
+	usage_t *usage = usage_create("e0#1");
+
 	(void)state;
 	assert_int_equal(usage_windows_due(5 * PD_SEC, 10 * PD_SEC), 3);
 	assert_int_equal(usage_windows_due(1 * PD_SEC, 10 * PD_SEC), 11);
 	assert_int_equal(usage_windows_due(60 * PD_SEC, 10 * PD_SEC), 2);
+	assert_int_equal(usage_first_window(usage, 5, 9), 9);
+	merge(usage, "e1#1", 7, 1);
+	merge(usage, "e1#1", 4, 1);
+	assert_int_equal(usage_first_window(usage, 5, 9), 7);
+	usage_destroy(usage);
 }
 
 /* Guards against own counts that come back from the store and are added again. */
