Compose the checkpoint once a period when nothing has changed

A writer whose contents were unchanged composed them at every tick, 50 times a second where 5 to 10 are due: found by reading, not measured.

Cause: only a write that was sent moved the time of the next one. Now one that is not needed does as well. test_what_is_written_is_not_written_again has the case; the check after the late end in test_a_lost_answer_holds_nothing_up moves by the tick at which contents were found unchanged. call_pacer_is_idle() had no caller and goes.

--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -349,7 +349,7 @@
 	char *path;
 	char *body;
 
-	if (!object_writer_needs(stored->writer, digest))
+	if (!object_writer_needs(stored->writer, digest, now))
 		return;
 	number = object_writer_begin(stored->writer, digest, now);
 	path = wire_object_path(stored->kind, revision ? stored->name : NULL);
--- a/core/forward/call_pacer.c
+++ b/core/forward/call_pacer.c
@@ -60,12 +60,6 @@
 	return !pacer->last_begun_at || now - pacer->last_begun_at >= wait;
 }
 
-/* Returns whether no call is out. */
-bool call_pacer_is_idle(const call_pacer_t *pacer)
-{
-	return pacer->out == 0;
-}
-
 /* Notes a call; only when one is due. Returns its number, for its end. */
 unsigned int call_pacer_begin(call_pacer_t *pacer, pd_time_t now)
 {
@@ -113,3 +107,9 @@
 {
 	pacer->last_begun_at = 0;
 }
+
+/* Has the next call made a period from now, as there is nothing to call for. */
+void call_pacer_postpone(call_pacer_t *pacer, pd_time_t now)
+{
+	pacer->last_begun_at = now;
+}
--- a/core/forward/object_writer.c
+++ b/core/forward/object_writer.c
@@ -40,10 +40,16 @@
 	return call_pacer_is_due(writer->pacer, now);
 }
 
-/* Returns whether the object may hold other contents than those of DIGEST. */
-bool object_writer_needs(const object_writer_t *writer, uint64_t digest)
+/*
+ * Returns whether the object may hold other contents than those of DIGEST. If not,
+ * the next write is due in a period, so that contents are not composed all the time.
+ */
+bool object_writer_needs(object_writer_t *writer, uint64_t digest, pd_time_t now)
 {
-	return writer->written != digest;
+	if (writer->written != digest)
+		return true;
+	call_pacer_postpone(writer->pacer, now);
+	return false;
 }
 
 /* Notes a write of contents with that digest, not 0. Returns its number. */
