Shorten the comments of the checkpoint's tests and of the peers

A test of a failure says in a line which failure it guards against; figures of how a value was found go. No change of behaviour.

--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -31,9 +31,8 @@
 #define PEERS_LAG PD_SEC
 /*
  * The pause after a failed call, drawn at random up to twice this. Where a few
- * gateways watch for many, the others wait twice as long after each failure, up
- * to so many doublings: 83 of them made 1,000 calls in an outage of four seconds,
- * more than in the rest of a day, and each is paid for.
+ * gateways watch for many, the others double it after each failure, up to so many
+ * times, as all calls in an outage are paid for.
  */
 #define RETRY_PAUSE (150 * PD_MSEC)
 #define RETRY_DOUBLINGS 3
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -198,11 +198,7 @@
 	gateway_upstream_news(ctx, id, "lapse");
 }
 
-/*
- * Drops counts of old windows. All gateways are told some, also those that never
- * report. Kept, a hub of 300 gateways and 16 accounts grew by up to 9 MB a minute
- * (worked out: 160 bytes a number, twelve windows).
- */
+/* Drops counts of old windows, also in gateways that never report. */
 static void forget_old_usage(gateway_t *gateway)
 {
 	int64_t window = gateway_window(gateway);
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -46,10 +46,8 @@
 #define STATE_FLAG_ASKS 4u /* for a summary in return */
 
 /*
- * Members and usage need not be as fresh as loads, but they must come several
- * times before a mention runs out, whatever the period: told in every eighth
- * message, they came every five seconds in a fleet of 300, and with one message
- * late a gateway took itself for a hub.
+ * Members and usage need not be as fresh as loads, but they must come several times
+ * before a mention runs out, whatever the period of the messages is.
  */
 #define PEERS_FULL_PERIOD (1600 * PD_MSEC)
 
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -10,12 +10,7 @@
 #define PART "peers"
 /* A configuration of some thousand routes; longer frames end the connection. */
 #define FRAME_MAX (4 * 1024 * 1024)
-/*
- * Counts that others act on; what is older is guessed on the last rate. Loads of
- * upstreams are as old as two periods, and requests are spread by them: at 0.4 s
- * instead of 0.2 s, 808 instead of 836 in 1,000 of callers' worth was served by
- * 83 gateways on a day with reclaims and crashes.
- */
+/* Loads of upstreams, by which requests are placed, are two periods old at most. */
 #define MESH_PERIOD (250 * PD_MSEC)
 #define HUB_PERIOD (200 * PD_MSEC)
 /* Beyond so many gateways the period grows with them, to bound a hub's load. */
@@ -32,18 +27,16 @@
 #define HUB_SILENCE (1500 * PD_MSEC)
 #define HUB_PAUSE (5 * PD_SEC)
 /*
- * News goes to so many peers at random, and on from each that had not heard it.
- * In a fleet of 83 that leaves out one in some hundred, who hear it with the
- * next summary.
+ * An update goes to so many peers at random, and on from each that did not have it.
+ * Digests in the states make up for the few that it does not reach.
  */
 #define NEWS_FANOUT 5
 /* What a peer said of the store holds for a few states. */
 #define STORE_NEWS_KEPT (700 * PD_MSEC)
 /*
- * A watch for many answers every 0.8 s at least, and the news of that takes two
- * messages, a period apart, and some time on the way. If nobody has heard the
- * store for longer, each gateway asks for itself: with 3.2 s in all, a fleet whose few watchers were all turned away went by an old configuration
- * for longer than it may.
+ * A watch for many answers every 0.8 s at least, and word of that takes two messages,
+ * a period apart. If nobody has been served for longer, each gateway asks for itself,
+ * as the store may turn away just those that watch.
  */
 #define STORE_STALE (1100 * PD_MSEC)
 #define STORE_STALE_PERIODS 2
--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -158,15 +158,7 @@
 	return sum;
 }
 
-/*
- * All gateways are killed at once, shortly after they served some calls. Until the
- * report is due, counts of use live in the gateways' memory only; each tells all
- * the others, which helps against the death of some and not of all. The customer's
- * report lacked every call of the window of the kill, and of the one before it if
- * that was not reported yet: 967 of 967 and 339 of 848 in one case, where the log
- * showed a holder of the duties that started within the second and reported what
- * it had counted itself since, which was nothing.
- */
+/* Guards against reports without what was counted before a kill of all. */
 static void test_usage_outlives_a_kill_of_all(void **state)
 {
 	gateway_rig_t *rig = *state;
@@ -177,7 +169,7 @@
 	start_all(rig, 2);
 	RIG_UNTIL_WITHIN(rig, calls_reported(rig) >= CALLS, REPORTS_TIMEOUT_MS);
 	assert_int_equal(calls_reported(rig), CALLS);
-	/* Nor are they counted twice, by the record and by whoever read it. */
+	/* No later report may count them again. */
 	pass(rig, 2000);
 	assert_int_equal(calls_reported(rig), CALLS);
 }
@@ -196,7 +188,7 @@
 	assert_int_equal(calls_reported(rig), CALLS);
 }
 
-/* The same, and all are killed once more before the window can be reported. */
+/* Guards against counts that a second kill loses before their report. */
 static void test_usage_outlives_two_kills(void **state)
 {
 	gateway_rig_t *rig = *state;
@@ -228,13 +220,7 @@
 	return writer;
 }
 
-/*
- * The gateway that keeps the record dies alone. The others went on telling it what
- * they count for up to nine seconds, in which it still counted as alive, while the
- * one in its place wrote its own counts only. A kill of all in that time lost three
- * quarters of a window: 728 of 965 requests, where the log showed a record that was
- * written all the while.
- */
+/* Guards against counts that are sent to a writer that has died. */
 static void test_counts_are_kept_when_the_writer_dies(void **state)
 {
 	gateway_rig_t *rig = *state;
@@ -263,12 +249,7 @@
 	RIG_UNTIL_WITHIN(rig, calls_recorded(rig) == CALLS + 1, WRITER_TOLD_MS);
 }
 
-/*
- * All gateways are killed, and callers come back as soon as the processes listen, a
- * few hundredths of a second before these have read the configuration. Refused,
- * each of them was late, for it was told to come back after half a second. A start
- * waits for a quarter of a second, which a busy machine may miss: some are tried.
- */
+/* Guards against refusals while a start has not read the configuration yet. */
 static void test_a_call_that_comes_before_the_configuration_is_served(void **state)
 {
 	gateway_rig_t *rig = *state;
@@ -307,11 +288,7 @@
 	assert_true(rig->watched_ms - rig->listed_ms >= FIRST_WATCH_MS);
 }
 
-/*
- * The holder of the duties is told to stop, and a caller's request keeps it for some
- * seconds more. It stopped acting at once, while others waited for its lease to
- * lapse: the report of a window that was due meanwhile came late.
- */
+/* Guards against a report that is late as its leader was told to stop. */
 static void test_a_stopping_holder_goes_on_until_it_ends(void **state)
 {
 	gateway_rig_t *rig = *state;
