Share what the checkpoint's code works out in several places

Found on reading the change once more; behaviour stays: - gateway_window_length() and gateway_jitter() replace four and four copies of the same conversion. - the lookup of a gateway's own counts stands once (window_own_tally()). - the checkpoint no longer keeps a start time of its own, as the gateway has it. - arrays of checkpoint writers are as long as they can get; the comment asked for one more place. - the restart tests share their first and last steps, with the same checks.

--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -72,7 +72,6 @@
 
 struct gateway_checkpoint {
 	gateway_t *gateway;
-	pd_time_t started_at;
 	pd_time_t first_write_at;
 	bool settled; /* the wait for the first read is over */
 	int slot; /* that is written, as seen last; -1: none */
@@ -115,12 +114,10 @@
 gateway_checkpoint_t *gateway_checkpoint_create(gateway_t *gateway)
 {
 	gateway_checkpoint_t *checkpoint = g_new0(gateway_checkpoint_t, 1);
-	pd_time_t spread = (pd_time_t)(g_rand_double(gateway->random) *
-				       (double)FIRST_WRITE_SPREAD);
 
 	checkpoint->gateway = gateway;
-	checkpoint->started_at = gateway_now();
-	checkpoint->first_write_at = checkpoint->started_at + FIRST_WRITE + spread;
+	checkpoint->first_write_at = gateway->started_at + FIRST_WRITE +
+				     gateway_jitter(gateway, FIRST_WRITE_SPREAD);
 	checkpoint->slot = -1;
 	reading_init(&checkpoint->record_reading, checkpoint, WIRE_RECORDS);
 	checkpoint->record_reading.take = take_records;
@@ -139,7 +136,7 @@
 				   pd_time_t now)
 {
 	return checkpoint->record_reading.read_at || checkpoint->settled ||
-	       now - checkpoint->started_at > WAIT_MAX;
+	       now - checkpoint->gateway->started_at > WAIT_MAX;
 }
 
 /*
@@ -150,7 +147,9 @@
 unsigned int gateway_checkpoint_gateways(const gateway_checkpoint_t *checkpoint,
 					 pd_time_t now)
 {
-	return now - checkpoint->started_at < SIZE_KEPT ? checkpoint->gateways : 0;
+	return now - checkpoint->gateway->started_at < SIZE_KEPT
+		       ? checkpoint->gateways
+		       : 0;
 }
 
 /* Has the counts of usage read and merged. */
@@ -403,13 +402,12 @@
 	const gateway_t *gateway = checkpoint->gateway;
 	stored_t *counts = &checkpoint->counts[slot];
 	stored_t *record = &checkpoint->records[slot];
-	pd_time_t window = (pd_time_t)(gateway->settings->usage_window_s * PD_SEC);
+	pd_time_t period =
+		usage_write_period(gateway_window_length(gateway),
+				   gateway_peers_counts_period(gateway->peers, now));
 	char *text;
 
-	object_writer_set_period(counts->writer,
-				 usage_write_period(window,
-						    gateway_peers_counts_period(
-							    gateway->peers, now)));
+	object_writer_set_period(counts->writer, period);
 	if (object_writer_is_due(counts->writer, now)) {
 		text = usage_table_write(gateway->usage,
 					 gateway_first_window_due(gateway));
--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -380,7 +380,7 @@
 static void run_usage(gateway_duties_t *duties, pd_time_t now)
 {
 	const gateway_t *gateway = duties->gateway;
-	pd_time_t length = (pd_time_t)(gateway->settings->usage_window_s * PD_SEC);
+	pd_time_t length = gateway_window_length(gateway);
 	pd_time_t wall = time_vote_wall(gateway->vote, gateway_wall(), now);
 	int64_t ended = (wall - COUNTS_SETTLE) / length - 1;
 	const duties_note_t *note;
--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -194,8 +194,7 @@
 	feed->listing = false;
 	if (!feed->first_watch_at)
 		feed->first_watch_at = gateway_now() + FIRST_WATCH +
-				       (pd_time_t)(g_rand_double(gateway->random) *
-						   (double)FIRST_WATCH_SPREAD);
+				       gateway_jitter(gateway, FIRST_WATCH_SPREAD);
 	feed->revision = feed->listed_at;
 	g_clear_pointer(&feed->after, g_free);
 	if (feed->kind != WIRE_UPSTREAMS)
@@ -251,8 +250,7 @@
 	}
 	feed->lost = true;
 	feed->next_at =
-		gateway_now() + (pd_time_t)(g_rand_double(gateway->random) * 2 *
-					    (double)feed_pause(feed));
+		gateway_now() + gateway_jitter(gateway, 2 * feed_pause(feed));
 	feed->failures++;
 }
 
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -66,24 +66,34 @@
 				  service);
 }
 
+/* Returns a time from 0 up to MOST at random, so that gateways don't act in step. */
+pd_time_t gateway_jitter(const gateway_t *gateway, pd_time_t most)
+{
+	return (pd_time_t)(g_rand_double(gateway->random) * (double)most);
+}
+
+/* Returns how long a usage window is. */
+pd_time_t gateway_window_length(const gateway_t *gateway)
+{
+	return (pd_time_t)(gateway->settings->usage_window_s * PD_SEC);
+}
+
 /* Returns the number of the usage window that it is by the fleet's clocks. */
 int64_t gateway_window(const gateway_t *gateway)
 {
 	pd_time_t wall =
 		time_vote_wall(gateway->vote, gateway_wall(), gateway_now());
 
-	return wall / (pd_time_t)(gateway->settings->usage_window_s * PD_SEC);
+	return wall / gateway_window_length(gateway);
 }
 
 /* Returns the first usage window whose report is not overdue yet. */
 int64_t gateway_first_window_due(const gateway_t *gateway)
 {
-	const gateway_settings_t *settings = gateway->settings;
-	int64_t due =
-		usage_windows_due((pd_time_t)(settings->usage_window_s * PD_SEC),
-				  (pd_time_t)(settings->usage_due_s * PD_SEC));
+	pd_time_t due = (pd_time_t)(gateway->settings->usage_due_s * PD_SEC);
 
-	return gateway_window(gateway) - due + 1;
+	return gateway_window(gateway) -
+	       usage_windows_due(gateway_window_length(gateway), due) + 1;
 }
 
 /* Returns how many gateways share what is limited in sum. */
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -187,8 +187,8 @@
 }
 
 /*
- * Fills in the peers that write the checkpoint, as far as this gateway knows;
- * WRITERS has room for one more than CHECKPOINT_SLOTS. Returns how many.
+ * Fills in the peers that write the checkpoint, as far as this gateway knows, at most
+ * CHECKPOINT_SLOTS. Returns how many.
  */
 unsigned int peers_writers(gateway_peers_t *peers, peer_t **writers, pd_time_t now)
 {
@@ -207,7 +207,7 @@
  */
 int gateway_peers_checkpoint_slot(gateway_peers_t *peers, pd_time_t now)
 {
-	peer_t *first[CHECKPOINT_SLOTS + 1];
+	peer_t *first[CHECKPOINT_SLOTS];
 	unsigned int rank;
 
 	first_takers(peers, first, &rank, now);
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -190,8 +190,7 @@
 	peers->store_heard_at = peers->started_at;
 	/* Gateways that start together don't send in step. */
 	peers->counts_at =
-		peers->started_at + (pd_time_t)(g_rand_double(gateway->random) *
-						(double)COUNTS_PERIOD);
+		peers->started_at + gateway_jitter(gateway, COUNTS_PERIOD);
 	peers->strong = settings->node_cores >= STRONG_CORES &&
 			settings->node_link_mbps >= STRONG_MBPS;
 	peers->incarnation = g_strdup_printf("%s#%08x", settings->node_id,
@@ -416,7 +415,7 @@
 /* Sends the checkpoint writers what was counted here since the last time. */
 static void send_counts(gateway_peers_t *peers, pd_time_t now)
 {
-	peer_t *writers[CHECKPOINT_SLOTS + 1];
+	peer_t *writers[CHECKPOINT_SLOTS];
 	unsigned int count;
 	msgpack_sbuffer buffer;
 
--- a/core/forward/usage.c
+++ b/core/forward/usage.c
@@ -117,6 +117,12 @@
 	return tally;
 }
 
+/* Returns what this gateway counted in a window itself; NULL: nothing. */
+static tally_t *window_own_tally(const usage_t *usage, const window_t *window)
+{
+	return g_hash_table_lookup(window->tallies, &usage->start);
+}
+
 static counter_t *tally_counter(tally_t *tally, const char *account)
 {
 	counter_t added = { .account = g_ref_string_new_intern(account) };
@@ -195,8 +201,7 @@
 {
 	for (guint i = 0; i < usage->windows->len; i++) {
 		const window_t *window = g_ptr_array_index(usage->windows, i);
-		const tally_t *tally =
-			g_hash_table_lookup(window->tallies, &usage->start);
+		const tally_t *tally = window_own_tally(usage, window);
 
 		if (tally && window->number >= from)
 			tally_each(window, tally, each, ctx);
@@ -223,8 +228,7 @@
 {
 	for (guint i = 0; i < usage->windows->len; i++) {
 		const window_t *window = g_ptr_array_index(usage->windows, i);
-		tally_t *tally =
-			g_hash_table_lookup(window->tallies, &usage->start);
+		tally_t *tally = window_own_tally(usage, window);
 
 		if (tally)
 			tally_each_unsent(window, tally, each, ctx);
@@ -242,8 +246,7 @@
 {
 	for (guint i = 0; i < usage->windows->len; i++) {
 		const window_t *window = g_ptr_array_index(usage->windows, i);
-		tally_t *tally =
-			g_hash_table_lookup(window->tallies, &usage->start);
+		tally_t *tally = window_own_tally(usage, window);
 
 		if (tally)
 			mark_unsent(tally);
--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -158,17 +158,29 @@
 	return sum;
 }
 
-/* Guards against reports without what was counted before a kill of all. */
-static void test_usage_outlives_a_kill_of_all(void **state)
+/* Kills all gateways once the calls that they have served are checkpointed. */
+static void serve_and_kill_all(gateway_rig_t *rig)
 {
-	gateway_rig_t *rig = *state;
-
 	make_calls(rig);
 	RIG_UNTIL(rig, calls_recorded(rig) == CALLS);
 	kill_all(rig);
-	start_all(rig, 2);
+}
+
+/* Waits until all calls are reported, each once. */
+static void await_reports(gateway_rig_t *rig)
+{
 	RIG_UNTIL_WITHIN(rig, calls_reported(rig) >= CALLS, REPORTS_TIMEOUT_MS);
 	assert_int_equal(calls_reported(rig), CALLS);
+}
+
+/* Guards against reports without what was counted before a kill of all. */
+static void test_usage_outlives_a_kill_of_all(void **state)
+{
+	gateway_rig_t *rig = *state;
+
+	serve_and_kill_all(rig);
+	start_all(rig, 2);
+	await_reports(rig);
 	/* No later report may count them again. */
 	pass(rig, 2000);
 	assert_int_equal(calls_reported(rig), CALLS);
@@ -179,13 +191,10 @@
 {
 	gateway_rig_t *rig = *state;
 
-	make_calls(rig);
-	RIG_UNTIL(rig, calls_recorded(rig) == CALLS);
-	kill_all(rig);
+	serve_and_kill_all(rig);
 	pass(rig, DOWN_MS);
 	start_all(rig, 2);
-	RIG_UNTIL_WITHIN(rig, calls_reported(rig) >= CALLS, REPORTS_TIMEOUT_MS);
-	assert_int_equal(calls_reported(rig), CALLS);
+	await_reports(rig);
 }
 
 /* Guards against counts that a second kill loses before their report. */
@@ -193,14 +202,11 @@
 {
 	gateway_rig_t *rig = *state;
 
-	make_calls(rig);
-	RIG_UNTIL(rig, calls_recorded(rig) == CALLS);
-	kill_all(rig);
+	serve_and_kill_all(rig);
 	start_all(rig, 2);
 	kill_all(rig);
 	start_all(rig, 3);
-	RIG_UNTIL_WITHIN(rig, calls_reported(rig) >= CALLS, REPORTS_TIMEOUT_MS);
-	assert_int_equal(calls_reported(rig), CALLS);
+	await_reports(rig);
 }
 
 /* Returns a gateway that writes a slot of the checkpoint; -1: none says so. */
