--- a/Makefile
+++ b/Makefile
@@ -143,9 +143,9 @@
 
 lint: format-check tidy
 
-SOURCES := $(shell git ls-files -co --exclude-standard \
+SOURCES = $(shell git ls-files -co --exclude-standard \
 	'*.c' '*.h' '*.cc' 2>/dev/null)
-C_SOURCES := $(filter %.c,$(SOURCES))
+C_SOURCES = $(filter %.c,$(SOURCES))
 
 format:
 	clang-format -i $(SOURCES)
