--- a/Makefile
+++ b/Makefile
@@ -6,17 +6,30 @@
 #   make lint       formatter and linter
 VARIANT ?= release
 B := build/$(VARIANT)
-PACKAGES := glib-2.0 libuv jansson libsodium msgpack libxxhash openssl
+GATEWAY_PACKAGES := glib-2.0 libuv jansson msgpack libxxhash
+PACKAGES := $(GATEWAY_PACKAGES) libsodium openssl
 CFLAGS_release := -O2
 CFLAGS_asan := -O1 -fsanitize=address,undefined -fno-omit-frame-pointer \
 	-fno-sanitize-recover=undefined
 WARNINGS := -Wall -Wextra -Werror -Wshadow
-CPPFLAGS := -I. -D_GNU_SOURCE $(shell pkg-config --cflags $(PACKAGES))
+# pkg_config OPTION,PACKAGES: what pkg-config prints; a missing package stops
+# make with its name.
+pkg_config = $(shell pkg-config $1 $2)$(if $(filter 0,$(.SHELLSTATUS)),,$(error \
+	$(shell pkg-config --exists --print-errors --short-errors \
+	--errors-to-stdout $2)))
+# once NAME,OPTION,PACKAGES: expanded at first use, as targets that compile
+# nothing need no packages.
+once = $(eval $1 := $(call pkg_config,$2,$3))$($1)
+PACKAGES_CPPFLAGS = $(call once,PACKAGES_CPPFLAGS,--cflags,$(PACKAGES))
+PACKAGES_LIBS = $(call once,PACKAGES_LIBS,--libs,$(PACKAGES))
+GATEWAY_CPPFLAGS = $(call once,GATEWAY_CPPFLAGS,--cflags,$(GATEWAY_PACKAGES))
+GATEWAY_LIBS = $(call once,GATEWAY_LIBS,--libs,$(GATEWAY_PACKAGES))
+LIBRARY_CPPFLAGS = $(PACKAGES_CPPFLAGS)
+CPPFLAGS = -I. -D_GNU_SOURCE $(LIBRARY_CPPFLAGS)
 CFLAGS := -std=gnu11 -g $(WARNINGS) -Wstrict-prototypes \
 	-Wmissing-prototypes $(CFLAGS_$(VARIANT))
 CXXFLAGS := -std=c++17 -g $(WARNINGS) $(CFLAGS_$(VARIANT))
-LDLIBS := -lh2o -lhttp_parser $(shell pkg-config --libs $(PACKAGES))
-CORE_LIBS := $(shell pkg-config --libs glib-2.0 libxxhash)
+LDLIBS = -lh2o -lhttp_parser $(PACKAGES_LIBS)
 
 CORE := $(patsubst %.c,$(B)/%.o,$(wildcard core/*.c core/*/*.c))
 ADAPTERS := $(patsubst %.c,$(B)/%.o,$(wildcard adapters/*.c)) \
@@ -28,8 +41,9 @@
 	adapters/metrics.c adapters/msgpack_check.c adapters/msgpack_fields.c \
 	adapters/setting_table.c) \
 	$(B)/adapters/toml_reader.o
-GATEWAY_PACKAGES := glib-2.0 libuv jansson msgpack libxxhash
-GATEWAY_LIBS := -lhttp_parser $(shell pkg-config --libs $(GATEWAY_PACKAGES))
+GATEWAY_MAIN := $(B)/programs/pistachio_gateway.o $(B)/programs/options.o
+# Only the packages of deploy/system.toml are there when the platform builds.
+$(CORE) $(GATEWAY) $(GATEWAY_MAIN): LIBRARY_CPPFLAGS = $(GATEWAY_CPPFLAGS)
 CTL := $(patsubst %.c,$(B)/%.o,$(wildcard ctl/*.c))
 PROGRAMS := $(B)/pistachio-entry $(B)/pistachio-placer $(B)/pistachioctl \
 	$(B)/pistachio-gateway
@@ -76,10 +90,9 @@
 # Only the gateway; this is what the platform builds.
 gateway: $(B)/pistachio-gateway
 
-$(B)/pistachio-gateway: $(B)/programs/pistachio_gateway.o \
-		$(B)/programs/options.o \
+$(B)/pistachio-gateway: $(GATEWAY_MAIN) \
 		$(B)/libpistachio-gateway.a $(B)/libpistachio-core.a
-	$(LINK) $^ $(GATEWAY_LIBS)
+	$(LINK) $^ -lhttp_parser $(GATEWAY_LIBS)
 
 $(B)/pistachio-%: $(B)/programs/pistachio_%.o $(B)/programs/cli.o \
 		$(B)/programs/options.o $(LIBS)
