--- a/core/forward/token_limits.c
+++ b/core/forward/token_limits.c
@@ -4,15 +4,8 @@
  */
 #include "core/forward/token_limits.h"
 
-/*
- * What a peer uses is taken to go on at its last rate until it is heard again,
- * also when it is cut off: otherwise entries that hear late, or not, would each
- * hand out the whole limit. After so long it is taken to be gone.
- */
-#define SILENCE_MAX (15 * PD_SEC)
-/* A rate is judged over at least this, so that one request is no rate. */
-#define RATE_SPAN_MIN (100 * PD_MSEC)
-#define RATE_WEIGHT 0.5 /* of the newest measure */
+#include "core/forward/peer_uses.h"
+
 /*
  * The part of what a window allows that is handed out. The rest is for what
  * several entries grant at the same moment, before they hear of each other.
@@ -54,16 +47,6 @@
 /* A request larger than the bucket needs this part of it to be there. */
 #define FULL_PART 0.8
 
-typedef struct peer_use {
-	double total;
-	double rate; /* a second */
-	pd_time_t heard_at;
-	double guessed; /* taken out of the bucket since then, on the rate */
-	double asked;
-	double demand; /* a second: the rate at which that grows */
-	pd_time_t asked_at; /* 0: never told */
-} peer_use_t;
-
 typedef struct bucket {
 	double level;
 	double own_total;
@@ -84,7 +67,7 @@
 	unsigned int taken_times; /* requests that took it */
 	double taken_level; /* of the bucket after that; under 0: not yet set */
 	pd_time_t heard_at; /* when a round of peers began to be heard */
-	GHashTable *peers; /* node -> peer_use_t */
+	peer_uses_t *peers;
 } bucket_t;
 
 struct token_limits {
@@ -100,7 +83,7 @@
 {
 	bucket_t *bucket = data;
 
-	g_hash_table_unref(bucket->peers);
+	peer_uses_destroy(bucket->peers);
 	g_free(bucket);
 }
 
@@ -172,8 +155,7 @@
 		return bucket;
 	bucket = g_new0(bucket_t, 1);
 	bucket->filled_at = now;
-	bucket->peers =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	bucket->peers = peer_uses_create(now);
 	g_hash_table_insert(limits->buckets, g_strdup(account), bucket);
 	return bucket;
 }
@@ -196,31 +178,12 @@
 	return MAX(allowed * USED_PART - flow, account->burst);
 }
 
-/* Takes out what peers are thought to have used since they were last heard. */
-static void bucket_guess(bucket_t *bucket, pd_time_t now)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, bucket->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		peer_use_t *use = value;
-		pd_time_t silence = MIN(now - use->heard_at, SILENCE_MAX);
-		double guess = use->rate * (double)silence / PD_SEC;
-
-		if (guess > use->guessed) {
-			bucket->level -= guess - use->guessed;
-			use->guessed = guess;
-		}
-	}
-}
-
 /* Brings the level up to now, by the limit that was seen last. */
 static void bucket_run(bucket_t *bucket, pd_time_t now)
 {
 	bucket->level += bucket->rate * (double)(now - bucket->filled_at) / PD_SEC;
 	bucket->filled_at = now;
-	bucket_guess(bucket, now);
+	bucket->level -= peer_uses_predict(bucket->peers, now);
 	bucket->level = CLAMP(bucket->level, -bucket->debt_max, bucket->size);
 }
 
@@ -249,18 +212,8 @@
 /* Returns what callers of an account ask of all entries in a second. */
 static double bucket_demand(const bucket_t *bucket, pd_time_t now)
 {
-	double demand = bucket->demand;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, bucket->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const peer_use_t *use = value;
+	double demand = bucket->demand + peer_uses_demand(bucket->peers, now);
 
-		/* Callers of a peer that is gone ask others by then. */
-		if (now - use->asked_at < SILENCE_MAX)
-			demand += use->demand;
-	}
 	if (bucket->record_at && now - bucket->record_at < RECORD_DEMAND_KEPT)
 		return MAX(demand, bucket->record_demand);
 	return demand;
@@ -300,7 +253,7 @@
 /* Begins a new round: what this entry took is in its peers' sums by now. */
 static void bucket_round(bucket_t *bucket, pd_time_t now)
 {
-	if (now - bucket->heard_at < RATE_SPAN_MIN)
+	if (now - bucket->heard_at < PEER_USES_SPAN_MIN)
 		return;
 	bucket->heard_at = now;
 	bucket->taken = 0;
@@ -342,7 +295,7 @@
 	}
 	verdict->retry_after =
 		(pd_time_t)((needed - bucket->level) / account->rate * PD_SEC);
-	verdict->retry_after = MAX(verdict->retry_after, RATE_SPAN_MIN);
+	verdict->retry_after = MAX(verdict->retry_after, PEER_USES_SPAN_MIN);
 	return false;
 }
 
@@ -391,17 +344,8 @@
 			const char *peer, double asked, pd_time_t now)
 {
 	bucket_t *bucket = limits_bucket(limits, account, now);
-	peer_use_t *use = g_hash_table_lookup(bucket->peers, peer);
 
-	if (!use || (use->asked_at && now - use->asked_at < RATE_SPAN_MIN))
-		return;
-	if (use->asked_at && asked >= use->asked)
-		use->demand += ((asked - use->asked) * PD_SEC /
-					(double)(now - use->asked_at) -
-				use->demand) *
-			       RATE_WEIGHT;
-	use->asked = asked;
-	use->asked_at = now;
+	peer_uses_report_demand(bucket->peers, peer, asked, now);
 }
 
 /* Returns what callers of an account ask of all entries in a second. */
@@ -438,6 +382,8 @@
 {
 	bucket_t *bucket = limits_bucket(limits, account, now);
 
+	/* The level has what peers were predicted to use until now. */
+	peer_uses_predict(bucket->peers, now);
 	bucket->level = level - (bucket->own_total - bucket->told_total);
 	bucket->filled_at = now;
 	bucket->adopted = true;
@@ -452,36 +398,12 @@
 			const char *peer, double total, bool recent, pd_time_t now)
 {
 	bucket_t *bucket = limits_bucket(limits, account, now);
-	peer_use_t *use = g_hash_table_lookup(bucket->peers, peer);
 	double used;
 
-	if (!use) {
-		use = g_new0(peer_use_t, 1);
-		use->total = total;
-		use->heard_at = now;
-		g_hash_table_insert(bucket->peers, g_strdup(peer), use);
-		if (recent)
-			bucket->level -= total;
-		bucket_round(bucket, now);
-		return;
-	}
-	if (now - use->heard_at < RATE_SPAN_MIN)
+	if (!peer_uses_report(bucket->peers, peer, total, recent, now, &used))
 		return;
-	used = total - use->total;
-	if (used < 0) {
-		/* Another one sums up now, or some are no longer counted. */
-		use->total = total;
-		use->heard_at = now;
-		use->guessed = 0;
-		return;
-	}
-	use->rate += (used * PD_SEC / (double)(now - use->heard_at) - use->rate) *
-		     RATE_WEIGHT;
-	bucket->level -= used - use->guessed;
+	bucket->level -= used;
 	bucket_round(bucket, now);
-	use->total = total;
-	use->heard_at = now;
-	use->guessed = 0;
 }
 
 /*
@@ -495,7 +417,7 @@
 
 	g_hash_table_iter_init(&iter, limits->buckets);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		g_hash_table_remove_all(((bucket_t *)value)->peers);
+		peer_uses_forget_all(((bucket_t *)value)->peers);
 }
 
 /* Forgets a peer that has ended, and what it was taken to go on with. */
@@ -506,7 +428,7 @@
 
 	g_hash_table_iter_init(&iter, limits->buckets);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		g_hash_table_remove(((bucket_t *)value)->peers, peer);
+		peer_uses_forget(((bucket_t *)value)->peers, peer);
 }
 
 /*
@@ -528,13 +450,13 @@
 {
 	pd_time_t span = now - bucket->measured_at;
 
-	if (bucket->measured_at && span < RATE_SPAN_MIN)
+	if (bucket->measured_at && span < PEER_USES_SPAN_MIN)
 		return;
 	if (bucket->measured_at)
 		bucket->demand += ((bucket->asked - bucket->measured) * PD_SEC /
 					   (double)span -
 				   bucket->demand) *
-				  RATE_WEIGHT;
+				  PEER_USES_RATE_WEIGHT;
 	bucket->measured = bucket->asked;
 	bucket->measured_at = now;
 }
