--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -242,9 +242,10 @@
 
 static void pack_member(msgpack_packer *packer, const peer_t *peer)
 {
-	msgpack_pack_array(packer, 2);
+	msgpack_pack_array(packer, MEMBER_FIELDS);
 	pack_text(packer, peer->address);
 	msgpack_pack_uint8(packer, peer->strong);
+	msgpack_pack_uint16(packer, peer->zone);
 }
 
 static bool is_among(const peer_t *peer, peer_t *const *peers, unsigned int count)
@@ -371,6 +372,7 @@
 		msgpack_pack_nil(&packer);
 	}
 	pack_speeds(&packer, peers);
+	msgpack_pack_uint16(&packer, peers->zone);
 }
 
 /* Sends what this gateway did. */
@@ -406,6 +408,7 @@
 	else
 		msgpack_pack_nil(&packer);
 	pack_speeds(&packer, peers);
+	msgpack_pack_uint16(&packer, peers->zone);
 }
 
 /* Sends what all gateways but the receiver did. */
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -38,6 +38,7 @@
 	STATE_USAGES,
 	STATE_MEMBERS,
 	STATE_SPEEDS, /* at which engines read prompts, by service */
+	STATE_ZONE, /* of the sender */
 	STATE_FIELDS /* how many there are */
 } state_field_t;
 
@@ -72,6 +73,7 @@
 
 #define NEWS_FIELDS 4 /* kind, sender, whether these are all, upstreams */
 #define FETCH_FIELDS 4 /* kind, sender, what, digests or marks */
+#define MEMBER_FIELDS 3 /* address, whether it is strong, zone */
 #define USE_FIELDS 4 /* account, total, level or nil, asked */
 #define COUNTS_FIELDS 5 /* kind, sender, its start, usage, use of limits */
 #define USAGE_FIELDS 3 /* window, account, count */
@@ -107,6 +109,7 @@
 	char *incarnation; /* NULL: not heard yet */
 	bool seed;
 	bool strong; /* its VM has a processor and a link to spare */
+	uint16_t zone; /* a hash of its availability zone; 0: unknown */
 	bool has_store; /* it was being served when last heard */
 	pd_time_t added_at;
 	pd_time_t heard_at; /* 0: never */
@@ -126,6 +129,7 @@
 	char *address; /* of this gateway, with the port it was given */
 	char *incarnation; /* the node's id and a number of this start */
 	bool strong;
+	uint16_t zone; /* a hash of the availability zone */
 	list_node_t list; /* of peer_t */
 	GHashTable *by_address; /* address -> peer_t; borrows both */
 	peer_view_t view;
@@ -156,8 +160,8 @@
 	pd_time_t fetch_pause; /* before upstreams are fetched again */
 	uint64_t fetched_for; /* the two digests that differed then */
 	GHashTable *news; /* ids of upstreams to tell about */
-	GHashTable *wanted; /* marks of unknown upstreams, until fetched */
-	pd_time_t wanted_at; /* when these were begun to be gathered */
+	GHashTable *wanted; /* marks of unknown upstreams -> when asked for, ms */
+	pd_time_t wanted_at; /* when old ones were dropped last */
 };
 
 GHashTable *peers_values_create(void);
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -184,14 +184,15 @@
 	const msgpack_object *items = msgpack_field_items(object, 0, &count);
 
 	for (uint32_t i = 0; i < count; i++) {
-		const msgpack_object *pair =
-			msgpack_field_items(&items[i], 2, NULL);
-		char *address = pair ? msgpack_field_text(&pair[0]) : NULL;
+		const msgpack_object *fields =
+			msgpack_field_items(&items[i], MEMBER_FIELDS, NULL);
+		char *address = fields ? msgpack_field_text(&fields[0]) : NULL;
 		peer_t *peer = address ? peers_add(peers, address) : NULL;
 
 		if (peer) {
 			peer->mentioned_at = gateway_now();
-			peer->strong = msgpack_field_number(&pair[1]) != 0;
+			peer->strong = msgpack_field_number(&fields[1]) != 0;
+			peer->zone = (uint16_t)msgpack_field_number(&fields[2]);
 		}
 		g_free(address);
 	}
@@ -307,6 +308,7 @@
 	peer->incarnation = g_strdup(who);
 	peer->strong = flags & STATE_FLAG_STRONG;
 	peer->has_store = flags & STATE_FLAG_HAS_STORE;
+	peer->zone = (uint16_t)msgpack_field_number(&fields[STATE_ZONE]);
 	take_store_age(peers, msgpack_field_number(&fields[STATE_STORE_AGE]));
 	take_holder(peers, &fields[STATE_HOLDER],
 		    msgpack_field_number(&fields[STATE_FENCE]));
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -6,6 +6,7 @@
 
 #include "adapters/gateway/peer_state.h"
 #include "adapters/log_glib.h"
+#include "core/forward/spread.h"
 
 #define PART "peers"
 /* A configuration of some thousand routes; longer frames end the connection. */
@@ -26,11 +27,6 @@
 /* A hub that has not answered for so long is passed over for a while. */
 #define HUB_SILENCE (1500 * PD_MSEC)
 #define HUB_PAUSE (5 * PD_SEC)
-/*
- * An update goes to so many peers at random, and on from each that did not have it.
- * Digests in the states make up for the few that it does not reach.
- */
-#define NEWS_FANOUT 5
 /* What a peer said of the store holds for a few states. */
 #define STORE_NEWS_KEPT (700 * PD_MSEC)
 /*
@@ -191,6 +187,7 @@
 	/* Gateways that start together don't send in step. */
 	peers->counts_at =
 		peers->started_at + gateway_jitter(gateway, COUNTS_PERIOD);
+	peers->zone = (uint16_t)g_str_hash(settings->node_zone);
 	peers->strong = settings->node_cores >= STRONG_CORES &&
 			settings->node_link_mbps >= STRONG_MBPS;
 	peers->incarnation = g_strdup_printf("%s#%08x", settings->node_id,
@@ -277,35 +274,53 @@
 	return false;
 }
 
-static unsigned int count_alive(const gateway_peers_t *peers, pd_time_t now)
+/* Returns the live peers, borrowed, in an array that the caller owns. */
+static GPtrArray *peers_alive(const gateway_peers_t *peers, pd_time_t now)
 {
-	unsigned int count = 0;
+	GPtrArray *alive = g_ptr_array_new();
 
-	LIST_FOR_EACH (it, &peers->list)
-		count += peer_is_alive(LIST_ENTRY(it, peer_t, node), now);
-	return count;
+	LIST_FOR_EACH (it, &peers->list) {
+		peer_t *peer = LIST_ENTRY(it, peer_t, node);
+
+		if (peer_is_alive(peer, now))
+			g_ptr_array_add(alive, peer);
+	}
+	return alive;
 }
 
-/* Sends a message to all peers of a mesh, or to some of a larger fleet. */
+/*
+ * Sends an update to a few of many peers; each passes it on if it is new there.
+ * Digests in the states make up for the few gateways that it does not reach.
+ */
+static void peers_spread_to_some(gateway_peers_t *peers, const GPtrArray *alive,
+				 const msgpack_sbuffer *buffer)
+{
+	uint16_t *zones = g_new(uint16_t, alive->len);
+	unsigned int chosen[SPREAD_FANOUT];
+	unsigned int count;
+
+	for (guint i = 0; i < alive->len; i++)
+		zones[i] = ((const peer_t *)g_ptr_array_index(alive, i))->zone;
+	count = spread_choose(zones, alive->len, peers->zone,
+			      peers->gateway->random, chosen);
+	for (unsigned int i = 0; i < count; i++)
+		peers_send(peers, g_ptr_array_index(alive, chosen[i]), buffer);
+	g_free(zones);
+}
+
+/* Sends an update to all peers of a mesh, or to some of a larger fleet. */
 static void peers_spread(gateway_peers_t *peers, const msgpack_sbuffer *buffer,
 			 pd_time_t now)
 {
-	unsigned int alive = count_alive(peers, now);
-	unsigned int left = peers_is_mesh(peers, now) ? alive : NEWS_FANOUT;
+	GPtrArray *alive = peers_alive(peers, now);
 
-	LIST_FOR_EACH (it, &peers->list) {
-		const peer_t *peer = LIST_ENTRY(it, peer_t, node);
-
-		if (!peer_is_alive(peer, now))
-			continue;
-		/* Each of those left is as likely to be among the chosen. */
-		if (left && g_rand_double(peers->gateway->random) * alive <
-				    (double)left) {
-			peers_send(peers, peer, buffer);
-			left--;
-		}
-		alive--;
+	if (peers_is_mesh(peers, now)) {
+		for (guint i = 0; i < alive->len; i++)
+			peers_send(peers, g_ptr_array_index(alive, i), buffer);
+	} else {
+		peers_spread_to_some(peers, alive, buffer);
 	}
+	g_ptr_array_unref(alive);
 }
 
 /* Tells of the configuration just taken; whoever lacks it asks for it. */
--- /dev/null
+++ b/core/forward/spread.h
@@ -0,0 +1,14 @@
+/* Which peers an update is passed on to in a fleet too large to tell all. */
+#ifndef PISTACHIO_SPREAD_H
+#define PISTACHIO_SPREAD_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/* Receivers of an update from each gateway that did not have it. */
+#define SPREAD_FANOUT 5
+
+unsigned int spread_choose(const uint16_t *zones, unsigned int count,
+			   uint16_t own, GRand *random, unsigned int *chosen);
+
+#endif
