--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -160,7 +160,7 @@
 	pd_time_t fetch_pause; /* before upstreams are fetched again */
 	uint64_t fetched_for; /* the two digests that differed then */
 	GHashTable *news; /* ids of upstreams to tell about */
-	GHashTable *wanted; /* marks of unknown upstreams -> when asked for, ms */
+	GHashTable *wanted; /* mark of an unknown upstream -> when it was asked for */
 	pd_time_t wanted_at; /* when old ones were dropped last */
 };
 
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -409,16 +409,27 @@
 	return 0;
 }
 
-/* Says whether an upstream's rest may be asked for; not of several peers. */
+static gboolean was_asked_long_ago(gpointer mark, gpointer asked_at, gpointer now)
+{
+	(void)mark;
+	return (pd_time_t)(gintptr)now - (pd_time_t)(gintptr)asked_at > FETCH_PERIOD;
+}
+
+/* Returns whether an upstream's rest may be asked for: no peer was just now. */
 static bool may_ask(gateway_peers_t *peers, uint64_t mark)
 {
 	pd_time_t now = gateway_now();
 
 	if (now - peers->wanted_at > FETCH_PERIOD) {
-		g_hash_table_remove_all(peers->wanted);
+		g_hash_table_foreach_remove(peers->wanted, was_asked_long_ago,
+					    (gpointer)(gintptr)now);
 		peers->wanted_at = now;
 	}
-	return g_hash_table_add(peers->wanted, GSIZE_TO_POINTER(mark));
+	if (g_hash_table_contains(peers->wanted, GSIZE_TO_POINTER(mark)))
+		return false;
+	g_hash_table_insert(peers->wanted, GSIZE_TO_POINTER(mark),
+			    (gpointer)(gintptr)now);
+	return true;
 }
 
 /*
--- a/tests/process/test_gateway_gossip.c
+++ b/tests/process/test_gateway_gossip.c
@@ -190,6 +190,47 @@
 	assert_string_equal(known(other, "u2")->address, "10.0.0.8");
 }
 
+/* Has a gateway take the other's update of an upstream; returns the bytes it sent. */
+static uint64_t take_update(pair_t *pair, const char *id)
+{
+	gateway_peers_t *from = pair->gateways[0]->peers;
+	gateway_peers_t *to = pair->gateways[1]->peers;
+	GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
+	uint64_t before = frame_link_bytes(to->link);
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+
+	g_hash_table_add(ids, (char *)id);
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	peers_pack_news(&packer, from, ids);
+	assert_int_equal(peers_take(to, buffer.data, buffer.size), 0);
+	msgpack_sbuffer_destroy(&buffer);
+	g_hash_table_unref(ids);
+	return frame_link_bytes(to->link) - before;
+}
+
+/* Guards against asking for an upstream again while the answer is on its way. */
+static void test_an_unknown_upstream_is_asked_for_once(void **state)
+{
+	pair_t *pair = *state;
+	const forward_listing_t listing = { .id = "u3",
+					    .service = "s",
+					    .address = "10.0.0.7",
+					    .port = 80,
+					    .zone = "a",
+					    .slots = 6,
+					    .revision = 8 };
+
+	UNTIL(pair, peers_view(pair->gateways[1]->peers, gateway_now())->alive ==
+			    PAIR);
+	forward_upstreams_apply(pair->gateways[0]->upstreams, &listing);
+	assert_true(take_update(pair, "u3") > 0);
+	/* Old questions are dropped now and then; this one is not old. */
+	pair->gateways[1]->peers->wanted_at = 0;
+	assert_int_equal(take_update(pair, "u3"), 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -198,6 +239,8 @@
 				       setup),
 		cmocka_unit_test_setup(test_a_leaving_upstream_is_told, setup),
 		cmocka_unit_test_setup(test_lost_news_is_made_up_for, setup),
+		cmocka_unit_test_setup(test_an_unknown_upstream_is_asked_for_once,
+				       setup),
 	};
 
 	/* As the program does; peers close connections at any time. */
