--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -4,6 +4,7 @@
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peers.h"
 #include "adapters/log_glib.h"
+#include "core/forward/store_poll.h"
 #include "platform/wire.h"
 
 #define PART "store"
@@ -29,13 +30,8 @@
 #define FIRST_WATCH_SPREAD (200 * PD_MSEC)
 /* Gateways lose the store and get it back within about this of each other. */
 #define PEERS_LAG PD_SEC
-/*
- * The pause after a failed call, drawn at random up to twice this. Where a few
- * gateways watch for many, the others double it after each failure, up to so many
- * times, as all calls in an outage are paid for.
- */
+/* The mean pause after a failed call of one that watches for all. */
 #define RETRY_PAUSE (150 * PD_MSEC)
-#define RETRY_DOUBLINGS 3
 
 /* Lines about spoiled entries in each such time. */
 #define SPOILED_TOLD 5
@@ -51,7 +47,8 @@
 	bool listing;
 	pd_time_t first_watch_at; /* in a large fleet; 0: nothing is listed yet */
 	bool waiting; /* a call is out */
-	bool lost; /* the last call failed */
+	bool lost; /* the last call failed, here or at the hub */
+	bool polling; /* as one of many, since nobody has heard the store */
 	unsigned int failures; /* in a row */
 	pd_time_t lost_at;
 	pd_time_t peers_since; /* peers have had the store since; 0: none has */
@@ -228,32 +225,52 @@
 	feed->after = g_strdup(wire_page_name(page, count - 1));
 }
 
-/* Returns the mean pause after a failed call. */
-static pd_time_t feed_pause(const feed_t *feed)
+/* Draws the pause before the next call after a failed one, or a first poll. */
+static pd_time_t feed_pause(const feed_t *feed, pd_time_t now)
 {
-	gateway_peers_t *peers = feed->fleet->gateway->peers;
+	const gateway_t *gateway = feed->fleet->gateway;
+	gateway_peers_t *peers = gateway->peers;
+	pd_time_t mean = RETRY_PAUSE;
 
-	if (gateway_peers_go_first(peers))
-		return RETRY_PAUSE;
-	return RETRY_PAUSE << MIN(feed->failures, RETRY_DOUBLINGS);
+	if (!gateway_peers_go_first(peers))
+		mean = store_poll_pause(gateway_peers_that_hear(peers, now),
+					feed->failures);
+	return gateway_jitter(gateway, 2 * mean);
 }
 
-static void feed_failed(feed_t *feed, int status)
+static void feed_lose(feed_t *feed, int status, pd_time_t now)
 {
-	gateway_t *gateway = feed->fleet->gateway;
-
 	if (!feed->lost) {
 		log_line(G_LOG_LEVEL_WARNING, PART,
 			 "lost=%s status=%d revision=%" G_GUINT64_FORMAT,
 			 feed->name, status, feed->revision);
-		feed->lost_at = gateway_now();
+		feed->lost_at = now;
 	}
 	feed->lost = true;
-	feed->next_at =
-		gateway_now() + gateway_jitter(gateway, 2 * feed_pause(feed));
+}
+
+static void feed_failed(feed_t *feed, int status)
+{
+	pd_time_t now = gateway_now();
+
+	feed_lose(feed, status, now);
+	feed->next_at = now + feed_pause(feed, now);
 	feed->failures++;
 }
 
+/*
+ * Begins to ask for all, as nobody has heard the store. If it is away, and not just
+ * those dead that watch it, it counts as lost here as well: entries that lapsed
+ * meanwhile get the time to come back.
+ */
+static void feed_poll(feed_t *feed, pd_time_t now)
+{
+	feed->polling = true;
+	if (gateway_peers_hub_lost_store(feed->fleet->gateway->peers))
+		feed_lose(feed, 0, now);
+	feed->next_at = now + feed_pause(feed, now);
+}
+
 /*
  * Follows whether peers have the store while this gateway has not. What they
  * said just before they lost it too is not counted.
@@ -325,6 +342,7 @@
 		return;
 	}
 	feed->failures = 0;
+	feed->polling = false;
 	feed_regained(feed);
 	gateway_peers_store_heard(feed->fleet->gateway->peers);
 	feed_take(feed, page);
@@ -368,14 +386,21 @@
 
 static void feed_run(feed_t *feed, pd_time_t now)
 {
+	gateway_peers_t *peers = feed->fleet->gateway->peers;
+
 	watch_peers(feed, now);
-	if (feed->waiting || now < feed->next_at || feed_holds_off(feed, now))
+	if (feed->waiting)
 		return;
-	if (!gateway_peers_watch_store(feed->fleet->gateway->peers)) {
+	if (!gateway_peers_watch_store(peers)) {
 		feed->lost = false;
+		feed->polling = false;
+		feed->failures = 0;
 		return;
 	}
-	feed_ask(feed);
+	if (!feed->polling && !feed->listing && !gateway_peers_go_first(peers))
+		feed_poll(feed, now);
+	if (now >= feed->next_at && !feed_holds_off(feed, now))
+		feed_ask(feed);
 }
 
 /* Asks again what is due after a failure. */
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -153,6 +153,27 @@
 	       !peers->gateway->config || !peers->gateway->upstreams_known;
 }
 
+/*
+ * Returns how many gateways hear through the hub what one of them learns, this one
+ * included; 1 if it hears no hub itself.
+ */
+unsigned int gateway_peers_that_hear(gateway_peers_t *peers, pd_time_t now)
+{
+	bool heard = peers->hub && now - peers->summed_at < LOADS_KNOWN;
+
+	return heard ? peers_view(peers, now)->alive : 1;
+}
+
+/* Returns whether the hub, which watches the store, says that it is not served. */
+bool gateway_peers_hub_lost_store(const gateway_peers_t *peers)
+{
+	const peer_t *hub =
+		peers->hub ? g_hash_table_lookup(peers->by_address, peers->hub)
+			   : NULL;
+
+	return hub && !hub->has_store;
+}
+
 /* Returns whether counts may be sent to a peer: it is alive and was reached. */
 static bool peer_takes_counts(const peer_t *peer, pd_time_t now)
 {
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -29,6 +29,8 @@
 bool gateway_peers_know_loads(gateway_peers_t *peers, pd_time_t now);
 bool gateway_peers_is_mesh(gateway_peers_t *peers);
 bool gateway_peers_go_first(gateway_peers_t *peers);
+unsigned int gateway_peers_that_hear(gateway_peers_t *peers, pd_time_t now);
+bool gateway_peers_hub_lost_store(const gateway_peers_t *peers);
 bool gateway_peers_watch_store(gateway_peers_t *peers);
 pd_time_t gateway_peers_counts_period(gateway_peers_t *peers, pd_time_t now);
 pd_time_t gateway_peers_lag(gateway_peers_t *peers, pd_time_t now);
