--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -22,9 +22,9 @@
 #define WATCH_MARGIN_MS 800
 #define LIST_TIMEOUT_MS 1500
 /*
- * A start waits after its first listing before it watches. Until it has heard its
- * peers it takes itself for one of the few that watch, and hundreds that start at
- * once would all make calls that all but three don't need.
+ * In a large fleet a start waits after its first listing before it watches. Until it
+ * has heard its peers it takes itself for one of the few that watch, and hundreds
+ * that start at once would all make calls that all but three don't need.
  */
 #define FIRST_WATCH (200 * PD_MSEC)
 #define FIRST_WATCH_SPREAD (200 * PD_MSEC)
@@ -45,7 +45,7 @@
 	uint64_t listed_at; /* revision of the listing's first page */
 	char *after; /* the last name of the page before; NULL: the first */
 	bool listing;
-	pd_time_t first_watch_at; /* 0: nothing is listed yet */
+	pd_time_t first_watch_at; /* in a large fleet; 0: nothing is listed yet */
 	bool waiting; /* a call is out */
 	bool lost; /* the last call failed, here or at the hub */
 	bool polling; /* as one of many, since nobody has heard the store */
@@ -375,10 +375,13 @@
 	g_free(path);
 }
 
-/* Returns whether a start waits until it knows who of its fleet watches. */
+/* Returns whether a start waits until it knows who of a large fleet watches. */
 static bool feed_holds_off(const feed_t *feed, pd_time_t now)
 {
-	return !feed->listing && now < feed->first_watch_at;
+	const gateway_t *gateway = feed->fleet->gateway;
+
+	return !feed->listing && now < feed->first_watch_at &&
+	       gateway_count(gateway) > GATEWAY_MESH_MAX;
 }
 
 static void feed_run(feed_t *feed, pd_time_t now)
