--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -45,18 +45,18 @@
 	return digest;
 }
 
-/* Use by account, gathered before it is packed: the count goes first. */
-typedef struct sums {
-	GHashTable *totals; /* account -> double */
-	GHashTable *asked; /* account -> double */
-	GHashTable *levels; /* account -> double, if known */
-} sums_t;
-
 static void sums_add(GHashTable *values, const char *name, double amount)
 {
 	*peers_value(values, name) += amount;
 }
 
+static double value_or_zero(GHashTable *values, const char *name)
+{
+	const double *value = g_hash_table_lookup(values, name);
+
+	return value ? *value : 0;
+}
+
 /* Adds the peers' sums, without what EXCEPT told: it knows that itself. */
 static void add_peers(GHashTable *values, GHashTable *sums, GHashTable *except)
 {
@@ -66,22 +66,11 @@
 
 	g_hash_table_iter_init(&iter, sums);
 	while (g_hash_table_iter_next(&iter, &name, &sum)) {
-		const double *without = g_hash_table_lookup(except, name);
-
-		sums_add(values, name, *(double *)sum - (without ? *without : 0));
+		sums_add(values, name,
+			 *(double *)sum - value_or_zero(except, name));
 	}
 }
 
-static void add_own_total(void *ctx, const char *account, const token_use_t *use)
-{
-	sums_t *sums = ctx;
-
-	sums_add(sums->totals, account, use->total);
-	sums_add(sums->asked, account, use->asked);
-	if (use->has_level)
-		sums_add(sums->levels, account, use->level);
-}
-
 static void pack_use(msgpack_packer *packer, const char *account,
 		     const token_use_t *use)
 {
@@ -95,44 +84,61 @@
 	msgpack_pack_uint64(packer, (uint64_t)MAX(use->asked, 0));
 }
 
-static void pack_sum(msgpack_packer *packer, const sums_t *sums,
-		     const char *account, double total)
+/* Returns an account's use in a table of sums, added as none if it is not there. */
+static token_use_t *sums_use(GHashTable *sums, const char *account)
+{
+	token_use_t *use = g_hash_table_lookup(sums, account);
+
+	if (!use) {
+		use = g_new0(token_use_t, 1);
+		g_hash_table_insert(sums, (char *)account, use);
+	}
+	return use;
+}
+
+static void add_own_use(void *ctx, const char *account, const token_use_t *use)
+{
+	*sums_use(ctx, account) = *use;
+}
+
+/* Adds what the peers used, without what EXCEPT told: it knows that itself. */
+static void add_peers_use(GHashTable *sums, const gateway_peers_t *peers,
+			  const peer_t *except)
 {
-	const double *asked = g_hash_table_lookup(sums->asked, account);
-	const double *level = g_hash_table_lookup(sums->levels, account);
-	const token_use_t use = {
-		.total = total,
-		.asked = asked ? *asked : 0,
-		.has_level = level != NULL,
-		.level = level ? *level : 0,
-	};
+	GHashTableIter iter;
+	gpointer account;
+	gpointer total;
+
+	g_hash_table_iter_init(&iter, peers->totals);
+	while (g_hash_table_iter_next(&iter, &account, &total)) {
+		token_use_t *use = sums_use(sums, account);
 
-	pack_use(packer, account, &use);
+		use->total += *(double *)total -
+			      value_or_zero(except->totals, account);
+		use->asked += value_or_zero(peers->asked, account) -
+			      value_or_zero(except->asked, account);
+	}
 }
 
 /* Packs what each account used, here or at all but EXCEPT, and the levels. */
 static void pack_totals(msgpack_packer *packer, const gateway_peers_t *peers,
 			const peer_t *except)
 {
-	sums_t sums = { peers_values_create(), peers_values_create(),
-			peers_values_create() };
+	/* Of token_use_t; the names are those of the limits and the peers. */
+	GHashTable *sums =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	GHashTableIter iter;
 	gpointer account;
-	gpointer total;
+	gpointer use;
 
-	token_limits_each(peers->gateway->limits, gateway_now(), add_own_total,
-			  &sums);
-	if (except) {
-		add_peers(sums.totals, peers->totals, except->totals);
-		add_peers(sums.asked, peers->asked, except->asked);
-	}
-	msgpack_pack_array(packer, g_hash_table_size(sums.totals));
-	g_hash_table_iter_init(&iter, sums.totals);
-	while (g_hash_table_iter_next(&iter, &account, &total))
-		pack_sum(packer, &sums, account, *(double *)total);
-	g_hash_table_unref(sums.totals);
-	g_hash_table_unref(sums.asked);
-	g_hash_table_unref(sums.levels);
+	token_limits_each(peers->gateway->limits, gateway_now(), add_own_use, sums);
+	if (except)
+		add_peers_use(sums, peers, except);
+	msgpack_pack_array(packer, g_hash_table_size(sums));
+	g_hash_table_iter_init(&iter, sums);
+	while (g_hash_table_iter_next(&iter, &account, &use))
+		pack_use(packer, account, use);
+	g_hash_table_unref(sums);
 }
 
 static void add_own_work(void *ctx, const char *service, double total)
