--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -47,7 +47,7 @@
 	bool listing;
 	pd_time_t first_watch_at; /* in a large fleet; 0: nothing is listed yet */
 	bool waiting; /* a call is out */
-	bool lost; /* the last call failed, here or at the hub */
+	bool lost; /* the last call failed, here or at the aggregator */
 	bool polling; /* as one of many, since nobody has heard the store */
 	unsigned int failures; /* in a row */
 	pd_time_t lost_at;
@@ -233,7 +233,7 @@
 	pd_time_t mean = RETRY_PAUSE;
 
 	if (!gateway_peers_go_first(peers))
-		mean = store_poll_pause(gateway_peers_that_hear(peers, now),
+		mean = store_poll_pause(gateway_peers_poll_group(peers, now),
 					feed->failures);
 	return gateway_jitter(gateway, 2 * mean);
 }
@@ -266,7 +266,7 @@
 static void feed_poll(feed_t *feed, pd_time_t now)
 {
 	feed->polling = true;
-	if (gateway_peers_hub_lost_store(feed->fleet->gateway->peers))
+	if (gateway_peers_aggregator_lost_store(feed->fleet->gateway->peers))
 		feed_lose(feed, 0, now);
 	feed->next_at = now + feed_pause(feed, now);
 }
--- a/adapters/gateway/peer_loads.c
+++ b/adapters/gateway/peer_loads.c
@@ -274,22 +274,22 @@
 				msgpack_field_decimal(&fields[2]) };
 
 		if (!upstream->peers_running && upstream->peers_reading <= 0)
-			load_put(peers->hub_loads, upstream, &load);
+			load_put(peers->aggregator_loads, upstream, &load);
 	}
 	g_free(service);
 }
 
-/* Puts a hub's sums in the place of those before, less this gateway's part. */
+/* Puts an aggregator's sums in the place of those before, less this gateway's part. */
 void peers_take_all_loads(gateway_peers_t *peers, const msgpack_object *object)
 {
 	const msgpack_object *parts = msgpack_field_items(object, 2, NULL);
 	uint32_t count = 0;
 	const msgpack_object *rests;
 
-	peers_unload(peers, peers->hub_loads);
+	peers_unload(peers, peers->aggregator_loads);
 	if (!parts)
 		return;
-	take_named(peers, peers->hub_loads, &parts[0], peers->loads_told);
+	take_named(peers, peers->aggregator_loads, &parts[0], peers->loads_told);
 	rests = msgpack_field_items(&parts[1], 0, &count);
 	for (uint32_t i = 0; i < count; i++)
 		take_rest(peers, &rests[i]);
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -76,8 +76,8 @@
 		view.rank +=
 			!goes_before(peers->strong, hash, peers->address, peer);
 	}
-	/* A hub hears all; whoever follows it hears of some of many only. */
-	if (peers->hub && peers->told_count > MEMBERS_TOLD) {
+	/* An aggregator hears all; whoever follows it hears of some of many only. */
+	if (peers->aggregator && peers->told_count > MEMBERS_TOLD) {
 		view.alive = MAX(view.alive, peers->told_count);
 		view.counted = MAX(view.counted, peers->told_count);
 	}
@@ -154,24 +154,25 @@
 }
 
 /*
- * Returns how many gateways hear through the hub what one of them learns, this one
- * included; 1 if it hears no hub itself.
+ * Returns how many gateways share the polling of the store, as the aggregator passes
+ * on what one of them learns; 1 if this one hears no aggregator.
  */
-unsigned int gateway_peers_that_hear(gateway_peers_t *peers, pd_time_t now)
+unsigned int gateway_peers_poll_group(gateway_peers_t *peers, pd_time_t now)
 {
-	bool heard = peers->hub && now - peers->summed_at < LOADS_KNOWN;
+	bool heard = peers->aggregator && now - peers->summed_at < LOADS_KNOWN;
 
 	return heard ? peers_view(peers, now)->alive : 1;
 }
 
-/* Returns whether the hub, which watches the store, says that it is not served. */
-bool gateway_peers_hub_lost_store(const gateway_peers_t *peers)
+/* Returns whether the aggregator, which watches the store, is not served by it. */
+bool gateway_peers_aggregator_lost_store(const gateway_peers_t *peers)
 {
-	const peer_t *hub =
-		peers->hub ? g_hash_table_lookup(peers->by_address, peers->hub)
-			   : NULL;
+	const peer_t *aggregator =
+		peers->aggregator
+			? g_hash_table_lookup(peers->by_address, peers->aggregator)
+			: NULL;
 
-	return hub && !hub->has_store;
+	return aggregator && !aggregator->has_store;
 }
 
 /* Returns whether counts may be sent to a peer: it is alive and was reached. */
@@ -269,7 +270,7 @@
 {
 	const peer_view_t *view = peers_view(peers, now);
 
-	if (peers->hub)
+	if (peers->aggregator)
 		return now - peers->summed_at < LOADS_KNOWN;
 	return 2 * view->alive > view->counted;
 }
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -53,7 +53,7 @@
 #define PEERS_FULL_PERIOD (1600 * PD_MSEC)
 
 /* So many gateways go first: two sum up, and three watch the store. */
-#define HUBS 2
+#define AGGREGATORS 2
 #define WATCHERS 3
 /*
  * Members that one message names: in larger fleets those that go first, and
@@ -115,7 +115,7 @@
 	pd_time_t heard_at; /* 0: never */
 	pd_time_t mentioned_at; /* by another peer that hears it; 0: never */
 	pd_time_t members_at; /* when it was told the members last, as a summary */
-	pd_time_t passed_over_until; /* as a hub, for it did not answer */
+	pd_time_t passed_over_until; /* as an aggregator, for it did not answer */
 	pd_time_t lost_at; /* when a connection to it failed; 0: never */
 	GArray *loads; /* of load_t */
 	GHashTable *totals; /* account -> double */
@@ -133,7 +133,7 @@
 	list_node_t list; /* of peer_t */
 	GHashTable *by_address; /* address -> peer_t; borrows both */
 	peer_view_t view;
-	unsigned int told_count; /* gateways, as the hub counts them */
+	unsigned int told_count; /* gateways, as the aggregator counts them */
 	GHashTable *totals; /* account -> double: the sum over all peers */
 	GHashTable *asked; /* account -> double: the same */
 	GHashTable *works; /* service -> double: the same */
@@ -147,9 +147,9 @@
 	char *counts_to[CHECKPOINT_SLOTS]; /* who those were last; NULL: none */
 	pd_time_t counts_taken_at; /* when others' counts came last; 0: never */
 	bool adopted; /* levels of buckets, from an older peer */
-	char *hub; /* whose summaries are followed; NULL: peers are heard */
+	char *aggregator; /* whose summaries are followed; NULL: peers are heard */
 	pd_time_t summed_at; /* when its last summary came */
-	GArray *hub_loads; /* of load_t, from that summary */
+	GArray *aggregator_loads; /* of load_t, from that summary */
 	char *holder; /* address of the duties' holder; NULL: unknown */
 	uint64_t holder_fence;
 	bool is_holder;
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -7,7 +7,7 @@
 #include "adapters/msgpack_check.h"
 
 #define PART "peers"
-/* Who all other gateways are, in the counts, when a hub sums them up. */
+/* Who all other gateways are, in the counts, when an aggregator sums them up. */
 #define EVERYBODY "everybody"
 /* Levels of buckets are taken over from older peers so soon after the start. */
 #define ADOPT_MAX (3 * PD_SEC)
@@ -86,7 +86,7 @@
 	}
 }
 
-/* Takes what accounts used at all but this gateway, and the levels, from a hub. */
+/* Takes what accounts used at all but this gateway, and the levels, from an aggregator. */
 static void take_sums(gateway_peers_t *peers, const msgpack_object *object)
 {
 	token_limits_t *limits = peers->gateway->limits;
@@ -268,7 +268,7 @@
 
 /*
  * Takes who holds the duties, if that is newer than what is known. Without the
- * fencing number, the many who had not heard of a new holder told the hubs the
+ * fencing number, the many who had not heard of a new holder told the aggregators the
  * old one again and again, and usage was sent there for the rest of the day.
  */
 static void take_holder(gateway_peers_t *peers, const msgpack_object *object,
@@ -337,8 +337,8 @@
 	take_usages(gateway, peer->incarnation, &fields[STATE_USAGES]);
 	take_speeds(gateway, &fields[STATE_SPEEDS]);
 	take_members(peers, &fields[STATE_MEMBERS]);
-	/* Whoever follows a hub has this peer in the hub's sums already. */
-	if (!peers->hub) {
+	/* Whoever follows an aggregator has this peer in the aggregator's sums already. */
+	if (!peers->aggregator) {
 		const part_t works = { peer->works, peers->works };
 
 		take_uses(peers, peer, &fields[STATE_TOTALS],
@@ -371,7 +371,7 @@
 	take_members(peers, &fields[STATE_MEMBERS]);
 	fetch_newer(peers, peer, msgpack_field_number(&fields[STATE_CONFIG]),
 		    msgpack_field_number(&fields[STATE_DIGEST]));
-	if (!peers->hub || strcmp(peers->hub, peer->address))
+	if (!peers->aggregator || strcmp(peers->aggregator, peer->address))
 		return 0;
 	peers->summed_at = now;
 	peers->told_count =
@@ -592,7 +592,7 @@
 		take_usages(peers->gateway, who, &fields[3]);
 	peers->counts_taken_at = gateway_now();
 	/* What it had used before it was first heard comes with its state. */
-	if (peer && who && !g_strcmp0(peer->incarnation, who) && !peers->hub)
+	if (peer && who && !g_strcmp0(peer->incarnation, who) && !peers->aggregator)
 		take_uses(peers, peer, &fields[4], false, true);
 	rc = address && who ? 0 : -1;
 	g_free(address);
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -13,10 +13,10 @@
 #define FRAME_MAX (4 * 1024 * 1024)
 /* Loads of upstreams, by which requests are placed, are two periods old at most. */
 #define MESH_PERIOD (250 * PD_MSEC)
-#define HUB_PERIOD (200 * PD_MSEC)
-/* Beyond so many gateways the period grows with them, to bound a hub's load. */
-#define HUB_PERIOD_FLEET 100
-#define HUB_PERIOD_FACTOR_MAX 4
+#define AGGREGATOR_PERIOD (200 * PD_MSEC)
+/* Beyond so many gateways the period grows with them, to bound an aggregator's load. */
+#define AGGREGATOR_PERIOD_FLEET 100
+#define AGGREGATOR_PERIOD_FACTOR_MAX 4
 /* How often usage is sent to the checkpoint writers. */
 #define COUNTS_PERIOD (70 * PD_MSEC)
 #define COUNTS_PERIOD_FACTOR_MAX 3
@@ -24,9 +24,9 @@
 #define LAG_PERIODS_2 5
 /* A peer not heard for so long runs nothing any more, as far as loads go. */
 #define LOAD_KEPT (2 * PD_SEC)
-/* A hub that has not answered for so long is passed over for a while. */
-#define HUB_SILENCE (1500 * PD_MSEC)
-#define HUB_PAUSE (5 * PD_SEC)
+/* An aggregator that has not answered for so long is passed over for a while. */
+#define AGGREGATOR_SILENCE (1500 * PD_MSEC)
+#define AGGREGATOR_PAUSE (5 * PD_SEC)
 /* What a peer said of the store holds for a few states. */
 #define STORE_NEWS_KEPT (700 * PD_MSEC)
 /*
@@ -38,7 +38,7 @@
 #define STORE_STALE_PERIODS 2
 /* A connection that fails again and again is logged once in such a time. */
 #define LOST_LOG_PERIOD (10 * PD_SEC)
-/* A VM with that much processor and link can carry a hub of some hundreds. */
+/* A VM with that much processor and link can carry an aggregator of some hundreds. */
 #define STRONG_CORES 0.24
 #define STRONG_MBPS 100
 
@@ -192,7 +192,7 @@
 			settings->node_link_mbps >= STRONG_MBPS;
 	peers->incarnation = g_strdup_printf("%s#%08x", settings->node_id,
 					     g_rand_int(gateway->random));
-	peers->hub_loads = loads_create();
+	peers->aggregator_loads = loads_create();
 	peers->loads_told = loads_create();
 	peers->by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	peers->totals = peers_values_create();
@@ -221,7 +221,7 @@
 error:
 	g_free(host);
 	g_free(peers->incarnation);
-	g_array_unref(peers->hub_loads);
+	g_array_unref(peers->aggregator_loads);
 	g_array_unref(peers->loads_told);
 	g_hash_table_unref(peers->by_address);
 	g_hash_table_unref(peers->totals);
@@ -357,49 +357,52 @@
 	g_hash_table_remove_all(peers->news);
 }
 
-/* Changes between hearing the peers oneself and following a hub's sums. */
-static void follow_hub(gateway_peers_t *peers, const char *hub, pd_time_t now)
+/* Changes between hearing the peers oneself and following an aggregator's sums. */
+static void follow_aggregator(gateway_peers_t *peers, const char *aggregator,
+			      pd_time_t now)
 {
-	bool followed = peers->hub != NULL;
+	bool followed = peers->aggregator != NULL;
 
-	if (!g_strcmp0(peers->hub, hub))
+	if (!g_strcmp0(peers->aggregator, aggregator))
 		return;
-	log_line(G_LOG_LEVEL_INFO, PART, "hub=%s before=%s", hub ? hub : "self",
-		 peers->hub ? peers->hub : "self");
-	g_free(peers->hub);
-	peers->hub = g_strdup(hub);
+	log_line(G_LOG_LEVEL_INFO, PART, "aggregator=%s before=%s",
+		 aggregator ? aggregator : "self",
+		 peers->aggregator ? peers->aggregator : "self");
+	g_free(peers->aggregator);
+	peers->aggregator = g_strdup(aggregator);
 	peers->summed_at = now;
-	if (followed != (hub != NULL)) {
+	if (followed != (aggregator != NULL)) {
 		/* The same use would be counted by both. */
 		token_limits_forget_peers(peers->gateway->limits);
 		work_rate_forget_peers(peers->gateway->work);
 		LIST_FOR_EACH (it, &peers->list)
 			peers_unload(peers, LIST_ENTRY(it, peer_t, node)->loads);
 	}
-	peers_unload(peers, peers->hub_loads);
+	peers_unload(peers, peers->aggregator_loads);
 }
 
 static void tell_mesh(gateway_peers_t *peers, bool full)
 {
-	follow_hub(peers, NULL, gateway_now());
+	follow_aggregator(peers, NULL, gateway_now());
 	LIST_FOR_EACH (it, &peers->list)
 		peers_send_state(peers, LIST_ENTRY(it, peer_t, node), false, full);
 }
 
-/* Stretches a period with the fleet, up to a bound, so that a hub's load stays. */
+/* Stretches a period with the fleet, up to a bound, so that an aggregator's load stays. */
 static pd_time_t fleet_period(gateway_peers_t *peers, pd_time_t period,
 			      int factor_max, pd_time_t now)
 {
-	pd_time_t stretched =
-		period * peers_view(peers, now)->counted / HUB_PERIOD_FLEET;
+	pd_time_t stretched = period * peers_view(peers, now)->counted /
+			      AGGREGATOR_PERIOD_FLEET;
 
 	return CLAMP(stretched, period, period * factor_max);
 }
 
-/* How often hubs are told and tell. */
-static pd_time_t hub_period(gateway_peers_t *peers, pd_time_t now)
+/* How often aggregators are told and tell. */
+static pd_time_t aggregator_period(gateway_peers_t *peers, pd_time_t now)
 {
-	return fleet_period(peers, HUB_PERIOD, HUB_PERIOD_FACTOR_MAX, now);
+	return fleet_period(peers, AGGREGATOR_PERIOD,
+			    AGGREGATOR_PERIOD_FACTOR_MAX, now);
 }
 
 /* Returns how often counts are sent to the checkpoint writers. */
@@ -454,37 +457,40 @@
 {
 	if (peers_is_mesh(peers, now))
 		return MESH_PERIOD * 2;
-	return hub_period(peers, now) * LAG_PERIODS_2 / 2;
+	return aggregator_period(peers, now) * LAG_PERIODS_2 / 2;
 }
 
 /* After how long without news of the store each gateway asks for itself. */
 pd_time_t peers_store_stale(gateway_peers_t *peers, pd_time_t now)
 {
-	return STORE_STALE + STORE_STALE_PERIODS * hub_period(peers, now);
+	return STORE_STALE + STORE_STALE_PERIODS * aggregator_period(peers, now);
 }
 
-/* Passes a hub over that gives no summaries. */
-static void judge_hub(gateway_peers_t *peers, pd_time_t now)
+/* Passes an aggregator over that gives no summaries. */
+static void check_aggregator(gateway_peers_t *peers, pd_time_t now)
 {
-	peer_t *hub = peers->hub ? peers_find(peers, peers->hub) : NULL;
-	pd_time_t silence = MAX(HUB_SILENCE, 3 * hub_period(peers, now));
+	peer_t *aggregator =
+		peers->aggregator ? peers_find(peers, peers->aggregator) : NULL;
+	pd_time_t silence =
+		MAX(AGGREGATOR_SILENCE, 3 * aggregator_period(peers, now));
 
-	if (hub && now - peers->summed_at > silence)
-		hub->passed_over_until = now + HUB_PAUSE;
+	if (aggregator && now - peers->summed_at > silence)
+		aggregator->passed_over_until = now + AGGREGATOR_PAUSE;
 }
 
-static void tell_hubs(gateway_peers_t *peers, bool full, pd_time_t now)
+static void send_to_aggregators(gateway_peers_t *peers, bool full, pd_time_t now)
 {
-	bool is_hub = peers_view(peers, now)->rank < HUBS;
-	peer_t *first[HUBS + 1];
+	bool is_aggregator = peers_view(peers, now)->rank < AGGREGATORS;
+	peer_t *first[AGGREGATORS + 1];
 	unsigned int count;
 	peer_t *holder;
 
-	judge_hub(peers, now);
-	count = peers_first(peers, first, HUBS, now);
-	follow_hub(peers, is_hub || !count ? NULL : first[0]->address, now);
+	check_aggregator(peers, now);
+	count = peers_first(peers, first, AGGREGATORS, now);
+	follow_aggregator(peers,
+			  is_aggregator || !count ? NULL : first[0]->address, now);
 	for (unsigned int i = 0; i < count; i++)
-		peers_send_state(peers, first[i], !is_hub && i == 0, full);
+		peers_send_state(peers, first[i], !is_aggregator && i == 0, full);
 	holder = peers->holder ? peers_find(peers, peers->holder) : NULL;
 	if (!holder || !full)
 		return;
@@ -525,7 +531,8 @@
 	if (now < peers->next_at)
 		return;
 	mesh = peers_is_mesh(peers, now);
-	peers->next_at = now + (mesh ? MESH_PERIOD : hub_period(peers, now));
+	peers->next_at =
+		now + (mesh ? MESH_PERIOD : aggregator_period(peers, now));
 	forget_lost(peers, now);
 	full = now >= peers->full_at;
 	if (full)
@@ -533,5 +540,5 @@
 	if (mesh)
 		tell_mesh(peers, full);
 	else
-		tell_hubs(peers, full, now);
+		send_to_aggregators(peers, full, now);
 }
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -10,9 +10,9 @@
 #include "core/error.h"
 
 /*
- * Up to so many gateways all send to each other. Beyond, each sends to two hubs, and
- * one of them sends it the sums: the cost of a node is the same in any fleet, and a
- * hub's grows with the fleet by one message each way for a node.
+ * Up to so many gateways all send to each other. Beyond, each sends to two aggregators,
+ * and one of them sends it the sums: the cost of a node is the same in any fleet, and
+ * an aggregator's grows with the fleet by one message each way for a node.
  */
 #define GATEWAY_MESH_MAX 12
 /* So many gateways write the checkpoint, each an object of its own. */
@@ -29,8 +29,8 @@
 bool gateway_peers_know_loads(gateway_peers_t *peers, pd_time_t now);
 bool gateway_peers_is_mesh(gateway_peers_t *peers);
 bool gateway_peers_go_first(gateway_peers_t *peers);
-unsigned int gateway_peers_that_hear(gateway_peers_t *peers, pd_time_t now);
-bool gateway_peers_hub_lost_store(const gateway_peers_t *peers);
+unsigned int gateway_peers_poll_group(gateway_peers_t *peers, pd_time_t now);
+bool gateway_peers_aggregator_lost_store(const gateway_peers_t *peers);
 bool gateway_peers_watch_store(gateway_peers_t *peers);
 pd_time_t gateway_peers_counts_period(gateway_peers_t *peers, pd_time_t now);
 pd_time_t gateway_peers_lag(gateway_peers_t *peers, pd_time_t now);
--- a/core/forward/token_limits.c
+++ b/core/forward/token_limits.c
@@ -50,7 +50,7 @@
 typedef struct bucket {
 	double level;
 	double own_total;
-	double told_total; /* of that: told to the hub that is followed */
+	double told_total; /* of that: told to the aggregator that is followed */
 	double asked; /* own_total, and what was refused */
 	double told_asked; /* of asked: told to who keeps the record */
 	double measured; /* of asked: when the demand was measured last */
@@ -357,7 +357,7 @@
 	return bucket ? bucket_demand(bucket, now) : 0;
 }
 
-/* Notes that the hub that is followed was told all that was taken here. */
+/* Notes that the aggregator that is followed was told all that was taken here. */
 void token_limits_told(token_limits_t *limits)
 {
 	GHashTableIter iter;
@@ -372,7 +372,7 @@
 }
 
 /*
- * Takes a bucket's level from the hub that hears all entries. Sums alone did not
+ * Takes a bucket's level from the aggregator that hears all entries. Sums alone did not
  * do: of the first sum that an entry hears it can't tell what was used before its
  * start, so what all others took in the first tenths of a second after a start of
  * all stayed in its bucket.
--- a/tests/property/test_token_limits.cc
+++ b/tests/property/test_token_limits.cc
@@ -27,7 +27,7 @@
 static const pd_time_t step = 10 * PD_MSEC;
 static const pd_time_t write_period = 100 * PD_MSEC;
 static const pd_time_t day = 30 * PD_SEC;
-static const unsigned mesh_max = 12; /* beyond, a hub sums up for all */
+static const unsigned mesh_max = 12; /* beyond, an aggregator sums up for all */
 static const token_rules_t rules = { 8 * PD_SEC, 0.1, 140000 };
 
 struct request {
@@ -192,7 +192,7 @@
 			if (nodes.size() <= mesh_max)
 				tell_mesh(i);
 			else if (i > 0)
-				tell_hub(i);
+				tell_aggregator(i);
 		}
 	}
 
@@ -214,21 +214,23 @@
 		last(from) = use;
 	}
 
-	/* The hub hears one entry, and answers with the sums of all others. */
-	void tell_hub(size_t from)
+	/* The aggregator hears one entry, and answers with the sums of all others. */
+	void tell_aggregator(size_t from)
 	{
 		node &entry = nodes[from];
 		token_use_t use = use_of(entry);
-		token_use_t hub;
+		token_use_t aggregator;
 
 		hear_sum(from, use);
 		token_limits_told(entry.limits);
-		hub = use_of(nodes[0]);
+		aggregator = use_of(nodes[0]);
 		token_limits_heard(entry.limits, account.name, "everybody",
-				   sum_total - use.total + hub.total, false, now);
+				   sum_total - use.total + aggregator.total,
+				   false, now);
 		token_limits_asked(entry.limits, account.name, "everybody",
-				   sum_asked - use.asked + hub.asked, now);
-		token_limits_follow(entry.limits, account.name, hub.level, now);
+				   sum_asked - use.asked + aggregator.asked, now);
+		token_limits_follow(entry.limits, account.name,
+				    aggregator.level, now);
 	}
 
 	token_use_t &last(size_t number)
--- a/tests/unit/test_peer_loads.c
+++ b/tests/unit/test_peer_loads.c
@@ -49,7 +49,7 @@
 	forward_config_add_service(fixture->gateway.config)->name = g_strdup("s");
 	list_upstreams(fixture->gateway.upstreams, upstreams);
 	peers->gateway = &fixture->gateway;
-	peers->hub_loads = g_array_new(FALSE, FALSE, sizeof(load_t));
+	peers->aggregator_loads = g_array_new(FALSE, FALSE, sizeof(load_t));
 	peers->loads_told = g_array_new(FALSE, FALSE, sizeof(load_t));
 	msgpack_sbuffer_init(&peers->loads_packed);
 	return fixture;
@@ -59,7 +59,7 @@
 {
 	forward_upstreams_destroy(fixture->gateway.upstreams);
 	forward_config_unref(fixture->gateway.config);
-	g_array_unref(fixture->peers.hub_loads);
+	g_array_unref(fixture->peers.aggregator_loads);
 	g_array_unref(fixture->peers.loads_told);
 	msgpack_sbuffer_destroy(&fixture->peers.loads_packed);
 	g_free(fixture);
@@ -107,29 +107,29 @@
 }
 
 /*
- * A hub sums up its own requests and its peers'. A gateway that counted its own
+ * An aggregator sums up its own requests and its peers'. A gateway that counted its own
  * part of these sums as well would think the upstreams that it uses itself twice
  * as loaded as they are.
  */
 static void test_own_requests_are_not_counted_twice(void **state)
 {
-	fixture_t *hub = fixture_create(FEW);
+	fixture_t *aggregator = fixture_create(FEW);
 	fixture_t *node = fixture_create(FEW);
 
 	(void)state;
-	upstream_at(hub, 3)->running = 2;
-	upstream_at(hub, 3)->peers_running = 3;
-	upstream_at(hub, 3)->peers_reading = 6400;
+	upstream_at(aggregator, 3)->running = 2;
+	upstream_at(aggregator, 3)->peers_running = 3;
+	upstream_at(aggregator, 3)->peers_reading = 6400;
 	upstream_at(node, 3)->running = 1;
 	upstream_at(node, 3)->reading = 640;
 	tell_own(node);
-	tell_all(hub, node);
+	tell_all(aggregator, node);
 	assert_int_equal(upstream_at(node, 3)->peers_running, 4);
 	assert_int_equal((int)upstream_at(node, 3)->peers_reading, 5760);
 	assert_int_equal(upstream_at(node, 4)->peers_running, 0);
-	tell_all(hub, node);
+	tell_all(aggregator, node);
 	assert_int_equal(upstream_at(node, 3)->peers_running, 4);
-	fixture_destroy(hub);
+	fixture_destroy(aggregator);
 	fixture_destroy(node);
 }
 
@@ -140,21 +140,23 @@
  */
 static void test_a_message_does_not_grow_with_the_fleet(void **state)
 {
-	fixture_t *hub = fixture_create(MANY);
+	fixture_t *aggregator = fixture_create(MANY);
 	fixture_t *node = fixture_create(MANY);
 	size_t size;
 
 	(void)state;
 	for (unsigned int i = 0; i < MANY; i++) {
-		upstream_at(hub, i)->peers_running = i < LOADS_TOLD ? 12 : 3;
-		upstream_at(hub, i)->peers_reading = i < LOADS_TOLD ? 20000 : 1000;
+		upstream_at(aggregator, i)->peers_running = i < LOADS_TOLD ? 12
+									   : 3;
+		upstream_at(aggregator, i)->peers_reading =
+			i < LOADS_TOLD ? 20000 : 1000;
 	}
-	size = tell_all(hub, node);
+	size = tell_all(aggregator, node);
 	assert_true(size < MESSAGE_MAX);
 	assert_int_equal(upstream_at(node, 5)->peers_running, 12);
 	assert_int_equal(upstream_at(node, MANY - 1)->peers_running, 3);
 	assert_int_equal((int)upstream_at(node, MANY - 1)->peers_reading, 1000);
-	fixture_destroy(hub);
+	fixture_destroy(aggregator);
 	fixture_destroy(node);
 }
 
