--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -162,10 +162,15 @@
 		gateway_upstream_news(gateway, id, "store");
 }
 
+/*
+ * Applies a page. Calls are served from the first one on: thousands of upstreams are
+ * several pages, and hundreds of starts wait for each other's at the store.
+ */
 static void apply_upstreams(feed_t *feed, const wire_page_t *page)
 {
 	for (size_t i = 0; i < wire_page_count(page); i++)
 		apply_upstream(feed, page, i);
+	feed->fleet->gateway->upstreams_usable = true;
 }
 
 static void feed_apply(feed_t *feed, const wire_page_t *page)
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -113,7 +113,8 @@
 /* Says whether enough is known to serve callers. */
 bool gateway_is_set_up(const gateway_t *gateway)
 {
-	return gateway->config && gateway->upstreams_known &&
+	return gateway->config &&
+	       (gateway->upstreams_usable || gateway->upstreams_known) &&
 	       gateway_checkpoint_is_settled(gateway->checkpoint, gateway_now());
 }
 
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -31,6 +31,7 @@
 	forward_config_t *config; /* NULL: none yet */
 	char *config_text; /* as the platform gave it, for peers */
 	bool upstreams_known; /* a whole listing was read, here or by a peer */
+	bool upstreams_usable; /* a page of a listing was read */
 	forward_upstreams_t *upstreams;
 	token_limits_t *limits;
 	uint64_t limits_version; /* of the configuration whose accounts it knows */
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -332,6 +332,7 @@
 static void store_list(visit_t *visit)
 {
 	gateway_rig_t *rig = visit->server->rig;
+	bool more = rig->first_page_only && !strcmp(visit->kind, "servers");
 	json_t *items = json_array();
 	const char *name;
 	json_t *object;
@@ -339,7 +340,7 @@
 	json_object_foreach(store_kind(rig, visit->kind), name, object)
 		json_array_append(items, object);
 	visit_json(visit, 200,
-		   json_pack("{s:o, s:b, s:I}", "items", items, "hasMore", 0,
+		   json_pack("{s:o, s:b, s:I}", "items", items, "hasMore", more,
 			     "asOf", rig->revision));
 }
 
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -58,6 +58,7 @@
 	json_t *objects; /* kind -> name -> object */
 	json_t *events; /* array, in the order of their revisions */
 	json_int_t revision;
+	bool first_page_only; /* of listings of upstreams; the next is refused */
 	unsigned int answers_lost; /* so many writes to a checkpoint get no answer */
 	uint64_t listed_ms; /* when upstreams were listed last */
 	uint64_t watched_ms; /* when they were watched first after that; 0: not yet */
--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -280,6 +280,22 @@
 	assert_true(served);
 }
 
+/* Guards against refusals until a start has listed the last of many upstreams. */
+static void test_a_start_serves_from_the_first_page(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller;
+
+	kill_all(rig);
+	rig->first_page_only = true;
+	rig_start(rig, 0);
+	RIG_UNTIL(rig, times_logged(rig, 0, "gateway: start") == 2);
+	caller = rig_call_at(rig, 0, "POST", "/safe/x", "c1");
+	RIG_UNTIL(rig, rig_heard(caller, "HTTP/1.1 "));
+	assert_true(rig_heard(caller, "HTTP/1.1 200"));
+	rig_caller_destroy(caller);
+}
+
 /* Guards against calls of hundreds of starts that do not know yet who watches. */
 static void test_a_start_does_not_watch_at_once(void **state)
 {
@@ -335,6 +351,8 @@
 		cmocka_unit_test_setup_teardown(
 			test_a_call_that_comes_before_the_configuration_is_served,
 			setup, teardown),
+		cmocka_unit_test_setup_teardown(test_a_start_serves_from_the_first_page,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_a_start_does_not_watch_at_once,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_a_stopping_holder_goes_on_until_it_ends,
