--- a/tests/unit/test_build_packages.c
+++ b/tests/unit/test_build_packages.c
@@ -139,6 +139,22 @@
 	assert_check_names(*state, "clang-format");
 }
 
+/* Guards against lists of headers that mix where many compilers run at once. */
+static void test_parallel_compilers_pass(void **state)
+{
+	char *report;
+
+	project_write(*state, "deploy/system.toml",
+		      "build = \"make -j16\"\npackages = [" LISTED "]\n");
+	project_write(*state, "main.c", "#include <uv.h>\n" MAIN);
+	project_write(*state, "Makefile",
+		      "all: $(addprefix target/,$(shell seq 200))\n"
+		      "target/%:\n\tmkdir -p target\n\tcc -c -o $@ main.c\n");
+	if (!project_check(*state, &report))
+		fail_msg("%s", report);
+	g_free(report);
+}
+
 /* Guards against a check that passes because it followed no compiler. */
 static void test_build_without_compiler_fails(void **state)
 {
@@ -179,6 +195,7 @@
 		TEST(test_unlisted_header_fails),
 		TEST(test_unlisted_library_fails),
 		TEST(test_unlisted_tool_fails),
+		TEST(test_parallel_compilers_pass),
 		TEST(test_build_without_compiler_fails),
 		TEST(test_missing_package_stops_make),
 	};
