--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -76,7 +76,7 @@
 		view.rank +=
 			!goes_before(peers->strong, hash, peers->address, peer);
 	}
-	/* An aggregator hears all; whoever follows it hears of some of many only. */
+	/* An aggregator hears all; its followers hear of some of many only. */
 	if (peers->aggregator && peers->told_count > MEMBERS_TOLD) {
 		view.alive = MAX(view.alive, peers->told_count);
 		view.counted = MAX(view.counted, peers->told_count);
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -337,7 +337,7 @@
 	take_usages(gateway, peer->incarnation, &fields[STATE_USAGES]);
 	take_speeds(gateway, &fields[STATE_SPEEDS]);
 	take_members(peers, &fields[STATE_MEMBERS]);
-	/* Whoever follows an aggregator has this peer in the aggregator's sums already. */
+	/* The sums of the aggregator include this peer already. */
 	if (!peers->aggregator) {
 		const part_t works = { peer->works, peers->works };
 
--- a/core/forward/peer_uses.c
+++ b/core/forward/peer_uses.c
@@ -191,7 +191,7 @@
 	use->asked_at = now;
 }
 
-/* Returns what callers ask of all peers in a second; those of dead ones left. */
+/* Returns what callers ask of all peers in a second, but for those long silent. */
 double peer_uses_demand(const peer_uses_t *uses, pd_time_t now)
 {
 	double demand = 0;
--- a/tests/unit/test_spread.c
+++ b/tests/unit/test_spread.c
@@ -82,15 +82,13 @@
 		fleet->reached += known[i];
 }
 
-static void fleet_play(fleet_t *fleet)
+/* Plays updates in a fleet with zones of these sizes; FLEET gets the counts. */
+static void assert_reaches(fleet_t *fleet, const unsigned int *sizes)
 {
+	fleet_init(fleet, sizes);
 	for (unsigned int i = 0; i < UPDATES; i++)
 		spread_update(fleet);
 	g_rand_free(fleet->random);
-}
-
-static void assert_reaches(const fleet_t *fleet)
-{
 	assert_true((double)fleet->reached > 0.985 * UPDATES * fleet->size);
 }
 
@@ -107,9 +105,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
 		fleet_t fleet;
 
-		fleet_init(&fleet, sizes[i]);
-		fleet_play(&fleet);
-		assert_reaches(&fleet);
+		assert_reaches(&fleet, sizes[i]);
 		assert_true(fleet.far_copies * 4 < fleet.copies);
 	}
 }
@@ -127,9 +123,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
 		fleet_t fleet;
 
-		fleet_init(&fleet, sizes[i]);
-		fleet_play(&fleet);
-		assert_reaches(&fleet);
+		assert_reaches(&fleet, sizes[i]);
 	}
 }
 
