--- a/adapters/gateway/caller.c
+++ b/adapters/gateway/caller.c
@@ -9,6 +9,8 @@
  * and a request must not cross the close.
  */
 #define IDLE_MARGIN (2 * PD_SEC)
+/* How long a stopping process waits for the first request of a connection. */
+#define FIRST_REQUEST_TIME PD_SEC
 /* Answers that a caller does not read are kept up to so many bytes. */
 #define UNREAD_MAX (4 * 1024 * 1024)
 
@@ -17,6 +19,7 @@
 	gateway_t *gateway;
 	http1_t *conn;
 	gateway_request_t *request; /* NULL: none in progress */
+	bool used; /* a request has come on the connection */
 	bool keep; /* the connection serves further requests */
 	pd_time_t since; /* when something last came of a request, or the last ended */
 	pd_time_t head_since; /* a head has been coming in since; 0: none is */
@@ -35,6 +38,7 @@
 	const char *expect =
 		header_find(head->headers, head->header_count, "Expect");
 
+	caller->used = true;
 	caller->keep = head->keep_alive;
 	caller->reading = true;
 	caller->since = gateway_now();
@@ -198,13 +202,24 @@
 	}
 }
 
+/*
+ * Returns whether a request is in progress, being read, or to be expected: a
+ * connection is opened for a request that may still be on its way.
+ */
+static bool caller_is_busy(const caller_t *caller, pd_time_t now)
+{
+	if (caller->request || http1_in_message(caller->conn))
+		return true;
+	return !caller->used && now - caller->since < FIRST_REQUEST_TIME;
+}
+
 /* Closes the connections on which nothing is in progress. */
-void callers_close_idle(gateway_t *gateway)
+void callers_close_idle(gateway_t *gateway, pd_time_t now)
 {
 	LIST_FOR_EACH_SAFE (it, &gateway->callers) {
 		caller_t *caller = LIST_ENTRY(it, caller_t, node);
 
-		if (caller->request || caller->reading)
+		if (caller_is_busy(caller, now))
 			continue;
 		http1_close_when_sent(caller->conn);
 		caller_free(caller);
--- a/adapters/gateway/caller.h
+++ b/adapters/gateway/caller.h
@@ -12,6 +12,6 @@
 void caller_answered(caller_t *caller);
 void caller_abort(caller_t *caller);
 void callers_run(gateway_t *gateway, pd_time_t now);
-void callers_close_idle(gateway_t *gateway);
+void callers_close_idle(gateway_t *gateway, pd_time_t now);
 
 #endif
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -189,17 +189,18 @@
 	pd_time_t since = now - gateway->stop_at;
 
 	if (since >= STOP_ADMIT)
-		callers_close_idle(gateway);
+		callers_close_idle(gateway, now);
 	if (since < STOP_LISTEN)
 		return;
 	if (gateway->listening) {
 		gateway->listening = false;
 		uv_close((uv_handle_t *)&gateway->callers_listener, NULL);
 	}
-	if (!list_empty(&gateway->requests) && since < grace - STOP_MARGIN)
+	/* Those left have a request in progress, or one that is being read. */
+	if (!list_empty(&gateway->callers) && since < grace - STOP_MARGIN)
 		return;
 	log_line(G_LOG_LEVEL_INFO, PART, "stopped open=%d",
-		 !list_empty(&gateway->requests));
+		 !list_empty(&gateway->callers));
 	log_buffer_flush(now);
 	uv_stop(gateway->loop);
 }
--- a/tests/harness/gateway_calls.c
+++ b/tests/harness/gateway_calls.c
@@ -39,9 +39,9 @@
 	return ready;
 }
 
-/* Sends a call with a body of four bytes; the caller owns what comes back. */
-rig_caller_t *rig_call_at(gateway_rig_t *rig, int number, const char *method,
-			  const char *path, const char *id)
+/* Sends a call with a body of four bytes on a connection that is open. */
+void rig_say_call(rig_caller_t *caller, const char *method, const char *path,
+		  const char *id)
 {
 	char *text = g_strdup_printf("%s %s HTTP/1.1\r\nHost: h\r\n"
 				     "X-Attempt-Id: %s\r\n"
@@ -49,9 +49,17 @@
 				     "Authorization: Bearer k\r\n"
 				     "Content-Length: 4\r\n\r\nbody",
 				     method, path, id);
-	rig_caller_t *caller =
-		rig_call(rig, rig_port(rig, number, "callers"), text);
 
+	rig_say(caller, text);
 	g_free(text);
+}
+
+/* Opens a connection and sends such a call; the caller owns what comes back. */
+rig_caller_t *rig_call_at(gateway_rig_t *rig, int number, const char *method,
+			  const char *path, const char *id)
+{
+	rig_caller_t *caller = rig_call(rig, rig_port(rig, number, "callers"), "");
+
+	rig_say_call(caller, method, path, id);
 	return caller;
 }
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -11,6 +11,11 @@
 
 #include "tests/harness/gateway_calls.h"
 
+/* After an order to stop: long requests are refused, no connections accepted. */
+#define LONG_REFUSED_NS 2700000000
+#define LISTEN_ENDED_NS 4200000000
+#define TICKS_NS 100000000 /* of a gateway, a few */
+
 static bool has_logged(gateway_rig_t *rig, int number, const char *text)
 {
 	char *log = NULL;
@@ -340,7 +345,7 @@
 	process_signal(rig->gateways[0], SIGTERM);
 	RIG_UNTIL(rig, !rig_is_ready(rig, 0));
 	told = uv_hrtime();
-	RIG_UNTIL(rig, uv_hrtime() - told > 2700000000);
+	RIG_UNTIL(rig, uv_hrtime() - told > LONG_REFUSED_NS);
 	rig_caller_t *caller = call(rig, "/stream/");
 	RIG_UNTIL(rig, rig_heard(caller, "\r\n\r\n"));
 	assert_true(rig_heard(caller, "HTTP/1.1 503"));
@@ -348,6 +353,56 @@
 	rig_caller_destroy(caller);
 }
 
+/* A new connection would be closed as idle before its first request is read. */
+static void test_a_stopping_gateway_reads_new_connections(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *long_caller;
+	rig_caller_t *short_caller;
+	uint64_t since;
+
+	process_signal(rig->gateways[0], SIGTERM);
+	RIG_UNTIL(rig, !rig_is_ready(rig, 0));
+	since = uv_hrtime();
+	RIG_UNTIL(rig, uv_hrtime() - since > LONG_REFUSED_NS);
+	long_caller = rig_call(rig, rig_port(rig, 0, "callers"), "");
+	short_caller = rig_call(rig, rig_port(rig, 0, "callers"), "");
+	since = uv_hrtime();
+	RIG_UNTIL(rig, uv_hrtime() - since > TICKS_NS);
+	rig_say_call(long_caller, "POST", "/stream/", "c1");
+	rig_say_call(short_caller, "POST", "/safe/", "c2");
+	RIG_UNTIL(rig, rig_heard(long_caller, "\r\n\r\n"));
+	assert_true(rig_heard(long_caller, "HTTP/1.1 503"));
+	RIG_UNTIL(rig, rig_heard(short_caller, "from "));
+	assert_true(rig_heard(short_caller, "Connection: close"));
+	rig_caller_destroy(long_caller);
+	rig_caller_destroy(short_caller);
+}
+
+/* A request that a process still reads when it has nothing else to do. */
+static void test_a_stop_waits_for_a_request_being_read(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller;
+	uint64_t since;
+
+	process_signal(rig->gateways[0], SIGTERM);
+	RIG_UNTIL(rig, !rig_is_ready(rig, 0));
+	since = uv_hrtime();
+	RIG_UNTIL(rig, uv_hrtime() - since > LONG_REFUSED_NS);
+	caller = rig_call(rig, rig_port(rig, 0, "callers"),
+			  "POST /safe/ HTTP/1.1\r\nHost: h\r\n");
+	RIG_UNTIL(rig, uv_hrtime() - since > LISTEN_ENDED_NS);
+	rig_say(caller, "X-Attempt-Id: c1\r\nX-Deadline-Ms: 3000\r\n"
+			"Authorization: Bearer k\r\n"
+			"Content-Length: 0\r\n\r\n");
+	RIG_UNTIL(rig, rig_heard(caller, "from "));
+	assert_true(rig_heard(caller, "Connection: close"));
+	RIG_UNTIL(rig, process_ended(rig->gateways[0]));
+	assert_int_equal(rig->gateways[0]->status, 0);
+	rig_caller_destroy(caller);
+}
+
 static void test_a_draining_upstream_is_left(void **state)
 {
 	gateway_rig_t *rig = *state;
@@ -654,6 +709,8 @@
 		GATEWAY_TEST(test_a_hung_call_is_answered_in_time),
 		GATEWAY_TEST(test_a_stop_cuts_nothing),
 		GATEWAY_TEST(test_a_stopping_gateway_refuses_long_requests),
+		GATEWAY_TEST(test_a_stopping_gateway_reads_new_connections),
+		GATEWAY_TEST(test_a_stop_waits_for_a_request_being_read),
 		GATEWAY_TEST(test_a_draining_upstream_is_left),
 		GATEWAY_TEST(test_peers_tell_whom_the_store_turns_away),
 		GATEWAY_TEST(test_entries_that_lapsed_and_came_back_serve),
