--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -187,6 +187,7 @@
 {
 	pd_time_t grace = (pd_time_t)(gateway->settings->stop_grace_s * PD_SEC);
 	pd_time_t since = now - gateway->stop_at;
+	bool open;
 
 	if (since >= STOP_ADMIT)
 		callers_close_idle(gateway, now);
@@ -196,11 +197,11 @@
 		gateway->listening = false;
 		uv_close((uv_handle_t *)&gateway->callers_listener, NULL);
 	}
-	/* Those left have a request in progress, or one that is being read. */
-	if (!list_empty(&gateway->callers) && since < grace - STOP_MARGIN)
+	/* Callers left have a request in progress, or one that is being read. */
+	open = !list_empty(&gateway->callers) || http1_is_draining();
+	if (open && since < grace - STOP_MARGIN)
 		return;
-	log_line(G_LOG_LEVEL_INFO, PART, "stopped open=%d",
-		 !list_empty(&gateway->callers));
+	log_line(G_LOG_LEVEL_INFO, PART, "stopped open=%d", open);
 	log_buffer_flush(now);
 	uv_stop(gateway->loop);
 }
--- a/adapters/http1/http1.c
+++ b/adapters/http1/http1.c
@@ -51,6 +51,7 @@
 	bool bad; /* the head broke a rule of ours */
 	bool too_large;
 	bool reading;
+	bool draining;
 	bool closing;
 	bool ended; /* on_end was called, or is not wanted */
 	size_t head_bytes;
@@ -64,6 +65,8 @@
 } pending_write_t;
 
 static char read_buffer[READ_BYTES];
+/* Connections that close once their written bytes are with the kernel. */
+static unsigned int draining_count;
 
 static int parser_message_begin(http_parser *parser);
 static int parser_url(http_parser *parser, const char *at, size_t len);
@@ -163,6 +166,8 @@
 	if (conn->closing)
 		return;
 	conn->closing = true;
+	if (conn->draining)
+		draining_count--;
 	uv_close((uv_handle_t *)&conn->tcp, conn_closed);
 }
 
@@ -191,8 +196,10 @@
 void http1_close_when_sent(http1_t *conn)
 {
 	conn->ended = true;
-	if (conn->closing)
+	if (conn->closing || conn->draining)
 		return;
+	conn->draining = true;
+	draining_count++;
 	if (conn->reading)
 		uv_read_stop((uv_stream_t *)&conn->tcp);
 	conn->reading = false;
@@ -201,6 +208,12 @@
 		http1_close(conn);
 }
 
+/* Returns whether a connection still has bytes to send before it closes. */
+bool http1_is_draining(void)
+{
+	return draining_count > 0;
+}
+
 /* Takes a waiting connection from the listener; -1 if there is none. */
 int http1_accept(http1_t *conn, uv_stream_t *listener)
 {
--- a/adapters/http1/http1.h
+++ b/adapters/http1/http1.h
@@ -64,6 +64,7 @@
 void http1_resume(http1_t *conn);
 void http1_close(http1_t *conn);
 void http1_close_when_sent(http1_t *conn);
+bool http1_is_draining(void);
 const char *http1_reason(int status);
 
 #endif
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -122,16 +122,31 @@
 
 /* Upstreams. */
 
-static void upstream_answer(visit_t *visit, int status, const char *id)
+static void upstream_answer_body(visit_t *visit, int status, const char *id,
+				 const char *body)
 {
 	char *headers = g_strdup_printf("X-Attempt-Id: %s\r\n"
 					"X-Response-Seal: s%d\r\n"
 					"Keep-Alive: timeout=5\r\n",
 					id ? id : "", visit->server->number);
-	char *body = g_strdup_printf("from %d", visit->server->number);
 
 	visit_write(visit, status, headers, body);
 	g_free(headers);
+}
+
+static void upstream_answer(visit_t *visit, int status, const char *id)
+{
+	char *body = g_strdup_printf("from %d", visit->server->number);
+
+	upstream_answer_body(visit, status, id, body);
+	g_free(body);
+}
+
+static void upstream_answer_large(visit_t *visit)
+{
+	char *body = g_strnfill(RIG_LARGE_BYTES, 'x');
+
+	upstream_answer_body(visit, 200, visit->call_id, body);
 	g_free(body);
 }
 
@@ -224,6 +239,9 @@
 	case RIG_SLOW:
 		uv_timer_start(&visit->timer, on_slow, RIG_SLOW_MS, 0);
 		return;
+	case RIG_LARGE:
+		upstream_answer_large(visit);
+		return;
 	case RIG_STREAM:
 	case RIG_STREAM_CUT:
 		stream_begin(visit);
@@ -738,21 +756,35 @@
 		(void)send(caller->fd, text, strlen(text), MSG_NOSIGNAL);
 }
 
-/* Takes in what has come back. */
-void rig_hear(rig_caller_t *caller)
+/* Takes in one buffer at most of what has come back; false: nothing was there. */
+static bool hear_buffer(rig_caller_t *caller)
 {
 	char buffer[4096];
 	ssize_t len;
 
-	while (!caller->closed) {
-		len = recv(caller->fd, buffer, sizeof(buffer), 0);
-		if (len > 0)
-			g_string_append_len(caller->got, buffer, len);
-		else if (len < 0 && errno == EAGAIN)
-			return;
-		else
-			caller->closed = true;
-	}
+	if (caller->closed)
+		return false;
+	len = recv(caller->fd, buffer, sizeof(buffer), 0);
+	if (len < 0 && errno == EAGAIN)
+		return false;
+	if (len > 0)
+		g_string_append_len(caller->got, buffer, len);
+	else
+		caller->closed = true;
+	return true;
+}
+
+/* Takes in what has come back. */
+void rig_hear(rig_caller_t *caller)
+{
+	while (hear_buffer(caller))
+		continue;
+}
+
+/* Takes in a little of what has come back, as a slow reader does. */
+void rig_hear_some(rig_caller_t *caller)
+{
+	hear_buffer(caller);
 }
 
 /* Closes the connection, as a caller does who gives up. */
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -27,11 +27,13 @@
 	RIG_CUT, /* breaks off in the middle of its answer */
 	RIG_DOUBLE, /* answers another call first */
 	RIG_SLOW, /* answers after RIG_SLOW_MS */
+	RIG_LARGE, /* answers with RIG_LARGE_BYTES */
 	RIG_STREAM, /* RIG_EVENTS events, one every 20 ms */
 	RIG_STREAM_CUT /* the same, but stops in the middle of the fourth */
 } rig_act_t;
 
 #define RIG_SLOW_MS 1000
+#define RIG_LARGE_BYTES 12000000 /* more than sockets hold */
 #define RIG_EVENTS 6
 
 typedef struct gateway_rig gateway_rig_t;
@@ -98,6 +100,7 @@
 rig_caller_t *rig_call(gateway_rig_t *rig, uint16_t port, const char *text);
 void rig_say(rig_caller_t *caller, const char *text);
 void rig_hear(rig_caller_t *caller);
+void rig_hear_some(rig_caller_t *caller);
 void rig_hang_up(rig_caller_t *caller);
 void rig_caller_destroy(rig_caller_t *caller);
 
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -403,6 +403,29 @@
 	rig_caller_destroy(caller);
 }
 
+/* The end of a long answer would be lost with the process that still holds it. */
+static void test_a_stop_waits_for_a_slow_reader(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller;
+	uint64_t since;
+
+	all_act(rig, RIG_LARGE);
+	caller = call(rig, "/unsafe/");
+	RIG_UNTIL(rig, arrivals(rig) == 1);
+	process_signal(rig->gateways[0], SIGTERM);
+	since = uv_hrtime();
+	while (uv_hrtime() - since < LISTEN_ENDED_NS) {
+		rig_turn(rig);
+		rig_hear_some(caller);
+	}
+	RIG_UNTIL(rig, rig_is_closed(caller));
+	assert_true(caller->got->len > RIG_LARGE_BYTES);
+	RIG_UNTIL(rig, process_ended(rig->gateways[0]));
+	assert_int_equal(rig->gateways[0]->status, 0);
+	rig_caller_destroy(caller);
+}
+
 static void test_a_draining_upstream_is_left(void **state)
 {
 	gateway_rig_t *rig = *state;
@@ -711,6 +734,7 @@
 		GATEWAY_TEST(test_a_stopping_gateway_refuses_long_requests),
 		GATEWAY_TEST(test_a_stopping_gateway_reads_new_connections),
 		GATEWAY_TEST(test_a_stop_waits_for_a_request_being_read),
+		GATEWAY_TEST(test_a_stop_waits_for_a_slow_reader),
 		GATEWAY_TEST(test_a_draining_upstream_is_left),
 		GATEWAY_TEST(test_peers_tell_whom_the_store_turns_away),
 		GATEWAY_TEST(test_entries_that_lapsed_and_came_back_serve),
