--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -159,7 +159,10 @@
 		news = forward_upstreams_apply(gateway->upstreams, &listing);
 	}
 	if (news)
-		gateway_upstream_news(gateway, id, "store");
+		gateway_upstream_news(gateway, id,
+				      feed->listing && !gateway->upstreams_known
+					      ? GATEWAY_SOURCE_LISTING
+					      : GATEWAY_SOURCE_STORE);
 }
 
 /*
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -458,12 +458,12 @@
 	}
 	if (forward_upstreams_restage(gateway->upstreams, upstream, &change,
 				      gateway_now()))
-		gateway_upstream_news(gateway, upstream->id, "peer");
+		gateway_upstream_news(gateway, upstream->id, GATEWAY_SOURCE_PEER);
 }
 
-/* Takes one upstream that a peer knows of. */
+/* Takes one upstream that a peer knows of, alone or as part of a listing. */
 static void take_upstream(gateway_peers_t *peers, const msgpack_object *object,
-			  GArray *unknown)
+			  gateway_source_t source, GArray *unknown)
 {
 	gateway_t *gateway = peers->gateway;
 	const msgpack_object *fields =
@@ -502,7 +502,7 @@
 		news = forward_upstreams_apply(gateway->upstreams, &listing);
 	/* Passed on, as a peer may reach some that the sender does not. */
 	if (news)
-		gateway_upstream_news(gateway, listing.id, "peer");
+		gateway_upstream_news(gateway, listing.id, source);
 done:
 	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
 		g_free(texts[i]);
@@ -514,6 +514,10 @@
 	const msgpack_object *items = msgpack_field_items(&fields[3], 0, &count);
 	char *address = msgpack_field_text(&fields[1]);
 	peer_t *peer = address ? peers_add(peers, address) : NULL;
+	bool all = msgpack_field_number(&fields[2]) != 0;
+	gateway_source_t source = all && !peers->gateway->upstreams_known
+					  ? GATEWAY_SOURCE_LISTING
+					  : GATEWAY_SOURCE_PEER;
 	GArray *unknown;
 
 	g_free(address);
@@ -521,8 +525,8 @@
 		return -1;
 	unknown = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	for (uint32_t i = 0; i < count; i++)
-		take_upstream(peers, &items[i], unknown);
-	if (msgpack_field_number(&fields[2]))
+		take_upstream(peers, &items[i], source, unknown);
+	if (all)
 		peers->gateway->upstreams_known = true;
 	if (unknown->len)
 		peers_send_fetch_marked(peers, peer, unknown);
--- a/tests/process/test_gateway_gossip.c
+++ b/tests/process/test_gateway_gossip.c
@@ -98,7 +98,7 @@
 					    .revision = revision };
 
 	assert_true(forward_upstreams_apply(gateway->upstreams, &listing));
-	gateway_upstream_news(gateway, id, "test");
+	gateway_upstream_news(gateway, id, GATEWAY_SOURCE_STORE);
 }
 
 static const forward_upstream_t *known(const gateway_t *gateway, const char *id)
@@ -190,24 +190,32 @@
 	assert_string_equal(known(other, "u2")->address, "10.0.0.8");
 }
 
-/* Has a gateway take the other's update of an upstream; returns the bytes it sent. */
-static uint64_t take_update(pair_t *pair, const char *id)
+/* Has a gateway take what the other knows of some upstreams; NULL: of all. */
+static void take_updates(pair_t *pair, GHashTable *ids)
 {
-	gateway_peers_t *from = pair->gateways[0]->peers;
-	gateway_peers_t *to = pair->gateways[1]->peers;
-	GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
-	uint64_t before = frame_link_bytes(to->link);
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
 
-	g_hash_table_add(ids, (char *)id);
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-	peers_pack_news(&packer, from, ids);
-	assert_int_equal(peers_take(to, buffer.data, buffer.size), 0);
+	peers_pack_news(&packer, pair->gateways[0]->peers, ids);
+	assert_int_equal(peers_take(pair->gateways[1]->peers, buffer.data,
+				    buffer.size),
+			 0);
 	msgpack_sbuffer_destroy(&buffer);
+}
+
+/* Has a gateway take the other's update of an upstream; returns the bytes it sent. */
+static uint64_t take_update(pair_t *pair, const char *id)
+{
+	const frame_link_t *link = pair->gateways[1]->peers->link;
+	GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
+	uint64_t before = frame_link_bytes(link);
+
+	g_hash_table_add(ids, (char *)id);
+	take_updates(pair, ids);
 	g_hash_table_unref(ids);
-	return frame_link_bytes(to->link) - before;
+	return frame_link_bytes(link) - before;
 }
 
 /* Guards against asking for an upstream again while the answer is on its way. */
@@ -231,6 +239,31 @@
 	assert_int_equal(take_update(pair, "u3"), 0);
 }
 
+/* Guards against passing on a whole table that every start reads by itself. */
+static void test_a_start_passes_no_listing_on(void **state)
+{
+	pair_t *pair = *state;
+	gateway_t *start = pair->gateways[1];
+	const forward_listing_t listing = { .id = "u4",
+					    .service = "s",
+					    .address = "10.0.0.6",
+					    .port = 80,
+					    .zone = "a",
+					    .slots = 6,
+					    .revision = 9 };
+
+	UNTIL(pair, peers_view(start->peers, gateway_now())->alive == PAIR);
+	start->upstreams_known = false;
+	forward_upstreams_apply(pair->gateways[0]->upstreams, &listing);
+	take_updates(pair, NULL);
+	assert_non_null(known(start, "u4"));
+	assert_true(start->upstreams_known);
+	assert_int_equal(g_hash_table_size(start->peers->news), 0);
+	tell(pair->gateways[0], "u4", FORWARD_DRAINING, 10);
+	take_update(pair, "u4");
+	assert_int_equal(g_hash_table_size(start->peers->news), 1);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -241,6 +274,7 @@
 		cmocka_unit_test_setup(test_lost_news_is_made_up_for, setup),
 		cmocka_unit_test_setup(test_an_unknown_upstream_is_asked_for_once,
 				       setup),
+		cmocka_unit_test_setup(test_a_start_passes_no_listing_on, setup),
 	};
 
 	/* As the program does; peers close connections at any time. */
