--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -117,6 +117,44 @@
 	return count;
 }
 
+/* Returns a live peer at random, of the own availability zone if it has any. */
+static peer_t *peer_nearby(gateway_peers_t *peers, pd_time_t now)
+{
+	peer_t *chosen = NULL;
+	bool is_near = false;
+	unsigned int count = 0;
+
+	LIST_FOR_EACH (it, &peers->list) {
+		peer_t *peer = LIST_ENTRY(it, peer_t, node);
+		bool near = peer->zone == peers->zone;
+
+		if (!peer_is_alive(peer, now) || (is_near && !near))
+			continue;
+		if (near && !is_near)
+			count = 0;
+		is_near = near;
+		count++;
+		if (g_rand_double(peers->gateway->random) * count < 1)
+			chosen = peer;
+	}
+	return chosen;
+}
+
+/*
+ * Returns whom to ask for what PEER was seen to know otherwise. While many upstreams
+ * change, all members of a large fleet differ from their aggregator for a moment;
+ * asked by all of them, it would send more than its link and processor can carry.
+ */
+peer_t *peers_source(gateway_peers_t *peers, peer_t *peer, pd_time_t now)
+{
+	peer_t *nearby;
+
+	if (peers_is_mesh(peers, now))
+		return peer;
+	nearby = peer_nearby(peers, now);
+	return nearby ? nearby : peer;
+}
+
 /* Says whether all gateways tell each other, as there are few. */
 bool peers_is_mesh(gateway_peers_t *peers, pd_time_t now)
 {
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -184,6 +184,7 @@
 unsigned int peers_first(const gateway_peers_t *peers, peer_t **first,
 			 unsigned int most, pd_time_t now);
 unsigned int peers_writers(gateway_peers_t *peers, peer_t **writers, pd_time_t now);
+peer_t *peers_source(gateway_peers_t *peers, peer_t *peer, pd_time_t now);
 void peers_send(const gateway_peers_t *peers, const peer_t *peer,
 		const msgpack_sbuffer *buffer);
 void peers_pack_state(msgpack_sbuffer *buffer, gateway_peers_t *peers,
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -241,22 +241,31 @@
 	return true;
 }
 
-/* Asks for what the peer has newer, or knows otherwise; 0: not told. */
-static void fetch_newer(gateway_peers_t *peers, peer_t *peer, uint64_t version,
-			uint64_t digest)
+/* Asks for the peer's configuration, if it is newer. */
+static void fetch_config(gateway_peers_t *peers, peer_t *peer, uint64_t version)
 {
 	pd_time_t now = gateway_now();
-	unsigned int what = 0;
 
-	if (version > peers_config_version(peers) &&
-	    now - peers->fetched_config_at > FETCH_PERIOD) {
-		peers->fetched_config_at = now;
-		what |= FETCH_CONFIG;
-	}
-	if (digest && may_fetch_upstreams(peers, digest, now))
-		what |= FETCH_UPSTREAMS;
-	if (what)
-		peers_send_fetch(peers, peer, what);
+	if (version <= peers_config_version(peers) ||
+	    now - peers->fetched_config_at <= FETCH_PERIOD)
+		return;
+	peers->fetched_config_at = now;
+	peers_send_fetch(peers, peer, FETCH_CONFIG);
+}
+
+/*
+ * Asks for upstreams that the peer knows otherwise. If what others had did not help,
+ * or if this gateway has no table yet, the peer itself is asked.
+ */
+static void fetch_upstreams(gateway_peers_t *peers, peer_t *peer, uint64_t digest)
+{
+	pd_time_t now = gateway_now();
+
+	if (!digest || !may_fetch_upstreams(peers, digest, now))
+		return;
+	if (peers->gateway->upstreams_known && peers->fetch_pause == FETCH_PERIOD)
+		peer = peers_source(peers, peer, now);
+	peers_send_fetch(peers, peer, FETCH_UPSTREAMS);
 }
 
 static void take_store_age(gateway_peers_t *peers, uint64_t age)
@@ -354,8 +363,8 @@
 						    PEERS_FULL_PERIOD);
 	else if (first)
 		peers_send_state(peers, peer, false, true);
-	fetch_newer(peers, peer, msgpack_field_number(&fields[STATE_CONFIG]),
-		    msgpack_field_number(&fields[STATE_DIGEST]));
+	fetch_config(peers, peer, msgpack_field_number(&fields[STATE_CONFIG]));
+	fetch_upstreams(peers, peer, msgpack_field_number(&fields[STATE_DIGEST]));
 	return 0;
 }
 
@@ -369,8 +378,8 @@
 		return -1;
 	peer->heard_at = now;
 	take_members(peers, &fields[STATE_MEMBERS]);
-	fetch_newer(peers, peer, msgpack_field_number(&fields[STATE_CONFIG]),
-		    msgpack_field_number(&fields[STATE_DIGEST]));
+	fetch_config(peers, peer, msgpack_field_number(&fields[STATE_CONFIG]));
+	fetch_upstreams(peers, peer, msgpack_field_number(&fields[STATE_DIGEST]));
 	if (!peers->aggregator || strcmp(peers->aggregator, peer->address))
 		return 0;
 	peers->summed_at = now;
@@ -394,7 +403,7 @@
 	g_free(address);
 	if (!peer)
 		return -1;
-	fetch_newer(peers, peer, msgpack_field_number(&fields[2]), 0);
+	fetch_config(peers, peer, msgpack_field_number(&fields[2]));
 	return 0;
 }
 
--- a/tests/process/test_gateway_gossip.c
+++ b/tests/process/test_gateway_gossip.c
@@ -264,6 +264,43 @@
 	assert_int_equal(g_hash_table_size(start->peers->news), 1);
 }
 
+/* Has a gateway believe in so many peers more that live in a zone. */
+static void add_peers(gateway_t *gateway, const char *zone, unsigned int count)
+{
+	for (unsigned int i = 0; i < count; i++) {
+		char *address = g_strdup_printf("10.0.%s.%u:1",
+						*zone == 'a' ? "1" : "2", i);
+		peer_t *peer = peers_add(gateway->peers, address);
+
+		peer->mentioned_at = gateway_now();
+		peer->zone = (uint16_t)g_str_hash(zone);
+		g_free(address);
+	}
+	gateway->peers->view.at = 0;
+}
+
+/* Guards against all gateways of a large fleet asking one and the same. */
+static void test_missed_updates_are_asked_of_any_nearby(void **state)
+{
+	pair_t *pair = *state;
+	gateway_peers_t *peers = pair->gateways[1]->peers;
+	unsigned int same = 0;
+	peer_t *other;
+
+	UNTIL(pair, peers_view(peers, gateway_now())->alive == PAIR);
+	other = peers_find(peers, pair->gateways[0]->peers->address);
+	assert_ptr_equal(peers_source(peers, other, gateway_now()), other);
+	add_peers(pair->gateways[1], "a", 10);
+	add_peers(pair->gateways[1], "b", 10);
+	for (unsigned int i = 0; i < 200; i++) {
+		const peer_t *source = peers_source(peers, other, gateway_now());
+
+		assert_int_equal(source->zone, peers->zone);
+		same += source == other;
+	}
+	assert_in_range(same, 1, 60);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -275,6 +312,8 @@
 		cmocka_unit_test_setup(test_an_unknown_upstream_is_asked_for_once,
 				       setup),
 		cmocka_unit_test_setup(test_a_start_passes_no_listing_on, setup),
+		cmocka_unit_test_setup(test_missed_updates_are_asked_of_any_nearby,
+				       setup),
 	};
 
 	/* As the program does; peers close connections at any time. */
