--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -92,6 +92,12 @@
 	return !feed->upstreams.lost;
 }
 
+/* Returns whether the store failed to answer the last call for either kind. */
+bool fleet_feed_is_lost(const fleet_feed_t *feed)
+{
+	return feed->config.lost || feed->upstreams.lost;
+}
+
 static void apply_config(feed_t *feed, const wire_page_t *page)
 {
 	gateway_t *gateway = feed->fleet->gateway;
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -1,6 +1,7 @@
 /* Takes in the messages of other gateways. */
 #include <string.h>
 
+#include "adapters/gateway/fleet_feed.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peer_state.h"
 #include "adapters/log_glib.h"
@@ -213,6 +214,16 @@
 	return true;
 }
 
+/*
+ * Returns whether this start reads its table from the store. Hundreds of starts that
+ * had it from one peer as well would fill that peer's link and memory.
+ */
+static bool listing_is_under_way(const gateway_t *gateway)
+{
+	return !gateway->upstreams_known && gateway->upstreams_usable &&
+	       !fleet_feed_is_lost(gateway->feed);
+}
+
 /*
  * Says whether upstreams may be fetched from a peer with another digest. If
  * fetching did not help, as the peer is the one that is behind, it is done less
@@ -261,7 +272,8 @@
 {
 	pd_time_t now = gateway_now();
 
-	if (!digest || !may_fetch_upstreams(peers, digest, now))
+	if (!digest || listing_is_under_way(peers->gateway) ||
+	    !may_fetch_upstreams(peers, digest, now))
 		return;
 	if (peers->gateway->upstreams_known && peers->fetch_pause == FETCH_PERIOD)
 		peer = peers_source(peers, peer, now);
--- a/tests/process/test_gateway_gossip.c
+++ b/tests/process/test_gateway_gossip.c
@@ -8,6 +8,7 @@
 
 #include <cmocka.h>
 
+#include "adapters/gateway/fleet_feed.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peer_state.h"
 #include "adapters/log_buffer.h"
@@ -264,6 +265,41 @@
 	assert_int_equal(g_hash_table_size(start->peers->news), 1);
 }
 
+/* Has a gateway take a summary of the other; returns whether it asks for upstreams. */
+static bool asks_after_summary(pair_t *pair)
+{
+	gateway_peers_t *from = pair->gateways[0]->peers;
+	gateway_peers_t *to = pair->gateways[1]->peers;
+	const peer_t *receiver = peers_find(from, to->address);
+	msgpack_sbuffer buffer;
+
+	to->fetched_upstreams_at = 0;
+	msgpack_sbuffer_init(&buffer);
+	peers_pack_summary(&buffer, from, receiver, false);
+	assert_int_equal(peers_take(to, buffer.data, buffer.size), 0);
+	msgpack_sbuffer_destroy(&buffer);
+	return to->fetched_upstreams_at != 0;
+}
+
+/* Guards against a whole table from one peer for each start that lists the store. */
+static void test_a_start_that_lists_asks_no_peer(void **state)
+{
+	pair_t *pair = *state;
+	gateway_t *start = pair->gateways[1];
+	fleet_feed_t *failed = start->feed;
+
+	UNTIL(pair, peers_view(pair->gateways[0]->peers, gateway_now())->alive ==
+			    PAIR);
+	UNTIL(pair, fleet_feed_is_lost(failed));
+	start->upstreams_known = false;
+	start->upstreams_usable = true;
+	start->feed = fleet_feed_create(start);
+	assert_false(asks_after_summary(pair));
+	g_free(start->feed);
+	start->feed = failed;
+	assert_true(asks_after_summary(pair));
+}
+
 /* Has a gateway believe in so many peers more that live in a zone. */
 static void add_peers(gateway_t *gateway, const char *zone, unsigned int count)
 {
@@ -312,6 +348,7 @@
 		cmocka_unit_test_setup(test_an_unknown_upstream_is_asked_for_once,
 				       setup),
 		cmocka_unit_test_setup(test_a_start_passes_no_listing_on, setup),
+		cmocka_unit_test_setup(test_a_start_that_lists_asks_no_peer, setup),
 		cmocka_unit_test_setup(test_missed_updates_are_asked_of_any_nearby,
 				       setup),
 	};
