--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "adapters/gateway/peer_state.h"
+#include "core/forward/standby.h"
 
 /* A peer heard within this is alive; messages can be late by a lost packet. */
 #define HEARD_MAX (3 * PD_SEC)
@@ -73,8 +74,10 @@
 		if (!peer_is_alive(peer, now))
 			continue;
 		view.alive++;
-		view.rank +=
-			!goes_before(peers->strong, hash, peers->address, peer);
+		if (goes_before(peers->strong, hash, peers->address, peer))
+			continue;
+		view.rank++;
+		view.able_before += !peer->unable;
 	}
 	/* An aggregator hears all; its followers hear of some of many only. */
 	if (peers->aggregator && peers->told_count > MEMBERS_TOLD) {
@@ -281,7 +284,11 @@
 /* Says whether this gateway may take the lease on the duties. */
 bool gateway_peers_stand_for_duties(gateway_peers_t *peers)
 {
-	return peers->is_holder || gateway_peers_go_first(peers);
+	pd_time_t now = gateway_now();
+	const peer_view_t *view = peers_view(peers, now);
+
+	return peers->is_holder || peers_is_mesh(peers, now) ||
+	       standby_stands(view->rank, view->able_before);
 }
 
 /*
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -194,6 +194,7 @@
 			peer->mentioned_at = gateway_now();
 			peer->strong = msgpack_field_number(&fields[1]) != 0;
 			peer->zone = (uint16_t)msgpack_field_number(&fields[2]);
+			peer->unable = msgpack_field_number(&fields[3]) != 0;
 		}
 		g_free(address);
 	}
@@ -329,6 +330,7 @@
 	peer->incarnation = g_strdup(who);
 	peer->strong = flags & STATE_FLAG_STRONG;
 	peer->has_store = flags & STATE_FLAG_HAS_STORE;
+	peer->unable = flags & STATE_FLAG_UNABLE;
 	peer->zone = (uint16_t)msgpack_field_number(&fields[STATE_ZONE]);
 	take_store_age(peers, msgpack_field_number(&fields[STATE_STORE_AGE]));
 	take_holder(peers, &fields[STATE_HOLDER],
--- a/tests/process/test_gateway_gossip.c
+++ b/tests/process/test_gateway_gossip.c
@@ -315,6 +315,50 @@
 	gateway->peers->view.at = 0;
 }
 
+/* Guards against a fleet without a leader while its first gateways are cut off. */
+static void test_others_stand_by_for_gateways_that_cannot_lead(void **state)
+{
+	pair_t *pair = *state;
+	gateway_peers_t *peers = pair->gateways[1]->peers;
+	unsigned int first = 0;
+
+	UNTIL(pair, peers_view(peers, gateway_now())->alive == PAIR);
+	add_peers(pair->gateways[1], "b", 20);
+	LIST_FOR_EACH (it, &peers->list)
+		LIST_ENTRY(it, peer_t, node)->strong = first++ < 3;
+	/* The strong come first, by their hashes; this gateway is the last of them. */
+	peers->strong = true;
+	LIST_FOR_EACH (it, &peers->list) {
+		LIST_ENTRY(it, peer_t, node)->hash = 0;
+		LIST_ENTRY(it, peer_t, node)->unable = false;
+	}
+	peers->view.at = 0;
+	assert_int_equal(peers_view(peers, gateway_now())->rank, 3);
+	assert_false(gateway_peers_stand_for_duties(peers));
+	LIST_FOR_EACH (it, &peers->list)
+		LIST_ENTRY(it, peer_t, node)->unable =
+			LIST_ENTRY(it, peer_t, node)->strong;
+	peers->view.at = 0;
+	assert_true(gateway_peers_stand_for_duties(peers));
+}
+
+/* Guards against a gateway that stops being taken for one that stands by. */
+static void test_a_stopping_gateway_says_that_it_cannot_lead(void **state)
+{
+	pair_t *pair = *state;
+	gateway_peers_t *from = pair->gateways[0]->peers;
+	gateway_peers_t *to = pair->gateways[1]->peers;
+	msgpack_sbuffer buffer;
+
+	UNTIL(pair, peers_view(to, gateway_now())->alive == PAIR);
+	gateway_stop(pair->gateways[0]);
+	msgpack_sbuffer_init(&buffer);
+	peers_pack_state(&buffer, from, false, false);
+	assert_int_equal(peers_take(to, buffer.data, buffer.size), 0);
+	msgpack_sbuffer_destroy(&buffer);
+	assert_true(peers_find(to, from->address)->unable);
+}
+
 /* Guards against all gateways of a large fleet asking one and the same. */
 static void test_missed_updates_are_asked_of_any_nearby(void **state)
 {
@@ -349,6 +393,10 @@
 				       setup),
 		cmocka_unit_test_setup(test_a_start_passes_no_listing_on, setup),
 		cmocka_unit_test_setup(test_a_start_that_lists_asks_no_peer, setup),
+		cmocka_unit_test_setup(test_others_stand_by_for_gateways_that_cannot_lead,
+				       setup),
+		cmocka_unit_test_setup(test_a_stopping_gateway_says_that_it_cannot_lead,
+				       setup),
 		cmocka_unit_test_setup(test_missed_updates_are_asked_of_any_nearby,
 				       setup),
 	};
