--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -462,6 +462,9 @@
 		order->ordered = order->asked;
 		order->confirmed = true;
 		order->taken_at = now;
+		if (order->reclaimable)
+			scale_plan_granted(duties_plan(duties, order->service),
+					   order->zone, order->asked, now);
 	} else if (reply->status == 409) {
 		scale_plan_refused(duties_plan(duties, order->service),
 				   order->zone, now);
--- a/core/forward/scale_plan.c
+++ b/core/forward/scale_plan.c
@@ -52,9 +52,16 @@
  */
 #define SHRINK_AFTER (20 * PD_SEC)
 
+/* Of upstreams that a zone refuses so many are asked for still, to see when it has some. */
+#define PROBE 1
+/* Granted upstreams serve so much after their boot time at the latest. */
+#define BOOT_LATE PD_SEC
+
 typedef struct zone_state {
 	char *zone;
 	pd_time_t refused_until;
+	unsigned int granted; /* reclaimable, with the last order that was taken */
+	pd_time_t granted_at;
 	unsigned int lasting; /* as planned last */
 	unsigned int reclaimable;
 } zone_state_t;
@@ -135,6 +142,16 @@
 	plan_zone(plan, zone)->refused_until = now + REFUSED_KEPT;
 }
 
+/* Notes that a zone's order for NUMBER reclaimable upstreams was taken. */
+void scale_plan_granted(scale_plan_t *plan, const char *zone,
+			unsigned int number, pd_time_t now)
+{
+	zone_state_t *state = plan_zone(plan, zone);
+
+	state->granted = number;
+	state->granted_at = now;
+}
+
 /* Returns how many serve in a zone, or in all if that is NULL. */
 unsigned int scale_plan_serving(forward_upstreams_t *upstreams, const char *service,
 				const char *zone, bool reclaimable)
@@ -371,6 +388,69 @@
 	return false;
 }
 
+/* Returns how many reclaimable upstreams a zone has, with those that boot. */
+static unsigned int zone_present(const zone_state_t *state,
+				 const forward_service_t *service,
+				 forward_upstreams_t *upstreams, pd_time_t now)
+{
+	unsigned int serving =
+		scale_plan_serving(upstreams, service->name, state->zone, true);
+	bool boots = state->granted &&
+		     now - state->granted_at < service->boot_time + BOOT_LATE;
+
+	return boots ? MAX(serving, state->granted) : serving;
+}
+
+/*
+ * Counts for each zone how many of the planned reclaimable upstreams it refuses, but
+ * for the few that are asked for still.
+ */
+static void count_refused(scale_plan_t *plan, const forward_service_t *service,
+			  forward_upstreams_t *upstreams,
+			  const scale_zone_t *zones, unsigned int count,
+			  pd_time_t now, unsigned int *refused)
+{
+	for (unsigned int i = 0; i < count; i++) {
+		const zone_state_t *state = plan_zone(plan, zones[i].zone);
+		unsigned int stay;
+
+		refused[i] = 0;
+		if (now >= state->refused_until)
+			continue;
+		stay = zone_present(state, service, upstreams, now) + PROBE;
+		if (zones[i].reclaimable > stay)
+			refused[i] = zones[i].reclaimable - stay;
+	}
+}
+
+/*
+ * Puts lasting upstreams in the place of reclaimable ones that are refused, where a
+ * zone may have no more otherwise. Orders that nothing comes of would keep a fleet
+ * small for as long as the shortage is.
+ */
+static void replace_refused(scale_zone_t *zones, unsigned int count,
+			    unsigned int *refused, unsigned int wanted)
+{
+	unsigned int sum = 0;
+
+	for (unsigned int i = 0; i < count; i++)
+		sum += zones[i].lasting;
+	for (; sum < wanted; sum++) {
+		unsigned int best = count;
+
+		for (unsigned int i = 0; i < count; i++) {
+			if (refused[i] && (best == count ||
+					   zones[i].lasting < zones[best].lasting))
+				best = i;
+		}
+		if (best == count)
+			return;
+		refused[best]--;
+		zones[best].reclaimable--;
+		zones[best].lasting++;
+	}
+}
+
 /*
  * Fills in what should be in each zone; returns how many zones, 0 while it is
  * too early to say. The plan says what is wanted, whatever is there, so an
@@ -391,6 +471,7 @@
 	scale_sums_t sums = plan_sums(need,
 				      plan_is_measured(plan, now) ? load : need,
 				      lasting_now, reclaimable_now, shortage);
+	unsigned int refused[SCALE_ZONES_MAX];
 	unsigned int count;
 
 	plan->basis = (scale_basis_t){ need, load, demand->rate, shortage };
@@ -399,6 +480,8 @@
 		return 0;
 	count = plan_zones(plan, service, upstreams, zones);
 	bring_to(service, zones, count, false, sums.lasting);
+	count_refused(plan, service, upstreams, zones, count, now, refused);
+	replace_refused(zones, count, refused, sums.lasting);
 	bring_to(service, zones, count, true, sums.reclaimable);
 	for (unsigned int i = 0; i < count; i++) {
 		zone_state_t *state = plan_zone(plan, zones[i].zone);
--- a/core/forward/scale_plan.h
+++ b/core/forward/scale_plan.h
@@ -39,6 +39,8 @@
 void scale_plan_restore(scale_plan_t *plan, double need);
 const scale_basis_t *scale_plan_basis(const scale_plan_t *plan);
 void scale_plan_refused(scale_plan_t *plan, const char *zone, pd_time_t now);
+void scale_plan_granted(scale_plan_t *plan, const char *zone,
+			unsigned int number, pd_time_t now);
 unsigned int scale_plan_serving(forward_upstreams_t *upstreams, const char *service,
 				const char *zone, bool reclaimable);
 unsigned int scale_plan_make(scale_plan_t *plan, const forward_service_t *service,
--- a/tests/unit/test_scale_plan.c
+++ b/tests/unit/test_scale_plan.c
@@ -232,6 +232,58 @@
 	assert_true(lasting(rig) >= 7);
 }
 
+/* Has every reclaimable upstream leave, and all zones refuse others. */
+static void reclaim_all(rig_t *rig, unsigned int lasting_each)
+{
+	static const char *const zones[] = { "a", "b", "c" };
+
+	forward_upstreams_begin_listing(rig->upstreams);
+	for (size_t i = 0; i < G_N_ELEMENTS(zones); i++) {
+		start(rig, zones[i], lasting_each, false);
+		scale_plan_refused(rig->plan, zones[i], rig->now);
+	}
+	forward_upstreams_end_listing(rig->upstreams, rig->revision, rig->now);
+}
+
+/* Guards against refused upstreams that take up what a zone may have at most. */
+static void test_refused_ones_leave_room_for_lasting_ones(void **state)
+{
+	rig_t *rig = *state;
+
+	start(rig, "a", 1, false);
+	start(rig, "b", 1, false);
+	start(rig, "c", 1, false);
+	start(rig, "a", 5, true);
+	start(rig, "b", 5, true);
+	start(rig, "c", 5, true);
+	pass(rig, 20 * PD_SEC, 9);
+	assert_in_range(lasting(rig), 3, 4);
+	reclaim_all(rig, 1);
+	pass(rig, PD_SEC, 9);
+	assert_true(lasting(rig) >= 14);
+	/* Some are asked for still, as nothing else tells when there are any. */
+	assert_true(reclaimable(rig) >= 3);
+}
+
+/* Guards against taking back an order for upstreams that are about to serve. */
+static void test_granted_ones_keep_their_place(void **state)
+{
+	rig_t *rig = *state;
+	unsigned int before;
+
+	rig->service->boot_time = 4 * PD_SEC;
+	start(rig, "a", 1, false);
+	start(rig, "b", 1, false);
+	start(rig, "c", 1, false);
+	pass(rig, 20 * PD_SEC, 9);
+	before = reclaimable(rig);
+	reclaim_all(rig, 1);
+	for (unsigned int i = 0; i < rig->count; i++)
+		scale_plan_granted(rig->plan, rig->zones[i].zone, 5, rig->now);
+	pass(rig, PD_SEC, 9);
+	assert_int_equal(reclaimable(rig), before);
+}
+
 /*
  * All gateways are killed in the middle of a shortage. Whoever holds the duties
  * next finds a few upstreams; taken for the fleet that was meant, lasting ones
@@ -313,6 +365,10 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_zones_keep_their_bounds,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_refused_ones_leave_room_for_lasting_ones,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_granted_ones_keep_their_place,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_what_is_turned_away_is_load,
 						setup, teardown),
 	};
