--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -367,11 +367,24 @@
 		feed_run(feed, gateway_now());
 }
 
+/*
+ * Returns how long a watch may wait for a change. While the store does not answer it
+ * waits for none: a call that was sent in a silent outage never returns, and its
+ * timeout is how much later than the others this gateway notices the end. Entries that
+ * leave by then would be taken for lapsed, and used.
+ */
+static pd_time_t feed_watch_wait(const feed_t *feed)
+{
+	if (feed->lost)
+		return 0;
+	return gateway_peers_is_mesh(feed->fleet->gateway->peers)
+		       ? WATCH_WAIT
+		       : WATCH_WAIT_FOR_MANY;
+}
+
 static void feed_ask(feed_t *feed)
 {
-	pd_time_t wait = gateway_peers_is_mesh(feed->fleet->gateway->peers)
-				 ? WATCH_WAIT
-				 : WATCH_WAIT_FOR_MANY;
+	pd_time_t wait = feed_watch_wait(feed);
 	char *path = feed->listing
 			     ? wire_list_path(feed->kind, feed->after)
 			     : wire_watch_path(feed->kind, feed->revision, wait);
