--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -585,7 +585,7 @@
  * Returns whether this gateway could take the lease: it is not stopping, and the store
  * answers it as far as is known.
  */
-bool gateway_duties_able(const gateway_duties_t *duties, pd_time_t now)
+bool gateway_duties_can_lead(const gateway_duties_t *duties, pd_time_t now)
 {
 	const gateway_t *gateway = duties->gateway;
 	bool failed = duties->failed_at && now - duties->failed_at < FAILED_KEPT;
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -253,7 +253,7 @@
 	pack_text(packer, peer->address);
 	msgpack_pack_uint8(packer, peer->strong);
 	msgpack_pack_uint16(packer, peer->zone);
-	msgpack_pack_uint8(packer, peer->unable);
+	msgpack_pack_uint8(packer, peer->cannot_lead);
 }
 
 static bool is_among(const peer_t *peer, peer_t *const *peers, unsigned int count)
@@ -308,8 +308,8 @@
 		flags |= STATE_FLAG_STRONG;
 	if (asks)
 		flags |= STATE_FLAG_ASKS;
-	if (!gateway_duties_able(peers->gateway->duties, gateway_now()))
-		flags |= STATE_FLAG_UNABLE;
+	if (!gateway_duties_can_lead(peers->gateway->duties, gateway_now()))
+		flags |= STATE_FLAG_CANNOT_LEAD;
 	return flags;
 }
 
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -77,7 +77,7 @@
 		if (goes_before(peers->strong, hash, peers->address, peer))
 			continue;
 		view.rank++;
-		view.able_before += !peer->unable;
+		view.leaders_before += !peer->cannot_lead;
 	}
 	/* An aggregator hears all; its followers hear of some of many only. */
 	if (peers->aggregator && peers->told_count > MEMBERS_TOLD) {
@@ -288,7 +288,7 @@
 	const peer_view_t *view = peers_view(peers, now);
 
 	return peers->is_holder || peers_is_mesh(peers, now) ||
-	       standby_stands(view->rank, view->able_before);
+	       standby_stands(view->rank, view->leaders_before);
 }
 
 /*
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -194,7 +194,7 @@
 			peer->mentioned_at = gateway_now();
 			peer->strong = msgpack_field_number(&fields[1]) != 0;
 			peer->zone = (uint16_t)msgpack_field_number(&fields[2]);
-			peer->unable = msgpack_field_number(&fields[3]) != 0;
+			peer->cannot_lead = msgpack_field_number(&fields[3]) != 0;
 		}
 		g_free(address);
 	}
@@ -330,7 +330,7 @@
 	peer->incarnation = g_strdup(who);
 	peer->strong = flags & STATE_FLAG_STRONG;
 	peer->has_store = flags & STATE_FLAG_HAS_STORE;
-	peer->unable = flags & STATE_FLAG_UNABLE;
+	peer->cannot_lead = flags & STATE_FLAG_CANNOT_LEAD;
 	peer->zone = (uint16_t)msgpack_field_number(&fields[STATE_ZONE]);
 	take_store_age(peers, msgpack_field_number(&fields[STATE_STORE_AGE]));
 	take_holder(peers, &fields[STATE_HOLDER],
--- a/core/forward/standby.c
+++ b/core/forward/standby.c
@@ -7,13 +7,13 @@
 #include "core/forward/standby.h"
 
 /* So many that are able to take the lease stand by. */
-#define ABLE_MIN 3
+#define LEADERS_MIN 3
 
 /*
  * Returns whether a gateway stands by that has so many live ones BEFORE it in the order
- * that all compute alike, ABLE_BEFORE of which reach the store and are not stopping.
+ * that all compute alike, LEADERS_BEFORE of which reach the store and are not stopping.
  */
-bool standby_stands(unsigned int before, unsigned int able_before)
+bool standby_stands(unsigned int before, unsigned int leaders_before)
 {
-	return before < STANDBY_MAX && able_before < ABLE_MIN;
+	return before < STANDBY_MAX && leaders_before < LEADERS_MIN;
 }
--- a/core/forward/standby.h
+++ b/core/forward/standby.h
@@ -7,6 +7,6 @@
 /* So many of the first may stand, and look at the lease, at most. */
 #define STANDBY_MAX 8
 
-bool standby_stands(unsigned int before, unsigned int able_before);
+bool standby_stands(unsigned int before, unsigned int leaders_before);
 
 #endif
--- a/tests/process/test_gateway_gossip.c
+++ b/tests/process/test_gateway_gossip.c
@@ -330,13 +330,13 @@
 	peers->strong = true;
 	LIST_FOR_EACH (it, &peers->list) {
 		LIST_ENTRY(it, peer_t, node)->hash = 0;
-		LIST_ENTRY(it, peer_t, node)->unable = false;
+		LIST_ENTRY(it, peer_t, node)->cannot_lead = false;
 	}
 	peers->view.at = 0;
 	assert_int_equal(peers_view(peers, gateway_now())->rank, 3);
 	assert_false(gateway_peers_stand_for_duties(peers));
 	LIST_FOR_EACH (it, &peers->list)
-		LIST_ENTRY(it, peer_t, node)->unable =
+		LIST_ENTRY(it, peer_t, node)->cannot_lead =
 			LIST_ENTRY(it, peer_t, node)->strong;
 	peers->view.at = 0;
 	assert_true(gateway_peers_stand_for_duties(peers));
@@ -356,7 +356,7 @@
 	peers_pack_state(&buffer, from, false, false);
 	assert_int_equal(peers_take(to, buffer.data, buffer.size), 0);
 	msgpack_sbuffer_destroy(&buffer);
-	assert_true(peers_find(to, from->address)->unable);
+	assert_true(peers_find(to, from->address)->cannot_lead);
 }
 
 /* Guards against all gateways of a large fleet asking one and the same. */
--- a/tests/unit/test_standby.c
+++ b/tests/unit/test_standby.c
@@ -19,16 +19,16 @@
 static standing_t count_standing(unsigned int unable)
 {
 	standing_t standing = { 0 };
-	unsigned int able_before = 0;
+	unsigned int leaders_before = 0;
 
 	for (unsigned int rank = 0; rank < FLEET; rank++) {
 		bool able = rank >= unable;
 
-		if (standby_stands(rank, able_before)) {
+		if (standby_stands(rank, leaders_before)) {
 			standing.all++;
 			standing.able += able;
 		}
-		able_before += able;
+		leaders_before += able;
 	}
 	return standing;
 }
