--- a/core/forward/scale_plan.c
+++ b/core/forward/scale_plan.c
@@ -321,6 +321,7 @@
 /* How many of each kind there should be in all zones. */
 typedef struct scale_sums {
 	unsigned int lasting;
+	unsigned int lasting_least; /* in place of others, if there is no room */
 	unsigned int reclaimable;
 } scale_sums_t;
 
@@ -341,6 +342,7 @@
 	unsigned int missing = kept > reclaimable_now ? kept - reclaimable_now : 0;
 	scale_sums_t sums = {
 		.lasting = whole(need * LASTING_FACTOR + LASTING_SPARE),
+		.lasting_least = missing,
 	};
 
 	sums.reclaimable = total > sums.lasting ? total - sums.lasting : 0;
@@ -425,8 +427,8 @@
 
 /*
  * Puts lasting upstreams in the place of reclaimable ones that are refused, where a
- * zone may have no more otherwise. Orders that nothing comes of would keep a fleet
- * small for as long as the shortage is.
+ * zone may have no more otherwise, until there are as many as WANTED. Orders that
+ * nothing comes of would keep a fleet small for as long as the shortage is.
  */
 static void replace_refused(scale_zone_t *zones, unsigned int count,
 			    unsigned int *refused, unsigned int wanted)
@@ -481,7 +483,8 @@
 	count = plan_zones(plan, service, upstreams, zones);
 	bring_to(service, zones, count, false, sums.lasting);
 	count_refused(plan, service, upstreams, zones, count, now, refused);
-	replace_refused(zones, count, refused, sums.lasting);
+	replace_refused(zones, count, refused,
+			MIN(sums.lasting, sums.lasting_least));
 	bring_to(service, zones, count, true, sums.reclaimable);
 	for (unsigned int i = 0; i < count; i++) {
 		zone_state_t *state = plan_zone(plan, zones[i].zone);
