--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -42,9 +42,6 @@
 	.standby = 4000 * PD_MSEC,
 };
 
-/* A failed call tells of the store for so long; the next one is due by then. */
-#define FAILED_KEPT (2 * timing.takeover)
-
 struct gateway_duties {
 	gateway_t *gateway;
 	lease_t *lease;
@@ -52,9 +49,7 @@
 	uint64_t fence; /* last seen as held */
 	pd_time_t acts_from; /* a new holder waits until then */
 	bool held;
-	bool stands; /* by for the lease */
 	bool store_serves; /* as seen last */
-	pd_time_t failed_at; /* when a call for the lease got no answer; 0: never */
 	int64_t reported; /* the last window that the platform took */
 	int64_t sent; /* the window of the report that is out */
 	bool reporting; /* a report is out */
@@ -114,13 +109,6 @@
 	}
 }
 
-static void lease_call_failed(gateway_duties_t *duties, int status)
-{
-	if (!duties->failed_at)
-		log_line(G_LOG_LEVEL_WARNING, PART, "lost=lease status=%d", status);
-	duties->failed_at = gateway_now();
-}
-
 static void lease_replied(void *ctx, const http1_reply_t *reply)
 {
 	gateway_duties_t *duties = ctx;
@@ -128,10 +116,7 @@
 	lease_record_t *record = NULL;
 	pd_error_t err;
 
-	if (answer.status == STORE_DOWN || answer.status == STORE_UNKNOWN)
-		lease_call_failed(duties, reply->status);
 	if (answer.status == STORE_OK) {
-		duties->failed_at = 0;
 		record = wire_lease_read(reply->body, reply->len,
 					 &answer.version, &err);
 		if (!record) {
@@ -572,27 +557,6 @@
 	return gateway_peers_stand_for_duties(peers);
 }
 
-/* Logs whether this gateway stands by for the lease, when that changes. */
-static void follow_standby(gateway_duties_t *duties, bool stands)
-{
-	if (stands == duties->stands)
-		return;
-	duties->stands = stands;
-	log_line(G_LOG_LEVEL_INFO, PART, "standby=%d", stands);
-}
-
-/*
- * Returns whether this gateway could take the lease: it is not stopping, and the store
- * answers it as far as is known.
- */
-bool gateway_duties_can_lead(const gateway_duties_t *duties, pd_time_t now)
-{
-	const gateway_t *gateway = duties->gateway;
-	bool failed = duties->failed_at && now - duties->failed_at < FAILED_KEPT;
-
-	return !gateway->stop_at && !failed && fleet_feed_is_back(gateway->feed);
-}
-
 /*
  * Looks at the lease as soon as the store is back. Left to the usual pause after a
  * failed read, which is up to five seconds, the last holder went on that much later
@@ -610,10 +574,7 @@
 /* Renews or takes the lease, and does what is due if it is held. */
 void gateway_duties_run(gateway_duties_t *duties, pd_time_t now)
 {
-	bool stands = may_hold(duties);
-
-	follow_standby(duties, stands);
-	if (!stands)
+	if (!may_hold(duties))
 		return;
 	watch_store(duties, now);
 	if (gateway_peers_holder_is_silent(duties->gateway->peers, now))
--- a/adapters/gateway/duties.h
+++ b/adapters/gateway/duties.h
@@ -9,7 +9,6 @@
 #include "adapters/gateway/gateway_state.h"
 
 gateway_duties_t *gateway_duties_create(gateway_t *gateway);
-bool gateway_duties_can_lead(const gateway_duties_t *duties, pd_time_t now);
 void gateway_duties_run(gateway_duties_t *duties, pd_time_t now);
 
 #endif
--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -92,12 +92,6 @@
 	return !feed->upstreams.lost;
 }
 
-/* Returns whether the store failed to answer the last call for either kind. */
-bool fleet_feed_is_lost(const fleet_feed_t *feed)
-{
-	return feed->config.lost || feed->upstreams.lost;
-}
-
 static void apply_config(feed_t *feed, const wire_page_t *page)
 {
 	gateway_t *gateway = feed->fleet->gateway;
@@ -165,10 +159,7 @@
 		news = forward_upstreams_apply(gateway->upstreams, &listing);
 	}
 	if (news)
-		gateway_upstream_news(gateway, id,
-				      feed->listing && !gateway->upstreams_known
-					      ? GATEWAY_SOURCE_LISTING
-					      : GATEWAY_SOURCE_STORE);
+		gateway_upstream_news(gateway, id, "store");
 }
 
 /*
@@ -367,24 +358,11 @@
 		feed_run(feed, gateway_now());
 }
 
-/*
- * Returns how long a watch may wait for a change. While the store does not answer it
- * waits for none: a call that was sent in a silent outage never returns, and its
- * timeout is how much later than the others this gateway notices the end. Entries that
- * leave by then would be taken for lapsed, and used.
- */
-static pd_time_t feed_watch_wait(const feed_t *feed)
-{
-	if (feed->lost)
-		return 0;
-	return gateway_peers_is_mesh(feed->fleet->gateway->peers)
-		       ? WATCH_WAIT
-		       : WATCH_WAIT_FOR_MANY;
-}
-
 static void feed_ask(feed_t *feed)
 {
-	pd_time_t wait = feed_watch_wait(feed);
+	pd_time_t wait = gateway_peers_is_mesh(feed->fleet->gateway->peers)
+				 ? WATCH_WAIT
+				 : WATCH_WAIT_FOR_MANY;
 	char *path = feed->listing
 			     ? wire_list_path(feed->kind, feed->after)
 			     : wire_watch_path(feed->kind, feed->revision, wait);
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -155,20 +155,9 @@
 	return true;
 }
 
-/*
- * Logs what became known of an upstream and passes it on to the peers. The listing
- * that a start begins with is not passed on: all others have one, and a whole table
- * to several peers of each would be most of the bytes after a restart of all.
- */
-void gateway_upstream_news(gateway_t *gateway, const char *id,
-			   gateway_source_t source)
+/* Logs what became known of an upstream and passes it on to the peers. */
+void gateway_upstream_news(gateway_t *gateway, const char *id, const char *source)
 {
-	static const char *const sources[] = {
-		[GATEWAY_SOURCE_LISTING] = "listing",
-		[GATEWAY_SOURCE_STORE] = "store",
-		[GATEWAY_SOURCE_PEER] = "peer",
-		[GATEWAY_SOURCE_LAPSE] = "lapse",
-	};
 	static const char *const stages[] = {
 		[FORWARD_SERVING] = "serving",
 		[FORWARD_DRAINING] = "draining",
@@ -184,9 +173,8 @@
 		 "reclaimable=%d revision=%" G_GUINT64_FORMAT " source=%s",
 		 id, stages[upstream->stage], upstream->service, upstream->zone,
 		 upstream->address, upstream->port, upstream->slots,
-		 upstream->reclaimable, upstream->revision, sources[source]);
-	if (source != GATEWAY_SOURCE_LISTING)
-		gateway_peers_upstream(gateway->peers, id);
+		 upstream->reclaimable, upstream->revision, source);
+	gateway_peers_upstream(gateway->peers, id);
 }
 
 /* Says whether a request that may take seconds can still be taken. */
@@ -220,7 +208,7 @@
 
 static void on_lapsed(void *ctx, const char *id)
 {
-	gateway_upstream_news(ctx, id, GATEWAY_SOURCE_LAPSE);
+	gateway_upstream_news(ctx, id, "lapse");
 }
 
 /* Drops counts of old windows, also in gateways that never report. */
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -8,14 +8,6 @@
 #include "adapters/gateway/gateway_state.h"
 #include "core/error.h"
 
-/* How a change of an upstream became known. */
-typedef enum gateway_source {
-	GATEWAY_SOURCE_LISTING, /* the one that a start begins with */
-	GATEWAY_SOURCE_STORE,
-	GATEWAY_SOURCE_PEER,
-	GATEWAY_SOURCE_LAPSE /* its time to come back ran out */
-} gateway_source_t;
-
 gateway_t *gateway_create(uv_loop_t *loop, gateway_settings_t *settings,
 			  pd_error_t *err);
 void gateway_stop(gateway_t *gateway);
@@ -23,7 +15,6 @@
 bool gateway_is_set_up(const gateway_t *gateway);
 bool gateway_is_ready(const gateway_t *gateway);
 bool gateway_take_config(gateway_t *gateway, const char *text, const char *source);
-void gateway_upstream_news(gateway_t *gateway, const char *id,
-			   gateway_source_t source);
+void gateway_upstream_news(gateway_t *gateway, const char *id, const char *source);
 
 #endif
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -1,7 +1,6 @@
 /* Composes the messages between gateways. */
 #include <string.h>
 
-#include "adapters/gateway/duties.h"
 #include "adapters/gateway/fleet_feed.h"
 #include "adapters/gateway/peer_state.h"
 
@@ -253,7 +252,6 @@
 	pack_text(packer, peer->address);
 	msgpack_pack_uint8(packer, peer->strong);
 	msgpack_pack_uint16(packer, peer->zone);
-	msgpack_pack_uint8(packer, peer->cannot_lead);
 }
 
 static bool is_among(const peer_t *peer, peer_t *const *peers, unsigned int count)
@@ -308,8 +306,6 @@
 		flags |= STATE_FLAG_STRONG;
 	if (asks)
 		flags |= STATE_FLAG_ASKS;
-	if (!gateway_duties_can_lead(peers->gateway->duties, gateway_now()))
-		flags |= STATE_FLAG_CANNOT_LEAD;
 	return flags;
 }
 
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -2,7 +2,6 @@
 #include <string.h>
 
 #include "adapters/gateway/peer_state.h"
-#include "core/forward/standby.h"
 
 /* A peer heard within this is alive; messages can be late by a lost packet. */
 #define HEARD_MAX (3 * PD_SEC)
@@ -74,10 +73,8 @@
 		if (!peer_is_alive(peer, now))
 			continue;
 		view.alive++;
-		if (goes_before(peers->strong, hash, peers->address, peer))
-			continue;
-		view.rank++;
-		view.leaders_before += !peer->cannot_lead;
+		view.rank +=
+			!goes_before(peers->strong, hash, peers->address, peer);
 	}
 	/* An aggregator hears all; its followers hear of some of many only. */
 	if (peers->aggregator && peers->told_count > MEMBERS_TOLD) {
@@ -120,44 +117,6 @@
 	return count;
 }
 
-/* Returns a live peer at random, of the own availability zone if it has any. */
-static peer_t *peer_nearby(gateway_peers_t *peers, pd_time_t now)
-{
-	peer_t *chosen = NULL;
-	bool is_near = false;
-	unsigned int count = 0;
-
-	LIST_FOR_EACH (it, &peers->list) {
-		peer_t *peer = LIST_ENTRY(it, peer_t, node);
-		bool near = peer->zone == peers->zone;
-
-		if (!peer_is_alive(peer, now) || (is_near && !near))
-			continue;
-		if (near && !is_near)
-			count = 0;
-		is_near = near;
-		count++;
-		if (g_rand_double(peers->gateway->random) * count < 1)
-			chosen = peer;
-	}
-	return chosen;
-}
-
-/*
- * Returns whom to ask for what PEER was seen to know otherwise. While many upstreams
- * change, all members of a large fleet differ from their aggregator for a moment;
- * asked by all of them, it would send more than its link and processor can carry.
- */
-peer_t *peers_source(gateway_peers_t *peers, peer_t *peer, pd_time_t now)
-{
-	peer_t *nearby;
-
-	if (peers_is_mesh(peers, now))
-		return peer;
-	nearby = peer_nearby(peers, now);
-	return nearby ? nearby : peer;
-}
-
 /* Says whether all gateways tell each other, as there are few. */
 bool peers_is_mesh(gateway_peers_t *peers, pd_time_t now)
 {
@@ -284,11 +243,7 @@
 /* Says whether this gateway may take the lease on the duties. */
 bool gateway_peers_stand_for_duties(gateway_peers_t *peers)
 {
-	pd_time_t now = gateway_now();
-	const peer_view_t *view = peers_view(peers, now);
-
-	return peers->is_holder || peers_is_mesh(peers, now) ||
-	       standby_stands(view->rank, view->leaders_before);
+	return peers->is_holder || gateway_peers_go_first(peers);
 }
 
 /*
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -45,7 +45,6 @@
 #define STATE_FLAG_HAS_STORE 1u
 #define STATE_FLAG_STRONG 2u
 #define STATE_FLAG_ASKS 4u /* for a summary in return */
-#define STATE_FLAG_CANNOT_LEAD 8u /* to take the leader's lease */
 
 /*
  * Members and usage need not be as fresh as loads, but they must come several times
@@ -74,7 +73,7 @@
 
 #define NEWS_FIELDS 4 /* kind, sender, whether these are all, upstreams */
 #define FETCH_FIELDS 4 /* kind, sender, what, digests or marks */
-#define MEMBER_FIELDS 4 /* address, whether it is strong, zone, cannot lead */
+#define MEMBER_FIELDS 3 /* address, whether it is strong, zone */
 #define USE_FIELDS 4 /* account, total, level or nil, asked */
 #define COUNTS_FIELDS 5 /* kind, sender, its start, usage, use of limits */
 #define USAGE_FIELDS 3 /* window, account, count */
@@ -99,7 +98,6 @@
 	unsigned int alive; /* gateways, this one included */
 	unsigned int counted; /* also those that were lost lately */
 	unsigned int rank; /* live gateways that go before this one */
-	unsigned int leaders_before; /* of these, that could take the lease */
 } peer_view_t;
 
 typedef struct peer {
@@ -113,7 +111,6 @@
 	bool strong; /* its VM has a processor and a link to spare */
 	uint16_t zone; /* a hash of its availability zone; 0: unknown */
 	bool has_store; /* it was being served when last heard */
-	bool cannot_lead; /* to take the leader's lease, as it or another said last */
 	pd_time_t added_at;
 	pd_time_t heard_at; /* 0: never */
 	pd_time_t mentioned_at; /* by another peer that hears it; 0: never */
@@ -187,7 +184,6 @@
 unsigned int peers_first(const gateway_peers_t *peers, peer_t **first,
 			 unsigned int most, pd_time_t now);
 unsigned int peers_writers(gateway_peers_t *peers, peer_t **writers, pd_time_t now);
-peer_t *peers_source(gateway_peers_t *peers, peer_t *peer, pd_time_t now);
 void peers_send(const gateway_peers_t *peers, const peer_t *peer,
 		const msgpack_sbuffer *buffer);
 void peers_pack_state(msgpack_sbuffer *buffer, gateway_peers_t *peers,
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -1,7 +1,6 @@
 /* Takes in the messages of other gateways. */
 #include <string.h>
 
-#include "adapters/gateway/fleet_feed.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peer_state.h"
 #include "adapters/log_glib.h"
@@ -194,7 +193,6 @@
 			peer->mentioned_at = gateway_now();
 			peer->strong = msgpack_field_number(&fields[1]) != 0;
 			peer->zone = (uint16_t)msgpack_field_number(&fields[2]);
-			peer->cannot_lead = msgpack_field_number(&fields[3]) != 0;
 		}
 		g_free(address);
 	}
@@ -215,16 +213,6 @@
 	return true;
 }
 
-/*
- * Returns whether this start reads its table from the store. Hundreds of starts that
- * had it from one peer as well would fill that peer's link and memory.
- */
-static bool listing_is_under_way(const gateway_t *gateway)
-{
-	return !gateway->upstreams_known && gateway->upstreams_usable &&
-	       !fleet_feed_is_lost(gateway->feed);
-}
-
 /*
  * Says whether upstreams may be fetched from a peer with another digest. If
  * fetching did not help, as the peer is the one that is behind, it is done less
@@ -253,32 +241,22 @@
 	return true;
 }
 
-/* Asks for the peer's configuration, if it is newer. */
-static void fetch_config(gateway_peers_t *peers, peer_t *peer, uint64_t version)
+/* Asks for what the peer has newer, or knows otherwise; 0: not told. */
+static void fetch_newer(gateway_peers_t *peers, peer_t *peer, uint64_t version,
+			uint64_t digest)
 {
 	pd_time_t now = gateway_now();
+	unsigned int what = 0;
 
-	if (version <= peers_config_version(peers) ||
-	    now - peers->fetched_config_at <= FETCH_PERIOD)
-		return;
-	peers->fetched_config_at = now;
-	peers_send_fetch(peers, peer, FETCH_CONFIG);
-}
-
-/*
- * Asks for upstreams that the peer knows otherwise. If what others had did not help,
- * or if this gateway has no table yet, the peer itself is asked.
- */
-static void fetch_upstreams(gateway_peers_t *peers, peer_t *peer, uint64_t digest)
-{
-	pd_time_t now = gateway_now();
-
-	if (!digest || listing_is_under_way(peers->gateway) ||
-	    !may_fetch_upstreams(peers, digest, now))
-		return;
-	if (peers->gateway->upstreams_known && peers->fetch_pause == FETCH_PERIOD)
-		peer = peers_source(peers, peer, now);
-	peers_send_fetch(peers, peer, FETCH_UPSTREAMS);
+	if (version > peers_config_version(peers) &&
+	    now - peers->fetched_config_at > FETCH_PERIOD) {
+		peers->fetched_config_at = now;
+		what |= FETCH_CONFIG;
+	}
+	if (digest && may_fetch_upstreams(peers, digest, now))
+		what |= FETCH_UPSTREAMS;
+	if (what)
+		peers_send_fetch(peers, peer, what);
 }
 
 static void take_store_age(gateway_peers_t *peers, uint64_t age)
@@ -330,7 +308,6 @@
 	peer->incarnation = g_strdup(who);
 	peer->strong = flags & STATE_FLAG_STRONG;
 	peer->has_store = flags & STATE_FLAG_HAS_STORE;
-	peer->cannot_lead = flags & STATE_FLAG_CANNOT_LEAD;
 	peer->zone = (uint16_t)msgpack_field_number(&fields[STATE_ZONE]);
 	take_store_age(peers, msgpack_field_number(&fields[STATE_STORE_AGE]));
 	take_holder(peers, &fields[STATE_HOLDER],
@@ -377,8 +354,8 @@
 						    PEERS_FULL_PERIOD);
 	else if (first)
 		peers_send_state(peers, peer, false, true);
-	fetch_config(peers, peer, msgpack_field_number(&fields[STATE_CONFIG]));
-	fetch_upstreams(peers, peer, msgpack_field_number(&fields[STATE_DIGEST]));
+	fetch_newer(peers, peer, msgpack_field_number(&fields[STATE_CONFIG]),
+		    msgpack_field_number(&fields[STATE_DIGEST]));
 	return 0;
 }
 
@@ -392,8 +369,8 @@
 		return -1;
 	peer->heard_at = now;
 	take_members(peers, &fields[STATE_MEMBERS]);
-	fetch_config(peers, peer, msgpack_field_number(&fields[STATE_CONFIG]));
-	fetch_upstreams(peers, peer, msgpack_field_number(&fields[STATE_DIGEST]));
+	fetch_newer(peers, peer, msgpack_field_number(&fields[STATE_CONFIG]),
+		    msgpack_field_number(&fields[STATE_DIGEST]));
 	if (!peers->aggregator || strcmp(peers->aggregator, peer->address))
 		return 0;
 	peers->summed_at = now;
@@ -417,7 +394,7 @@
 	g_free(address);
 	if (!peer)
 		return -1;
-	fetch_config(peers, peer, msgpack_field_number(&fields[2]));
+	fetch_newer(peers, peer, msgpack_field_number(&fields[2]), 0);
 	return 0;
 }
 
@@ -481,12 +458,12 @@
 	}
 	if (forward_upstreams_restage(gateway->upstreams, upstream, &change,
 				      gateway_now()))
-		gateway_upstream_news(gateway, upstream->id, GATEWAY_SOURCE_PEER);
+		gateway_upstream_news(gateway, upstream->id, "peer");
 }
 
-/* Takes one upstream that a peer knows of, alone or as part of a listing. */
+/* Takes one upstream that a peer knows of. */
 static void take_upstream(gateway_peers_t *peers, const msgpack_object *object,
-			  gateway_source_t source, GArray *unknown)
+			  GArray *unknown)
 {
 	gateway_t *gateway = peers->gateway;
 	const msgpack_object *fields =
@@ -525,7 +502,7 @@
 		news = forward_upstreams_apply(gateway->upstreams, &listing);
 	/* Passed on, as a peer may reach some that the sender does not. */
 	if (news)
-		gateway_upstream_news(gateway, listing.id, source);
+		gateway_upstream_news(gateway, listing.id, "peer");
 done:
 	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
 		g_free(texts[i]);
@@ -537,10 +514,6 @@
 	const msgpack_object *items = msgpack_field_items(&fields[3], 0, &count);
 	char *address = msgpack_field_text(&fields[1]);
 	peer_t *peer = address ? peers_add(peers, address) : NULL;
-	bool all = msgpack_field_number(&fields[2]) != 0;
-	gateway_source_t source = all && !peers->gateway->upstreams_known
-					  ? GATEWAY_SOURCE_LISTING
-					  : GATEWAY_SOURCE_PEER;
 	GArray *unknown;
 
 	g_free(address);
@@ -548,8 +521,8 @@
 		return -1;
 	unknown = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	for (uint32_t i = 0; i < count; i++)
-		take_upstream(peers, &items[i], source, unknown);
-	if (all)
+		take_upstream(peers, &items[i], unknown);
+	if (msgpack_field_number(&fields[2]))
 		peers->gateway->upstreams_known = true;
 	if (unknown->len)
 		peers_send_fetch_marked(peers, peer, unknown);
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -1,10 +1,8 @@
 /* Requests on their way in: what is checked, who waits, whose time is over. */
 #include "adapters/gateway/request_state.h"
 
-#include "adapters/gateway/fleet_feed.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/log_glib.h"
-#include "core/forward/start_wait.h"
 #include "platform/wire.h"
 
 /* A connection to an upstream takes a few milliseconds, or a lost packet more. */
@@ -28,6 +26,15 @@
 #define RANKS_OF_ACCOUNT (GATEWAY_RANKS / ACCOUNT_RANKS)
 /* Another gateway takes the caller at once. */
 #define RETRY_AFTER_STOPPING (20 * PD_MSEC)
+#define RETRY_AFTER_NO_CONFIG (500 * PD_MSEC)
+/*
+ * A start reads the configuration, the upstreams and the checkpoint within some
+ * 0.1 s, in fleets of hundreds too. Requests that come before wait so long after
+ * the start at most: refused, they were late whatever came next, 90 to 140 of them
+ * after each kill of all in fleets of 63 to 83. Whoever has still not read all by
+ * then does not know when it will, and refuses at once.
+ */
+#define START_WAIT (250 * PD_MSEC)
 
 /* Begins a request whose head was read; it owns itself until it is answered. */
 gateway_request_t *gateway_request_create(gateway_t *gateway, caller_t *caller,
@@ -142,26 +149,13 @@
 	request->deadline = request->arrived + allowed;
 }
 
-/* Returns whether a request still waits for this start to be set up. */
-static bool request_awaits_start(const gateway_request_t *request, pd_time_t now)
-{
-	const gateway_t *gateway = request->gateway;
-	const start_wait_t start = {
-		.started_at = gateway->started_at,
-		.store_failed = fleet_feed_is_lost(gateway->feed),
-	};
-
-	return now < start_wait_until(&start, request->arrived,
-				      request->call->patience);
-}
-
-/* Lets a request wait until this start is set up, or rejects it with 503. */
+/* Lets a request wait until this start is set up, if that can't be long. */
 static void request_await_start(gateway_request_t *request)
 {
 	gateway_t *gateway = request->gateway;
 
-	if (!request_awaits_start(request, request->read_at)) {
-		gateway_request_refuse(request, 503, START_RETRY_AFTER,
+	if (request->read_at - gateway->started_at > START_WAIT) {
+		gateway_request_refuse(request, 503, RETRY_AFTER_NO_CONFIG,
 				       "no configuration yet");
 		return;
 	}
@@ -172,14 +166,12 @@
 /* Decides on the requests that came before this start was set up. */
 static void starting_run(gateway_t *gateway, pd_time_t now)
 {
-	bool set_up = gateway_is_set_up(gateway);
-
+	if (!gateway_is_set_up(gateway) && now - gateway->started_at <= START_WAIT)
+		return;
 	LIST_FOR_EACH_SAFE (it, &gateway->starting) {
 		gateway_request_t *request =
 			LIST_ENTRY(it, gateway_request_t, wait);
 
-		if (!set_up && request_awaits_start(request, now))
-			continue;
 		list_remove(&request->wait);
 		gateway->queued--;
 		gateway_request_start(request);
