--- a/core/forward/scale_plan.c
+++ b/core/forward/scale_plan.c
@@ -300,14 +300,23 @@
 	return true;
 }
 
-/* Brings the sum of a kind to what is wanted, with as few moves as it takes. */
-static void bring_to(const forward_service_t *service, scale_zone_t *zones,
-		     unsigned int count, bool reclaimable, unsigned int wanted)
+/* Returns how many of a kind all zones have. */
+static unsigned int zones_have(const scale_zone_t *zones, unsigned int count,
+			       bool reclaimable)
 {
 	unsigned int sum = 0;
 
 	for (unsigned int i = 0; i < count; i++)
 		sum += zone_has(&zones[i], reclaimable);
+	return sum;
+}
+
+/* Brings the sum of a kind to what is wanted, with as few moves as it takes. */
+static void bring_to(const forward_service_t *service, scale_zone_t *zones,
+		     unsigned int count, bool reclaimable, unsigned int wanted)
+{
+	unsigned int sum = zones_have(zones, count, reclaimable);
+
 	for (; sum < wanted; sum++) {
 		if (!add_one(service, zones, count, reclaimable))
 			return;
@@ -433,10 +442,8 @@
 static void replace_refused(scale_zone_t *zones, unsigned int count,
 			    unsigned int *refused, unsigned int wanted)
 {
-	unsigned int sum = 0;
+	unsigned int sum = zones_have(zones, count, false);
 
-	for (unsigned int i = 0; i < count; i++)
-		sum += zones[i].lasting;
 	for (; sum < wanted; sum++) {
 		unsigned int best = count;
 
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -757,7 +757,7 @@
 }
 
 /* Takes in one buffer at most of what has come back; false: nothing was there. */
-static bool hear_buffer(rig_caller_t *caller)
+bool rig_hear_some(rig_caller_t *caller)
 {
 	char buffer[4096];
 	ssize_t len;
@@ -777,16 +777,10 @@
 /* Takes in what has come back. */
 void rig_hear(rig_caller_t *caller)
 {
-	while (hear_buffer(caller))
+	while (rig_hear_some(caller))
 		continue;
 }
 
-/* Takes in a little of what has come back, as a slow reader does. */
-void rig_hear_some(rig_caller_t *caller)
-{
-	hear_buffer(caller);
-}
-
 /* Closes the connection, as a caller does who gives up. */
 void rig_hang_up(rig_caller_t *caller)
 {
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -100,7 +100,7 @@
 rig_caller_t *rig_call(gateway_rig_t *rig, uint16_t port, const char *text);
 void rig_say(rig_caller_t *caller, const char *text);
 void rig_hear(rig_caller_t *caller);
-void rig_hear_some(rig_caller_t *caller);
+bool rig_hear_some(rig_caller_t *caller);
 void rig_hang_up(rig_caller_t *caller);
 void rig_caller_destroy(rig_caller_t *caller);
 
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -335,18 +335,27 @@
 	rig_caller_destroy(caller);
 }
 
+/* Orders the gateway to stop and waits; returns when it was no longer ready. */
+static uint64_t stop_until_long_are_refused(gateway_rig_t *rig)
+{
+	uint64_t since;
+
+	process_signal(rig->gateways[0], SIGTERM);
+	RIG_UNTIL(rig, !rig_is_ready(rig, 0));
+	since = uv_hrtime();
+	RIG_UNTIL(rig, uv_hrtime() - since > LONG_REFUSED_NS);
+	return since;
+}
+
 /* A long request that comes after the order to stop could not end in time. */
 static void test_a_stopping_gateway_refuses_long_requests(void **state)
 {
 	gateway_rig_t *rig = *state;
-	uint64_t told;
+	rig_caller_t *caller;
 
 	all_act(rig, RIG_STREAM);
-	process_signal(rig->gateways[0], SIGTERM);
-	RIG_UNTIL(rig, !rig_is_ready(rig, 0));
-	told = uv_hrtime();
-	RIG_UNTIL(rig, uv_hrtime() - told > LONG_REFUSED_NS);
-	rig_caller_t *caller = call(rig, "/stream/");
+	stop_until_long_are_refused(rig);
+	caller = call(rig, "/stream/");
 	RIG_UNTIL(rig, rig_heard(caller, "\r\n\r\n"));
 	assert_true(rig_heard(caller, "HTTP/1.1 503"));
 	assert_int_equal(arrivals(rig), 0);
@@ -361,10 +370,7 @@
 	rig_caller_t *short_caller;
 	uint64_t since;
 
-	process_signal(rig->gateways[0], SIGTERM);
-	RIG_UNTIL(rig, !rig_is_ready(rig, 0));
-	since = uv_hrtime();
-	RIG_UNTIL(rig, uv_hrtime() - since > LONG_REFUSED_NS);
+	stop_until_long_are_refused(rig);
 	long_caller = rig_call(rig, rig_port(rig, 0, "callers"), "");
 	short_caller = rig_call(rig, rig_port(rig, 0, "callers"), "");
 	since = uv_hrtime();
@@ -379,17 +385,13 @@
 	rig_caller_destroy(short_caller);
 }
 
-/* A request that a process still reads when it has nothing else to do. */
+/* Guards against a process that ends while it reads a request. */
 static void test_a_stop_waits_for_a_request_being_read(void **state)
 {
 	gateway_rig_t *rig = *state;
 	rig_caller_t *caller;
-	uint64_t since;
+	uint64_t since = stop_until_long_are_refused(rig);
 
-	process_signal(rig->gateways[0], SIGTERM);
-	RIG_UNTIL(rig, !rig_is_ready(rig, 0));
-	since = uv_hrtime();
-	RIG_UNTIL(rig, uv_hrtime() - since > LONG_REFUSED_NS);
 	caller = rig_call(rig, rig_port(rig, 0, "callers"),
 			  "POST /safe/ HTTP/1.1\r\nHost: h\r\n");
 	RIG_UNTIL(rig, uv_hrtime() - since > LISTEN_ENDED_NS);
