Keep the fleet's time by steady clocks while clocks jump

Cause: the fleet's time was the middle of all clocks at each moment, votes[(count - 1) / 2]. Of a tie the lower half wins, right or wrong, and of most clocks off the wrong ones. What held before, and that a clock has just jumped against the steady clock of its own VM, was not looked at.

Now the outcome of the vote is kept by the own steady clock. Gateways see their own clock jump against it, say so in their states, and such a clock has no vote for a minute; the outcome jumps only if most of the votes are nearer to the new time. A step of all clocks that lasts longer is followed. The vote is counted ten times a second and not at each request any more, and no longer ends at 64 peers taken in the order of a hash table.

Evidence: test_half_of_the_clocks_jump, test_most_clocks_jump and test_a_jump_is_known_over_a_restart fail on the vote before (through a shim of its functions); the other four pass on both. The test of the own clock moves to the module's file with its expectations. Ruled out: lost counts, as windows off by the same number in both directions follow each other.

--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -381,7 +381,7 @@
 {
 	const gateway_t *gateway = duties->gateway;
 	pd_time_t length = gateway_window_length(gateway);
-	pd_time_t wall = time_vote_wall(gateway->vote, gateway_wall(), now);
+	pd_time_t wall = time_vote_wall(gateway->vote, now);
 	int64_t ended = (wall - COUNTS_SETTLE) / length - 1;
 	const duties_note_t *note;
 
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -1,6 +1,7 @@
 /* Wires the gateway's parts, lets time pass, and stops in order. */
 #include "adapters/gateway/gateway.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
@@ -81,8 +82,7 @@
 /* Returns the number of the usage window that it is by the fleet's clocks. */
 int64_t gateway_window(const gateway_t *gateway)
 {
-	pd_time_t wall =
-		time_vote_wall(gateway->vote, gateway_wall(), gateway_now());
+	pd_time_t wall = time_vote_wall(gateway->vote, gateway_now());
 
 	return wall / gateway_window_length(gateway);
 }
@@ -240,11 +240,27 @@
 				  g_ptr_array_index(config->accounts, i), now);
 }
 
+/* Reads the own clock and counts the votes on the time of day. */
+static void run_vote(gateway_t *gateway, pd_time_t now)
+{
+	clock_steps_t steps = time_vote_run(gateway->vote, gateway_wall(), now);
+
+	if (steps.own || steps.fleet)
+		log_line(G_LOG_LEVEL_WARNING, PART,
+			 "clock own_step_ms=%" PRId64 " fleet_step_ms=%" PRId64
+			 " own_off_ms=%" PRId64,
+			 steps.own / PD_MSEC, steps.fleet / PD_MSEC,
+			 (time_vote_own_wall(gateway->vote, now) -
+			  time_vote_wall(gateway->vote, now)) /
+				 PD_MSEC);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	gateway_t *gateway = timer->data;
 	pd_time_t now = gateway_now();
 
+	run_vote(gateway, now);
 	forward_upstreams_run(gateway->upstreams, now, on_lapsed, gateway);
 	/* First, as it tells a start how large the fleet is. */
 	gateway_checkpoint_run(gateway->checkpoint, now);
@@ -361,6 +377,7 @@
 	gateway->sheds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       (GDestroyNotify)shed_destroy);
 	gateway->vote = time_vote_create();
+	run_vote(gateway, gateway->started_at);
 	gateway->metrics = metrics_create();
 	gateway->random = g_rand_new();
 	token_limits_seed(gateway->limits, g_rand_int(gateway->random));
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -363,22 +363,26 @@
 void peers_pack_state(msgpack_sbuffer *buffer, gateway_peers_t *peers,
 		      bool asks, bool full)
 {
+	const time_vote_t *vote = peers->gateway->vote;
+	pd_time_t now = gateway_now();
 	msgpack_packer packer;
 
 	msgpack_packer_init(&packer, buffer, msgpack_sbuffer_write);
-	pack_head(&packer, peers, MESSAGE_STATE, gateway_wall(), asks);
+	pack_head(&packer, peers, MESSAGE_STATE, time_vote_own_wall(vote, now),
+		  asks);
 	pack_totals(&packer, peers, NULL);
 	pack_works(&packer, peers, NULL);
 	peers_pack_own_loads(&packer, peers);
 	if (full) {
 		pack_usages(buffer, &packer, peers->gateway);
-		pack_members(&packer, peers, gateway_now());
+		pack_members(&packer, peers, now);
 	} else {
 		msgpack_pack_nil(&packer);
 		msgpack_pack_nil(&packer);
 	}
 	pack_speeds(&packer, peers);
 	msgpack_pack_uint16(&packer, peers->zone);
+	msgpack_pack_uint64(&packer, (uint64_t)time_vote_own_step_age(vote, now));
 }
 
 /* Sends what this gateway did. */
@@ -404,7 +408,7 @@
 
 	msgpack_packer_init(&packer, buffer, msgpack_sbuffer_write);
 	pack_head(&packer, peers, MESSAGE_SUMMARY,
-		  time_vote_wall(gateway->vote, gateway_wall(), now), false);
+		  time_vote_wall(gateway->vote, now), false);
 	pack_totals(&packer, peers, receiver);
 	pack_works(&packer, peers, receiver);
 	peers_pack_all_loads(buffer, peers, now);
@@ -415,6 +419,7 @@
 		msgpack_pack_nil(&packer);
 	pack_speeds(&packer, peers);
 	msgpack_pack_uint16(&packer, peers->zone);
+	msgpack_pack_uint64(&packer, 0);
 }
 
 /* Sends what all gateways but the receiver did. */
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -23,7 +23,7 @@
 	STATE_KIND,
 	STATE_ADDRESS,
 	STATE_INCARNATION,
-	STATE_WALL,
+	STATE_WALL, /* time of day: the own clock's, in a summary the fleet's */
 	STATE_CONFIG,
 	STATE_DIGEST, /* of what is known of the upstreams */
 	STATE_AGE, /* of the sender's process */
@@ -39,6 +39,7 @@
 	STATE_MEMBERS,
 	STATE_SPEEDS, /* at which engines read prompts, by service */
 	STATE_ZONE, /* of the sender */
+	STATE_CLOCK_AGE, /* since the sender's clock has jumped; 0: it has not */
 	STATE_FIELDS /* how many there are */
 } state_field_t;
 
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -19,6 +19,8 @@
  */
 #define DIFFERS_MIN (300 * PD_MSEC)
 #define FETCH_PERIOD_MAX (6400 * PD_MSEC)
+/* Times of day and ages in microseconds beyond this are a mistake. */
+#define TIME_MAX ((uint64_t)1 << 53)
 
 /* A peer's values by name, and the sums of all peers' that they are part of. */
 typedef struct part {
@@ -318,6 +320,18 @@
 	return peer;
 }
 
+/* Takes the clock of a state's sender; times beyond all reason are left out. */
+static void take_clock(gateway_t *gateway, const char *who,
+		       const msgpack_object *fields, pd_time_t now)
+{
+	uint64_t wall = msgpack_field_number(&fields[STATE_WALL]);
+	uint64_t age = msgpack_field_number(&fields[STATE_CLOCK_AGE]);
+
+	if (wall <= TIME_MAX && age <= TIME_MAX)
+		time_vote_receive(gateway->vote, who, (pd_time_t)wall,
+				  (pd_time_t)age, now);
+}
+
 static int take_state(gateway_peers_t *peers, const msgpack_object *fields)
 {
 	gateway_t *gateway = peers->gateway;
@@ -332,8 +346,7 @@
 		return -1;
 	first = !peer_is_heard(peer, now);
 	peer->heard_at = now;
-	time_vote_hear(gateway->vote, peer->address,
-		       (pd_time_t)msgpack_field_number(&fields[STATE_WALL]), now);
+	take_clock(gateway, peer->address, fields, now);
 	take_usages(gateway, peer->incarnation, &fields[STATE_USAGES]);
 	take_speeds(gateway, &fields[STATE_SPEEDS]);
 	take_members(peers, &fields[STATE_MEMBERS]);
@@ -364,6 +377,7 @@
 	gateway_t *gateway = peers->gateway;
 	peer_t *peer = take_sender(peers, fields);
 	pd_time_t now = gateway_now();
+	uint64_t wall;
 
 	if (!peer)
 		return -1;
@@ -376,9 +390,9 @@
 	peers->summed_at = now;
 	peers->told_count =
 		(unsigned int)msgpack_field_number(&fields[STATE_COUNT]);
-	time_vote_follow(gateway->vote,
-			 (pd_time_t)msgpack_field_number(&fields[STATE_WALL]),
-			 now);
+	wall = msgpack_field_number(&fields[STATE_WALL]);
+	if (wall <= TIME_MAX)
+		time_vote_follow(gateway->vote, (pd_time_t)wall, now);
 	take_sums(peers, &fields[STATE_TOTALS]);
 	take_works(gateway, EVERYBODY, &fields[STATE_WORKS], NULL);
 	take_speeds(gateway, &fields[STATE_SPEEDS]);
--- a/core/forward/time_vote.c
+++ b/core/forward/time_vote.c
@@ -1,27 +1,36 @@
 /* Votes on the difference between the time of day and the own steady clock. */
 #include "core/forward/time_vote.h"
 
+#include <stdbool.h>
 #include <stdlib.h>
 
-#define VOTES_MAX 64
 #define VOTE_KEPT (30 * PD_SEC) /* drift over that time is far under a second */
+/* A clock that has jumped has no vote for so long; most jump back before. */
+#define DISTRUST (60 * PD_SEC)
+#define COUNT_PERIOD (100 * PD_MSEC)
 
-typedef struct ballot {
-	pd_time_t difference;
-	pd_time_t heard_at;
-} ballot_t;
+typedef struct reading {
+	pd_time_t difference; /* from the own steady clock */
+	pd_time_t received_at;
+	pd_time_t trusted_from;
+} reading_t;
 
 struct time_vote {
-	GHashTable *ballots; /* peer -> ballot_t */
-	ballot_t fleet; /* the outcome of a vote of many, as told */
+	GHashTable *peers; /* name -> reading_t */
+	reading_t own;
+	reading_t fleet; /* the outcome of a vote of many, as received */
+	pd_time_t difference; /* the outcome of the own vote */
+	pd_time_t own_step_at; /* 0: the own clock has not jumped */
+	pd_time_t count_at;
+	bool has_own;
 };
 
-/* Returns a vote of nobody but oneself; the caller owns it. */
+/* Returns a vote of nobody yet; the caller owns it. */
 time_vote_t *time_vote_create(void)
 {
 	time_vote_t *vote = g_new0(time_vote_t, 1);
 
-	vote->ballots =
+	vote->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return vote;
 }
@@ -31,32 +40,37 @@
 {
 	if (!vote)
 		return;
-	g_hash_table_unref(vote->ballots);
+	g_hash_table_unref(vote->peers);
 	g_free(vote);
 }
 
-/* Hears a peer's time of day; NOW is the own steady clock. */
-void time_vote_hear(time_vote_t *vote, const char *who, pd_time_t wall,
-		    pd_time_t now)
+/* Takes the own clock's reading. Returns by how much it has jumped, 0 if not. */
+static pd_time_t read_own(time_vote_t *vote, pd_time_t wall, pd_time_t now)
 {
-	ballot_t *ballot = g_hash_table_lookup(vote->ballots, who);
+	pd_time_t difference = wall - now;
+	pd_time_t step = difference - vote->own.difference;
 
-	if (!ballot) {
-		ballot = g_new0(ballot_t, 1);
-		g_hash_table_insert(vote->ballots, g_strdup(who), ballot);
+	vote->own.difference = difference;
+	vote->own.received_at = now;
+	if (!vote->has_own) {
+		vote->has_own = true;
+		vote->difference = difference;
+		return 0;
 	}
-	ballot->difference = wall - now;
-	ballot->heard_at = now;
+	if (ABS(step) < CLOCK_STEP)
+		return 0;
+	vote->own_step_at = now;
+	vote->own.trusted_from = now + DISTRUST;
+	return step;
 }
 
-/* Hears the outcome of a vote of many, which goes before the own one. */
-void time_vote_follow(time_vote_t *vote, pd_time_t wall, pd_time_t now)
+static void add_vote(GArray *votes, const reading_t *reading, pd_time_t now)
 {
-	vote->fleet.difference = wall - now;
-	vote->fleet.heard_at = now;
+	if (now - reading->received_at < VOTE_KEPT && now >= reading->trusted_from)
+		g_array_append_val(votes, reading->difference);
 }
 
-static int by_value(const void *a, const void *b)
+static gint by_value(gconstpointer a, gconstpointer b)
 {
 	pd_time_t left = *(const pd_time_t *)a;
 	pd_time_t right = *(const pd_time_t *)b;
@@ -64,24 +78,104 @@
 	return (left > right) - (left < right);
 }
 
-/* Returns the time of day that the middle of all votes says. */
-pd_time_t time_vote_wall(const time_vote_t *vote, pd_time_t own_wall, pd_time_t now)
+/* Returns whether more than half of the votes are nearer to NEXT than to HELD. */
+static bool most_prefer(const GArray *votes, pd_time_t next, pd_time_t held)
+{
+	guint nearer = 0;
+
+	for (guint i = 0; i < votes->len; i++) {
+		pd_time_t one = g_array_index(votes, pd_time_t, i);
+
+		nearer += ABS(one - next) < ABS(one - held);
+	}
+	return 2 * nearer > votes->len;
+}
+
+/* Counts the votes. Returns by how much the outcome has jumped, 0 if it has not. */
+static pd_time_t count_votes(time_vote_t *vote, pd_time_t now)
 {
-	pd_time_t votes[VOTES_MAX];
-	size_t count = 0;
+	GArray *votes = g_array_new(FALSE, FALSE, sizeof(pd_time_t));
+	pd_time_t step = 0;
+	pd_time_t middle;
 	GHashTableIter iter;
-	gpointer value;
+	gpointer reading;
 
-	if (vote->fleet.heard_at && now - vote->fleet.heard_at < VOTE_KEPT)
-		return vote->fleet.difference + now;
-	votes[count++] = own_wall - now;
-	g_hash_table_iter_init(&iter, vote->ballots);
-	while (count < VOTES_MAX && g_hash_table_iter_next(&iter, NULL, &value)) {
-		const ballot_t *ballot = value;
+	add_vote(votes, &vote->own, now);
+	g_hash_table_iter_init(&iter, vote->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &reading))
+		add_vote(votes, reading, now);
+	if (votes->len) {
+		g_array_sort(votes, by_value);
+		middle = g_array_index(votes, pd_time_t, (votes->len - 1) / 2);
+		step = middle - vote->difference;
+		if (ABS(step) < CLOCK_STEP ||
+		    most_prefer(votes, middle, vote->difference))
+			vote->difference = middle;
+		else
+			step = 0;
+	}
+	g_array_unref(votes);
+	return ABS(step) < CLOCK_STEP ? 0 : step;
+}
+
+/*
+ * Takes the own clock's reading, and counts the votes if that is due. NOW is the own
+ * steady clock.
+ */
+clock_steps_t time_vote_run(time_vote_t *vote, pd_time_t own_wall, pd_time_t now)
+{
+	clock_steps_t steps = { .own = read_own(vote, own_wall, now) };
+
+	if (now < vote->count_at)
+		return steps;
+	vote->count_at = now + COUNT_PERIOD;
+	steps.fleet = count_votes(vote, now);
+	return steps;
+}
+
+/*
+ * Takes a peer's clock reading. STEP_AGE is how long ago that clock has jumped, 0 if
+ * it has not; what is known of a clock holds over a restart of its gateway.
+ */
+void time_vote_receive(time_vote_t *vote, const char *who, pd_time_t wall,
+		       pd_time_t step_age, pd_time_t now)
+{
+	reading_t *reading = g_hash_table_lookup(vote->peers, who);
 
-		if (now - ballot->heard_at < VOTE_KEPT)
-			votes[count++] = ballot->difference;
+	if (!reading) {
+		reading = g_new0(reading_t, 1);
+		g_hash_table_insert(vote->peers, g_strdup(who), reading);
 	}
-	qsort(votes, count, sizeof(votes[0]), by_value);
-	return votes[(count - 1) / 2] + now;
+	reading->difference = wall - now;
+	reading->received_at = now;
+	if (step_age > 0 && step_age < DISTRUST)
+		reading->trusted_from =
+			MAX(reading->trusted_from, now - step_age + DISTRUST);
+}
+
+/* Takes the outcome of a vote of many, which goes before the own one. */
+void time_vote_follow(time_vote_t *vote, pd_time_t wall, pd_time_t now)
+{
+	vote->fleet.difference = wall - now;
+	vote->fleet.received_at = now;
+}
+
+/* Returns the fleet's time of day. */
+pd_time_t time_vote_wall(const time_vote_t *vote, pd_time_t now)
+{
+	if (vote->fleet.received_at && now - vote->fleet.received_at < VOTE_KEPT)
+		return vote->fleet.difference + now;
+	return vote->difference + now;
+}
+
+/* Returns the time of day by the own clock. */
+pd_time_t time_vote_own_wall(const time_vote_t *vote, pd_time_t now)
+{
+	return vote->own.difference + now;
+}
+
+/* Returns how long ago the own clock has jumped; 0: it has not. */
+pd_time_t time_vote_own_step_age(const time_vote_t *vote, pd_time_t now)
+{
+	return vote->own_step_at ? MAX(now - vote->own_step_at, 1) : 0;
 }
--- a/core/forward/time_vote.h
+++ b/core/forward/time_vote.h
@@ -1,7 +1,12 @@
 /*
- * The true time of day, by the middle of what this entry and its peers hold it
- * to be: a VM whose clock jumps by seconds would count requests in the wrong
- * window, and seen by others would report a window that has not ended.
+ * The fleet's time of day, by a vote of the clocks of this gateway and its peers. A
+ * VM whose clock jumps by seconds would count requests in the wrong window, and
+ * report a window that has not ended.
+ *
+ * Steady clocks don't jump, so the time that was voted is kept by the own steady
+ * clock. A clock that has jumped against the steady clock of its own VM has no vote
+ * for a while, and the fleet's time jumps only if most of the votes are nearer to
+ * the new time.
  */
 #ifndef PISTACHIO_TIME_VOTE_H
 #define PISTACHIO_TIME_VOTE_H
@@ -10,14 +15,25 @@
 
 #include "ports/clock.h"
 
+/* A smaller change of a clock is drift, or a message that was late. */
+#define CLOCK_STEP (100 * PD_MSEC)
+
 typedef struct time_vote time_vote_t;
 
+/* By how much clocks jumped; 0: they did not. */
+typedef struct clock_steps {
+	pd_time_t own;
+	pd_time_t fleet;
+} clock_steps_t;
+
 time_vote_t *time_vote_create(void);
 void time_vote_destroy(time_vote_t *vote);
-void time_vote_hear(time_vote_t *vote, const char *who, pd_time_t wall,
-		    pd_time_t now);
+clock_steps_t time_vote_run(time_vote_t *vote, pd_time_t own_wall, pd_time_t now);
+void time_vote_receive(time_vote_t *vote, const char *who, pd_time_t wall,
+		       pd_time_t step_age, pd_time_t now);
 void time_vote_follow(time_vote_t *vote, pd_time_t wall, pd_time_t now);
-pd_time_t time_vote_wall(const time_vote_t *vote, pd_time_t own_wall,
-			 pd_time_t now);
+pd_time_t time_vote_wall(const time_vote_t *vote, pd_time_t now);
+pd_time_t time_vote_own_wall(const time_vote_t *vote, pd_time_t now);
+pd_time_t time_vote_own_step_age(const time_vote_t *vote, pd_time_t now);
 
 #endif
--- a/tests/unit/test_forward_counts.c
+++ b/tests/unit/test_forward_counts.c
@@ -8,7 +8,6 @@
 #include <cmocka.h>
 
 #include "core/forward/retry_window.h"
-#include "core/forward/time_vote.h"
 #include "core/forward/usage.h"
 #include "core/forward/work_rate.h"
 
@@ -175,24 +174,6 @@
 	usage_destroy(usage);
 }
 
-/*
- * The time of day of this VM jumps by seconds. Its own clock alone would put
- * requests into the wrong window, and report one that has not ended.
- */
-static void test_a_jump_of_the_own_clock_is_outvoted(void **state)
-{
-	const pd_time_t wall = 1700000000 * PD_SEC;
-	time_vote_t *vote = time_vote_create();
-
-	(void)state;
-	time_vote_hear(vote, "e1", wall, START);
-	time_vote_hear(vote, "e2", wall + 3 * PD_MSEC, START);
-	assert_int_equal(time_vote_wall(vote, wall + 5 * PD_SEC, START),
-			 wall + 3 * PD_MSEC);
-	assert_int_equal(time_vote_wall(vote, wall - 5 * PD_SEC, START), wall);
-	time_vote_destroy(vote);
-}
-
 /* A peer that starts anew counts from nothing; that is no negative work. */
 static void test_work_of_a_restarted_peer(void **state)
 {
@@ -224,7 +205,6 @@
 		cmocka_unit_test(test_windows_are_kept_until_their_report_is_due),
 		cmocka_unit_test(test_own_counts_that_come_back_change_nothing),
 		cmocka_unit_test(test_counts_are_sent_once_and_again_on_demand),
-		cmocka_unit_test(test_a_jump_of_the_own_clock_is_outvoted),
 		cmocka_unit_test(test_work_of_a_restarted_peer),
 	};
 
--- /dev/null
+++ b/tests/unit/test_time_vote.c
@@ -0,0 +1,215 @@
+/* Tests of the vote on the fleet's time of day. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "core/forward/time_vote.h"
+
+#define START (1000 * PD_SEC)
+#define WALL (1700000000 * PD_SEC) /* the true time of day at START */
+#define PERIOD (250 * PD_MSEC) /* of the messages between gateways */
+#define GATEWAYS_MAX 64
+/* What a report may be off, as time: a twentieth of a window of five seconds. */
+#define TOLERANCE (250 * PD_MSEC)
+
+/* Gateways that all receive each other; [0] is where the vote is counted. */
+typedef struct fleet {
+	time_vote_t *vote;
+	int size;
+	pd_time_t now;
+	pd_time_t offsets[GATEWAYS_MAX]; /* of the clocks, from the true time */
+	pd_time_t step_at[GATEWAYS_MAX]; /* 0: it has not jumped */
+} fleet_t;
+
+static pd_time_t true_wall(const fleet_t *fleet)
+{
+	return WALL + fleet->now - START;
+}
+
+/* Sends all clocks' readings once. */
+static void fleet_send(fleet_t *fleet)
+{
+	for (int i = 1; i < fleet->size; i++) {
+		char *name = g_strdup_printf("e%d", i);
+		pd_time_t age = fleet->step_at[i]
+					? fleet->now - fleet->step_at[i] + 1
+					: 0;
+
+		time_vote_receive(fleet->vote, name,
+				  true_wall(fleet) + fleet->offsets[i], age,
+				  fleet->now);
+		g_free(name);
+	}
+	time_vote_run(fleet->vote, true_wall(fleet) + fleet->offsets[0],
+		      fleet->now);
+}
+
+static fleet_t fleet_of(int size)
+{
+	fleet_t fleet = { .vote = time_vote_create(), .size = size, .now = START };
+
+	time_vote_run(fleet.vote, WALL, START);
+	fleet_send(&fleet);
+	return fleet;
+}
+
+/* Lets time pass; returns by how much the vote was off at most. */
+static pd_time_t pass(fleet_t *fleet, pd_time_t time)
+{
+	pd_time_t off = 0;
+
+	for (pd_time_t end = fleet->now + time; fleet->now < end;) {
+		fleet->now += PERIOD;
+		fleet_send(fleet);
+		off = MAX(off, ABS(time_vote_wall(fleet->vote, fleet->now) -
+				   true_wall(fleet)));
+	}
+	return off;
+}
+
+/* Has the clocks from FIRST up to, not including, LAST jump by STEP. */
+static void jump(fleet_t *fleet, int first, int last, pd_time_t step)
+{
+	for (int i = first; i < last; i++) {
+		fleet->offsets[i] += step;
+		fleet->step_at[i] = fleet->now;
+	}
+}
+
+/* Has clocks jump for six seconds, and returns by how much the vote was off. */
+static pd_time_t off_while_jumped(int size, int first, int last, pd_time_t step)
+{
+	fleet_t fleet = fleet_of(size);
+	pd_time_t off = pass(&fleet, 2 * PD_SEC);
+
+	jump(&fleet, first, last, step);
+	off = MAX(off, pass(&fleet, 6 * PD_SEC));
+	jump(&fleet, first, last, -step);
+	off = MAX(off, pass(&fleet, 6 * PD_SEC));
+	time_vote_destroy(fleet.vote);
+	return off;
+}
+
+/* Guards against requests in wrong windows as the own clock jumps. */
+static void test_a_jump_of_the_own_clock_is_outvoted(void **state)
+{
+	time_vote_t *vote = time_vote_create();
+
+	(void)state;
+	time_vote_run(vote, WALL + 5 * PD_SEC, START);
+	time_vote_receive(vote, "e1", WALL, 0, START);
+	time_vote_receive(vote, "e2", WALL + 3 * PD_MSEC, 0, START);
+	time_vote_run(vote, WALL + 5 * PD_SEC + PD_SEC, START + PD_SEC);
+	assert_int_equal(time_vote_wall(vote, START), WALL + 3 * PD_MSEC);
+	time_vote_run(vote, WALL - 5 * PD_SEC + 2 * PD_SEC, START + 2 * PD_SEC);
+	assert_int_equal(time_vote_wall(vote, START), WALL);
+	time_vote_destroy(vote);
+}
+
+/* Guards against a tie of the clocks that goes to those that have jumped. */
+static void test_half_of_the_clocks_jump(void **state)
+{
+	(void)state;
+	for (int sign = -1; sign <= 1; sign += 2) {
+		pd_time_t step = sign * 2500 * PD_MSEC;
+
+		assert_true(off_while_jumped(6, 0, 3, step) < TOLERANCE);
+		assert_true(off_while_jumped(6, 3, 6, step) < TOLERANCE);
+		assert_true(off_while_jumped(2, 0, 1, step) < TOLERANCE);
+		assert_true(off_while_jumped(2, 1, 2, step) < TOLERANCE);
+	}
+}
+
+/* Guards against a wrong source of time that all clocks but some follow, or all. */
+static void test_most_clocks_jump(void **state)
+{
+	(void)state;
+	for (int count = 4; count <= 6; count++) {
+		assert_true(off_while_jumped(6, 6 - count, 6, 2500 * PD_MSEC) <
+			    TOLERANCE);
+		assert_true(off_while_jumped(6, 6 - count, 6, -2500 * PD_MSEC) <
+			    TOLERANCE);
+	}
+	assert_true(off_while_jumped(63, 3, 63, 5 * PD_SEC) < TOLERANCE);
+	assert_true(off_while_jumped(1, 0, 1, 5 * PD_SEC) < TOLERANCE);
+}
+
+/* Guards against a jump that is forgotten as the gateway restarts. */
+static void test_a_jump_is_known_over_a_restart(void **state)
+{
+	fleet_t fleet = fleet_of(6);
+
+	(void)state;
+	pass(&fleet, 2 * PD_SEC);
+	jump(&fleet, 3, 6, -2500 * PD_MSEC);
+	pass(&fleet, PD_SEC);
+	memset(fleet.step_at, 0, sizeof(fleet.step_at));
+	assert_true(pass(&fleet, 5 * PD_SEC) < TOLERANCE);
+	time_vote_destroy(fleet.vote);
+}
+
+/* Guards against a time that is held for ever though all clocks were corrected. */
+static void test_a_correction_of_most_clocks_is_followed(void **state)
+{
+	fleet_t fleet = fleet_of(6);
+
+	(void)state;
+	for (int i = 0; i < 6; i++)
+		fleet.offsets[i] = 3 * PD_SEC;
+	fleet.vote = (time_vote_destroy(fleet.vote), time_vote_create());
+	pass(&fleet, PD_SEC);
+	jump(&fleet, 0, 4, -3 * PD_SEC);
+	pass(&fleet, 61 * PD_SEC);
+	assert_true(pass(&fleet, PD_SEC) < TOLERANCE);
+	time_vote_destroy(fleet.vote);
+}
+
+/* Guards against a start that keeps its own wrong clock beside peers that agree. */
+static void test_a_start_with_a_wrong_clock_takes_the_peers_time(void **state)
+{
+	fleet_t fleet = fleet_of(6);
+
+	(void)state;
+	fleet.vote = (time_vote_destroy(fleet.vote), time_vote_create());
+	fleet.offsets[0] = 4 * PD_SEC;
+	pass(&fleet, PERIOD);
+	assert_true(pass(&fleet, PERIOD) < TOLERANCE);
+	time_vote_destroy(fleet.vote);
+}
+
+/* Guards against drift that is not followed until it is a jump. */
+static void test_drift_is_followed(void **state)
+{
+	fleet_t fleet = fleet_of(6);
+	pd_time_t drift = 500; /* a second's, as slewing clocks may */
+
+	(void)state;
+	for (int second = 0; second < 600; second++) {
+		for (int i = 0; i < 6; i++)
+			fleet.offsets[i] += drift;
+		pass(&fleet, PD_SEC);
+	}
+	assert_true(ABS(time_vote_wall(fleet.vote, fleet.now) -
+			true_wall(&fleet) - 600 * drift) < CLOCK_STEP);
+	time_vote_destroy(fleet.vote);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_a_jump_of_the_own_clock_is_outvoted),
+		cmocka_unit_test(test_half_of_the_clocks_jump),
+		cmocka_unit_test(test_most_clocks_jump),
+		cmocka_unit_test(test_a_jump_is_known_over_a_restart),
+		cmocka_unit_test(test_a_correction_of_most_clocks_is_followed),
+		cmocka_unit_test(test_a_start_with_a_wrong_clock_takes_the_peers_time),
+		cmocka_unit_test(test_drift_is_followed),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
