Checkpoint which clocks are off, and correct them after a restart of all

Cause: the successors know nothing of the jump. They see three clocks against three, none of which has jumped since they started; each keeps its own.

Now the record that a start reads before it serves names the clocks that are off and by how much; readings are corrected by it until that clock jumps. The vote goes by the id of a VM and not by the gateway's address.

test_a_start_corrects_its_clock_by_the_checkpoint fails on the commit before, where nothing is corrected; test_clocks_are_corrected_after_a_restart_of_all plays ties in both directions over three kills, and fails without the correction. The decoder's new part is fuzzed.

--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -1,6 +1,7 @@
 /* The store calls of the checkpoint, and what goes into it. */
 #include "adapters/gateway/checkpoint.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "adapters/gateway/checkpoint_record.h"
@@ -180,6 +181,29 @@
 	}
 }
 
+/*
+ * Corrects the clocks that were off: which of them are cannot be seen any more, as
+ * the gateways that knew were killed.
+ */
+static void restore_clocks(gateway_checkpoint_t *checkpoint,
+			   const checkpoint_record_t *record)
+{
+	gateway_t *gateway = checkpoint->gateway;
+
+	for (guint i = 0; i < record->clocks->len; i++) {
+		const clock_record_t *entry =
+			&g_array_index(record->clocks, clock_record_t, i);
+		bool own = !strcmp(entry->node, gateway->settings->node_id);
+
+		time_vote_correct(gateway->vote, own ? NULL : entry->node,
+				  entry->offset);
+		if (own)
+			log_line(G_LOG_LEVEL_WARNING, PART,
+				 "clock corrected own_off_ms=%" PRId64,
+				 entry->offset / PD_MSEC);
+	}
+}
+
 static void restore_record(gateway_checkpoint_t *checkpoint, const char *text,
 			   uint64_t revision)
 {
@@ -192,10 +216,12 @@
 	}
 	checkpoint->gateways = record->gateways;
 	restore_accounts(checkpoint, record);
+	restore_clocks(checkpoint, record);
 	log_line(G_LOG_LEVEL_INFO, PART,
 		 "restored revision=%" G_GUINT64_FORMAT
-		 " gateways=%u accounts=%u",
-		 revision, record->gateways, record->accounts->len);
+		 " gateways=%u accounts=%u clocks_off=%u",
+		 revision, record->gateways, record->accounts->len,
+		 record->clocks->len);
 	checkpoint_record_destroy(record);
 }
 
@@ -382,16 +408,31 @@
 							      writer->now));
 }
 
+typedef struct clock_writer {
+	checkpoint_record_t *record;
+	const char *own_node;
+} clock_writer_t;
+
+static void add_clock(void *ctx, const char *who, pd_time_t offset)
+{
+	const clock_writer_t *writer = ctx;
+
+	checkpoint_record_clock(writer->record, who ? who : writer->own_node,
+				offset);
+}
+
 /* Returns the record as of now, owned by the caller. */
 static char *compose_record(const gateway_checkpoint_t *checkpoint, pd_time_t now)
 {
 	gateway_t *gateway = checkpoint->gateway;
 	checkpoint_record_t *record = checkpoint_record_create();
 	account_writer_t accounts = { gateway->limits, record, now };
+	clock_writer_t clocks = { record, gateway->settings->node_id };
 	char *text;
 
 	record->gateways = gateway_count(gateway);
 	token_limits_each(gateway->limits, now, add_account, &accounts);
+	time_vote_each_off(gateway->vote, now, add_clock, &clocks);
 	text = checkpoint_record_write(record);
 	checkpoint_record_destroy(record);
 	return text;
--- a/adapters/gateway/checkpoint_record.c
+++ b/adapters/gateway/checkpoint_record.c
@@ -8,12 +8,21 @@
 
 /* More than any fleet has; a larger number is a mistake. */
 #define GATEWAYS_MAX 100000
+/* Offsets of clocks change by less all the time, and the record with them. */
+#define OFFSET_UNIT (100 * PD_MSEC)
+/* A clock that is off by more is set wrong, and no offset helps. */
+#define OFFSET_MAX (3600 * PD_SEC)
 
 static void account_clear(void *data)
 {
 	g_free(((account_record_t *)data)->account);
 }
 
+static void clock_clear(void *data)
+{
+	g_free(((clock_record_t *)data)->node);
+}
+
 /* Returns a record that says nothing; the caller owns it. */
 checkpoint_record_t *checkpoint_record_create(void)
 {
@@ -21,6 +30,8 @@
 
 	record->accounts = g_array_new(FALSE, TRUE, sizeof(account_record_t));
 	g_array_set_clear_func(record->accounts, account_clear);
+	record->clocks = g_array_new(FALSE, TRUE, sizeof(clock_record_t));
+	g_array_set_clear_func(record->clocks, clock_clear);
 	return record;
 }
 
@@ -30,6 +41,7 @@
 	if (!record)
 		return;
 	g_array_unref(record->accounts);
+	g_array_unref(record->clocks);
 	g_free(record);
 }
 
@@ -42,6 +54,15 @@
 	g_array_append_val(record->accounts, entry);
 }
 
+/* Adds a clock that is off. */
+void checkpoint_record_clock(checkpoint_record_t *record, const char *node,
+			     pd_time_t offset)
+{
+	const clock_record_t entry = { g_strdup(node), offset };
+
+	g_array_append_val(record->clocks, entry);
+}
+
 /* A number that may not be below zero; 0 for anything else. */
 static uint64_t natural(const json_t *value)
 {
@@ -67,6 +88,21 @@
 	}
 }
 
+static void read_clocks(checkpoint_record_t *record, json_t *clocks)
+{
+	const char *node;
+	json_t *offset;
+
+	json_object_foreach(clocks, node, offset)
+	{
+		json_int_t units = json_integer_value(offset);
+
+		if (units && units > -OFFSET_MAX / OFFSET_UNIT &&
+		    units < OFFSET_MAX / OFFSET_UNIT)
+			checkpoint_record_clock(record, node, units * OFFSET_UNIT);
+	}
+}
+
 /*
  * Reads a record; NULL with ERR set if it is none. Parts that are not as a
  * gateway writes them are left out: what they said is then unknown.
@@ -83,6 +119,7 @@
 		(unsigned int)MIN(natural(json_object_get(root, "gateways")),
 				  GATEWAYS_MAX);
 	read_accounts(record, json_object_get(root, "accounts"));
+	read_clocks(record, json_object_get(root, "clocks"));
 	json_decref(root);
 	return record;
 }
@@ -102,11 +139,27 @@
 	return accounts;
 }
 
+static json_t *write_clocks(const checkpoint_record_t *record)
+{
+	json_t *clocks = json_object();
+
+	for (guint i = 0; i < record->clocks->len; i++) {
+		const clock_record_t *entry =
+			&g_array_index(record->clocks, clock_record_t, i);
+
+		json_object_set_new(clocks, entry->node,
+				    json_integer(entry->offset / OFFSET_UNIT));
+	}
+	return clocks;
+}
+
 /* Returns the record as text, owned by the caller. */
 char *checkpoint_record_write(const checkpoint_record_t *record)
 {
-	json_t *root = json_pack("{s:i, s:o}", "gateways", (int)record->gateways,
-				 "accounts", write_accounts(record));
+	json_t *root = json_pack("{s:i, s:o, s:o}", "gateways",
+				 (int)record->gateways, "accounts",
+				 write_accounts(record), "clocks",
+				 write_clocks(record));
 	char *text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
 	char *copy = g_strdup(text);
 
--- a/adapters/gateway/checkpoint_record.h
+++ b/adapters/gateway/checkpoint_record.h
@@ -1,6 +1,7 @@
 /*
  * What a start has to know of the fleet before it, as it lies in the store: how
- * many gateways there are, and what accounts have left of their limits.
+ * many gateways there are, what accounts have left of their limits, and which
+ * clocks are off.
  */
 #ifndef PISTACHIO_GATEWAY_CHECKPOINT_RECORD_H
 #define PISTACHIO_GATEWAY_CHECKPOINT_RECORD_H
@@ -8,6 +9,7 @@
 #include <glib.h>
 
 #include "core/error.h"
+#include "ports/clock.h"
 
 /* What is left of an account's limit, and what its callers ask for. */
 typedef struct account_record {
@@ -16,9 +18,16 @@
 	double demand; /* in tokens a second, refused ones included */
 } account_record_t;
 
+/* How far the clock of a gateway's VM is ahead of the fleet's time. */
+typedef struct clock_record {
+	char *node; /* id of the gateway's VM */
+	pd_time_t offset;
+} clock_record_t;
+
 typedef struct checkpoint_record {
 	unsigned int gateways; /* that share what is limited in sum */
 	GArray *accounts; /* of account_record_t */
+	GArray *clocks; /* of clock_record_t */
 } checkpoint_record_t;
 
 checkpoint_record_t *checkpoint_record_create(void);
@@ -26,6 +35,8 @@
 void checkpoint_record_destroy(checkpoint_record_t *record);
 void checkpoint_record_account(checkpoint_record_t *record, const char *account,
 			       double level, double demand);
+void checkpoint_record_clock(checkpoint_record_t *record, const char *node,
+			     pd_time_t offset);
 char *checkpoint_record_write(const checkpoint_record_t *record);
 
 #endif
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -320,16 +320,27 @@
 	return peer;
 }
 
+/* Returns the node's id, which an incarnation begins with; owned by the caller. */
+static char *incarnation_node(const char *incarnation)
+{
+	const char *end = strrchr(incarnation, '#');
+
+	return end ? g_strndup(incarnation, (gsize)(end - incarnation))
+		   : g_strdup(incarnation);
+}
+
 /* Takes the clock of a state's sender; times beyond all reason are left out. */
-static void take_clock(gateway_t *gateway, const char *who,
+static void take_clock(gateway_t *gateway, const peer_t *peer,
 		       const msgpack_object *fields, pd_time_t now)
 {
 	uint64_t wall = msgpack_field_number(&fields[STATE_WALL]);
 	uint64_t age = msgpack_field_number(&fields[STATE_CLOCK_AGE]);
+	char *node = incarnation_node(peer->incarnation);
 
 	if (wall <= TIME_MAX && age <= TIME_MAX)
-		time_vote_receive(gateway->vote, who, (pd_time_t)wall,
+		time_vote_receive(gateway->vote, node, (pd_time_t)wall,
 				  (pd_time_t)age, now);
+	g_free(node);
 }
 
 static int take_state(gateway_peers_t *peers, const msgpack_object *fields)
@@ -346,7 +357,7 @@
 		return -1;
 	first = !peer_is_heard(peer, now);
 	peer->heard_at = now;
-	take_clock(gateway, peer->address, fields, now);
+	take_clock(gateway, peer, fields, now);
 	take_usages(gateway, peer->incarnation, &fields[STATE_USAGES]);
 	take_speeds(gateway, &fields[STATE_SPEEDS]);
 	take_members(peers, &fields[STATE_MEMBERS]);
--- a/core/forward/time_vote.c
+++ b/core/forward/time_vote.c
@@ -11,8 +11,10 @@
 
 typedef struct reading {
 	pd_time_t difference; /* from the own steady clock */
-	pd_time_t received_at;
+	pd_time_t received_at; /* 0: not yet */
 	pd_time_t trusted_from;
+	pd_time_t correction; /* how far it was ahead before a restart of all */
+	bool jumped; /* since its gateway has started */
 } reading_t;
 
 struct time_vote {
@@ -22,7 +24,6 @@
 	pd_time_t difference; /* the outcome of the own vote */
 	pd_time_t own_step_at; /* 0: the own clock has not jumped */
 	pd_time_t count_at;
-	bool has_own;
 };
 
 /* Returns a vote of nobody yet; the caller owns it. */
@@ -49,25 +50,34 @@
 {
 	pd_time_t difference = wall - now;
 	pd_time_t step = difference - vote->own.difference;
+	bool first = !vote->own.received_at;
 
 	vote->own.difference = difference;
 	vote->own.received_at = now;
-	if (!vote->has_own) {
-		vote->has_own = true;
+	if (first)
 		vote->difference = difference;
+	if (first || ABS(step) < CLOCK_STEP)
 		return 0;
-	}
-	if (ABS(step) < CLOCK_STEP)
-		return 0;
+	vote->own.jumped = true;
 	vote->own_step_at = now;
 	vote->own.trusted_from = now + DISTRUST;
 	return step;
 }
 
+static bool is_recent(const reading_t *reading, pd_time_t now)
+{
+	return reading->received_at && now - reading->received_at < VOTE_KEPT;
+}
+
 static void add_vote(GArray *votes, const reading_t *reading, pd_time_t now)
 {
-	if (now - reading->received_at < VOTE_KEPT && now >= reading->trusted_from)
-		g_array_append_val(votes, reading->difference);
+	pd_time_t difference = reading->difference;
+
+	if (!is_recent(reading, now) || now < reading->trusted_from)
+		return;
+	if (!reading->jumped)
+		difference -= reading->correction;
+	g_array_append_val(votes, difference);
 }
 
 static gint by_value(gconstpointer a, gconstpointer b)
@@ -133,6 +143,17 @@
 	return steps;
 }
 
+static reading_t *peer_reading(time_vote_t *vote, const char *who)
+{
+	reading_t *reading = g_hash_table_lookup(vote->peers, who);
+
+	if (!reading) {
+		reading = g_new0(reading_t, 1);
+		g_hash_table_insert(vote->peers, g_strdup(who), reading);
+	}
+	return reading;
+}
+
 /*
  * Takes a peer's clock reading. STEP_AGE is how long ago that clock has jumped, 0 if
  * it has not; what is known of a clock holds over a restart of its gateway.
@@ -140,19 +161,52 @@
 void time_vote_receive(time_vote_t *vote, const char *who, pd_time_t wall,
 		       pd_time_t step_age, pd_time_t now)
 {
-	reading_t *reading = g_hash_table_lookup(vote->peers, who);
+	reading_t *reading = peer_reading(vote, who);
 
-	if (!reading) {
-		reading = g_new0(reading_t, 1);
-		g_hash_table_insert(vote->peers, g_strdup(who), reading);
-	}
 	reading->difference = wall - now;
 	reading->received_at = now;
+	reading->jumped = step_age > 0;
 	if (step_age > 0 && step_age < DISTRUST)
 		reading->trusted_from =
 			MAX(reading->trusted_from, now - step_age + DISTRUST);
 }
 
+/*
+ * Corrects a clock, the own one if WHO is NULL, by how far it was ahead of the
+ * fleet's time before a restart of all gateways. That holds until it jumps.
+ */
+void time_vote_correct(time_vote_t *vote, const char *who, pd_time_t offset)
+{
+	reading_t *reading = who ? peer_reading(vote, who) : &vote->own;
+
+	reading->correction = offset;
+	vote->count_at = 0;
+}
+
+static void each_off(const time_vote_t *vote, const char *who,
+		     const reading_t *reading, pd_time_t now, clock_each_t each,
+		     void *ctx)
+{
+	pd_time_t offset = reading->difference + now - time_vote_wall(vote, now);
+
+	if (is_recent(reading, now) && ABS(offset) >= CLOCK_STEP)
+		each(ctx, who, offset);
+}
+
+/* Calls EACH for clocks that are off. */
+void time_vote_each_off(const time_vote_t *vote, pd_time_t now,
+			clock_each_t each, void *ctx)
+{
+	GHashTableIter iter;
+	gpointer who;
+	gpointer reading;
+
+	each_off(vote, NULL, &vote->own, now, each, ctx);
+	g_hash_table_iter_init(&iter, vote->peers);
+	while (g_hash_table_iter_next(&iter, &who, &reading))
+		each_off(vote, who, reading, now, each, ctx);
+}
+
 /* Takes the outcome of a vote of many, which goes before the own one. */
 void time_vote_follow(time_vote_t *vote, pd_time_t wall, pd_time_t now)
 {
@@ -163,7 +217,7 @@
 /* Returns the fleet's time of day. */
 pd_time_t time_vote_wall(const time_vote_t *vote, pd_time_t now)
 {
-	if (vote->fleet.received_at && now - vote->fleet.received_at < VOTE_KEPT)
+	if (is_recent(&vote->fleet, now))
 		return vote->fleet.difference + now;
 	return vote->difference + now;
 }
--- a/core/forward/time_vote.h
+++ b/core/forward/time_vote.h
@@ -6,7 +6,8 @@
  * Steady clocks don't jump, so the time that was voted is kept by the own steady
  * clock. A clock that has jumped against the steady clock of its own VM has no vote
  * for a while, and the fleet's time jumps only if most of the votes are nearer to
- * the new time.
+ * the new time. How far clocks are off is kept in the checkpoint, and they are
+ * corrected by it after a restart of all.
  */
 #ifndef PISTACHIO_TIME_VOTE_H
 #define PISTACHIO_TIME_VOTE_H
@@ -26,11 +27,17 @@
 	pd_time_t fleet;
 } clock_steps_t;
 
+/* WHO is NULL for the own clock; OFFSET is how far it is ahead of the fleet's time. */
+typedef void (*clock_each_t)(void *ctx, const char *who, pd_time_t offset);
+
 time_vote_t *time_vote_create(void);
 void time_vote_destroy(time_vote_t *vote);
 clock_steps_t time_vote_run(time_vote_t *vote, pd_time_t own_wall, pd_time_t now);
 void time_vote_receive(time_vote_t *vote, const char *who, pd_time_t wall,
 		       pd_time_t step_age, pd_time_t now);
+void time_vote_correct(time_vote_t *vote, const char *who, pd_time_t offset);
+void time_vote_each_off(const time_vote_t *vote, pd_time_t now,
+			clock_each_t each, void *ctx);
 void time_vote_follow(time_vote_t *vote, pd_time_t wall, pd_time_t now);
 pd_time_t time_vote_wall(const time_vote_t *vote, pd_time_t now);
 pd_time_t time_vote_own_wall(const time_vote_t *vote, pd_time_t now);
--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -310,6 +310,19 @@
 	assert_true(rig->watched_ms - rig->listed_ms >= FIRST_WATCH_MS);
 }
 
+/* Guards against a clock that is off and taken for right after a kill of all. */
+static void test_a_start_corrects_its_clock_by_the_checkpoint(void **state)
+{
+	gateway_rig_t *rig = *state;
+
+	kill_all(rig);
+	rig_put(rig, "records", "slot-0",
+		"{\"gateways\":1,\"accounts\":{},\"clocks\":{\"g0\":-25}}");
+	rig_start(rig, 0);
+	RIG_UNTIL(rig, times_logged(rig, 0, " fleet_step_ms=") &&
+			       times_logged(rig, 0, " own_off_ms=-2500\n") == 2);
+}
+
 /* Guards against a report that is late as its leader was told to stop. */
 static void test_a_stopping_holder_goes_on_until_it_ends(void **state)
 {
@@ -355,6 +368,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_a_start_does_not_watch_at_once,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_a_start_corrects_its_clock_by_the_checkpoint,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_a_stopping_holder_goes_on_until_it_ends,
 						setup, teardown),
 	};
--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -215,7 +215,8 @@
 		auto bytes = mutated("{\"metadata\":{\"name\":\"slot-0\","
 				     "\"revision\":3},\"spec\":{"
 				     "\"gateways\":63,\"accounts\":"
-				     "{\"mill\":[-5,900]}}}");
+				     "{\"mill\":[-5,900]},"
+				     "\"clocks\":{\"g1\":-25}}}");
 		uint64_t revision = 0;
 		pd_error_t err;
 		char *text = wire_record_read(bytes.data(), bytes.size(),
--- a/tests/unit/test_checkpoint_record.c
+++ b/tests/unit/test_checkpoint_record.c
@@ -25,6 +25,7 @@
 	(void)state;
 	record->gateways = 63;
 	checkpoint_record_account(record, "mill", -500, 9000);
+	checkpoint_record_clock(record, "g1", -2500 * PD_MSEC);
 	text = checkpoint_record_write(record);
 	read = checkpoint_record_read(text, &err);
 	again = checkpoint_record_write(read);
@@ -34,12 +35,35 @@
 		    -500);
 	assert_true(g_array_index(read->accounts, account_record_t, 0).demand ==
 		    9000);
+	assert_string_equal(g_array_index(read->clocks, clock_record_t, 0).node,
+			    "g1");
+	assert_int_equal(g_array_index(read->clocks, clock_record_t, 0).offset,
+			 -2500 * PD_MSEC);
 	checkpoint_record_destroy(record);
 	checkpoint_record_destroy(read);
 	g_free(text);
 	g_free(again);
 }
 
+/* Guards against offsets of clocks that are no numbers, or beyond all reason. */
+static void test_offsets_of_no_sense_are_left_out(void **state)
+{
+	pd_error_t err;
+	checkpoint_record_t *record = checkpoint_record_read(
+		"{\"gateways\":6,\"accounts\":{},\"clocks\":{\"g0\":\"5\","
+		"\"g1\":9223372036854775807,\"g2\":-9223372036854775808}}",
+		&err);
+
+	(void)state;
+	assert_non_null(record);
+	assert_int_equal(record->clocks->len, 0);
+	checkpoint_record_destroy(record);
+	record = checkpoint_record_read("{\"gateways\":6,\"clocks\":[7]}", &err);
+	assert_non_null(record);
+	assert_int_equal(record->clocks->len, 0);
+	checkpoint_record_destroy(record);
+}
+
 static void add_up(void *ctx, const char *account, uint64_t sum)
 {
 	(void)account;
@@ -140,6 +164,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_a_record_survives_the_round_trip),
+		cmocka_unit_test(test_offsets_of_no_sense_are_left_out),
 		cmocka_unit_test(test_counts_survive_the_round_trip),
 		cmocka_unit_test(test_counts_of_a_large_fleet_are_small),
 		cmocka_unit_test(test_what_is_no_table_is_told_by_type),
--- a/tests/unit/test_time_vote.c
+++ b/tests/unit/test_time_vote.c
@@ -4,6 +4,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
@@ -153,6 +154,64 @@
 	time_vote_destroy(fleet.vote);
 }
 
+/* The clocks that are off, as a checkpoint has them. */
+typedef struct checkpointed {
+	pd_time_t offsets[GATEWAYS_MAX];
+} checkpointed_t;
+
+static void checkpoint_clock(void *ctx, const char *who, pd_time_t offset)
+{
+	checkpointed_t *clocks = ctx;
+
+	clocks->offsets[who ? atoi(who + 1) : 0] = offset;
+}
+
+/* Kills all gateways; they are back after a second, with what is checkpointed. */
+static void restart_all(fleet_t *fleet)
+{
+	checkpointed_t clocks = { { 0 } };
+
+	time_vote_each_off(fleet->vote, fleet->now, checkpoint_clock, &clocks);
+	time_vote_destroy(fleet->vote);
+	fleet->vote = time_vote_create();
+	memset(fleet->step_at, 0, sizeof(fleet->step_at));
+	fleet->now += PD_SEC;
+	time_vote_run(fleet->vote, true_wall(fleet) + fleet->offsets[0],
+		      fleet->now);
+	for (int i = 0; i < fleet->size; i++) {
+		char *name = i ? g_strdup_printf("e%d", i) : NULL;
+
+		if (clocks.offsets[i])
+			time_vote_correct(fleet->vote, name, clocks.offsets[i]);
+		g_free(name);
+	}
+	fleet_send(fleet);
+}
+
+/* Guards against clocks that are off and taken for right after a kill of all. */
+static void test_clocks_are_corrected_after_a_restart_of_all(void **state)
+{
+	(void)state;
+	for (int first = 0; first <= 3; first++) {
+		for (int sign = -1; sign <= 1; sign += 2) {
+			fleet_t fleet = fleet_of(6);
+
+			pass(&fleet, 2 * PD_SEC);
+			jump(&fleet, first, first + 3, sign * 2500 * PD_MSEC);
+			pass(&fleet, 2 * PD_SEC);
+			restart_all(&fleet);
+			assert_true(pass(&fleet, PD_SEC) < TOLERANCE);
+			restart_all(&fleet);
+			assert_true(pass(&fleet, PD_SEC) < TOLERANCE);
+			jump(&fleet, first, first + 3, -sign * 2500 * PD_MSEC);
+			assert_true(pass(&fleet, 2 * PD_SEC) < TOLERANCE);
+			restart_all(&fleet);
+			assert_true(pass(&fleet, 2 * PD_SEC) < TOLERANCE);
+			time_vote_destroy(fleet.vote);
+		}
+	}
+}
+
 /* Guards against a time that is held for ever though all clocks were corrected. */
 static void test_a_correction_of_most_clocks_is_followed(void **state)
 {
@@ -206,6 +265,7 @@
 		cmocka_unit_test(test_half_of_the_clocks_jump),
 		cmocka_unit_test(test_most_clocks_jump),
 		cmocka_unit_test(test_a_jump_is_known_over_a_restart),
+		cmocka_unit_test(test_clocks_are_corrected_after_a_restart_of_all),
 		cmocka_unit_test(test_a_correction_of_most_clocks_is_followed),
 		cmocka_unit_test(test_a_start_with_a_wrong_clock_takes_the_peers_time),
 		cmocka_unit_test(test_drift_is_followed),
