Let the former leader ask for the lease at once after a restart of all

Cause: in fleets beyond a mesh only the first three by rank look at the lease, while a leader goes on leading whatever its rank. Once all were killed it did not know that it had led, and the others waited 3.5 s for its lease to lapse, until all were killed again.

The record that every start reads names the leader's VM now, and a start that finds its own name looks at the lease at once, until it sees another's there.

Ruled out: the counts (whole in the store) and the faster writes (the code before shows the same).

test_a_former_leader_asks_for_the_lease_at_once gives up waiting without it, and test_a_former_leader_stands_for_the_lease guards the rank.

--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "adapters/gateway/checkpoint_record.h"
+#include "adapters/gateway/duties.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peers.h"
 #include "adapters/gateway/usage_table.h"
@@ -212,6 +213,8 @@
 	checkpoint->gateways = record->gateways;
 	restore_accounts(checkpoint, record);
 	restore_clocks(checkpoint, record);
+	if (!g_strcmp0(record->leader, checkpoint->gateway->settings->node_id))
+		gateway_duties_resume(checkpoint->gateway->duties);
 	log_line(G_LOG_LEVEL_INFO, PART,
 		 "restored revision=%" G_GUINT64_FORMAT
 		 " gateways=%u accounts=%u clocks_off=%u",
@@ -426,6 +429,7 @@
 	char *text;
 
 	record->gateways = gateway_count(gateway);
+	record->leader = g_strdup(gateway_peers_leader(gateway->peers));
 	token_limits_each(gateway->limits, now, add_account, &accounts);
 	time_vote_each_off(gateway->vote, now, add_clock, &clocks);
 	text = checkpoint_record_write(record);
--- a/adapters/gateway/checkpoint_record.c
+++ b/adapters/gateway/checkpoint_record.c
@@ -40,6 +40,7 @@
 {
 	if (!record)
 		return;
+	g_free(record->leader);
 	g_array_unref(record->accounts);
 	g_array_unref(record->clocks);
 	g_free(record);
@@ -118,6 +119,7 @@
 	record->gateways =
 		(unsigned int)MIN(natural(json_object_get(root, "gateways")),
 				  GATEWAYS_MAX);
+	record->leader = g_strdup(json_string_or(root, "leader", NULL));
 	read_accounts(record, json_object_get(root, "accounts"));
 	read_clocks(record, json_object_get(root, "clocks"));
 	json_decref(root);
@@ -160,8 +162,13 @@
 				 (int)record->gateways, "accounts",
 				 write_accounts(record), "clocks",
 				 write_clocks(record));
-	char *text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
-	char *copy = g_strdup(text);
+	char *text;
+	char *copy;
+
+	if (record->leader)
+		json_object_set_new(root, "leader", json_string(record->leader));
+	text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
+	copy = g_strdup(text);
 
 	free(text);
 	json_decref(root);
--- a/adapters/gateway/checkpoint_record.h
+++ b/adapters/gateway/checkpoint_record.h
@@ -1,7 +1,7 @@
 /*
  * What a start has to know of the fleet before it, as it lies in the store: how
- * many gateways there are, what accounts have left of their limits, and which
- * clocks are off.
+ * many gateways there are and which of them leads, what accounts have left of their
+ * limits, and which clocks are off.
  */
 #ifndef PISTACHIO_GATEWAY_CHECKPOINT_RECORD_H
 #define PISTACHIO_GATEWAY_CHECKPOINT_RECORD_H
@@ -26,6 +26,7 @@
 
 typedef struct checkpoint_record {
 	unsigned int gateways; /* that share what is limited in sum */
+	char *leader; /* id of its VM; NULL: none is known */
 	GArray *accounts; /* of account_record_t */
 	GArray *clocks; /* of clock_record_t */
 } checkpoint_record_t;
--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -49,6 +49,7 @@
 	uint64_t fence; /* last seen as held */
 	pd_time_t acts_from; /* a new holder waits until then */
 	bool held;
+	bool resumes; /* this VM led before all gateways were killed */
 	bool store_serves; /* as seen last */
 	int64_t reported; /* the last window that the platform took */
 	int64_t sent; /* the window of the report that is out */
@@ -546,7 +547,7 @@
  * term: it stopped acting at once before, the next holder came 3.5 to 8 s later,
  * and a report that was due by then came late. It takes over nobody else's.
  */
-static bool may_hold(const gateway_duties_t *duties)
+bool gateway_duties_may_hold(const gateway_duties_t *duties)
 {
 	gateway_peers_t *peers = duties->gateway->peers;
 
@@ -554,7 +555,29 @@
 		return duties->fence &&
 		       lease_fence(duties->lease) <= duties->fence &&
 		       !gateway_peers_has_holder_after(peers, duties->fence);
-	return gateway_peers_stand_for_duties(peers);
+	return duties->resumes || gateway_peers_stand_for_duties(peers);
+}
+
+/*
+ * Notes that this VM led before a start of all gateways. It need not be among those
+ * that stand by, and for as long as it does not ask for the lease, these wait for the
+ * lease to lapse.
+ */
+void gateway_duties_resume(gateway_duties_t *duties)
+{
+	log_line(G_LOG_LEVEL_INFO, PART, "resume: led before the start");
+	duties->resumes = true;
+	lease_resume(duties->lease, gateway_now());
+}
+
+/* Another one has taken the lease since. */
+static void end_resuming(gateway_duties_t *duties)
+{
+	const lease_record_t *record = lease_record(duties->lease);
+
+	if (record && record->holder &&
+	    strcmp(record->holder, duties->gateway->settings->node_id))
+		duties->resumes = false;
 }
 
 /*
@@ -574,12 +597,13 @@
 /* Renews or takes the lease, and does what is due if it is held. */
 void gateway_duties_run(gateway_duties_t *duties, pd_time_t now)
 {
-	if (!may_hold(duties))
+	if (!gateway_duties_may_hold(duties))
 		return;
 	watch_store(duties, now);
 	if (gateway_peers_holder_is_silent(duties->gateway->peers, now))
 		lease_hurry(duties->lease, now);
 	lease_step(duties, now);
+	end_resuming(duties);
 	follow_lease(duties, now);
 	gateway_peers_hold_duties(duties->gateway->peers,
 				  lease_is_held(duties->lease, now),
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -108,6 +108,7 @@
 	uint16_t port;
 	guint hash; /* of the address, for ranks */
 	char *incarnation; /* NULL: not heard yet */
+	char *vm_id; /* NULL: not heard yet */
 	bool seed;
 	bool strong; /* its VM has a processor and a link to spare */
 	uint16_t zone; /* a hash of its availability zone; 0: unknown */
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -287,6 +287,15 @@
 	g_free(holder);
 }
 
+/* Returns the id of the VM, which an incarnation begins with; owned by the caller. */
+static char *incarnation_vm(const char *incarnation)
+{
+	const char *end = strrchr(incarnation, '#');
+
+	return end ? g_strndup(incarnation, (gsize)(end - incarnation))
+		   : g_strdup(incarnation);
+}
+
 /* Notes who sent a state or summary; NULL if that can't be read. */
 static peer_t *take_sender(gateway_peers_t *peers, const msgpack_object *fields)
 {
@@ -307,7 +316,9 @@
 		peers_forget_counts(peers, peer);
 	}
 	g_free(peer->incarnation);
+	g_free(peer->vm_id);
 	peer->incarnation = g_strdup(who);
+	peer->vm_id = incarnation_vm(who);
 	peer->strong = flags & STATE_FLAG_STRONG;
 	peer->has_store = flags & STATE_FLAG_HAS_STORE;
 	peer->zone = (uint16_t)msgpack_field_number(&fields[STATE_ZONE]);
@@ -320,27 +331,16 @@
 	return peer;
 }
 
-/* Returns the node's id, which an incarnation begins with; owned by the caller. */
-static char *incarnation_node(const char *incarnation)
-{
-	const char *end = strrchr(incarnation, '#');
-
-	return end ? g_strndup(incarnation, (gsize)(end - incarnation))
-		   : g_strdup(incarnation);
-}
-
 /* Takes the clock of a state's sender; times beyond all reason are left out. */
 static void take_clock(gateway_t *gateway, const peer_t *peer,
 		       const msgpack_object *fields, pd_time_t now)
 {
 	uint64_t wall = msgpack_field_number(&fields[STATE_WALL]);
 	uint64_t age = msgpack_field_number(&fields[STATE_CLOCK_AGE]);
-	char *node = incarnation_node(peer->incarnation);
 
 	if (wall <= TIME_MAX && age <= TIME_MAX)
-		time_vote_receive(gateway->vote, node, (pd_time_t)wall,
+		time_vote_receive(gateway->vote, peer->vm_id, (pd_time_t)wall,
 				  (pd_time_t)age, now);
-	g_free(node);
 }
 
 static int take_state(gateway_peers_t *peers, const msgpack_object *fields)
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -132,6 +132,7 @@
 	g_free(peer->address);
 	g_free(peer->host);
 	g_free(peer->incarnation);
+	g_free(peer->vm_id);
 	g_free(peer);
 }
 
@@ -252,6 +253,18 @@
 		peers->holder_fence = fence;
 }
 
+/* Returns the id of the leader's VM, borrowed; NULL: it is not known. */
+const char *gateway_peers_leader(const gateway_peers_t *peers)
+{
+	const peer_t *peer;
+
+	if (peers->is_holder)
+		return peers->gateway->settings->node_id;
+	peer = peers->holder ? peers_find((gateway_peers_t *)peers, peers->holder)
+			     : NULL;
+	return peer ? peer->vm_id : NULL;
+}
+
 /* Says whether a later holder of the duties was heard of than that with FENCE. */
 bool gateway_peers_has_holder_after(const gateway_peers_t *peers, uint64_t fence)
 {
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -36,6 +36,7 @@
 pd_time_t gateway_peers_lag(gateway_peers_t *peers, pd_time_t now);
 int gateway_peers_checkpoint_slot(gateway_peers_t *peers, pd_time_t now);
 bool gateway_peers_stand_for_duties(gateway_peers_t *peers);
+const char *gateway_peers_leader(const gateway_peers_t *peers);
 bool gateway_peers_has_holder_after(const gateway_peers_t *peers, uint64_t fence);
 bool gateway_peers_holder_is_silent(gateway_peers_t *peers, pd_time_t now);
 const char *gateway_peers_incarnation(const gateway_peers_t *peers);
--- a/core/lease.c
+++ b/core/lease.c
@@ -178,6 +178,16 @@
 	lease->next_at = MIN(lease->next_at, now);
 }
 
+/*
+ * Has the first look made at once, as this node held the lease before it was
+ * restarted: all candidates may have been, and it need not wait for a takeover.
+ */
+void lease_resume(lease_t *lease, pd_time_t now)
+{
+	if (lease->next_op == 1)
+		lease->next_at = now;
+}
+
 static bool lease_is_own(const lease_t *lease)
 {
 	return !g_strcmp0(lease->record->holder, lease->holder);
--- a/core/lease.h
+++ b/core/lease.h
@@ -32,6 +32,7 @@
 bool lease_set_note(lease_t *lease, const char *note, pd_time_t now);
 bool lease_update_note(lease_t *lease, const char *note, pd_time_t now);
 void lease_hurry(lease_t *lease, pd_time_t now);
+void lease_resume(lease_t *lease, pd_time_t now);
 bool lease_add_intent(lease_t *lease, const intent_t *intent);
 void lease_drop_intent(lease_t *lease, const char *tag);
 
--- a/tests/process/test_gateway_gossip.c
+++ b/tests/process/test_gateway_gossip.c
@@ -8,6 +8,7 @@
 
 #include <cmocka.h>
 
+#include "adapters/gateway/duties.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peer_state.h"
 #include "adapters/log_buffer.h"
@@ -168,6 +169,28 @@
 	assert_false(forward_upstream_serves(known(other, "u1")));
 }
 
+/* Guards against a former leader that does not stand as others go before it. */
+static void test_a_former_leader_stands_for_the_lease(void **state)
+{
+	pair_t *pair = *state;
+	gateway_t *gateway = pair->gateways[0];
+	pd_time_t now = gateway_now();
+
+	for (int i = 0; i < GATEWAY_MESH_MAX; i++) {
+		char *address = g_strdup_printf("127.0.0.1:%d", i + 1);
+		peer_t *peer = peers_add(gateway->peers, address);
+
+		peer->strong = true;
+		peer->mentioned_at = now;
+		g_free(address);
+	}
+	gateway->peers->strong = false;
+	gateway->peers->view.at = 0;
+	assert_false(gateway_duties_may_hold(gateway->duties));
+	gateway_duties_resume(gateway->duties);
+	assert_true(gateway_duties_may_hold(gateway->duties));
+}
+
 /*
  * News is lost with a connection, and nothing else changes afterwards. The
  * digests that gateways tell show the difference, and what differs is fetched.
@@ -238,6 +261,8 @@
 		cmocka_unit_test_setup(test_a_new_upstream_becomes_known_in_full,
 				       setup),
 		cmocka_unit_test_setup(test_a_leaving_upstream_is_told, setup),
+		cmocka_unit_test_setup(test_a_former_leader_stands_for_the_lease,
+				       setup),
 		cmocka_unit_test_setup(test_lost_news_is_made_up_for, setup),
 		cmocka_unit_test_setup(test_an_unknown_upstream_is_asked_for_once,
 				       setup),
--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -22,6 +22,7 @@
 #define WRITER_TOLD_MS 1000
 #define FIRST_WATCH_MS 150 /* a start has heard its peers by then */
 #define DOWN_MS 2500 /* some windows of the rig */
+#define RESUME_MS 300 /* of up to 2 s until a start looks at the lease */
 #define READ_MS 20 /* until a gateway has read a call for certain */
 
 /* Counts what a gateway has logged, in all its starts so far. */
@@ -325,6 +326,27 @@
 			       times_logged(rig, 0, " own_off_ms=-2500\n") == 2);
 }
 
+static bool has_lease(gateway_rig_t *rig)
+{
+	rig_turn(rig);
+	return json_object_get(json_object_get(rig->objects, "leases"),
+			       "duties");
+}
+
+/* Guards against a takeover that is waited for though the former leader is back. */
+static void test_a_former_leader_asks_for_the_lease_at_once(void **state)
+{
+	gateway_rig_t *rig = *state;
+
+	kill_all(rig);
+	rig_put(rig, "records", "slot-0",
+		"{\"gateways\":1,\"accounts\":{},\"leader\":\"g0\"}");
+	rig_remove(rig, "leases", "duties");
+	rig_start(rig, 0);
+	RIG_UNTIL(rig, times_logged(rig, 0, "duties: resume") == 1);
+	RIG_UNTIL_WITHIN(rig, has_lease(rig), RESUME_MS);
+}
+
 /* Guards against a report that is late as its leader was told to stop. */
 static void test_a_stopping_holder_goes_on_until_it_ends(void **state)
 {
@@ -372,6 +394,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_a_start_corrects_its_clock_by_the_checkpoint,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_a_former_leader_asks_for_the_lease_at_once,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_a_stopping_holder_goes_on_until_it_ends,
 						setup, teardown),
 	};
--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -216,7 +216,8 @@
 				     "\"revision\":3},\"spec\":{"
 				     "\"gateways\":63,\"accounts\":"
 				     "{\"mill\":[-5,900]},"
-				     "\"clocks\":{\"g1\":-25}}}");
+				     "\"clocks\":{\"g1\":-25},"
+				     "\"leader\":\"g5\"}}");
 		uint64_t revision = 0;
 		pd_error_t err;
 		char *text = wire_record_read(bytes.data(), bytes.size(),
--- a/tests/unit/test_checkpoint_record.c
+++ b/tests/unit/test_checkpoint_record.c
@@ -24,6 +24,7 @@
 
 	(void)state;
 	record->gateways = 63;
+	record->leader = g_strdup("g5");
 	checkpoint_record_account(record, "mill", -500, 9000);
 	checkpoint_record_clock(record, "g1", -2500 * PD_MSEC);
 	text = checkpoint_record_write(record);
@@ -31,6 +32,7 @@
 	again = checkpoint_record_write(read);
 	assert_string_equal(again, text);
 	assert_int_equal(read->gateways, 63);
+	assert_string_equal(read->leader, "g5");
 	assert_true(g_array_index(read->accounts, account_record_t, 0).level ==
 		    -500);
 	assert_true(g_array_index(read->accounts, account_record_t, 0).demand ==
