--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -9,8 +9,6 @@
 #define HOLDER_SILENT PD_SEC
 /* After its connection has failed a peer is sent no counts until it is heard. */
 #define LOST_PAUSE (2 * PD_SEC)
-/* Two states of a peer in a mesh were lost, or it is cut off. */
-#define COUNTS_SILENCE (600 * PD_MSEC)
 /* Who was sent counts within this writes them. */
 #define COUNTS_TAKEN_MAX PD_SEC
 /* A mention comes with every few states of whoever hears the peer. */
@@ -177,18 +175,12 @@
 	return aggregator && !aggregator->has_store;
 }
 
-/*
- * Returns whether counts may be sent to a peer: it is alive and was reached. In a mesh
- * all send to each other, so one that is silent may be cut off, which its connection
- * shows only later.
- */
-static bool peer_takes_counts(const peer_t *peer, bool mesh, pd_time_t now)
+/* Returns whether counts may be sent to a peer: it is alive and was reached. */
+static bool peer_takes_counts(const peer_t *peer, pd_time_t now)
 {
 	bool lost = peer->lost_at && peer->heard_at <= peer->lost_at &&
 		    now - peer->lost_at < LOST_PAUSE;
 
-	if (mesh && now - peer->heard_at > COUNTS_SILENCE)
-		return false;
 	return !lost && now >= peer->passed_over_until && peer_is_alive(peer, now);
 }
 
@@ -196,17 +188,16 @@
  * Fills in the first peers that counts may be sent to, CHECKPOINT_SLOTS at most.
  * Returns how many those are; RANK is how many of them go before this gateway.
  */
-static unsigned int first_takers(gateway_peers_t *peers, peer_t **first,
+static unsigned int first_takers(const gateway_peers_t *peers, peer_t **first,
 				 unsigned int *rank, pd_time_t now)
 {
 	guint hash = g_str_hash(peers->address);
-	bool mesh = peers_is_mesh(peers, now);
 	unsigned int count = 0;
 
 	LIST_FOR_EACH (it, &peers->list) {
 		peer_t *peer = LIST_ENTRY(it, peer_t, node);
 
-		if (peer_takes_counts(peer, mesh, now))
+		if (peer_takes_counts(peer, now))
 			count = insert_by_rank(first, count, CHECKPOINT_SLOTS,
 					       peer);
 	}
