--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -19,6 +19,8 @@
 #define CLOUD_TIMEOUT_MS 1500
 /* Ticks, and clocks that run unevenly, between a holder and the next. */
 #define CALLS_MARGIN (300 * PD_MSEC)
+/* Counts of a window come in with the peers' states; the slowest take so long. */
+#define COUNTS_SETTLE (2200 * PD_MSEC)
 #define REPORT_RETRY (500 * PD_MSEC)
 /* How often the fleet's size is thought over, and an order is tried again. */
 #define PLAN_PERIOD (200 * PD_MSEC)
@@ -53,7 +55,6 @@
 	int64_t sent; /* the window of the report that is out */
 	bool reporting; /* a report is out */
 	pd_time_t report_at;
-	pd_time_t heard_since; /* enough gateways for a report; 0: not now */
 	pd_time_t counts_asked_at; /* for a report; 0: not yet */
 	GHashTable *plans; /* service -> scale_plan_t */
 	GHashTable *orders; /* "service zone kind" -> order_t */
@@ -377,28 +378,12 @@
 	return usage_first_window(gateway->usage, due, ended);
 }
 
-/* Returns the last window that may be reported now. */
-static int64_t last_window(gateway_duties_t *duties, pd_time_t now)
-{
-	const gateway_t *gateway = duties->gateway;
-	pd_time_t due = (pd_time_t)(gateway->settings->usage_due_s * PD_SEC);
-	pd_time_t heard_for;
-	pd_time_t settled;
-
-	if (!usage_fleet_is_heard(gateway_peers_in_touch(gateway->peers, now),
-				  gateway_count(gateway)))
-		duties->heard_since = 0;
-	else if (!duties->heard_since)
-		duties->heard_since = now;
-	heard_for = duties->heard_since ? now - duties->heard_since : 0;
-	settled = time_vote_wall(gateway->vote, now) -
-		  usage_settle_time(heard_for, due);
-	return settled / gateway_window_length(gateway) - 1;
-}
-
 static void run_usage(gateway_duties_t *duties, pd_time_t now)
 {
-	int64_t ended = last_window(duties, now);
+	const gateway_t *gateway = duties->gateway;
+	pd_time_t length = gateway_window_length(gateway);
+	pd_time_t wall = time_vote_wall(gateway->vote, now);
+	int64_t ended = (wall - COUNTS_SETTLE) / length - 1;
 	const duties_note_t *note;
 
 	if (duties->reporting || now < duties->report_at ||
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -9,8 +9,6 @@
 #define HOLDER_SILENT PD_SEC
 /* After its connection has failed a peer is sent no counts until it is heard. */
 #define LOST_PAUSE (2 * PD_SEC)
-/* In a mesh four states of a peer were lost, or it is cut off. */
-#define IN_TOUCH_MAX PD_SEC
 /* Who was sent counts within this writes them. */
 #define COUNTS_TAKEN_MAX PD_SEC
 /* A mention comes with every few states of whoever hears the peer. */
@@ -119,24 +117,6 @@
 	return count;
 }
 
-/*
- * Returns how many gateways are in touch, this one included: in a mesh, where each
- * sends several states a second, those heard just now.
- */
-unsigned int gateway_peers_in_touch(gateway_peers_t *peers, pd_time_t now)
-{
-	unsigned int count = 1;
-
-	if (!peers_is_mesh(peers, now))
-		return peers_view(peers, now)->alive;
-	LIST_FOR_EACH (it, &peers->list) {
-		const peer_t *peer = LIST_ENTRY(it, peer_t, node);
-
-		count += peer->heard_at && now - peer->heard_at < IN_TOUCH_MAX;
-	}
-	return count;
-}
-
 /* Says whether all gateways tell each other, as there are few. */
 bool peers_is_mesh(gateway_peers_t *peers, pd_time_t now)
 {
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -40,7 +40,6 @@
 bool gateway_peers_has_holder_after(const gateway_peers_t *peers, uint64_t fence);
 bool gateway_peers_holder_is_silent(gateway_peers_t *peers, pd_time_t now);
 const char *gateway_peers_incarnation(const gateway_peers_t *peers);
-unsigned int gateway_peers_in_touch(gateway_peers_t *peers, pd_time_t now);
 unsigned int gateway_peers_count(gateway_peers_t *peers);
 
 #endif
--- a/core/forward/usage.c
+++ b/core/forward/usage.c
@@ -15,10 +15,6 @@
 #define SEND_PERIOD_EACH (300 * PD_USEC)
 #define SEND_PERIOD_MIN (20 * PD_MSEC)
 #define SEND_PERIOD_MAX (100 * PD_MSEC)
-/* Counts come in within this after a window's end, if their gateways are heard. */
-#define SETTLE_TIME (2200 * PD_MSEC)
-/* A gateway that is heard again sends all its counts within this. */
-#define RESEND_TIME PD_SEC
 /* Until gateways that all start at once have found each other. */
 #define FIRST_WRITE_EACH (4 * PD_MSEC)
 #define FIRST_WRITE_MIN (40 * PD_MSEC)
@@ -375,25 +371,6 @@
 	return age < window ? period / 2 : period;
 }
 
-/* Returns whether so many gateways are heard that a report would not miss too much. */
-bool usage_fleet_is_heard(unsigned int heard, unsigned int gateways)
-{
-	return heard * TOLERANCE >= gateways * (TOLERANCE - 1);
-}
-
-/*
- * Returns how long after its end a window is reported. HEARD_FOR is how long enough of
- * the gateways have been heard. Those that are silent may be cut off and still count
- * for a window, so it is waited for them, but for no more than half of the time that
- * is left until the report is due: this gateway may die as well.
- */
-pd_time_t usage_settle_time(pd_time_t heard_for, pd_time_t due)
-{
-	if (heard_for >= RESEND_TIME)
-		return SETTLE_TIME;
-	return MAX(SETTLE_TIME, due / 2);
-}
-
 /* Returns whether it is the turn of a writer, numbered from 0, by the time of day. */
 bool usage_is_turn(pd_time_t wall, pd_time_t period, int writer)
 {
--- a/core/forward/usage.h
+++ b/core/forward/usage.h
@@ -49,8 +49,6 @@
 pd_time_t usage_first_write(unsigned int gateways);
 pd_time_t usage_write_period(pd_time_t window, pd_time_t send_period,
 			     pd_time_t age);
-bool usage_fleet_is_heard(unsigned int heard, unsigned int gateways);
-pd_time_t usage_settle_time(pd_time_t heard_for, pd_time_t due);
 bool usage_is_turn(pd_time_t wall, pd_time_t period, int writer);
 
 #endif
--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -22,10 +22,6 @@
 #define WRITER_TOLD_MS 1000
 #define FIRST_WATCH_MS 150 /* a start has heard its peers by then */
 #define DOWN_MS 2500 /* some windows of the rig */
-#define SETTLED_MS 4000 /* reports wait 2.2 s, or 5 while a gateway is silent */
-#define SILENCE_SEEN_MS 1500 /* a second, and some ticks */
-#define REPORT_WAITS_MS \
-	1500 /* more than a window, after which another is due */
 #define RESUME_MS 300 /* of up to 2 s until a start looks at the lease */
 #define READ_MS 20 /* until a gateway has read a call for certain */
 
@@ -351,46 +347,6 @@
 	RIG_UNTIL_WITHIN(rig, has_lease(rig), RESUME_MS);
 }
 
-/* Returns a gateway that does not lead, while another does; -1: none leads. */
-static int follower_of(gateway_rig_t *rig)
-{
-	for (int i = 0; i < RIG_GATEWAYS; i++) {
-		if (times_logged(rig, i, "duties: holder=self"))
-			return (i + 1) % RIG_GATEWAYS;
-	}
-	return -1;
-}
-
-/* Returns how long ago the window has ended that was reported last, in ms. */
-static int64_t report_lag(gateway_rig_t *rig)
-{
-	const char *text = g_ptr_array_index(rig->usage, rig->usage->len - 1);
-	json_t *body = json_loads(text, 0, NULL);
-	int64_t window = json_integer_value(json_object_get(body, "windowId"));
-
-	json_decref(body);
-	return g_get_real_time() / 1000 - (window + 1) * 1000;
-}
-
-/* Guards against reports without the counts of a gateway that is cut off. */
-static void test_a_report_waits_for_a_silent_gateway(void **state)
-{
-	gateway_rig_t *rig = *state;
-	guint before;
-	int number;
-
-	RIG_UNTIL(rig, rig->usage->len > 0 && report_lag(rig) < SETTLED_MS);
-	number = follower_of(rig);
-	assert_true(number >= 0);
-	process_signal(rig->gateways[number], SIGSTOP);
-	pass(rig, SILENCE_SEEN_MS);
-	before = rig->usage->len;
-	pass(rig, REPORT_WAITS_MS);
-	assert_int_equal(rig->usage->len, before);
-	process_signal(rig->gateways[number], SIGCONT);
-	RIG_UNTIL(rig, rig->usage->len > before);
-}
-
 /* Guards against a report that is late as its leader was told to stop. */
 static void test_a_stopping_holder_goes_on_until_it_ends(void **state)
 {
@@ -440,8 +396,6 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_a_former_leader_asks_for_the_lease_at_once,
 						setup, teardown),
-		cmocka_unit_test_setup_teardown(test_a_report_waits_for_a_silent_gateway,
-						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_a_stopping_holder_goes_on_until_it_ends,
 						setup, teardown),
 	};
--- a/tests/unit/test_forward_counts.c
+++ b/tests/unit/test_forward_counts.c
@@ -174,24 +174,6 @@
 	usage_destroy(usage);
 }
 
-/* Guards against reports that are made while gateways that count are cut off. */
-static void test_a_report_waits_for_gateways_that_are_cut_off(void **state)
-{
-	const pd_time_t due = 10 * PD_SEC;
-
-	(void)state;
-	assert_false(usage_fleet_is_heard(4, 6));
-	assert_false(usage_fleet_is_heard(5, 6));
-	assert_true(usage_fleet_is_heard(6, 6));
-	assert_true(usage_fleet_is_heard(1, 1));
-	assert_false(usage_fleet_is_heard(56, 63));
-	assert_true(usage_fleet_is_heard(60, 63));
-	assert_true(usage_settle_time(0, due) > 4 * PD_SEC);
-	assert_true(usage_settle_time(0, due) < due - 4 * PD_SEC);
-	assert_true(usage_settle_time(PD_SEC / 2, due) > 4 * PD_SEC);
-	assert_true(usage_settle_time(2 * PD_SEC, due) < 3 * PD_SEC);
-}
-
 /* A peer that starts anew counts from nothing; that is no negative work. */
 static void test_work_of_a_restarted_peer(void **state)
 {
@@ -223,7 +205,6 @@
 		cmocka_unit_test(test_windows_are_kept_until_their_report_is_due),
 		cmocka_unit_test(test_own_counts_that_come_back_change_nothing),
 		cmocka_unit_test(test_counts_are_sent_once_and_again_on_demand),
-		cmocka_unit_test(test_a_report_waits_for_gateways_that_are_cut_off),
 		cmocka_unit_test(test_work_of_a_restarted_peer),
 	};
 
