Order on-demand upstreams once reclaimable ones were answered

Cause: a new leader does not know that reclaimable upstreams are refused. It ordered few on-demand ones at the same time, which gave up those on their way, and many again 1.7 s later. Since the former leader takes the lease at once it does so before any of them has started.

Now the orders of on-demand upstreams wait until the platform has answered to those of reclaimable ones, so a refusal is known before. test_on_demand_orders_ wait_for_answers_to_the_others fails on the commit before.

--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -73,6 +73,7 @@
 	unsigned int ordered; /* taken by the platform */
 	bool confirmed; /* since this process holds the lease */
 	bool out; /* a call is on its way */
+	bool answered; /* by the platform, to this process */
 	unsigned int asked;
 	pd_time_t next_at;
 	pd_time_t taken_at; /* when the last order was taken */
@@ -439,6 +440,7 @@
 	pd_time_t now = gateway_now();
 
 	order->out = false;
+	order->answered = true;
 	order->next_at = now + ORDER_RETRY;
 	log_line(G_LOG_LEVEL_INFO, PART,
 		 "order service=%s zone=%s reclaimable=%d wanted=%u status=%d",
@@ -498,6 +500,27 @@
 	order_send(order);
 }
 
+/*
+ * Orders the reclaimable upstreams of a service. Returns whether the platform has
+ * answered to all of these orders since this process leads.
+ */
+static bool order_reclaimable(gateway_duties_t *duties,
+			      const forward_service_t *service,
+			      const scale_zone_t *zones, unsigned int count,
+			      pd_time_t now)
+{
+	bool answered = true;
+
+	for (unsigned int i = 0; i < count; i++) {
+		order_t *order =
+			duties_order(duties, service->name, zones[i].zone, true);
+
+		order_run(order, service, zones[i].reclaimable, now);
+		answered &= order->answered;
+	}
+	return answered;
+}
+
 static void scale_service(gateway_duties_t *duties,
 			  const forward_service_t *service, pd_time_t now)
 {
@@ -516,12 +539,16 @@
 					     service, gateway->upstreams,
 					     &demand, now, zones);
 
-	for (unsigned int i = 0; i < count; i++) {
-		order_run(duties_order(duties, service->name, zones[i].zone, true),
-			  service, zones[i].reclaimable, now);
+	/*
+	 * Whether on-demand upstreams have to take the place of reclaimable ones is
+	 * known from the answers. Ordered before, those of the last leader would be
+	 * given up and ordered anew.
+	 */
+	if (!order_reclaimable(duties, service, zones, count, now))
+		return;
+	for (unsigned int i = 0; i < count; i++)
 		order_run(duties_order(duties, service->name, zones[i].zone, false),
 			  service, zones[i].lasting, now);
-	}
 }
 
 static void run_scale(gateway_duties_t *duties, pd_time_t now)
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -455,7 +455,8 @@
 	GPtrArray *into = strstr(visit->target, "usage") ? rig->usage : rig->orders;
 
 	g_ptr_array_add(into, g_strdup(visit->body->str));
-	visit_write(visit, 200, "", "{}");
+	if (into == rig->usage || !rig->orders_unanswered)
+		visit_write(visit, 200, "", "{}");
 }
 
 /* The servers. */
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -67,6 +67,7 @@
 	list_node_t watches;
 	GPtrArray *usage; /* bodies of the reports that came in */
 	GPtrArray *orders; /* bodies of the orders that came in */
+	bool orders_unanswered;
 	GHashTable *runs; /* call id -> how often it ran, as a pointer */
 	rig_act_t (*choose_act)(void *ctx, const char *target); /* NULL: as set */
 	void *ctx;
--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -22,6 +22,7 @@
 #define WRITER_TOLD_MS 1000
 #define FIRST_WATCH_MS 150 /* a start has heard its peers by then */
 #define DOWN_MS 2500 /* some windows of the rig */
+#define ORDERS_WAIT_MS 500 /* less than the timeout of an order, 1.5 s */
 #define RESUME_MS 300 /* of up to 2 s until a start looks at the lease */
 #define READ_MS 20 /* until a gateway has read a call for certain */
 
@@ -347,6 +348,39 @@
 	RIG_UNTIL_WITHIN(rig, has_lease(rig), RESUME_MS);
 }
 
+/* Returns how many orders came in for on-demand upstreams. */
+static int on_demand_orders(gateway_rig_t *rig)
+{
+	int count = 0;
+
+	rig_turn(rig);
+	for (guint i = 0; i < rig->orders->len; i++)
+		count += !strstr(g_ptr_array_index(rig->orders, i),
+				 "preemptible");
+	return count;
+}
+
+/* Guards against a new leader that gives up on-demand upstreams in a shortage. */
+static void test_on_demand_orders_wait_for_answers_to_the_others(void **state)
+{
+	gateway_rig_t *rig = *state;
+
+	kill_all(rig);
+	rig_put(rig, "config", "main",
+		"{\"version\":2,\"routes\":[],\"services\":[{\"name\":\"s\","
+		"\"maxConns\":64,\"engine\":{\"slots\":8,\"kvCapacity\":1000},"
+		"\"scaling\":{\"min\":1,\"max\":6,\"bootS\":4.0,"
+		"\"spotPrice\":0.22,\"zonePrices\":{\"a\":1.0}}}],"
+		"\"limits\":{},\"tenants\":[]}");
+	rig->orders_unanswered = true;
+	rig_start(rig, 0);
+	RIG_UNTIL(rig, rig->orders->len > 0);
+	pass(rig, ORDERS_WAIT_MS);
+	assert_int_equal(on_demand_orders(rig), 0);
+	rig->orders_unanswered = false;
+	RIG_UNTIL(rig, on_demand_orders(rig) > 0);
+}
+
 /* Guards against a report that is late as its leader was told to stop. */
 static void test_a_stopping_holder_goes_on_until_it_ends(void **state)
 {
@@ -396,6 +430,9 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_a_former_leader_asks_for_the_lease_at_once,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_on_demand_orders_wait_for_answers_to_the_others,
+			setup, teardown),
 		cmocka_unit_test_setup_teardown(test_a_stopping_holder_goes_on_until_it_ends,
 						setup, teardown),
 	};
