--- a/tests/unit/test_time_vote.c
+++ b/tests/unit/test_time_vote.c
@@ -220,7 +220,8 @@
 	(void)state;
 	for (int i = 0; i < 6; i++)
 		fleet.offsets[i] = 3 * PD_SEC;
-	fleet.vote = (time_vote_destroy(fleet.vote), time_vote_create());
+	time_vote_destroy(fleet.vote);
+	fleet.vote = time_vote_create();
 	pass(&fleet, PD_SEC);
 	jump(&fleet, 0, 4, -3 * PD_SEC);
 	pass(&fleet, 61 * PD_SEC);
@@ -234,7 +235,8 @@
 	fleet_t fleet = fleet_of(6);
 
 	(void)state;
-	fleet.vote = (time_vote_destroy(fleet.vote), time_vote_create());
+	time_vote_destroy(fleet.vote);
+	fleet.vote = time_vote_create();
 	fleet.offsets[0] = 4 * PD_SEC;
 	pass(&fleet, PERIOD);
 	assert_true(pass(&fleet, PERIOD) < TOLERANCE);
