Log which leader the checkpoint names

'checkpoint: restored' says leader=, and a writer logs leader= before= when it writes another name than the one that it has read or written last.

--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -75,6 +75,7 @@
 	bool settled; /* the wait for the first read is over */
 	int slot; /* that is written, as seen last; -1: none */
 	unsigned int gateways; /* as read */
+	char *leader; /* as read or written last; NULL: none was named */
 	reading_t record_reading;
 	reading_t counts_reading;
 	stored_t records[CHECKPOINT_SLOTS];
@@ -200,6 +201,20 @@
 	}
 }
 
+static const char *leader_text(const char *leader)
+{
+	return leader ? leader : "none";
+}
+
+/* Notes whom the record names as the leader, copied; NULL: nobody. */
+static void note_leader(gateway_checkpoint_t *checkpoint, const char *leader)
+{
+	char *before = checkpoint->leader;
+
+	checkpoint->leader = g_strdup(leader);
+	g_free(before);
+}
+
 static void restore_record(gateway_checkpoint_t *checkpoint, const char *text,
 			   uint64_t revision)
 {
@@ -215,11 +230,12 @@
 	restore_clocks(checkpoint, record);
 	if (!g_strcmp0(record->leader, checkpoint->gateway->settings->node_id))
 		gateway_duties_resume(checkpoint->gateway->duties);
+	note_leader(checkpoint, record->leader);
 	log_line(G_LOG_LEVEL_INFO, PART,
 		 "restored revision=%" G_GUINT64_FORMAT
-		 " gateways=%u accounts=%u clocks_off=%u",
+		 " gateways=%u accounts=%u clocks_off=%u leader=%s",
 		 revision, record->gateways, record->accounts->len,
-		 record->clocks->len);
+		 record->clocks->len, leader_text(record->leader));
 	checkpoint_record_destroy(record);
 }
 
@@ -419,8 +435,20 @@
 				offset);
 }
 
+/* Names the leader in a record, and logs when that is another one. */
+static void add_leader(gateway_checkpoint_t *checkpoint, checkpoint_record_t *record)
+{
+	const char *leader = gateway_peers_leader(checkpoint->gateway->peers);
+
+	if (g_strcmp0(leader, checkpoint->leader))
+		log_line(G_LOG_LEVEL_INFO, PART, "leader=%s before=%s",
+			 leader_text(leader), leader_text(checkpoint->leader));
+	note_leader(checkpoint, leader);
+	record->leader = g_strdup(leader);
+}
+
 /* Returns the record as of now, owned by the caller. */
-static char *compose_record(const gateway_checkpoint_t *checkpoint, pd_time_t now)
+static char *compose_record(gateway_checkpoint_t *checkpoint, pd_time_t now)
 {
 	gateway_t *gateway = checkpoint->gateway;
 	checkpoint_record_t *record = checkpoint_record_create();
@@ -429,7 +457,7 @@
 	char *text;
 
 	record->gateways = gateway_count(gateway);
-	record->leader = g_strdup(gateway_peers_leader(gateway->peers));
+	add_leader(checkpoint, record);
 	token_limits_each(gateway->limits, now, add_account, &accounts);
 	time_vote_each_off(gateway->vote, now, add_clock, &clocks);
 	text = checkpoint_record_write(record);
