Take clock readings that fall behind for late messages, not for jumps

Client accounts were billed in the wrong window for up to a second of what some gateways served, after these had been cut off: reports off by 7 %.

Cause: TCP delivers what a cut has held up when the cut ends. Readings of clocks were dated by their arrival, so all peers seemed to have set their clocks back by two seconds, and the vote followed them for 0.1 to 0.8 s.

Ruled out: a report that was made early (no start was open); lost counts (no gateway died between the window's begin and its report).

Why it works: lateness only ever sets a reading back. One that falls behind is left out unless its clock has told of a jump, or it stays behind for 3 s, longer than messages that were held up go on arriving.

test_late_messages_move_no_time failed before and passes.

--- a/core/forward/time_vote.c
+++ b/core/forward/time_vote.c
@@ -8,6 +8,8 @@
 /* A clock that has jumped has no vote for so long; most jump back before. */
 #define DISTRUST (60 * PD_SEC)
 #define COUNT_PERIOD (100 * PD_MSEC)
+/* What a cut held up comes at once when it ends, and then what is sent anew. */
+#define LATE_MAX (3 * PD_SEC)
 
 typedef struct reading {
 	pd_time_t difference; /* from the own steady clock */
@@ -15,6 +17,7 @@
 	pd_time_t trusted_from;
 	pd_time_t correction; /* how far it was ahead before a restart of all */
 	bool jumped; /* since its gateway has started */
+	pd_time_t late_since; /* readings that fell behind came; 0: they did not */
 } reading_t;
 
 struct time_vote {
@@ -154,6 +157,28 @@
 	return reading;
 }
 
+/*
+ * Takes a difference from the own steady clock. One that falls behind though the clock
+ * has not JUMPED is taken for that of a message that was under way for long, unless
+ * others follow for longer than messages are held up.
+ */
+static void reading_take(reading_t *reading, pd_time_t difference, bool jumped,
+			 pd_time_t now)
+{
+	bool behind = is_recent(reading, now) && !jumped &&
+		      difference - reading->difference <= -CLOCK_STEP;
+
+	if (!behind)
+		reading->late_since = 0;
+	else if (!reading->late_since)
+		reading->late_since = now;
+	reading->received_at = now;
+	if (behind && now - reading->late_since < LATE_MAX)
+		return;
+	reading->late_since = 0;
+	reading->difference = difference;
+}
+
 /*
  * Takes a peer's clock reading. STEP_AGE is how long ago that clock has jumped, 0 if
  * it has not; what is known of a clock holds over a restart of its gateway.
@@ -162,9 +187,10 @@
 		       pd_time_t step_age, pd_time_t now)
 {
 	reading_t *reading = peer_reading(vote, who);
+	bool jumped = step_age > 0 &&
+		      now - step_age >= reading->received_at - CLOCK_STEP;
 
-	reading->difference = wall - now;
-	reading->received_at = now;
+	reading_take(reading, wall - now, jumped, now);
 	reading->jumped = step_age > 0;
 	if (step_age > 0 && step_age < DISTRUST)
 		reading->trusted_from =
@@ -210,8 +236,7 @@
 /* Takes the outcome of a vote of many, which goes before the own one. */
 void time_vote_follow(time_vote_t *vote, pd_time_t wall, pd_time_t now)
 {
-	vote->fleet.difference = wall - now;
-	vote->fleet.received_at = now;
+	reading_take(&vote->fleet, wall - now, false, now);
 }
 
 /* Returns the fleet's time of day. */
--- a/tests/unit/test_time_vote.c
+++ b/tests/unit/test_time_vote.c
@@ -260,6 +260,57 @@
 	time_vote_destroy(fleet.vote);
 }
 
+/* Sends all clocks' readings as of LATE ago, as when a cut has ended. */
+static void fleet_send_late(fleet_t *fleet, pd_time_t late)
+{
+	pd_time_t wall = true_wall(fleet) - late;
+
+	for (int i = 1; i < fleet->size; i++) {
+		char *name = g_strdup_printf("e%d", i);
+
+		time_vote_receive(fleet->vote, name, wall, 0, fleet->now);
+		g_free(name);
+	}
+	time_vote_follow(fleet->vote, wall, fleet->now);
+	time_vote_run(fleet->vote, true_wall(fleet), fleet->now);
+}
+
+/* Guards against messages that a cut held up and that are taken for jumps of clocks. */
+static void test_late_messages_move_no_time(void **state)
+{
+	(void)state;
+	for (int size = 2; size <= GATEWAYS_MAX; size *= 2) {
+		fleet_t fleet = fleet_of(size);
+
+		time_vote_follow(fleet.vote, WALL, START);
+		pass(&fleet, 5 * PD_SEC);
+		fleet.now += 2 * PD_SEC;
+		for (int i = 0; i < 8; i++) {
+			fleet.now += CLOCK_STEP;
+			fleet_send_late(&fleet, 2 * PD_SEC);
+			assert_true(ABS(time_vote_wall(fleet.vote, fleet.now) -
+					true_wall(&fleet)) < CLOCK_STEP);
+		}
+		assert_true(pass(&fleet, 5 * PD_SEC) < CLOCK_STEP);
+		time_vote_destroy(fleet.vote);
+	}
+}
+
+/* Guards against a fleet that keeps a time that all others have given up. */
+static void test_clocks_that_stay_behind_are_followed(void **state)
+{
+	fleet_t fleet = fleet_of(6);
+
+	(void)state;
+	pass(&fleet, 5 * PD_SEC);
+	for (int i = 1; i < 6; i++)
+		fleet.offsets[i] = -2 * PD_SEC;
+	pass(&fleet, 5 * PD_SEC);
+	assert_true(ABS(time_vote_wall(fleet.vote, fleet.now) + 2 * PD_SEC -
+			true_wall(&fleet)) < CLOCK_STEP);
+	time_vote_destroy(fleet.vote);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -271,6 +322,8 @@
 		cmocka_unit_test(test_a_correction_of_most_clocks_is_followed),
 		cmocka_unit_test(test_a_start_with_a_wrong_clock_takes_the_peers_time),
 		cmocka_unit_test(test_drift_is_followed),
+		cmocka_unit_test(test_late_messages_move_no_time),
+		cmocka_unit_test(test_clocks_that_stay_behind_are_followed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
