Read the lease at once when a call that hung on it has failed

A report of usage never came, and upstreams were not ordered for 4.5 s, after the leader had been cut off for three seconds.

Cause: a gateway that sees the store again reads the lease at once, but not while a call on it is out. A call that was sent into the cut is, and when it has failed the next follows after 1.75 to 5.25 s, in which the lease lapses.

Ruled out: reports that wait for gateways that are cut off, which was over by then; the takeover by others, which took as long as meant.

Why it works: the order to hurry is kept until the call has ended. It is one call, as the next failure has its usual pause unless the store was seen again.

The unit test failed before. Failed calls on the lease are logged ('duties: lease call failed').

--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -125,6 +125,9 @@
 			answer.status = STORE_UNKNOWN;
 		}
 	}
+	if (answer.status == STORE_DOWN || answer.status == STORE_UNKNOWN)
+		log_line(G_LOG_LEVEL_WARNING, PART,
+			 "lease call failed status=%d", reply->status);
 	answer.record = record;
 	lease_reply(duties->lease, &answer, gateway_now());
 	lease_record_destroy(record);
--- a/core/lease.c
+++ b/core/lease.c
@@ -44,6 +44,7 @@
 	pd_time_t quiet; /* how long this version has been the latest known */
 	pd_time_t stepped_at; /* when quiet was last added to */
 	bool confirming; /* standing by: the next read is the second of two */
+	bool hurried; /* the call in flight, if it fails, is repeated at once */
 	bool takeable; /* the latest call was a read that showed it so */
 	pd_time_t held_until; /* 0 if this process does not hold it */
 	lease_record_t *record; /* as last read or written; NULL: unknown */
@@ -173,8 +174,9 @@
  */
 void lease_hurry(lease_t *lease, pd_time_t now)
 {
-	if (lease->op || lease->confirming || lease_is_held(lease, now))
+	if (lease->confirming || lease_is_held(lease, now))
 		return;
+	lease->hurried = lease->op != 0;
 	lease->next_at = MIN(lease->next_at, now);
 }
 
@@ -225,17 +227,23 @@
 	}
 }
 
+/* Returns when to read again after a read that failed. */
+static pd_time_t lease_retry_at(lease_t *lease, pd_time_t now)
+{
+	if (lease->hurried)
+		return now;
+	if (lease_is_held(lease, now))
+		return now + HOLDER_RETRY;
+	return now + lease_spread(lease, lease->timing.takeover);
+}
+
 static void lease_read_back(lease_t *lease, const lease_reply_t *reply,
 			    pd_time_t now)
 {
 	bool changed = reply->version != lease->version;
 
 	if (reply->status != STORE_OK && reply->status != STORE_MISSING) {
-		lease->next_at =
-			now +
-			(lease_is_held(lease, now)
-				 ? HOLDER_RETRY
-				 : lease_spread(lease, lease->timing.takeover));
+		lease->next_at = lease_retry_at(lease, now);
 		return;
 	}
 	lease->missing = reply->status == STORE_MISSING;
@@ -295,6 +303,7 @@
 		lease_written(lease, reply, now);
 	else
 		lease_read_back(lease, reply, now);
+	lease->hurried = false;
 	g_clear_pointer(&lease->wanted, lease_record_destroy);
 }
 
--- a/tests/unit/test_duties_note.c
+++ b/tests/unit/test_duties_note.c
@@ -146,6 +146,28 @@
 	lease_destroy(lease);
 }
 
+/* Guards against a leader that waits for seconds after it was cut off from the store. */
+static void test_a_call_that_hangs_does_not_hold_up_the_next(void **state)
+{
+	lease_t *lease = lease_create("me", &timing, 1);
+	const lease_reply_t silent = { .op = 1, .status = STORE_UNKNOWN };
+	pd_time_t now = START;
+	placer_action_t *action;
+
+	(void)state;
+	while (!(action = next_action(lease, now)))
+		now += 20 * PD_MSEC;
+	placer_action_destroy(action);
+	lease_hurry(lease, now + PD_SEC / 2);
+	assert_null(next_action(lease, now + PD_SEC / 2));
+	lease_reply(lease, &silent, now + PD_SEC);
+	action = next_action(lease, now + PD_SEC);
+	assert_non_null(action);
+	assert_int_equal(action->kind, PLACER_LEASE_READ);
+	placer_action_destroy(action);
+	lease_destroy(lease);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -153,6 +175,7 @@
 		cmocka_unit_test(test_a_spoiled_note_says_nothing),
 		cmocka_unit_test(test_an_update_waits_for_the_renewal),
 		cmocka_unit_test(test_a_silent_holder_is_looked_at_at_once),
+		cmocka_unit_test(test_a_call_that_hangs_does_not_hold_up_the_next),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
