Name the windows of usage that a kill of all has made short

When the store is away before all gateways are killed, what was served since is billed to nobody, and operators could not tell which reports lack it.

The loss itself stays.

The record of the checkpoint now says when it was written. With the report of each window that lies between the last write and the first start after a kill of all the leader logs 'duties: usage gap' with begin and end, and counts gateway_usage_gap_ms_total. A start that could not read the record, as the store was away, learns the time from the answer to its first write, which conflicts; writers pass on when the last record before their start was written, and a leader that does not know it reads the record again. That answer also tells such a start who led.

Ruled out: estimates; answers that wait for the store.

test_windows_without_a_checkpoint_are_named passes; nothing logged that before.

--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -76,6 +76,7 @@
 	int slot; /* that is written, as seen last; -1: none */
 	unsigned int gateways; /* as read */
 	char *leader; /* as read or written last; NULL: none was named */
+	pd_time_t written_at; /* time of day, before this start; 0: unknown */
 	reading_t record_reading;
 	reading_t counts_reading;
 	stored_t records[CHECKPOINT_SLOTS];
@@ -150,6 +151,19 @@
 		       : 0;
 }
 
+/* Has the record read again for when it was written before this start. */
+void gateway_checkpoint_read_record(gateway_checkpoint_t *checkpoint)
+{
+	checkpoint->record_reading.wanted = true;
+	checkpoint->record_reading.wanted_at = gateway_now();
+}
+
+/* Returns the time of day of the last write before this start; 0: it is not known. */
+pd_time_t gateway_checkpoint_written_at(const gateway_checkpoint_t *checkpoint)
+{
+	return checkpoint->written_at;
+}
+
 /* Has the counts of usage read and merged. */
 void gateway_checkpoint_read_counts(gateway_checkpoint_t *checkpoint)
 {
@@ -215,31 +229,59 @@
 	g_free(before);
 }
 
-static void restore_record(gateway_checkpoint_t *checkpoint, const char *text,
-			   uint64_t revision)
+/*
+ * Takes when the last record before this start was written. Others that have started
+ * since may have written over it, and say in theirs when that was.
+ */
+static void note_written(gateway_checkpoint_t *checkpoint,
+			 const checkpoint_record_t *record)
 {
-	pd_error_t err;
-	checkpoint_record_t *record = checkpoint_record_read(text, &err);
+	const gateway_t *gateway = checkpoint->gateway;
+	pd_time_t start = time_vote_wall(gateway->vote, gateway->started_at);
 
-	if (!record) {
-		log_error(PART, "record", &err);
+	if (checkpoint->written_at)
 		return;
-	}
+	if (record->written_at < start)
+		checkpoint->written_at = record->written_at;
+	else if (record->before < start)
+		checkpoint->written_at = record->before;
+}
+
+static void restore_record(gateway_checkpoint_t *checkpoint,
+			   const checkpoint_record_t *record, uint64_t revision)
+{
 	checkpoint->gateways = record->gateways;
 	restore_accounts(checkpoint, record);
 	restore_clocks(checkpoint, record);
 	if (!g_strcmp0(record->leader, checkpoint->gateway->settings->node_id))
 		gateway_duties_resume(checkpoint->gateway->duties);
-	note_leader(checkpoint, record->leader);
 	log_line(G_LOG_LEVEL_INFO, PART,
 		 "restored revision=%" G_GUINT64_FORMAT
 		 " gateways=%u accounts=%u clocks_off=%u leader=%s",
 		 revision, record->gateways, record->accounts->len,
 		 record->clocks->len, leader_text(record->leader));
+}
+
+/* Takes a record; only a start that has not served yet restores from it. */
+static void take_record(gateway_checkpoint_t *checkpoint, const char *text,
+			uint64_t revision)
+{
+	pd_error_t err;
+	checkpoint_record_t *record = checkpoint_record_read(text, &err);
+
+	if (!record) {
+		log_error(PART, "record", &err);
+		return;
+	}
+	note_written(checkpoint, record);
+	if (!checkpoint->leader)
+		note_leader(checkpoint, record->leader);
+	if (!checkpoint->settled)
+		restore_record(checkpoint, record, revision);
 	checkpoint_record_destroy(record);
 }
 
-/* Restores the record that was written last. */
+/* Takes the record that was written last. */
 static void take_records(gateway_checkpoint_t *checkpoint, const wire_page_t *page)
 {
 	uint64_t revision = 0;
@@ -254,7 +296,7 @@
 	}
 	text = revision ? wire_page_spec(page, newest) : NULL;
 	if (text)
-		restore_record(checkpoint, text, revision);
+		take_record(checkpoint, text, revision);
 	g_free(text);
 }
 
@@ -375,16 +417,29 @@
 	/* What another gateway wrote goes into the next write. */
 	if (text && end == WRITE_CONFLICT && stored->kind == WIRE_COUNTS)
 		merge_counts(stored->checkpoint, text);
+	else if (text && end == WRITE_CONFLICT)
+		take_record(stored->checkpoint, text, revision);
 	object_writer_end(stored->writer, call->number, end, revision,
 			  gateway_now());
 	g_free(text);
 }
 
+/* Returns what an object is to hold, owned by the caller. */
+static char *stored_text(const stored_t *stored, const char *text, pd_time_t now)
+{
+	const time_vote_t *vote = stored->checkpoint->gateway->vote;
+
+	if (stored->kind != WIRE_RECORDS)
+		return g_strdup(text);
+	return checkpoint_record_stamp(text, time_vote_wall(vote, now));
+}
+
 static void stored_write(stored_t *stored, const char *text, pd_time_t now)
 {
 	uint64_t revision = object_writer_revision(stored->writer);
 	uint64_t digest = hash_string(text);
 	unsigned int number;
+	char *spec;
 	char *path;
 	char *body;
 
@@ -392,7 +447,8 @@
 		return;
 	number = object_writer_begin(stored->writer, digest, now);
 	path = wire_object_path(stored->kind, revision ? stored->name : NULL);
-	body = wire_record_write(stored->name, text, revision);
+	spec = stored_text(stored, text, now);
+	body = wire_record_write(stored->name, spec, revision);
 	http1_client_call(stored->checkpoint->gateway->store,
 			  &(http1_ask_t){
 				  .method = revision ? "PUT" : "POST",
@@ -402,6 +458,7 @@
 				  .on_reply = write_replied,
 				  .ctx = &stored->calls[number],
 			  });
+	g_free(spec);
 	g_free(path);
 	g_free(body);
 }
@@ -461,6 +518,7 @@
 	char *text;
 
 	record->gateways = gateway_count(gateway);
+	record->before = checkpoint->written_at;
 	add_leader(checkpoint, record);
 	token_limits_each(gateway->limits, now, add_account, &accounts);
 	time_vote_each_off(gateway->vote, now, add_clock, &clocks);
--- a/adapters/gateway/checkpoint.h
+++ b/adapters/gateway/checkpoint.h
@@ -16,6 +16,8 @@
 pd_time_t gateway_checkpoint_counts_read_at(const gateway_checkpoint_t *checkpoint);
 bool gateway_checkpoint_is_settled(const gateway_checkpoint_t *checkpoint,
 				   pd_time_t now);
+void gateway_checkpoint_read_record(gateway_checkpoint_t *checkpoint);
+pd_time_t gateway_checkpoint_written_at(const gateway_checkpoint_t *checkpoint);
 unsigned int gateway_checkpoint_gateways(const gateway_checkpoint_t *checkpoint,
 					 pd_time_t now);
 
--- a/adapters/gateway/checkpoint_record.c
+++ b/adapters/gateway/checkpoint_record.c
@@ -10,6 +10,8 @@
 #define GATEWAYS_MAX 100000
 /* Offsets of clocks change by less all the time, and the record with them. */
 #define OFFSET_UNIT (100 * PD_MSEC)
+/* Times of day in microseconds beyond this are a mistake. */
+#define TIME_MAX ((uint64_t)1 << 53)
 /* A clock that is off by more is set wrong, and no offset helps. */
 #define OFFSET_MAX (3600 * PD_SEC)
 
@@ -104,6 +106,14 @@
 	}
 }
 
+/* A time of day; 0 for anything else. */
+static pd_time_t read_time(const json_t *root, const char *key)
+{
+	uint64_t time = natural(json_object_get(root, key));
+
+	return (pd_time_t)MIN(time, TIME_MAX / PD_MSEC) * PD_MSEC;
+}
+
 /*
  * Reads a record; NULL with ERR set if it is none. Parts that are not as a
  * gateway writes them are left out: what they said is then unknown.
@@ -120,6 +130,8 @@
 		(unsigned int)MIN(natural(json_object_get(root, "gateways")),
 				  GATEWAYS_MAX);
 	record->leader = g_strdup(json_string_or(root, "leader", NULL));
+	record->written_at = read_time(root, "at");
+	record->before = read_time(root, "before");
 	read_accounts(record, json_object_get(root, "accounts"));
 	read_clocks(record, json_object_get(root, "clocks"));
 	json_decref(root);
@@ -155,7 +167,7 @@
 	return clocks;
 }
 
-/* Returns the record as text, owned by the caller. */
+/* Returns the record as text but for when it is written, owned by the caller. */
 char *checkpoint_record_write(const checkpoint_record_t *record)
 {
 	json_t *root = json_pack("{s:i, s:o, s:o}", "gateways",
@@ -167,6 +179,9 @@
 
 	if (record->leader)
 		json_object_set_new(root, "leader", json_string(record->leader));
+	if (record->before)
+		json_object_set_new(root, "before",
+				    json_integer(record->before / PD_MSEC));
 	text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
 	copy = g_strdup(text);
 
@@ -174,3 +189,13 @@
 	json_decref(root);
 	return copy;
 }
+
+/*
+ * Returns a record's text with the time of day at which it is written, owned by the
+ * caller. The time alone is no reason to write, so it comes in last.
+ */
+char *checkpoint_record_stamp(const char *text, pd_time_t at)
+{
+	return g_strdup_printf("{\"at\":%" G_GINT64_FORMAT ",%s", at / PD_MSEC,
+			       text + 1);
+}
--- a/adapters/gateway/checkpoint_record.h
+++ b/adapters/gateway/checkpoint_record.h
@@ -27,6 +27,8 @@
 typedef struct checkpoint_record {
 	unsigned int gateways; /* that share what is limited in sum */
 	char *leader; /* id of its VM; NULL: none is known */
+	pd_time_t written_at; /* time of day; 0: unknown */
+	pd_time_t before; /* when one was written last before its writer started */
 	GArray *accounts; /* of account_record_t */
 	GArray *clocks; /* of clock_record_t */
 } checkpoint_record_t;
@@ -39,5 +41,6 @@
 void checkpoint_record_clock(checkpoint_record_t *record, const char *node,
 			     pd_time_t offset);
 char *checkpoint_record_write(const checkpoint_record_t *record);
+char *checkpoint_record_stamp(const char *text, pd_time_t at);
 
 #endif
--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -10,6 +10,7 @@
 #include "adapters/gateway/checkpoint.h"
 #include "adapters/log_glib.h"
 #include "core/forward/scale_plan.h"
+#include "core/forward/usage_gap.h"
 #include "core/lease.h"
 #include "platform/wire.h"
 
@@ -202,6 +203,8 @@
 		g_hash_table_remove_all(duties->plans);
 		log_line(G_LOG_LEVEL_INFO, PART, "holder=self fence=%" PRIu64,
 			 fence);
+		if (!gateway_checkpoint_written_at(duties->gateway->checkpoint))
+			gateway_checkpoint_read_record(duties->gateway->checkpoint);
 	}
 	if (duties->held && !lease_is_held(duties->lease, now)) {
 		duties->held = false;
@@ -392,6 +395,32 @@
 	       1;
 }
 
+/*
+ * Logs and counts for how long a window's counts were not checkpointed before all
+ * gateways were killed: what was counted then is lost.
+ */
+static void report_gap(const gateway_duties_t *duties, int64_t window, pd_time_t now)
+{
+	const gateway_t *gateway = duties->gateway;
+	pd_time_t oldest = gateway_peers_oldest_start(gateway->peers, now);
+	const usage_gap_t gap = {
+		.from = gateway_checkpoint_written_at(gateway->checkpoint),
+		.to = time_vote_wall(gateway->vote, oldest),
+	};
+	pd_time_t missing = usage_gap_in_window(&gap, window,
+						gateway_window_length(gateway)) /
+			    PD_MSEC;
+
+	if (!missing)
+		return;
+	log_line(G_LOG_LEVEL_WARNING, PART,
+		 "usage gap window=%" PRId64 " ms=%" PRId64 " from_ms=%" PRId64
+		 " to_ms=%" PRId64,
+		 window, missing, gap.from / PD_MSEC, gap.to / PD_MSEC);
+	metrics_add(gateway->metrics, "gateway_usage_gap_ms_total",
+		    (double)missing);
+}
+
 /* Logs and counts a report that is made though counts may be on their way. */
 static void report_open(gateway_duties_t *duties, int64_t window,
 			const usage_coverage_t *coverage)
@@ -453,6 +482,7 @@
 	if (!may_report(duties, window, now))
 		return;
 	duties->counts_asked_at = 0;
+	report_gap(duties, window, now);
 	note_report(duties, window, now);
 }
 
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -135,6 +135,20 @@
 	return peers_view(peers, gateway_now())->counted;
 }
 
+/* Returns when the first of the gateways that are heard has started, this one included. */
+pd_time_t gateway_peers_oldest_start(const gateway_peers_t *peers, pd_time_t now)
+{
+	pd_time_t oldest = peers->started_at;
+
+	LIST_FOR_EACH (it, &peers->list) {
+		const peer_t *peer = LIST_ENTRY(it, peer_t, node);
+
+		if (peer->started_at && peer_is_heard(peer, now))
+			oldest = MIN(oldest, peer->started_at);
+	}
+	return oldest;
+}
+
 /* Says whether this gateway is one of the few that ask the store for all. */
 bool gateway_peers_go_first(gateway_peers_t *peers)
 {
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -115,6 +115,7 @@
 	uint16_t zone; /* a hash of its availability zone; 0: unknown */
 	bool has_store; /* it was being served when last heard */
 	pd_time_t added_at;
+	pd_time_t started_at; /* its process, as it said last; 0: never */
 	pd_time_t heard_at; /* 0: never */
 	pd_time_t mentioned_at; /* by another peer that hears it; 0: never */
 	pd_time_t members_at; /* when it was told the members last, as a summary */
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -376,6 +376,7 @@
 		return -1;
 	first = !peer_is_heard(peer, now);
 	peer->heard_at = now;
+	peer->started_at = now - (pd_time_t)MIN(age, TIME_MAX);
 	peer_shows_store(gateway, peer, now);
 	take_clock(gateway, peer, fields, now);
 	take_usages(gateway, peer->incarnation, &fields[STATE_USAGES]);
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -40,5 +40,6 @@
 bool gateway_peers_holder_is_silent(gateway_peers_t *peers, pd_time_t now);
 const char *gateway_peers_incarnation(const gateway_peers_t *peers);
 unsigned int gateway_peers_count(gateway_peers_t *peers);
+pd_time_t gateway_peers_oldest_start(const gateway_peers_t *peers, pd_time_t now);
 
 #endif
--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -423,6 +423,23 @@
 	return json_object_get(json_object_get(rig->objects, "records"), name);
 }
 
+/* Guards against reports that may be short and nobody knows which. */
+static void test_windows_without_a_checkpoint_are_named(void **state)
+{
+	gateway_rig_t *rig = *state;
+
+	RIG_UNTIL_WITHIN(rig, rig->usage->len > 0, REPORTS_TIMEOUT_MS);
+	kill_all(rig);
+	pass(rig, DOWN_MS);
+	start_all(rig, 2);
+	RIG_UNTIL_WITHIN(rig,
+			 times_logged(rig, 0, "usage gap window=") +
+					 times_logged(rig, 1, "usage gap window=") +
+					 times_logged(rig, 2, "usage gap window=") >=
+				 DOWN_MS / WINDOW_MS,
+			 REPORTS_TIMEOUT_MS);
+}
+
 /* Guards against a start that forgets the leader before it has heard of one. */
 static void test_a_start_keeps_the_name_of_the_leader(void **state)
 {
@@ -524,6 +541,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_a_former_leader_asks_for_the_lease_at_once,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_windows_without_a_checkpoint_are_named,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_a_start_keeps_the_name_of_the_leader,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(
--- a/tests/unit/test_checkpoint_record.c
+++ b/tests/unit/test_checkpoint_record.c
@@ -21,14 +21,19 @@
 	pd_error_t err;
 	char *text;
 	char *again;
+	char *stamped;
 
 	(void)state;
 	record->gateways = 63;
 	record->leader = g_strdup("g5");
+	record->before = 3 * PD_SEC;
 	checkpoint_record_account(record, "mill", -500, 9000);
 	checkpoint_record_clock(record, "g1", -2500 * PD_MSEC);
 	text = checkpoint_record_write(record);
-	read = checkpoint_record_read(text, &err);
+	stamped = checkpoint_record_stamp(text, 7 * PD_SEC);
+	read = checkpoint_record_read(stamped, &err);
+	assert_int_equal(read->written_at, 7 * PD_SEC);
+	assert_int_equal(read->before, 3 * PD_SEC);
 	again = checkpoint_record_write(read);
 	assert_string_equal(again, text);
 	assert_int_equal(read->gateways, 63);
@@ -45,6 +50,7 @@
 	checkpoint_record_destroy(read);
 	g_free(text);
 	g_free(again);
+	g_free(stamped);
 }
 
 /* Guards against offsets of clocks that are no numbers, or beyond all reason. */
