Forget the watermarks of VMs that are gone

The table of watermarks had an entry for each VM that a gateway ever heard of, also of those that were replaced since. They go with the windows whose counts they belong to. The unit test does not build without it.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -263,12 +263,13 @@
 static void forget_old_usage(gateway_t *gateway)
 {
 	int64_t window = gateway_window(gateway);
+	int64_t first = gateway_first_window_due(gateway) - WINDOWS_SPARE;
 
 	if (window == gateway->usage_window)
 		return;
 	gateway->usage_window = window;
-	usage_forget(gateway->usage,
-		     gateway_first_window_due(gateway) - WINDOWS_SPARE);
+	usage_forget(gateway->usage, first);
+	usage_watermarks_forget(gateway->watermarks, first);
 }
 
 /*
--- a/core/forward/usage_watermark.c
+++ b/core/forward/usage_watermark.c
@@ -18,6 +18,7 @@
 	uint64_t before; /* the one before, whose messages may come late; 0: none */
 	int64_t closed; /* the last window whose counts by that start are all here */
 	bool given_up; /* a report has waited for that start in vain */
+	int64_t used; /* the last window for which it was taken or given up */
 } watermark_t;
 
 struct usage_watermarks {
@@ -79,6 +80,7 @@
 		mark->closed = INT64_MIN;
 	}
 	mark->closed = MAX(mark->closed, closed);
+	mark->used = mark->closed;
 	mark->given_up = false;
 }
 
@@ -149,10 +151,14 @@
 static void give_up_open(void *ctx, const usage_entry_t *entry)
 {
 	const giving_up_t *giving = ctx;
+	watermark_t *mark;
 
-	if (entry->window <= giving->window &&
-	    start_is_open(giving->marks, entry->start, giving->own, giving->window))
-		marks_add(giving->marks, entry->start)->given_up = true;
+	if (entry->window > giving->window ||
+	    !start_is_open(giving->marks, entry->start, giving->own, giving->window))
+		return;
+	mark = marks_add(giving->marks, entry->start);
+	mark->given_up = true;
+	mark->used = giving->window;
 }
 
 /*
@@ -167,6 +173,18 @@
 	usage_each(usage, window - 1, give_up_open, &giving);
 }
 
+static gboolean mark_is_old(gpointer vm, gpointer mark, gpointer before)
+{
+	(void)vm;
+	return ((watermark_t *)mark)->used < *(int64_t *)before;
+}
+
+/* Drops the watermarks of VMs that were last heard before a window. */
+void usage_watermarks_forget(usage_watermarks_t *marks, int64_t before)
+{
+	g_hash_table_foreach_remove(marks->by_vm, mark_is_old, &before);
+}
+
 /*
  * Returns how long after the end of its window a report is made, if it is due that long
  * after it. An open one waits for part of that time only: whoever makes it may die, and
--- a/tests/unit/test_usage_watermark.c
+++ b/tests/unit/test_usage_watermark.c
@@ -173,6 +173,20 @@
 	assert_false(is_complete(fleet, WINDOW));
 }
 
+/* Guards against a table that grows with every VM that ever was. */
+static void test_vms_of_old_windows_are_forgotten(void **state)
+{
+	fleet_t *fleet = *state;
+
+	for (int i = 1; i < GATEWAYS; i++)
+		close_window(fleet, i, 1, i == 5 ? WINDOW - 1 : WINDOW);
+	usage_watermarks_give_up(fleet->marks, fleet->leader, WINDOW);
+	usage_watermarks_forget(fleet->marks, WINDOW);
+	assert_true(is_complete(fleet, WINDOW));
+	usage_watermarks_forget(fleet->marks, WINDOW + 1);
+	assert_false(is_complete(fleet, WINDOW));
+}
+
 static void test_reports_wait_for_half_of_the_time_at_most(void **state)
 {
 	const pd_time_t due = 10 * PD_SEC;
@@ -243,6 +257,8 @@
 		cmocka_unit_test_setup_teardown(
 			test_what_a_report_may_be_off_by_is_not_waited_for,
 			setup, teardown),
+		cmocka_unit_test_setup_teardown(test_vms_of_old_windows_are_forgotten,
+						setup, teardown),
 		cmocka_unit_test(test_reports_wait_for_half_of_the_time_at_most),
 		cmocka_unit_test(test_reports_of_cut_fleets),
 	};
