Send states to a leader that is not among the members told

In fleets of hundreds reports of usage were made five seconds after their window in place of 2.2 after a kill of all, since they wait for gateways whose counts have not all come, and the leader was left less time before they are due.

Cause: a gateway sends the leader its counts only if the leader is a peer, and a message names a hundred members at most. The leader's address comes with every state, but was looked up among the peers only.

Ruled out: starts that were killed, which later starts of their VMs close.

The test failed before.

--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -503,7 +503,8 @@
 			  is_aggregator || !count ? NULL : first[0]->address, now);
 	for (unsigned int i = 0; i < count; i++)
 		peers_send_state(peers, first[i], !is_aggregator && i == 0, full);
-	holder = peers->holder ? peers_find(peers, peers->holder) : NULL;
+	/* It need not be among the members that this gateway was told. */
+	holder = peers->holder ? peers_add(peers, peers->holder) : NULL;
 	if (!holder || !full)
 		return;
 	for (unsigned int i = 0; i < count; i++) {
--- a/tests/process/test_gateway_gossip.c
+++ b/tests/process/test_gateway_gossip.c
@@ -15,6 +15,8 @@
 #include "adapters/log_glib.h"
 
 #define TIMEOUT_MS 10000 /* of a wait for a condition */
+#define FULL_STATE_MS \
+	3200 /* twice its period; gateways are forgotten after 6 s */
 #define PAIR 2
 
 typedef struct pair {
@@ -53,16 +55,19 @@
 	uv_run(&pair->loop, UV_RUN_ONCE);
 }
 
-/* Turns the loop until a condition holds; fails the test after the timeout. */
-#define UNTIL(pair, condition)                                           \
+/* Turns the loop until a condition holds; fails the test after MS. */
+#define UNTIL_WITHIN(pair, condition, ms)                                \
 	do {                                                             \
-		uint64_t end = uv_hrtime() / 1000000 + TIMEOUT_MS;       \
+		uint64_t end = uv_hrtime() / 1000000 + (ms);             \
 		while (!(condition) && uv_hrtime() / 1000000 < end)      \
 			turn(pair);                                      \
 		if (!(condition))                                        \
 			fail_msg("gave up waiting for: %s", #condition); \
 	} while (0)
 
+/* The same, with the usual timeout. */
+#define UNTIL(pair, condition) UNTIL_WITHIN(pair, condition, TIMEOUT_MS)
+
 /* Starts both; the second has the first for its seed. */
 static int setup(void **state)
 {
@@ -169,11 +174,9 @@
 	assert_false(forward_upstream_serves(known(other, "u1")));
 }
 
-/* Guards against a former leader that does not stand as others go before it. */
-static void test_a_former_leader_stands_for_the_lease(void **state)
+/* Has a gateway know a large fleet, in which it goes last. */
+static void know_many(gateway_t *gateway)
 {
-	pair_t *pair = *state;
-	gateway_t *gateway = pair->gateways[0];
 	pd_time_t now = gateway_now();
 
 	for (int i = 0; i < GATEWAY_MESH_MAX; i++) {
@@ -186,6 +189,31 @@
 	}
 	gateway->peers->strong = false;
 	gateway->peers->view.at = 0;
+}
+
+/* Guards against a leader that is not sent the counts of who was not told of it. */
+static void test_a_leader_that_is_no_member_is_sent_states(void **state)
+{
+	pair_t *pair = *state;
+	gateway_peers_t *member = pair->gateways[0]->peers;
+	gateway_peers_t *leader = pair->gateways[1]->peers;
+
+	know_many(pair->gateways[0]);
+	know_many(pair->gateways[1]);
+	assert_null(peers_find(member, leader->address));
+	member->holder = g_strdup(leader->address);
+	member->holder_fence = 1;
+	UNTIL_WITHIN(pair, peers_find(leader, member->address)->heard_at,
+		     FULL_STATE_MS);
+}
+
+/* Guards against a former leader that does not stand as others go before it. */
+static void test_a_former_leader_stands_for_the_lease(void **state)
+{
+	pair_t *pair = *state;
+	gateway_t *gateway = pair->gateways[0];
+
+	know_many(gateway);
 	assert_false(gateway_duties_may_hold(gateway->duties));
 	gateway_duties_resume(gateway->duties);
 	assert_true(gateway_duties_may_hold(gateway->duties));
@@ -261,6 +289,8 @@
 		cmocka_unit_test_setup(test_a_new_upstream_becomes_known_in_full,
 				       setup),
 		cmocka_unit_test_setup(test_a_leaving_upstream_is_told, setup),
+		cmocka_unit_test_setup(test_a_leader_that_is_no_member_is_sent_states,
+				       setup),
 		cmocka_unit_test_setup(test_a_former_leader_stands_for_the_lease,
 				       setup),
 		cmocka_unit_test_setup(test_lost_news_is_made_up_for, setup),
