Keep places for writes of the checkpoint while others hang

While the store loses half of its answers, nothing was checkpointed for most of a second at a time, and a kill of all in that time lost what was served.

Cause: ten calls of a writer may be out at once, and one whose answer is lost is out for 1.5 s, until it is given up. At 25 writes a second and half of them lost, ten places last 0.8 s; then no write is made until the first is given up.

Ruled out: pauses for want of answers, which start anew with each that comes.

Why it works: there are as many places as calls in the time after which one is given up. Calls into a silent store are bounded by pauses that double, as before.

test_half_of_the_answers_are_lost failed before (820 ms without a write) and passes.

--- a/core/forward/call_pacer.c
+++ b/core/forward/call_pacer.c
@@ -11,6 +11,7 @@
 #define ANSWER_TIME_WEIGHT 4 /* a new measure counts for one part in so many */
 /* So many calls in a row without an answer are chance; beyond, pauses double. */
 #define UNANSWERED_BY_CHANCE 4
+#define UNANSWERED_MAX 10 /* then pauses double no more */
 #define FAILURE_PAUSE (300 * PD_MSEC)
 
 struct call_pacer {
@@ -88,7 +89,7 @@
 	pacer->begun_at[call] = now;
 	pacer->last_begun_at = now;
 	pacer->out++;
-	pacer->unanswered = MIN(pacer->unanswered + 1, CALL_PACER_CALLS);
+	pacer->unanswered = MIN(pacer->unanswered + 1, UNANSWERED_MAX);
 	return call;
 }
 
--- a/core/forward/call_pacer.h
+++ b/core/forward/call_pacer.h
@@ -10,7 +10,11 @@
 
 #include "ports/clock.h"
 
-#define CALL_PACER_CALLS 10 /* at most so many are out at once */
+/*
+ * At most so many are out at once: those of a timeout of 1.5 s at a period of 30 ms, so
+ * that calls that hang leave places for others.
+ */
+#define CALL_PACER_CALLS 64
 
 typedef struct call_pacer call_pacer_t;
 
--- a/tests/unit/test_object_writer.c
+++ b/tests/unit/test_object_writer.c
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include <cmocka.h>
+#include <glib.h>
 
 #include "core/forward/object_writer.h"
 
@@ -75,6 +76,63 @@
 	object_writer_destroy(writer);
 }
 
+/* A call that hangs until its caller gives it up. */
+typedef struct hung_call {
+	unsigned int number;
+	pd_time_t until; /* 0: none */
+} hung_call_t;
+
+static void end_hung(object_writer_t *writer, hung_call_t *hung, pd_time_t now)
+{
+	for (unsigned int i = 0; i < CALL_PACER_CALLS; i++) {
+		if (!hung[i].until || hung[i].until > now)
+			continue;
+		object_writer_end(writer, hung[i].number, WRITE_LOST, 0, now);
+		hung[i].until = 0;
+	}
+}
+
+static void hang(hung_call_t *hung, unsigned int number, pd_time_t until)
+{
+	unsigned int i = 0;
+
+	while (hung[i].until)
+		i++;
+	hung[i] = (hung_call_t){ number, until };
+}
+
+/* Guards against calls that hang and leave no place for those that are answered. */
+static void test_half_of_the_answers_are_lost(void **state)
+{
+	const pd_time_t period = 30 * PD_MSEC; /* the least that is asked for */
+	const pd_time_t timeout = 1500 * PD_MSEC;
+	object_writer_t *writer = object_writer_create(period);
+	hung_call_t hung[CALL_PACER_CALLS] = { 0 };
+	pd_time_t done_at = START;
+	pd_time_t oldest = 0;
+	uint64_t calls = 0;
+
+	(void)state;
+	object_writer_expect(writer, 4 * PD_MSEC);
+	for (pd_time_t now = START; now < START + 5 * PD_SEC; now += STEP) {
+		unsigned int call;
+
+		end_hung(writer, hung, now);
+		oldest = MAX(oldest, now - done_at);
+		if (!object_writer_is_due(writer, now))
+			continue;
+		call = object_writer_begin(writer, ++calls, now);
+		if (calls % 2) {
+			hang(hung, call, now + timeout);
+			continue;
+		}
+		object_writer_end(writer, call, WRITE_DONE, calls, now);
+		done_at = now;
+	}
+	assert_in_range(oldest, 0, 4 * period);
+	object_writer_destroy(writer);
+}
+
 /* Guards against a silent store that is called as if it answered. */
 static void test_a_silent_store_is_called_less_and_less(void **state)
 {
@@ -157,6 +215,7 @@
 		cmocka_unit_test(test_what_is_written_is_not_written_again),
 		cmocka_unit_test(test_a_lost_answer_holds_nothing_up),
 		cmocka_unit_test(test_answers_may_overtake_each_other),
+		cmocka_unit_test(test_half_of_the_answers_are_lost),
 		cmocka_unit_test(test_a_silent_store_is_called_less_and_less),
 		cmocka_unit_test(test_calls_that_are_out_are_bounded),
 		cmocka_unit_test(test_a_slow_store_is_called_at_its_pace),
