--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -151,11 +151,16 @@
 		       : 0;
 }
 
+static void reading_want(reading_t *reading)
+{
+	reading->wanted = true;
+	reading->wanted_at = gateway_now();
+}
+
 /* Has the record read again for when it was written before this start. */
 void gateway_checkpoint_read_record(gateway_checkpoint_t *checkpoint)
 {
-	checkpoint->record_reading.wanted = true;
-	checkpoint->record_reading.wanted_at = gateway_now();
+	reading_want(&checkpoint->record_reading);
 }
 
 /* Returns the time of day of the last write before this start; 0: it is not known. */
@@ -167,8 +172,7 @@
 /* Has the counts of usage read and merged. */
 void gateway_checkpoint_read_counts(gateway_checkpoint_t *checkpoint)
 {
-	checkpoint->counts_reading.wanted = true;
-	checkpoint->counts_reading.wanted_at = gateway_now();
+	reading_want(&checkpoint->counts_reading);
 }
 
 /* Returns when the last call began that has read the counts; 0: none has. */
@@ -223,10 +227,8 @@
 /* Notes whom the record names as the leader, copied; NULL: nobody. */
 static void note_leader(gateway_checkpoint_t *checkpoint, const char *leader)
 {
-	char *before = checkpoint->leader;
-
+	g_free(checkpoint->leader);
 	checkpoint->leader = g_strdup(leader);
-	g_free(before);
 }
 
 /*
--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -387,7 +387,7 @@
 /* Returns the last window that may be reported if its counts are COMPLETE. */
 static int64_t last_window(const gateway_t *gateway, bool complete, pd_time_t now)
 {
-	pd_time_t due = (pd_time_t)(gateway->settings->usage_due_s * PD_SEC);
+	pd_time_t due = gateway_report_due(gateway);
 	pd_time_t wall = time_vote_wall(gateway->vote, now);
 
 	return (wall - usage_report_delay(complete, due)) /
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -79,6 +79,12 @@
 	return (pd_time_t)(gateway->settings->usage_window_s * PD_SEC);
 }
 
+/* Returns how long after the end of a usage window its report is due. */
+pd_time_t gateway_report_due(const gateway_t *gateway)
+{
+	return (pd_time_t)(gateway->settings->usage_due_s * PD_SEC);
+}
+
 /* Returns the number of the usage window that it is by the fleet's clocks. */
 int64_t gateway_window(const gateway_t *gateway)
 {
@@ -90,10 +96,10 @@
 /* Returns the first usage window whose report is not overdue yet. */
 int64_t gateway_first_window_due(const gateway_t *gateway)
 {
-	pd_time_t due = (pd_time_t)(gateway->settings->usage_due_s * PD_SEC);
-
 	return gateway_window(gateway) -
-	       usage_windows_due(gateway_window_length(gateway), due) + 1;
+	       usage_windows_due(gateway_window_length(gateway),
+				 gateway_report_due(gateway)) +
+	       1;
 }
 
 /* Returns how many gateways share what is limited in sum. */
@@ -263,11 +269,12 @@
 static void forget_old_usage(gateway_t *gateway)
 {
 	int64_t window = gateway_window(gateway);
-	int64_t first = gateway_first_window_due(gateway) - WINDOWS_SPARE;
+	int64_t first;
 
 	if (window == gateway->usage_window)
 		return;
 	gateway->usage_window = window;
+	first = gateway_first_window_due(gateway) - WINDOWS_SPARE;
 	usage_forget(gateway->usage, first);
 	usage_watermarks_forget(gateway->watermarks, first);
 }
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -72,6 +72,7 @@
 pd_time_t gateway_wall(void);
 pd_time_t gateway_jitter(const gateway_t *gateway, pd_time_t most);
 pd_time_t gateway_window_length(const gateway_t *gateway);
+pd_time_t gateway_report_due(const gateway_t *gateway);
 int64_t gateway_window(const gateway_t *gateway);
 int64_t gateway_first_window_due(const gateway_t *gateway);
 unsigned int gateway_count(const gateway_t *gateway);
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -301,10 +301,7 @@
 /* Returns the id of the VM, which an incarnation begins with; owned by the caller. */
 static char *incarnation_vm(const char *incarnation)
 {
-	const char *end = strrchr(incarnation, '#');
-
-	return end ? g_strndup(incarnation, (gsize)(end - incarnation))
-		   : g_strdup(incarnation);
+	return g_strndup(incarnation, usage_vm_len(incarnation));
 }
 
 /* Notes who sent a state or summary; NULL if that can't be read. */
--- a/core/forward/usage.c
+++ b/core/forward/usage.c
@@ -67,15 +67,23 @@
 }
 
 /*
- * Returns the number of a gateway's start, by its incarnation: the id of its VM, "#"
- * and a name of the start. The upper half is the same for all starts of a VM.
+ * Returns the length of the id of the VM, which an incarnation begins with; "#" and a
+ * name of the start follow it.
  */
-uint64_t usage_start(const char *incarnation)
+size_t usage_vm_len(const char *incarnation)
 {
 	const char *end = strrchr(incarnation, '#');
-	size_t len = end ? (size_t)(end - incarnation) : strlen(incarnation);
 
-	return hash_bytes(incarnation, len) << START_BITS |
+	return end ? (size_t)(end - incarnation) : strlen(incarnation);
+}
+
+/*
+ * Returns the number of a gateway's start, by its incarnation. The upper half is the same
+ * for all starts of a VM.
+ */
+uint64_t usage_start(const char *incarnation)
+{
+	return hash_bytes(incarnation, usage_vm_len(incarnation)) << START_BITS |
 	       (uint32_t)hash_string(incarnation);
 }
 
--- a/core/forward/usage.h
+++ b/core/forward/usage.h
@@ -31,6 +31,7 @@
 typedef void (*usage_each_t)(void *ctx, const usage_entry_t *entry);
 typedef void (*usage_sum_each_t)(void *ctx, const char *account, uint64_t sum);
 
+size_t usage_vm_len(const char *incarnation);
 uint64_t usage_start(const char *incarnation);
 uint32_t usage_start_vm(uint64_t start);
 uint64_t usage_own_start(const usage_t *usage);
--- a/core/forward/usage_watermark.c
+++ b/core/forward/usage_watermark.c
@@ -17,8 +17,7 @@
 	uint64_t start; /* the latest */
 	uint64_t before; /* the one before, whose messages may come late; 0: none */
 	int64_t closed; /* the last window whose counts by that start are all here */
-	bool given_up; /* a report has waited for that start in vain */
-	int64_t used; /* the last window for which it was taken or given up */
+	int64_t given_up; /* whose report has waited in vain; INT64_MIN: none has */
 } watermark_t;
 
 struct usage_watermarks {
@@ -60,6 +59,7 @@
 	mark->vm = usage_start_vm(start);
 	mark->start = start;
 	mark->closed = INT64_MIN;
+	mark->given_up = INT64_MIN;
 	g_hash_table_insert(marks->by_vm, &mark->vm, mark);
 	return mark;
 }
@@ -80,8 +80,7 @@
 		mark->closed = INT64_MIN;
 	}
 	mark->closed = MAX(mark->closed, closed);
-	mark->used = mark->closed;
-	mark->given_up = false;
+	mark->given_up = INT64_MIN;
 }
 
 /*
@@ -97,7 +96,8 @@
 		return false;
 	if (!mark)
 		return true;
-	return mark->start == start && mark->closed < window && !mark->given_up;
+	return mark->start == start && mark->closed < window &&
+	       mark->given_up == INT64_MIN;
 }
 
 typedef struct coverage_sum {
@@ -151,14 +151,11 @@
 static void give_up_open(void *ctx, const usage_entry_t *entry)
 {
 	const giving_up_t *giving = ctx;
-	watermark_t *mark;
 
 	if (entry->window > giving->window ||
 	    !start_is_open(giving->marks, entry->start, giving->own, giving->window))
 		return;
-	mark = marks_add(giving->marks, entry->start);
-	mark->given_up = true;
-	mark->used = giving->window;
+	marks_add(giving->marks, entry->start)->given_up = giving->window;
 }
 
 /*
@@ -173,10 +170,12 @@
 	usage_each(usage, window - 1, give_up_open, &giving);
 }
 
-static gboolean mark_is_old(gpointer vm, gpointer mark, gpointer before)
+static gboolean mark_is_old(gpointer vm, gpointer value, gpointer before)
 {
+	const watermark_t *mark = value;
+
 	(void)vm;
-	return ((watermark_t *)mark)->used < *(int64_t *)before;
+	return MAX(mark->closed, mark->given_up) < *(int64_t *)before;
 }
 
 /* Drops the watermarks of VMs that were last heard before a window. */
@@ -186,9 +185,8 @@
 }
 
 /*
- * Returns how long after the end of its window a report is made, if it is due that long
- * after it. An open one waits for part of that time only: whoever makes it may die, and
- * the next leader needs the rest.
+ * Returns how long after the end of its window a report is made that is due DUE after it.
+ * One that is not COMPLETE waits, but leaves the next leader time in case this one dies.
  */
 pd_time_t usage_report_delay(bool complete, pd_time_t due)
 {
--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -387,11 +387,10 @@
 			       times_logged(rig, 0, " own_off_ms=-2500\n") == 2);
 }
 
-static bool has_lease(gateway_rig_t *rig)
+static bool has_object(gateway_rig_t *rig, const char *kind, const char *name)
 {
 	rig_turn(rig);
-	return json_object_get(json_object_get(rig->objects, "leases"),
-			       "duties");
+	return json_object_get(json_object_get(rig->objects, kind), name);
 }
 
 /* Guards against a takeover that is waited for though the former leader is back. */
@@ -405,7 +404,7 @@
 	rig_remove(rig, "leases", "duties");
 	rig_start(rig, 0);
 	RIG_UNTIL(rig, times_logged(rig, 0, "duties: resume") == 1);
-	RIG_UNTIL_WITHIN(rig, has_lease(rig), RESUME_MS);
+	RIG_UNTIL_WITHIN(rig, has_object(rig, "leases", "duties"), RESUME_MS);
 }
 
 /* Returns the leader that a record of the checkpoint names, borrowed, or NULL. */
@@ -417,12 +416,6 @@
 	return json_string_value(json_object_get(spec, "leader"));
 }
 
-static bool has_record(gateway_rig_t *rig, const char *name)
-{
-	rig_turn(rig);
-	return json_object_get(json_object_get(rig->objects, "records"), name);
-}
-
 /* Guards against reports that may be short and nobody knows which. */
 static void test_windows_without_a_checkpoint_are_named(void **state)
 {
@@ -451,7 +444,7 @@
 	rig_remove(rig, "records", "slot-0");
 	rig_put(rig, "leases", "duties", "{\"holder\":\"g9\",\"fence\":9}");
 	rig_start(rig, 0);
-	RIG_UNTIL(rig, has_record(rig, "slot-0"));
+	RIG_UNTIL(rig, has_object(rig, "records", "slot-0"));
 	assert_non_null(recorded_leader(rig, "slot-0"));
 	assert_string_equal(recorded_leader(rig, "slot-0"), "g9");
 }
