Serve what killed gateways had sent before a test goes on

The test kills all gateways, removes slot-0 and writes slot-1. A write that a gateway had sent before it was killed lay in the stand-in's socket then, and was served after the removal: the object that the test took for the start's was the dead one's, from before it had heard of a leader. With 100 ms in which the stand-in does not read before the kill, the test fails in each play (1 of 1); what a dead gateway had sent is served within kill_all() now, and with the same 100 ms it passes (3 of 3). The check is unchanged. Nothing of the product is in question: no start of the test had written.

--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -29,6 +29,7 @@
 #define SETTLED_MS \
 	4000 /* a report comes 2.2 s after its window, 5 s if it waits */
 #define FROZEN_MS 3000 /* beyond the moment at which the report does not wait */
+#define LEFTOVERS_MS 50 /* until a stand-in has read what the dead have sent */
 #define READ_MS 20 /* until a gateway has read a call for certain */
 
 /* Counts what a gateway has logged, in all its starts so far. */
@@ -61,14 +62,6 @@
 					       starts * (RIG_GATEWAYS - 1));
 }
 
-static void kill_all(gateway_rig_t *rig)
-{
-	for (int i = 0; i < RIG_GATEWAYS; i++) {
-		process_destroy(rig->gateways[i]);
-		rig->gateways[i] = NULL;
-	}
-}
-
 static void pass(gateway_rig_t *rig, uint64_t ms)
 {
 	uint64_t end = uv_hrtime() / 1000000 + ms;
@@ -77,6 +70,16 @@
 		rig_turn(rig);
 }
 
+/* Kills all, and has the stand-ins take in what they have sent until then. */
+static void kill_all(gateway_rig_t *rig)
+{
+	for (int i = 0; i < RIG_GATEWAYS; i++) {
+		process_destroy(rig->gateways[i]);
+		rig->gateways[i] = NULL;
+	}
+	pass(rig, LEFTOVERS_MS);
+}
+
 static int setup(void **state)
 {
 	gateway_rig_t *rig = gateway_rig_create();
