Report requests that were in flight when VMs lost power

Cause: a request is counted when its answer begins. When a VM loses power no connection closes, so upstreams run what they have, and no gateway is left to count it.

Ruled out: counts that were not written in time (2 to 10 a kill); counting when requests are sent, which bills what a killed process had out.

Fix: gateways tell the checkpoint writers, with their counts, what the count of each account would be if all in flight were answered. The last that was told holds; it is checkpointed with the time of day at which the VM's steady clock was 0. A report adds it for a start whose VM has booted anew with no other start in the same boot. Being a count and no difference, it never counts twice what was answered since.

Along with it the bound of times that others tell is one constant.

--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -8,6 +8,7 @@
 #include "adapters/gateway/duties.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peers.h"
+#include "adapters/gateway/request_flight.h"
 #include "adapters/gateway/usage_table.h"
 #include "adapters/log_glib.h"
 #include "core/forward/call_pacer.h"
@@ -304,9 +305,10 @@
 
 static void merge_counts(gateway_checkpoint_t *checkpoint, const char *text)
 {
+	const gateway_t *gateway = checkpoint->gateway;
 	pd_error_t err;
 
-	if (usage_table_merge(text, checkpoint->gateway->usage, &err) < 0)
+	if (usage_table_merge(text, gateway->usage, gateway->inflight, &err) < 0)
 		log_error(PART, "counts", &err);
 }
 
@@ -531,7 +533,7 @@
 
 static void write_slot(gateway_checkpoint_t *checkpoint, int slot, pd_time_t now)
 {
-	const gateway_t *gateway = checkpoint->gateway;
+	gateway_t *gateway = checkpoint->gateway;
 	stored_t *counts = &checkpoint->counts[slot];
 	stored_t *record = &checkpoint->records[slot];
 	pd_time_t period =
@@ -546,7 +548,8 @@
 	if (object_writer_is_due(counts->writer, now) &&
 	    (usage_is_turn(wall, period, slot) ||
 	     !object_writer_is_regular(counts->writer))) {
-		text = usage_table_write(gateway->usage,
+		gateway_requests_note_flight(gateway);
+		text = usage_table_write(gateway->usage, gateway->inflight,
 					 gateway_first_window_due(gateway));
 		stored_write(counts, text, now);
 		g_free(text);
--- a/adapters/gateway/checkpoint_record.c
+++ b/adapters/gateway/checkpoint_record.c
@@ -10,8 +10,6 @@
 #define GATEWAYS_MAX 100000
 /* Offsets of clocks change by less all the time, and the record with them. */
 #define OFFSET_UNIT (100 * PD_MSEC)
-/* Times of day in microseconds beyond this are a mistake. */
-#define TIME_MAX ((uint64_t)1 << 53)
 /* A clock that is off by more is set wrong, and no offset helps. */
 #define OFFSET_MAX (3600 * PD_SEC)
 
@@ -111,7 +109,7 @@
 {
 	uint64_t time = natural(json_object_get(root, key));
 
-	return (pd_time_t)MIN(time, TIME_MAX / PD_MSEC) * PD_MSEC;
+	return (pd_time_t)MIN(time, PD_TIME_MAX / PD_MSEC) * PD_MSEC;
 }
 
 /*
--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -320,12 +320,46 @@
 		    duties);
 }
 
-static void add_count(void *ctx, const char *account, uint64_t sum)
+static void add_count(void *ctx, const char *account, uint64_t count)
 {
-	uint64_t *value = g_new(uint64_t, 1);
+	uint64_t *sum = g_hash_table_lookup(ctx, account);
 
-	*value = sum;
-	g_hash_table_insert(ctx, g_strdup(account), value);
+	if (!sum) {
+		sum = g_new0(uint64_t, 1);
+		g_hash_table_insert(ctx, g_strdup(account), sum);
+	}
+	*sum += count;
+}
+
+typedef struct lost_sum {
+	GHashTable *counts;
+	uint64_t sum;
+} lost_sum_t;
+
+static void add_lost(void *ctx, const usage_entry_t *entry)
+{
+	lost_sum_t *lost = ctx;
+
+	add_count(lost->counts, entry->account, entry->count);
+	lost->sum += entry->count;
+}
+
+/* Adds the requests that were in flight in a window when their VMs lost power. */
+static void add_all_lost(const gateway_duties_t *duties, int64_t window,
+			 GHashTable *counts)
+{
+	const gateway_t *gateway = duties->gateway;
+	lost_sum_t lost = { .counts = counts };
+
+	usage_inflight_each_lost(gateway->inflight, gateway->usage, window,
+				 add_lost, &lost);
+	if (!lost.sum)
+		return;
+	log_line(G_LOG_LEVEL_INFO, PART,
+		 "usage in_flight window=%" PRId64 " requests=%" PRIu64, window,
+		 lost.sum);
+	metrics_add(gateway->metrics, "gateway_usage_in_flight_total",
+		    (double)lost.sum);
 }
 
 /*
@@ -341,6 +375,7 @@
 	char *text;
 
 	usage_sum(duties->gateway->usage, window, add_count, counts);
+	add_all_lost(duties, window, counts);
 	report = wire_usage_write(window, counts);
 	duties_note_set_report(note, window, report);
 	note_needs(duties, note);
--- /dev/null
+++ b/adapters/gateway/flight_pack.c
@@ -0,0 +1,69 @@
+/* Requests in flight as msgpack, and back. */
+#include "adapters/gateway/flight_pack.h"
+
+#include <string.h>
+
+#include "adapters/msgpack_fields.h"
+
+#define HEAD_FIELDS 5 /* start, booted, begun, told, window */
+#define CELL_FIELDS 2 /* account, count */
+
+static void pack_time(msgpack_packer *packer, pd_time_t time)
+{
+	msgpack_pack_uint64(packer, (uint64_t)MAX(time / PD_MSEC, 0));
+}
+
+/* Packs what a start has in flight. */
+void flight_pack(msgpack_packer *packer, const usage_flight_t *flight)
+{
+	const GArray *expected = flight->expected;
+
+	msgpack_pack_array(packer, HEAD_FIELDS + CELL_FIELDS * expected->len);
+	msgpack_pack_uint64(packer, flight->start);
+	pack_time(packer, flight->booted);
+	pack_time(packer, flight->begun);
+	pack_time(packer, flight->told);
+	msgpack_pack_int64(packer, flight->window);
+	for (guint i = 0; i < expected->len; i++) {
+		const usage_expected_t *cell =
+			&g_array_index(expected, usage_expected_t, i);
+		size_t len = strlen(cell->account);
+
+		msgpack_pack_str(packer, len);
+		msgpack_pack_str_body(packer, cell->account, len);
+		msgpack_pack_uint64(packer, cell->count);
+	}
+}
+
+static pd_time_t read_time(const msgpack_object *object)
+{
+	uint64_t time = msgpack_field_number(object);
+
+	return (pd_time_t)MIN(time, PD_TIME_MAX / PD_MSEC) * PD_MSEC;
+}
+
+/* Returns what a start has in flight, owned by the caller; NULL: it is none. */
+usage_flight_t *flight_read(const msgpack_object *object)
+{
+	uint32_t count = 0;
+	const msgpack_object *fields =
+		msgpack_field_items(object, HEAD_FIELDS, &count);
+	usage_flight_t *flight;
+
+	if (!fields)
+		return NULL;
+	flight = usage_flight_create(msgpack_field_number(&fields[0]));
+	flight->booted = read_time(&fields[1]);
+	flight->begun = read_time(&fields[2]);
+	flight->told = read_time(&fields[3]);
+	flight->window = (int64_t)msgpack_field_number(&fields[4]);
+	for (uint32_t i = HEAD_FIELDS; i + 1 < count; i += CELL_FIELDS) {
+		char *account = msgpack_field_text(&fields[i]);
+
+		if (account)
+			usage_flight_add(flight, account,
+					 msgpack_field_number(&fields[i + 1]));
+		g_free(account);
+	}
+	return flight;
+}
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -277,6 +277,7 @@
 	first = gateway_first_window_due(gateway) - WINDOWS_SPARE;
 	usage_forget(gateway->usage, first);
 	usage_watermarks_forget(gateway->watermarks, first);
+	usage_inflight_forget(gateway->inflight, first);
 }
 
 /*
@@ -434,6 +435,8 @@
 	gateway->sheds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       (GDestroyNotify)shed_destroy);
 	gateway->watermarks = usage_watermarks_create();
+	gateway->inflight = usage_inflight_create();
+	gateway->flight_changed = true;
 	gateway->vote = time_vote_create();
 	run_vote(gateway, gateway->started_at);
 	gateway->metrics = metrics_create();
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -14,6 +14,7 @@
 #include "core/forward/token_limits.h"
 #include "core/forward/upstreams.h"
 #include "core/forward/usage.h"
+#include "core/forward/usage_inflight.h"
 #include "core/forward/usage_watermark.h"
 #include "core/forward/work_rate.h"
 
@@ -40,6 +41,8 @@
 	retry_windows_t *retries;
 	usage_t *usage;
 	usage_watermarks_t *watermarks; /* of the starts that count usage */
+	usage_inflight_t *inflight; /* of the starts that count usage */
+	bool flight_changed; /* since what this gateway has in flight was noted */
 	int64_t usage_window; /* that it was when old counts were dropped last */
 	work_rate_t *work;
 	GHashTable *sheds; /* service -> shed_t */
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -2,7 +2,9 @@
 #include <string.h>
 
 #include "adapters/gateway/fleet_feed.h"
+#include "adapters/gateway/flight_pack.h"
 #include "adapters/gateway/peer_state.h"
+#include "adapters/gateway/request_flight.h"
 
 /* Of the members that are named, so many are those that go first. */
 #define MEMBERS_FIRST 8
@@ -222,11 +224,13 @@
 }
 
 /*
- * Packs what the checkpoint writers have not been sent yet: usage, and the use of
- * limits. Returns how many numbers that are.
+ * Packs what the checkpoint writers have not been sent yet: usage, the use of limits and
+ * the requests in flight. Returns how many numbers that are.
  */
 unsigned int peers_pack_counts(msgpack_sbuffer *buffer, gateway_peers_t *peers)
 {
+	bool flight_is_new = peers_flight_is_unsent(peers);
+	const usage_flight_t *flight = gateway_requests_note_flight(peers->gateway);
 	list_writer_t usage;
 	list_writer_t uses;
 	msgpack_packer packer;
@@ -243,7 +247,12 @@
 	pack_text(&packer, peers->incarnation);
 	list_writer_end(&usage, buffer, &packer);
 	list_writer_end(&uses, buffer, &packer);
-	return usage.count + uses.count;
+	if (flight)
+		flight_pack(&packer, flight);
+	else
+		msgpack_pack_nil(&packer);
+	peers->flight_sent = flight ? flight->told : 0;
+	return usage.count + uses.count + flight_is_new;
 }
 
 static void pack_member(msgpack_packer *packer, const peer_t *peer)
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -77,7 +77,8 @@
 #define FETCH_FIELDS 4 /* kind, sender, what, digests or marks */
 #define MEMBER_FIELDS 3 /* address, whether it is strong, zone */
 #define USE_FIELDS 4 /* account, total, level or nil, asked */
-#define COUNTS_FIELDS 5 /* kind, sender, its start, usage, use of limits */
+#define COUNTS_FIELDS \
+	6 /* kind, sender, its start, usage, use of limits, in flight */
 #define USAGE_FIELDS 3 /* window, account, count */
 /* An upstream in full, and just its mark, stage, revision and start. */
 #define NEWS_FULL_FIELDS 10
@@ -149,6 +150,7 @@
 	pd_time_t full_at; /* when members and usage are told next */
 	pd_time_t uses_at; /* when the use of limits is sent next to the writers */
 	pd_time_t counts_sent_at; /* when they were sent counts last; 0: never */
+	pd_time_t flight_sent; /* when what they were sent last was in flight */
 	char *counts_to[CHECKPOINT_SLOTS]; /* who those were last; NULL: none */
 	pd_time_t counts_taken_at; /* when others' counts came last; 0: never */
 	bool adopted; /* levels of buckets, from an older peer */
@@ -197,6 +199,7 @@
 			const peer_t *receiver, bool full);
 void peers_send_state(gateway_peers_t *peers, peer_t *peer, bool asks, bool full);
 void peers_send_summary(gateway_peers_t *peers, peer_t *peer, bool full);
+bool peers_flight_is_unsent(const gateway_peers_t *peers);
 unsigned int peers_pack_counts(msgpack_sbuffer *buffer, gateway_peers_t *peers);
 void peers_send_fetch(gateway_peers_t *peers, peer_t *peer, unsigned int what);
 void peers_send_fetch_marked(gateway_peers_t *peers, peer_t *peer,
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -1,6 +1,7 @@
 /* Takes in the messages of other gateways. */
 #include <string.h>
 
+#include "adapters/gateway/flight_pack.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peer_state.h"
 #include "adapters/log_glib.h"
@@ -19,8 +20,6 @@
  */
 #define DIFFERS_MIN (300 * PD_MSEC)
 #define FETCH_PERIOD_MAX (6400 * PD_MSEC)
-/* Times of day and ages in microseconds beyond this are a mistake. */
-#define TIME_MAX ((uint64_t)1 << 53)
 
 /* A peer's values by name, and the sums of all peers' that they are part of. */
 typedef struct part {
@@ -346,7 +345,7 @@
 	uint64_t wall = msgpack_field_number(&fields[STATE_WALL]);
 	uint64_t age = msgpack_field_number(&fields[STATE_CLOCK_AGE]);
 
-	if (wall <= TIME_MAX && age <= TIME_MAX)
+	if (wall <= PD_TIME_MAX && age <= PD_TIME_MAX)
 		time_vote_receive(gateway->vote, peer->vm_id, (pd_time_t)wall,
 				  (pd_time_t)age, now);
 }
@@ -373,7 +372,7 @@
 		return -1;
 	first = !peer_is_heard(peer, now);
 	peer->heard_at = now;
-	peer->started_at = now - (pd_time_t)MIN(age, TIME_MAX);
+	peer->started_at = now - (pd_time_t)MIN(age, PD_TIME_MAX);
 	peer_shows_store(gateway, peer, now);
 	take_clock(gateway, peer, fields, now);
 	take_usages(gateway, peer->incarnation, &fields[STATE_USAGES]);
@@ -422,7 +421,7 @@
 	peers->told_count =
 		(unsigned int)msgpack_field_number(&fields[STATE_COUNT]);
 	wall = msgpack_field_number(&fields[STATE_WALL]);
-	if (wall <= TIME_MAX)
+	if (wall <= PD_TIME_MAX)
 		time_vote_follow(gateway->vote, (pd_time_t)wall, now);
 	take_sums(peers, &fields[STATE_TOTALS]);
 	take_works(gateway, EVERYBODY, &fields[STATE_WORKS], NULL);
@@ -626,6 +625,14 @@
 	return 0;
 }
 
+static void take_flight(gateway_t *gateway, const msgpack_object *object)
+{
+	usage_flight_t *flight = flight_read(object);
+
+	if (flight)
+		usage_inflight_take(gateway->inflight, flight);
+}
+
 static int take_counts(gateway_peers_t *peers, const msgpack_object *fields)
 {
 	char *address = msgpack_field_text(&fields[1]);
@@ -635,6 +642,7 @@
 
 	if (who)
 		take_usages(peers->gateway, who, &fields[3]);
+	take_flight(peers->gateway, &fields[5]);
 	peers->counts_taken_at = gateway_now();
 	/* What it had used before it was first heard comes with its state. */
 	if (peer && who && !g_strcmp0(peer->incarnation, who) && !peers->aggregator)
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -139,6 +139,13 @@
 	return peers_take(ctx, data, len);
 }
 
+/* Has the writers sent all counts and what is in flight once more. */
+static void resend_counts(gateway_peers_t *peers)
+{
+	usage_resend(peers->gateway->usage);
+	peers->flight_sent = 0;
+}
+
 /* Notes that frames to a peer may be lost, and that it may have died. */
 static void on_lost(void *ctx, const char *key)
 {
@@ -151,7 +158,7 @@
 	if (!peer->lost_at || now - peer->lost_at > LOST_LOG_PERIOD)
 		log_line(G_LOG_LEVEL_WARNING, PART, "lost=%s", key);
 	peer->lost_at = now;
-	usage_resend(peers->gateway->usage);
+	resend_counts(peers);
 }
 
 /* Takes the gateways to begin with from the settings. */
@@ -412,12 +419,25 @@
 	return usage_send_period(peers_view(peers, now)->counted);
 }
 
-/* Counts that have grown are sent at once, unless others have just been sent. */
+/* Returns whether the writers don't know what this gateway has in flight. */
+bool peers_flight_is_unsent(const gateway_peers_t *peers)
+{
+	const gateway_t *gateway = peers->gateway;
+	const usage_flight_t *flight =
+		usage_inflight_find(gateway->inflight,
+				    usage_own_start(gateway->usage));
+
+	return gateway->flight_changed ||
+	       (flight && flight->told > peers->flight_sent);
+}
+
+/* Counts that have changed are sent at once, unless others have just been sent. */
 static bool counts_are_due(gateway_peers_t *peers, pd_time_t now)
 {
 	if (now >= peers->uses_at)
 		return true;
-	return usage_has_unsent(peers->gateway->usage) &&
+	return (usage_has_unsent(peers->gateway->usage) ||
+		peers_flight_is_unsent(peers)) &&
 	       now - peers->counts_sent_at >=
 		       gateway_peers_counts_period(peers, now);
 }
@@ -438,7 +458,7 @@
 		changed = true;
 	}
 	if (changed)
-		usage_resend(peers->gateway->usage);
+		resend_counts(peers);
 }
 
 /* Sends the checkpoint writers what was counted here since the last time. */
--- /dev/null
+++ b/adapters/gateway/request_flight.c
@@ -0,0 +1,61 @@
+/* The requests of this gateway that are in flight. */
+#include "adapters/gateway/request_flight.h"
+
+#include "adapters/gateway/request_state.h"
+
+/* Returns how many requests of each account are in flight; names are borrowed. */
+static GHashTable *count_in_flight(const gateway_t *gateway)
+{
+	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
+
+	LIST_FOR_EACH (it, &gateway->requests) {
+		const gateway_request_t *request =
+			LIST_ENTRY(it, gateway_request_t, node);
+		char *account;
+		guint count;
+
+		if (request->state != REQUEST_SENT || request->counted ||
+		    !request->account)
+			continue;
+		account = request->account->name;
+		count = GPOINTER_TO_UINT(g_hash_table_lookup(counts, account));
+		g_hash_table_insert(counts, account, GUINT_TO_POINTER(count + 1));
+	}
+	return counts;
+}
+
+static usage_flight_t *flight_now(const gateway_t *gateway)
+{
+	usage_flight_t *flight =
+		usage_flight_create(usage_own_start(gateway->usage));
+	GHashTable *counts = count_in_flight(gateway);
+	GHashTableIter iter;
+	gpointer account;
+	gpointer count;
+
+	flight->told = gateway_now();
+	flight->booted = time_vote_wall(gateway->vote, flight->told) - flight->told;
+	flight->begun = gateway->started_at;
+	flight->window = gateway_window(gateway);
+	g_hash_table_iter_init(&iter, counts);
+	while (g_hash_table_iter_next(&iter, &account, &count))
+		usage_flight_add(flight, account,
+				 usage_count(gateway->usage, flight->window,
+					     flight->start, account) +
+					 GPOINTER_TO_UINT(count));
+	g_hash_table_unref(counts);
+	return flight;
+}
+
+/*
+ * Notes what this gateway has in flight if that has changed, and returns what was noted
+ * last, borrowed.
+ */
+const usage_flight_t *gateway_requests_note_flight(gateway_t *gateway)
+{
+	if (gateway->flight_changed)
+		usage_inflight_take(gateway->inflight, flight_now(gateway));
+	gateway->flight_changed = false;
+	return usage_inflight_find(gateway->inflight,
+				   usage_own_start(gateway->usage));
+}
--- a/adapters/gateway/usage_table.c
+++ b/adapters/gateway/usage_table.c
@@ -3,8 +3,9 @@
  * counts, and they are written several times a second: packed they take a
  * quarter of the bytes that JSON would.
  *
- * {"format": 1, "counts": base64 of msgpack [accounts, row, row...]}, where a row is
- * [window, start, place of an account, its count, place, count...].
+ * {"format": 1, "counts": base64 of msgpack [accounts, row, row...], "in_flight": base64
+ * of msgpack [flight, flight...]}, where a row is [window, start, place of an account, its
+ * count, place, count...] and flight_pack.h has a flight.
  */
 #include "adapters/gateway/usage_table.h"
 
@@ -12,6 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "adapters/gateway/flight_pack.h"
 #include "adapters/json.h"
 #include "adapters/msgpack_check.h"
 #include "adapters/msgpack_fields.h"
@@ -87,12 +89,12 @@
 	}
 }
 
-static char *table_text(const table_writer_t *writer)
+/* Returns the accounts and rows in base64, owned by the caller. */
+static char *table_encode(const table_writer_t *writer)
 {
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
 	char *encoded;
-	char *text;
 
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
@@ -100,16 +102,54 @@
 	pack_accounts(&packer, writer->accounts);
 	msgpack_sbuffer_write(&buffer, writer->rows.data, writer->rows.size);
 	encoded = g_base64_encode((const guchar *)buffer.data, buffer.size);
-	text = g_strdup_printf("{\"format\":%d,\"counts\":\"%s\"}", FORMAT,
-			       encoded);
 	msgpack_sbuffer_destroy(&buffer);
-	g_free(encoded);
-	return text;
+	return encoded;
+}
+
+typedef struct flight_writer {
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+	uint32_t count;
+} flight_writer_t;
+
+static void add_flight(void *ctx, const usage_flight_t *flight)
+{
+	flight_writer_t *writer = ctx;
+
+	writer->count++;
+	flight_pack(&writer->packer, flight);
+}
+
+/* Returns what is in flight in base64, owned by the caller. */
+static char *flights_encode(const usage_inflight_t *inflight, int64_t from)
+{
+	flight_writer_t writer = { .count = 0 };
+	msgpack_sbuffer whole;
+	msgpack_packer packer;
+	char *encoded;
+
+	msgpack_sbuffer_init(&writer.buffer);
+	msgpack_packer_init(&writer.packer, &writer.buffer, msgpack_sbuffer_write);
+	usage_inflight_each(inflight, from, add_flight, &writer);
+	msgpack_sbuffer_init(&whole);
+	msgpack_packer_init(&packer, &whole, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, writer.count);
+	msgpack_sbuffer_write(&whole, writer.buffer.data, writer.buffer.size);
+	encoded = g_base64_encode((const guchar *)whole.data, whole.size);
+	msgpack_sbuffer_destroy(&writer.buffer);
+	msgpack_sbuffer_destroy(&whole);
+	return encoded;
 }
 
-/* Returns the counts of the windows from FROM on as JSON, owned by the caller. */
-char *usage_table_write(const usage_t *usage, int64_t from)
+/*
+ * Returns the counts of the windows from FROM on, and what is in flight in them, as JSON,
+ * owned by the caller.
+ */
+char *usage_table_write(const usage_t *usage, const usage_inflight_t *inflight,
+			int64_t from)
 {
+	char *flights = flights_encode(inflight, from);
+	char *counts;
 	table_writer_t writer = {
 		.accounts = g_ptr_array_new(),
 		.places = g_hash_table_new(g_str_hash, g_str_equal),
@@ -120,7 +160,12 @@
 	msgpack_sbuffer_init(&writer.rows);
 	usage_each(usage, from, add_entry, &writer);
 	end_row(&writer);
-	text = table_text(&writer);
+	counts = table_encode(&writer);
+	text = g_strdup_printf("{\"format\":%d,\"counts\":\"%s\",\"in_flight\":"
+			       "\"%s\"}",
+			       FORMAT, counts, flights);
+	g_free(counts);
+	g_free(flights);
 	msgpack_sbuffer_destroy(&writer.rows);
 	g_ptr_array_unref(writer.accounts);
 	g_hash_table_unref(writer.places);
@@ -166,44 +211,90 @@
 	return accounts;
 }
 
-static int merge_packed(const char *data, size_t len, usage_t *usage,
-			pd_error_t *err)
-{
+/* An array in base64 that was unpacked. */
+typedef struct packed_list {
+	guchar *data; /* which the items refer to */
 	msgpack_unpacked unpacked;
-	const msgpack_object *items = NULL;
-	GPtrArray *accounts;
-	uint32_t count = 0;
+	const msgpack_object *items; /* NULL: it is none */
+	uint32_t count;
+} packed_list_t;
+
+static void packed_list_open(packed_list_t *list, const char *encoded, uint32_t least)
+{
 	size_t offset = 0;
+	gsize len;
+
+	list->data = g_base64_decode(encoded, &len);
+	list->items = NULL;
+	list->count = 0;
+	msgpack_unpacked_init(&list->unpacked);
+	if (msgpack_sizes_fit((const char *)list->data, len) &&
+	    msgpack_unpack_next(&list->unpacked, (const char *)list->data, len,
+				&offset) == MSGPACK_UNPACK_SUCCESS)
+		list->items = msgpack_field_items(&list->unpacked.data, least,
+						  &list->count);
+}
+
+static void packed_list_close(packed_list_t *list)
+{
+	msgpack_unpacked_destroy(&list->unpacked);
+	g_free(list->data);
+}
+
+static int merge_counts(const char *encoded, usage_t *usage, pd_error_t *err)
+{
+	packed_list_t list;
+	int rc = 0;
+
+	packed_list_open(&list, encoded, 1);
+	if (list.items) {
+		GPtrArray *accounts = read_accounts(&list.items[0]);
 
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_sizes_fit(data, len) &&
-	    msgpack_unpack_next(&unpacked, data, len, &offset) ==
-		    MSGPACK_UNPACK_SUCCESS)
-		items = msgpack_field_items(&unpacked.data, 1, &count);
-	if (!items) {
-		msgpack_unpacked_destroy(&unpacked);
-		return pd_error_set(err, PD_ERROR_INPUT,
-				    "counts of usage: no table of %zu bytes", len);
+		for (uint32_t i = 1; i < list.count; i++)
+			merge_row(usage, &list.items[i], accounts);
+		g_ptr_array_unref(accounts);
+	} else {
+		rc = pd_error_set(err, PD_ERROR_INPUT,
+				  "counts of usage: no table in %zu characters",
+				  strlen(encoded));
 	}
-	accounts = read_accounts(&items[0]);
-	for (uint32_t i = 1; i < count; i++)
-		merge_row(usage, &items[i], accounts);
-	g_ptr_array_unref(accounts);
-	msgpack_unpacked_destroy(&unpacked);
-	return 0;
+	packed_list_close(&list);
+	return rc;
+}
+
+static int merge_flights(const char *encoded, usage_inflight_t *inflight,
+			 pd_error_t *err)
+{
+	packed_list_t list;
+	int rc = 0;
+
+	packed_list_open(&list, encoded, 0);
+	for (uint32_t i = 0; i < list.count; i++) {
+		usage_flight_t *flight = flight_read(&list.items[i]);
+
+		if (flight)
+			usage_inflight_take(inflight, flight);
+	}
+	if (!list.items)
+		rc = pd_error_set(err, PD_ERROR_INPUT,
+				  "requests in flight: no list in %zu "
+				  "characters",
+				  strlen(encoded));
+	packed_list_close(&list);
+	return rc;
 }
 
 /*
- * Merges a text into the counts. Returns -1 with ERR set if it is none, or of
- * another format; rows that make no sense are left out.
+ * Merges a text into the counts and what is in flight. Returns -1 with ERR set if it is
+ * none, or of another format; rows that make no sense are left out.
  */
-int usage_table_merge(const char *text, usage_t *usage, pd_error_t *err)
+int usage_table_merge(const char *text, usage_t *usage,
+		      usage_inflight_t *inflight, pd_error_t *err)
 {
 	json_t *root = json_parse(text, strlen(text), err);
 	const char *encoded;
+	const char *flights;
 	int64_t format;
-	guchar *data;
-	gsize len;
 	int rc = -1;
 
 	if (!root)
@@ -217,9 +308,10 @@
 			     format, FORMAT);
 		goto done;
 	}
-	data = g_base64_decode(encoded, &len);
-	rc = merge_packed((const char *)data, len, usage, err);
-	g_free(data);
+	rc = merge_counts(encoded, usage, err);
+	flights = json_string_or(root, "in_flight", NULL);
+	if (rc == 0 && flights)
+		rc = merge_flights(flights, inflight, err);
 done:
 	json_decref(root);
 	return rc;
--- a/adapters/gateway/usage_table.h
+++ b/adapters/gateway/usage_table.h
@@ -3,9 +3,11 @@
 #define PISTACHIO_GATEWAY_USAGE_TABLE_H
 
 #include "core/error.h"
-#include "core/forward/usage.h"
+#include "core/forward/usage_inflight.h"
 
-char *usage_table_write(const usage_t *usage, int64_t from);
-int usage_table_merge(const char *text, usage_t *usage, pd_error_t *err);
+char *usage_table_write(const usage_t *usage, const usage_inflight_t *inflight,
+			int64_t from);
+int usage_table_merge(const char *text, usage_t *usage,
+		      usage_inflight_t *inflight, pd_error_t *err);
 
 #endif
--- a/core/forward/usage.c
+++ b/core/forward/usage.c
@@ -302,6 +302,24 @@
 	}
 }
 
+/* Returns what a start has counted of an account in a window. */
+uint64_t usage_count(const usage_t *usage, int64_t window, uint64_t start,
+		     const char *account)
+{
+	const window_t *found = usage_find_window(usage, window);
+	const tally_t *tally =
+		found ? g_hash_table_lookup(found->tallies, &start) : NULL;
+
+	for (guint i = 0; tally && i < tally->counters->len; i++) {
+		const counter_t *counter =
+			&g_array_index(tally->counters, counter_t, i);
+
+		if (!strcmp(counter->account, account))
+			return counter->count;
+	}
+	return 0;
+}
+
 static void sum_add(void *ctx, const usage_entry_t *entry)
 {
 	uint64_t *sum = g_hash_table_lookup(ctx, entry->account);
--- a/core/forward/usage.h
+++ b/core/forward/usage.h
@@ -44,6 +44,8 @@
 		    void *ctx);
 void usage_each_unsent(usage_t *usage, usage_each_t each, void *ctx);
 void usage_resend(usage_t *usage);
+uint64_t usage_count(const usage_t *usage, int64_t window, uint64_t start,
+		     const char *account);
 void usage_sum(const usage_t *usage, int64_t window, usage_sum_each_t each,
 	       void *ctx);
 int64_t usage_first_window(const usage_t *usage, int64_t from, int64_t to);
--- a/ports/clock.h
+++ b/ports/clock.h
@@ -13,5 +13,7 @@
 #define PD_USEC ((pd_time_t)1)
 #define PD_MSEC ((pd_time_t)1000)
 #define PD_SEC ((pd_time_t)1000000)
+/* Times that other processes tell, in microseconds, are a mistake beyond this. */
+#define PD_TIME_MAX ((uint64_t)1 << 53)
 
 #endif
--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -29,6 +29,7 @@
 #define SETTLED_MS \
 	4000 /* a report comes 2.2 s after its window, 5 s if it waits */
 #define FROZEN_MS 3000 /* beyond the moment at which the report does not wait */
+#define BOOTS_APART (3600 * PD_SEC)
 #define LEFTOVERS_MS 50 /* until a stand-in has read what the dead have sent */
 #define READ_MS 20 /* until a gateway has read a call for certain */
 
@@ -120,11 +121,10 @@
 	*(json_int_t *)ctx += (json_int_t)entry->count;
 }
 
-/* Returns how many calls are checkpointed in the store. */
-static json_int_t calls_recorded(gateway_rig_t *rig)
+/* Merges what is checkpointed of the usage. */
+static void read_counts(gateway_rig_t *rig, usage_t *usage,
+			usage_inflight_t *inflight)
 {
-	usage_t *usage = usage_create("reader#1");
-	json_int_t sum = 0;
 	const char *name;
 	json_t *object;
 
@@ -134,11 +134,22 @@
 		char *text = json_dumps(json_object_get(object, "spec"), 0);
 		pd_error_t err;
 
-		assert_int_equal(usage_table_merge(text, usage, &err), 0);
+		assert_int_equal(usage_table_merge(text, usage, inflight, &err), 0);
 		free(text);
 	}
+}
+
+/* Returns how many calls are checkpointed in the store. */
+static json_int_t calls_recorded(gateway_rig_t *rig)
+{
+	usage_t *usage = usage_create("reader#1");
+	usage_inflight_t *inflight = usage_inflight_create();
+	json_int_t sum = 0;
+
+	read_counts(rig, usage, inflight);
 	usage_each(usage, 0, add_entry, &sum);
 	usage_destroy(usage);
+	usage_inflight_destroy(inflight);
 	return sum;
 }
 
@@ -253,6 +264,103 @@
 	assert_int_equal(calls_reported(rig), CALLS);
 }
 
+static void add_expected(void *ctx, const usage_flight_t *flight)
+{
+	for (guint i = 0; i < flight->expected->len; i++)
+		*(uint64_t *)ctx +=
+			g_array_index(flight->expected, usage_expected_t, i).count;
+}
+
+/* Returns how many calls are checkpointed as in flight. */
+static uint64_t calls_in_flight(gateway_rig_t *rig)
+{
+	usage_t *usage = usage_create("reader#1");
+	usage_inflight_t *inflight = usage_inflight_create();
+	uint64_t sum = 0;
+
+	read_counts(rig, usage, inflight);
+	usage_inflight_each(inflight, 0, add_expected, &sum);
+	usage_destroy(usage);
+	usage_inflight_destroy(inflight);
+	return sum;
+}
+
+/* Adds a flight as if its VM had lost power since. */
+static void add_rebooted(void *ctx, const usage_flight_t *flight)
+{
+	usage_flight_t *moved = usage_flight_create(flight->start);
+
+	moved->booted = flight->booted - BOOTS_APART;
+	moved->begun = flight->begun;
+	moved->told = flight->told;
+	moved->window = flight->window;
+	for (guint i = 0; i < flight->expected->len; i++) {
+		const usage_expected_t *expected =
+			&g_array_index(flight->expected, usage_expected_t, i);
+
+		usage_flight_add(moved, expected->account, expected->count);
+	}
+	usage_inflight_take(ctx, moved);
+}
+
+/* Has the checkpoint say that the VMs of all starts have lost power since. */
+static void lose_power(gateway_rig_t *rig)
+{
+	usage_t *usage = usage_create("reader#1");
+	usage_inflight_t *inflight = usage_inflight_create();
+	usage_inflight_t *moved = usage_inflight_create();
+	char *text;
+
+	read_counts(rig, usage, inflight);
+	usage_inflight_each(inflight, 0, add_rebooted, moved);
+	text = usage_table_write(usage, moved, 0);
+	rig_remove(rig, "counts", "slot-1");
+	rig_put(rig, "counts", "slot-0", text);
+	g_free(text);
+	usage_destroy(usage);
+	usage_inflight_destroy(inflight);
+	usage_inflight_destroy(moved);
+}
+
+/* Makes a call that no upstream answers, and kills all when that is checkpointed. */
+static void kill_all_with_a_call_in_flight(gateway_rig_t *rig)
+{
+	rig_caller_t *caller;
+
+	for (int i = 0; i < RIG_UPSTREAMS; i++)
+		rig->upstreams[i].act = RIG_HANG;
+	caller = rig_call_at(rig, 1, "POST", "/unsafe/x", "c0");
+	RIG_UNTIL(rig, calls_in_flight(rig) == 1);
+	kill_all(rig);
+	rig_caller_destroy(caller);
+}
+
+/* Guards against reports without what upstreams ran after power was lost. */
+static void test_calls_in_flight_are_reported_when_power_is_lost(void **state)
+{
+	gateway_rig_t *rig = *state;
+
+	kill_all_with_a_call_in_flight(rig);
+	lose_power(rig);
+	start_all(rig, 2);
+	RIG_UNTIL_WITHIN(rig, calls_reported(rig) > 0, REPORTS_TIMEOUT_MS);
+	assert_int_equal(calls_reported(rig), 1);
+}
+
+/* Guards against bills for calls that were dropped with their connections. */
+static void test_calls_in_flight_end_with_a_killed_process(void **state)
+{
+	gateway_rig_t *rig = *state;
+	guint before;
+
+	kill_all_with_a_call_in_flight(rig);
+	start_all(rig, 2);
+	before = rig->usage->len;
+	RIG_UNTIL_WITHIN(rig, rig->usage->len > before + 2, REPORTS_TIMEOUT_MS);
+	pass(rig, 2000);
+	assert_int_equal(calls_reported(rig), 0);
+}
+
 /* Guards against counts that are dropped while their report is still due. */
 static void test_usage_outlives_some_seconds_without_gateways(void **state)
 {
@@ -522,6 +630,11 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_usage_outlives_two_kills,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_calls_in_flight_are_reported_when_power_is_lost,
+			setup, teardown),
+		cmocka_unit_test_setup_teardown(test_calls_in_flight_end_with_a_killed_process,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_counts_are_kept_when_the_writer_dies,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_counts_are_kept_while_answers_are_lost,
--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -230,46 +230,85 @@
 	});
 }
 
-static std::string packed_counts()
+/* Returns what was encoded in base64 under a key of a text. */
+static std::string decoded(const char *text, const std::string &key)
 {
-	usage_t *usage = usage_create("g#1");
-	char *text;
-	std::string packed;
+	std::string packed = strstr(text, (key + "\":\"").c_str()) + key.size() + 3;
 	guchar *data;
 	gsize len;
 
-	usage_add(usage, 7, "mill");
-	usage_add(usage, 7, "gin");
-	usage_add(usage, 8, "mill");
-	text = usage_table_write(usage, 0);
-	packed = strstr(text, "counts\":\"") + strlen("counts\":\"");
 	packed.resize(packed.find('"'));
 	data = g_base64_decode(packed.c_str(), &len);
 	packed.assign(reinterpret_cast<char *>(data), len);
 	g_free(data);
+	return packed;
+}
+
+static std::string encoded(const std::string &packed)
+{
+	char *text =
+		g_base64_encode(reinterpret_cast<const guchar *>(packed.data()),
+				packed.size());
+	std::string copy = text;
+
+	g_free(text);
+	return copy;
+}
+
+/* Returns the checkpoint's counts and what is in flight, packed. */
+static std::pair<std::string, std::string> packed_counts()
+{
+	usage_t *usage = usage_create("g#1");
+	usage_inflight_t *inflight = usage_inflight_create();
+	usage_flight_t *flight = usage_flight_create(usage_own_start(usage));
+	std::pair<std::string, std::string> packed;
+	char *text;
+
+	usage_add(usage, 7, "mill");
+	usage_add(usage, 7, "gin");
+	usage_add(usage, 8, "mill");
+	flight->booted = PD_SEC;
+	flight->told = PD_SEC;
+	flight->window = 8;
+	usage_flight_add(flight, "mill", 3);
+	usage_inflight_take(inflight, flight);
+	text = usage_table_write(usage, inflight, 0);
+	packed = { decoded(text, "counts"), decoded(text, "in_flight") };
 	g_free(text);
+	usage_inflight_destroy(inflight);
 	usage_destroy(usage);
 	return packed;
 }
 
+static std::string table(const std::string &counts, const std::string &flights)
+{
+	return "{\"format\":1,\"counts\":\"" + encoded(counts) +
+	       "\",\"in_flight\":\"" + encoded(flights) + "\"}";
+}
+
+static void add_lost(void *ctx, const usage_entry_t *entry)
+{
+	*static_cast<uint64_t *>(ctx) += entry->count;
+}
+
 static bool prop_counts()
 {
 	return rc::check("the checkpoint's counts", [] {
-		auto packed = mutated(packed_counts());
-		char *encoded = g_base64_encode(reinterpret_cast<const guchar *>(
-							packed.data()),
-						packed.size());
-		auto text = mutated("{\"format\":1,\"counts\":\"" +
-				    std::string(encoded) + "\"}");
-		auto whole = "{\"format\":1,\"counts\":\"" +
-			     std::string(encoded) + "\"}";
+		auto packed = packed_counts();
+		auto counts = table(mutated(packed.first), packed.second);
+		auto flights = table(packed.first, mutated(packed.second));
+		auto text = mutated(counts);
 		usage_t *usage = usage_create("g#2");
+		usage_inflight_t *inflight = usage_inflight_create();
+		uint64_t sum = 0;
 		pd_error_t err;
 
-		usage_table_merge(whole.c_str(), usage, &err);
-		usage_table_merge(text.c_str(), usage, &err);
+		usage_table_merge(counts.c_str(), usage, inflight, &err);
+		usage_table_merge(flights.c_str(), usage, inflight, &err);
+		usage_table_merge(text.c_str(), usage, inflight, &err);
+		usage_inflight_each_lost(inflight, usage, 8, add_lost, &sum);
+		usage_inflight_destroy(inflight);
 		usage_destroy(usage);
-		g_free(encoded);
 	});
 }
 
--- a/tests/property/test_usage.cc
+++ b/tests/property/test_usage.cc
@@ -1,7 +1,8 @@
 /*
  * Counts of usage over gateways that serve callers, send their counts to two
  * checkpoint writers and are killed: a writer alone, all at once, several times, while
- * the store loses answers. Time is simulated; the store executes conditional writes.
+ * the store loses answers, or as their VMs lose power with requests in flight. Time is
+ * simulated; the store executes conditional writes.
  */
 #include <rapidcheck.h>
 
@@ -27,6 +28,8 @@
 static const pd_time_t answer_time = 8 * PD_MSEC;
 static const pd_time_t call_timeout = 1500 * PD_MSEC;
 static const unsigned slots = 2;
+/* Until an upstream answers, where requests are in flight. */
+static const pd_time_t latency_max = 400 * PD_MSEC;
 
 struct object {
 	uint64_t revision = 0;
@@ -51,6 +54,9 @@
 struct gateway {
 	std::unique_ptr<usage_t, void (*)(usage_t *)> usage{ nullptr,
 							     usage_destroy };
+	std::unique_ptr<usage_inflight_t, void (*)(usage_inflight_t *)> inflight{
+		nullptr, usage_inflight_destroy
+	};
 	std::unique_ptr<object_writer_t, void (*)(object_writer_t *)> writers[slots] = {
 		{ nullptr, object_writer_destroy },
 		{ nullptr, object_writer_destroy }
@@ -62,6 +68,8 @@
 	pd_time_t died_at = 0;
 	pd_time_t sent_at = 0;
 	pd_time_t first_write_at = 0;
+	pd_time_t booted = 0;
+	std::vector<pd_time_t> answers; /* when requests in flight are answered */
 	int targets[slots] = { -1, -1 };
 };
 
@@ -78,6 +86,7 @@
 	uint64_t truth = 0;
 	uint64_t revision = 0;
 	pd_time_t send_period;
+	bool in_flight = false; /* requests are answered later, not at once */
 	pd_time_t now = 1000 * PD_SEC;
 	std::vector<outage> outages;
 };
@@ -89,12 +98,30 @@
 							most - 1)(all.random);
 }
 
-static void merge_text(usage_t *usage, const std::string &text)
+static void merge_text(usage_t *usage, usage_inflight_t *inflight,
+		       const std::string &text)
 {
 	pd_error_t err;
 
 	if (!text.empty())
-		usage_table_merge(text.c_str(), usage, &err);
+		usage_table_merge(text.c_str(), usage, inflight, &err);
+}
+
+/* Notes what a gateway has in flight, as it does before it tells or writes that. */
+static void note_flight(const fleet &all, const gateway &one)
+{
+	uint64_t own = usage_own_start(one.usage.get());
+	usage_flight_t *flight = usage_flight_create(own);
+
+	flight->booted = one.booted;
+	flight->begun = one.started_at - one.booted;
+	flight->told = all.now - one.booted;
+	flight->window = window;
+	if (!one.answers.empty())
+		usage_flight_add(flight, account,
+				 usage_count(one.usage.get(), window, own, account) +
+					 one.answers.size());
+	usage_inflight_take(one.inflight.get(), flight);
 }
 
 static void start(fleet &all, gateway &starting, unsigned number)
@@ -103,6 +130,7 @@
 	starting.incarnation =
 		std::to_string(number) + "#" + std::to_string(starting.start);
 	starting.usage.reset(usage_create(starting.incarnation.c_str()));
+	starting.inflight.reset(usage_inflight_create());
 	for (auto &writer : starting.writers) {
 		writer.reset(object_writer_create(0));
 		object_writer_expect(writer.get(), answer_time);
@@ -121,6 +149,16 @@
 	all.gateways[number].runs = false;
 	all.gateways[number].died_at = all.now;
 	all.gateways[number].usage.reset();
+	all.gateways[number].inflight.reset();
+	all.gateways[number].answers.clear();
+}
+
+/* As well, but its upstreams run what is in flight; its steady clock begins anew. */
+static void lose_power(fleet &all, unsigned number)
+{
+	all.truth += all.gateways[number].answers.size();
+	kill(all, number);
+	all.gateways[number].booted += draw(all, 20, 300) * PD_SEC;
 }
 
 /* What others take a gateway for; they notice a death only later. */
@@ -158,6 +196,33 @@
 	}
 }
 
+static void deliver_flight(const sending &message, const gateway &sender)
+{
+	for (unsigned i = 0; i < slots; i++) {
+		int target = message.targets[i];
+
+		if (target < 0 || !message.all->gateways[target].runs)
+			continue;
+		const usage_flight_t *own =
+			usage_inflight_find(sender.inflight.get(),
+					    usage_own_start(sender.usage.get()));
+		usage_flight_t *copy = usage_flight_create(own->start);
+
+		copy->booted = own->booted;
+		copy->begun = own->begun;
+		copy->told = own->told;
+		copy->window = own->window;
+		for (guint k = 0; k < own->expected->len; k++) {
+			const auto *cell = &g_array_index(own->expected,
+							  usage_expected_t, k);
+
+			usage_flight_add(copy, cell->account, cell->count);
+		}
+		usage_inflight_take(message.all->gateways[target].inflight.get(),
+				    copy);
+	}
+}
+
 static void send_counts(fleet &all, unsigned number,
 			const std::vector<unsigned> &writers)
 {
@@ -178,6 +243,8 @@
 	if (changed)
 		usage_resend(sender.usage.get());
 	usage_each_unsent(sender.usage.get(), deliver, &message);
+	note_flight(all, sender);
+	deliver_flight(message, sender);
 }
 
 static const outage *outage_now(const fleet &all)
@@ -204,7 +271,8 @@
 	    (object_writer_is_regular(object) &&
 	     !usage_is_turn(all.now, period, (int)slot)))
 		return;
-	text = usage_table_write(writer.usage.get(), window);
+	note_flight(all, writer);
+	text = usage_table_write(writer.usage.get(), writer.inflight.get(), window);
 	made.text = text;
 	g_free(text);
 	made.gateway = number;
@@ -245,7 +313,8 @@
 	if (!writer.runs || writer.start != made.start)
 		return;
 	if (made.end == WRITE_CONFLICT && !made.lost)
-		merge_text(writer.usage.get(), made.result.text);
+		merge_text(writer.usage.get(), writer.inflight.get(),
+			   made.result.text);
 	object_writer_end(writer.writers[made.slot].get(), made.number,
 			  made.lost ? WRITE_LOST : made.end,
 			  made.lost ? 0 : made.result.revision, all.now);
@@ -267,6 +336,22 @@
 			all.calls.erase(all.calls.begin() + (long)i - 1);
 }
 
+static void answer(fleet &all, gateway &one)
+{
+	usage_add(one.usage.get(), window, account);
+	all.truth++;
+}
+
+static void take_answers(fleet &all, gateway &one)
+{
+	for (size_t i = one.answers.size(); i > 0; i--) {
+		if (one.answers[i - 1] > all.now)
+			continue;
+		one.answers.erase(one.answers.begin() + (long)i - 1);
+		answer(all, one);
+	}
+}
+
 /* Lets a tick pass; each gateway serves RATE requests a second on average. */
 static void step(fleet &all, double rate)
 {
@@ -282,10 +367,14 @@
 			continue;
 		for (; served >= 1 || (double)draw(all, 0, 1000) < served * 1000;
 		     served--) {
-			usage_add(one.usage.get(), window, account);
-			all.truth++;
+			if (all.in_flight)
+				one.answers.push_back(all.now +
+						      draw(all, 0, latency_max));
+			else
+				answer(all, one);
 		}
-		if (usage_has_unsent(one.usage.get()) &&
+		take_answers(all, one);
+		if ((usage_has_unsent(one.usage.get()) || all.in_flight) &&
 		    all.now - one.sent_at >= all.send_period)
 			send_counts(all, i, writers);
 	}
@@ -316,15 +405,23 @@
 	*static_cast<uint64_t *>(ctx) += sum;
 }
 
+static void add_lost(void *ctx, const usage_entry_t *entry)
+{
+	*static_cast<uint64_t *>(ctx) += entry->count;
+}
+
 /* Returns what a report would say that is made now, of the store alone. */
 static uint64_t checkpointed(const fleet &all)
 {
 	usage_t *reader = usage_create("reader#1");
+	usage_inflight_t *inflight = usage_inflight_create();
 	uint64_t sum = 0;
 
 	for (const auto &stored : all.store)
-		merge_text(reader, stored.text);
+		merge_text(reader, inflight, stored.text);
 	usage_sum(reader, window, sum_up, &sum);
+	usage_inflight_each_lost(inflight, reader, window, add_lost, &sum);
+	usage_inflight_destroy(inflight);
 	usage_destroy(reader);
 	return sum;
 }
@@ -391,6 +488,32 @@
 		  rate * size * (double)window_length / PD_SEC / 20 + 1);
 }
 
+/* What is in flight when VMs lose power counts, what a killed process had does not. */
+static void play_power(unsigned size, double rate)
+{
+	fleet all = fleet_of(size);
+	int kills = (int)draw(all, 1, 4);
+
+	all.in_flight = true;
+	for (int i = 0; i < kills; i++) {
+		bool power = draw(all, 0, 3) > 0;
+
+		pass(all, draw(all, settled_after(size), 3 * PD_SEC), rate);
+		for (unsigned k = 0; k < size; k++) {
+			if (power)
+				lose_power(all, k);
+			else
+				kill(all, k);
+		}
+		pass(all, draw(all, PD_SEC / 2, PD_SEC), 0);
+		start_all(all);
+	}
+	pass(all, PD_SEC, 0);
+	RC_ASSERT(checkpointed(all) <= all.truth);
+	RC_ASSERT((double)(all.truth - checkpointed(all)) <=
+		  rate * size * (double)window_length / PD_SEC / 20 + 1);
+}
+
 /* However writes are delayed, nothing is counted that did not happen. */
 static void play_late(unsigned size, double rate)
 {
@@ -444,6 +567,11 @@
 
 		play_series(size, a_rate(size), true);
 	});
+	ok &= rc::check("nor as VMs lose power with requests in flight", [] {
+		auto size = a_size();
+
+		play_power(size, a_rate(size));
+	});
 	ok &= rc::check("writes that are done late count nothing twice", [] {
 		auto size = a_size();
 
--- a/tests/unit/test_checkpoint_record.c
+++ b/tests/unit/test_checkpoint_record.c
@@ -12,6 +12,7 @@
 
 #define STARTS 300
 #define ACCOUNTS 40
+#define ACCOUNTS_IN_FLIGHT 4 /* of a gateway */
 #define FLEET_BYTES_MAX 40000 /* of one window of a fleet of that size */
 
 static void test_a_record_survives_the_round_trip(void **state)
@@ -98,6 +99,7 @@
 {
 	usage_t *usage = usage_create("g0#1");
 	usage_t *read = usage_create("g0#2");
+	usage_inflight_t *inflight = usage_inflight_create();
 	char *text;
 	pd_error_t err;
 
@@ -107,21 +109,23 @@
 	merge(usage, 7, 5, "gin \"\\", 20);
 	merge(usage, 8, 5, "gin \"\\", 3);
 	merge(usage, 6, 5, "mill", 9);
-	text = usage_table_write(usage, 7);
-	assert_int_equal(usage_table_merge(text, read, &err), 0);
-	assert_int_equal(usage_table_merge(text, read, &err), 0);
+	text = usage_table_write(usage, inflight, 7);
+	assert_int_equal(usage_table_merge(text, read, inflight, &err), 0);
+	assert_int_equal(usage_table_merge(text, read, inflight, &err), 0);
 	assert_int_equal(sum_of(read, 7), 1021);
 	assert_int_equal(sum_of(read, 8), 3);
 	assert_int_equal(sum_of(read, 6), 0);
 	g_free(text);
 	usage_destroy(usage);
 	usage_destroy(read);
+	usage_inflight_destroy(inflight);
 }
 
 /* Guards against a checkpoint that fills the links of a fleet of hundreds. */
 static void test_counts_of_a_large_fleet_are_small(void **state)
 {
 	usage_t *usage = usage_create("g0#1");
+	usage_inflight_t *inflight = usage_inflight_create();
 	char *text;
 
 	(void)state;
@@ -134,10 +138,41 @@
 			merge(usage, 353445120, start << 40, account, 2);
 		}
 	}
-	text = usage_table_write(usage, 0);
+	text = usage_table_write(usage, inflight, 0);
 	assert_true(strlen(text) < FLEET_BYTES_MAX);
 	g_free(text);
 	usage_destroy(usage);
+	usage_inflight_destroy(inflight);
+}
+
+/* Guards against requests in flight that take more of a link than the counts do. */
+static void test_flights_of_a_large_fleet_are_small(void **state)
+{
+	usage_t *usage = usage_create("g0#1");
+	usage_inflight_t *inflight = usage_inflight_create();
+	char *text;
+
+	(void)state;
+	for (uint64_t start = 0; start < STARTS; start++) {
+		usage_flight_t *flight = usage_flight_create(start << 40);
+
+		flight->booted = 1772338322000 * PD_MSEC;
+		flight->begun = 94107805 * PD_MSEC;
+		flight->told = 94107905 * PD_MSEC;
+		flight->window = 353445120;
+		for (int i = 0; i < ACCOUNTS_IN_FLIGHT; i++) {
+			char account[16];
+
+			g_snprintf(account, sizeof(account), "account-%d", i);
+			usage_flight_add(flight, account, 200);
+		}
+		usage_inflight_take(inflight, flight);
+	}
+	text = usage_table_write(usage, inflight, 0);
+	assert_true(strlen(text) < FLEET_BYTES_MAX);
+	g_free(text);
+	usage_destroy(usage);
+	usage_inflight_destroy(inflight);
 }
 
 /* Guards against a checkpoint of another program that ends service or is believed. */
@@ -154,17 +189,23 @@
 		{ "{\"format\":1}", PD_ERROR_VERSION },
 		{ "{\"format\":1,\"counts\":\"\"}", PD_ERROR_INPUT },
 		{ "{\"format\":1,\"counts\":\"3f////8=\"}", PD_ERROR_INPUT },
+		{ "{\"format\":1,\"counts\":\"kZA=\",\"in_flight\":\"\"}",
+		  PD_ERROR_INPUT },
 	};
 
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		usage_t *usage = usage_create("g0#1");
+		usage_inflight_t *inflight = usage_inflight_create();
 		pd_error_t err;
 
 		pd_error_clear(&err);
-		assert_int_equal(usage_table_merge(cases[i].text, usage, &err), -1);
+		assert_int_equal(usage_table_merge(cases[i].text, usage,
+						   inflight, &err),
+				 -1);
 		assert_int_equal(err.kind, cases[i].kind);
 		usage_destroy(usage);
+		usage_inflight_destroy(inflight);
 	}
 }
 
@@ -175,6 +216,7 @@
 		cmocka_unit_test(test_offsets_of_no_sense_are_left_out),
 		cmocka_unit_test(test_counts_survive_the_round_trip),
 		cmocka_unit_test(test_counts_of_a_large_fleet_are_small),
+		cmocka_unit_test(test_flights_of_a_large_fleet_are_small),
 		cmocka_unit_test(test_what_is_no_table_is_told_by_type),
 	};
 
