Read the lease again at once after a renewal that conflicts

Cause: an own renewal that was not answered is done between the read that follows and the next renewal, which conflicts. While the lease has lapsed a conflict was taken for a race that another has won, and the next look came after two to six seconds.

Evidence: a trial that logs the calls: renewal of version 899 at 23.49 s, no answer by 24.99 s; 899 read again at 25.31 s, conflict at 25.33 s, next call at 30.37 s; the report was due at 33.0 s and did not come.

Ruled out: a failed read, after which there is such a pause too: no call failed between; counts that were not written.

Fix: whoever wrote on a record of its own reads again after 0.3 s, as it does without an answer. Conflicts are logged.

Test: test_a_conflict_with_an_own_late_write_is_no_loss, seen to fail before; property/test_lease passes."

--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -78,6 +78,8 @@
 			answer.status = STORE_UNKNOWN;
 		}
 	}
+	if (answer.status == STORE_CONFLICT)
+		log_line(G_LOG_LEVEL_INFO, PART, "lease write conflicted");
 	if (answer.status == STORE_DOWN || answer.status == STORE_UNKNOWN)
 		log_line(G_LOG_LEVEL_WARNING, PART,
 			 "lease call failed status=%d", reply->status);
--- a/core/lease.c
+++ b/core/lease.c
@@ -268,7 +268,8 @@
 static void lease_written(lease_t *lease, const lease_reply_t *reply, pd_time_t now)
 {
 	if (reply->status != STORE_OK) {
-		bool was_held = lease_is_held(lease, now);
+		/* A renewal conflicts also with an own write that was done late. */
+		bool was_own = lease->record && lease_is_own(lease);
 
 		/* Only a read tells who holds it now. */
 		g_clear_pointer(&lease->record, lease_record_destroy);
@@ -278,7 +279,7 @@
 		/* Whoever lost the race for a lapsed lease need not hurry. */
 		lease->next_at =
 			now +
-			(was_held || reply->status == STORE_UNKNOWN
+			(was_own || reply->status == STORE_UNKNOWN
 				 ? HOLDER_RETRY
 				 : lease_spread(lease, lease->timing.standby));
 		return;
--- a/tests/unit/test_duties_note.c
+++ b/tests/unit/test_duties_note.c
@@ -168,6 +168,63 @@
 	lease_destroy(lease);
 }
 
+/* Lets time pass until a call is made, and returns it. */
+static placer_action_t *await_action(lease_t *lease, pd_time_t *now)
+{
+	placer_action_t *action;
+
+	while (!(action = next_action(lease, *now)))
+		*now += 20 * PD_MSEC;
+	return action;
+}
+
+/* Guards against a holder that stands by for seconds as an own write was done late. */
+static void test_a_conflict_with_an_own_late_write_is_no_loss(void **state)
+{
+	lease_t *lease = lease_create("me", &timing, 1);
+	lease_record_t *record = lease_record_create();
+	lease_reply_t reply = { .status = STORE_UNKNOWN };
+	pd_time_t now = START;
+	pd_time_t failed_at;
+	placer_action_t *action;
+
+	(void)state;
+	record->holder = g_strdup("me");
+	action = await_action(lease, &now);
+	answer(lease, action, record, 1, now);
+	placer_action_destroy(action);
+	action = await_action(lease, &now);
+	answer(lease, action, record, 2, now);
+	placer_action_destroy(action);
+	assert_true(lease_is_held(lease, now));
+	/* The renewal is not answered until the lease has lapsed. */
+	action = await_action(lease, &now);
+	assert_int_equal(action->kind, PLACER_LEASE_WRITE);
+	reply.op = action->lease.op;
+	placer_action_destroy(action);
+	now += timing.term;
+	assert_false(lease_is_held(lease, now));
+	failed_at = now;
+	lease_reply(lease, &reply, now);
+	/* It is done between the read that follows and the next write. */
+	action = await_action(lease, &now);
+	assert_int_equal(action->kind, PLACER_LEASE_READ);
+	answer(lease, action, record, 2, now);
+	placer_action_destroy(action);
+	action = await_action(lease, &now);
+	assert_int_equal(action->kind, PLACER_LEASE_WRITE);
+	reply.op = action->lease.op;
+	reply.status = STORE_CONFLICT;
+	lease_reply(lease, &reply, now);
+	placer_action_destroy(action);
+	action = await_action(lease, &now);
+	assert_int_equal(action->kind, PLACER_LEASE_READ);
+	placer_action_destroy(action);
+	assert_true(now - failed_at < PD_SEC);
+	lease_record_destroy(record);
+	lease_destroy(lease);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -176,6 +233,7 @@
 		cmocka_unit_test(test_an_update_waits_for_the_renewal),
 		cmocka_unit_test(test_a_silent_holder_is_looked_at_at_once),
 		cmocka_unit_test(test_a_call_that_hangs_does_not_hold_up_the_next),
+		cmocka_unit_test(test_a_conflict_with_an_own_late_write_is_no_loss),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
