--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -131,19 +131,6 @@
 	return checkpoint;
 }
 
-/* Notes that the store has answered a call of this gateway. */
-void gateway_checkpoint_store_answered(gateway_checkpoint_t *checkpoint)
-{
-	pd_time_t now = gateway_now();
-
-	call_pacer_heard(checkpoint->record_reading.pacer, now);
-	call_pacer_heard(checkpoint->counts_reading.pacer, now);
-	for (unsigned int i = 0; i < CHECKPOINT_SLOTS; i++) {
-		object_writer_heard(checkpoint->records[i].writer, now);
-		object_writer_heard(checkpoint->counts[i].writer, now);
-	}
-}
-
 /* Returns whether the record was read, or is not waited for any longer. */
 bool gateway_checkpoint_is_settled(const gateway_checkpoint_t *checkpoint,
 				   pd_time_t now)
--- a/adapters/gateway/checkpoint.h
+++ b/adapters/gateway/checkpoint.h
@@ -12,7 +12,6 @@
 
 gateway_checkpoint_t *gateway_checkpoint_create(gateway_t *gateway);
 void gateway_checkpoint_run(gateway_checkpoint_t *checkpoint, pd_time_t now);
-void gateway_checkpoint_store_answered(gateway_checkpoint_t *checkpoint);
 void gateway_checkpoint_read_counts(gateway_checkpoint_t *checkpoint);
 pd_time_t gateway_checkpoint_counts_read_at(const gateway_checkpoint_t *checkpoint);
 bool gateway_checkpoint_is_settled(const gateway_checkpoint_t *checkpoint,
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -202,13 +202,11 @@
 	gateway_t *gateway = ctx;
 	pd_time_t now = gateway_now();
 
-	if (!was_served(status)) {
+	if (was_served(status))
+		gateway_store_answered(gateway, now);
+	else
 		gateway_store_failed(gateway,
 				     now - (pd_time_t)elapsed_ms * PD_MSEC);
-		return;
-	}
-	gateway_store_answered(gateway, now);
-	gateway_checkpoint_store_answered(gateway->checkpoint);
 }
 
 /* Logs what became known of an upstream and passes it on to the peers. */
--- a/core/forward/call_pacer.c
+++ b/core/forward/call_pacer.c
@@ -21,7 +21,6 @@
 	unsigned int unanswered; /* begun since an answer came */
 	pd_time_t last_begun_at; /* 0: none yet */
 	pd_time_t answered_at; /* when an answer came last */
-	pd_time_t heard_at; /* as well, or one to a call that is not of this pacer */
 	pd_time_t answer_time; /* smoothed */
 	pd_time_t pause_until;
 };
@@ -109,7 +108,6 @@
 		pacer->answer_time += (now - begun_at - pacer->answer_time) /
 				      ANSWER_TIME_WEIGHT;
 		pacer->answered_at = now;
-		pacer->heard_at = now;
 		pacer->unanswered = 0;
 		pacer->pause_until = 0;
 		return;
@@ -119,22 +117,12 @@
 		return;
 	case CALL_LOST:
 		/* The store may have answered other calls since. */
-		if (pacer->heard_at < begun_at)
+		if (pacer->answered_at < begun_at)
 			pacer->pause_until = now + FAILURE_PAUSE;
 		return;
 	}
 }
 
-/*
- * Notes that the store has answered a call that is not of this pacer: it is not silent,
- * and a row of calls without an answer is chance.
- */
-void call_pacer_heard(call_pacer_t *pacer, pd_time_t now)
-{
-	pacer->heard_at = now;
-	pacer->unanswered = MIN(pacer->unanswered, UNANSWERED_BY_CHANCE);
-}
-
 /* Has the next call made at once, unless the store is failing. */
 void call_pacer_hurry(call_pacer_t *pacer)
 {
--- a/core/forward/object_writer.c
+++ b/core/forward/object_writer.c
@@ -46,12 +46,6 @@
 	return call_pacer_is_regular(writer->pacer);
 }
 
-/* Notes that the store has answered a call that is not of this writer. */
-void object_writer_heard(object_writer_t *writer, pd_time_t now)
-{
-	call_pacer_heard(writer->pacer, now);
-}
-
 /* Sets what answers are taken to need until some have come. */
 void object_writer_expect(object_writer_t *writer, pd_time_t answer_time)
 {
--- a/tests/unit/test_object_writer.c
+++ b/tests/unit/test_object_writer.c
@@ -133,29 +133,6 @@
 	object_writer_destroy(writer);
 }
 
-/* Guards against pauses that double though the store answers other calls. */
-static void test_a_run_of_lost_answers_is_chance_while_others_come(void **state)
-{
-	object_writer_t *writer = object_writer_create(PERIOD);
-	pd_time_t begun_at = START;
-	pd_time_t longest = 0;
-	unsigned int begun = 0;
-
-	(void)state;
-	object_writer_expect(writer, 4 * PD_MSEC);
-	for (pd_time_t now = START; now < START + PD_SEC; now += STEP) {
-		if ((now - START) % PERIOD == 0)
-			object_writer_heard(writer, now);
-		longest = MAX(longest, now - begun_at);
-		if (!object_writer_is_due(writer, now))
-			continue;
-		object_writer_begin(writer, ++begun, now);
-		begun_at = now;
-	}
-	assert_in_range(longest, 0, PERIOD);
-	object_writer_destroy(writer);
-}
-
 /* Guards against a silent store that is called as if it answered. */
 static void test_a_silent_store_is_called_less_and_less(void **state)
 {
@@ -239,8 +216,6 @@
 		cmocka_unit_test(test_a_lost_answer_holds_nothing_up),
 		cmocka_unit_test(test_answers_may_overtake_each_other),
 		cmocka_unit_test(test_half_of_the_answers_are_lost),
-		cmocka_unit_test(
-			test_a_run_of_lost_answers_is_chance_while_others_come),
 		cmocka_unit_test(test_a_silent_store_is_called_less_and_less),
 		cmocka_unit_test(test_calls_that_are_out_are_bounded),
 		cmocka_unit_test(test_a_slow_store_is_called_at_its_pace),
