Take what is in flight also if nothing passes between two notes

A request that was sent in the same moment in which the flight had been noted was left out of it until the next change. Two notes of one moment: the second holds. Seen while reading; test_what_was_told_last_holds plays it.

--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -41,7 +41,7 @@
 	retry_windows_t *retries;
 	usage_t *usage;
 	usage_watermarks_t *watermarks; /* of the starts that count usage */
-	usage_inflight_t *inflight; /* of the starts that count usage */
+	usage_inflight_t *inflight; /* requests of all gateways' starts */
 	bool flight_changed; /* since what this gateway has in flight was noted */
 	int64_t usage_window; /* that it was when old counts were dropped last */
 	work_rate_t *work;
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -77,8 +77,7 @@
 #define FETCH_FIELDS 4 /* kind, sender, what, digests or marks */
 #define MEMBER_FIELDS 3 /* address, whether it is strong, zone */
 #define USE_FIELDS 4 /* account, total, level or nil, asked */
-#define COUNTS_FIELDS \
-	6 /* kind, sender, its start, usage, use of limits, in flight */
+#define COUNTS_FIELDS 6 /* kind, sender, its start, usage, limits, in flight */
 #define USAGE_FIELDS 3 /* window, account, count */
 /* An upstream in full, and just its mark, stage, revision and start. */
 #define NEWS_FULL_FIELDS 10
--- a/core/forward/usage_inflight.c
+++ b/core/forward/usage_inflight.c
@@ -73,7 +73,7 @@
 {
 	const usage_flight_t *known = usage_inflight_find(inflight, flight->start);
 
-	if (known && known->told >= flight->told) {
+	if (known && known->told > flight->told) {
 		usage_flight_destroy(flight);
 		return;
 	}
--- a/tests/unit/test_usage_inflight.c
+++ b/tests/unit/test_usage_inflight.c
@@ -155,8 +155,10 @@
 {
 	report_t *report = *state;
 
-	tell(report, &first, NOON + PD_SEC + 20 * PD_MSEC, WINDOW, 41);
+	tell(report, &first, NOON + PD_SEC + 20 * PD_MSEC, WINDOW, 43);
 	tell(report, &first, NOON + PD_SEC, WINDOW, 46);
+	/* Requests may be sent between two notes of the same moment. */
+	tell(report, &first, NOON + PD_SEC + 20 * PD_MSEC, WINDOW, 41);
 	tell(report, &next_boot, next_boot.begun, WINDOW, 0);
 	assert_int_equal(lost(report), 1);
 }
