Read the record at once where calls of an outage still hang

Cause: the leader's read of the record, which tells the gap, was wanted at 24.10 s. Calls of before, from the outage, ended at 24.32, 24.62 and 24.92 s, and each paused the next call by 0.3 s; the report went out at 25.06 s.

Ruled out: a record that does not say when it was written: the next report of the same leader had the gap.

Fix: a reading that is wanted anew is begun at once, and calls that were begun before pause nothing.

Test: test_calls_of_before_pause_nothing.

--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -156,6 +156,7 @@
 {
 	reading->wanted = true;
 	reading->wanted_at = gateway_now();
+	call_pacer_renew(reading->pacer, reading->wanted_at);
 }
 
 /* Has the record read again for when it was written before this start. */
--- a/core/forward/call_pacer.c
+++ b/core/forward/call_pacer.c
@@ -24,6 +24,7 @@
 	pd_time_t answered_at; /* when an answer came last */
 	pd_time_t answer_time; /* smoothed */
 	pd_time_t pause_until;
+	pd_time_t renewed_at; /* calls begun before say nothing of later ones */
 };
 
 /* Returns a pacer of calls that are made every PERIOD; the caller owns it. */
@@ -120,12 +121,21 @@
 		return;
 	case CALL_LOST:
 		/* The store may have answered other calls since. */
-		if (pacer->answered_at < begun_at)
+		if (MAX(pacer->answered_at, pacer->renewed_at) < begun_at)
 			pacer->pause_until = now + FAILURE_PAUSE;
 		return;
 	}
 }
 
+/* Begins anew: the next call is made at once, and earlier ones pause nothing. */
+void call_pacer_renew(call_pacer_t *pacer, pd_time_t now)
+{
+	pacer->renewed_at = now;
+	pacer->last_begun_at = 0;
+	pacer->unanswered = 0;
+	pacer->pause_until = 0;
+}
+
 /* Has the next call made at once, unless the store is failing. */
 void call_pacer_hurry(call_pacer_t *pacer)
 {
--- a/core/forward/call_pacer.h
+++ b/core/forward/call_pacer.h
@@ -34,6 +34,7 @@
 unsigned int call_pacer_begin(call_pacer_t *pacer, pd_time_t now);
 void call_pacer_end(call_pacer_t *pacer, unsigned int call, call_end_t end,
 		    pd_time_t now);
+void call_pacer_renew(call_pacer_t *pacer, pd_time_t now);
 void call_pacer_hurry(call_pacer_t *pacer);
 void call_pacer_postpone(call_pacer_t *pacer, pd_time_t now);
 
--- a/tests/unit/test_object_writer.c
+++ b/tests/unit/test_object_writer.c
@@ -234,6 +234,31 @@
 	call_pacer_destroy(pacer);
 }
 
+/* Guards against a read that waits for calls of before, which hung in an outage. */
+static void test_calls_of_before_pause_nothing(void **state)
+{
+	call_pacer_t *pacer = call_pacer_create(PERIOD);
+	unsigned int hung[3];
+	pd_time_t now = START;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(hung); i++) {
+		hung[i] = call_pacer_begin(pacer, now);
+		now += PD_SEC / 2;
+	}
+	call_pacer_end(pacer, hung[0], CALL_LOST, now);
+	assert_false(call_pacer_is_due(pacer, now));
+	call_pacer_renew(pacer, now);
+	assert_true(call_pacer_is_due(pacer, now));
+	call_pacer_end(pacer, hung[1], CALL_LOST, now + STEP);
+	assert_true(call_pacer_is_due(pacer, now + STEP));
+	/* One of its own does. */
+	call_pacer_end(pacer, call_pacer_begin(pacer, now + STEP), CALL_LOST,
+		       now + PD_SEC);
+	assert_false(call_pacer_is_due(pacer, now + PD_SEC));
+	call_pacer_destroy(pacer);
+}
+
 /* Guards against calls in vain to a store that turns this gateway away. */
 static void test_a_refusal_pauses(void **state)
 {
@@ -258,6 +283,7 @@
 		cmocka_unit_test(test_a_silent_store_is_called_less_and_less),
 		cmocka_unit_test(test_calls_that_are_out_are_bounded),
 		cmocka_unit_test(test_a_slow_store_is_called_at_its_pace),
+		cmocka_unit_test(test_calls_of_before_pause_nothing),
 		cmocka_unit_test(test_a_refusal_pauses),
 	};
 
