--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -129,17 +129,27 @@
 
 /* Upstreams. */
 
+/* Appends the header that names an upstream's rate limit, if it has one. */
+static void append_rate_limit(GString *headers, const rig_server_t *server)
+{
+	if (server->rate_limit > 0)
+		g_string_append_printf(headers, "Server-Limit: %.1f\r\n",
+				       server->rate_limit);
+}
+
 /* Sends an upstream's sealed response to the call with ID; NULL: to none. */
 static void upstream_answer_body(session_t *session, int status, const char *id,
 				 const char *body)
 {
-	char *headers = g_strdup_printf("X-Attempt-Id: %s\r\n"
-					"X-Response-Seal: s%d\r\n"
-					"Keep-Alive: timeout=5\r\n",
-					id ? id : "", session->server->number);
+	GString *headers = g_string_new(NULL);
 
-	session_write(session, status, headers, body);
-	g_free(headers);
+	g_string_printf(headers,
+			"X-Attempt-Id: %s\r\nX-Response-Seal: s%d\r\n"
+			"Keep-Alive: timeout=5\r\n",
+			id ? id : "", session->server->number);
+	append_rate_limit(headers, session->server);
+	session_write(session, status, headers->str, body);
+	g_string_free(headers, TRUE);
 }
 
 /* Sends a response whose body has the number of the upstream. */
@@ -200,16 +210,20 @@
 /* Starts a stream after the event that the request resumes from, or at its start. */
 static void stream_begin(session_t *session)
 {
-	char *head = g_strdup_printf("HTTP/1.1 200 OK\r\n"
-				     "Content-Type: text/event-stream\r\n"
-				     "Transfer-Encoding: chunked\r\n"
-				     "X-Attempt-Id: %s\r\n"
-				     "X-Response-Seal: s%d\r\n\r\n",
-				     session->call_id ? session->call_id : "",
-				     session->server->number);
-
-	http1_write(session->conn, head, strlen(head));
-	g_free(head);
+	GString *head = g_string_new(NULL);
+
+	g_string_printf(head,
+			"HTTP/1.1 200 OK\r\n"
+			"Content-Type: text/event-stream\r\n"
+			"Transfer-Encoding: chunked\r\n"
+			"X-Attempt-Id: %s\r\n"
+			"X-Response-Seal: s%d\r\n",
+			session->call_id ? session->call_id : "",
+			session->server->number);
+	append_rate_limit(head, session->server);
+	g_string_append(head, "\r\n");
+	http1_write(session->conn, head->str, head->len);
+	g_string_free(head, TRUE);
 	session->event = session->resume_after ? atoi(session->resume_after) : 0;
 	uv_timer_start(&session->timer, on_event, EVENT_MS, EVENT_MS);
 }
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -49,6 +49,7 @@
 	unsigned int arrivals;
 	unsigned int aborted_calls; /* closed by the client before the response */
 	rig_behavior_t behavior;
+	double rate_limit; /* requests per second that its answers name; 0: none */
 	GString *last; /* the last request: head lines, then the body */
 } rig_server_t;
 
--- /dev/null
+++ b/tests/process/test_gateway_limits.c
@@ -0,0 +1,221 @@
+/* Tests of three gateways whose upstreams name a rate limit in their answers. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "tests/harness/gateway_calls.h"
+
+#define RATE_LIMIT 3.0 /* requests a second */
+#define CALL_PERIOD_MS 20 /* to each gateway in turn */
+#define LEARNING_MS 3000 /* after which a limit that was named is kept */
+#define WINDOW_MS 4000
+/* What an upstream may get in a window from all gateways together. */
+#define WINDOW_ALLOWED (1.5 * RATE_LIMIT * WINDOW_MS / 1000 + 5)
+/* Gateways share what is allowed without leaving most of it unused. */
+#define WINDOW_WANTED (0.5 * RATE_LIMIT * WINDOW_MS / 1000)
+/* A refusal that is known to be due does not wait for room. */
+#define REFUSAL_MS 300
+
+/* The outcomes of calls. */
+typedef struct outcomes {
+	unsigned int served;
+	unsigned int refused;
+	unsigned int other;
+	double retry_after_max; /* seconds, of refusals */
+	unsigned int refused_late; /* after more than REFUSAL_MS */
+} outcomes_t;
+
+/* A call whose response is awaited. */
+typedef struct pending {
+	rig_caller_t *caller;
+	uint64_t sent_ms;
+} pending_t;
+
+static uint64_t now_ms(void)
+{
+	return uv_hrtime() / 1000000;
+}
+
+/* Starts three gateways that know each other, with three upstreams. */
+static int setup(void **state)
+{
+	gateway_rig_t *rig = gateway_rig_create();
+
+	rig_put_config(rig, 1, "");
+	for (int i = 0; i < RIG_UPSTREAMS; i++)
+		rig_put_upstream(rig, i, "ready");
+	for (int i = 0; i < RIG_GATEWAYS; i++) {
+		rig_start(rig, i);
+		RIG_UNTIL(rig, rig_port(rig, i, "health"));
+		rig->peer_ports[i] = rig_port(rig, i, "peers");
+	}
+	for (int i = 0; i < RIG_GATEWAYS; i++)
+		RIG_UNTIL(rig, rig_is_ready(rig, i));
+	*state = rig;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	gateway_rig_destroy(*state);
+	return 0;
+}
+
+/* Counts the outcome of a call whose response has arrived. */
+static void count_outcome(outcomes_t *outcomes, const pending_t *pending)
+{
+	const char *text = pending->caller->received->str;
+	const char *retry_after = strstr(text, "Retry-After: ");
+
+	if (strstr(text, "HTTP/1.1 200")) {
+		outcomes->served++;
+	} else if (strstr(text, "HTTP/1.1 503") && retry_after) {
+		double value =
+			g_ascii_strtod(retry_after + strlen("Retry-After: "), NULL);
+
+		outcomes->refused++;
+		outcomes->retry_after_max = MAX(outcomes->retry_after_max, value);
+		outcomes->refused_late += now_ms() - pending->sent_ms > REFUSAL_MS;
+	} else {
+		outcomes->other++;
+	}
+}
+
+/* Returns whether the response of a call is complete. */
+static bool is_answered(rig_caller_t *caller)
+{
+	return rig_has_received(caller, "\r\n\r\n");
+}
+
+/* Counts and forgets the calls that were answered. */
+static void collect(GArray *calls, outcomes_t *outcomes)
+{
+	for (guint i = calls->len; i-- > 0;) {
+		pending_t *pending = &g_array_index(calls, pending_t, i);
+
+		if (!is_answered(pending->caller))
+			continue;
+		count_outcome(outcomes, pending);
+		rig_caller_destroy(pending->caller);
+		g_array_remove_index_fast(calls, i);
+	}
+}
+
+/* Sends calls to all gateways in turn for MS, and waits for their responses. */
+static outcomes_t send_calls(gateway_rig_t *rig, const char *path, uint64_t ms)
+{
+	static unsigned int number;
+	GArray *calls = g_array_new(FALSE, FALSE, sizeof(pending_t));
+	outcomes_t outcomes = { 0 };
+	uint64_t start = now_ms();
+	uint64_t next = start;
+
+	while (now_ms() - start < ms) {
+		rig_run_once(rig);
+		if (now_ms() >= next) {
+			char id[32];
+			pending_t pending = { .sent_ms = now_ms() };
+
+			snprintf(id, sizeof(id), "c%u", ++number);
+			pending.caller = rig_call_at(rig, number % RIG_GATEWAYS,
+						     "POST", path, id);
+			g_array_append_val(calls, pending);
+			next += CALL_PERIOD_MS;
+		}
+		collect(calls, &outcomes);
+	}
+	RIG_UNTIL(rig, (collect(calls, &outcomes), !calls->len));
+	g_array_unref(calls);
+	return outcomes;
+}
+
+/*
+ * Guards against gateways that together send an upstream several times the rate
+ * that it names.
+ */
+static void test_named_limit_holds_over_all_gateways(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_server_t *limited = &rig->upstreams[0];
+	outcomes_t outcomes;
+	unsigned int before;
+
+	send_calls(rig, "/safe/x", 500);
+	limited->rate_limit = RATE_LIMIT;
+	send_calls(rig, "/safe/x", LEARNING_MS);
+	before = limited->arrivals;
+	outcomes = send_calls(rig, "/safe/x", WINDOW_MS);
+	print_message("%u of %.0f allowed\n", limited->arrivals - before,
+		      WINDOW_ALLOWED);
+	assert_true(limited->arrivals - before <= WINDOW_ALLOWED);
+	assert_true(limited->arrivals - before >= WINDOW_WANTED);
+	assert_int_equal(outcomes.refused, 0);
+	assert_int_equal(outcomes.other, 0);
+}
+
+/* Guards against upstreams that get little for long after their limit has ended. */
+static void test_limit_ends_when_it_is_no_longer_named(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_server_t *limited = &rig->upstreams[0];
+	unsigned int before;
+
+	limited->rate_limit = RATE_LIMIT;
+	send_calls(rig, "/safe/x", LEARNING_MS);
+	limited->rate_limit = 0;
+	send_calls(rig, "/safe/x", LEARNING_MS);
+	before = limited->arrivals;
+	send_calls(rig, "/safe/x", 2000);
+	/* An equal share of what is sent would be a third. */
+	assert_true(limited->arrivals - before >= 2000 / CALL_PERIOD_MS / 6);
+}
+
+/*
+ * Guards against calls that wait for their deadline where the limits of all upstreams
+ * leave no room.
+ */
+static void test_calls_beyond_all_limits_are_refused_at_once(void **state)
+{
+	gateway_rig_t *rig = *state;
+	unsigned int before = 0;
+	unsigned int after = 0;
+	outcomes_t outcomes;
+
+	for (int i = 0; i < RIG_UPSTREAMS; i++)
+		rig->upstreams[i].rate_limit = RATE_LIMIT;
+	send_calls(rig, "/once/x", LEARNING_MS);
+	for (int i = 0; i < RIG_UPSTREAMS; i++)
+		before += rig->upstreams[i].arrivals;
+	outcomes = send_calls(rig, "/once/x", WINDOW_MS);
+	for (int i = 0; i < RIG_UPSTREAMS; i++)
+		after += rig->upstreams[i].arrivals;
+	print_message("%u sent, %u served, %u refused, %u of them late, "
+		      "retry after %.2f s at most\n",
+		      after - before, outcomes.served, outcomes.refused,
+		      outcomes.refused_late, outcomes.retry_after_max);
+	assert_true(after - before <= RIG_UPSTREAMS * WINDOW_ALLOWED);
+	assert_true(outcomes.served >= RIG_UPSTREAMS * WINDOW_WANTED);
+	assert_int_equal(outcomes.other, 0);
+	assert_true(outcomes.refused > outcomes.served);
+	assert_true(outcomes.refused_late * 10 <= outcomes.refused);
+	assert_true(outcomes.retry_after_max > 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_named_limit_holds_over_all_gateways,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_limit_ends_when_it_is_no_longer_named,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_calls_beyond_all_limits_are_refused_at_once,
+						setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
