Keep the rate limits that upstreams name, in sum over all gateways

Callers' engines that had named 3 and 2 requests a second got 25 and 19 in 4 s, where 23 and 17 are allowed: no code read the header that names the limit, so each gateway went on as before. The timeline showed it: the share of these engines did not change when they began to name a limit.

Limits are now read from responses and sent to all gateways, and a request to an upstream with a limit needs a permit, which one gateway issues for the fleet. Retries and resumed streams need permits too. A request that only limited upstreams could serve waits in the order of ranks if a permit is expected in time, or is refused at once with the expected wait.

Messages about limits go only to gateways that say in their states that they know them.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -12,6 +12,7 @@
 #include "adapters/gateway/health.h"
 #include "adapters/gateway/peers.h"
 #include "adapters/gateway/checkpoint.h"
+#include "adapters/gateway/rate_limits.h"
 #include "adapters/gateway/reload.h"
 #include "adapters/gateway/request.h"
 #include "adapters/gateway/upstream_link.h"
@@ -453,6 +454,7 @@
 	const token_limits_config_t limits = gateway_settings_limits(settings);
 
 	gateway->upstreams = forward_upstreams_create();
+	gateway->upstream_limits = upstream_limits_create();
 	gateway->outage = store_outage_create(gateway->started_at);
 	gateway->limits =
 		token_limits_create(&limits,
@@ -469,6 +471,7 @@
 	gateway->metrics = metrics_create();
 	gateway->random = g_rand_new();
 	token_limits_seed(gateway->limits, g_rand_int(gateway->random));
+	upstream_limits_seed(gateway->upstream_limits, g_rand_int(gateway->random));
 	list_init(&gateway->callers);
 	list_init(&gateway->requests);
 	list_init(&gateway->startup_queue);
@@ -547,6 +550,8 @@
 	metrics_set_gauge(metrics, "gateway_upstreams_serving",
 			  count_serving(gateway));
 	metrics_set_gauge(metrics, "gateway_peers", gateway_count(gateway) - 1.0);
+	metrics_set_gauge(metrics, "gateway_upstreams_limited",
+			  gateway_limits_count(gateway, gateway_now()));
 	metrics_set_gauge(metrics, "gateway_store_serves",
 			  fleet_feed_is_store_reachable(gateway->feed));
 	metrics_set_gauge(metrics, "gateway_requests_open",
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -12,6 +12,7 @@
 #include "core/forward/store_outage.h"
 #include "core/forward/time_vote.h"
 #include "core/forward/token_limits.h"
+#include "core/forward/upstream_limits.h"
 #include "core/forward/upstreams.h"
 #include "core/forward/usage.h"
 #include "core/forward/usage_inflight.h"
@@ -36,6 +37,7 @@
 	bool upstreams_listed; /* a complete listing was read, here or by a peer */
 	bool upstreams_usable; /* at least one page of a listing was read */
 	forward_upstreams_t *upstreams;
+	upstream_limits_t *upstream_limits; /* that upstreams name in responses */
 	token_limits_t *limits;
 	uint64_t limits_version; /* of the configuration whose accounts are in limits */
 	retry_windows_t *retries;
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -319,6 +319,7 @@
 		flags |= STATE_FLAG_HIGH_CAPACITY;
 	if (request_summary)
 		flags |= STATE_FLAG_REQUESTS_SUMMARY;
+	flags |= STATE_FLAG_HANDLES_LIMITS;
 	return flags;
 }
 
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -66,6 +66,13 @@
 	return strcmp(address, other->address) < 0;
 }
 
+/* Returns whether this gateway ranks before a peer. */
+bool peers_ranks_before(const gateway_peers_t *peers, const peer_t *other)
+{
+	return ranks_before(peers->high_capacity, g_str_hash(peers->address),
+			    peers->address, other);
+}
+
 /* Returns whether one peer ranks before another. */
 static bool peer_ranks_before(const peer_t *peer, const peer_t *other)
 {
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -19,7 +19,10 @@
 	MESSAGE_CONFIG,
 	MESSAGE_FETCH, /* requests a configuration or upstreams */
 	/* counters changed since the last one, for checkpoint writers */
-	MESSAGE_COUNTS
+	MESSAGE_COUNTS,
+	MESSAGE_PERMIT_REQUEST, /* to the gateway that issues permits */
+	MESSAGE_PERMITS, /* its reply, or limits that it knows */
+	MESSAGE_KINDS /* number of kinds */
 } message_kind_t;
 
 /* Fields of a state and a summary, in wire order. */
@@ -55,6 +58,8 @@
 #define STATE_FLAG_HAS_STORE 1u
 #define STATE_FLAG_HIGH_CAPACITY 2u
 #define STATE_FLAG_REQUESTS_SUMMARY 4u /* requests a summary in return */
+#define STATE_FLAG_HANDLES_LIMITS \
+	8u /* knows messages about upstreams' limits */
 
 /*
  * Period of messages with members and usage. They may be older than loads, but
@@ -93,6 +98,10 @@
 #define LIMIT_USE_FIELDS 4
 /* kind, sender, incarnation, usage, limits, in flight */
 #define COUNTS_FIELDS 6
+/* kind, sender, when permits were requested by the receiver's clock, limits */
+#define LIMITS_FIELDS 4
+/* short id of the upstream, rate or nil, age in ms or nil if not told, permits */
+#define LIMIT_FIELDS 4
 #define USAGE_FIELDS 3 /* window, account, count */
 /* An upstream in full, or only its id hash, stage, revision and start time. */
 #define UPSTREAM_FIELDS 10
@@ -130,6 +139,8 @@
 	bool high_capacity; /* its VM has CPU and bandwidth for an aggregator */
 	uint16_t zone; /* hash of its availability zone; 0: unknown */
 	bool has_store; /* the store was serving it when last heard from */
+	bool handles_limits; /* it knows messages about upstreams' limits */
+	pd_time_t limits_sent_at; /* when limits were last sent to it; 0: never */
 	pd_time_t added_at;
 	/* start of its process, as last reported; 0: never */
 	pd_time_t started_at;
@@ -173,6 +184,9 @@
 	pd_time_t next_full_state_at; /* when members and usage are sent next */
 	/* when limit uses are sent next to the checkpoint writers */
 	pd_time_t next_limit_uses_at;
+	pd_time_t next_limits_at; /* when permits are requested next */
+	pd_time_t limits_run_at; /* when they last were */
+	pd_time_t limits_changed_at; /* when a limit last changed here */
 	/* when counts were last sent to them; 0: never */
 	pd_time_t counts_sent_at;
 	/* time of the in-flight snapshot last sent to them */
@@ -222,6 +236,15 @@
 				const msgpack_object *object);
 void peers_remove_values(gateway_peers_t *peers, peer_t *peer);
 const peer_view_t *peers_view(gateway_peers_t *peers, pd_time_t now);
+bool peers_ranks_before(const gateway_peers_t *peers, const peer_t *other);
+pd_time_t peers_state_period(gateway_peers_t *peers, pd_time_t now);
+void peers_run_limits(gateway_peers_t *peers, pd_time_t now);
+void peers_pack_limits(msgpack_sbuffer *buffer, const gateway_peers_t *peers,
+		       message_kind_t kind, pd_time_t requested_at,
+		       const upstream_limit_t *limits, unsigned int count);
+int peers_receive_permit_request(gateway_peers_t *peers,
+				 const msgpack_object *fields);
+int peers_receive_permits(gateway_peers_t *peers, const msgpack_object *fields);
 bool peers_is_mesh(gateway_peers_t *peers, pd_time_t now);
 pd_time_t peers_store_silence_max(gateway_peers_t *peers, pd_time_t now);
 unsigned int peers_top_ranked(const gateway_peers_t *peers, peer_t **first,
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -375,6 +375,7 @@
 	peer->vm_id = incarnation_vm(incarnation);
 	peer->high_capacity = flags & STATE_FLAG_HIGH_CAPACITY;
 	peer->has_store = flags & STATE_FLAG_HAS_STORE;
+	peer->handles_limits = flags & STATE_FLAG_HANDLES_LIMITS;
 	peer->zone = (uint16_t)msgpack_field_uint64(&fields[STATE_ZONE]);
 	update_store_answered_at(peers, msgpack_field_uint64(
 						&fields[STATE_STORE_ANSWER_AGE]));
@@ -758,12 +759,14 @@
 		[MESSAGE_CONFIG] = 2,
 		[MESSAGE_FETCH] = FETCH_FIELDS,
 		[MESSAGE_COUNTS] = COUNTS_FIELDS,
+		[MESSAGE_PERMIT_REQUEST] = LIMITS_FIELDS,
+		[MESSAGE_PERMITS] = LIMITS_FIELDS,
 	};
 	uint32_t count = 0;
 	const msgpack_object *fields = msgpack_field_array(object, 1, &count);
 	uint64_t kind = fields ? msgpack_field_uint64(&fields[0]) : UINT64_MAX;
 
-	if (kind > MESSAGE_COUNTS || count < lengths[kind])
+	if (kind >= MESSAGE_KINDS || count < lengths[kind])
 		return -1;
 	switch ((message_kind_t)kind) {
 	case MESSAGE_STATE:
@@ -780,6 +783,12 @@
 		return handle_fetch(peers, fields);
 	case MESSAGE_COUNTS:
 		return handle_counts(peers, fields);
+	case MESSAGE_PERMIT_REQUEST:
+		return peers_receive_permit_request(peers, fields);
+	case MESSAGE_PERMITS:
+		return peers_receive_permits(peers, fields);
+	case MESSAGE_KINDS:
+		break;
 	}
 	return -1;
 }
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -466,6 +466,13 @@
 			    AGGREGATOR_PERIOD_FACTOR_MAX, now);
 }
 
+/* Returns the period of states. */
+pd_time_t peers_state_period(gateway_peers_t *peers, pd_time_t now)
+{
+	return peers_is_mesh(peers, now) ? MESH_PERIOD
+					 : aggregator_period(peers, now);
+}
+
 /* Returns the period of sending limit uses to the checkpoint writers. */
 static pd_time_t limit_uses_period(gateway_peers_t *peers, pd_time_t now)
 {
@@ -649,11 +656,11 @@
 
 	spread_updates(peers, now);
 	send_counts(peers, now);
+	peers_run_limits(peers, now);
 	if (now < peers->next_state_at)
 		return;
 	mesh = peers_is_mesh(peers, now);
-	peers->next_state_at =
-		now + (mesh ? MESH_PERIOD : aggregator_period(peers, now));
+	peers->next_state_at = now + peers_state_period(peers, now);
 	remove_expired(peers, now);
 	full = now >= peers->next_full_state_at;
 	if (full)
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -254,7 +254,7 @@
 }
 
 /* Returns how long a request may be queued. */
-static pd_time_t queue_time_max(const gateway_request_t *request)
+pd_time_t gateway_request_queue_time_max(const gateway_request_t *request)
 {
 	pd_time_t part = (pd_time_t)((double)request->route->latency_goal *
 				     QUEUE_GOAL_FRACTION);
@@ -279,13 +279,18 @@
 				continue;
 			case FORWARD_ALL_FULL:
 				break;
+			case FORWARD_ALL_LIMITED:
+				if (!gateway_request_may_await_permit(request, now))
+					continue;
+				break;
 			case FORWARD_NONE_LEFT:
 				gateway_request_give_up(request,
 							RETRY_AFTER_NO_UPSTREAM,
 							"no upstream left");
 				continue;
 			}
-			if (now - request->read_at > queue_time_max(request))
+			if (now - request->read_at >
+			    gateway_request_queue_time_max(request))
 				gateway_request_give_up(request, RETRY_AFTER_FULL,
 							"no room in time");
 		}
--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "adapters/gateway/rate_limits.h"
 #include "platform/wire.h"
 
 /* Limit of a response that is not streamed, as it is buffered completely. */
@@ -36,6 +37,19 @@
 	return type && g_str_has_prefix(type, "text/event-stream");
 }
 
+/*
+ * Records the rate limit that the upstream names, or that it names none. An upstream
+ * that has a limit says so in each response; one that broke off or is garbled proves
+ * nothing.
+ */
+static void record_rate_limit(const gateway_request_t *request,
+			      const wire_response_t *answer)
+{
+	if (answer->has_rate_limit || answer->sealed)
+		gateway_limits_record(request->gateway, request->upstream,
+				      answer->has_rate_limit, answer->rate_limit);
+}
+
 /* Reads the head of a response, and stores what is forwarded of it. */
 static void on_head(void *ctx, const http1_head_t *head)
 {
@@ -52,6 +66,7 @@
 				     strcmp(answer.call_id, request->call->id) != 0;
 	if (request->skipping_response)
 		return;
+	record_rate_limit(request, &answer);
 	request->status = head->status;
 	request->rejected = answer.not_run || head->status == 421;
 	request->sealed = answer.sealed;
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "adapters/gateway/rate_limits.h"
 #include "adapters/log_glib.h"
 #include "core/forward/engine_cost.h"
 #include "platform/wire.h"
@@ -51,6 +52,9 @@
 		.overcommit = request->route->has_prompt ? ENGINE_OVERCOMMIT
 							 : PLAIN_OVERCOMMIT,
 		.connections_max = connections_max(request, fleet_size),
+		.limits = upstream_limits_are_empty(gateway->upstream_limits)
+				  ? NULL
+				  : gateway->upstream_limits,
 		.sample_size = fleet_size > SAMPLING_FLEET_SIZE ? SAMPLE_SIZE : 0,
 		.random = gateway->random,
 		.tried_count = request->tried_count,
@@ -227,6 +231,7 @@
 	pd_time_t now = gateway_now();
 
 	metrics_add(request->gateway->metrics, "gateway_sends_total", 1);
+	gateway_limits_use_permit(request->gateway, upstream);
 	if (request->sends)
 		metrics_add(request->gateway->metrics, "gateway_resends_total", 1);
 	request->upstream = forward_upstream_ref(upstream);
@@ -262,10 +267,17 @@
 {
 	forward_pick_t pick;
 
+	gateway_limits_record_demand(request->gateway, request->service);
 	switch (gateway_request_choose(request, &pick)) {
 	case FORWARD_CHOSEN:
 		gateway_request_start_attempt(request, &pick);
 		return;
+	case FORWARD_ALL_LIMITED:
+		if (request->state == REQUEST_STREAMING)
+			break;
+		if (gateway_request_may_await_permit(request, gateway_now()))
+			gateway_request_enqueue(request);
+		return;
 	case FORWARD_ALL_FULL:
 		if (request->state == REQUEST_STREAMING)
 			break;
--- a/adapters/gateway/request_shed.c
+++ b/adapters/gateway/request_shed.c
@@ -26,7 +26,7 @@
 }
 
 /* Returns the work of a request, in prompt tokens, if its shared parts are cached. */
-static double unshared_work(const gateway_request_t *request)
+double gateway_request_unshared_work(const gateway_request_t *request)
 {
 	const forward_call_t *call = request->call;
 	double rate = gateway_engine_rate(request->gateway, request->service);
@@ -40,7 +40,7 @@
 bool gateway_request_admit(gateway_request_t *request)
 {
 	gateway_t *gateway = request->gateway;
-	double work = unshared_work(request);
+	double work = gateway_request_unshared_work(request);
 	pd_time_t left = request->deadline - gateway_now();
 	pd_time_t retry_after =
 		CLAMP((pd_time_t)((double)left * RETRY_AFTER_FRACTION),
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -100,6 +100,9 @@
 void gateway_request_dispatch(gateway_request_t *request);
 void gateway_request_begin_response(gateway_request_t *request, gint64 length);
 void gateway_request_enqueue(gateway_request_t *request);
+pd_time_t gateway_request_queue_time_max(const gateway_request_t *request);
+bool gateway_request_may_await_permit(gateway_request_t *request, pd_time_t now);
+double gateway_request_unshared_work(const gateway_request_t *request);
 bool gateway_request_admit(gateway_request_t *request);
 void gateway_request_record_outcome(gateway_request_t *request, bool overloaded);
 void gateway_request_record_first_event(gateway_request_t *request);
--- a/core/forward/choice.c
+++ b/core/forward/choice.c
@@ -100,7 +100,8 @@
 	double prefill_rate;
 	pd_time_t now;
 	candidate_t best; /* so far */
-	bool any_untried; /* an upstream was not tried yet, full or not */
+	bool any_full; /* an upstream that was not tried yet has no room */
+	bool any_limited; /* one has room, but needs a permit */
 } search_t;
 
 /*
@@ -188,6 +189,16 @@
 	       upstream->slots * criteria->overcommit;
 }
 
+/* Returns whether the rate limit of an upstream, if it has one, allows a request. */
+static bool has_permit(const forward_upstream_t *upstream,
+		       const forward_criteria_t *criteria, pd_time_t now)
+{
+	return !criteria->limits ||
+	       upstream_limits_has_permit(criteria->limits,
+					  forward_upstream_short_id(upstream),
+					  now);
+}
+
 /* Returns whether a candidate is preferable to the best so far. */
 static bool is_better(const candidate_t *candidate, const candidate_t *best)
 {
@@ -209,9 +220,14 @@
 
 	if (is_tried(criteria, upstream->id))
 		return false;
-	search->any_untried = true;
-	if (is_full(upstream, criteria, search->now))
+	if (is_full(upstream, criteria, search->now)) {
+		search->any_full = true;
+		return false;
+	}
+	if (!has_permit(upstream, criteria, search->now)) {
+		search->any_limited = true;
 		return false;
+	}
 	candidate = make_candidate(search, upstream);
 	if (is_better(&candidate, &search->best))
 		search->best = candidate;
@@ -250,6 +266,39 @@
 		consider(search, search->preferred.second);
 }
 
+/* The search, and the table of upstreams that it is made in. */
+typedef struct permit_search {
+	search_t *search;
+	forward_upstreams_t *set;
+} permit_search_t;
+
+/* Considers an upstream for which a permit is held. */
+static void consider_permitted(void *ctx, const upstream_limit_t *limit)
+{
+	permit_search_t *permits = ctx;
+	forward_upstream_t *upstream =
+		limit->limited && limit->permits
+			? forward_upstreams_find_by_short_id(permits->set,
+							     limit->short_id)
+			: NULL;
+
+	if (upstream && upstream->group == permits->search->serving)
+		consider(permits->search, upstream);
+}
+
+/*
+ * Considers the upstreams for which permits are held: a sample would rarely have one of
+ * them before its permit expires.
+ */
+static void consider_permits(search_t *search, forward_upstreams_t *set)
+{
+	permit_search_t permits = { search, set };
+
+	if (search->criteria->limits)
+		upstream_limits_each(search->criteria->limits, search->now,
+				     consider_permitted, &permits);
+}
+
 /* Considers every upstream. */
 static void consider_all(search_t *search)
 {
@@ -280,13 +329,17 @@
 	if (!search.serving || !search.serving->len)
 		return FORWARD_NONE_LEFT;
 	search.preferred = find_preferred(search.serving, criteria);
-	if (criteria->sample_size)
+	if (criteria->sample_size) {
 		consider_sample(&search);
-	else
+		consider_permits(&search, set);
+	} else {
 		consider_all(&search);
+	}
 	pick->upstream = search.best.upstream;
 	pick->uncached_tokens = search.best.uncached_tokens;
 	if (pick->upstream)
 		return FORWARD_CHOSEN;
-	return search.any_untried ? FORWARD_ALL_FULL : FORWARD_NONE_LEFT;
+	if (search.any_full)
+		return FORWARD_ALL_FULL;
+	return search.any_limited ? FORWARD_ALL_LIMITED : FORWARD_NONE_LEFT;
 }
--- a/core/forward/choice.h
+++ b/core/forward/choice.h
@@ -2,6 +2,7 @@
 #ifndef PISTACHIO_FORWARD_CHOICE_H
 #define PISTACHIO_FORWARD_CHOICE_H
 
+#include "core/forward/upstream_limits.h"
 #include "core/forward/upstreams.h"
 
 #define FORWARD_TRIED_MAX 8
@@ -15,6 +16,8 @@
 	double overcommit; /* part of the slots that may be used; 1: all */
 	/* of this gateway to one upstream; 0: no limit */
 	unsigned int connections_max;
+	/* rate limits of upstreams; NULL: none has one */
+	const upstream_limits_t *limits;
 	/* upstreams to compare at random; 0: compare all */
 	unsigned int sample_size;
 	GRand *random;
@@ -33,6 +36,7 @@
 typedef enum forward_choice {
 	FORWARD_CHOSEN,
 	FORWARD_ALL_FULL,
+	FORWARD_ALL_LIMITED, /* all that could be used need a permit first */
 	FORWARD_NONE_LEFT /* no upstream serves, or all were tried */
 } forward_choice_t;
 
--- a/tests/process/test_gateway_limits.c
+++ b/tests/process/test_gateway_limits.c
@@ -109,7 +109,7 @@
 /* Sends calls to all gateways in turn for MS, and waits for their responses. */
 static outcomes_t send_calls(gateway_rig_t *rig, const char *path, uint64_t ms)
 {
-	static unsigned int number;
+	static int number;
 	GArray *calls = g_array_new(FALSE, FALSE, sizeof(pending_t));
 	outcomes_t outcomes = { 0 };
 	uint64_t start = now_ms();
@@ -121,7 +121,7 @@
 			char id[32];
 			pending_t pending = { .sent_ms = now_ms() };
 
-			snprintf(id, sizeof(id), "c%u", ++number);
+			snprintf(id, sizeof(id), "c%d", ++number);
 			pending.caller = rig_call_at(rig, number % RIG_GATEWAYS,
 						     "POST", path, id);
 			g_array_append_val(calls, pending);
--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -99,6 +99,31 @@
 	work_rate_add(gateway->work, "s", 1000);
 }
 
+/* Packs a request for permits, or a reply to one. */
+static void pack_limits(gateway_t *gateway, msgpack_sbuffer *buffer,
+			message_kind_t kind)
+{
+	const upstream_limit_t limits[] = {
+		{ forward_upstream_short_id(
+			  forward_upstreams_find(gateway->upstreams, "u1")),
+		  true, 3.5, 20 * PD_MSEC, 4, true },
+		{ forward_upstream_short_id(
+			  forward_upstreams_find(gateway->upstreams, "u2")),
+		  false, 0, PD_SEC, 0, true },
+	};
+
+	peers_pack_limits(buffer, gateway->peers, kind, gateway_now() - PD_MSEC,
+			  limits, 2);
+}
+
+static void check_limit(void *ctx, const upstream_limit_t *limit)
+{
+	bool valid = limit->rate >= 0 && limit->rate <= UPSTREAM_RATE_MAX &&
+		     limit->permits <= UPSTREAM_PERMITS_MAX;
+
+	*static_cast<bool *>(ctx) &= valid;
+}
+
 static std::string message(gateway_t *gateway, int kind)
 {
 	gateway_peers_t *peers = gateway->peers;
@@ -123,6 +148,12 @@
 		peers_pack_counts(&buffer, peers);
 		usage_mark_unsent(gateway->usage);
 		break;
+	case 4:
+		pack_limits(gateway, &buffer, MESSAGE_PERMIT_REQUEST);
+		break;
+	case 5:
+		pack_limits(gateway, &buffer, MESSAGE_PERMITS);
+		break;
 	default:
 		peers_pack_announcement(&packer, peers);
 		break;
@@ -135,10 +166,14 @@
 static bool prop_peers(gateway_t *gateway)
 {
 	return rc::check("messages of peers", [gateway] {
-		auto kind = *rc::gen::inRange(0, 5);
+		auto kind = *rc::gen::inRange(0, 7);
+		bool valid = true;
 		auto bytes = mutated(message(gateway, kind));
 
 		peers_receive(gateway->peers, bytes.data(), bytes.size());
+		upstream_limits_each(gateway->upstream_limits, gateway_now(),
+				     check_limit, &valid);
+		RC_ASSERT(valid);
 		LIST_FOR_EACH (it, forward_upstreams_list(gateway->upstreams)) {
 			forward_upstream_t *upstream =
 				LIST_ENTRY(it, forward_upstream_t, node);
