Order upstreams in place of the capacity that rate limits take away

The plan sizes a fleet by its work, and takes each upstream for a whole one. An engine that names a limit of 3 requests a second serves a quarter of what the others do, so a fleet with several of them is too small, and shedding refuses what they no longer take.

The capacity that is lost is what a limit leaves of an upstream's even share of the requests for its service. It is held for as long as a smaller load is, so a limit that comes and goes does not drain upstreams each time. The log of orders names it (lost=). test_limited_capacity_is_replaced: three more for 2.4 lost.

--- a/adapters/gateway/duties_scale.c
+++ b/adapters/gateway/duties_scale.c
@@ -1,5 +1,6 @@
 /* Scales the upstreams: orders as many of each kind as the plans ask for. */
 #include "adapters/gateway/duties_state.h"
+#include "adapters/gateway/rate_limits.h"
 #include "adapters/log_glib.h"
 #include "core/forward/scale_plan.h"
 #include "platform/wire.h"
@@ -137,10 +138,10 @@
 	order->requested = order->target;
 	log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT,
 		 "ask service=%s zone=%s reclaimable=%d wanted=%u before=%u "
-		 "need=%.2f load=%.2f rate=%.0f shortage=%d",
+		 "need=%.2f load=%.2f rate=%.0f lost=%.1f shortage=%d",
 		 order->service, order->zone, order->reclaimable, order->target,
 		 order->accepted, basis->planned_load, basis->load, basis->rate,
-		 basis->shortage);
+		 basis->lost, basis->shortage);
 	duties_post(order->duties, wire_scale_path(), body, on_order_reply, order);
 	g_free(body);
 }
@@ -202,6 +203,7 @@
 		.rate = engine_speeds_is_known(speeds, service->name)
 				? engine_speeds_rate(speeds, service->name)
 				: 0,
+		.lost = gateway_limits_lost_upstreams(gateway, service->name, now),
 	};
 	unsigned int count = scale_plan_make(get_plan(duties, service->name),
 					     service, gateway->upstreams,
--- a/core/forward/scale_plan.c
+++ b/core/forward/scale_plan.c
@@ -94,6 +94,8 @@
 	double planned_load; /* load, in busy engines, that the fleet is sized for */
 	double restored_load; /* planned_load of an earlier leader; 0: not known */
 	pd_time_t below_since; /* since when the load is below planned_load */
+	double lost; /* upstreams ordered in place of what rate limits take away */
+	pd_time_t lost_since; /* since when less is lost */
 	scale_basis_t basis;
 };
 
@@ -274,6 +276,19 @@
 	return plan->planned_load;
 }
 
+/*
+ * Returns how many upstreams to order in place of LOST ones. Like the load, it is kept
+ * for a while when it falls.
+ */
+static double plan_update_lost(scale_plan_t *plan, double lost, pd_time_t now)
+{
+	if (lost >= plan->lost || now - plan->lost_since > SHRINK_DELAY) {
+		plan->lost = lost;
+		plan->lost_since = now;
+	}
+	return plan->lost;
+}
+
 /* Returns the price of an upstream in the service's zone number I. */
 static double zone_price(const forward_service_t *service, guint i)
 {
@@ -392,14 +407,14 @@
 }
 
 /*
- * Returns the totals for the load that the fleet is sized for. A shortage is handled by
+ * Returns the totals for the load that the fleet is sized for, with LOST more. A shortage is handled by
  * the current LOAD instead, because it is over soon.
  */
-static scale_totals_t plan_totals(double planned_load, double load,
+static scale_totals_t plan_totals(double planned_load, double load, double lost,
 				  unsigned int on_demand_now,
 				  unsigned int reclaimable_now, bool shortage)
 {
-	unsigned int total = round_up(planned_load * FLEET_FACTOR);
+	unsigned int total = round_up(planned_load * FLEET_FACTOR + lost);
 	unsigned int kept = round_up(load * KEPT_ON_DEMAND_FACTOR);
 	unsigned int missing = kept > reclaimable_now ? kept - reclaimable_now : 0;
 	scale_totals_t totals = {
@@ -538,15 +553,17 @@
 	double load = plan_load(plan, service, upstreams, demand);
 	double planned_load =
 		plan_update_load(plan, load, on_demand_now + reclaimable_now, now);
+	double lost = plan_update_lost(plan, demand->lost, now);
 	bool shortage = plan_has_shortage(plan, now);
 	scale_totals_t totals =
 		plan_totals(planned_load,
 			    plan_is_measured(plan, now) ? load : planned_load,
-			    on_demand_now, reclaimable_now, shortage);
+			    lost, on_demand_now, reclaimable_now, shortage);
 	unsigned int refused[SCALE_ZONES_MAX];
 	unsigned int count;
 
-	plan->basis = (scale_basis_t){ planned_load, load, demand->rate, shortage };
+	plan->basis = (scale_basis_t){ planned_load, load, demand->rate, lost,
+				       shortage };
 	/* Upstreams are still registering. */
 	if (!plan->load_seen_at && now - plan->count_grew_at < DISCOVERY_SETTLE_TIME)
 		return 0;
--- a/core/forward/scale_plan.h
+++ b/core/forward/scale_plan.h
@@ -22,6 +22,8 @@
 	double sent;
 	double refused; /* refused for lack of engines */
 	double rate; /* work per second that one engine does; 0: not known yet */
+	/* upstreams that are missing, as others take fewer requests than usual */
+	double lost;
 } scale_demand_t;
 
 /* The basis of a plan. */
@@ -29,6 +31,7 @@
 	double planned_load; /* load, in busy engines, that the fleet is sized for */
 	double load; /* load, in busy engines, as currently measured */
 	double rate; /* work per second that one engine does; 0: not known */
+	double lost; /* upstreams ordered in place of what rate limits take away */
 	bool shortage; /* orders of reclaimable upstreams were refused lately */
 } scale_basis_t;
 
--- a/tests/unit/test_scale_plan.c
+++ b/tests/unit/test_scale_plan.c
@@ -24,6 +24,7 @@
 	unsigned int count;
 	uint64_t revision;
 	pd_time_t now;
+	double lost; /* upstreams, to rate limits */
 } rig_t;
 
 static void add_zone(forward_service_t *service, const char *name, double price)
@@ -91,8 +92,8 @@
 static void simulate_with_refusals(rig_t *rig, pd_time_t time, double load,
 				   double refused)
 {
-	const scale_demand_t demand = { load * ENGINE_RATE,
-					refused * ENGINE_RATE, ENGINE_RATE };
+	const scale_demand_t demand = { load * ENGINE_RATE, refused * ENGINE_RATE,
+					ENGINE_RATE, rig->lost };
 
 	for (pd_time_t end = rig->now + time; rig->now < end; rig->now += TICK)
 		rig->count = scale_plan_make(rig->plan, rig->service,
@@ -363,6 +364,30 @@
 	assert_true(on_demand_total(rig) + reclaimable_total(rig) >= before + 4);
 }
 
+/*
+ * Guards against a fleet that stays as small as it is while most of its upstreams take
+ * fewer requests than usual.
+ */
+static void test_limited_capacity_is_replaced(void **state)
+{
+	rig_t *rig = *state;
+	unsigned int before;
+
+	add_upstreams(rig, "a", 2, true);
+	add_upstreams(rig, "b", 2, true);
+	simulate(rig, 30 * PD_SEC, 2);
+	before = on_demand_total(rig) + reclaimable_total(rig);
+	rig->lost = 2.4;
+	simulate(rig, PD_SEC, 2);
+	assert_int_equal(on_demand_total(rig) + reclaimable_total(rig), before + 3);
+	/* What was ordered is not released at once. */
+	rig->lost = 0;
+	simulate(rig, 10 * PD_SEC, 2);
+	assert_int_equal(on_demand_total(rig) + reclaimable_total(rig), before + 3);
+	simulate(rig, 30 * PD_SEC, 2);
+	assert_int_equal(on_demand_total(rig) + reclaimable_total(rig), before);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -390,6 +415,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_refused_work_is_load,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_limited_capacity_is_replaced,
+						setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
