--- a/tests/guarantees/test_gateway_soak.c
+++ b/tests/guarantees/test_gateway_soak.c
@@ -1,7 +1,7 @@
 /*
  * Injects random faults into real gateway processes: kills, pauses, stops and restarts,
  * a store that rejects gateways, upstreams that fail in every way or leave, and callers
- * that hang up. A second kind of schedule also cuts, delays, silences or half-opens the
+ * that hang up. One upstream names a rate limit for all of the time. A second kind of schedule also cuts, delays, silences or half-opens the
  * links to upstreams and to the store. The responses that callers received are checked
  * against the calls that upstreams ran. Each seed gives one schedule; SEEDS=N runs N
  * seeds of each kind, FIRST_SEED=K begins with seed K.
@@ -35,6 +35,12 @@
 /* The longest delay of a link; calls must be answered by their deadlines even so. */
 #define DELAY_MAX_MS 150
 
+/* What one upstream names, in requests a second, and from when it is kept. */
+#define RATE_LIMIT 4
+#define LIMIT_LEARNED_MS 3000
+#define LIMIT_WINDOW_MS 4000
+#define LIMIT_ALLOWED (1.5 * RATE_LIMIT * LIMIT_WINDOW_MS / 1000 + 5)
+
 typedef enum call_kind {
 	CALL_SAFE,
 	CALL_UNSAFE,
@@ -68,6 +74,9 @@
 	GPtrArray *calls; /* of call_t */
 	gateway_state_t gateways[RIG_GATEWAYS];
 	uint64_t drained_at[RIG_UPSTREAMS]; /* 0: it serves */
+	int limited; /* number of the upstream that names a rate limit */
+	uint64_t limited_at;
+	GArray *limited_calls; /* uint64_t: times, of calls by undisturbed gateways */
 	unsigned int faults;
 	int version;
 	bool links; /* inject faults into links as well */
@@ -125,6 +134,31 @@
 	g_ptr_array_add(soak->calls, call);
 }
 
+/* Records a call at the upstream with a limit, and checks the limit. */
+static void check_rate_limit(void *ctx, int upstream, const char *call_id)
+{
+	soak_t *soak = ctx;
+	const char *number = strchr(call_id, '-');
+	const call_t *call;
+	uint64_t now = now_ms();
+
+	if (upstream != soak->limited || !number ||
+	    now < soak->limited_at + LIMIT_LEARNED_MS)
+		return;
+	call = g_ptr_array_index(soak->calls, strtoul(number + 1, NULL, 10));
+	if (now < soak->gateways[call->gateway].disturbed_at + DISTURBED_MS)
+		return;
+	g_array_append_val(soak->limited_calls, now);
+	while (g_array_index(soak->limited_calls, uint64_t, 0) + LIMIT_WINDOW_MS <=
+	       now)
+		g_array_remove_index(soak->limited_calls, 0);
+	if (soak->limited_calls->len > LIMIT_ALLOWED)
+		fail_msg("seed %u: upstream %d got %u calls in %d ms, %.0f "
+			 "allowed",
+			 soak->seed, upstream, soak->limited_calls->len,
+			 LIMIT_WINDOW_MS, LIMIT_ALLOWED);
+}
+
 /* Returns the body received so far, borrowed; NULL: the head is incomplete. */
 static const char *body_of(const call_t *call)
 {
@@ -519,6 +553,7 @@
 static void check_recovery(soak_t *soak)
 {
 	soak->rig->choose_behavior = always_answer;
+	soak->rig->observe_call = NULL;
 	for (int i = 0; i < RIG_GATEWAYS; i++) {
 		soak->rig->stores[i].down = false;
 		if (soak->links)
@@ -570,7 +605,11 @@
 
 	soak.calls = g_ptr_array_new_with_free_func(call_destroy);
 	soak.rig->choose_behavior = choose_behavior;
+	soak.rig->observe_call = check_rate_limit;
 	soak.rig->ctx = &soak;
+	soak.limited = (int)(seed % RIG_UPSTREAMS);
+	soak.limited_calls = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	soak.rig->upstreams[soak.limited].rate_limit = RATE_LIMIT;
 	if (links)
 		create_links(&soak);
 	rig_put_config(soak.rig, soak.version, "");
@@ -581,6 +620,7 @@
 		RIG_UNTIL(soak.rig, rig_port(soak.rig, i, "health"));
 		repair_gateways(&soak);
 	}
+	soak.limited_at = now_ms();
 	run_schedule(&soak);
 	for (uint64_t end = now_ms() + CALL_MAX_MS + 500; now_ms() < end;)
 		run_step(&soak);
@@ -598,6 +638,7 @@
 		process_signal(soak.rig->gateways[i], SIGCONT);
 	gateway_rig_destroy(soak.rig);
 	g_ptr_array_unref(soak.calls);
+	g_array_unref(soak.limited_calls);
 	g_rand_free(soak.random);
 }
 
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -236,6 +236,9 @@
 
 	gateway_rig_t *rig = session->server->rig;
 
+	if (rig->observe_call && session->call_id)
+		rig->observe_call(rig->ctx, session->server->number,
+				  session->call_id);
 	session->behavior = session->server->behavior;
 	if (rig->choose_behavior)
 		session->behavior = rig->choose_behavior(rig->ctx, session->target);
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -74,7 +74,9 @@
 	GHashTable *runs; /* call id -> GUINT_TO_POINTER(number of runs) */
 	/* behavior of an upstream for a request; NULL: that of the server */
 	rig_behavior_t (*choose_behavior)(void *ctx, const char *target);
-	void *ctx; /* of choose_behavior */
+	/* called for each call that reaches an upstream; NULL: not */
+	void (*observe_call)(void *ctx, int upstream, const char *call_id);
+	void *ctx; /* of choose_behavior and observe_call */
 	uint16_t store_proxy_ports[RIG_GATEWAYS]; /* of proxies in front; 0: none */
 	uint16_t upstream_proxy_ports[RIG_UPSTREAMS]; /* 0: none */
 	process_t *gateways[RIG_GATEWAYS];
