Test a gateway that loses its links to all upstreams

The rig has links from each gateway to each upstream, which can be reset, hang, or live on while new ones are refused.

--- a/tests/harness/forwarder.c
+++ b/tests/harness/forwarder.c
@@ -2,10 +2,13 @@
 #include "tests/harness/forwarder.h"
 
 #include <glib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "core/list.h"
 
 #define BACKLOG 128
+#define FILLERS 4 /* connections that fill a backlog of 0 */
 #define TICK_MS 5 /* resolution of delays */
 
 /* One of the two sockets of a pair. */
@@ -50,6 +53,10 @@
 	int port;
 	int target_port;
 	bool refuse; /* new connections are closed at once */
+	bool hang; /* new connections are not established */
+	bool waiting; /* a connection arrived that is not accepted yet */
+	bool closed; /* new connections are reset */
+	int fillers[FILLERS];
 	bool cut_answers;
 	size_t cut_after; /* bytes of a request; 0: never */
 	unsigned int open; /* pairs */
@@ -216,6 +223,10 @@
 
 	if (status < 0)
 		return;
+	/* The event loop accepts no further one until this one is taken. */
+	forwarder->waiting = forwarder->hang;
+	if (forwarder->hang)
+		return;
 	pair = g_new0(pair_t, 1);
 	pair->forwarder = forwarder;
 	pair->caller.pair = pair;
@@ -237,12 +248,27 @@
 		pair_close(pair);
 }
 
+/* Listens on a port of loopback; 0: any. */
+static void start_listening(forwarder_t *forwarder, int port)
+{
+	struct sockaddr_in addr;
+	int len = sizeof(addr);
+
+	uv_tcp_init(forwarder->loop, &forwarder->listener);
+	forwarder->listener.data = forwarder;
+	uv_ip4_addr("127.0.0.1", port, &addr);
+	uv_tcp_bind(&forwarder->listener, (const struct sockaddr *)&addr, 0);
+	if (uv_listen((uv_stream_t *)&forwarder->listener, BACKLOG,
+		      on_connection) < 0)
+		g_error("the forwarder can't listen");
+	uv_tcp_getsockname(&forwarder->listener, (struct sockaddr *)&addr, &len);
+	forwarder->port = ntohs(addr.sin_port);
+}
+
 /* Starts forwarding to a port on loopback. Returns a forwarder that is never freed. */
 forwarder_t *forwarder_create(uv_loop_t *loop, int target_port)
 {
 	forwarder_t *forwarder = g_new0(forwarder_t, 1);
-	struct sockaddr_in addr;
-	int len = sizeof(addr);
 
 	forwarder->loop = loop;
 	forwarder->target_port = target_port;
@@ -251,15 +277,7 @@
 	uv_timer_init(loop, &forwarder->ticker);
 	forwarder->ticker.data = forwarder;
 	uv_timer_start(&forwarder->ticker, on_tick, TICK_MS, TICK_MS);
-	uv_tcp_init(loop, &forwarder->listener);
-	forwarder->listener.data = forwarder;
-	uv_ip4_addr("127.0.0.1", 0, &addr);
-	uv_tcp_bind(&forwarder->listener, (const struct sockaddr *)&addr, 0);
-	if (uv_listen((uv_stream_t *)&forwarder->listener, BACKLOG,
-		      on_connection) < 0)
-		g_error("the forwarder can't listen");
-	uv_tcp_getsockname(&forwarder->listener, (struct sockaddr *)&addr, &len);
-	forwarder->port = ntohs(addr.sin_port);
+	start_listening(forwarder, 0);
 	return forwarder;
 }
 
@@ -325,3 +343,63 @@
 {
 	forwarder->cut_answers = cut;
 }
+
+/* Returns the descriptor of the listener. */
+static int listener_fd(const forwarder_t *forwarder)
+{
+	uv_os_fd_t fd = -1;
+
+	uv_fileno((const uv_handle_t *)&forwarder->listener, &fd);
+	return fd;
+}
+
+/* Sets whether attempts to connect get no answer. Open connections are not affected. */
+void forwarder_hang(forwarder_t *forwarder, bool hang)
+{
+	struct sockaddr_in addr;
+
+	if (hang == forwarder->hang)
+		return;
+	forwarder->hang = hang;
+	listen(listener_fd(forwarder), hang ? 0 : BACKLOG);
+	uv_ip4_addr("127.0.0.1", forwarder->port, &addr);
+	for (int i = 0; i < FILLERS; i++) {
+		if (!hang) {
+			close(forwarder->fillers[i]);
+			continue;
+		}
+		forwarder->fillers[i] =
+			socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		/* The later ones stay in progress. */
+		(void)!connect(forwarder->fillers[i], (struct sockaddr *)&addr,
+			       sizeof(addr));
+	}
+	if (!hang && forwarder->waiting)
+		on_connection((uv_stream_t *)&forwarder->listener, 0);
+}
+
+/* Listens again once the earlier socket is closed. */
+static void on_listener_closed(uv_handle_t *handle)
+{
+	forwarder_t *forwarder = handle->data;
+
+	if (!forwarder->closed)
+		start_listening(forwarder, forwarder->port);
+}
+
+/*
+ * Sets whether attempts to connect are reset, as at a port that nobody listens on.
+ * Open connections are not affected.
+ */
+void forwarder_close(forwarder_t *forwarder, bool closed)
+{
+	bool closing = uv_is_closing((uv_handle_t *)&forwarder->listener);
+
+	if (closed == forwarder->closed)
+		return;
+	forwarder->closed = closed;
+	if (closed)
+		uv_close((uv_handle_t *)&forwarder->listener, on_listener_closed);
+	else if (closing)
+		start_listening(forwarder, forwarder->port);
+}
--- a/tests/harness/forwarder.h
+++ b/tests/harness/forwarder.h
@@ -17,6 +17,8 @@
 void forwarder_refuse(forwarder_t *forwarder, bool refuse);
 void forwarder_cut_after(forwarder_t *forwarder, size_t request_bytes);
 void forwarder_cut_answers(forwarder_t *forwarder, bool cut);
+void forwarder_hang(forwarder_t *forwarder, bool hang);
+void forwarder_close(forwarder_t *forwarder, bool closed);
 unsigned int forwarder_open(const forwarder_t *forwarder);
 
 #endif
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -384,6 +384,27 @@
 	json_decref(object);
 }
 
+/*
+ * Returns a copy of an upstream's object in which the address is that of the link from
+ * the gateway that has listener STORE; the object itself, if there is no such link.
+ */
+static json_t *object_for_gateway(const gateway_rig_t *rig, const char *name,
+				  json_t *object, int store)
+{
+	int number = name[0] == 'u' ? atoi(name + 1) : RIG_UPSTREAMS;
+	uint16_t port = number < RIG_UPSTREAMS ? rig->link_ports[store][number]
+					       : 0;
+	char address[32];
+
+	if (!port)
+		return json_incref(object);
+	object = json_deep_copy(object);
+	snprintf(address, sizeof(address), "127.0.0.1:%u", port);
+	json_object_set_new(json_object_get(object, "spec"), "address",
+			    json_string(address));
+	return object;
+}
+
 /* Responds with all objects of a kind in a single page. */
 static void store_list(session_t *session)
 {
@@ -394,7 +415,9 @@
 	json_t *object;
 
 	json_object_foreach(store_kind(rig, session->kind), name, object)
-		json_array_append(items, object);
+		json_array_append_new(items,
+				      object_for_gateway(rig, name, object,
+							 session->server->number));
 	session_json(session, 200,
 		     json_pack("{s:o, s:b, s:I}", "items", items, "hasMore",
 			       more, "asOf", rig->revision));
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -79,6 +79,8 @@
 	void *ctx; /* of choose_behavior and observe_call */
 	uint16_t store_proxy_ports[RIG_GATEWAYS]; /* of proxies in front; 0: none */
 	uint16_t upstream_proxy_ports[RIG_UPSTREAMS]; /* 0: none */
+	/* of proxies in front of upstreams for one gateway only; 0: none */
+	uint16_t link_ports[RIG_GATEWAYS][RIG_UPSTREAMS];
 	process_t *gateways[RIG_GATEWAYS];
 	uint16_t peer_ports[RIG_GATEWAYS];
 };
--- /dev/null
+++ b/tests/process/test_gateway_cut_off.c
@@ -0,0 +1,336 @@
+/*
+ * Tests of three gateways of which one loses its links to all upstreams, and still
+ * reaches callers, the store and the other gateways.
+ */
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "adapters/gateway/usage_table.h"
+#include "tests/harness/forwarder.h"
+#include "tests/harness/gateway_calls.h"
+
+#define CUT_OFF 0 /* the gateway */
+#define CALL_PERIOD_MS 20 /* to each gateway in turn */
+#define DETECTION_MS \
+	3000 /* after which callers of the gateway are served as others */
+#define CALLS_MS 3000
+#define RECOVERY_MS 2000
+#define GOSSIP_MS 1500 /* until gateways know each other */
+#define COUNTS_MS 5000 /* until counts of usage are in the store */
+
+/* How the links of a gateway are cut. */
+typedef enum cut {
+	CUT_RESETS, /* connections are reset, new ones too */
+	CUT_HANGS, /* connections go silent, new ones get no answer */
+	CUT_NEW_ONLY /* connections live on, new ones are reset */
+} cut_t;
+
+typedef struct links {
+	gateway_rig_t *rig;
+	forwarder_t *links[RIG_GATEWAYS][RIG_UPSTREAMS];
+	unsigned int runs; /* of all calls */
+} links_t;
+
+/* The outcomes of calls to one gateway. */
+typedef struct outcomes {
+	unsigned int sent;
+	unsigned int served;
+	unsigned int refused; /* and told when to come back */
+} outcomes_t;
+
+/* A call whose response is awaited. */
+typedef struct pending {
+	rig_caller_t *caller;
+	int gateway;
+} pending_t;
+
+static uint64_t now_ms(void)
+{
+	return uv_hrtime() / 1000000;
+}
+
+static void count_run(void *ctx, int upstream, const char *call_id)
+{
+	links_t *links = ctx;
+
+	(void)upstream;
+	(void)call_id;
+	links->runs++;
+}
+
+/* Runs the event loop for MS. */
+static void run_for(gateway_rig_t *rig, uint64_t ms)
+{
+	for (uint64_t end = now_ms() + ms; now_ms() < end;)
+		rig_run_once(rig);
+}
+
+/* Starts three gateways, each with links of its own to three upstreams. */
+static int setup(void **state)
+{
+	links_t *links = g_new0(links_t, 1);
+	gateway_rig_t *rig = gateway_rig_create();
+
+	links->rig = rig;
+	rig->observe_call = count_run;
+	rig->ctx = links;
+	rig_put_config(rig, 1, "");
+	for (int i = 0; i < RIG_UPSTREAMS; i++)
+		rig_put_upstream(rig, i, "ready");
+	for (int i = 0; i < RIG_GATEWAYS; i++) {
+		for (int k = 0; k < RIG_UPSTREAMS; k++) {
+			links->links[i][k] =
+				forwarder_create(&rig->loop,
+						 rig->upstreams[k].port);
+			rig->link_ports[i][k] =
+				(uint16_t)forwarder_port(links->links[i][k]);
+		}
+		rig_start(rig, i);
+		RIG_UNTIL(rig, rig_port(rig, i, "health"));
+		RIG_UNTIL(rig, rig_is_ready(rig, i));
+	}
+	/* Each has read the addresses of its own links by now. */
+	for (int i = 0; i < RIG_GATEWAYS; i++)
+		rig->peer_ports[i] = rig_port(rig, i, "peers");
+	for (int i = 0; i < RIG_GATEWAYS; i++) {
+		rig_write_settings(rig, i, i);
+		process_signal(rig->gateways[i], SIGHUP);
+	}
+	run_for(rig, GOSSIP_MS);
+	*state = links;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	links_t *links = *state;
+
+	gateway_rig_destroy(links->rig);
+	g_free(links);
+	return 0;
+}
+
+/* Cuts the links of one gateway, or repairs them. */
+static void set_cut(links_t *links, cut_t cut, bool is_cut)
+{
+	for (int k = 0; k < RIG_UPSTREAMS; k++) {
+		forwarder_t *link = links->links[CUT_OFF][k];
+
+		switch (cut) {
+		case CUT_RESETS:
+			forwarder_close(link, is_cut);
+			forwarder_cut(link);
+			break;
+		case CUT_HANGS:
+			forwarder_hang(link, is_cut);
+			if (is_cut)
+				forwarder_silence(link);
+			break;
+		case CUT_NEW_ONLY:
+			forwarder_close(link, is_cut);
+			break;
+		}
+	}
+}
+
+/* Counts and forgets the calls that were answered or whose connection ended. */
+static void collect(GArray *calls, outcomes_t *outcomes)
+{
+	for (guint i = calls->len; i-- > 0;) {
+		pending_t *pending = &g_array_index(calls, pending_t, i);
+		outcomes_t *of_gateway = &outcomes[pending->gateway];
+		const char *text;
+
+		if (!rig_has_received(pending->caller, "\r\n\r\n") &&
+		    !pending->caller->closed)
+			continue;
+		text = pending->caller->received->str;
+		of_gateway->served += strstr(text, "HTTP/1.1 200") != NULL;
+		of_gateway->refused += strstr(text, "HTTP/1.1 503") &&
+				       strstr(text, "Retry-After: ");
+		rig_caller_destroy(pending->caller);
+		g_array_remove_index_fast(calls, i);
+	}
+}
+
+/* Sends calls to all gateways in turn for MS, and waits for their responses. */
+static void send_calls(links_t *links, const char *path, uint64_t ms,
+		       outcomes_t outcomes[RIG_GATEWAYS])
+{
+	static int number;
+	GArray *calls = g_array_new(FALSE, FALSE, sizeof(pending_t));
+	uint64_t start = now_ms();
+	uint64_t next = start;
+
+	memset(outcomes, 0, sizeof(*outcomes) * RIG_GATEWAYS);
+	while (now_ms() - start < ms) {
+		rig_run_once(links->rig);
+		if (now_ms() >= next) {
+			char id[32];
+			pending_t pending = { .gateway = ++number % RIG_GATEWAYS };
+
+			snprintf(id, sizeof(id), "c%d", number);
+			pending.caller = rig_call_at(links->rig, pending.gateway,
+						     "POST", path, id);
+			outcomes[pending.gateway].sent++;
+			g_array_append_val(calls, pending);
+			next += CALL_PERIOD_MS;
+		}
+		collect(calls, outcomes);
+	}
+	RIG_UNTIL(links->rig, (collect(calls, outcomes), !calls->len));
+	g_array_unref(calls);
+}
+
+/* Fails the test if a call ran more than once. */
+static void check_runs(links_t *links)
+{
+	GHashTableIter iter;
+	gpointer id;
+	gpointer runs;
+
+	g_hash_table_iter_init(&iter, links->rig->runs);
+	while (g_hash_table_iter_next(&iter, &id, &runs)) {
+		if (GPOINTER_TO_UINT(runs) != 1)
+			fail_msg("call %s ran %u times", (const char *)id,
+				 GPOINTER_TO_UINT(runs));
+	}
+}
+
+static void add_entry(void *ctx, const usage_entry_t *entry)
+{
+	*(uint64_t *)ctx += entry->count;
+}
+
+/* Returns the usage that the gateways have counted, as far as it is in the store. */
+static uint64_t counted_usage(const gateway_rig_t *rig)
+{
+	json_t *counts = json_object_get(rig->objects, "counts");
+	usage_t *usage = usage_create("reader#1");
+	usage_inflight_t *inflight = usage_inflight_create();
+	uint64_t sum = 0;
+	const char *name;
+	json_t *object;
+	pd_error_t err;
+
+	json_object_foreach(counts, name, object)
+	{
+		char *text = json_dumps(json_object_get(object, "spec"), 0);
+
+		assert_int_equal(usage_table_merge(text, usage, inflight, &err), 0);
+		free(text);
+	}
+	usage_each(usage, 0, add_entry, &sum);
+	usage_destroy(usage);
+	usage_inflight_destroy(inflight);
+	return sum;
+}
+
+/*
+ * Cuts the links, and checks that the callers of that gateway are served as those of
+ * the others, that no call runs twice, that usage is counted once, and that the gateway
+ * uses its own links again after the cut.
+ */
+static void check_cut(links_t *links, cut_t cut)
+{
+	outcomes_t outcomes[RIG_GATEWAYS];
+	const outcomes_t *of_cut_off = &outcomes[CUT_OFF];
+	unsigned int served;
+	unsigned int sent;
+
+	send_calls(links, "/unsafe/x", 500, outcomes);
+	set_cut(links, cut, true);
+	send_calls(links, "/unsafe/x", DETECTION_MS, outcomes);
+	send_calls(links, "/unsafe/x", CALLS_MS, outcomes);
+	served = outcomes[1].served + outcomes[2].served;
+	sent = outcomes[1].sent + outcomes[2].sent;
+	print_message("cut off: %u of %u served, %u refused; others: %u of "
+		      "%u\n",
+		      of_cut_off->served, of_cut_off->sent, of_cut_off->refused,
+		      served, sent);
+	assert_true(served * 50 >= sent * 49);
+	assert_true(of_cut_off->served * 3 * sent >= 2 * of_cut_off->sent * served);
+	set_cut(links, cut, false);
+	send_calls(links, "/unsafe/x", RECOVERY_MS, outcomes);
+	send_calls(links, "/unsafe/x", 500, outcomes);
+	assert_int_equal(of_cut_off->served, of_cut_off->sent);
+	check_runs(links);
+	RIG_UNTIL_WITHIN(links->rig, counted_usage(links->rig) == links->runs,
+			 COUNTS_MS);
+}
+
+/* Guards against refusing all callers of a gateway whose connections are reset. */
+static void test_reset_links_to_all_upstreams(void **state)
+{
+	check_cut(*state, CUT_RESETS);
+}
+
+/* Guards against callers that wait in vain at a gateway whose connections hang. */
+static void test_hanging_links_to_all_upstreams(void **state)
+{
+	check_cut(*state, CUT_HANGS);
+}
+
+/* Guards against refusing callers when only old connections still work. */
+static void test_links_that_admit_no_new_connections(void **state)
+{
+	check_cut(*state, CUT_NEW_ONLY);
+}
+
+/*
+ * Guards against relays in a circle, and against callers that wait, where no gateway
+ * reaches an upstream.
+ */
+static void test_all_gateways_are_cut_off(void **state)
+{
+	links_t *links = *state;
+	outcomes_t outcomes[RIG_GATEWAYS];
+	unsigned int before;
+
+	send_calls(links, "/unsafe/x", 500, outcomes);
+	for (int i = 0; i < RIG_GATEWAYS; i++) {
+		for (int k = 0; k < RIG_UPSTREAMS; k++) {
+			forwarder_close(links->links[i][k], true);
+			forwarder_cut(links->links[i][k]);
+		}
+	}
+	send_calls(links, "/unsafe/x", DETECTION_MS, outcomes);
+	before = links->runs;
+	send_calls(links, "/unsafe/x", 1000, outcomes);
+	for (int i = 0; i < RIG_GATEWAYS; i++)
+		assert_int_equal(outcomes[i].refused, outcomes[i].sent);
+	assert_int_equal(links->runs, before);
+	for (int i = 0; i < RIG_GATEWAYS; i++) {
+		for (int k = 0; k < RIG_UPSTREAMS; k++)
+			forwarder_close(links->links[i][k], false);
+	}
+	send_calls(links, "/unsafe/x", RECOVERY_MS, outcomes);
+	send_calls(links, "/unsafe/x", 500, outcomes);
+	for (int i = 0; i < RIG_GATEWAYS; i++)
+		assert_int_equal(outcomes[i].served, outcomes[i].sent);
+	check_runs(links);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_reset_links_to_all_upstreams,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_hanging_links_to_all_upstreams,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_links_that_admit_no_new_connections,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_all_gateways_are_cut_off,
+						setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
