Test upstreams that fall over when they have to reject requests

The rig's upstreams can have room for some calls, and fall over when they have to reject more than they name in a second.

--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -29,6 +29,7 @@
 	rig_behavior_t behavior;
 	int event; /* number of the last one sent */
 	bool busy; /* a request awaits its response */
+	bool works; /* it takes room of its upstream */
 } session_t;
 
 /* Sends a complete response; HEADERS are lines that end in CRLF. */
@@ -72,6 +73,9 @@
 /* Frees the session; its connection is closed elsewhere. */
 static void session_free(session_t *session)
 {
+	if (session->works)
+		session->server->running--;
+	session->works = false;
 	list_remove(&session->watch);
 	if (!uv_is_closing((uv_handle_t *)&session->timer))
 		uv_close((uv_handle_t *)&session->timer, session_freed);
@@ -129,9 +133,12 @@
 
 /* Upstreams. */
 
-/* Appends the header that names an upstream's rate limit, if it has one. */
-static void append_rate_limit(GString *headers, const rig_server_t *server)
+/* Appends the headers that name an upstream's limits, if it has any. */
+static void append_limits(GString *headers, const rig_server_t *server)
 {
+	if (server->brittle)
+		g_string_append_printf(headers, "Server-Brittle: %u\r\n",
+				       server->brittle);
 	if (server->rate_limit > 0)
 		g_string_append_printf(headers, "Server-Limit: %.1f\r\n",
 				       server->rate_limit);
@@ -147,7 +154,7 @@
 			"X-Attempt-Id: %s\r\nX-Response-Seal: s%d\r\n"
 			"Keep-Alive: timeout=5\r\n",
 			id ? id : "", session->server->number);
-	append_rate_limit(headers, session->server);
+	append_limits(headers, session->server);
 	session_write(session, status, headers->str, body);
 	g_string_free(headers, TRUE);
 }
@@ -161,6 +168,35 @@
 	g_free(body);
 }
 
+/* Takes a call that works off its upstream's room. */
+static void end_work(session_t *session)
+{
+	if (session->works)
+		session->server->running--;
+	session->works = false;
+}
+
+/* Rejects a call for want of room; a brittle upstream may fall over. */
+static void upstream_reject(session_t *session)
+{
+	rig_server_t *server = session->server;
+	uint64_t now = uv_hrtime() / 1000000;
+	GString *headers = g_string_new("X-Not-Run: 1\r\n");
+
+	append_limits(headers, server);
+	session_write(session, 503, headers->str, "");
+	g_string_free(headers, TRUE);
+	if (now - server->rejections_since_ms >= 1000) {
+		server->rejections = 0;
+		server->rejections_since_ms = now;
+	}
+	if (!server->brittle || ++server->rejections <= server->brittle)
+		return;
+	server->rejections = 0;
+	server->falls++;
+	server->down_until_ms = now + RIG_DOWN_MS;
+}
+
 static void upstream_answer_large(session_t *session)
 {
 	char *body = g_strnfill(RIG_LARGE_BYTES, 'x');
@@ -173,6 +209,7 @@
 {
 	session_t *session = timer->data;
 
+	end_work(session);
 	upstream_answer(session, 200, session->call_id);
 }
 
@@ -220,7 +257,7 @@
 			"X-Response-Seal: s%d\r\n",
 			session->call_id ? session->call_id : "",
 			session->server->number);
-	append_rate_limit(head, session->server);
+	append_limits(head, session->server);
 	g_string_append(head, "\r\n");
 	http1_write(session->conn, head->str, head->len);
 	g_string_free(head, TRUE);
@@ -236,6 +273,15 @@
 
 	gateway_rig_t *rig = session->server->rig;
 
+	if (uv_hrtime() / 1000000 < session->server->down_until_ms) {
+		session_cut(session);
+		return;
+	}
+	if (session->server->room &&
+	    session->server->running >= session->server->room) {
+		upstream_reject(session);
+		return;
+	}
 	if (rig->observe_call && session->call_id)
 		rig->observe_call(rig->ctx, session->server->number,
 				  session->call_id);
@@ -249,6 +295,13 @@
 					    1));
 	switch (session->behavior) {
 	case RIG_ANSWER:
+		if (session->server->work_ms) {
+			session->works = true;
+			session->server->running++;
+			uv_timer_start(&session->timer, on_slow,
+				       session->server->work_ms, 0);
+			return;
+		}
 		upstream_answer(session, 200, session->call_id);
 		return;
 	case RIG_FAIL:
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -33,6 +33,7 @@
 } rig_behavior_t;
 
 #define RIG_SLOW_MS 1000
+#define RIG_DOWN_MS 1500 /* of an upstream that fell over */
 #define RIG_LARGE_BYTES 12000000 /* more than socket buffers hold */
 #define RIG_EVENTS 6
 
@@ -50,6 +51,15 @@
 	unsigned int aborted_calls; /* closed by the client before the response */
 	rig_behavior_t behavior;
 	double rate_limit; /* requests per second that its answers name; 0: none */
+	unsigned int room; /* calls at a time; it rejects more; 0: any number */
+	unsigned int work_ms; /* of a call with RIG_ANSWER; 0: none */
+	unsigned int running;
+	/* rejections in a second with which it falls over, as answers name; 0: none */
+	unsigned int brittle;
+	unsigned int rejections; /* in the second that began at rejections_since_ms */
+	uint64_t rejections_since_ms;
+	unsigned int falls;
+	uint64_t down_until_ms; /* until then it closes connections */
 	GString *last; /* the last request: head lines, then the body */
 } rig_server_t;
 
--- a/tests/process/test_gateway_limits.c
+++ b/tests/process/test_gateway_limits.c
@@ -21,6 +21,11 @@
 /* A refusal that is known to be due does not wait for room. */
 #define REFUSAL_MS 300
 
+/* Upstreams that fall over, and that the calls are more than enough for. */
+#define BRITTLE 3 /* rejections a second */
+#define BRITTLE_ROOM 8
+#define BRITTLE_WORK_MS 800
+
 /* The outcomes of calls. */
 typedef struct outcomes {
 	unsigned int served;
@@ -206,6 +211,37 @@
 	assert_true(outcomes.retry_after_max > 0);
 }
 
+/*
+ * Guards against gateways that together fill upstreams until these have to reject
+ * requests and fall over.
+ */
+static void test_brittle_upstreams_do_not_fall_over(void **state)
+{
+	gateway_rig_t *rig = *state;
+	unsigned int falls = 0;
+	outcomes_t outcomes;
+
+	for (int i = 0; i < RIG_UPSTREAMS; i++) {
+		rig->upstreams[i].brittle = BRITTLE;
+		rig->upstreams[i].work_ms = BRITTLE_WORK_MS;
+		/* As many as it registers slots: it lets none wait. */
+		rig->upstreams[i].room = BRITTLE_ROOM;
+	}
+	send_calls(rig, "/safe/x", 500);
+	for (int i = 0; i < RIG_UPSTREAMS; i++)
+		rig->upstreams[i].falls = 0;
+	outcomes = send_calls(rig, "/safe/x", WINDOW_MS);
+	for (int i = 0; i < RIG_UPSTREAMS; i++)
+		falls += rig->upstreams[i].falls;
+	print_message("%u falls, %u served, %u refused, %u other\n", falls,
+		      outcomes.served, outcomes.refused, outcomes.other);
+	assert_int_equal(falls, 0);
+	/* Half of what the upstreams could serve. */
+	assert_true(outcomes.served >= RIG_UPSTREAMS * BRITTLE_ROOM *
+					       WINDOW_MS / BRITTLE_WORK_MS / 2);
+	assert_int_equal(outcomes.other, 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -215,6 +251,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_calls_beyond_all_limits_are_refused_at_once,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_brittle_upstreams_do_not_fall_over,
+						setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
