Share the slots of upstreams that fail under rejections

Upstreams that say that they fall over when they have to reject more than some requests in a second did so: each gateway fills them to 2.5 times their slots by loads that peers reported up to half a second ago, and each finds out by itself that they are full. That bound is one on the sum of rejections.

A gateway now has an even share of the slots of such an upstream, in whole requests; what is left over is drawn for half a second at a time, without messages. It leaves one that rejected a request alone for a second.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -20,6 +20,7 @@
 #include "adapters/log_buffer.h"
 #include "adapters/log_glib.h"
 #include "core/forward/shed.h"
+#include "core/hash.h"
 #include "platform/wire.h"
 
 #define LOG_COMPONENT "gateway"
@@ -477,6 +478,7 @@
 	gateway->upstreams = forward_upstreams_create();
 	gateway->upstream_limits = upstream_limits_create();
 	gateway->reach = reach_create();
+	gateway->name_hash = hash_string(settings->node_id);
 	list_init(&gateway->reach_probes);
 	gateway->outage = store_outage_create(gateway->started_at);
 	gateway->limits =
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -38,6 +38,7 @@
 	bool upstreams_listed; /* a complete listing was read, here or by a peer */
 	bool upstreams_usable; /* at least one page of a listing was read */
 	forward_upstreams_t *upstreams;
+	uint64_t name_hash; /* of the VM, to draw shares by */
 	reach_t *reach; /* whether upstreams can be connected to */
 	list_node_t reach_probes; /* connections that test it */
 	upstream_limits_t *upstream_limits; /* that upstreams name in responses */
--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -5,6 +5,7 @@
 
 #include "adapters/gateway/rate_limits.h"
 #include "adapters/gateway/upstream_reach.h"
+#include "adapters/log_glib.h"
 #include "platform/wire.h"
 
 /* Limit of a response that is not streamed, as it is buffered completely. */
@@ -51,13 +52,17 @@
 }
 
 /*
- * Records the rate limit that the upstream names, or that it names none. An upstream
+ * Records the limits that the upstream names, or that it names none. An upstream
  * that has a limit says so in each response; one that broke off or is garbled proves
  * nothing.
  */
-static void record_rate_limit(const gateway_request_t *request,
-			      const wire_response_t *answer)
+static void record_limits(const gateway_request_t *request,
+			  const wire_response_t *answer)
 {
+	if ((answer->is_brittle || answer->sealed) &&
+	    forward_upstream_record_brittle(request->upstream, answer->is_brittle))
+		log_line(G_LOG_LEVEL_INFO, "upstream", "id=%s brittle=%d",
+			 request->upstream->id, answer->is_brittle);
 	if (answer->has_rate_limit || answer->sealed)
 		gateway_limits_record(request->gateway, request->upstream,
 				      answer->has_rate_limit, answer->rate_limit);
@@ -79,7 +84,7 @@
 				     strcmp(answer.call_id, request->call->id) != 0;
 	if (request->skipping_response)
 		return;
-	record_rate_limit(request, &answer);
+	record_limits(request, &answer);
 	request->status = head->status;
 	request->rejected = answer.not_run || head->status == 421;
 	request->sealed = answer.sealed;
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -53,6 +53,7 @@
 		.overcommit = request->route->has_prompt ? ENGINE_OVERCOMMIT
 							 : PLAIN_OVERCOMMIT,
 		.connections_max = connections_max(request, fleet_size),
+		.sharer = { gateway->name_hash, fleet_size },
 		.limits = upstream_limits_are_empty(gateway->upstream_limits)
 				  ? NULL
 				  : gateway->upstream_limits,
--- a/core/forward/choice.c
+++ b/core/forward/choice.c
@@ -182,6 +182,10 @@
 {
 	if (now < upstream->full_until)
 		return true;
+	if (upstream->brittle &&
+	    upstream->running >= brittle_share(upstream->slots, upstream->id_hash,
+					       &criteria->sharer, now))
+		return true;
 	if (criteria->connections_max &&
 	    upstream->running >= criteria->connections_max)
 		return true;
--- a/core/forward/choice.h
+++ b/core/forward/choice.h
@@ -2,6 +2,7 @@
 #ifndef PISTACHIO_FORWARD_CHOICE_H
 #define PISTACHIO_FORWARD_CHOICE_H
 
+#include "core/forward/brittle.h"
 #include "core/forward/upstream_limits.h"
 #include "core/forward/upstreams.h"
 
@@ -16,6 +17,8 @@
 	double overcommit; /* part of the slots that may be used; 1: all */
 	/* of this gateway to one upstream; 0: no limit */
 	unsigned int connections_max;
+	/* shares the slots of brittle upstreams with the other gateways */
+	brittle_sharer_t sharer;
 	/* rate limits of upstreams; NULL: none has one */
 	const upstream_limits_t *limits;
 	/* upstreams to compare at random; 0: compare all */
--- a/core/forward/upstream_record.c
+++ b/core/forward/upstream_record.c
@@ -17,6 +17,8 @@
 #define CONNECT_FAILURE_WEIGHT 4
 /* How long an upstream that rejected a request counts as full. */
 #define REJECTION_PAUSE (150 * PD_MSEC)
+/* The same for one that fails if it has to reject too many in a second. */
+#define BRITTLE_REJECTION_PAUSE PD_SEC
 /* A probe request without a response for so long no longer blocks others. */
 #define PROBE_TIMEOUT (2 * PD_SEC)
 /*
@@ -127,7 +129,20 @@
  */
 void forward_upstream_record_rejection(forward_upstream_t *upstream, pd_time_t now)
 {
-	upstream->full_until = now + REJECTION_PAUSE;
+	upstream->full_until = now + (upstream->brittle ? BRITTLE_REJECTION_PAUSE
+							: REJECTION_PAUSE);
+}
+
+/*
+ * Records whether a response said that the upstream fails if it has to reject too many
+ * requests. Returns whether that is new.
+ */
+bool forward_upstream_record_brittle(forward_upstream_t *upstream, bool brittle)
+{
+	bool changed = upstream->brittle != brittle;
+
+	upstream->brittle = brittle;
+	return changed;
 }
 
 /*
@@ -145,6 +160,7 @@
 	upstream->failures = 0;
 	upstream->backoff_until = 0;
 	upstream->full_until = 0;
+	upstream->brittle = false;
 	upstream->probe_started_at = 0;
 	g_hash_table_remove_all(upstream->cached_parts);
 }
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -86,6 +86,7 @@
 	/* until then it is used only if no other can be */
 	pd_time_t backoff_until;
 	pd_time_t full_until; /* set when it rejects a request */
+	bool brittle; /* it fails if it has to reject too many requests */
 	pd_time_t probe_started_at; /* when a probe request was sent; 0: none */
 	/* prompt part id -> pd_time_t of its last use */
 	GHashTable *cached_parts;
@@ -135,6 +136,7 @@
 void forward_upstream_record_connect_failure(forward_upstream_t *upstream,
 					     pd_time_t now);
 void forward_upstream_record_rejection(forward_upstream_t *upstream, pd_time_t now);
+bool forward_upstream_record_brittle(forward_upstream_t *upstream, bool brittle);
 void forward_upstream_record_restart(forward_upstream_t *upstream);
 void forward_upstream_record_success(forward_upstream_t *upstream);
 bool forward_upstream_in_backoff(const forward_upstream_t *upstream, pd_time_t now);
