--- a/tests/guarantees/test_gateway_soak.c
+++ b/tests/guarantees/test_gateway_soak.c
@@ -2,7 +2,7 @@
  * Injects random faults into real gateway processes: kills, pauses, stops and restarts,
  * a store that rejects gateways, upstreams that fail in every way or leave, and callers
  * that hang up. One upstream names a rate limit for all of the time. A second kind of schedule also cuts, delays, silences or half-opens the
- * links to upstreams and to the store. The responses that callers received are checked
+ * links to upstreams and to the store, and all links of a gateway to upstreams. The responses that callers received are checked
  * against the calls that upstreams ran. Each seed gives one schedule; SEEDS=N runs N
  * seeds of each kind, FIRST_SEED=K begins with seed K.
  */
@@ -82,6 +82,9 @@
 	bool links; /* inject faults into links as well */
 	forwarder_t *to_store[RIG_GATEWAYS];
 	forwarder_t *to_upstream[RIG_UPSTREAMS];
+	/* from each gateway, in front of those */
+	forwarder_t *from_gateway[RIG_GATEWAYS][RIG_UPSTREAMS];
+	uint64_t reconnected_at[RIG_GATEWAYS]; /* 0: it is not cut off */
 	uint64_t store_link_repaired_at[RIG_GATEWAYS]; /* 0: no lasting fault */
 } soak_t;
 
@@ -341,11 +344,53 @@
 	forwarder_refuse(link, false);
 }
 
+/* Sets how a gateway's links to all upstreams treat new connections. */
+static void set_cut_off(soak_t *soak, int number, bool hang, bool closed)
+{
+	for (int i = 0; i < RIG_UPSTREAMS; i++) {
+		forwarder_hang(soak->from_gateway[number][i], hang);
+		forwarder_close(soak->from_gateway[number][i], closed);
+	}
+}
+
+/* Cuts a gateway off from all upstreams in one of three ways, for a while. */
+static void cut_off(soak_t *soak, int number)
+{
+	int way = g_rand_int_range(soak->random, 0, 3);
+
+	if (soak->reconnected_at[number])
+		return;
+	set_cut_off(soak, number, way == 0, way != 0);
+	for (int i = 0; way < 2 && i < RIG_UPSTREAMS; i++) {
+		if (way == 0)
+			forwarder_silence(soak->from_gateway[number][i]);
+		else
+			forwarder_cut(soak->from_gateway[number][i]);
+	}
+	soak->reconnected_at[number] =
+		now_ms() + (uint64_t)g_rand_int_range(soak->random, 500, 3000);
+}
+
+/* Ends cuts that have lasted for long enough. */
+static void update_cut_off(soak_t *soak)
+{
+	for (int i = 0; i < RIG_GATEWAYS; i++) {
+		if (!soak->reconnected_at[i] || now_ms() < soak->reconnected_at[i])
+			continue;
+		set_cut_off(soak, i, false, false);
+		soak->reconnected_at[i] = 0;
+	}
+}
+
 /* Injects a fault into the link to an upstream, or into a gateway's link to the store. */
 static void inject_link_fault(soak_t *soak)
 {
 	int number;
 
+	if (g_rand_int_range(soak->random, 0, 3) == 0) {
+		cut_off(soak, g_rand_int_range(soak->random, 0, RIG_GATEWAYS));
+		return;
+	}
 	if (g_rand_boolean(soak->random)) {
 		number = g_rand_int_range(soak->random, 0, RIG_UPSTREAMS);
 		repair_link(soak->to_upstream[number]);
@@ -471,6 +516,7 @@
 	check_drained(soak, before);
 	repair_gateways(soak);
 	update_store_links(soak);
+	update_cut_off(soak);
 	for (guint i = 0; i < soak->calls->len; i++)
 		check_answered(soak, g_ptr_array_index(soak->calls, i));
 }
@@ -556,8 +602,11 @@
 	soak->rig->observe_call = NULL;
 	for (int i = 0; i < RIG_GATEWAYS; i++) {
 		soak->rig->stores[i].down = false;
-		if (soak->links)
+		if (soak->links) {
 			repair_link(soak->to_store[i]);
+			set_cut_off(soak, i, false, false);
+			soak->reconnected_at[i] = 0;
+		}
 		soak->gateways[i].act_at = 0;
 	}
 	for (int i = 0; i < RIG_UPSTREAMS; i++) {
@@ -590,6 +639,13 @@
 			forwarder_create(&rig->loop, rig->stores[i].port);
 		rig->store_proxy_ports[i] =
 			(uint16_t)forwarder_port(soak->to_store[i]);
+		for (int k = 0; k < RIG_UPSTREAMS; k++) {
+			soak->from_gateway[i][k] =
+				forwarder_create(&rig->loop,
+						 rig->upstream_proxy_ports[k]);
+			rig->link_ports[i][k] = (uint16_t)forwarder_port(
+				soak->from_gateway[i][k]);
+		}
 	}
 }
 
