Decide by random probes whether a gateway is cut off

Live upstreams are reached by kept connections, so five failed new ones in a row are the rule while many upstreams are down.

Failures of requests now only begin a round of probes of random upstreams, all of which must fail.

--- a/adapters/gateway/upstream_reach.c
+++ b/adapters/gateway/upstream_reach.c
@@ -43,19 +43,14 @@
 	return count;
 }
 
-/* Records that an upstream that serves could not be connected to. */
+/* Records that a request could not be sent to an upstream, if that serves. */
 void gateway_reach_record_failure(gateway_t *gateway,
 				  const forward_upstream_t *upstream)
 {
-	if (!forward_upstream_is_serving(upstream))
-		return;
-	if (!reach_record_failure(gateway->reach,
-				  forward_upstream_short_id(upstream),
-				  count_serving(gateway), gateway_now()))
-		return;
-	log_line(G_LOG_LEVEL_WARNING, LOG_COMPONENT, "cut_off=1 upstream=%s",
-		 upstream->id);
-	metrics_add(gateway->metrics, "gateway_cut_off_total", 1);
+	if (forward_upstream_is_serving(upstream))
+		reach_record_failure(gateway->reach,
+				     forward_upstream_short_id(upstream),
+				     gateway_now());
 }
 
 static void on_connected(void *ctx)
@@ -88,13 +83,18 @@
 static void on_end(void *ctx, http1_end_t end)
 {
 	probe_t *probe = ctx;
+	gateway_t *gateway = probe->gateway;
 
 	(void)end;
-	gateway_reach_record_failure(probe->gateway, probe->upstream);
+	if (reach_record_probe_failure(gateway->reach, count_serving(gateway))) {
+		log_line(G_LOG_LEVEL_WARNING, LOG_COMPONENT,
+			 "cut_off=1 upstream=%s", probe->upstream->id);
+		metrics_add(gateway->metrics, "gateway_cut_off_total", 1);
+	}
 	probe_free(probe);
 }
 
-/* Returns a random upstream that serves and did not just fail, borrowed, or NULL. */
+/* Returns a random upstream that serves and was not probed, borrowed, or NULL. */
 static forward_upstream_t *pick_upstream(gateway_t *gateway)
 {
 	forward_upstream_t *picked = NULL;
@@ -105,9 +105,8 @@
 			LIST_ENTRY(it, forward_upstream_t, node);
 
 		if (!forward_upstream_is_serving(upstream) ||
-		    (!reach_is_cut_off(gateway->reach) &&
-		     reach_is_suspected(gateway->reach,
-					forward_upstream_short_id(upstream))))
+		    !reach_may_probe(gateway->reach,
+				     forward_upstream_short_id(upstream)))
 			continue;
 		if (g_rand_int_range(gateway->random, 0, ++count) == 0)
 			picked = upstream;
@@ -127,6 +126,7 @@
 	probe->started_at = gateway_now();
 	probe->conn = http1_create(gateway->loop, HTTP1_CLIENT, &events, probe);
 	list_append(&gateway->reach_probes, &probe->node);
+	reach_record_probe(gateway->reach, forward_upstream_short_id(upstream));
 	metrics_add(gateway->metrics, "gateway_reach_probes_total", 1);
 	if (http1_connect(probe->conn, upstream->address, upstream->port) < 0) {
 		http1_close(probe->conn);
@@ -134,10 +134,10 @@
 	}
 }
 
-/* Ends probes that got no answer, and starts one that is due. */
+/* Ends probes that got no answer, and starts those that are due. */
 void gateway_reach_run(gateway_t *gateway, pd_time_t now)
 {
-	forward_upstream_t *upstream;
+	unsigned int due;
 
 	LIST_FOR_EACH_SAFE (it, &gateway->reach_probes) {
 		probe_t *probe = LIST_ENTRY(it, probe_t, node);
@@ -147,9 +147,13 @@
 		http1_close(probe->conn);
 		on_end(probe, HTTP1_END_CONNECT_FAILED);
 	}
-	if (!reach_take_probe(gateway->reach, now))
+	if (!reach_is_suspicious(gateway->reach))
 		return;
-	upstream = pick_upstream(gateway);
-	if (upstream)
-		start_probe(gateway, upstream);
+	due = reach_take_probes(gateway->reach, count_serving(gateway), now);
+	for (; due; due--) {
+		forward_upstream_t *upstream = pick_upstream(gateway);
+
+		if (upstream)
+			start_probe(gateway, upstream);
+	}
 }
--- a/core/forward/reach.h
+++ b/core/forward/reach.h
@@ -1,6 +1,7 @@
 /*
- * Decides whether this gateway is cut off from all upstreams, by its attempts to connect
- * to them. A single upstream that is down or silent is no sign of that.
+ * Decides whether this gateway is cut off from all upstreams. Requests that can't be
+ * sent give the suspicion, connections to random upstreams decide: requests use kept
+ * connections to upstreams that run, so most of the new ones are to those that don't.
  */
 #ifndef PISTACHIO_FORWARD_REACH_H
 #define PISTACHIO_FORWARD_REACH_H
@@ -15,10 +16,12 @@
 reach_t *reach_create(void);
 void reach_destroy(reach_t *reach);
 bool reach_record_connected(reach_t *reach);
-bool reach_record_failure(reach_t *reach, uint32_t short_id,
-			  unsigned int serving, pd_time_t now);
-bool reach_is_suspected(const reach_t *reach, uint32_t short_id);
+void reach_record_failure(reach_t *reach, uint32_t short_id, pd_time_t now);
+bool reach_record_probe_failure(reach_t *reach, unsigned int serving);
+bool reach_is_suspicious(const reach_t *reach);
 bool reach_is_cut_off(const reach_t *reach);
-bool reach_take_probe(reach_t *reach, pd_time_t now);
+unsigned int reach_take_probes(reach_t *reach, unsigned int serving, pd_time_t now);
+bool reach_may_probe(const reach_t *reach, uint32_t short_id);
+void reach_record_probe(reach_t *reach, uint32_t short_id);
 
 #endif
--- a/tests/unit/test_reach.c
+++ b/tests/unit/test_reach.c
@@ -23,96 +23,127 @@
 	return 0;
 }
 
-/* Records failures of the upstreams from FIRST on, 10 ms apart. */
+/* Records that requests could not be sent to the upstreams from FIRST on. */
 static void fail_upstreams(reach_t *reach, uint32_t first, unsigned int count,
 			   pd_time_t now)
 {
 	for (unsigned int i = 0; i < count; i++)
-		reach_record_failure(reach, first + i, SERVING,
-				     now + i * 10 * PD_MSEC);
+		reach_record_failure(reach, first + i, now);
 }
 
-static void test_failures_of_many_upstreams(void **state)
+/* Starts the probes that are due, and returns their number. */
+static unsigned int start_probes(reach_t *reach, uint32_t first,
+				 unsigned int serving, pd_time_t now)
+{
+	unsigned int count = reach_take_probes(reach, serving, now);
+
+	for (unsigned int i = 0; i < count; i++)
+		reach_record_probe(reach, first + i);
+	return count;
+}
+
+/* Fails COUNT probes; returns whether the gateway is cut off then. */
+static bool fail_probes(reach_t *reach, unsigned int count, unsigned int serving)
+{
+	for (unsigned int i = 0; i < count; i++)
+		reach_record_probe_failure(reach, serving);
+	return reach_is_cut_off(reach);
+}
+
+static void test_all_probes_fail(void **state)
 {
 	reach_t *reach = *state;
 
-	fail_upstreams(reach, 1, 4, START);
-	assert_false(reach_is_cut_off(reach));
-	assert_true(reach_record_failure(reach, 5, SERVING, START + PD_SEC));
-	assert_true(reach_is_cut_off(reach));
-	assert_false(reach_record_failure(reach, 6, SERVING, START + PD_SEC));
+	fail_upstreams(reach, 1, 2, START);
+	assert_true(reach_is_suspicious(reach));
+	assert_int_equal(start_probes(reach, 10, SERVING, START), 2);
+	assert_int_equal(start_probes(reach, 20, SERVING, START), 0);
+	assert_false(fail_probes(reach, 2, SERVING));
+	assert_int_equal(start_probes(reach, 20, SERVING, START), 4);
+	assert_false(reach_may_probe(reach, 10));
+	assert_true(reach_may_probe(reach, 30));
+	assert_true(fail_probes(reach, 4, SERVING));
 	assert_true(reach_record_connected(reach));
 	assert_false(reach_is_cut_off(reach));
 	assert_false(reach_record_connected(reach));
 }
 
-/* Guards against a gateway that takes an upstream that is down or silent for a cut. */
-static void test_failures_of_one_upstream(void **state)
+/* Guards against a gateway that takes many upstreams that are down for a cut. */
+static void test_one_probe_connects(void **state)
 {
 	reach_t *reach = *state;
 
-	for (int i = 0; i < 100; i++)
-		assert_false(reach_record_failure(reach, 1, SERVING,
-						  START + i * 10 * PD_MSEC));
-	assert_false(reach_record_failure(reach, 1, 1, START + PD_SEC));
-	assert_false(reach_take_probe(reach, START + PD_SEC));
+	fail_upstreams(reach, 1, 9, START);
+	assert_int_equal(start_probes(reach, 10, SERVING, START), 2);
+	assert_false(fail_probes(reach, 1, SERVING));
+	reach_record_connected(reach);
+	assert_false(fail_probes(reach, 9, SERVING));
+	/* Requests that still fail begin another round, but not at once. */
+	fail_upstreams(reach, 1, 9, START + PD_MSEC);
+	assert_int_equal(start_probes(reach, 10, SERVING, START + PD_MSEC), 0);
+	assert_int_equal(start_probes(reach, 10, SERVING, START + PD_SEC), 2);
 }
 
-static void test_connection_in_between(void **state)
+/* Guards against a gateway that takes an upstream that is down or silent for a cut. */
+static void test_one_upstream_fails(void **state)
 {
 	reach_t *reach = *state;
 
-	fail_upstreams(reach, 1, 4, START);
-	reach_record_connected(reach);
-	fail_upstreams(reach, 5, 4, START + PD_SEC);
-	assert_false(reach_is_cut_off(reach));
+	for (int i = 0; i < 100; i++)
+		reach_record_failure(reach, 1, START + i * 10 * PD_MSEC);
+	assert_int_equal(start_probes(reach, 10, SERVING, START + PD_SEC), 0);
+	fail_upstreams(reach, 2, 1, START + PD_SEC);
+	assert_int_equal(start_probes(reach, 10, 1, START + PD_SEC), 0);
 }
 
 static void test_old_failures_do_not_count(void **state)
 {
 	reach_t *reach = *state;
 
-	fail_upstreams(reach, 1, 4, START);
-	fail_upstreams(reach, 5, 4, START + 4 * PD_SEC);
-	assert_false(reach_is_cut_off(reach));
-	assert_false(reach_is_suspected(reach, 1));
-	assert_true(reach_is_suspected(reach, 5));
+	fail_upstreams(reach, 1, 1, START);
+	fail_upstreams(reach, 2, 1, START + 4 * PD_SEC);
+	assert_int_equal(start_probes(reach, 10, SERVING, START + 4 * PD_SEC), 0);
 }
 
 static void test_all_of_a_few_upstreams(void **state)
 {
 	reach_t *reach = *state;
 
-	assert_false(reach_record_failure(reach, 1, 2, START));
-	assert_true(reach_record_failure(reach, 2, 2, START));
+	fail_upstreams(reach, 1, 2, START);
+	assert_int_equal(start_probes(reach, 1, 3, START), 2);
+	assert_false(fail_probes(reach, 2, 3));
+	assert_int_equal(start_probes(reach, 3, 3, START), 1);
+	assert_true(fail_probes(reach, 1, 3));
 }
 
-static void test_probes(void **state)
+static void test_probes_while_cut_off(void **state)
 {
 	reach_t *reach = *state;
 
 	fail_upstreams(reach, 1, 2, START);
-	assert_true(reach_take_probe(reach, START + 50 * PD_MSEC));
-	assert_false(reach_take_probe(reach, START + 149 * PD_MSEC));
-	assert_true(reach_take_probe(reach, START + 150 * PD_MSEC));
-	reach_record_connected(reach);
-	assert_false(reach_take_probe(reach, START + PD_SEC));
+	start_probes(reach, 1, 2, START);
+	assert_true(fail_probes(reach, 2, 2));
+	assert_int_equal(start_probes(reach, 1, 2, START + 2 * PD_SEC), 2);
+	assert_int_equal(start_probes(reach, 1, 2, START + 2 * PD_SEC), 0);
+	assert_true(fail_probes(reach, 2, 2));
+	assert_int_equal(start_probes(reach, 1, 2, START + 2200 * PD_MSEC), 2);
 }
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test_setup_teardown(test_failures_of_many_upstreams,
-						setup, teardown),
-		cmocka_unit_test_setup_teardown(test_failures_of_one_upstream,
-						setup, teardown),
-		cmocka_unit_test_setup_teardown(test_connection_in_between,
-						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_all_probes_fail, setup,
+						teardown),
+		cmocka_unit_test_setup_teardown(test_one_probe_connects, setup,
+						teardown),
+		cmocka_unit_test_setup_teardown(test_one_upstream_fails, setup,
+						teardown),
 		cmocka_unit_test_setup_teardown(test_old_failures_do_not_count,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_all_of_a_few_upstreams,
 						setup, teardown),
-		cmocka_unit_test_setup_teardown(test_probes, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_probes_while_cut_off,
+						setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
