--- a/adapters/gateway/peer_limits.c
+++ b/adapters/gateway/peer_limits.c
@@ -20,8 +20,8 @@
 /* Random variation of the period: equal phases would favour the same gateways. */
 #define PERIOD_JITTER 0.3
 
-/* Returns whether this gateway is sent the states of those that rank before it. */
-static bool hears_all_before(gateway_peers_t *peers, pd_time_t now)
+/* Returns whether this gateway receives the states of all that rank before it. */
+static bool receives_states_before(gateway_peers_t *peers, pd_time_t now)
 {
 	return peers_is_mesh(peers, now) ||
 	       peers_view(peers, now)->rank < AGGREGATORS;
@@ -36,7 +36,7 @@
 	unsigned int count =
 		peers_top_ranked(peers, first, G_N_ELEMENTS(first), now);
 
-	if (!hears_all_before(peers, now))
+	if (!receives_states_before(peers, now))
 		return count ? first[0] : NULL;
 	for (unsigned int i = 0; i < count; i++) {
 		if (first[i]->heard_at && now - first[i]->heard_at < silence)
@@ -64,9 +64,9 @@
 	return (double)view->alive / MAX(view->fleet_size, 1);
 }
 
-/* Packs a limit; without TOLD it only names the permits that are requested. */
+/* Packs a limit; unless STATED, only the permits that are requested for it. */
 static void pack_limit(msgpack_packer *packer, const upstream_limit_t *limit,
-		       bool told)
+		       bool stated)
 {
 	msgpack_pack_array(packer, LIMIT_FIELDS);
 	msgpack_pack_uint32(packer, limit->short_id);
@@ -74,7 +74,7 @@
 		msgpack_pack_double(packer, limit->rate);
 	else
 		msgpack_pack_nil(packer);
-	if (told)
+	if (stated)
 		msgpack_pack_uint64(packer, (uint64_t)(limit->age / PD_MSEC));
 	else
 		msgpack_pack_nil(packer);
@@ -263,11 +263,11 @@
 }
 
 /*
- * Decodes a limit. TOLD is set if the message says what is known of it. Returns false
+ * Decodes a limit. STATED is set if the message says what is known of it. Returns false
  * if it is malformed.
  */
 static bool read_limit(const msgpack_object *object, upstream_limit_t *limit,
-		       bool *told)
+		       bool *stated)
 {
 	const msgpack_object *fields =
 		msgpack_field_array(object, LIMIT_FIELDS, NULL);
@@ -276,7 +276,7 @@
 	if (!fields)
 		return false;
 	age = msgpack_field_uint64(&fields[2]);
-	*told = fields[2].type == MSGPACK_OBJECT_POSITIVE_INTEGER;
+	*stated = fields[2].type == MSGPACK_OBJECT_POSITIVE_INTEGER;
 	*limit = (upstream_limit_t){
 		.short_id = (uint32_t)msgpack_field_uint64(&fields[0]),
 		.limited = fields[1].type != MSGPACK_OBJECT_NIL,
@@ -308,12 +308,12 @@
 	pd_time_t now = gateway_now();
 	GArray *reply = g_array_new(FALSE, FALSE, sizeof(upstream_limit_t));
 	upstream_limit_t limit;
-	bool told;
+	bool stated;
 
 	for (uint32_t i = 0; i < MIN(count, UPSTREAM_LIMITS_LISTED_MAX); i++) {
-		if (!read_limit(&items[i], &limit, &told))
+		if (!read_limit(&items[i], &limit, &stated))
 			continue;
-		if (told)
+		if (stated)
 			merge_limit(peers, &limit);
 		limit.permits =
 			upstream_limits_grant(peers->gateway->upstream_limits,
@@ -346,14 +346,14 @@
 	uint32_t count = 0;
 	const msgpack_object *items = msgpack_field_array(&fields[3], 0, &count);
 	upstream_limit_t limit;
-	bool told;
+	bool stated;
 
 	if (!items || requested_at > PD_TIME_MAX)
 		return -1;
 	for (uint32_t i = 0; i < count; i++) {
-		if (!read_limit(&items[i], &limit, &told))
+		if (!read_limit(&items[i], &limit, &stated))
 			continue;
-		if (told)
+		if (stated)
 			merge_limit(peers, &limit);
 		gateway_limits_add_permits(peers->gateway, limit.short_id,
 					   limit.permits, (pd_time_t)requested_at);
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -105,7 +105,7 @@
 #define COUNTS_FIELDS 6
 /* kind, sender, when permits were requested by the receiver's clock, limits */
 #define LIMITS_FIELDS 4
-/* short id of the upstream, rate or nil, age in ms or nil if not told, permits */
+/* short id of the upstream, rate or nil, age in ms or nil if not stated, permits */
 #define LIMIT_FIELDS 4
 #define USAGE_FIELDS 3 /* window, account, count */
 /* An upstream in full, or only its id hash, stage, revision and start time. */
--- a/core/forward/upstream_limits.c
+++ b/core/forward/upstream_limits.c
@@ -27,7 +27,7 @@
 #define LIFTED_TTL (10 * PD_SEC)
 /* A limit that no response has confirmed for so long is forgotten. */
 #define UNCONFIRMED_TTL (60 * PD_SEC)
-/* Time constants of the rates at which callers ask and permits arrive. */
+/* Time constants of the rates of requests and of permits received. */
 #define DEMAND_TIME PD_SEC
 #define PERMIT_RATE_TIME (2 * PD_SEC)
 /* Less demand than this, in requests per second, is none. */
@@ -40,7 +40,7 @@
 	bool limited;
 	double rate; /* requests per second */
 	pd_time_t observed_at; /* when a response said so */
-	bool unsent; /* the response was this gateway's, and no message named it */
+	bool unsent; /* observed here, and not sent to other gateways yet */
 	GArray *permits; /* pd_time_t: when each permit held expires, ascending */
 	double level; /* permits that may be issued now */
 	pd_time_t level_at; /* time up to which the level is current */
@@ -53,7 +53,7 @@
 } decayed_rate_t;
 
 typedef struct service_demand {
-	decayed_rate_t asked; /* attempts of requests to find an upstream */
+	decayed_rate_t requested; /* attempts of requests to find an upstream */
 	decayed_rate_t permits; /* received */
 } service_demand_t;
 
@@ -386,7 +386,8 @@
 void upstream_limits_record_demand(upstream_limits_t *limits,
 				   const char *service, pd_time_t now)
 {
-	decayed_rate_add(&get_service(limits, service)->asked, 1, DEMAND_TIME, now);
+	decayed_rate_add(&get_service(limits, service)->requested, 1,
+			 DEMAND_TIME, now);
 }
 
 /* Returns the requests per second that need an upstream of a service, here. */
@@ -396,7 +397,7 @@
 	const service_demand_t *demand =
 		g_hash_table_lookup(limits->services, service);
 
-	return demand ? decayed_rate_get(&demand->asked, DEMAND_TIME, now) : 0;
+	return demand ? decayed_rate_get(&demand->requested, DEMAND_TIME, now) : 0;
 }
 
 /* Returns how many permits to request for a service, without those held. */
--- a/core/forward/upstream_limits.h
+++ b/core/forward/upstream_limits.h
@@ -28,7 +28,7 @@
 	double rate; /* requests per second */
 	pd_time_t age; /* since a response said so */
 	unsigned int permits; /* requested, granted or held */
-	bool observed; /* from a response here that no message has told yet */
+	bool observed; /* from a response here, and not sent to other gateways yet */
 } upstream_limit_t;
 
 /* What the requests for permits of a service are planned by. */
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -396,6 +396,63 @@
 	g_hash_table_unref(counts);
 }
 
+/* Returns the rate limit that a header's value names; negative: none. */
+static double rate_limit_of(const char *value)
+{
+	const header_t headers[] = { { "X-Response-Seal", "s" },
+				     { "Server-Limit", value } };
+	wire_response_t response;
+
+	wire_response_parse(headers, G_N_ELEMENTS(headers), &response);
+	assert_false(response.is_brittle);
+	return response.has_rate_limit ? response.rate_limit : -1;
+}
+
+static void test_limits_of_responses_are_parsed(void **state)
+{
+	const header_t headers[] = { { "Server-Brittle", "3" },
+				     { "Retry-After", "0.25" } };
+	wire_response_t response;
+
+	(void)state;
+	assert_true(rate_limit_of("3.2") == 3.2);
+	assert_true(rate_limit_of("0") == 0);
+	assert_true(rate_limit_of("-1") < 0);
+	assert_true(rate_limit_of("nan") < 0);
+	assert_true(rate_limit_of("1e9") < 0);
+	assert_true(rate_limit_of("many") < 0);
+	wire_response_parse(headers, G_N_ELEMENTS(headers), &response);
+	assert_true(response.is_brittle);
+	assert_false(response.has_rate_limit);
+	assert_int_equal(response.retry_after, 250 * PD_MSEC);
+}
+
+/* Guards against a relayed request that gets more time, or is not authenticated. */
+static void test_relayed_call_is_formatted(void **state)
+{
+	const header_t headers[] = {
+		{ "Host", "h" },
+		{ "X-Attempt-Id", "9c41" },
+		{ "X-Deadline-Ms", "1500" },
+		{ "Authorization", "Bearer k1" },
+		{ "Last-Event-Id", "12" },
+	};
+	forward_call_t *call = parse_call(headers, G_N_ELEMENTS(headers));
+	GString *out = g_string_new(NULL);
+
+	(void)state;
+	wire_relay_format(out, call, 900 * PD_MSEC, 4, true);
+	assert_string_equal(out->str, "POST /a/b?c HTTP/1.1\r\nHost: h\r\n"
+				      "X-Attempt-Id: 9c41\r\n"
+				      "X-Deadline-Ms: 900\r\n"
+				      "Authorization: Bearer k1\r\n"
+				      "Last-Event-Id: 12\r\n"
+				      "Content-Length: 4\r\n"
+				      "Connection: close\r\n\r\n");
+	g_string_free(out, TRUE);
+	forward_call_destroy(call);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -412,6 +469,8 @@
 		cmocka_unit_test(test_name_with_nul_is_empty),
 		cmocka_unit_test(test_lease_round_trip),
 		cmocka_unit_test(test_usage_report_is_deterministic),
+		cmocka_unit_test(test_limits_of_responses_are_parsed),
+		cmocka_unit_test(test_relayed_call_is_formatted),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
