Use one walk, one bound and one time to live for limits of upstreams

No change of behaviour. The length of a queue was counted by three loops, of which count_queued() and count_ahead() repeated each other; one now serves the plan of permits and the estimate of the wait.

--- a/adapters/gateway/rate_limits.c
+++ b/adapters/gateway/rate_limits.c
@@ -1,7 +1,6 @@
 /* Rate limits of upstreams: records, logs, metrics, and the need of permits. */
 #include "adapters/gateway/rate_limits.h"
 
-#include <math.h>
 #include <string.h>
 
 #include "adapters/gateway/peers.h"
@@ -147,17 +146,6 @@
 	return found.limits;
 }
 
-/* Returns how many requests of a service wait for an upstream, up to a rank. */
-static unsigned int count_queued(const gateway_t *gateway, const char *service,
-				 int rank_max)
-{
-	unsigned int count = 0;
-
-	for (int rank = 0; rank <= rank_max; rank++)
-		count += gateway_queue_length(gateway, rank, service);
-	return count;
-}
-
 /* Adds a limit that has ended, as a response of its upstream showed here. */
 static void add_ended(void *ctx, const upstream_limit_t *limit)
 {
@@ -181,8 +169,8 @@
 			g_ptr_array_index(config->services, i);
 		GArray *limits = limits_of_service(gateway, service->name, now);
 		const upstream_permit_need_t need = {
-			.queued = count_queued(gateway, service->name,
-					       GATEWAY_RANKS - 1),
+			.queued = gateway_queue_length(gateway, service->name,
+						       GATEWAY_RANKS),
 			.period = period,
 		};
 
--- a/adapters/gateway/request.h
+++ b/adapters/gateway/request.h
@@ -17,8 +17,8 @@
 bool gateway_request_is_overdue(const gateway_request_t *request, pd_time_t now);
 void gateway_request_start(gateway_request_t *request);
 void gateway_request_abandon(gateway_request_t *request, const char *reason);
-unsigned int gateway_queue_length(const gateway_t *gateway, int rank,
-				  const char *service);
+unsigned int gateway_queue_length(const gateway_t *gateway, const char *service,
+				  int ranks);
 void gateway_requests_run(gateway_t *gateway, pd_time_t now);
 
 #endif
--- a/adapters/gateway/request_limit.c
+++ b/adapters/gateway/request_limit.c
@@ -14,41 +14,44 @@
  */
 #define WAIT_MARGIN 2
 
-/* Returns how many requests of a service wait in the queue of a rank. */
-unsigned int gateway_queue_length(const gateway_t *gateway, int rank,
-				  const char *service)
+/* Returns how many requests of a service wait in a queue before END. */
+static unsigned int queue_length(const list_node_t *queue, const char *service,
+				 const gateway_request_t *end)
 {
 	unsigned int count = 0;
 
-	LIST_FOR_EACH (it, &gateway->queues[rank]) {
+	LIST_FOR_EACH (it, queue) {
 		const gateway_request_t *request =
 			LIST_ENTRY(it, gateway_request_t, queue_node);
 
+		if (request == end)
+			break;
 		count += !strcmp(request->service, service);
 	}
 	return count;
 }
 
-/* Returns how many requests of the same service get a permit before a request. */
-static unsigned int count_ahead(const gateway_request_t *request)
+/* Returns how many requests of a service wait in the queues of the first RANKS ranks. */
+unsigned int gateway_queue_length(const gateway_t *gateway, const char *service,
+				  int ranks)
 {
-	const list_node_t *queue = &request->gateway->queues[request->rank];
 	unsigned int count = 0;
 
-	for (int rank = 0; rank < request->rank; rank++)
-		count += gateway_queue_length(request->gateway, rank,
-					      request->service);
-	LIST_FOR_EACH (it, queue) {
-		const gateway_request_t *other =
-			LIST_ENTRY(it, gateway_request_t, queue_node);
-
-		if (other == request)
-			break;
-		count += !strcmp(other->service, request->service);
-	}
+	for (int rank = 0; rank < ranks; rank++)
+		count += queue_length(&gateway->queues[rank], service, NULL);
 	return count;
 }
 
+/* Returns how many requests of the same service get a permit before a request. */
+static unsigned int count_ahead(const gateway_request_t *request)
+{
+	const gateway_t *gateway = request->gateway;
+
+	return gateway_queue_length(gateway, request->service, request->rank) +
+	       queue_length(&gateway->queues[request->rank], request->service,
+			    request);
+}
+
 /* Refuses a request that no permit will come for in time. */
 static void refuse(gateway_request_t *request, pd_time_t wait)
 {
@@ -74,7 +77,6 @@
 	pd_time_t wait =
 		gateway_limits_estimate_wait(request->gateway, request->service,
 					     count_ahead(request), now);
-
 	bool queued = request->state == REQUEST_QUEUED;
 	pd_time_t needed =
 		now - request->read_at + (queued ? wait : wait * WAIT_MARGIN);
--- a/core/forward/upstream_limits.c
+++ b/core/forward/upstream_limits.c
@@ -131,6 +131,12 @@
 	return entry;
 }
 
+/* Returns how long what is known of a limit is kept without a response. */
+static pd_time_t knowledge_ttl(bool limited)
+{
+	return limited ? UNCONFIRMED_TTL : LIFTED_TTL;
+}
+
 /* Sets a limit as observed at a time. Returns whether it changed. */
 static bool entry_set(limit_entry_t *entry, bool limited, double rate,
 		      pd_time_t observed_at)
@@ -173,7 +179,7 @@
 	limit_entry_t *entry = find_entry(limits, limit->short_id);
 	pd_time_t observed_at = now - limit->age;
 
-	if (limit->age > (limit->limited ? UNCONFIRMED_TTL : LIFTED_TTL))
+	if (limit->age > knowledge_ttl(limit->limited))
 		return false;
 	if (!entry && limit->limited)
 		entry = add_entry(limits, limit->short_id, now);
@@ -205,7 +211,7 @@
 	pd_time_t age = *(const pd_time_t *)now - entry->observed_at;
 
 	(void)short_id;
-	return age > (entry->limited ? UNCONFIRMED_TTL : LIFTED_TTL);
+	return age > knowledge_ttl(entry->limited);
 }
 
 /* Forgets limits that ended or were not confirmed for long. */
@@ -286,14 +292,6 @@
 	return entry && entry->limited;
 }
 
-/* Returns the limit of an upstream in requests per second; infinite if it has none. */
-double upstream_limits_rate(const upstream_limits_t *limits, uint32_t short_id)
-{
-	const limit_entry_t *entry = find_entry(limits, short_id);
-
-	return entry && entry->limited ? entry->rate : INFINITY;
-}
-
 /* Returns whether a request may be sent to an upstream now. */
 bool upstream_limits_has_permit(const upstream_limits_t *limits,
 				uint32_t short_id, pd_time_t now)
--- a/core/forward/upstream_limits.h
+++ b/core/forward/upstream_limits.h
@@ -56,7 +56,6 @@
 			  upstream_limits_each_t each, void *ctx);
 
 bool upstream_limits_is_limited(const upstream_limits_t *limits, uint32_t short_id);
-double upstream_limits_rate(const upstream_limits_t *limits, uint32_t short_id);
 bool upstream_limits_has_permit(const upstream_limits_t *limits,
 				uint32_t short_id, pd_time_t now);
 bool upstream_limits_use_permit(upstream_limits_t *limits, uint32_t short_id,
--- a/tests/unit/test_upstream_limits.c
+++ b/tests/unit/test_upstream_limits.c
@@ -44,6 +44,7 @@
 	upstream_limits_t *limits = *state;
 	const upstream_limit_t older = { ID, true, 9, 2 * PD_SEC, 0, false };
 	const upstream_limit_t newer = { ID, true, 5, 500 * PD_MSEC, 0, false };
+	upstream_limit_t known = { .short_id = ID };
 
 	assert_true(upstream_limits_are_empty(limits));
 	assert_false(upstream_limits_record_response(limits, ID, false, 0, START));
@@ -51,7 +52,8 @@
 						    START - PD_SEC));
 	assert_false(upstream_limits_merge(limits, &older, START));
 	assert_true(upstream_limits_merge(limits, &newer, START));
-	assert_true(upstream_limits_rate(limits, ID) == 5);
+	assert_true(upstream_limits_get(limits, START, &known));
+	assert_true(known.limited && known.rate == 5);
 	assert_true(upstream_limits_record_response(limits, ID, false, 0, START));
 	assert_false(upstream_limits_merge(limits, &newer, START));
 	assert_false(upstream_limits_is_limited(limits, ID));
