Share what relays and probes wrote again with the code beside them

No change of behaviour. A relay forwarded chunks and buffered bodies by a copy of what request_answer.c does; both now call the same two functions. Serving upstreams were counted in gateway.c and in upstream_reach.c, the time to connect was defined three times, the test for a peer whose connection failed stood twice in peer_rank.c, and the port of a listener was asked for twice. The Retry-After of another gateway's refusal moves from the request to the relay, which alone uses it.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -409,8 +409,8 @@
 }
 
 /*
- * Listens on address:port and logs the port under the name WHAT. Returns 0, or -1 with
- * ERR set.
+ * Listens on address:port and logs the port under the name WHAT. Returns the port, or -1
+ * with ERR set.
  */
 static int listen_on(gateway_t *gateway, uv_tcp_t *listener, const char *what,
 		     const char *address, uv_connection_cb on_connection,
@@ -440,16 +440,6 @@
 				    address, uv_strerror(rc));
 	log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT, "listen %s=%u", what,
 		 ntohs(addr.sin_port));
-	return 0;
-}
-
-/* Returns the port that a listener listens on. */
-static uint16_t listener_port(const uv_tcp_t *listener)
-{
-	struct sockaddr_in addr = { 0 };
-	int len = sizeof(addr);
-
-	uv_tcp_getsockname(listener, (struct sockaddr *)&addr, &len);
 	return ntohs(addr.sin_port);
 }
 
@@ -513,6 +503,7 @@
 			  pd_error_t *err)
 {
 	gateway_t *gateway = g_new0(gateway_t, 1);
+	int relay_port;
 
 	gateway->loop = loop;
 	gateway->settings = settings;
@@ -532,10 +523,11 @@
 		      settings->health_listen, on_health_connection, err) < 0)
 		return NULL;
 	if (settings->relay_listen[0]) {
-		if (listen_on(gateway, &gateway->relay_listener, "relay",
-			      settings->relay_listen, on_relay, err) < 0)
+		relay_port = listen_on(gateway, &gateway->relay_listener, "relay",
+				       settings->relay_listen, on_relay, err);
+		if (relay_port < 0)
 			return NULL;
-		gateway->relay_port = listener_port(&gateway->relay_listener);
+		gateway->relay_port = (uint16_t)relay_port;
 	}
 	gateway->listening = true;
 	gateway->usage = usage_create(gateway_peers_incarnation(gateway->peers));
@@ -550,17 +542,6 @@
 	return gateway;
 }
 
-/* Returns the number of upstreams that accept requests. */
-static unsigned int count_serving(const gateway_t *gateway)
-{
-	unsigned int count = 0;
-
-	LIST_FOR_EACH (it, forward_upstreams_list(gateway->upstreams))
-		count += forward_upstream_is_serving(
-			LIST_ENTRY(it, forward_upstream_t, node));
-	return count;
-}
-
 /* Returns the length of a list. */
 static unsigned int count_nodes(const list_node_t *head)
 {
@@ -579,7 +560,7 @@
 	metrics_set_gauge(metrics, "gateway_config_version",
 			  gateway->config ? (double)gateway->config->version : 0);
 	metrics_set_gauge(metrics, "gateway_upstreams_serving",
-			  count_serving(gateway));
+			  forward_upstreams_count_serving(gateway->upstreams));
 	metrics_set_gauge(metrics, "gateway_peers", gateway_count(gateway) - 1.0);
 	metrics_set_gauge(metrics, "gateway_cut_off",
 			  reach_is_cut_off(gateway->reach));
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -20,6 +20,8 @@
 #include "core/forward/usage_watermark.h"
 #include "core/forward/work_rate.h"
 
+/* Connecting takes a few milliseconds, or one retransmission more. */
+#define GATEWAY_CONNECT_TIMEOUT (400 * PD_MSEC)
 #define GATEWAY_RANKS 10 /* priority ranks of requests; 0 is the most urgent */
 
 typedef struct gateway_peers gateway_peers_t;
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -235,14 +235,18 @@
 	return aggregator && !aggregator->has_store;
 }
 
+/* Returns whether the connection to a peer failed lately, and it was not heard since. */
+static bool peer_is_disconnected(const peer_t *peer, pd_time_t now)
+{
+	return peer->disconnected_at && peer->heard_at <= peer->disconnected_at &&
+	       now - peer->disconnected_at < DISCONNECT_PAUSE;
+}
+
 /* Returns whether counts may be sent to a peer: it is alive and reachable. */
 static bool peer_accepts_counts(const peer_t *peer, pd_time_t now)
 {
-	bool lost = peer->disconnected_at &&
-		    peer->heard_at <= peer->disconnected_at &&
-		    now - peer->disconnected_at < DISCONNECT_PAUSE;
-
-	return !lost && now >= peer->skipped_until && peer_is_alive(peer, now);
+	return !peer_is_disconnected(peer, now) && now >= peer->skipped_until &&
+	       peer_is_alive(peer, now);
 }
 
 /*
@@ -254,7 +258,6 @@
 					 peer_t **first, unsigned int *rank,
 					 pd_time_t now)
 {
-	guint hash = g_str_hash(peers->address);
 	unsigned int count = 0;
 
 	LIST_FOR_EACH (it, &peers->list) {
@@ -265,8 +268,7 @@
 					       peer);
 	}
 	*rank = 0;
-	while (*rank < count && !ranks_before(peers->high_capacity, hash,
-					      peers->address, first[*rank]))
+	while (*rank < count && !peers_ranks_before(peers, first[*rank]))
 		(*rank)++;
 	return count;
 }
@@ -344,12 +346,8 @@
 /* Returns whether a peer may take requests that this gateway relays. */
 static bool peer_takes_relays(const peer_t *peer, pd_time_t now)
 {
-	bool lost = peer->disconnected_at &&
-		    peer->heard_at <= peer->disconnected_at &&
-		    now - peer->disconnected_at < DISCONNECT_PAUSE;
-
-	return peer->relay_port && !peer->cut_off && !lost &&
-	       peer_is_alive(peer, now);
+	return peer->relay_port && !peer->cut_off &&
+	       !peer_is_disconnected(peer, now) && peer_is_alive(peer, now);
 }
 
 /* Returns whether another gateway may take requests that this one relays. */
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -58,11 +58,11 @@
 #define STATE_FLAG_HAS_STORE 1u
 #define STATE_FLAG_HIGH_CAPACITY 2u
 #define STATE_FLAG_REQUESTS_SUMMARY 4u /* requests a summary in return */
+/* knows messages about rate limits of upstreams */
+#define STATE_FLAG_HANDLES_LIMITS 8u
 #define STATE_FLAG_CUT_OFF 16u /* reaches no upstream */
 /* the port for relayed requests, in the upper bits of the flags; 0: none */
 #define STATE_RELAY_PORT_SHIFT 16
-#define STATE_FLAG_HANDLES_LIMITS \
-	8u /* knows messages about upstreams' limits */
 
 /*
  * Period of messages with members and usage. They may be older than loads, but
@@ -96,8 +96,8 @@
 /* kind, sender, whether all upstreams are listed, upstreams */
 #define UPDATES_FIELDS 4
 #define FETCH_FIELDS 4 /* kind, sender, FETCH_ flags, digests or id hashes */
-#define MEMBER_FIELDS \
-	4 /* address, whether it has high capacity, zone, relay port */
+/* address, whether it has high capacity, zone, relay port */
+#define MEMBER_FIELDS 4
 #define MEMBER_FIELDS_MIN 3 /* earlier builds send no relay port */
 /* account, granted tokens, bucket level or nil, requested */
 #define LIMIT_USE_FIELDS 4
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -5,8 +5,6 @@
 #include "adapters/log_glib.h"
 #include "platform/wire.h"
 
-/* Connecting takes a few milliseconds, or one retransmission more. */
-#define CONNECT_TIMEOUT (400 * PD_MSEC)
 /*
  * A request to a safe route without a response after so many times the route's latency
  * goal is sent to another upstream. The slowest healthy requests take about five times
@@ -320,7 +318,7 @@
 	if (!request->sent_at)
 		return request->link &&
 		       !upstream_link_is_connected(request->link) &&
-		       (now - request->attempt_started_at > CONNECT_TIMEOUT ||
+		       (now - request->attempt_started_at > GATEWAY_CONNECT_TIMEOUT ||
 			gateway_request_may_relay(request));
 	if (request->route->kind != FORWARD_SAFE || !request->route->latency_goal ||
 	    request->possible_runs + 1 >= request->route->upstreams_max)
--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -127,25 +127,32 @@
 	g_string_free(out, TRUE);
 }
 
-/* Forwards the complete events received so far as one chunk. */
-static void stream_forward_events(gateway_request_t *request)
+/* Forwards data of a streamed response as one chunk, after the head if it is the first. */
+void gateway_request_forward_chunk(gateway_request_t *request, const char *data,
+				   size_t len)
 {
-	event_stream_t *events = request->events;
-	GString *out;
+	GString *out = g_string_sized_new(len + 16);
 
-	if (!events->whole)
-		return;
 	if (request->state != REQUEST_STREAMING) {
 		gateway_request_begin_response(request, -1);
 		request->state = REQUEST_STREAMING;
 	}
-	out = g_string_sized_new(events->whole + 16);
-	g_string_printf(out, "%zx\r\n", events->whole);
-	g_string_append_len(out, (const char *)events->bytes->data,
-			    (gssize)events->whole);
+	g_string_printf(out, "%zx\r\n", len);
+	g_string_append_len(out, data, (gssize)len);
 	g_string_append(out, "\r\n");
 	caller_write(request->caller, out->str, out->len);
 	g_string_free(out, TRUE);
+}
+
+/* Forwards the complete events received so far. */
+static void stream_forward_events(gateway_request_t *request)
+{
+	event_stream_t *events = request->events;
+
+	if (!events->whole)
+		return;
+	gateway_request_forward_chunk(request, (const char *)events->bytes->data,
+				      events->whole);
 	event_stream_discard_complete(events);
 }
 
@@ -175,6 +182,17 @@
 	stream_forward_events(request);
 }
 
+/* Appends to a response that is not streamed. Returns false if it is too long. */
+bool gateway_request_buffer_body(gateway_request_t *request, const char *data,
+				 size_t len)
+{
+	if (request->response_body->len + len > RESPONSE_BYTES_MAX)
+		return false;
+	g_byte_array_append(request->response_body, (const guint8 *)data,
+			    (guint)len);
+	return true;
+}
+
 /* Forwards data of a streamed response, and buffers that of any other. */
 static void on_body(void *ctx, const char *data, size_t len)
 {
@@ -188,15 +206,13 @@
 	}
 	if (request->state == REQUEST_STREAMING)
 		return; /* the upstream did not resume the stream */
-	if (request->response_body->len + len > RESPONSE_BYTES_MAX) {
+	if (!gateway_request_buffer_body(request, data, len)) {
 		upstream_link_close(request->link);
 		request->link = NULL;
 		gateway_request_end_attempt(request, ATTEMPT_UNKNOWN,
 					    "answer too large");
 		return;
 	}
-	g_byte_array_append(request->response_body, (const guint8 *)data,
-			    (guint)len);
 }
 
 /* Releases the attempt's link for another request, or closes it. */
--- a/adapters/gateway/request_relay.c
+++ b/adapters/gateway/request_relay.c
@@ -14,15 +14,13 @@
 #define LOG_COMPONENT "request"
 /* Gateways that a request is relayed to at most; only one may have run it. */
 #define RELAYS_MAX 2
-#define CONNECT_TIMEOUT (400 * PD_MSEC)
-/* Limit of a response that is not streamed, as it is buffered completely. */
-#define RESPONSE_BYTES_MAX (16 * 1024 * 1024)
 
 struct relay {
 	http1_t *conn;
 	char *peer; /* address:port of the other gateway's relays */
 	pd_time_t started_at;
 	bool connected;
+	pd_time_t retry_after; /* of a refusal; 0: not stated */
 };
 
 /* Closes a relay's connection and frees the relay; NULL is allowed. */
@@ -104,7 +102,7 @@
 	wire_response_parse(head->headers, head->header_count, &answer);
 	request->status = head->status;
 	request->sealed = answer.sealed;
-	request->retry_after = answer.retry_after;
+	request->relay->retry_after = answer.retry_after;
 	request->is_stream = gateway_request_is_streamed(request, head);
 	request->state = REQUEST_HEAD_RECEIVED;
 	gateway_request_store_headers(request, head);
@@ -114,25 +112,11 @@
 static void on_body(void *ctx, const char *data, size_t len)
 {
 	gateway_request_t *request = ctx;
-	char size[32];
-
-	if (!request->is_stream) {
-		if (request->response_body->len + len > RESPONSE_BYTES_MAX) {
-			relay_broke_off(request);
-			return;
-		}
-		g_byte_array_append(request->response_body,
-				    (const guint8 *)data, (guint)len);
-		return;
-	}
-	if (request->state != REQUEST_STREAMING) {
-		gateway_request_begin_response(request, -1);
-		request->state = REQUEST_STREAMING;
-	}
-	g_snprintf(size, sizeof(size), "%zx\r\n", len);
-	caller_write(request->caller, size, strlen(size));
-	caller_write(request->caller, data, len);
-	caller_write(request->caller, "\r\n", 2);
+
+	if (request->is_stream)
+		gateway_request_forward_chunk(request, data, len);
+	else if (!gateway_request_buffer_body(request, data, len))
+		relay_broke_off(request);
 }
 
 /* The response is complete: forwards it, unless another gateway is tried. */
@@ -141,7 +125,8 @@
 	gateway_request_t *request = ctx;
 
 	if (!request->sealed && request->status == 503) {
-		relay_failed(request, MAX(request->retry_after, RETRY_AFTER_FULL),
+		relay_failed(request,
+			     MAX(request->relay->retry_after, RETRY_AFTER_FULL),
 			     "relay refused");
 		return;
 	}
@@ -212,6 +197,6 @@
 void gateway_request_check_relay(gateway_request_t *request, pd_time_t now)
 {
 	if (!request->relay->connected &&
-	    now - request->relay->started_at > CONNECT_TIMEOUT)
+	    now - request->relay->started_at > GATEWAY_CONNECT_TIMEOUT)
 		relay_failed(request, RETRY_AFTER_NO_UPSTREAM, "no relay in time");
 }
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -62,7 +62,6 @@
 	unsigned int tried_count;
 	unsigned int relays; /* other gateways that it was relayed to */
 	relay_t *relay; /* in progress; NULL: none */
-	pd_time_t retry_after; /* of another gateway's refusal */
 	/* The current attempt. */
 	forward_upstream_t *upstream; /* NULL: no attempt */
 	unsigned int upstream_incarnation; /* when the attempt began */
@@ -113,6 +112,10 @@
 				   const forward_pick_t *pick);
 void gateway_request_dispatch(gateway_request_t *request);
 void gateway_request_begin_response(gateway_request_t *request, gint64 length);
+void gateway_request_forward_chunk(gateway_request_t *request, const char *data,
+				   size_t len);
+bool gateway_request_buffer_body(gateway_request_t *request, const char *data,
+				 size_t len);
 void gateway_request_enqueue(gateway_request_t *request);
 pd_time_t gateway_request_queue_time_max(const gateway_request_t *request);
 bool gateway_request_may_await_permit(gateway_request_t *request, pd_time_t now);
--- a/adapters/gateway/upstream_reach.c
+++ b/adapters/gateway/upstream_reach.c
@@ -7,7 +7,6 @@
 #include "adapters/log_glib.h"
 
 #define LOG_COMPONENT "reach"
-#define PROBE_TIMEOUT (400 * PD_MSEC)
 
 typedef struct probe {
 	list_node_t node;
@@ -32,17 +31,6 @@
 		log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT, "cut_off=0");
 }
 
-/* Returns the number of upstreams that serve. */
-static unsigned int count_serving(const gateway_t *gateway)
-{
-	unsigned int count = 0;
-
-	LIST_FOR_EACH (it, forward_upstreams_list(gateway->upstreams))
-		count += forward_upstream_is_serving(
-			LIST_ENTRY(it, forward_upstream_t, node));
-	return count;
-}
-
 /* Records that a request could not be sent to an upstream, if that serves. */
 void gateway_reach_record_failure(gateway_t *gateway,
 				  const forward_upstream_t *upstream)
@@ -86,7 +74,9 @@
 	gateway_t *gateway = probe->gateway;
 
 	(void)end;
-	if (reach_record_probe_failure(gateway->reach, count_serving(gateway))) {
+	if (reach_record_probe_failure(gateway->reach,
+				       forward_upstreams_count_serving(
+					       gateway->upstreams))) {
 		log_line(G_LOG_LEVEL_WARNING, LOG_COMPONENT,
 			 "cut_off=1 upstream=%s", probe->upstream->id);
 		metrics_add(gateway->metrics, "gateway_cut_off_total", 1);
@@ -142,14 +132,16 @@
 	LIST_FOR_EACH_SAFE (it, &gateway->reach_probes) {
 		probe_t *probe = LIST_ENTRY(it, probe_t, node);
 
-		if (now - probe->started_at < PROBE_TIMEOUT)
+		if (now - probe->started_at < GATEWAY_CONNECT_TIMEOUT)
 			continue;
 		http1_close(probe->conn);
 		on_end(probe, HTTP1_END_CONNECT_FAILED);
 	}
 	if (!reach_is_suspicious(gateway->reach))
 		return;
-	due = reach_take_probes(gateway->reach, count_serving(gateway), now);
+	due = reach_take_probes(gateway->reach,
+				forward_upstreams_count_serving(gateway->upstreams),
+				now);
 	for (; due; due--) {
 		forward_upstream_t *upstream = pick_upstream(gateway);
 
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -440,6 +440,17 @@
 	}
 }
 
+/* Returns the number of upstreams that accept new requests, of all services. */
+unsigned int forward_upstreams_count_serving(const forward_upstreams_t *set)
+{
+	unsigned int count = 0;
+
+	LIST_FOR_EACH (it, &set->list)
+		count += forward_upstream_is_serving(
+			LIST_ENTRY(it, forward_upstream_t, node));
+	return count;
+}
+
 /* Returns whether an upstream accepts new requests. */
 bool forward_upstream_is_serving(const forward_upstream_t *upstream)
 {
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -125,6 +125,7 @@
 forward_upstream_t *forward_upstreams_find_by_short_id(forward_upstreams_t *set,
 						       uint32_t short_id);
 uint32_t forward_upstream_short_id(const forward_upstream_t *upstream);
+unsigned int forward_upstreams_count_serving(const forward_upstreams_t *set);
 bool forward_upstream_is_serving(const forward_upstream_t *upstream);
 unsigned int forward_upstream_running(const forward_upstream_t *upstream);
 double forward_upstream_prefill_tokens(const forward_upstream_t *upstream);
