--- a/tests/guarantees/test_gateway_soak.c
+++ b/tests/guarantees/test_gateway_soak.c
@@ -1,10 +1,11 @@
 /*
  * Injects random faults into real gateway processes: kills, pauses, stops and restarts,
  * a store that rejects gateways, upstreams that fail in every way or leave, and callers
- * that hang up. One upstream names a rate limit for all of the time. A second kind of schedule also cuts, delays, silences or half-opens the
- * links to upstreams and to the store, and all links of a gateway to upstreams. The responses that callers received are checked
- * against the calls that upstreams ran. Each seed gives one schedule; SEEDS=N runs N
- * seeds of each kind, FIRST_SEED=K begins with seed K.
+ * that hang up. One upstream names a rate limit throughout. A second kind of schedule
+ * also cuts, delays, silences or half-opens the links to upstreams and to the store, and
+ * cuts all links of a gateway to upstreams. The responses that callers received are
+ * checked against the calls that upstreams ran. Each seed gives one schedule; SEEDS=N
+ * runs N seeds of each kind, FIRST_SEED=K begins with seed K.
  */
 #include <setjmp.h>
 #include <signal.h>
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -70,12 +70,18 @@
 	g_free(session);
 }
 
-/* Frees the session; its connection is closed elsewhere. */
-static void session_free(session_t *session)
+/* Gives back the room that a session takes of its upstream, if any. */
+static void end_work(session_t *session)
 {
 	if (session->works)
 		session->server->running--;
 	session->works = false;
+}
+
+/* Frees the session; its connection is closed elsewhere. */
+static void session_free(session_t *session)
+{
+	end_work(session);
 	list_remove(&session->watch);
 	if (!uv_is_closing((uv_handle_t *)&session->timer))
 		uv_close((uv_handle_t *)&session->timer, session_freed);
@@ -168,14 +174,6 @@
 	g_free(body);
 }
 
-/* Takes a call that works off its upstream's room. */
-static void end_work(session_t *session)
-{
-	if (session->works)
-		session->server->running--;
-	session->works = false;
-}
-
 /* Rejects a call for want of room; a brittle upstream may fall over. */
 static void upstream_reject(session_t *session)
 {
--- a/tests/process/test_gateway_cut_off.c
+++ b/tests/process/test_gateway_cut_off.c
@@ -19,8 +19,8 @@
 
 #define CUT_OFF 0 /* the gateway */
 #define CALL_PERIOD_MS 20 /* to each gateway in turn */
-#define DETECTION_MS \
-	3000 /* after which callers of the gateway are served as others */
+/* after which callers of the gateway are served as others */
+#define DETECTION_MS 3000
 #define CALLS_MS 3000
 #define RECOVERY_MS 2000
 #define GOSSIP_MS 1500 /* until gateways know each other */
--- a/tests/property/test_upstream_limits.cc
+++ b/tests/property/test_upstream_limits.cc
@@ -14,6 +14,7 @@
 extern "C" {
 #include "core/forward/upstream_limits.h"
 }
+#include "tests/property/cases.h"
 
 static const pd_time_t start = 1000 * PD_SEC;
 static const pd_time_t step = 5 * PD_MSEC;
@@ -432,13 +433,7 @@
 {
 	bool ok = true;
 
-	/* Each case simulates 30 s; set CASES=1000 for long runs by hand. */
-	const char *given = getenv("RC_PARAMS");
-	const char *cases = getenv("CASES");
-	std::string params = given ? given : "seed=20261202";
-
-	params += std::string(" max_success=") + (cases ? cases : "40");
-	setenv("RC_PARAMS", params.c_str(), 1);
+	set_cases(40); /* each simulates 30 s */
 	for (unsigned size : { 6U, 63U, 300U }) {
 		ok &= prop_sum(size);
 		ok &= prop_used(size);
