Log a fingerprint of each request, the same for all attempts of its caller

Callers tried one request several times, each time with a new attempt id, and the log had nothing to find these attempts by. The fingerprint is a hash of what is asked for; the id, the deadline and the event to resume after are left out.

--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -226,6 +226,11 @@
 	}
 	request_set_deadline(request);
 	request->rank = request_rank(request);
+	request->fingerprint =
+		forward_call_fingerprint(call,
+					 request->account ? request->account->name
+							  : NULL,
+					 request->body);
 	request->service =
 		forward_route_pick_service(request->route,
 					   g_rand_double(gateway->random));
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -185,9 +185,10 @@
 		event_stream_discard_partial(request->events);
 	if (is_retry_allowed(request, outcome)) {
 		log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT,
-			 "id=%s retry=%u reason=\"%s\" upstream=%s",
+			 "id=%s fingerprint=%016" G_GINT64_MODIFIER
+			 "x retry=%u reason=\"%s\" upstream=%s",
 			 request->call->id ? request->call->id : "-",
-			 request->sends, reason,
+			 request->fingerprint, request->sends, reason,
 			 request->tried[request->tried_count - 1]);
 		gateway_request_dispatch(request);
 		return;
--- a/adapters/gateway/request_end.c
+++ b/adapters/gateway/request_end.c
@@ -59,12 +59,13 @@
 	pd_time_t now = gateway_now();
 
 	log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT,
-		 "id=%s route=%s service=%s account=%s status=%d "
+		 "id=%s fingerprint=%016" G_GINT64_MODIFIER
+		 "x route=%s service=%s account=%s status=%d "
 		 "reason=\"%s\" upstream=%s sends=%u ran=%u events=%u "
 		 "tokens=%.0f "
 		 "ms=%.1f config=%" G_GUINT64_FORMAT " queued=%u",
 		 request->call->id ? request->call->id : "-",
-		 request->route ? request->route->name : "-",
+		 request->fingerprint, request->route ? request->route->name : "-",
 		 request->service ? request->service : "-",
 		 request->account ? request->account->name : "-", status, reason,
 		 request->tried_count ? request->tried[request->tried_count - 1]
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -49,6 +49,7 @@
 	const forward_account_t *account; /* NULL: unauthenticated, on an open route */
 	const char *service;
 	int rank; /* 0 is the most urgent */
+	uint64_t fingerprint; /* of what it asks for; 0: not read completely */
 	double charged; /* to the account's limit, in its unit */
 	pd_time_t arrived_at; /* when its head was read */
 	pd_time_t read_at; /* when it was read completely */
--- a/core/forward/call.c
+++ b/core/forward/call.c
@@ -1,6 +1,8 @@
 /* Creation and queries of a caller's request. */
 #include "core/forward/call.h"
 
+#include "core/hash.h"
+
 /* Returns an empty call; the caller owns it. */
 forward_call_t *forward_call_create(void)
 {
@@ -38,3 +40,32 @@
 		sum += call->parts[i].tokens;
 	return sum;
 }
+
+/* Returns HASH with a string added; NULL and "" differ. */
+static uint64_t hash_add_string(uint64_t hash, const char *text)
+{
+	return hash_number(hash ^ (text ? hash_string(text) : 1));
+}
+
+/*
+ * Returns a hash of what a call asks for, the same for all attempts of a caller at one
+ * request: its id, its deadline and the event after which it resumes a stream are left
+ * out. ACCOUNT may be NULL. Never returns 0.
+ */
+uint64_t forward_call_fingerprint(const forward_call_t *call,
+				  const char *account, const GByteArray *body)
+{
+	uint64_t hash = hash_bytes((const char *)body->data, body->len);
+
+	hash = hash_add_string(hash, call->method);
+	hash = hash_add_string(hash, call->host);
+	hash = hash_add_string(hash, call->target);
+	hash = hash_add_string(hash, account);
+	for (unsigned int i = 0; i < call->part_count; i++) {
+		hash = hash_number(hash ^ call->parts[i].id);
+		hash = hash_number(hash ^ call->parts[i].tokens);
+	}
+	hash = hash_number(hash ^ call->prompt_tokens);
+	hash = hash_number(hash ^ call->output_tokens);
+	return hash ? hash : 1;
+}
--- a/core/forward/call.h
+++ b/core/forward/call.h
@@ -36,5 +36,7 @@
 forward_call_t *forward_call_create(void);
 void forward_call_destroy(forward_call_t *call);
 double forward_call_shared_tokens(const forward_call_t *call);
+uint64_t forward_call_fingerprint(const forward_call_t *call,
+				  const char *account, const GByteArray *body);
 
 #endif
