Test requests that end the upstreams on which they run

An upstream of the rig can now end with all its connections when a certain request runs there, and start again at the same address with another id.

--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -15,6 +15,7 @@
 
 /* A connection to one of the mock servers. */
 typedef struct session {
+	list_node_t node; /* in server->sessions */
 	rig_server_t *server;
 	http1_t *conn;
 	list_node_t watch; /* in rig->watches while a watch is held open */
@@ -82,6 +83,7 @@
 static void session_free(session_t *session)
 {
 	end_work(session);
+	list_remove(&session->node);
 	list_remove(&session->watch);
 	if (!uv_is_closing((uv_handle_t *)&session->timer))
 		uv_close((uv_handle_t *)&session->timer, session_freed);
@@ -137,6 +139,8 @@
 	return GPOINTER_TO_UINT(g_hash_table_lookup(rig->runs, call_id));
 }
 
+static void on_accept(uv_stream_t *listener, int status);
+
 /* Upstreams. */
 
 /* Appends the headers that name an upstream's limits, if it has any. */
@@ -263,6 +267,61 @@
 	uv_timer_start(&session->timer, on_event, EVENT_MS, EVENT_MS);
 }
 
+/* Returns the id under which an upstream is registered; the caller owns it. */
+static char *upstream_id(const rig_server_t *server)
+{
+	if (!server->ends)
+		return g_strdup_printf("u%d", server->number);
+	return g_strdup_printf("u%d.%u", server->number, server->ends);
+}
+
+/* Listens on the port of a server, or on a free one of loopback if it has none. */
+static void server_listen(rig_server_t *server)
+{
+	struct sockaddr_in addr;
+	int len = sizeof(addr);
+
+	uv_tcp_init(&server->rig->loop, &server->listener);
+	server->listener.data = server;
+	uv_ip4_addr("127.0.0.1", server->port, &addr);
+	if (uv_tcp_bind(&server->listener, (struct sockaddr *)&addr, 0) < 0 ||
+	    uv_listen((uv_stream_t *)&server->listener, 64, on_accept) < 0)
+		g_error("can't listen on port %u", server->port);
+	uv_tcp_getsockname(&server->listener, (struct sockaddr *)&addr, &len);
+	server->port = ntohs(addr.sin_port);
+}
+
+/* Starts an upstream again that ended, at the same address with another id. */
+static void on_restart(uv_timer_t *timer)
+{
+	rig_server_t *server = timer->data;
+	char *id = upstream_id(server);
+
+	rig_remove(server->rig, "servers", id);
+	g_free(id);
+	server->ends++;
+	server_listen(server);
+	rig_put_upstream(server->rig, server->number, "ready");
+}
+
+/* Ends an upstream: all its connections break, and new ones are refused. */
+static void on_run_ends_upstream(uv_timer_t *timer)
+{
+	session_t *session = timer->data;
+	rig_server_t *server = session->server;
+
+	if (uv_is_closing((uv_handle_t *)&server->listener))
+		return;
+	uv_close((uv_handle_t *)&server->listener, NULL);
+	LIST_FOR_EACH_SAFE (it, &server->sessions) {
+		session_t *other = LIST_ENTRY(it, session_t, node);
+
+		http1_close(other->conn);
+		session_free(other);
+	}
+	uv_timer_start(&server->restart, on_restart, RIG_RESTART_MS, 0);
+}
+
 /* Handles a call by the behavior that is set for the upstream. */
 static void upstream_serve(session_t *session)
 {
@@ -328,6 +387,10 @@
 	case RIG_STREAM_CUT:
 		stream_begin(session);
 		return;
+	case RIG_END:
+		uv_timer_start(&session->timer, on_run_ends_upstream,
+			       RIG_RUN_MS, 0);
+		return;
 	}
 }
 
@@ -632,6 +695,7 @@
 	list_init(&session->watch);
 	uv_timer_init(&server->rig->loop, &session->timer);
 	session->timer.data = session;
+	list_append(&server->sessions, &session->node);
 	session->conn =
 		http1_create(&server->rig->loop, HTTP1_SERVER, &events, session);
 	http1_accept(session->conn, listener);
@@ -640,19 +704,13 @@
 /* Starts a mock server on a free port of loopback. */
 static void server_start(gateway_rig_t *rig, rig_server_t *server, int number)
 {
-	struct sockaddr_in addr;
-	int len = sizeof(addr);
-
 	server->rig = rig;
 	server->number = number;
 	server->last = g_string_new(NULL);
-	uv_tcp_init(&rig->loop, &server->listener);
-	server->listener.data = server;
-	uv_ip4_addr("127.0.0.1", 0, &addr);
-	uv_tcp_bind(&server->listener, (struct sockaddr *)&addr, 0);
-	uv_listen((uv_stream_t *)&server->listener, 64, on_accept);
-	uv_tcp_getsockname(&server->listener, (struct sockaddr *)&addr, &len);
-	server->port = ntohs(addr.sin_port);
+	list_init(&server->sessions);
+	uv_timer_init(&rig->loop, &server->restart);
+	server->restart.data = server;
+	server_listen(server);
 }
 
 /* Only wakes up the loop, so that conditions are checked again. */
@@ -761,10 +819,9 @@
 static void put_registration(gateway_rig_t *rig, int number, const char *state,
 			     const char *more)
 {
-	char name[16];
+	char *name = upstream_id(&rig->upstreams[number]);
 	char spec[256];
 
-	snprintf(name, sizeof(name), "u%d", number);
 	snprintf(spec, sizeof(spec),
 		 "{\"service\":\"s\",\"address\":\"127.0.0.1:%u\","
 		 "\"zone\":\"a\",\"slots\":8,\"state\":\"%s\"%s}",
@@ -772,6 +829,7 @@
 				 rig->upstreams[number].port),
 		 state, more);
 	rig_put(rig, "servers", name, spec);
+	g_free(name);
 }
 
 /* Registers an upstream in the store; STATE is "ready" or "draining". */
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -29,11 +29,14 @@
 	RIG_SLOW, /* responds after RIG_SLOW_MS */
 	RIG_LARGE, /* responds with RIG_LARGE_BYTES */
 	RIG_STREAM, /* RIG_EVENTS events, one every 20 ms */
-	RIG_STREAM_CUT /* the same, but stops in the middle of the fourth */
+	RIG_STREAM_CUT, /* the same, but stops in the middle of the fourth */
+	RIG_END /* begins to run it, and ends with all its connections */
 } rig_behavior_t;
 
 #define RIG_SLOW_MS 1000
 #define RIG_DOWN_MS 1500 /* of an upstream that fell over */
+#define RIG_RUN_MS 30 /* from the start of a run to the end of its upstream */
+#define RIG_RESTART_MS 400 /* from the end of an upstream to its next start */
 #define RIG_LARGE_BYTES 12000000 /* more than socket buffers hold */
 #define RIG_EVENTS 6
 
@@ -60,6 +63,9 @@
 	uint64_t rejections_since_ms;
 	unsigned int falls;
 	uint64_t down_until_ms; /* until then it closes connections */
+	list_node_t sessions; /* connections to it */
+	uv_timer_t restart;
+	unsigned int ends; /* how often it ended; its id has this number */
 	GString *last; /* the last request: head lines, then the body */
 } rig_server_t;
 
--- /dev/null
+++ b/tests/process/test_gateway_quarantine.c
@@ -0,0 +1,250 @@
+/* Tests of three gateways whose upstreams end when they run a certain request. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "tests/harness/gateway_calls.h"
+
+#define TRIES 8 /* of a caller at one request */
+#define ENDS_ALLOWED 3 /* upstreams that may end under one request */
+#define REFUSAL_MS 300 /* a refusal that is due does not wait */
+
+/* Calls to paths that end in "end" end upstreams. */
+static rig_behavior_t choose_behavior(void *ctx, const char *target)
+{
+	(void)ctx;
+	if (g_str_has_suffix(target, "/end"))
+		return RIG_END;
+	if (g_str_has_suffix(target, "/cut"))
+		return RIG_CUT;
+	if (g_str_has_suffix(target, "/slow"))
+		return RIG_SLOW;
+	if (g_str_has_prefix(target, "/stream/"))
+		return RIG_STREAM;
+	return RIG_ANSWER;
+}
+
+/* Starts a gateway, whose seeds are those that run, and waits until it is ready. */
+static void start_gateway(gateway_rig_t *rig, int number)
+{
+	rig_start(rig, number);
+	RIG_UNTIL(rig, rig_port(rig, number, "health"));
+	rig->peer_ports[number] = rig_port(rig, number, "peers");
+}
+
+/* Starts three gateways that know each other, with three upstreams. */
+static int setup(void **state)
+{
+	gateway_rig_t *rig = gateway_rig_create();
+
+	rig->choose_behavior = choose_behavior;
+	rig_put_config(rig, 1, "");
+	for (int i = 0; i < RIG_UPSTREAMS; i++)
+		rig_put_upstream(rig, i, "ready");
+	for (int i = 0; i < RIG_GATEWAYS; i++)
+		start_gateway(rig, i);
+	for (int i = 0; i < RIG_GATEWAYS; i++)
+		RIG_UNTIL(rig, rig_is_ready(rig, i));
+	*state = rig;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	gateway_rig_destroy(*state);
+	return 0;
+}
+
+/* Returns how often upstreams ended; each counts its ends when it starts again. */
+static unsigned int count_ends(const gateway_rig_t *rig)
+{
+	unsigned int ends = 0;
+
+	for (int i = 0; i < RIG_UPSTREAMS; i++)
+		ends += rig->upstreams[i].ends;
+	return ends;
+}
+
+/* Runs the rig until MS have passed. */
+static void pass_time(gateway_rig_t *rig, uint64_t ms)
+{
+	uint64_t end = uv_hrtime() / 1000000 + ms;
+
+	while (uv_hrtime() / 1000000 < end)
+		rig_run_once(rig);
+}
+
+/* Returns whether a call ended, with a complete response or without. */
+static bool is_over(rig_caller_t *caller)
+{
+	return rig_has_received(caller, "\r\n\r\n") || rig_is_closed(caller);
+}
+
+/* Sends a call, and returns its caller when the response has arrived; owned. */
+static rig_caller_t *finish_call(gateway_rig_t *rig, int gateway,
+				 const char *path, int number)
+{
+	char id[32];
+	rig_caller_t *caller;
+
+	snprintf(id, sizeof(id), "a%d", number);
+	caller = rig_call_at(rig, gateway, "POST", path, id);
+	RIG_UNTIL(rig, is_over(caller));
+	return caller;
+}
+
+/* Returns whether a call was answered with 200. */
+static bool is_served(gateway_rig_t *rig, int gateway, const char *path, int number)
+{
+	rig_caller_t *caller = finish_call(rig, gateway, path, number);
+	bool served = strstr(caller->received->str, "HTTP/1.1 200") != NULL;
+
+	rig_caller_destroy(caller);
+	return served;
+}
+
+/* Has a caller try a request that ends upstreams through one gateway after another. */
+static void try_in_turn(gateway_rig_t *rig, const char *path, int first, int tries)
+{
+	for (int i = first; i < first + tries; i++) {
+		rig_caller_destroy(finish_call(rig, i % RIG_GATEWAYS, path, i));
+		pass_time(rig, 100);
+	}
+	pass_time(rig, RIG_RESTART_MS + 200);
+}
+
+/*
+ * Guards against a request that ends one upstream after the other over the attempts of
+ * its caller.
+ */
+static void test_request_that_ends_upstreams_is_held_over_attempts(void **state)
+{
+	static const char *const paths[] = { "/safe/end", "/stream/end",
+					     "/once/end" };
+	gateway_rig_t *rig = *state;
+	unsigned int before = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+		rig_caller_t *caller;
+		uint64_t sent;
+
+		try_in_turn(rig, paths[i], (int)(100 * i), TRIES);
+		print_message("%s: %u ended in %d attempts\n", paths[i],
+			      count_ends(rig) - before, TRIES);
+		assert_true(count_ends(rig) - before <= ENDS_ALLOWED);
+		before = count_ends(rig);
+		sent = uv_hrtime() / 1000000;
+		caller = finish_call(rig, 0, paths[i], (int)(100 * i) + TRIES);
+		assert_true(uv_hrtime() / 1000000 - sent < REFUSAL_MS);
+		assert_non_null(strstr(caller->received->str, "HTTP/1.1 503"));
+		assert_non_null(strstr(caller->received->str, "Retry-After: "));
+		rig_caller_destroy(caller);
+	}
+	assert_true(is_served(rig, 0, "/safe/x", 900));
+}
+
+/* Guards against attempts at once that each end as many upstreams as one alone. */
+static void test_attempts_at_once_end_one_upstream_each(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *callers[RIG_GATEWAYS];
+
+	for (int i = 0; i < RIG_GATEWAYS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "b%d", i);
+		callers[i] = rig_call_at(rig, i, "POST", "/safe/end", id);
+	}
+	for (int i = 0; i < RIG_GATEWAYS; i++) {
+		RIG_UNTIL(rig, is_over(callers[i]));
+		rig_caller_destroy(callers[i]);
+	}
+	try_in_turn(rig, "/safe/end", 10, TRIES);
+	print_message("%u ended\n", count_ends(rig));
+	assert_true(count_ends(rig) <= ENDS_ALLOWED);
+}
+
+/* Guards against gateways that forget in a restart what a request has ended. */
+static void test_restarted_gateway_learns_of_held_requests(void **state)
+{
+	gateway_rig_t *rig = *state;
+
+	try_in_turn(rig, "/safe/end", 0, 3);
+	for (int i = 0; i < RIG_GATEWAYS; i++) {
+		process_destroy(rig->gateways[i]);
+		rig->gateways[i] = NULL;
+		start_gateway(rig, i);
+		RIG_UNTIL(rig, rig_is_ready(rig, i));
+		try_in_turn(rig, "/safe/end", 10 + i * RIG_GATEWAYS, RIG_GATEWAYS);
+	}
+	print_message("%u ended\n", count_ends(rig));
+	assert_true(count_ends(rig) <= ENDS_ALLOWED);
+}
+
+/* Guards against the rejection of requests that ran beside one that ended upstreams. */
+static void test_requests_beside_one_that_ends_upstreams_are_served(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *callers[12];
+
+	for (int round = 0; round < 2; round++) {
+		for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
+			char path[32];
+			char id[32];
+
+			snprintf(path, sizeof(path), "/safe/%zu/slow", i);
+			snprintf(id, sizeof(id), "c%d-%zu", round, i);
+			callers[i] = rig_call_at(rig, (int)(i % RIG_GATEWAYS),
+						 "POST", path, id);
+		}
+		pass_time(rig, 50);
+		rig_caller_destroy(finish_call(rig, 0, "/once/end", round));
+		for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
+			RIG_UNTIL(rig, is_over(callers[i]));
+			assert_non_null(strstr(callers[i]->received->str,
+					       "HTTP/1.1 200"));
+			rig_caller_destroy(callers[i]);
+		}
+		pass_time(rig, RIG_RESTART_MS);
+	}
+	assert_int_equal(count_ends(rig), 2);
+}
+
+/* Guards against connections that break being taken for upstreams that ended. */
+static void test_broken_connections_hold_no_request(void **state)
+{
+	gateway_rig_t *rig = *state;
+	unsigned int arrivals = 0;
+
+	try_in_turn(rig, "/safe/cut", 0, TRIES);
+	for (int i = 0; i < RIG_UPSTREAMS; i++)
+		arrivals += rig->upstreams[i].arrivals;
+	assert_true(arrivals >= TRIES);
+	rig->choose_behavior = NULL;
+	assert_true(is_served(rig, 0, "/safe/cut", 900));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			test_request_that_ends_upstreams_is_held_over_attempts,
+			setup, teardown),
+		cmocka_unit_test_setup_teardown(test_attempts_at_once_end_one_upstream_each,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_restarted_gateway_learns_of_held_requests,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_requests_beside_one_that_ends_upstreams_are_served,
+			setup, teardown),
+		cmocka_unit_test_setup_teardown(test_broken_connections_hold_no_request,
+						setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
