--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -16,6 +16,7 @@
 #include "adapters/gateway/reload.h"
 #include "adapters/gateway/request.h"
 #include "adapters/gateway/upstream_link.h"
+#include "adapters/gateway/upstream_probe.h"
 #include "adapters/gateway/upstream_reach.h"
 #include "adapters/log_buffer.h"
 #include "adapters/log_glib.h"
@@ -347,6 +348,7 @@
 	gateway_checkpoint_run(gateway->checkpoint, now);
 	fleet_feed_run(gateway->feed, now);
 	discard_old_usage(gateway);
+	upstream_probes_run(gateway, now);
 	gateway_reach_run(gateway, now);
 	gateway_requests_run(gateway, now);
 	callers_run(gateway, now);
@@ -469,7 +471,7 @@
 	gateway->upstream_limits = upstream_limits_create();
 	gateway->reach = reach_create();
 	gateway->name_hash = hash_string(settings->node_id);
-	list_init(&gateway->reach_probes);
+	list_init(&gateway->probes);
 	gateway->outage = store_outage_create(gateway->started_at);
 	gateway->limits =
 		token_limits_create(&limits,
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -42,7 +42,7 @@
 	forward_upstreams_t *upstreams;
 	uint64_t name_hash; /* of the VM, to draw shares by */
 	reach_t *reach; /* whether upstreams can be connected to */
-	list_node_t reach_probes; /* connections that test it */
+	list_node_t probes; /* of upstreams, in progress */
 	upstream_limits_t *upstream_limits; /* that upstreams name in responses */
 	token_limits_t *limits;
 	uint64_t limits_version; /* of the configuration whose accounts are in limits */
