--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -12,6 +12,7 @@
 #include "adapters/gateway/health.h"
 #include "adapters/gateway/peers.h"
 #include "adapters/gateway/checkpoint.h"
+#include "adapters/gateway/quarantine_checks.h"
 #include "adapters/gateway/rate_limits.h"
 #include "adapters/gateway/reload.h"
 #include "adapters/gateway/request.h"
@@ -350,6 +351,7 @@
 	discard_old_usage(gateway);
 	upstream_probes_run(gateway, now);
 	gateway_reach_run(gateway, now);
+	gateway_quarantine_run(gateway, now);
 	gateway_requests_run(gateway, now);
 	callers_run(gateway, now);
 	upstream_links_run(gateway, now);
@@ -471,6 +473,9 @@
 	gateway->upstream_limits = upstream_limits_create();
 	gateway->reach = reach_create();
 	gateway->name_hash = hash_string(settings->node_id);
+	gateway->quarantine = quarantine_create();
+	list_init(&gateway->quarantine_checks);
+	list_init(&gateway->silences);
 	list_init(&gateway->probes);
 	gateway->outage = store_outage_create(gateway->started_at);
 	gateway->limits =
@@ -566,6 +571,8 @@
 	metrics_set_gauge(metrics, "gateway_peers", gateway_count(gateway) - 1.0);
 	metrics_set_gauge(metrics, "gateway_cut_off",
 			  reach_is_cut_off(gateway->reach));
+	metrics_set_gauge(metrics, "gateway_quarantine_held",
+			  quarantine_held_count(gateway->quarantine));
 	metrics_set_gauge(metrics, "gateway_upstreams_limited",
 			  gateway_limits_count(gateway, gateway_now()));
 	metrics_set_gauge(metrics, "gateway_store_serves",
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -8,6 +8,7 @@
 #include "adapters/http1/http1_call.h"
 #include "adapters/metrics.h"
 #include "core/forward/config.h"
+#include "core/forward/quarantine.h"
 #include "core/forward/reach.h"
 #include "core/forward/retry_window.h"
 #include "core/forward/store_outage.h"
@@ -43,6 +44,12 @@
 	uint64_t name_hash; /* of the VM, to draw shares by */
 	reach_t *reach; /* whether upstreams can be connected to */
 	list_node_t probes; /* of upstreams, in progress */
+	quarantine_t *quarantine; /* of requests under which upstreams end */
+	list_node_t quarantine_checks; /* of upstreams that may have ended */
+	list_node_t silences; /* requests that got no answer, whose upstream may end */
+	unsigned int silence_count;
+	pd_time_t quarantine_expire_at;
+	uint64_t quarantine_holds; /* up to which requests in progress were ended */
 	upstream_limits_t *upstream_limits; /* that upstreams name in responses */
 	token_limits_t *limits;
 	uint64_t limits_version; /* of the configuration whose accounts are in limits */
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -320,7 +320,7 @@
 		flags |= STATE_FLAG_HIGH_CAPACITY;
 	if (request_summary)
 		flags |= STATE_FLAG_REQUESTS_SUMMARY;
-	flags |= STATE_FLAG_HANDLES_LIMITS;
+	flags |= STATE_FLAG_HANDLES_LIMITS | STATE_FLAG_HANDLES_QUARANTINE;
 	if (reach_is_cut_off(peers->gateway->reach))
 		flags |= STATE_FLAG_CUT_OFF;
 	flags |= (unsigned int)peers->gateway->relay_port << STATE_RELAY_PORT_SHIFT;
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -22,6 +22,7 @@
 	MESSAGE_COUNTS,
 	MESSAGE_PERMIT_REQUEST, /* to the gateway that issues permits */
 	MESSAGE_PERMITS, /* its reply, or limits that it knows */
+	MESSAGE_QUARANTINE, /* requests under which upstreams ended */
 	MESSAGE_KINDS /* number of kinds */
 } message_kind_t;
 
@@ -61,6 +62,8 @@
 /* knows messages about rate limits of upstreams */
 #define STATE_FLAG_HANDLES_LIMITS 8u
 #define STATE_FLAG_CUT_OFF 16u /* reaches no upstream */
+/* knows messages about requests under which upstreams ended */
+#define STATE_FLAG_HANDLES_QUARANTINE 32u
 /* the port for relayed requests, in the upper bits of the flags; 0: none */
 #define STATE_RELAY_PORT_SHIFT 16
 
@@ -107,6 +110,9 @@
 #define LIMITS_FIELDS 4
 /* short id of the upstream, rate or nil, age in ms or nil if not stated, permits */
 #define LIMIT_FIELDS 4
+#define QUARANTINE_FIELDS 3 /* kind, sender, reports */
+/* fingerprint, idle ms, ms since it was cleared or nil, ends: short id and age in turn */
+#define REPORT_FIELDS 4
 #define USAGE_FIELDS 3 /* window, account, count */
 /* An upstream in full, or only its id hash, stage, revision and start time. */
 #define UPSTREAM_FIELDS 10
@@ -148,6 +154,8 @@
 	uint16_t relay_port; /* where it takes relayed requests; 0: nowhere */
 	bool handles_limits; /* it knows messages about upstreams' limits */
 	pd_time_t limits_sent_at; /* when limits were last sent to it; 0: never */
+	bool handles_quarantine; /* it knows messages about held requests */
+	bool knows_held; /* it was sent those held before it started */
 	pd_time_t added_at;
 	/* start of its process, as last reported; 0: never */
 	pd_time_t started_at;
@@ -252,6 +260,13 @@
 int peers_receive_permit_request(gateway_peers_t *peers,
 				 const msgpack_object *fields);
 int peers_receive_permits(gateway_peers_t *peers, const msgpack_object *fields);
+void peers_pack_quarantine(msgpack_sbuffer *buffer, const gateway_peers_t *peers,
+			   const quarantine_report_t *reports, unsigned int count);
+void peers_repeat_quarantine(gateway_peers_t *peers);
+void peers_send_held(gateway_peers_t *peers, peer_t *peer);
+int peers_receive_quarantine(gateway_peers_t *peers, const msgpack_object *fields);
+void peers_spread(gateway_peers_t *peers, const msgpack_sbuffer *buffer,
+		  pd_time_t now);
 bool peers_is_mesh(gateway_peers_t *peers, pd_time_t now);
 pd_time_t peers_store_silence_max(gateway_peers_t *peers, pd_time_t now);
 unsigned int peers_top_ranked(const gateway_peers_t *peers, peer_t **first,
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -373,6 +373,7 @@
 			token_limits_remove_peer(peers->gateway->limits,
 						 peer->incarnation);
 		peers_remove_values(peers, peer);
+		peer->knows_held = false;
 	}
 	g_free(peer->incarnation);
 	g_free(peer->vm_id);
@@ -383,6 +384,7 @@
 	peer->cut_off = flags & STATE_FLAG_CUT_OFF;
 	peer->relay_port = (uint16_t)(flags >> STATE_RELAY_PORT_SHIFT);
 	peer->handles_limits = flags & STATE_FLAG_HANDLES_LIMITS;
+	peer->handles_quarantine = flags & STATE_FLAG_HANDLES_QUARANTINE;
 	peer->zone = (uint16_t)msgpack_field_uint64(&fields[STATE_ZONE]);
 	update_store_answered_at(peers, msgpack_field_uint64(
 						&fields[STATE_STORE_ANSWER_AGE]));
@@ -437,6 +439,7 @@
 	peer->started_at = now - (pd_time_t)MIN(uptime, PD_TIME_MAX);
 	record_peer_store_health(gateway, peer, now);
 	vote_clock(gateway, peer, fields, now);
+	peers_send_held(peers, peer);
 	merge_usage(gateway, peer->incarnation, &fields[STATE_USAGE]);
 	merge_watermark(gateway, peer->incarnation, &fields[STATE_WATERMARK]);
 	merge_engine_speeds(gateway, &fields[STATE_ENGINE_SPEEDS]);
@@ -768,6 +771,7 @@
 		[MESSAGE_COUNTS] = COUNTS_FIELDS,
 		[MESSAGE_PERMIT_REQUEST] = LIMITS_FIELDS,
 		[MESSAGE_PERMITS] = LIMITS_FIELDS,
+		[MESSAGE_QUARANTINE] = QUARANTINE_FIELDS,
 	};
 	uint32_t count = 0;
 	const msgpack_object *fields = msgpack_field_array(object, 1, &count);
@@ -794,6 +798,8 @@
 		return peers_receive_permit_request(peers, fields);
 	case MESSAGE_PERMITS:
 		return peers_receive_permits(peers, fields);
+	case MESSAGE_QUARANTINE:
+		return peers_receive_quarantine(peers, fields);
 	case MESSAGE_KINDS:
 		break;
 	}
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -358,8 +358,8 @@
 }
 
 /* Sends an update to all peers of a mesh, or to a sample in a larger fleet. */
-static void peers_spread(gateway_peers_t *peers, const msgpack_sbuffer *buffer,
-			 pd_time_t now)
+void peers_spread(gateway_peers_t *peers, const msgpack_sbuffer *buffer,
+		  pd_time_t now)
 {
 	GPtrArray *alive = peers_alive(peers, now);
 
@@ -663,8 +663,10 @@
 	peers->next_state_at = now + peers_state_period(peers, now);
 	remove_expired(peers, now);
 	full = now >= peers->next_full_state_at;
-	if (full)
+	if (full) {
 		peers->next_full_state_at = now + PEERS_FULL_PERIOD;
+		peers_repeat_quarantine(peers);
+	}
 	if (mesh)
 		send_to_mesh(peers, full);
 	else
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -27,6 +27,7 @@
 bool gateway_peers_has_relay(const gateway_peers_t *peers);
 char *gateway_peers_pick_relay(const gateway_peers_t *peers);
 void gateway_peers_limits_changed(gateway_peers_t *peers);
+void gateway_peers_send_quarantine(gateway_peers_t *peers);
 void gateway_peers_record_store_answer(gateway_peers_t *peers);
 void gateway_peers_set_leadership(gateway_peers_t *peers, bool is_leader,
 				  uint64_t fence);
--- /dev/null
+++ b/adapters/gateway/quarantine_checks.c
@@ -0,0 +1,241 @@
+/* Probes upstreams whose requests broke off, and records those that ended. */
+#include "adapters/gateway/quarantine_checks.h"
+
+#include <string.h>
+
+#include "adapters/gateway/gateway.h"
+#include "adapters/gateway/peers.h"
+#include "adapters/gateway/upstream_probe.h"
+#include "adapters/log_glib.h"
+
+#define LOG_COMPONENT "quarantine"
+/* The connections of an upstream that ends break at once; one probe serves them all. */
+#define CHECK_SHARED_TIME PD_MSEC
+/* Requests that one probe decides about. */
+#define CHECK_REQUESTS_MAX 1024
+#define EXPIRY_PERIOD PD_SEC
+/* The registration of an upstream that ended silently expires within this time. */
+#define SILENCE_TTL (10 * PD_SEC)
+/* Requests whose upstream may turn out to have ended; further ones are ignored. */
+#define SILENCES_MAX 1024
+/*
+ * From the end of an upstream until all gateways have received which requests ran there:
+ * a probe and one message, or one to an aggregator and its spread in larger fleets.
+ */
+#define SETTLE_TIME_MESH (10 * PD_MSEC)
+#define SETTLE_TIME_LARGE (40 * PD_MSEC)
+
+/* Requests that wait for the same probe of an upstream. */
+typedef struct check {
+	list_node_t node; /* in gateway->quarantine_checks */
+	forward_upstream_t *upstream;
+	bool silent; /* an upstream that does not answer counts as ended */
+	pd_time_t started_at;
+	GArray *fingerprints; /* of uint64_t */
+} check_t;
+
+/* A request that was given up without an answer, while its upstream was registered. */
+typedef struct silence {
+	list_node_t node; /* in gateway->silences */
+	forward_upstream_t *upstream;
+	unsigned int upstream_incarnation;
+	uint64_t fingerprint;
+	pd_time_t since;
+} silence_t;
+
+/* Records that an upstream ended while it ran a request, for all gateways. */
+void gateway_quarantine_record_end(gateway_t *gateway,
+				   const forward_upstream_t *upstream,
+				   uint64_t fingerprint)
+{
+	bool was_held;
+
+	if (!fingerprint)
+		return;
+	was_held = quarantine_is_held(gateway->quarantine, fingerprint);
+	quarantine_record_end(gateway->quarantine, fingerprint,
+			      forward_upstream_short_id(upstream), gateway_now());
+	if (!was_held && quarantine_is_held(gateway->quarantine, fingerprint)) {
+		log_line(G_LOG_LEVEL_WARNING, LOG_COMPONENT,
+			 "fingerprint=%016" G_GINT64_MODIFIER
+			 "x held=1 upstream=%s",
+			 fingerprint, upstream->id);
+		metrics_add(gateway->metrics, "gateway_quarantined_total", 1);
+	}
+}
+
+/* Returns whether the result of a probe proves that the upstream has ended. */
+static bool is_end(const gateway_t *gateway, const check_t *check,
+		   upstream_probe_result_t result)
+{
+	switch (result) {
+	case UPSTREAM_PROBE_CONNECTED:
+		return false;
+	case UPSTREAM_PROBE_REFUSED:
+		return !reach_is_cut_off(gateway->reach);
+	case UPSTREAM_PROBE_SILENT:
+		return check->silent && !reach_is_suspicious(gateway->reach);
+	}
+	return false;
+}
+
+/* Records what a probe has shown of the requests that wait for it. */
+static void on_probe_done(gateway_t *gateway, forward_upstream_t *upstream,
+			  upstream_probe_result_t result, void *ctx)
+{
+	check_t *check = ctx;
+
+	if (is_end(gateway, check, result)) {
+		log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT, "ended=%s requests=%u",
+			 upstream->id, check->fingerprints->len);
+		metrics_add(gateway->metrics, "gateway_upstream_ends_total", 1);
+		for (guint i = 0; i < check->fingerprints->len; i++)
+			gateway_quarantine_record_end(
+				gateway, upstream,
+				g_array_index(check->fingerprints, uint64_t, i));
+		gateway_peers_send_quarantine(gateway->peers);
+	}
+	list_remove(&check->node);
+	g_array_unref(check->fingerprints);
+	g_free(check);
+}
+
+/* Returns the check of an upstream that a request can join, borrowed, or NULL. */
+static check_t *find_check(const gateway_t *gateway,
+			   const forward_upstream_t *upstream, bool silent,
+			   pd_time_t now)
+{
+	LIST_FOR_EACH (it, &gateway->quarantine_checks) {
+		check_t *check = LIST_ENTRY(it, check_t, node);
+
+		if (check->upstream == upstream && check->silent == silent &&
+		    now - check->started_at <= CHECK_SHARED_TIME)
+			return check;
+	}
+	return NULL;
+}
+
+/* Probes an upstream to find out whether it ended while it ran a request. */
+static void start_check(gateway_t *gateway, forward_upstream_t *upstream,
+			uint64_t fingerprint, bool silent)
+{
+	pd_time_t now = gateway_now();
+	check_t *check = find_check(gateway, upstream, silent, now);
+
+	if (!fingerprint)
+		return;
+	if (check) {
+		if (check->fingerprints->len < CHECK_REQUESTS_MAX)
+			g_array_append_val(check->fingerprints, fingerprint);
+		return;
+	}
+	check = g_new0(check_t, 1);
+	check->upstream = upstream;
+	check->silent = silent;
+	check->started_at = now;
+	check->fingerprints = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_array_append_val(check->fingerprints, fingerprint);
+	list_append(&gateway->quarantine_checks, &check->node);
+	metrics_add(gateway->metrics, "gateway_quarantine_probes_total", 1);
+	upstream_probe_start(gateway, upstream, on_probe_done, check);
+}
+
+/*
+ * The connection on which a request ran has broken: finds out why. Upstreams that leave
+ * end anyway.
+ */
+void gateway_quarantine_check_broken(gateway_t *gateway,
+				     forward_upstream_t *upstream,
+				     uint64_t fingerprint)
+{
+	if (forward_upstream_is_serving(upstream))
+		start_check(gateway, upstream, fingerprint, false);
+}
+
+/*
+ * A request was given up before its answer was complete. If its upstream says nothing
+ * more and its registration expires, it may have ended with its VM.
+ */
+void gateway_quarantine_watch_silent(gateway_t *gateway,
+				     forward_upstream_t *upstream,
+				     uint64_t fingerprint)
+{
+	silence_t *silence;
+
+	if (!fingerprint || gateway->silence_count >= SILENCES_MAX)
+		return;
+	silence = g_new0(silence_t, 1);
+	silence->upstream = forward_upstream_ref(upstream);
+	silence->upstream_incarnation = upstream->incarnation;
+	silence->fingerprint = fingerprint;
+	silence->since = gateway_now();
+	list_append(&gateway->silences, &silence->node);
+	gateway->silence_count++;
+}
+
+/* Stops watching a silent upstream. */
+static void silence_free(gateway_t *gateway, silence_t *silence)
+{
+	list_remove(&silence->node);
+	gateway->silence_count--;
+	forward_upstream_unref(silence->upstream);
+	g_free(silence);
+}
+
+/* Returns whether another upstream serves at the address of one that is gone. */
+static bool is_replaced(const gateway_t *gateway, const forward_upstream_t *gone)
+{
+	LIST_FOR_EACH (it, forward_upstreams_list(gateway->upstreams)) {
+		const forward_upstream_t *upstream =
+			LIST_ENTRY(it, forward_upstream_t, node);
+
+		if (upstream != gone && forward_upstream_is_serving(upstream) &&
+		    upstream->port == gone->port &&
+		    !strcmp(upstream->address, gone->address))
+			return true;
+	}
+	return false;
+}
+
+/* Probes silent upstreams whose registration has expired; those that answer live. */
+static void run_silences(gateway_t *gateway, pd_time_t now)
+{
+	LIST_FOR_EACH_SAFE (it, &gateway->silences) {
+		silence_t *silence = LIST_ENTRY(it, silence_t, node);
+		forward_upstream_t *upstream = silence->upstream;
+
+		if (upstream->incarnation != silence->upstream_incarnation ||
+		    (upstream->stage == FORWARD_GONE &&
+		     is_replaced(gateway, upstream)))
+			gateway_quarantine_record_end(gateway, upstream,
+						      silence->fingerprint);
+		else if (upstream->stage == FORWARD_GONE)
+			start_check(gateway, upstream, silence->fingerprint, true);
+		else if (upstream->stage == FORWARD_SERVING &&
+			 upstream->answered_at <= silence->since &&
+			 now - silence->since < SILENCE_TTL)
+			continue;
+		silence_free(gateway, silence);
+	}
+}
+
+/*
+ * Returns how long a request waits after its connection broke, until it is known here
+ * what ended under it at other gateways.
+ */
+pd_time_t gateway_quarantine_settle_time(const gateway_t *gateway)
+{
+	return gateway_peers_is_mesh(gateway->peers) ? SETTLE_TIME_MESH
+						     : SETTLE_TIME_LARGE;
+}
+
+/* Sends what is not sent yet, and forgets what is old. */
+void gateway_quarantine_run(gateway_t *gateway, pd_time_t now)
+{
+	run_silences(gateway, now);
+	gateway_peers_send_quarantine(gateway->peers);
+	if (now < gateway->quarantine_expire_at)
+		return;
+	gateway->quarantine_expire_at = now + EXPIRY_PERIOD;
+	quarantine_expire(gateway->quarantine, now);
+}
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -2,6 +2,7 @@
 #include "adapters/gateway/request_state.h"
 
 #include "adapters/gateway/gateway.h"
+#include "adapters/gateway/quarantine_checks.h"
 #include "adapters/log_glib.h"
 #include "platform/wire.h"
 
@@ -239,6 +240,8 @@
 					      "route without a service");
 		return;
 	}
+	if (gateway_request_is_quarantined(request))
+		return;
 	if (gateway_request_may_relay(request)) {
 		gateway_request_relay(request);
 		return;
@@ -356,6 +359,9 @@
 {
 	bool sent = request->sent_at != 0;
 
+	if (sent && attempt_upstream_restarted(request))
+		gateway_quarantine_record_end(request->gateway, request->upstream,
+					      request->fingerprint);
 	upstream_link_close(request->link);
 	request->link = NULL;
 	gateway_request_end_attempt(request,
@@ -373,6 +379,7 @@
 	if (request->link) {
 		if (request->sent_at)
 			request->possible_runs++;
+		gateway_request_watch_upstream(request);
 		upstream_link_close(request->link);
 		request->link = NULL;
 	}
@@ -385,6 +392,7 @@
 {
 	gateway_shedders_run(gateway, now);
 	startup_queue_run(gateway, now);
+	gateway_requests_end_held(gateway);
 	queues_run(gateway, now);
 	LIST_FOR_EACH_SAFE (it, &gateway->requests) {
 		gateway_request_t *request =
@@ -395,6 +403,8 @@
 		gateway_request_check_first_event(request, now);
 		if (now >= request->deadline)
 			request_expire(request);
+		else if (request->retry_at && now >= request->retry_at)
+			gateway_request_retry(request);
 		else if (request->relay)
 			gateway_request_check_relay(request, now);
 		else if (attempt_upstream_restarted(request))
--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "adapters/gateway/quarantine_checks.h"
 #include "adapters/gateway/rate_limits.h"
 #include "adapters/gateway/upstream_reach.h"
 #include "adapters/log_glib.h"
@@ -85,6 +86,7 @@
 	if (request->skipping_response)
 		return;
 	record_limits(request, &answer);
+	request->upstream->answered_at = gateway_now();
 	request->status = head->status;
 	request->rejected = answer.not_run || head->status == 421;
 	request->sealed = answer.sealed;
@@ -268,6 +270,8 @@
 		return;
 	}
 	forward_upstream_record_success(request->upstream);
+	quarantine_record_success(request->gateway->quarantine,
+				  request->fingerprint, gateway_now());
 	gateway_request_clear_attempt(request);
 	request->possible_runs++;
 	gateway_request_finish(request);
@@ -288,6 +292,9 @@
 	bool sent = request->state >= REQUEST_SENT && request->sent_at;
 
 	request->link = NULL;
+	if (sent)
+		gateway_quarantine_check_broken(request->gateway, request->upstream,
+						request->fingerprint);
 	gateway_request_end_attempt(request,
 				    sent ? ATTEMPT_UNKNOWN : ATTEMPT_UNSENT,
 				    reasons[end]);
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "adapters/gateway/quarantine_checks.h"
 #include "adapters/gateway/rate_limits.h"
 #include "adapters/gateway/upstream_reach.h"
 #include "adapters/log_glib.h"
@@ -190,7 +191,12 @@
 			 request->call->id ? request->call->id : "-",
 			 request->fingerprint, request->sends, reason,
 			 request->tried[request->tried_count - 1]);
-		gateway_request_dispatch(request);
+		if (outcome == ATTEMPT_UNKNOWN)
+			request->retry_at =
+				gateway_now() +
+				gateway_quarantine_settle_time(request->gateway);
+		else
+			gateway_request_dispatch(request);
 		return;
 	}
 	if (streaming) {
--- a/adapters/gateway/request_end.c
+++ b/adapters/gateway/request_end.c
@@ -170,8 +170,10 @@
 /* Frees a request whose caller is gone; closing its link stops the upstream's work. */
 void gateway_request_abandon(gateway_request_t *request, const char *reason)
 {
-	if (request->state >= REQUEST_SENT)
+	if (request->state >= REQUEST_SENT) {
 		request->possible_runs++;
+		gateway_request_watch_upstream(request);
+	}
 	gateway_request_drop(request, reason);
 }
 
--- /dev/null
+++ b/adapters/gateway/request_quarantine.c
@@ -0,0 +1,100 @@
+/* Requests under which upstreams ended: they get no further one. */
+#include "adapters/gateway/gateway.h"
+#include "adapters/gateway/quarantine_checks.h"
+#include "adapters/gateway/request_state.h"
+
+#define REASON "upstreams ended under it"
+
+/* Returns whether another request for the same runs at an upstream of this gateway. */
+static bool runs_elsewhere(const gateway_request_t *request)
+{
+	LIST_FOR_EACH (it, &request->gateway->requests) {
+		const gateway_request_t *other =
+			LIST_ENTRY(it, gateway_request_t, node);
+
+		if (other != request && other->fingerprint == request->fingerprint &&
+		    (other->upstream || other->retry_at))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Rejects a request that has not run if it is held, or if it is a suspect that runs
+ * already: then one more upstream could end at the same time. Returns whether it did;
+ * the request is freed then.
+ */
+bool gateway_request_is_quarantined(gateway_request_t *request)
+{
+	gateway_t *gateway = request->gateway;
+	pd_time_t held = quarantine_record_attempt(gateway->quarantine,
+						   request->fingerprint,
+						   request->read_at);
+
+	if (!held &&
+	    !(quarantine_is_suspect(gateway->quarantine, request->fingerprint) &&
+	      runs_elsewhere(request)))
+		return false;
+	metrics_add(gateway->metrics, "gateway_quarantine_refusals_total", 1);
+	gateway_request_respond_error(request, 503,
+				      held ? held : RETRY_AFTER_FULL, REASON);
+	return true;
+}
+
+/* Ends a request that is held, wherever it is. */
+static void end_held(gateway_request_t *request)
+{
+	pd_time_t held = quarantine_record_attempt(request->gateway->quarantine,
+						   request->fingerprint,
+						   gateway_now());
+
+	metrics_add(request->gateway->metrics,
+		    "gateway_quarantine_aborts_total", 1);
+	if (request->state == REQUEST_STREAMING) {
+		gateway_request_abort_stream(request, REASON);
+		return;
+	}
+	if (request->link) {
+		if (request->sent_at)
+			request->possible_runs++;
+		upstream_link_close(request->link);
+	}
+	gateway_request_clear_attempt(request);
+	gateway_request_give_up(request, held, REASON);
+}
+
+/* Ends the requests in progress that have begun to be held. */
+void gateway_requests_end_held(gateway_t *gateway)
+{
+	uint64_t holds = quarantine_holds(gateway->quarantine);
+
+	if (holds == gateway->quarantine_holds)
+		return;
+	gateway->quarantine_holds = holds;
+	LIST_FOR_EACH_SAFE (it, &gateway->requests) {
+		gateway_request_t *request =
+			LIST_ENTRY(it, gateway_request_t, node);
+
+		if (request->fingerprint && !request->relay &&
+		    quarantine_is_held(gateway->quarantine, request->fingerprint))
+			end_held(request);
+	}
+}
+
+/* Tries another upstream after a connection broke, unless the request is held now. */
+void gateway_request_retry(gateway_request_t *request)
+{
+	request->retry_at = 0;
+	if (quarantine_is_held(request->gateway->quarantine, request->fingerprint))
+		end_held(request);
+	else
+		gateway_request_dispatch(request);
+}
+
+/* Watches the upstream of a request that is given up, as it may have ended. */
+void gateway_request_watch_upstream(const gateway_request_t *request)
+{
+	if (request->upstream && request->sent_at)
+		gateway_quarantine_watch_silent(request->gateway, request->upstream,
+						request->fingerprint);
+}
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -69,6 +69,7 @@
 	upstream_link_t *link;
 	pd_time_t attempt_started_at;
 	pd_time_t sent_at; /* 0: nothing was sent yet */
+	pd_time_t retry_at; /* when another upstream is tried; 0: not waiting for that */
 	double prefill_tokens; /* added to the upstream's; 0 after the first event */
 	bool prefills_alone; /* the upstream had no other prompt to prefill */
 	bool skipping_response; /* the current response is for another request */
@@ -86,6 +87,10 @@
 extern const upstream_link_callbacks_t gateway_request_link_callbacks;
 
 void gateway_relay_destroy(relay_t *relay);
+bool gateway_request_is_quarantined(gateway_request_t *request);
+void gateway_requests_end_held(gateway_t *gateway);
+void gateway_request_retry(gateway_request_t *request);
+void gateway_request_watch_upstream(const gateway_request_t *request);
 bool gateway_request_may_relay(const gateway_request_t *request);
 void gateway_request_relay(gateway_request_t *request);
 void gateway_request_check_relay(gateway_request_t *request, pd_time_t now);
--- /dev/null
+++ b/core/forward/quarantine.c
@@ -0,0 +1,370 @@
+/*
+ * Counts the upstreams that ended under each request. quarantine-notes.md argues the
+ * bound on them.
+ */
+#include "core/forward/quarantine.h"
+
+#include "core/hash.h"
+#include "core/list.h"
+
+/* Requests that are remembered; the one idle for longest is forgotten first. */
+#define ENTRIES_MAX 4096
+/* A request that nobody has tried for so long is forgotten. */
+#define IDLE_TTL (60 * PD_SEC)
+/* However often it is tried, so long after the last end. */
+#define END_TTL (600 * PD_SEC)
+/* Slots of the table of requests that upstreams completed lately; a power of two. */
+#define SUCCESSES 1024
+/* An end is no fault of a request that an upstream completed so shortly before. */
+#define SUCCESS_TTL (10 * PD_SEC)
+
+typedef struct entry {
+	list_node_t node; /* in quarantine->entries */
+	uint64_t fingerprint;
+	pd_time_t tried_at;
+	bool cleared;
+	pd_time_t cleared_at;
+	unsigned int end_count;
+	struct {
+		uint32_t upstream;
+		pd_time_t at;
+	} ends[QUARANTINE_ENDS];
+	bool unsent; /* changed since it was last sent to other gateways */
+} entry_t;
+
+typedef struct success {
+	uint64_t fingerprint;
+	pd_time_t at;
+} success_t;
+
+struct quarantine {
+	GHashTable *by_fingerprint; /* uint64_t, in the entry -> entry_t */
+	list_node_t entries; /* the one idle for longest first */
+	success_t successes[SUCCESSES]; /* indexed by a hash of the fingerprint */
+	unsigned int held;
+	uint64_t holds; /* how often a request began to be held */
+	bool unsent; /* an entry may be unsent */
+};
+
+/* Returns an empty quarantine; the caller owns it. */
+quarantine_t *quarantine_create(void)
+{
+	quarantine_t *quarantine = g_new0(quarantine_t, 1);
+
+	quarantine->by_fingerprint = g_hash_table_new(g_int64_hash, g_int64_equal);
+	list_init(&quarantine->entries);
+	return quarantine;
+}
+
+/* Returns whether an entry's request gets no further upstream. */
+static bool entry_is_held(const entry_t *entry)
+{
+	return entry->end_count >= QUARANTINE_ENDS;
+}
+
+/* Forgets a request. */
+static void entry_destroy(quarantine_t *quarantine, entry_t *entry)
+{
+	quarantine->held -= entry_is_held(entry);
+	g_hash_table_remove(quarantine->by_fingerprint, &entry->fingerprint);
+	list_remove(&entry->node);
+	g_free(entry);
+}
+
+/* Frees the quarantine; NULL is allowed. */
+void quarantine_destroy(quarantine_t *quarantine)
+{
+	if (!quarantine)
+		return;
+	LIST_FOR_EACH_SAFE (it, &quarantine->entries)
+		entry_destroy(quarantine, LIST_ENTRY(it, entry_t, node));
+	g_hash_table_unref(quarantine->by_fingerprint);
+	g_free(quarantine);
+}
+
+/* Returns the entry of a request, borrowed, or NULL. */
+static entry_t *find_entry(const quarantine_t *quarantine, uint64_t fingerprint)
+{
+	return g_hash_table_lookup(quarantine->by_fingerprint, &fingerprint);
+}
+
+/* Forgets the request that has been idle for longest, one that is not held if any is. */
+static void evict(quarantine_t *quarantine)
+{
+	LIST_FOR_EACH (it, &quarantine->entries) {
+		entry_t *entry = LIST_ENTRY(it, entry_t, node);
+
+		if (entry_is_held(entry))
+			continue;
+		entry_destroy(quarantine, entry);
+		return;
+	}
+	LIST_FOR_EACH (it, &quarantine->entries) {
+		entry_destroy(quarantine, LIST_ENTRY(it, entry_t, node));
+		return;
+	}
+}
+
+/* Returns the entry of a request, borrowed; adds one that is missing. */
+static entry_t *get_entry(quarantine_t *quarantine, uint64_t fingerprint)
+{
+	entry_t *entry = find_entry(quarantine, fingerprint);
+
+	if (entry)
+		return entry;
+	if (g_hash_table_size(quarantine->by_fingerprint) >= ENTRIES_MAX)
+		evict(quarantine);
+	entry = g_new0(entry_t, 1);
+	entry->fingerprint = fingerprint;
+	g_hash_table_insert(quarantine->by_fingerprint, &entry->fingerprint, entry);
+	list_append(&quarantine->entries, &entry->node);
+	return entry;
+}
+
+/* Records that a request was tried at a time. */
+static void entry_touch(quarantine_t *quarantine, entry_t *entry, pd_time_t at)
+{
+	if (at <= entry->tried_at)
+		return;
+	entry->tried_at = at;
+	list_remove(&entry->node);
+	list_append(&quarantine->entries, &entry->node);
+}
+
+/* Adds an upstream that ended at a time. Returns whether that is new. */
+static bool entry_add_end(quarantine_t *quarantine, entry_t *entry,
+			  uint32_t upstream, pd_time_t at)
+{
+	if (entry_is_held(entry) || (entry->cleared && at <= entry->cleared_at))
+		return false;
+	for (unsigned int i = 0; i < entry->end_count; i++) {
+		if (entry->ends[i].upstream == upstream)
+			return false;
+	}
+	entry->ends[entry->end_count].upstream = upstream;
+	entry->ends[entry->end_count].at = at;
+	entry->end_count++;
+	quarantine->held += entry_is_held(entry);
+	quarantine->holds += entry_is_held(entry);
+	return true;
+}
+
+/* Removes the ends up to a time. Returns whether it is later than the last such time. */
+static bool entry_clear(quarantine_t *quarantine, entry_t *entry, pd_time_t at)
+{
+	bool held = entry_is_held(entry);
+	unsigned int kept = 0;
+
+	if (entry->cleared && at <= entry->cleared_at)
+		return false;
+	entry->cleared = true;
+	entry->cleared_at = at;
+	for (unsigned int i = 0; i < entry->end_count; i++) {
+		if (entry->ends[i].at > at)
+			entry->ends[kept++] = entry->ends[i];
+	}
+	entry->end_count = kept;
+	quarantine->held -= held && !entry_is_held(entry);
+	return true;
+}
+
+/* Has an entry sent to other gateways. */
+static void mark_unsent(quarantine_t *quarantine, entry_t *entry)
+{
+	entry->unsent = true;
+	quarantine->unsent = true;
+}
+
+/* Returns the slot in which a request's last success is remembered. */
+static success_t *success_slot(quarantine_t *quarantine, uint64_t fingerprint)
+{
+	return &quarantine->successes[hash_number(fingerprint) % SUCCESSES];
+}
+
+/*
+ * Records that an upstream ended while it ran a request. One that upstreams complete
+ * is no suspect: it may be one of many that ask for the same.
+ */
+void quarantine_record_end(quarantine_t *quarantine, uint64_t fingerprint,
+			   uint32_t upstream, pd_time_t now)
+{
+	const success_t *success = success_slot(quarantine, fingerprint);
+	entry_t *entry;
+
+	if (success->fingerprint == fingerprint && now - success->at < SUCCESS_TTL)
+		return;
+	entry = get_entry(quarantine, fingerprint);
+	entry_touch(quarantine, entry, now);
+	if (entry_add_end(quarantine, entry, upstream, now))
+		mark_unsent(quarantine, entry);
+}
+
+/* Records that an upstream completed a request: those that ended did so for another. */
+void quarantine_record_success(quarantine_t *quarantine, uint64_t fingerprint,
+			       pd_time_t now)
+{
+	success_t *success = success_slot(quarantine, fingerprint);
+	entry_t *entry = find_entry(quarantine, fingerprint);
+
+	success->fingerprint = fingerprint;
+	success->at = now;
+	if (entry && entry->end_count && entry_clear(quarantine, entry, now))
+		mark_unsent(quarantine, entry);
+}
+
+/*
+ * Applies what another gateway knows of a request. FORWARD: what is new is sent on, as
+ * the sender does not reach all gateways.
+ */
+void quarantine_merge(quarantine_t *quarantine, const quarantine_report_t *report,
+		      bool forward, pd_time_t now)
+{
+	entry_t *entry = find_entry(quarantine, report->fingerprint);
+	bool changed = false;
+
+	if (report->idle > IDLE_TTL ||
+	    (!entry && !report->end_count && !report->cleared))
+		return;
+	if (!entry)
+		entry = get_entry(quarantine, report->fingerprint);
+	entry_touch(quarantine, entry, now - report->idle);
+	if (report->cleared)
+		changed |= entry_clear(quarantine, entry,
+				       now - report->cleared_age);
+	for (unsigned int i = 0; i < MIN(report->end_count, QUARANTINE_ENDS); i++)
+		changed |= entry_add_end(quarantine, entry,
+					 report->ends[i].upstream,
+					 now - report->ends[i].age);
+	if (changed && forward)
+		mark_unsent(quarantine, entry);
+}
+
+/* Returns whether an upstream ended under a request. */
+bool quarantine_is_suspect(const quarantine_t *quarantine, uint64_t fingerprint)
+{
+	const entry_t *entry = find_entry(quarantine, fingerprint);
+
+	return entry && entry->end_count;
+}
+
+/* Returns whether a request gets no further upstream. */
+bool quarantine_is_held(const quarantine_t *quarantine, uint64_t fingerprint)
+{
+	const entry_t *entry = find_entry(quarantine, fingerprint);
+
+	return entry && entry_is_held(entry);
+}
+
+/* Returns when a request is forgotten if nobody tries it again. */
+static pd_time_t entry_expires_at(const entry_t *entry)
+{
+	pd_time_t last_end = entry->cleared ? entry->cleared_at : 0;
+
+	for (unsigned int i = 0; i < entry->end_count; i++)
+		last_end = MAX(last_end, entry->ends[i].at);
+	return MIN(entry->tried_at + IDLE_TTL, last_end + END_TTL);
+}
+
+/*
+ * Records that a caller tries a request. Returns 0 if it may get an upstream, or how
+ * long it is held if nobody tries it.
+ */
+pd_time_t quarantine_record_attempt(quarantine_t *quarantine,
+				    uint64_t fingerprint, pd_time_t now)
+{
+	entry_t *entry = find_entry(quarantine, fingerprint);
+
+	if (!entry || !entry_is_held(entry) || entry_expires_at(entry) <= now)
+		return 0;
+	entry_touch(quarantine, entry, now);
+	return MAX(entry_expires_at(entry) - now, 1);
+}
+
+/* Returns an entry as of NOW. */
+static quarantine_report_t entry_report(const entry_t *entry, pd_time_t now)
+{
+	quarantine_report_t report = {
+		.fingerprint = entry->fingerprint,
+		.idle = MAX(now - entry->tried_at, 0),
+		.cleared = entry->cleared,
+		.cleared_age = entry->cleared ? MAX(now - entry->cleared_at, 0) : 0,
+		.end_count = entry->end_count,
+	};
+
+	for (unsigned int i = 0; i < entry->end_count; i++) {
+		report.ends[i].upstream = entry->ends[i].upstream;
+		report.ends[i].age = MAX(now - entry->ends[i].at, 0);
+	}
+	return report;
+}
+
+/* Returns whether other gateways may lack a change. */
+bool quarantine_has_unsent(const quarantine_t *quarantine)
+{
+	return quarantine->unsent;
+}
+
+/*
+ * Sets REPORTS, of QUARANTINE_REPORTS_MAX, to requests of which other gateways lack a
+ * change, and takes them for sent; ALL: suspects too, else those that are held or were
+ * cleared. Returns their number.
+ */
+unsigned int quarantine_take_unsent(quarantine_t *quarantine, bool all,
+				    pd_time_t now, quarantine_report_t *reports)
+{
+	unsigned int count = 0;
+
+	LIST_FOR_EACH (it, &quarantine->entries) {
+		entry_t *entry = LIST_ENTRY(it, entry_t, node);
+
+		if (!entry->unsent ||
+		    (!all && !entry_is_held(entry) && !entry->cleared))
+			continue;
+		if (count == QUARANTINE_REPORTS_MAX)
+			return count;
+		entry->unsent = false;
+		reports[count++] = entry_report(entry, now);
+	}
+	quarantine->unsent &= !all;
+	return count;
+}
+
+/* Sets up to MOST reports to the requests held that were tried last; returns their number. */
+unsigned int quarantine_list_held(const quarantine_t *quarantine, pd_time_t now,
+				  quarantine_report_t *reports, unsigned int most)
+{
+	unsigned int count = 0;
+
+	for (const list_node_t *it = quarantine->entries.prev;
+	     it != &quarantine->entries && count < MIN(most, quarantine->held);
+	     it = it->prev) {
+		const entry_t *entry = LIST_ENTRY(it, entry_t, node);
+
+		if (entry_is_held(entry))
+			reports[count++] = entry_report(entry, now);
+	}
+	return count;
+}
+
+/* Returns the number of requests that are held. */
+unsigned int quarantine_held_count(const quarantine_t *quarantine)
+{
+	return quarantine->held;
+}
+
+/* Returns how often a request began to be held. */
+uint64_t quarantine_holds(const quarantine_t *quarantine)
+{
+	return quarantine->holds;
+}
+
+/* Forgets requests that nobody has tried for long. */
+void quarantine_expire(quarantine_t *quarantine, pd_time_t now)
+{
+	LIST_FOR_EACH_SAFE (it, &quarantine->entries) {
+		entry_t *entry = LIST_ENTRY(it, entry_t, node);
+
+		if (entry_expires_at(entry) <= now)
+			entry_destroy(quarantine, entry);
+	}
+}
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -86,6 +86,7 @@
 	/* until then it is used only if no other can be */
 	pd_time_t backoff_until;
 	pd_time_t full_until; /* set when it rejects a request */
+	pd_time_t answered_at; /* when it last sent a head of a response here */
 	bool brittle; /* it fails if it has to reject too many requests */
 	pd_time_t probe_started_at; /* when a probe request was sent; 0: none */
 	/* prompt part id -> pd_time_t of its last use */
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -140,6 +140,7 @@
 }
 
 static void on_accept(uv_stream_t *listener, int status);
+static json_t *store_kind(gateway_rig_t *rig, const char *kind);
 
 /* Upstreams. */
 
@@ -291,20 +292,26 @@
 	server->port = ntohs(addr.sin_port);
 }
 
-/* Starts an upstream again that ended, at the same address with another id. */
+/* Starts an upstream again that ended, at the same address in the same state with another id. */
 static void on_restart(uv_timer_t *timer)
 {
 	rig_server_t *server = timer->data;
 	char *id = upstream_id(server);
+	json_t *spec = json_object_get(
+		json_object_get(store_kind(server->rig, "servers"), id),
+		"spec");
+	char *stage =
+		g_strdup(json_string_value(json_object_get(spec, "state")));
 
 	rig_remove(server->rig, "servers", id);
 	g_free(id);
 	server->ends++;
 	server_listen(server);
-	rig_put_upstream(server->rig, server->number, "ready");
+	rig_put_upstream(server->rig, server->number, stage);
+	g_free(stage);
 }
 
-/* Ends an upstream: all its connections break, and new ones are refused. */
+/* Ends an upstream: new connections are refused, and all others break or fall silent. */
 static void on_run_ends_upstream(uv_timer_t *timer)
 {
 	session_t *session = timer->data;
@@ -313,13 +320,15 @@
 	if (uv_is_closing((uv_handle_t *)&server->listener))
 		return;
 	uv_close((uv_handle_t *)&server->listener, NULL);
+	uv_timer_start(&server->restart, on_restart, RIG_RESTART_MS, 0);
+	if (session->behavior == RIG_VANISH)
+		return;
 	LIST_FOR_EACH_SAFE (it, &server->sessions) {
 		session_t *other = LIST_ENTRY(it, session_t, node);
 
 		http1_close(other->conn);
 		session_free(other);
 	}
-	uv_timer_start(&server->restart, on_restart, RIG_RESTART_MS, 0);
 }
 
 /* Handles a call by the behavior that is set for the upstream. */
@@ -388,6 +397,7 @@
 		stream_begin(session);
 		return;
 	case RIG_END:
+	case RIG_VANISH:
 		uv_timer_start(&session->timer, on_run_ends_upstream,
 			       RIG_RUN_MS, 0);
 		return;
@@ -778,6 +788,30 @@
 	uv_run(&rig->loop, UV_RUN_ONCE);
 }
 
+/* Runs the event loop until MS have passed. */
+void rig_run_for(gateway_rig_t *rig, uint64_t ms)
+{
+	uint64_t end = uv_hrtime() / 1000000 + ms;
+
+	while (uv_hrtime() / 1000000 < end)
+		rig_run_once(rig);
+}
+
+/* Returns how often a gateway has logged TEXT, over all its starts. */
+int rig_count_logged(gateway_rig_t *rig, int number, const char *text)
+{
+	char *log = NULL;
+	int times = 0;
+
+	rig_run_once(rig);
+	if (!g_file_get_contents(rig->gateways[number]->out_path, &log, NULL, NULL))
+		return 0;
+	for (const char *at = log; (at = strstr(at, text)) != NULL; at++)
+		times++;
+	g_free(log);
+	return times;
+}
+
 /*
  * Stores a configuration with the routes /safe/, /unsafe/, /stream/ (resumable) and
  * /once/ (a stream that is not), all to one service with one account. MORE_ROUTES is
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -30,7 +30,8 @@
 	RIG_LARGE, /* responds with RIG_LARGE_BYTES */
 	RIG_STREAM, /* RIG_EVENTS events, one every 20 ms */
 	RIG_STREAM_CUT, /* the same, but stops in the middle of the fourth */
-	RIG_END /* begins to run it, and ends with all its connections */
+	RIG_END, /* begins to run it, and ends with all its connections */
+	RIG_VANISH /* the same, but its connections stay silent */
 } rig_behavior_t;
 
 #define RIG_SLOW_MS 1000
@@ -120,6 +121,8 @@
 void rig_write_invalid_settings(gateway_rig_t *rig, int number);
 void rig_start(gateway_rig_t *rig, int number);
 void rig_run_once(gateway_rig_t *rig);
+void rig_run_for(gateway_rig_t *rig, uint64_t ms);
+int rig_count_logged(gateway_rig_t *rig, int number, const char *text);
 unsigned int rig_run_count(const gateway_rig_t *rig, const char *call_id);
 uint16_t rig_port(gateway_rig_t *rig, int number, const char *what);
 rig_caller_t *rig_call(gateway_rig_t *rig, uint16_t port, const char *text);
--- a/tests/process/test_gateway_quarantine.c
+++ b/tests/process/test_gateway_quarantine.c
@@ -20,6 +20,8 @@
 	(void)ctx;
 	if (g_str_has_suffix(target, "/end"))
 		return RIG_END;
+	if (g_str_has_suffix(target, "/vanish"))
+		return RIG_VANISH;
 	if (g_str_has_suffix(target, "/cut"))
 		return RIG_CUT;
 	if (g_str_has_suffix(target, "/slow"))
@@ -29,11 +31,12 @@
 	return RIG_ANSWER;
 }
 
-/* Starts a gateway, whose seeds are those that run, and waits until it is ready. */
-static void start_gateway(gateway_rig_t *rig, int number)
+/* Starts a gateway for the START_COUNT-th time; its seeds are those that run. */
+static void start_gateway(gateway_rig_t *rig, int number, int start_count)
 {
 	rig_start(rig, number);
-	RIG_UNTIL(rig, rig_port(rig, number, "health"));
+	RIG_UNTIL(rig, rig_count_logged(rig, number, "gateway: start") ==
+			       start_count);
 	rig->peer_ports[number] = rig_port(rig, number, "peers");
 }
 
@@ -47,7 +50,7 @@
 	for (int i = 0; i < RIG_UPSTREAMS; i++)
 		rig_put_upstream(rig, i, "ready");
 	for (int i = 0; i < RIG_GATEWAYS; i++)
-		start_gateway(rig, i);
+		start_gateway(rig, i, 1);
 	for (int i = 0; i < RIG_GATEWAYS; i++)
 		RIG_UNTIL(rig, rig_is_ready(rig, i));
 	*state = rig;
@@ -70,15 +73,6 @@
 	return ends;
 }
 
-/* Runs the rig until MS have passed. */
-static void pass_time(gateway_rig_t *rig, uint64_t ms)
-{
-	uint64_t end = uv_hrtime() / 1000000 + ms;
-
-	while (uv_hrtime() / 1000000 < end)
-		rig_run_once(rig);
-}
-
 /* Returns whether a call ended, with a complete response or without. */
 static bool is_over(rig_caller_t *caller)
 {
@@ -113,9 +107,9 @@
 {
 	for (int i = first; i < first + tries; i++) {
 		rig_caller_destroy(finish_call(rig, i % RIG_GATEWAYS, path, i));
-		pass_time(rig, 100);
+		rig_run_for(rig, 100);
 	}
-	pass_time(rig, RIG_RESTART_MS + 200);
+	rig_run_for(rig, RIG_RESTART_MS + 200);
 }
 
 /*
@@ -178,7 +172,7 @@
 	for (int i = 0; i < RIG_GATEWAYS; i++) {
 		process_destroy(rig->gateways[i]);
 		rig->gateways[i] = NULL;
-		start_gateway(rig, i);
+		start_gateway(rig, i, 2);
 		RIG_UNTIL(rig, rig_is_ready(rig, i));
 		try_in_turn(rig, "/safe/end", 10 + i * RIG_GATEWAYS, RIG_GATEWAYS);
 	}
@@ -186,6 +180,26 @@
 	assert_true(count_ends(rig) <= ENDS_ALLOWED);
 }
 
+/* Guards against a request that takes VMs down, so that no connection breaks. */
+static void test_request_under_which_upstreams_vanish_is_held(void **state)
+{
+	gateway_rig_t *rig = *state;
+
+	for (int i = 0; i < TRIES; i++) {
+		char id[32];
+		rig_caller_t *caller;
+
+		snprintf(id, sizeof(id), "v%d", i);
+		caller = rig_call_at(rig, i % RIG_GATEWAYS, "POST",
+				     "/stream/vanish", id);
+		rig_run_for(rig, 200);
+		rig_caller_destroy(caller);
+		rig_run_for(rig, RIG_RESTART_MS + 400);
+	}
+	print_message("%u ended\n", count_ends(rig));
+	assert_true(count_ends(rig) <= ENDS_ALLOWED);
+}
+
 /* Guards against the rejection of requests that ran beside one that ended upstreams. */
 static void test_requests_beside_one_that_ends_upstreams_are_served(void **state)
 {
@@ -202,7 +216,7 @@
 			callers[i] = rig_call_at(rig, (int)(i % RIG_GATEWAYS),
 						 "POST", path, id);
 		}
-		pass_time(rig, 50);
+		rig_run_for(rig, 50);
 		rig_caller_destroy(finish_call(rig, 0, "/once/end", round));
 		for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
 			RIG_UNTIL(rig, is_over(callers[i]));
@@ -210,7 +224,7 @@
 					       "HTTP/1.1 200"));
 			rig_caller_destroy(callers[i]);
 		}
-		pass_time(rig, RIG_RESTART_MS);
+		rig_run_for(rig, RIG_RESTART_MS);
 	}
 	assert_int_equal(count_ends(rig), 2);
 }
@@ -239,6 +253,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_restarted_gateway_learns_of_held_requests,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_request_under_which_upstreams_vanish_is_held,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(
 			test_requests_beside_one_that_ends_upstreams_are_served,
 			setup, teardown),
--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -42,21 +42,6 @@
 #define SOCKET_DRAIN_MS 50
 #define CALL_READ_MS 20 /* until a gateway has certainly read a call */
 
-/* Returns how often TEXT is in the logs of a gateway, over all its incarnations. */
-static int count_logged(gateway_rig_t *rig, int number, const char *text)
-{
-	char *log = NULL;
-	int times = 0;
-
-	rig_run_once(rig);
-	if (!g_file_get_contents(rig->gateways[number]->out_path, &log, NULL, NULL))
-		return 0;
-	for (const char *at = log; (at = strstr(at, text)) != NULL; at++)
-		times++;
-	g_free(log);
-	return times;
-}
-
 /*
  * Starts all gateways for the START_COUNT-th time and waits until they have found
  * each other.
@@ -66,24 +51,16 @@
 	memset(rig->peer_ports, 0, sizeof(rig->peer_ports));
 	for (int i = 0; i < RIG_GATEWAYS; i++) {
 		rig_start(rig, i);
-		RIG_UNTIL(rig,
-			  count_logged(rig, i, "gateway: start") == start_count);
+		RIG_UNTIL(rig, rig_count_logged(rig, i, "gateway: start") ==
+				       start_count);
 		rig->peer_ports[i] = rig_port(rig, i, "peers");
 	}
 	for (int i = 0; i < RIG_GATEWAYS; i++)
 		RIG_UNTIL(rig, rig_is_ready(rig, i) &&
-				       count_logged(rig, i, "found=") >=
+				       rig_count_logged(rig, i, "found=") >=
 					       start_count * (RIG_GATEWAYS - 1));
 }
 
-static void run_for(gateway_rig_t *rig, uint64_t ms)
-{
-	uint64_t end = uv_hrtime() / 1000000 + ms;
-
-	while (uv_hrtime() / 1000000 < end)
-		rig_run_once(rig);
-}
-
 /* Kills all gateways and lets the mock servers read what they had sent. */
 static void kill_all(gateway_rig_t *rig)
 {
@@ -91,7 +68,7 @@
 		process_destroy(rig->gateways[i]);
 		rig->gateways[i] = NULL;
 	}
-	run_for(rig, SOCKET_DRAIN_MS);
+	rig_run_for(rig, SOCKET_DRAIN_MS);
 }
 
 static int setup(void **state)
@@ -201,7 +178,7 @@
 static void serve_and_kill_all(gateway_rig_t *rig)
 {
 	send_calls(rig);
-	run_for(rig, COUNTS_MAX_AGE_MS);
+	rig_run_for(rig, COUNTS_MAX_AGE_MS);
 	kill_all(rig);
 }
 
@@ -209,7 +186,7 @@
 static int find_follower(gateway_rig_t *rig)
 {
 	for (int i = 0; i < RIG_GATEWAYS; i++) {
-		if (count_logged(rig, i, "duties: holder=self"))
+		if (rig_count_logged(rig, i, "duties: holder=self"))
 			return (i + 1) % RIG_GATEWAYS;
 	}
 	return -1;
@@ -260,11 +237,11 @@
 	caller = rig_call_at(rig, number, "POST", "/safe/x", "c0");
 	RIG_UNTIL(rig, rig_has_received(caller, "HTTP/1.1 200"));
 	rig_caller_destroy(caller);
-	run_for(rig, COUNTS_SENT_MS);
+	rig_run_for(rig, COUNTS_SENT_MS);
 	process_signal(rig->gateways[number], SIGSTOP);
-	run_for(rig, SUSPENDED_MS);
+	rig_run_for(rig, SUSPENDED_MS);
 	before = rig->usage->len;
-	run_for(rig, WINDOW_MS);
+	rig_run_for(rig, WINDOW_MS);
 	assert_int_equal(rig->usage->len, before);
 	process_signal(rig->gateways[number], SIGCONT);
 	RIG_UNTIL(rig, rig->usage->len > before);
@@ -283,7 +260,7 @@
 	start_all(rig, 2);
 	wait_for_reports(rig);
 	/* No later report may count them again. */
-	run_for(rig, 2000);
+	rig_run_for(rig, 2000);
 	assert_int_equal(calls_reported(rig), CALLS);
 }
 
@@ -390,7 +367,7 @@
 	start_all(rig, 2);
 	before = rig->usage->len;
 	RIG_UNTIL_WITHIN(rig, rig->usage->len > before + 2, REPORTS_TIMEOUT_MS);
-	run_for(rig, 2000);
+	rig_run_for(rig, 2000);
 	assert_int_equal(calls_reported(rig), 0);
 }
 
@@ -400,7 +377,7 @@
 	gateway_rig_t *rig = *state;
 
 	serve_and_kill_all(rig);
-	run_for(rig, DOWNTIME_MS);
+	rig_run_for(rig, DOWNTIME_MS);
 	start_all(rig, 2);
 	wait_for_reports(rig);
 }
@@ -431,8 +408,8 @@
 	int writer = -1;
 
 	for (int i = 0; i < RIG_GATEWAYS; i++) {
-		if (rig->gateways[i] &&
-		    count_logged(rig, i, now) > count_logged(rig, i, before))
+		if (rig->gateways[i] && rig_count_logged(rig, i, now) >
+						rig_count_logged(rig, i, before))
 			writer = i;
 	}
 	g_free(now);
@@ -485,9 +462,9 @@
 
 		rig_remove(rig, "config", "main");
 		rig_start(rig, 0);
-		RIG_UNTIL(rig, count_logged(rig, 0, "gateway: start") == i + 2);
+		RIG_UNTIL(rig, rig_count_logged(rig, 0, "gateway: start") == i + 2);
 		caller = rig_call_at(rig, 0, "POST", "/safe/x", "c1");
-		run_for(rig, CALL_READ_MS);
+		rig_run_for(rig, CALL_READ_MS);
 		rig_put_config(rig, i + 2, "");
 		RIG_UNTIL(rig, rig_has_received(caller, "HTTP/1.1 "));
 		served = rig_has_received(caller, "HTTP/1.1 200");
@@ -510,7 +487,7 @@
 	kill_all(rig);
 	rig->first_page_only = true;
 	rig_start(rig, 0);
-	RIG_UNTIL(rig, count_logged(rig, 0, "gateway: start") == 2);
+	RIG_UNTIL(rig, rig_count_logged(rig, 0, "gateway: start") == 2);
 	caller = rig_call_at(rig, 0, "POST", "/safe/x", "c1");
 	RIG_UNTIL(rig, rig_has_received(caller, "HTTP/1.1 "));
 	assert_true(rig_has_received(caller, "HTTP/1.1 200"));
@@ -547,8 +524,9 @@
 	rig_put(rig, "records", "slot-0",
 		"{\"gateways\":1,\"accounts\":{},\"clocks\":{\"g0\":-25}}");
 	rig_start(rig, 0);
-	RIG_UNTIL(rig, count_logged(rig, 0, " fleet_step_ms=") &&
-			       count_logged(rig, 0, " own_off_ms=-2500\n") == 2);
+	RIG_UNTIL(rig,
+		  rig_count_logged(rig, 0, " fleet_step_ms=") &&
+			  rig_count_logged(rig, 0, " own_off_ms=-2500\n") == 2);
 }
 
 static bool has_object(gateway_rig_t *rig, const char *kind, const char *name)
@@ -567,7 +545,7 @@
 		"{\"gateways\":1,\"accounts\":{},\"leader\":\"g0\"}");
 	rig_remove(rig, "leases", "duties");
 	rig_start(rig, 0);
-	RIG_UNTIL(rig, count_logged(rig, 0, "duties: resume") == 1);
+	RIG_UNTIL(rig, rig_count_logged(rig, 0, "duties: resume") == 1);
 	RIG_UNTIL_WITHIN(rig, has_object(rig, "leases", "duties"),
 			 RESUME_TIMEOUT_MS);
 }
@@ -588,14 +566,15 @@
 
 	RIG_UNTIL_WITHIN(rig, rig->usage->len > 0, REPORTS_TIMEOUT_MS);
 	kill_all(rig);
-	run_for(rig, DOWNTIME_MS);
+	rig_run_for(rig, DOWNTIME_MS);
 	start_all(rig, 2);
-	RIG_UNTIL_WITHIN(rig,
-			 count_logged(rig, 0, "usage gap window=") +
-					 count_logged(rig, 1, "usage gap window=") +
-					 count_logged(rig, 2, "usage gap window=") >=
-				 DOWNTIME_MS / WINDOW_MS,
-			 REPORTS_TIMEOUT_MS);
+	RIG_UNTIL_WITHIN(
+		rig,
+		rig_count_logged(rig, 0, "usage gap window=") +
+				rig_count_logged(rig, 1, "usage gap window=") +
+				rig_count_logged(rig, 2, "usage gap window=") >=
+			DOWNTIME_MS / WINDOW_MS,
+		REPORTS_TIMEOUT_MS);
 }
 
 /*
@@ -646,7 +625,7 @@
 	rig->orders_unanswered = true;
 	rig_start(rig, 0);
 	RIG_UNTIL(rig, rig->orders->len > 0);
-	run_for(rig, ORDERS_OBSERVED_MS);
+	rig_run_for(rig, ORDERS_OBSERVED_MS);
 	assert_int_equal(on_demand_orders(rig), 0);
 	rig->orders_unanswered = false;
 	RIG_UNTIL(rig, on_demand_orders(rig) > 0);
@@ -661,7 +640,7 @@
 
 	kill_all(rig);
 	rig_start(rig, 0);
-	RIG_UNTIL(rig, count_logged(rig, 0, "gateway: start") == 2);
+	RIG_UNTIL(rig, rig_count_logged(rig, 0, "gateway: start") == 2);
 	RIG_UNTIL(rig, rig_is_ready(rig, 0));
 	before = rig->usage->len;
 	RIG_UNTIL(rig, rig->usage->len > before);
@@ -670,7 +649,7 @@
 	caller = rig_call_at(rig, 0, "POST", "/unsafe/x", "c1");
 	RIG_UNTIL(rig, rig->upstreams[0].arrivals + rig->upstreams[1].arrivals);
 	process_signal(rig->gateways[0], SIGTERM);
-	RIG_UNTIL(rig, count_logged(rig, 0, "gateway: stop grace_s"));
+	RIG_UNTIL(rig, rig_count_logged(rig, 0, "gateway: stop grace_s"));
 	before = rig->usage->len;
 	RIG_UNTIL(rig, rig->usage->len > before || process_ended(rig->gateways[0]));
 	assert_true(rig->usage->len > before);
--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -117,6 +117,17 @@
 			  limits, 2);
 }
 
+/* Packs reports of a request that is held, and of one that was cleared. */
+static void pack_quarantine(gateway_t *gateway, msgpack_sbuffer *buffer)
+{
+	const quarantine_report_t reports[] = {
+		{ 77, PD_SEC, false, 0, 2, { { 1, PD_SEC }, { 2, 2 * PD_SEC } } },
+		{ 78, PD_SEC, true, PD_SEC, 1, { { 1, PD_MSEC } } },
+	};
+
+	peers_pack_quarantine(buffer, gateway->peers, reports, 2);
+}
+
 static void check_limit(void *ctx, const upstream_limit_t *limit)
 {
 	bool valid = limit->rate >= 0 && limit->rate <= UPSTREAM_RATE_MAX &&
@@ -155,6 +166,9 @@
 	case 5:
 		pack_limits(gateway, &buffer, MESSAGE_PERMITS);
 		break;
+	case 6:
+		pack_quarantine(gateway, &buffer);
+		break;
 	default:
 		peers_pack_announcement(&packer, peers);
 		break;
@@ -167,7 +181,7 @@
 static bool prop_peers(gateway_t *gateway)
 {
 	return rc::check("messages of peers", [gateway] {
-		auto kind = *rc::gen::inRange(0, 7);
+		auto kind = *rc::gen::inRange(0, 8);
 		bool valid = true;
 		auto bytes = mutated(message(gateway, kind));
 
@@ -175,6 +189,7 @@
 		upstream_limits_each(gateway->upstream_limits, gateway_now(),
 				     check_limit, &valid);
 		RC_ASSERT(valid);
+		RC_ASSERT(quarantine_held_count(gateway->quarantine) <= 4096U);
 		LIST_FOR_EACH (it, forward_upstreams_list(gateway->upstreams)) {
 			forward_upstream_t *upstream =
 				LIST_ENTRY(it, forward_upstream_t, node);
