Test streams whose upstreams run two software versions

The upstreams of the rig register a version, put it into the data of their events, and can be ended by a test, to start again at the same address with another one.

--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -29,6 +29,7 @@
 	uv_timer_t timer;
 	rig_behavior_t behavior;
 	int event; /* number of the last one sent */
+	const char *version; /* of the upstream when the stream began */
 	bool busy; /* a request awaits its response */
 	bool works; /* it takes room of its upstream */
 } session_t;
@@ -237,8 +238,8 @@
 		session_cut(session);
 		return;
 	}
-	snprintf(event, sizeof(event), "id: %d\ndata: e%d\n\n", session->event,
-		 session->event);
+	snprintf(event, sizeof(event), "id: %d\ndata: e%d%s\n\n", session->event,
+		 session->event, session->version ? session->version : "");
 	stream_write(session, event);
 	if (session->event < RIG_EVENTS)
 		return;
@@ -264,6 +265,7 @@
 	g_string_append(head, "\r\n");
 	http1_write(session->conn, head->str, head->len);
 	g_string_free(head, TRUE);
+	session->version = session->server->version;
 	session->event = session->resume_after ? atoi(session->resume_after) : 0;
 	uv_timer_start(&session->timer, on_event, EVENT_MS, EVENT_MS);
 }
@@ -311,26 +313,36 @@
 	g_free(stage);
 }
 
-/* Ends an upstream: new connections are refused, and all others break or fall silent. */
-static void on_run_ends_upstream(uv_timer_t *timer)
+/* Ends an upstream: new connections are refused; SILENT: the others stay, else break. */
+static void server_end(rig_server_t *server, bool silent)
 {
-	session_t *session = timer->data;
-	rig_server_t *server = session->server;
-
 	if (uv_is_closing((uv_handle_t *)&server->listener))
 		return;
 	uv_close((uv_handle_t *)&server->listener, NULL);
 	uv_timer_start(&server->restart, on_restart, RIG_RESTART_MS, 0);
-	if (session->behavior == RIG_VANISH)
+	if (silent)
 		return;
 	LIST_FOR_EACH_SAFE (it, &server->sessions) {
-		session_t *other = LIST_ENTRY(it, session_t, node);
+		session_t *session = LIST_ENTRY(it, session_t, node);
 
-		http1_close(other->conn);
-		session_free(other);
+		http1_close(session->conn);
+		session_free(session);
 	}
 }
 
+/* Ends an upstream, which starts again with another id after RIG_RESTART_MS. */
+void rig_end_upstream(gateway_rig_t *rig, int number)
+{
+	server_end(&rig->upstreams[number], false);
+}
+
+static void on_run_ends_upstream(uv_timer_t *timer)
+{
+	session_t *session = timer->data;
+
+	server_end(session->server, session->behavior == RIG_VANISH);
+}
+
 /* Handles a call by the behavior that is set for the upstream. */
 static void upstream_serve(session_t *session)
 {
@@ -854,14 +866,16 @@
 			     const char *more)
 {
 	char *name = upstream_id(&rig->upstreams[number]);
+	const char *version = rig->upstreams[number].version;
 	char spec[256];
 
 	snprintf(spec, sizeof(spec),
 		 "{\"service\":\"s\",\"address\":\"127.0.0.1:%u\","
-		 "\"zone\":\"a\",\"slots\":8,\"state\":\"%s\"%s}",
+		 "\"zone\":\"a\",\"slots\":8,\"version\":\"%s\","
+		 "\"state\":\"%s\"%s}",
 		 proxy_or_direct(rig->upstream_proxy_ports[number],
 				 rig->upstreams[number].port),
-		 state, more);
+		 version ? version : "v", state, more);
 	rig_put(rig, "servers", name, spec);
 	g_free(name);
 }
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -64,6 +64,8 @@
 	uint64_t rejections_since_ms;
 	unsigned int falls;
 	uint64_t down_until_ms; /* until then it closes connections */
+	/* of its software, registered and in the data of its events; NULL: none */
+	const char *version;
 	list_node_t sessions; /* connections to it */
 	uv_timer_t restart;
 	unsigned int ends; /* how often it ended; its id has this number */
@@ -125,6 +127,7 @@
 int rig_count_logged(gateway_rig_t *rig, int number, const char *text);
 unsigned int rig_run_count(const gateway_rig_t *rig, const char *call_id);
 uint16_t rig_port(gateway_rig_t *rig, int number, const char *what);
+void rig_end_upstream(gateway_rig_t *rig, int number);
 rig_caller_t *rig_call(gateway_rig_t *rig, uint16_t port, const char *text);
 void rig_send(rig_caller_t *caller, const char *text);
 void rig_receive(rig_caller_t *caller);
--- /dev/null
+++ b/tests/process/test_gateway_versions.c
@@ -0,0 +1,302 @@
+/* Tests of three gateways whose upstreams run two software versions. */
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "tests/harness/gateway_calls.h"
+
+#define OLD "-old" /* versions, as they stand in the data of events */
+#define NEW "-new"
+#define STREAMS 24
+#define EVENTS_SEEN 2 /* before a stream is broken off */
+#define KNOWN_MS 1000 /* after which other gateways know of a stream */
+
+/* A caller that has received a part of a stream. */
+typedef struct taken {
+	char id[32];
+	bool old; /* its first event is from the old version */
+} taken_t;
+
+/* Starts gateways for the START_COUNT-th time, and waits until they are ready. */
+static void start_gateways(gateway_rig_t *rig, int start_count)
+{
+	for (int i = 0; i < RIG_GATEWAYS; i++) {
+		rig_start(rig, i);
+		RIG_UNTIL(rig, rig_count_logged(rig, i, "gateway: start") ==
+				       start_count);
+		rig->peer_ports[i] = rig_port(rig, i, "peers");
+	}
+	for (int i = 0; i < RIG_GATEWAYS; i++)
+		RIG_UNTIL(rig, rig_is_ready(rig, i));
+}
+
+/* Starts three gateways, with one upstream of the old version and two of the new one. */
+static int setup(void **state)
+{
+	gateway_rig_t *rig = gateway_rig_create();
+
+	rig_put_config(rig, 1, "");
+	for (int i = 0; i < RIG_UPSTREAMS; i++) {
+		rig->upstreams[i].version = i ? NEW : OLD;
+		rig->upstreams[i].behavior = RIG_STREAM;
+		rig_put_upstream(rig, i, "ready");
+	}
+	start_gateways(rig, 1);
+	*state = rig;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	gateway_rig_destroy(*state);
+	return 0;
+}
+
+/* Fails the test if a caller has received events of two versions. */
+static void check_one_version(const rig_caller_t *caller)
+{
+	const char *text = caller->received->str;
+
+	if (strstr(text, OLD "\n") && strstr(text, NEW "\n"))
+		fail_msg("events of two versions: %s", text);
+}
+
+/* Returns whether a stream is complete. */
+static bool is_complete(const rig_caller_t *caller)
+{
+	return strstr(caller->received->str, "\r\n0\r\n\r\n") != NULL;
+}
+
+/* Returns whether a call has ended, with a complete response or without. */
+static bool is_over(rig_caller_t *caller)
+{
+	rig_receive(caller);
+	return caller->closed || is_complete(caller) ||
+	       strstr(caller->received->str, "Content-Length: 0");
+}
+
+/* Sends a call for stream NUMBER from its start; owned by the caller. */
+static rig_caller_t *begin(gateway_rig_t *rig, int gateway, const char *id,
+			   int number)
+{
+	char path[32];
+
+	snprintf(path, sizeof(path), "/stream/%d", number);
+	return rig_call_at(rig, gateway, "POST", path, id);
+}
+
+/* Guards against gateways that resume a stream at another version by themselves. */
+static void test_gateway_resumes_stream_at_its_version_only(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *callers[STREAMS];
+	unsigned int complete = 0;
+
+	rig->upstreams[0].behavior = RIG_STREAM_CUT;
+	rig->upstreams[1].behavior = RIG_STREAM_CUT;
+	for (int i = 0; i < STREAMS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "a%d", i);
+		callers[i] = begin(rig, i % RIG_GATEWAYS, id, i);
+	}
+	for (int i = 0; i < STREAMS; i++) {
+		RIG_UNTIL(rig, is_over(callers[i]));
+		check_one_version(callers[i]);
+		complete += is_complete(callers[i]);
+		rig_caller_destroy(callers[i]);
+	}
+	/* Two of three begin at the new version, and can go on there. */
+	print_message("%u of %d complete\n", complete, STREAMS);
+	assert_true(complete >= STREAMS / 3);
+}
+
+/* Sends a call for stream NUMBER, which attempt BEGAN began; owned by the caller. */
+static rig_caller_t *resume(gateway_rig_t *rig, int gateway, const char *id,
+			    int number, const char *began)
+{
+	char *text = g_strdup_printf("POST /stream/%d HTTP/1.1\r\nHost: h\r\n"
+				     "X-Attempt-Id: %s\r\nResumes: %s\r\n"
+				     "Last-Event-Id: %d\r\n"
+				     "X-Deadline-Ms: 3000\r\n"
+				     "Authorization: Bearer k\r\n"
+				     "Content-Length: 4\r\n\r\nbody",
+				     number, id, began, EVENTS_SEEN);
+	rig_caller_t *caller =
+		rig_call(rig, rig_port(rig, gateway, "callers"), text);
+
+	g_free(text);
+	return caller;
+}
+
+/* Has callers take a part of a stream each, from gateway 0, and leave. */
+static void take_parts(gateway_rig_t *rig, taken_t *taken, bool leave)
+{
+	rig_caller_t *callers[STREAMS];
+
+	for (int i = 0; i < STREAMS; i++) {
+		snprintf(taken[i].id, sizeof(taken[i].id), "t%d", i);
+		callers[i] = begin(rig, 0, taken[i].id, i);
+	}
+	for (int i = 0; i < STREAMS; i++) {
+		RIG_UNTIL(rig, rig_has_received(callers[i], "id: 2\n"));
+		taken[i].old = strstr(callers[i]->received->str, OLD "\n");
+	}
+	if (!leave)
+		rig_run_for(rig, KNOWN_MS);
+	for (int i = 0; i < STREAMS; i++)
+		rig_caller_destroy(callers[i]);
+}
+
+/*
+ * Has the callers go on at other gateways. Checks that none gets events of another
+ * version, and returns how many streams went on.
+ */
+static unsigned int resume_all(gateway_rig_t *rig, const taken_t *taken, int round)
+{
+	rig_caller_t *callers[STREAMS];
+	unsigned int complete = 0;
+
+	for (int i = 0; i < STREAMS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "r%d-%d", round, i);
+		callers[i] = resume(rig, 1 + i % (RIG_GATEWAYS - 1), id, i,
+				    taken[i].id);
+	}
+	for (int i = 0; i < STREAMS; i++) {
+		const char *text;
+
+		RIG_UNTIL(rig, is_over(callers[i]));
+		text = callers[i]->received->str;
+		if (strstr(text, taken[i].old ? NEW "\n" : OLD "\n"))
+			fail_msg("%s of version %s went on: %s", taken[i].id,
+				 taken[i].old ? OLD : NEW, text);
+		complete += is_complete(callers[i]);
+		rig_caller_destroy(callers[i]);
+	}
+	print_message("%u of %d went on\n", complete, STREAMS);
+	return complete;
+}
+
+/* Guards against callers that resume a stream of another version at another gateway. */
+static void test_caller_resumes_stream_at_its_version_only(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	take_parts(rig, taken, true);
+	assert_true(resume_all(rig, taken, 0) >= STREAMS / 2);
+}
+
+/* Guards against a stream of a killed gateway that goes on at another version. */
+static void test_stream_of_killed_gateway_goes_on_at_its_version_only(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	take_parts(rig, taken, false);
+	process_destroy(rig->gateways[0]);
+	rig->gateways[0] = NULL;
+	assert_true(resume_all(rig, taken, 0) >= STREAMS / 2);
+}
+
+/* Guards against a stream that goes on at the version that has replaced its own. */
+static void test_stream_does_not_go_on_at_version_that_replaced_its_own(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	take_parts(rig, taken, true);
+	rig->upstreams[0].version = NEW;
+	rig_end_upstream(rig, 0);
+	rig_run_for(rig, RIG_RESTART_MS + 300);
+	assert_true(resume_all(rig, taken, 0) >= STREAMS / 3);
+}
+
+/* Guards against the same where the upstream ends while it runs streams. */
+static void test_version_is_replaced_at_same_address_mid_stream(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *callers[STREAMS];
+
+	for (int i = 0; i < STREAMS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "m%d", i);
+		callers[i] = begin(rig, i % RIG_GATEWAYS, id, i);
+	}
+	rig_run_for(rig, 70);
+	rig->upstreams[0].version = NEW;
+	rig->upstreams[1].version = OLD;
+	rig_end_upstream(rig, 0);
+	rig_end_upstream(rig, 1);
+	for (int i = 0; i < STREAMS; i++) {
+		RIG_UNTIL(rig, is_over(callers[i]));
+		check_one_version(callers[i]);
+		rig_caller_destroy(callers[i]);
+	}
+}
+
+/* Guards against joined streams after all gateways were killed. */
+static void test_streams_after_kill_of_all_gateways_are_not_joined(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	take_parts(rig, taken, false);
+	for (int i = 0; i < RIG_GATEWAYS; i++) {
+		process_destroy(rig->gateways[i]);
+		rig->gateways[i] = NULL;
+	}
+	start_gateways(rig, 2);
+	resume_all(rig, taken, 0);
+}
+
+/* Guards against the refusal of streams that a restarted gateway has not seen. */
+static void test_restarted_gateway_asks_others_for_versions(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	take_parts(rig, taken, false);
+	process_destroy(rig->gateways[1]);
+	rig->gateways[1] = NULL;
+	rig_start(rig, 1);
+	RIG_UNTIL(rig, rig_count_logged(rig, 1, "gateway: start") == 2);
+	rig->peer_ports[1] = rig_port(rig, 1, "peers");
+	RIG_UNTIL(rig, rig_is_ready(rig, 1));
+	assert_true(resume_all(rig, taken, 0) >= STREAMS * 3 / 4);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_gateway_resumes_stream_at_its_version_only,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_caller_resumes_stream_at_its_version_only,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_stream_of_killed_gateway_goes_on_at_its_version_only,
+			setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_stream_does_not_go_on_at_version_that_replaced_its_own,
+			setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_version_is_replaced_at_same_address_mid_stream,
+			setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_streams_after_kill_of_all_gateways_are_not_joined,
+			setup, teardown),
+		cmocka_unit_test_setup_teardown(test_restarted_gateway_asks_others_for_versions,
+						setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
