--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -236,11 +236,13 @@
 	if (!upstream)
 		return;
 	log_line(G_LOG_LEVEL_INFO, "upstream",
-		 "id=%s stage=%s service=%s zone=%s address=%s:%u slots=%u "
+		 "id=%s stage=%s service=%s version=%s zone=%s address=%s:%u "
+		 "slots=%u "
 		 "reclaimable=%d revision=%" G_GUINT64_FORMAT " source=%s",
-		 id, stages[upstream->stage], upstream->service, upstream->zone,
-		 upstream->address, upstream->port, upstream->slots,
-		 upstream->reclaimable, upstream->revision, source);
+		 id, stages[upstream->stage], upstream->service,
+		 upstream->version, upstream->zone, upstream->address,
+		 upstream->port, upstream->slots, upstream->reclaimable,
+		 upstream->revision, source);
 	gateway_peers_queue_update(gateway->peers, id);
 }
 
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -572,6 +572,7 @@
 	msgpack_pack_uint8(packer, upstream->reclaimable);
 	msgpack_pack_uint64(packer, upstream->revision);
 	msgpack_pack_int64(packer, upstream->start_time_ms);
+	msgpack_write_string(packer, upstream->version);
 }
 
 /*
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -115,7 +115,8 @@
 #define REPORT_FIELDS 4
 #define USAGE_FIELDS 3 /* window, account, count */
 /* An upstream in full, or only its id hash, stage, revision and start time. */
-#define UPSTREAM_FIELDS 10
+#define UPSTREAM_FIELDS 11
+#define UPSTREAM_FIELDS_MIN 10 /* earlier builds send no software version */
 #define STAGE_FIELDS 4
 
 #define FETCH_CONFIG 1u
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -594,9 +594,10 @@
 			   GArray *unknown)
 {
 	gateway_t *gateway = peers->gateway;
+	uint32_t count = 0;
 	const msgpack_object *fields =
-		msgpack_field_array(object, UPSTREAM_FIELDS, NULL);
-	char *texts[4] = { NULL };
+		msgpack_field_array(object, UPSTREAM_FIELDS_MIN, &count);
+	char *texts[5] = { NULL };
 	forward_registration_t registration = { 0 };
 	bool changed = false;
 
@@ -610,11 +611,14 @@
 	texts[1] = msgpack_field_string(&fields[1]);
 	texts[2] = msgpack_field_string(&fields[2]);
 	texts[3] = msgpack_field_string(&fields[4]);
+	if (count >= UPSTREAM_FIELDS)
+		texts[4] = msgpack_field_string(&fields[10]);
 	registration.id = texts[0];
 	registration.service = texts[1];
 	registration.address = texts[2];
 	registration.port = (uint16_t)msgpack_field_uint64(&fields[3]);
 	registration.zone = texts[3];
+	registration.version = texts[4];
 	registration.slots = (unsigned int)msgpack_field_uint64(&fields[5]);
 	registration.stage = (forward_stage_t)msgpack_field_uint64(&fields[6]);
 	registration.reclaimable = msgpack_field_uint64(&fields[7]) != 0;
--- a/adapters/gateway/request_end.c
+++ b/adapters/gateway/request_end.c
@@ -63,7 +63,7 @@
 		 "x route=%s service=%s account=%s status=%d "
 		 "reason=\"%s\" upstream=%s sends=%u ran=%u events=%u "
 		 "tokens=%.0f "
-		 "ms=%.1f config=%" G_GUINT64_FORMAT " queued=%u",
+		 "ms=%.1f config=%" G_GUINT64_FORMAT " queued=%u%s%s",
 		 request->call->id ? request->call->id : "-",
 		 request->fingerprint, request->route ? request->route->name : "-",
 		 request->service ? request->service : "-",
@@ -73,7 +73,9 @@
 		 request->sends, request->possible_runs,
 		 request->events ? request->events->count : 0, request->charged,
 		 (double)(now - request->arrived_at) / PD_MSEC,
-		 request->config ? request->config->version : 0, gateway->queued);
+		 request->config ? request->config->version : 0,
+		 gateway->queued, request->call->resumes ? " resumes=" : "",
+		 request->call->resumes ? request->call->resumes : "");
 }
 
 /* Counts the request by its outcome, and records its duration in ms. */
--- a/core/forward/call.c
+++ b/core/forward/call.c
@@ -23,6 +23,7 @@
 	g_free(call->host);
 	g_free(call->api_key);
 	g_free(call->resume_after);
+	g_free(call->resumes);
 	g_string_free(call->headers, TRUE);
 	g_free(call);
 }
--- a/core/forward/call.h
+++ b/core/forward/call.h
@@ -30,6 +30,8 @@
 	unsigned int part_count;
 	/* id of the last event that the caller has; NULL: from the start */
 	char *resume_after;
+	/* id of the attempt that brought the first event of the stream; NULL: none */
+	char *resumes;
 	GString *headers; /* header lines to forward, as sent */
 } forward_call_t;
 
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -67,6 +67,7 @@
 	g_free(upstream->service);
 	g_free(upstream->address);
 	g_free(upstream->zone);
+	g_free(upstream->version);
 	g_free(upstream);
 }
 
@@ -242,6 +243,7 @@
 	upstream->service = g_strdup("");
 	upstream->address = g_strdup("");
 	upstream->zone = g_strdup("");
+	upstream->version = g_strdup("");
 	list_init(&upstream->idle_links);
 	upstream->cached_parts =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
@@ -301,6 +303,8 @@
 	replace_string(&upstream->service, registration->service);
 	replace_string(&upstream->address, registration->address);
 	replace_string(&upstream->zone, registration->zone);
+	replace_string(&upstream->version,
+		       registration->version ? registration->version : "");
 	upstream->port = registration->port;
 	upstream->slots = registration->slots;
 	upstream->stage = registration->stage;
@@ -357,6 +361,7 @@
 		.address = upstream->address,
 		.port = upstream->port,
 		.zone = upstream->zone,
+		.version = upstream->version,
 		.slots = upstream->slots,
 		.stage = change->stage,
 		.reclaimable = upstream->reclaimable,
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -35,6 +35,7 @@
 	const char *address;
 	uint16_t port;
 	const char *zone;
+	const char *version; /* of its software; "": unknown */
 	unsigned int slots;
 	forward_stage_t stage;
 	bool reclaimable;
@@ -66,6 +67,7 @@
 	char *address;
 	uint16_t port;
 	char *zone;
+	char *version; /* of its software; "": unknown */
 	unsigned int slots;
 	forward_stage_t stage;
 	bool reclaimable;
