Have streams go on only at the software version that began them

Callers got streams with events of two versions of an upstream's software, which do not fit together: a stream that broke off went on at any upstream, in the gateway's own retries and where its caller took it up again. No code used the version of an upstream or the attempt that a caller resumes.

A gateway now records the version that sent the first event, and chooses among upstreams of that version and service only. Records go to other gateways with the next state, or at once if a stream breaks off, and are asked for where they are missing.

--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -30,6 +30,9 @@
 /* The recorded fleet size is used for this long after the start. */
 #define FLEET_SIZE_MAX_AGE (60 * PD_SEC)
 
+/* A stream that was begun before the record was written can't be resumed after this. */
+#define VERSIONS_MAX_AGE (30 * PD_SEC)
+
 static const char *const slot_names[CHECKPOINT_SLOTS] = { "slot-0", "slot-1" };
 
 typedef struct checkpoint_object checkpoint_object_t;
@@ -239,6 +242,27 @@
 	}
 }
 
+/*
+ * Applies which services ran one software version only, unless the record is too old to
+ * tell of the streams that may be resumed.
+ */
+static void restore_versions(gateway_checkpoint_t *checkpoint,
+			     const checkpoint_record_t *record)
+{
+	gateway_t *gateway = checkpoint->gateway;
+	pd_time_t start = time_vote_wall(gateway->vote, gateway->started_at);
+
+	if (start - record->written_at > VERSIONS_MAX_AGE)
+		return;
+	for (guint i = 0; i < record->versions->len; i++) {
+		const version_record_t *entry =
+			&g_array_index(record->versions, version_record_t, i);
+
+		stream_versions_restore_sole(gateway->streams, entry->service,
+					     entry->version_id, gateway_now());
+	}
+}
+
 /* Returns the leader as it is logged, borrowed. */
 static const char *leader_or_none(const char *leader)
 {
@@ -277,6 +301,7 @@
 	checkpoint->fleet_size = record->fleet_size;
 	restore_accounts(checkpoint, record);
 	restore_clocks(checkpoint, record);
+	restore_versions(checkpoint, record);
 	if (!g_strcmp0(record->leader, checkpoint->gateway->settings->node_id))
 		gateway_duties_resume(checkpoint->gateway->duties);
 	log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT,
@@ -557,6 +582,12 @@
 	record->leader = g_strdup(checkpoint->leader);
 }
 
+/* Adds a service with its only version to the record of CTX. */
+static void add_version(void *ctx, const char *service, uint64_t version_id)
+{
+	checkpoint_record_add_version(ctx, service, version_id);
+}
+
 /* Returns the current record as JSON, owned by the caller. */
 static char *create_record_text(gateway_checkpoint_t *checkpoint, pd_time_t now)
 {
@@ -571,6 +602,9 @@
 	add_leader(checkpoint, record);
 	token_limits_each(gateway->limits, now, add_account, &accounts);
 	time_vote_each_offset(gateway->vote, now, add_clock, &clocks);
+	if (gateway_peers_has_current_upstreams(gateway->peers, now))
+		stream_versions_each_sole(gateway->streams, now, add_version,
+					  record);
 	text = checkpoint_record_format(record);
 	checkpoint_record_destroy(record);
 	return text;
--- a/adapters/gateway/checkpoint_record.c
+++ b/adapters/gateway/checkpoint_record.c
@@ -30,6 +30,12 @@
 	g_free(((clock_record_t *)data)->node);
 }
 
+/* Frees what a version_record_t owns. */
+static void version_clear(void *data)
+{
+	g_free(((version_record_t *)data)->service);
+}
+
 /* Returns an empty record; the caller owns it. */
 checkpoint_record_t *checkpoint_record_create(void)
 {
@@ -39,6 +45,8 @@
 	g_array_set_clear_func(record->accounts, account_clear);
 	record->clocks = g_array_new(FALSE, TRUE, sizeof(clock_record_t));
 	g_array_set_clear_func(record->clocks, clock_clear);
+	record->versions = g_array_new(FALSE, TRUE, sizeof(version_record_t));
+	g_array_set_clear_func(record->versions, version_clear);
 	return record;
 }
 
@@ -50,6 +58,7 @@
 	g_free(record->leader);
 	g_array_unref(record->accounts);
 	g_array_unref(record->clocks);
+	g_array_unref(record->versions);
 	g_free(record);
 }
 
@@ -71,6 +80,15 @@
 	g_array_append_val(record->clocks, entry);
 }
 
+/* Adds a service of which only one version served lately. */
+void checkpoint_record_add_version(checkpoint_record_t *record,
+				   const char *service, uint64_t version_id)
+{
+	const version_record_t entry = { g_strdup(service), version_id };
+
+	g_array_append_val(record->versions, entry);
+}
+
 /* Returns a non-negative integer, or 0 for any other value. */
 static uint64_t non_negative(const json_t *value)
 {
@@ -114,6 +132,22 @@
 	}
 }
 
+/* Reads {service: version id in hex}; invalid ids are skipped. */
+static void read_versions(checkpoint_record_t *record, json_t *versions)
+{
+	const char *service;
+	json_t *value;
+
+	json_object_foreach(versions, service, value)
+	{
+		const char *text = json_string_value(value);
+		uint64_t version_id = text ? g_ascii_strtoull(text, NULL, 16) : 0;
+
+		if (version_id)
+			checkpoint_record_add_version(record, service, version_id);
+	}
+}
+
 /* Returns a time of day given in ms, or 0 for any other value. */
 static pd_time_t read_time(const json_t *root, const char *key)
 {
@@ -140,6 +174,7 @@
 	record->previous_write_at = read_time(root, "before");
 	read_accounts(record, json_object_get(root, "accounts"));
 	read_clocks(record, json_object_get(root, "clocks"));
+	read_versions(record, json_object_get(root, "versions"));
 	json_decref(root);
 	return record;
 }
@@ -175,6 +210,23 @@
 	return clocks;
 }
 
+/* Returns the versions as JSON, owned by the caller: service -> version id. */
+static json_t *write_versions(const checkpoint_record_t *record)
+{
+	json_t *versions = json_object();
+
+	for (guint i = 0; i < record->versions->len; i++) {
+		const version_record_t *entry =
+			&g_array_index(record->versions, version_record_t, i);
+		char *text = g_strdup_printf("%" G_GINT64_MODIFIER "x",
+					     entry->version_id);
+
+		json_object_set_new(versions, entry->service, json_string(text));
+		g_free(text);
+	}
+	return versions;
+}
+
 /*
  * Returns the record as JSON without the time of writing; the caller owns it.
  */
@@ -187,6 +239,8 @@
 	char *text;
 	char *copy;
 
+	if (record->versions->len)
+		json_object_set_new(root, "versions", write_versions(record));
 	if (record->leader)
 		json_object_set_new(root, "leader", json_string(record->leader));
 	if (record->previous_write_at)
--- a/adapters/gateway/checkpoint_record.h
+++ b/adapters/gateway/checkpoint_record.h
@@ -1,7 +1,7 @@
 /*
  * Checkpoint record: what a restarted fleet needs to know of the previous one.
  * It has the number of gateways, the leader, what is left of accounts' limits,
- * and the clocks that are off.
+ * the clocks that are off, and which services ran one software version only.
  */
 #ifndef PISTACHIO_GATEWAY_CHECKPOINT_RECORD_H
 #define PISTACHIO_GATEWAY_CHECKPOINT_RECORD_H
@@ -24,6 +24,12 @@
 	pd_time_t offset;
 } clock_record_t;
 
+/* A service of which only one software version served lately. */
+typedef struct version_record {
+	char *service;
+	uint64_t version_id; /* as forward_upstream_t has it */
+} version_record_t;
+
 typedef struct checkpoint_record {
 	unsigned int fleet_size; /* number of gateways that share the limits */
 	char *leader; /* id of its VM; NULL: unknown */
@@ -34,6 +40,7 @@
 	pd_time_t previous_write_at;
 	GArray *accounts; /* of account_record_t */
 	GArray *clocks; /* of clock_record_t */
+	GArray *versions; /* of version_record_t */
 } checkpoint_record_t;
 
 checkpoint_record_t *checkpoint_record_create(void);
@@ -43,6 +50,8 @@
 				   double level, double demand);
 void checkpoint_record_add_clock(checkpoint_record_t *record, const char *node,
 				 pd_time_t offset);
+void checkpoint_record_add_version(checkpoint_record_t *record,
+				   const char *service, uint64_t version_id);
 char *checkpoint_record_format(const checkpoint_record_t *record);
 char *checkpoint_record_stamp(const char *text, pd_time_t at);
 
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -29,6 +29,9 @@
 /* Resolution of all timeouts; each wake-up costs some processor time. */
 #define TICK_MS 20
 #define LISTEN_BACKLOG 512
+/* Streams may be resumed for this long after their first event, or a route's timeout. */
+#define STREAM_TTL_MIN (30 * PD_SEC)
+#define VERSIONS_RECORD_PERIOD (500 * PD_MSEC)
 /*
  * How long a stopping gateway goes on accepting connections. The load balancer needs
  * two health checks, a second apart, to stop sending callers here, and connections
@@ -138,6 +141,20 @@
 	return gateway_is_initialized(gateway) && !gateway->stop_requested_at;
 }
 
+/* Returns the longest time that a route allows for a stream. */
+static pd_time_t longest_stream(const forward_config_t *config)
+{
+	pd_time_t longest = 0;
+
+	for (guint i = 0; i < config->routes->len; i++) {
+		const forward_route_t *route = g_ptr_array_index(config->routes, i);
+
+		if (route->kind == FORWARD_STREAM)
+			longest = MAX(longest, route->timeout);
+	}
+	return longest;
+}
+
 /*
  * Applies a configuration if it is newer than the current one, and announces it to
  * the peers. SOURCE is logged. Returns whether it was newer; logs one that can't be
@@ -166,6 +183,8 @@
 	gateway->config = config;
 	g_free(gateway->config_text);
 	gateway->config_text = g_strdup(text);
+	stream_versions_set_ttl(gateway->streams,
+				MAX(longest_stream(config), STREAM_TTL_MIN));
 	gateway_peers_announce_config(gateway->peers);
 	return true;
 }
@@ -338,6 +357,38 @@
 				 PD_MSEC);
 }
 
+/* Records which software versions upstreams run, those included that leave. */
+static void record_serving_versions(gateway_t *gateway, pd_time_t now)
+{
+	if (now < gateway->versions_record_at)
+		return;
+	gateway->versions_record_at = now + VERSIONS_RECORD_PERIOD;
+	LIST_FOR_EACH (it, forward_upstreams_list(gateway->upstreams)) {
+		const forward_upstream_t *upstream =
+			LIST_ENTRY(it, forward_upstream_t, node);
+
+		if (upstream->revision && upstream->stage != FORWARD_GONE)
+			stream_versions_record_serving(gateway->streams,
+						       upstream->service,
+						       upstream->version_id, now);
+	}
+}
+
+/*
+ * Returns the version of all streams of a service that may still be resumed; 0: there
+ * may be several, or this gateway may not know them all.
+ */
+uint64_t gateway_sole_version(gateway_t *gateway, const char *service)
+{
+	pd_time_t now = gateway_now();
+
+	if (!gateway_peers_has_current_upstreams(gateway->peers, now))
+		return 0;
+	gateway->versions_record_at = now;
+	record_serving_versions(gateway, now);
+	return stream_versions_sole(gateway->streams, service, now);
+}
+
 /* Advances all parts of the gateway; called every TICK_MS. */
 static void on_tick(uv_timer_t *timer)
 {
@@ -354,6 +405,7 @@
 	upstream_probes_run(gateway, now);
 	gateway_reach_run(gateway, now);
 	gateway_quarantine_run(gateway, now);
+	record_serving_versions(gateway, now);
 	gateway_requests_run(gateway, now);
 	callers_run(gateway, now);
 	upstream_links_run(gateway, now);
@@ -475,6 +527,10 @@
 	gateway->upstream_limits = upstream_limits_create();
 	gateway->reach = reach_create();
 	gateway->name_hash = hash_string(settings->node_id);
+	gateway->streams =
+		stream_versions_create(STREAM_TTL_MIN,
+				       !strcmp(settings->node_start, "first"),
+				       gateway->started_at);
 	gateway->quarantine = quarantine_create();
 	list_init(&gateway->quarantine_checks);
 	list_init(&gateway->silences);
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -18,6 +18,7 @@
 bool gateway_apply_config(gateway_t *gateway, const char *text, const char *source);
 void gateway_store_answered(gateway_t *gateway, pd_time_t at);
 void gateway_store_failed(gateway_t *gateway, pd_time_t sent_at);
+uint64_t gateway_sole_version(gateway_t *gateway, const char *service);
 void gateway_upstream_changed(gateway_t *gateway, const char *id,
 			      const char *source);
 
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -12,6 +12,7 @@
 #include "core/forward/reach.h"
 #include "core/forward/retry_window.h"
 #include "core/forward/store_outage.h"
+#include "core/forward/stream_versions.h"
 #include "core/forward/time_vote.h"
 #include "core/forward/token_limits.h"
 #include "core/forward/upstream_limits.h"
@@ -44,6 +45,8 @@
 	uint64_t name_hash; /* of the VM, to draw shares by */
 	reach_t *reach; /* whether upstreams can be connected to */
 	list_node_t probes; /* of upstreams, in progress */
+	stream_versions_t *streams; /* which software version began each */
+	pd_time_t versions_record_at; /* when those that serve are next recorded */
 	quarantine_t *quarantine; /* of requests under which upstreams end */
 	list_node_t quarantine_checks; /* of upstreams that may have ended */
 	list_node_t silences; /* requests that got no answer, whose upstream may end */
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -320,7 +320,8 @@
 		flags |= STATE_FLAG_HIGH_CAPACITY;
 	if (request_summary)
 		flags |= STATE_FLAG_REQUESTS_SUMMARY;
-	flags |= STATE_FLAG_HANDLES_LIMITS | STATE_FLAG_HANDLES_QUARANTINE;
+	flags |= STATE_FLAG_HANDLES_LIMITS | STATE_FLAG_HANDLES_QUARANTINE |
+		 STATE_FLAG_HANDLES_STREAMS;
 	if (reach_is_cut_off(peers->gateway->reach))
 		flags |= STATE_FLAG_CUT_OFF;
 	flags |= (unsigned int)peers->gateway->relay_port << STATE_RELAY_PORT_SHIFT;
@@ -415,6 +416,8 @@
 				   gateway_current_window(peers->gateway) - 1);
 	else
 		msgpack_pack_nil(&packer);
+	peers_pack_stream_records(&packer, peers->stream_records,
+				  peers->stream_record_count);
 }
 
 /*
@@ -460,6 +463,7 @@
 	msgpack_pack_uint16(&packer, peers->zone);
 	msgpack_pack_uint64(&packer, 0);
 	msgpack_pack_nil(&packer);
+	msgpack_pack_nil(&packer);
 }
 
 /* Sends a peer the sums over all other gateways. FULL: includes the members. */
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -23,6 +23,8 @@
 	MESSAGE_PERMIT_REQUEST, /* to the gateway that issues permits */
 	MESSAGE_PERMITS, /* its reply, or limits that it knows */
 	MESSAGE_QUARANTINE, /* requests under which upstreams ended */
+	MESSAGE_STREAMS, /* software versions that began streams */
+	MESSAGE_STREAM_QUERY, /* asks for that of one stream */
 	MESSAGE_KINDS /* number of kinds */
 } message_kind_t;
 
@@ -53,9 +55,12 @@
 	STATE_CLOCK_STEP_AGE,
 	/* last window whose usage counts are complete; nil: unknown */
 	STATE_WATERMARK,
+	STATE_STREAMS, /* software versions that began streams lately */
 	STATE_FIELDS /* number of fields */
 } state_field_t;
 
+#define STATE_FIELDS_MIN STATE_STREAMS /* earlier builds send no more */
+
 #define STATE_FLAG_HAS_STORE 1u
 #define STATE_FLAG_HIGH_CAPACITY 2u
 #define STATE_FLAG_REQUESTS_SUMMARY 4u /* requests a summary in return */
@@ -64,6 +69,10 @@
 #define STATE_FLAG_CUT_OFF 16u /* reaches no upstream */
 /* knows messages about requests under which upstreams ended */
 #define STATE_FLAG_HANDLES_QUARANTINE 32u
+/* knows messages about software versions that began streams */
+#define STATE_FLAG_HANDLES_STREAMS 64u
+/* Records of streams in one state. */
+#define STATE_STREAMS_MAX 512
 /* the port for relayed requests, in the upper bits of the flags; 0: none */
 #define STATE_RELAY_PORT_SHIFT 16
 
@@ -110,6 +119,9 @@
 #define LIMITS_FIELDS 4
 /* short id of the upstream, rate or nil, age in ms or nil if not stated, permits */
 #define LIMIT_FIELDS 4
+#define STREAMS_FIELDS 3 /* kind, sender, versions and attempts in turn */
+#define STREAM_QUERY_FIELDS \
+	4 /* kind, sender, hash of the attempt, service or nil */
 #define QUARANTINE_FIELDS 3 /* kind, sender, reports */
 /* fingerprint, idle ms, ms since it was cleared or nil, ends: short id and age in turn */
 #define REPORT_FIELDS 4
@@ -156,6 +168,7 @@
 	bool handles_limits; /* it knows messages about upstreams' limits */
 	pd_time_t limits_sent_at; /* when limits were last sent to it; 0: never */
 	bool handles_quarantine; /* it knows messages about held requests */
+	bool handles_streams; /* it knows messages about streams */
 	bool knows_held; /* it was sent those held before it started */
 	pd_time_t added_at;
 	/* start of its process, as last reported; 0: never */
@@ -207,6 +220,8 @@
 	pd_time_t counts_sent_at;
 	/* time of the in-flight snapshot last sent to them */
 	pd_time_t snapshot_sent_at;
+	stream_record_t stream_records[STATE_STREAMS_MAX]; /* in the states of a period */
+	unsigned int stream_record_count;
 	/* addresses of the current writers; NULL: none */
 	char *checkpoint_writers[CHECKPOINT_SLOTS];
 	/* when a peer last sent counts; 0: never */
@@ -261,6 +276,18 @@
 int peers_receive_permit_request(gateway_peers_t *peers,
 				 const msgpack_object *fields);
 int peers_receive_permits(gateway_peers_t *peers, const msgpack_object *fields);
+void peers_pack_stream_records(msgpack_packer *packer, stream_record_t *records,
+			       unsigned int count);
+void peers_pack_streams(msgpack_sbuffer *buffer, const gateway_peers_t *peers,
+			stream_record_t *records, unsigned int count);
+void peers_pack_stream_query(msgpack_sbuffer *buffer, const gateway_peers_t *peers,
+			     uint64_t attempt, const char *service);
+void peers_take_stream_records(gateway_peers_t *peers);
+void peers_merge_stream_records(gateway_peers_t *peers,
+				const msgpack_object *object);
+int peers_receive_streams(gateway_peers_t *peers, const msgpack_object *fields);
+int peers_receive_stream_query(gateway_peers_t *peers,
+			       const msgpack_object *fields);
 void peers_pack_quarantine(msgpack_sbuffer *buffer, const gateway_peers_t *peers,
 			   const quarantine_report_t *reports, unsigned int count);
 void peers_repeat_quarantine(gateway_peers_t *peers);
--- /dev/null
+++ b/adapters/gateway/peer_streams.c
@@ -0,0 +1,204 @@
+/*
+ * Messages about the software versions that began streams; see
+ * core/forward/stream-versions-notes.md.
+ */
+#include <string.h>
+
+#include "adapters/gateway/gateway.h"
+#include "adapters/gateway/peer_state.h"
+#include "adapters/msgpack_write.h"
+
+/* Records of a message about streams that break off. */
+#define BREAK_RECORDS_MAX 512
+
+/* Orders records by their version. */
+static int compare_versions(const void *a, const void *b)
+{
+	uint64_t first = ((const stream_record_t *)a)->version_id;
+	uint64_t second = ((const stream_record_t *)b)->version_id;
+
+	return first < second ? -1 : first > second;
+}
+
+/* Returns the number of records from FIRST on that have the same version. */
+static unsigned int run_length(const stream_record_t *records,
+			       unsigned int first, unsigned int count)
+{
+	unsigned int end = first;
+
+	while (end < count && records[end].version_id == records[first].version_id)
+		end++;
+	return end - first;
+}
+
+/*
+ * Packs records, which it sorts: versions in turn with the hashes of the attempts that
+ * they began, as bytes.
+ */
+void peers_pack_stream_records(msgpack_packer *packer, stream_record_t *records,
+			       unsigned int count)
+{
+	unsigned int versions = 0;
+	unsigned int length;
+
+	if (count)
+		qsort(records, count, sizeof(*records), compare_versions);
+	for (unsigned int i = 0; i < count; i += length) {
+		length = run_length(records, i, count);
+		versions++;
+	}
+	msgpack_pack_array(packer, 2 * versions);
+	for (unsigned int i = 0; i < count; i += length) {
+		length = run_length(records, i, count);
+		msgpack_pack_uint64(packer, records[i].version_id);
+		msgpack_pack_bin(packer, length * sizeof(uint64_t));
+		for (unsigned int j = i; j < i + length; j++)
+			msgpack_pack_bin_body(packer, &records[j].attempt,
+					      sizeof(uint64_t));
+	}
+}
+
+/* Packs a message with records. */
+void peers_pack_streams(msgpack_sbuffer *buffer, const gateway_peers_t *peers,
+			stream_record_t *records, unsigned int count)
+{
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, STREAMS_FIELDS);
+	msgpack_pack_uint8(&packer, MESSAGE_STREAMS);
+	msgpack_write_string(&packer, peers->address);
+	peers_pack_stream_records(&packer, records, count);
+}
+
+/* Packs a query for the stream that an attempt began. SERVICE may be NULL. */
+void peers_pack_stream_query(msgpack_sbuffer *buffer, const gateway_peers_t *peers,
+			     uint64_t attempt, const char *service)
+{
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, STREAM_QUERY_FIELDS);
+	msgpack_pack_uint8(&packer, MESSAGE_STREAM_QUERY);
+	msgpack_write_string(&packer, peers->address);
+	msgpack_pack_uint64(&packer, attempt);
+	if (service)
+		msgpack_write_string(&packer, service);
+	else
+		msgpack_pack_nil(&packer);
+}
+
+/* Sends a message to the gateways that know of streams: all of a mesh, or aggregators. */
+static void send_to_keepers(gateway_peers_t *peers, const msgpack_sbuffer *buffer)
+{
+	pd_time_t now = gateway_now();
+	peer_t *first[GATEWAY_MESH_MAX];
+	unsigned int most = peers_is_mesh(peers, now) ? G_N_ELEMENTS(first)
+						      : AGGREGATORS;
+	unsigned int count = peers_top_ranked(peers, first, most, now);
+
+	for (unsigned int i = 0; i < count; i++) {
+		if (first[i]->handles_streams)
+			peers_send(peers, first[i], buffer);
+	}
+}
+
+/* Takes the records that the next states have in them. */
+void peers_take_stream_records(gateway_peers_t *peers)
+{
+	peers->stream_record_count =
+		stream_versions_take_unsent(peers->gateway->streams,
+					    peers->stream_records,
+					    G_N_ELEMENTS(peers->stream_records));
+}
+
+/* Sends the versions of streams that were not sent yet, as one of them breaks off. */
+void gateway_peers_send_streams(gateway_peers_t *peers)
+{
+	stream_record_t records[BREAK_RECORDS_MAX];
+	unsigned int count =
+		stream_versions_take_unsent(peers->gateway->streams, records,
+					    BREAK_RECORDS_MAX);
+	msgpack_sbuffer buffer;
+
+	if (!count)
+		return;
+	msgpack_sbuffer_init(&buffer);
+	peers_pack_streams(&buffer, peers, records, count);
+	send_to_keepers(peers, &buffer);
+	msgpack_sbuffer_destroy(&buffer);
+}
+
+/* Asks other gateways for the version that began a stream of a service. */
+void gateway_peers_query_stream(gateway_peers_t *peers, uint64_t attempt,
+				const char *service)
+{
+	msgpack_sbuffer buffer;
+
+	msgpack_sbuffer_init(&buffer);
+	peers_pack_stream_query(&buffer, peers, attempt, service);
+	send_to_keepers(peers, &buffer);
+	msgpack_sbuffer_destroy(&buffer);
+}
+
+/* Applies packed records; malformed ones are ignored. */
+void peers_merge_stream_records(gateway_peers_t *peers, const msgpack_object *object)
+{
+	uint32_t count = 0;
+	const msgpack_object *items = msgpack_field_array(object, 0, &count);
+	pd_time_t now = gateway_now();
+
+	for (uint32_t i = 0; i + 1 < count; i += 2) {
+		stream_record_t record = {
+			.version_id = msgpack_field_uint64(&items[i]),
+		};
+
+		if (items[i + 1].type != MSGPACK_OBJECT_BIN)
+			continue;
+		for (uint32_t at = 0;
+		     at + sizeof(uint64_t) <= items[i + 1].via.bin.size;
+		     at += sizeof(uint64_t)) {
+			memcpy(&record.attempt, items[i + 1].via.bin.ptr + at,
+			       sizeof(uint64_t));
+			stream_versions_merge(peers->gateway->streams, &record,
+					      now);
+		}
+	}
+}
+
+/* Applies the records of a message. Returns 0, or -1 if it is malformed. */
+int peers_receive_streams(gateway_peers_t *peers, const msgpack_object *fields)
+{
+	if (fields[2].type != MSGPACK_OBJECT_ARRAY)
+		return -1;
+	peers_merge_stream_records(peers, &fields[2]);
+	return 0;
+}
+
+/*
+ * Replies to a query if this gateway knows the version, by the attempt or as the only one
+ * of the service. Returns 0, or -1 if the message is malformed.
+ */
+int peers_receive_stream_query(gateway_peers_t *peers, const msgpack_object *fields)
+{
+	char *address = msgpack_field_string(&fields[1]);
+	char *service = msgpack_field_string(&fields[3]);
+	const peer_t *peer = address ? peers_find(peers, address) : NULL;
+	stream_record_t record = { .attempt = msgpack_field_uint64(&fields[2]) };
+	int rc = address ? 0 : -1;
+	msgpack_sbuffer buffer;
+
+	record.version_id =
+		stream_versions_find(peers->gateway->streams, record.attempt);
+	if (!record.version_id && service)
+		record.version_id = gateway_sole_version(peers->gateway, service);
+	if (peer && record.attempt && record.version_id) {
+		msgpack_sbuffer_init(&buffer);
+		peers_pack_streams(&buffer, peers, &record, 1);
+		peers_send(peers, peer, &buffer);
+		msgpack_sbuffer_destroy(&buffer);
+	}
+	g_free(address);
+	g_free(service);
+	return rc;
+}
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -384,6 +384,7 @@
 	peer->cut_off = flags & STATE_FLAG_CUT_OFF;
 	peer->relay_port = (uint16_t)(flags >> STATE_RELAY_PORT_SHIFT);
 	peer->handles_limits = flags & STATE_FLAG_HANDLES_LIMITS;
+	peer->handles_streams = flags & STATE_FLAG_HANDLES_STREAMS;
 	peer->handles_quarantine = flags & STATE_FLAG_HANDLES_QUARANTINE;
 	peer->zone = (uint16_t)msgpack_field_uint64(&fields[STATE_ZONE]);
 	update_store_answered_at(peers, msgpack_field_uint64(
@@ -419,10 +420,11 @@
 }
 
 /*
- * Applies a state, and replies with a summary if it requests one, or with
+ * Applies a state of COUNT fields, and replies with a summary if it requests one, or with
  * this gateway's state if the peer is new. Returns 0, or -1 if it is malformed.
  */
-static int handle_state(gateway_peers_t *peers, const msgpack_object *fields)
+static int handle_state(gateway_peers_t *peers, const msgpack_object *fields,
+			uint32_t count)
 {
 	gateway_t *gateway = peers->gateway;
 	unsigned int flags =
@@ -443,6 +445,8 @@
 	merge_usage(gateway, peer->incarnation, &fields[STATE_USAGE]);
 	merge_watermark(gateway, peer->incarnation, &fields[STATE_WATERMARK]);
 	merge_engine_speeds(gateway, &fields[STATE_ENGINE_SPEEDS]);
+	if (count > STATE_STREAMS)
+		peers_merge_stream_records(peers, &fields[STATE_STREAMS]);
 	merge_members(peers, &fields[STATE_MEMBERS]);
 	/* An aggregator's sums already include this peer. */
 	if (!peers->aggregator) {
@@ -766,8 +770,8 @@
 static int dispatch_message(gateway_peers_t *peers, const msgpack_object *object)
 {
 	static const uint32_t lengths[] = {
-		[MESSAGE_STATE] = STATE_FIELDS,
-		[MESSAGE_SUMMARY] = STATE_FIELDS,
+		[MESSAGE_STATE] = STATE_FIELDS_MIN,
+		[MESSAGE_SUMMARY] = STATE_FIELDS_MIN,
 		[MESSAGE_UPDATES] = UPDATES_FIELDS,
 		[MESSAGE_ANNOUNCEMENT] = 3,
 		[MESSAGE_CONFIG] = 2,
@@ -776,6 +780,8 @@
 		[MESSAGE_PERMIT_REQUEST] = LIMITS_FIELDS,
 		[MESSAGE_PERMITS] = LIMITS_FIELDS,
 		[MESSAGE_QUARANTINE] = QUARANTINE_FIELDS,
+		[MESSAGE_STREAMS] = STREAMS_FIELDS,
+		[MESSAGE_STREAM_QUERY] = STREAM_QUERY_FIELDS,
 	};
 	uint32_t count = 0;
 	const msgpack_object *fields = msgpack_field_array(object, 1, &count);
@@ -785,7 +791,7 @@
 		return -1;
 	switch ((message_kind_t)kind) {
 	case MESSAGE_STATE:
-		return handle_state(peers, fields);
+		return handle_state(peers, fields, count);
 	case MESSAGE_SUMMARY:
 		return handle_summary(peers, fields);
 	case MESSAGE_UPDATES:
@@ -804,6 +810,10 @@
 		return peers_receive_permits(peers, fields);
 	case MESSAGE_QUARANTINE:
 		return peers_receive_quarantine(peers, fields);
+	case MESSAGE_STREAMS:
+		return peers_receive_streams(peers, fields);
+	case MESSAGE_STREAM_QUERY:
+		return peers_receive_stream_query(peers, fields);
 	case MESSAGE_KINDS:
 		break;
 	}
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -49,6 +49,8 @@
  */
 #define STORE_SILENCE_MAX (1100 * PD_MSEC)
 #define STORE_SILENCE_PERIODS 2
+/* A gateway out of touch for longer may lack upstreams that others use. */
+#define UPSTREAMS_CURRENT_TIME (3 * PD_SEC)
 /* A connection that keeps failing is logged at most once in this time. */
 #define DISCONNECT_LOG_PERIOD (10 * PD_SEC)
 /* Smallest VM that can aggregate for some hundreds of gateways. */
@@ -289,6 +291,15 @@
 	peers->store_answered_at = gateway_now();
 }
 
+/*
+ * Returns whether this gateway lacks no upstream that has been registered for some
+ * time: the store has answered it, or one that it hears from, lately.
+ */
+bool gateway_peers_has_current_upstreams(const gateway_peers_t *peers, pd_time_t now)
+{
+	return now - peers->store_answered_at <= UPSTREAMS_CURRENT_TIME;
+}
+
 /*
  * Records whether this gateway is the leader. FENCE is its fencing token; a
  * leader with an older one than is known is ignored.
@@ -667,6 +678,7 @@
 		peers->next_full_state_at = now + PEERS_FULL_PERIOD;
 		peers_repeat_quarantine(peers);
 	}
+	peers_take_stream_records(peers);
 	if (mesh)
 		send_to_mesh(peers, full);
 	else
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -28,7 +28,12 @@
 char *gateway_peers_pick_relay(const gateway_peers_t *peers);
 void gateway_peers_limits_changed(gateway_peers_t *peers);
 void gateway_peers_send_quarantine(gateway_peers_t *peers);
+void gateway_peers_send_streams(gateway_peers_t *peers);
+void gateway_peers_query_stream(gateway_peers_t *peers, uint64_t attempt,
+				const char *service);
 void gateway_peers_record_store_answer(gateway_peers_t *peers);
+bool gateway_peers_has_current_upstreams(const gateway_peers_t *peers,
+					 pd_time_t now);
 void gateway_peers_set_leadership(gateway_peers_t *peers, bool is_leader,
 				  uint64_t fence);
 bool gateway_peers_loads_are_current(gateway_peers_t *peers, pd_time_t now);
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -251,6 +251,14 @@
 					      "no upstream reached");
 		return;
 	}
+	gateway_request_find_version(request);
+}
+
+/* Charges, admits and dispatches a request. */
+void gateway_request_proceed(gateway_request_t *request)
+{
+	gateway_t *gateway = request->gateway;
+
 	if (!request_charge(request) || !gateway_request_admit(request))
 		return;
 	retry_windows_record_request(gateway->retries, request->service,
@@ -403,6 +411,8 @@
 		gateway_request_check_first_event(request, now);
 		if (now >= request->deadline)
 			request_expire(request);
+		else if (request->version_asked_at)
+			gateway_request_check_version(request, now);
 		else if (request->retry_at && now >= request->retry_at)
 			gateway_request_retry(request);
 		else if (request->relay)
--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -165,6 +165,7 @@
 		request->events = event_stream_create();
 	if (!event_stream_feed(request->events, data, len))
 		return;
+	gateway_request_record_version(request);
 	if (request->prefill_tokens > 0) {
 		if (request->prefills_alone)
 			engine_speeds_record_sample(
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -61,6 +61,7 @@
 		.sample_size = fleet_size > SAMPLING_FLEET_SIZE ? SAMPLE_SIZE : 0,
 		.random = gateway->random,
 		.tried_count = request->tried_count,
+		.version_id = request->version_id,
 	};
 
 	for (unsigned int i = 0; i < request->tried_count; i++)
@@ -246,6 +247,7 @@
 		metrics_add(request->gateway->metrics, "gateway_resends_total", 1);
 	request->upstream = forward_upstream_ref(upstream);
 	request->upstream_incarnation = upstream->incarnation;
+	request->upstream_version_id = upstream->version_id;
 	request->tried[request->tried_count++] = g_strdup(upstream->id);
 	request->sends++;
 	request->attempt_started_at = now;
--- a/adapters/gateway/request_end.c
+++ b/adapters/gateway/request_end.c
@@ -158,6 +158,7 @@
  */
 void gateway_request_drop(gateway_request_t *request, const char *reason)
 {
+	gateway_request_share_version(request);
 	if (request->link) {
 		upstream_link_close(request->link);
 		request->link = NULL;
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -57,6 +57,10 @@
 	unsigned int sends; /* attempts begun */
 	unsigned int deliveries; /* attempts whose request was sent */
 	unsigned int possible_runs; /* attempts that may have run */
+	uint64_t version_id; /* that began the stream; 0: no event came yet */
+	bool version_recorded; /* an event of this attempt was forwarded */
+	pd_time_t version_asked_at; /* when other gateways were; 0: it does not wait */
+	pd_time_t version_wanted_at; /* since when it waits for the version */
 	bool usage_counted;
 	bool outcome_recorded; /* for load shedding */
 	char *tried[FORWARD_TRIED_MAX];
@@ -66,6 +70,7 @@
 	/* The current attempt. */
 	forward_upstream_t *upstream; /* NULL: no attempt */
 	unsigned int upstream_incarnation; /* when the attempt began */
+	uint64_t upstream_version_id; /* the same */
 	upstream_link_t *link;
 	pd_time_t attempt_started_at;
 	pd_time_t sent_at; /* 0: nothing was sent yet */
@@ -91,6 +96,11 @@
 void gateway_requests_end_held(gateway_t *gateway);
 void gateway_request_retry(gateway_request_t *request);
 void gateway_request_watch_upstream(const gateway_request_t *request);
+void gateway_request_proceed(gateway_request_t *request);
+void gateway_request_find_version(gateway_request_t *request);
+void gateway_request_check_version(gateway_request_t *request, pd_time_t now);
+void gateway_request_record_version(gateway_request_t *request);
+void gateway_request_share_version(const gateway_request_t *request);
 bool gateway_request_may_relay(const gateway_request_t *request);
 void gateway_request_relay(gateway_request_t *request);
 void gateway_request_check_relay(gateway_request_t *request, pd_time_t now);
--- /dev/null
+++ b/adapters/gateway/request_version.c
@@ -0,0 +1,142 @@
+/*
+ * The software version at which a stream goes on: the one that began it, as this gateway
+ * or another one knows. core/forward/stream-versions-notes.md compares the ways.
+ */
+#include "adapters/gateway/gateway.h"
+#include "adapters/gateway/peers.h"
+#include "adapters/gateway/request_state.h"
+
+/* A request waits for the answers of other gateways for at most this long. */
+#define VERSION_WAIT_MAX (150 * PD_MSEC)
+/* They are asked again, as they may receive the version meanwhile. */
+#define VERSION_ASK_PERIOD (40 * PD_MSEC)
+
+/* Returns the only service of a request's route, borrowed; NULL: it has several. */
+static const char *only_service(const gateway_request_t *request)
+{
+	return request->route->weighted_services->len == 1 ? request->service
+							   : NULL;
+}
+
+/* Returns the version that began the stream that a request resumes; 0: unknown. */
+static uint64_t known_version(const gateway_request_t *request)
+{
+	const stream_versions_t *streams = request->gateway->streams;
+	const char *resumes = request->call->resumes;
+	const char *service = only_service(request);
+	uint64_t version_id =
+		resumes ? stream_versions_find(streams,
+					       stream_versions_hash(resumes))
+			: 0;
+
+	if (!version_id && service)
+		version_id = gateway_sole_version(request->gateway, service);
+	return version_id;
+}
+
+/* Has a request go on at a version, in that service of its route that runs it. */
+static void set_version(gateway_request_t *request, uint64_t version_id)
+{
+	const GArray *services = request->route->weighted_services;
+
+	request->version_id = version_id;
+	for (guint i = 0; i < services->len; i++) {
+		const char *service =
+			g_array_index(services, forward_weighted_service_t, i).service;
+
+		if (forward_upstreams_has_version(request->gateway->upstreams,
+						  service, version_id)) {
+			request->service = service;
+			return;
+		}
+	}
+}
+
+/* Asks other gateways for the version of the stream that a request resumes. */
+static void ask_peers(gateway_request_t *request, pd_time_t now)
+{
+	const char *resumes = request->call->resumes;
+
+	request->version_asked_at = now;
+	metrics_add(request->gateway->metrics,
+		    "gateway_stream_version_queries_total", 1);
+	gateway_peers_query_stream(request->gateway->peers,
+				   resumes ? stream_versions_hash(resumes) : 0,
+				   only_service(request));
+}
+
+/*
+ * Finds out at which version a stream goes on if the request resumes one, and has the
+ * request proceed then; it may wait for other gateways first.
+ */
+void gateway_request_find_version(gateway_request_t *request)
+{
+	uint64_t version_id;
+
+	if (request->route->kind != FORWARD_STREAM ||
+	    !request->route->resumable || !request->call->resume_after) {
+		gateway_request_proceed(request);
+		return;
+	}
+	version_id = known_version(request);
+	if (version_id) {
+		set_version(request, version_id);
+		gateway_request_proceed(request);
+		return;
+	}
+	request->state = REQUEST_QUEUED;
+	request->version_wanted_at = gateway_now();
+	ask_peers(request, request->version_wanted_at);
+}
+
+/* Has a request proceed if other gateways have sent its version; refuses it in time. */
+void gateway_request_check_version(gateway_request_t *request, pd_time_t now)
+{
+	uint64_t version_id = known_version(request);
+
+	if (version_id) {
+		request->version_asked_at = 0;
+		set_version(request, version_id);
+		gateway_request_proceed(request);
+	} else if (now - request->version_wanted_at > VERSION_WAIT_MAX) {
+		metrics_add(request->gateway->metrics,
+			    "gateway_stream_versions_unknown_total", 1);
+		gateway_request_give_up(request, RETRY_AFTER_NO_UPSTREAM,
+					"version of the stream unknown");
+	} else if (now - request->version_asked_at >= VERSION_ASK_PERIOD) {
+		ask_peers(request, now);
+	}
+}
+
+/* Returns the hash of the attempt that brought the first event; 0: it has no id. */
+static uint64_t first_attempt(const gateway_request_t *request)
+{
+	const forward_call_t *call = request->call;
+
+	if (call->resume_after && call->resumes)
+		return stream_versions_hash(call->resumes);
+	return call->id ? stream_versions_hash(call->id) : 0;
+}
+
+/* Records the version of a stream with the first event that this gateway forwards. */
+void gateway_request_record_version(gateway_request_t *request)
+{
+	uint64_t attempt = first_attempt(request);
+
+	if (request->version_recorded || !request->route->resumable)
+		return;
+	request->version_recorded = true;
+	request->version_id = request->upstream_version_id;
+	if (attempt)
+		stream_versions_record(request->gateway->streams, attempt,
+				       request->version_id, gateway_now());
+}
+
+/* Sends the version of a stream that breaks off to gateways that may lack it. */
+void gateway_request_share_version(const gateway_request_t *request)
+{
+	if (request->version_recorded &&
+	    stream_versions_is_unsent(request->gateway->streams,
+				      first_attempt(request)))
+		gateway_peers_send_streams(request->gateway->peers);
+}
--- a/core/forward/choice.c
+++ b/core/forward/choice.c
@@ -222,7 +222,8 @@
 	const forward_criteria_t *criteria = search->criteria;
 	candidate_t candidate;
 
-	if (is_tried(criteria, upstream->id))
+	if (is_tried(criteria, upstream->id) ||
+	    (criteria->version_id && upstream->version_id != criteria->version_id))
 		return false;
 	if (is_full(upstream, criteria, search->now)) {
 		search->any_full = true;
--- a/core/forward/choice.h
+++ b/core/forward/choice.h
@@ -19,6 +19,7 @@
 	unsigned int connections_max;
 	/* shares the slots of brittle upstreams with the other gateways */
 	brittle_sharer_t sharer;
+	uint64_t version_id; /* of the upstreams to choose from; 0: any */
 	/* rate limits of upstreams; NULL: none has one */
 	const upstream_limits_t *limits;
 	/* upstreams to compare at random; 0: compare all */
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -174,6 +174,21 @@
 	return g_hash_table_lookup(set->groups, service);
 }
 
+/* Returns whether an upstream of a service that runs a version accepts new requests. */
+bool forward_upstreams_has_version(const forward_upstreams_t *set,
+				   const char *service, uint64_t version_id)
+{
+	const GPtrArray *serving = forward_upstreams_serving(set, service);
+
+	for (guint i = 0; serving && i < serving->len; i++) {
+		const forward_upstream_t *upstream = g_ptr_array_index(serving, i);
+
+		if (upstream->version_id == version_id)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Returns the requests of all gateways, as far as they are known, divided by
  * the slots of a service. Over 1, some requests queue at the upstreams. Returns
@@ -277,6 +292,14 @@
 	upstream->start_time_ms = start_time_ms;
 }
 
+/* Sets the software version of an upstream of a known service; NULL: unknown. */
+static void set_version(forward_upstream_t *upstream, const char *version)
+{
+	replace_string(&upstream->version, version ? version : "");
+	upstream->version_id =
+		MAX(hash_pair(upstream->service, upstream->version), 1);
+}
+
 /*
  * Applies a registration from the platform or a peer, unless a newer revision
  * is known. Returns whether it changed anything.
@@ -290,6 +313,8 @@
 	if (!upstream)
 		upstream = set_add(set, registration->id);
 	upstream->listed = true;
+	if (registration->revision == upstream->revision && !*upstream->version)
+		set_version(upstream, registration->version);
 	if (registration->revision <= upstream->revision)
 		return false;
 	update_start_time(upstream, registration->start_time_ms);
@@ -303,8 +328,7 @@
 	replace_string(&upstream->service, registration->service);
 	replace_string(&upstream->address, registration->address);
 	replace_string(&upstream->zone, registration->zone);
-	replace_string(&upstream->version,
-		       registration->version ? registration->version : "");
+	set_version(upstream, registration->version);
 	upstream->port = registration->port;
 	upstream->slots = registration->slots;
 	upstream->stage = registration->stage;
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -68,6 +68,7 @@
 	uint16_t port;
 	char *zone;
 	char *version; /* of its software; "": unknown */
+	uint64_t version_id; /* of its service and version; not 0 */
 	unsigned int slots;
 	forward_stage_t stage;
 	bool reclaimable;
@@ -120,6 +121,8 @@
 					   const char *service);
 double forward_upstreams_utilization(const forward_upstreams_t *set,
 				     const char *service);
+bool forward_upstreams_has_version(const forward_upstreams_t *set,
+				   const char *service, uint64_t version_id);
 uint64_t forward_upstreams_digest(const forward_upstreams_t *set,
 				  unsigned int bucket);
 unsigned int forward_upstream_bucket(const forward_upstream_t *upstream);
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -918,7 +918,8 @@
 					       rig->peer_ports[i]);
 	}
 	text = g_strdup_printf(
-		"[node]\nid = \"g%d\"\nzone = \"a\"\n[fleet]\nzones = [\"a\"]\n"
+		"[node]\nid = \"g%d\"\nzone = \"a\"\n%s[fleet]\nzones = "
+		"[\"a\"]\n"
 		"[callers]\nlisten = \"127.0.0.1:0\"\n"
 		"[health]\nlisten = \"127.0.0.1:0\"\n"
 		"[peers]\nlisten = \"127.0.0.1:0\"\nseeds = [%s]\n"
@@ -927,7 +928,7 @@
 		"[cloud]\naddress = \"127.0.0.1:%u\"\n"
 		"[retry]\nslack = 100\n[stop]\ngrace_s = 8\n"
 		"[duties]\nusage_window_s = 1\nlease_gap_ms = 300\n",
-		number, seeds->str,
+		number, rig->first_start ? "start = \"first\"\n" : "", seeds->str,
 		proxy_or_direct(rig->store_proxy_ports[store],
 				rig->stores[store].port),
 		rig->cloud.port);
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -90,6 +90,7 @@
 	GPtrArray *usage; /* bodies of the usage reports received */
 	GPtrArray *orders; /* bodies of the orders received */
 	bool orders_unanswered;
+	bool first_start; /* gateways that start are the first ever */
 	GHashTable *runs; /* call id -> GUINT_TO_POINTER(number of runs) */
 	/* behavior of an upstream for a request; NULL: that of the server */
 	rig_behavior_t (*choose_behavior)(void *ctx, const char *target);
--- a/tests/process/test_gateway_versions.c
+++ b/tests/process/test_gateway_versions.c
@@ -36,19 +36,31 @@
 		RIG_UNTIL(rig, rig_is_ready(rig, i));
 }
 
-/* Starts three gateways, with one upstream of the old version and two of the new one. */
-static int setup(void **state)
+/* Starts three gateways, with upstream 0 of a version and the others of the new one. */
+static void start_rig(void **state, const char *version)
 {
 	gateway_rig_t *rig = gateway_rig_create();
 
+	rig->first_start = true;
 	rig_put_config(rig, 1, "");
 	for (int i = 0; i < RIG_UPSTREAMS; i++) {
-		rig->upstreams[i].version = i ? NEW : OLD;
+		rig->upstreams[i].version = i ? NEW : version;
 		rig->upstreams[i].behavior = RIG_STREAM;
 		rig_put_upstream(rig, i, "ready");
 	}
 	start_gateways(rig, 1);
 	*state = rig;
+}
+
+static int setup(void **state)
+{
+	start_rig(state, OLD);
+	return 0;
+}
+
+static int setup_one_version(void **state)
+{
+	start_rig(state, NEW);
 	return 0;
 }
 
@@ -244,6 +256,17 @@
 	}
 }
 
+/* Kills all gateways and starts them again. */
+static void restart_all(gateway_rig_t *rig)
+{
+	for (int i = 0; i < RIG_GATEWAYS; i++) {
+		process_destroy(rig->gateways[i]);
+		rig->gateways[i] = NULL;
+	}
+	rig->first_start = false;
+	start_gateways(rig, 2);
+}
+
 /* Guards against joined streams after all gateways were killed. */
 static void test_streams_after_kill_of_all_gateways_are_not_joined(void **state)
 {
@@ -251,14 +274,24 @@
 	taken_t taken[STREAMS];
 
 	take_parts(rig, taken, false);
-	for (int i = 0; i < RIG_GATEWAYS; i++) {
-		process_destroy(rig->gateways[i]);
-		rig->gateways[i] = NULL;
-	}
-	start_gateways(rig, 2);
+	restart_all(rig);
 	resume_all(rig, taken, 0);
 }
 
+/*
+ * Guards against the refusal of streams after all gateways were killed where only one
+ * version could have begun them.
+ */
+static void test_streams_of_only_version_go_on_after_kill_of_all_gateways(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	take_parts(rig, taken, false);
+	restart_all(rig);
+	assert_true(resume_all(rig, taken, 0) >= STREAMS * 3 / 4);
+}
+
 /* Guards against the refusal of streams that a restarted gateway has not seen. */
 static void test_restarted_gateway_asks_others_for_versions(void **state)
 {
@@ -294,6 +327,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_streams_after_kill_of_all_gateways_are_not_joined,
 			setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_streams_of_only_version_go_on_after_kill_of_all_gateways,
+			setup_one_version, teardown),
 		cmocka_unit_test_setup_teardown(test_restarted_gateway_asks_others_for_versions,
 						setup, teardown),
 	};
--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -41,7 +41,8 @@
 	"\"spec\":{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
 	"\"zone\":\"a\",\"slots\":6,\"state\":\"draining\","
 	"\"born\":1775915655123,"
-	"\"preemptible\":true}}],\"hasMore\":true,\"asOf\":9}";
+	"\"version\":\"v1\",\"preemptible\":true}}],\"hasMore\":true,\"asOf\":"
+	"9}";
 
 static const char watch_text[] =
 	"{\"events\":[{\"tombstone\":true,\"object\":{\"metadata\":"
@@ -143,11 +144,14 @@
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
 	std::string bytes;
+	stream_record_t records[] = { { 77, 5 }, { 78, 6 }, { 79, 5 } };
 
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
 	switch (kind) {
 	case 0:
+		stream_versions_record(gateway->streams, 80, 5, gateway_now());
+		peers_take_stream_records(peers);
 		peers_pack_state(&buffer, peers, true, true);
 		break;
 	case 1:
@@ -169,6 +173,12 @@
 	case 6:
 		pack_quarantine(gateway, &buffer);
 		break;
+	case 7:
+		peers_pack_streams(&buffer, peers, records, 3);
+		break;
+	case 8:
+		peers_pack_stream_query(&buffer, peers, 77, "s");
+		break;
 	default:
 		peers_pack_announcement(&packer, peers);
 		break;
@@ -181,7 +191,7 @@
 static bool prop_peers(gateway_t *gateway)
 {
 	return rc::check("messages of peers", [gateway] {
-		auto kind = *rc::gen::inRange(0, 8);
+		auto kind = *rc::gen::inRange(0, 10);
 		bool valid = true;
 		auto bytes = mutated(message(gateway, kind));
 
@@ -270,6 +280,7 @@
 				     "\"gateways\":63,\"accounts\":"
 				     "{\"mill\":[-5,900]},"
 				     "\"clocks\":{\"g1\":-25},"
+				     "\"versions\":{\"s\":\"9f\"},"
 				     "\"leader\":\"g5\"}}");
 		uint64_t revision = 0;
 		pd_error_t err;
--- a/tests/unit/test_checkpoint_record.c
+++ b/tests/unit/test_checkpoint_record.c
@@ -33,6 +33,7 @@
 	record->previous_write_at = 3 * PD_SEC;
 	checkpoint_record_add_account(record, "mill", -500, 9000);
 	checkpoint_record_add_clock(record, "g1", -2500 * PD_MSEC);
+	checkpoint_record_add_version(record, "s", 0xfedcba9876543210);
 	text = checkpoint_record_format(record);
 	stamped = checkpoint_record_stamp(text, 7 * PD_SEC);
 	read = checkpoint_record_parse(stamped, &err);
@@ -46,6 +47,10 @@
 		    -500);
 	assert_true(g_array_index(read->accounts, account_record_t, 0).demand ==
 		    9000);
+	assert_string_equal(g_array_index(read->versions, version_record_t, 0).service,
+			    "s");
+	assert_true(g_array_index(read->versions, version_record_t, 0).version_id ==
+		    0xfedcba9876543210);
 	assert_string_equal(g_array_index(read->clocks, clock_record_t, 0).node,
 			    "g1");
 	assert_int_equal(g_array_index(read->clocks, clock_record_t, 0).offset,
