Soak: a request that ends upstreams, and two software versions

Two versions serve side by side and change places when an upstream ends; callers take streams up again at any gateway, and no stream may hold events of two versions over all calls for it. A caller tries a request that ends upstreams again and again: two may end, and two more for each fault of a gateway.

--- a/tests/guarantees/test_gateway_soak.c
+++ b/tests/guarantees/test_gateway_soak.c
@@ -1,7 +1,9 @@
 /*
  * Injects random faults into real gateway processes: kills, pauses, stops and restarts,
  * a store that rejects gateways, upstreams that fail in every way or leave, and callers
- * that hang up. One upstream names a rate limit throughout. A second kind of schedule
+ * that hang up or take streams up again. One upstream names a rate limit throughout,
+ * two software versions serve side by side, and a caller tries a request that ends
+ * upstreams, which start again with the other version. A second kind of schedule
  * also cuts, delays, silences or half-opens the links to upstreams and to the store, and
  * cuts all links of a gateway to upstreams. The responses that callers received are
  * checked against the calls that upstreams ran. Each seed gives one schedule; SEEDS=N
@@ -42,6 +44,13 @@
 #define LIMIT_WINDOW_MS 4000
 #define LIMIT_ALLOWED (1.5 * RATE_LIMIT * LIMIT_WINDOW_MS / 1000 + 5)
 
+/* A caller tries a request that ends upstreams this often, one try after the other. */
+#define ENDING_CALL_EVERY_MS 400
+/* Upstreams that may end under it, and again for each fault of a gateway. */
+#define ENDS_ALLOWED 2
+/* Calls among which one is looked for that broke off and can be resumed. */
+#define RESUMABLE_CALLS 40
+
 typedef enum call_kind {
 	CALL_SAFE,
 	CALL_UNSAFE,
@@ -55,6 +64,9 @@
 	int gateway;
 	uint64_t begun_at;
 	bool left; /* the caller hung up */
+	bool resumed; /* another call has taken it up */
+	struct call *began; /* the call whose stream it takes up; NULL: none */
+	int after; /* the last event that the caller has then */
 	rig_caller_t *caller;
 } call_t;
 
@@ -79,6 +91,9 @@
 	uint64_t limited_at;
 	GArray *limited_calls; /* uint64_t: times, of calls by undisturbed gateways */
 	unsigned int faults;
+	unsigned int gateway_faults; /* kills, pauses and stops */
+	call_t *ending; /* the last try at the request that ends upstreams */
+	uint64_t ending_at; /* when it is tried next */
 	int version;
 	bool links; /* inject faults into links as well */
 	forwarder_t *to_store[RIG_GATEWAYS];
@@ -94,6 +109,9 @@
 	return uv_hrtime() / 1000000;
 }
 
+/* The versions of upstreams, as the data of their events end. */
+static const char *const versions[] = { "-old", "-new" };
+
 /* Returns a random behavior of an upstream for a call to TARGET. */
 static rig_behavior_t choose_behavior(void *ctx, const char *target)
 {
@@ -106,36 +124,72 @@
 						  RIG_REJECT, RIG_CUT };
 	soak_t *soak = ctx;
 
+	if (g_str_has_suffix(target, "/end"))
+		return RIG_END;
 	if (g_str_has_prefix(target, "/safe/") ||
 	    g_str_has_prefix(target, "/unsafe/"))
 		return plain[g_rand_int_range(soak->random, 0, G_N_ELEMENTS(plain))];
 	return streams[g_rand_int_range(soak->random, 0, G_N_ELEMENTS(streams))];
 }
 
-/* Starts a call of a random kind at a random gateway, if that has a port. */
-static void start_call(soak_t *soak)
+/* Returns a call at a random gateway, borrowed, or NULL if that has no port. */
+static call_t *add_call(soak_t *soak, call_kind_t kind)
 {
-	static const char *const paths[] = { "safe", "unsafe", "stream", "once" };
-	call_t *call = g_new0(call_t, 1);
-	char text[256];
+	int gateway = g_rand_int_range(soak->random, 0, RIG_GATEWAYS);
+	call_t *call;
 
-	call->gateway = g_rand_int_range(soak->random, 0, RIG_GATEWAYS);
-	call->kind = (call_kind_t)g_rand_int_range(soak->random, 0, 4);
-	if (!soak->gateways[call->gateway].port) {
-		g_free(call);
-		return;
-	}
+	if (!soak->gateways[gateway].port)
+		return NULL;
+	call = g_new0(call_t, 1);
+	call->gateway = gateway;
+	call->kind = kind;
 	snprintf(call->id, sizeof(call->id), "c%u-%u", soak->seed,
 		 soak->calls->len);
+	g_ptr_array_add(soak->calls, call);
+	return call;
+}
+
+/* Sends a call to a path; MORE are header lines. */
+static void send_call(const soak_t *soak, call_t *call, const char *path,
+		      const char *more)
+{
+	char text[320];
+
 	snprintf(text, sizeof(text),
-		 "POST /%s/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\n"
+		 "POST /%s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\n%s"
 		 "X-Deadline-Ms: 3000\r\nAuthorization: Bearer k\r\n"
 		 "Content-Length: 4\r\n\r\nbody",
-		 paths[call->kind], call->id);
+		 path, call->id, more);
 	call->begun_at = now_ms();
 	call->caller =
 		rig_call(soak->rig, soak->gateways[call->gateway].port, text);
-	g_ptr_array_add(soak->calls, call);
+}
+
+/* Starts a call of a random kind at a random gateway, if that has a port. */
+static void start_call(soak_t *soak)
+{
+	static const char *const paths[] = { "safe/", "unsafe/", "stream/",
+					     "once/" };
+	call_kind_t kind = (call_kind_t)g_rand_int_range(soak->random, 0, 4);
+	call_t *call = add_call(soak, kind);
+
+	if (call)
+		send_call(soak, call, paths[kind], "");
+}
+
+/* Returns whether a call has got all that it will get. */
+static bool is_over(const call_t *call);
+
+/* Tries the request that ends upstreams again, if the last try is over. */
+static void start_ending_call(soak_t *soak)
+{
+	if (soak->links || now_ms() < soak->ending_at ||
+	    (soak->ending && !is_over(soak->ending)))
+		return;
+	soak->ending_at = now_ms() + ENDING_CALL_EVERY_MS;
+	soak->ending = add_call(soak, CALL_SAFE);
+	if (soak->ending)
+		send_call(soak, soak->ending, "safe/end", "");
 }
 
 /* Records a call at the upstream with a limit, and checks the limit. */
@@ -200,15 +254,40 @@
 		 call->caller->received->str);
 }
 
+/* Returns the version whose events a call got; NULL: it got none. */
+static const char *version_of(const call_t *call)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(versions); i++) {
+		if (strstr(call->caller->received->str, versions[i]))
+			return versions[i];
+	}
+	return NULL;
+}
+
+/* Checks that the events of a stream are of one version, over all calls for it. */
+static void check_version(const soak_t *soak, const call_t *call)
+{
+	const char *version = version_of(call);
+	const char *began = call->began ? version_of(call->began) : NULL;
+
+	if (version == versions[0] &&
+	    strstr(call->caller->received->str, versions[1]))
+		fail_call(soak, call, "got events of two versions");
+	if (version && began && version != began)
+		fail_call(soak, call, "went on at another version");
+}
+
 /* Checks that a complete stream has each event once and in order. */
 static void check_events(const soak_t *soak, const call_t *call)
 {
+	const char *version = version_of(call);
 	const char *at = body_of(call);
 
-	for (int i = 1; i <= RIG_EVENTS; i++) {
+	for (int i = call->after + 1; i <= RIG_EVENTS; i++) {
 		char event[64];
 
-		snprintf(event, sizeof(event), "id: %d\ndata: e%d\n\n", i, i);
+		snprintf(event, sizeof(event), "id: %d\ndata: e%d%s\n", i, i,
+			 version ? version : "");
 		at = strstr(at, event);
 		if (!at) {
 			fail_call(soak, call, "an event is missing");
@@ -227,6 +306,8 @@
 	int status = status_of(call);
 	char id[48];
 
+	if (call->kind == CALL_STREAM)
+		check_version(soak, call);
 	if ((call->kind == CALL_UNSAFE || call->kind == CALL_ONCE) && runs > 1)
 		fail_call(soak, call, "ran more than once");
 	if (call->kind == CALL_SAFE && runs > 2)
@@ -245,14 +326,60 @@
 		fail_call(soak, call, "got another body");
 }
 
+static bool is_over(const call_t *call)
+{
+	rig_receive(call->caller);
+	return call->left || call->caller->closed || is_whole(call);
+}
+
+/* Returns the number of the last complete event that a call got; 0: none. */
+static int last_event(const call_t *call)
+{
+	int last = call->after;
+	char event[32];
+
+	for (int i = last + 1; i <= RIG_EVENTS; i++) {
+		const char *at;
+
+		snprintf(event, sizeof(event), "id: %d\n", i);
+		at = strstr(call->caller->received->str, event);
+		if (at && strstr(at, "\n\n"))
+			last = i;
+	}
+	return last;
+}
+
+/* Has the caller of a stream that has broken off lately take it up again. */
+static void resume_some(soak_t *soak)
+{
+	for (guint i = soak->calls->len;
+	     i-- > 0 && soak->calls->len - i < RESUMABLE_CALLS;) {
+		call_t *broken = g_ptr_array_index(soak->calls, i);
+		char more[96];
+		call_t *call;
+
+		if (broken->kind != CALL_STREAM || broken->resumed ||
+		    !is_over(broken) || is_whole(broken) || !last_event(broken))
+			continue;
+		broken->resumed = true;
+		call = add_call(soak, CALL_STREAM);
+		if (!call)
+			return;
+		call->began = broken->began ? broken->began : broken;
+		call->after = last_event(broken);
+		snprintf(more, sizeof(more), "Resumes: %s\r\nLast-Event-Id: %d\r\n",
+			 call->began->id, call->after);
+		send_call(soak, call, "stream/", more);
+		return;
+	}
+}
+
 /* Checks that a gateway without a recent fault responds or closes by the deadline. */
 static void check_answered(const soak_t *soak, const call_t *call)
 {
 	const gateway_state_t *gateway = &soak->gateways[call->gateway];
 
-	rig_receive(call->caller);
-	if (call->left || call->caller->closed || is_whole(call) ||
-	    gateway->disturbed_at + DISTURBED_MS > call->begun_at)
+	if (is_over(call) || gateway->disturbed_at + DISTURBED_MS > call->begun_at)
 		return;
 	if (now_ms() - call->begun_at > CALL_MAX_MS)
 		fail_call(soak, call, "was not answered in time");
@@ -275,6 +402,7 @@
 	if (!gateway->up || gateway->stopping || gateway->paused)
 		return;
 	mark_disturbed(soak, number, for_ms);
+	soak->gateway_faults++;
 	switch (fault) {
 	case 0:
 		process_signal(process, SIGKILL);
@@ -549,6 +677,8 @@
 			call_at = now_ms() + CALL_EVERY_MS;
 			hang_up_some(soak);
 			start_call(soak);
+			start_ending_call(soak);
+			resume_some(soak);
 		}
 		if (now_ms() >= fault_at) {
 			fault_at = now_ms() + FAULT_EVERY_MS;
@@ -659,6 +789,8 @@
 			.version = 1,
 			.links = links };
 	unsigned int answered = 0;
+	unsigned int resumed = 0;
+	unsigned int ends = 0;
 
 	soak.calls = g_ptr_array_new_with_free_func(call_destroy);
 	soak.rig->choose_behavior = choose_behavior;
@@ -670,8 +802,11 @@
 	if (links)
 		create_links(&soak);
 	rig_put_config(soak.rig, soak.version, "");
-	for (int i = 0; i < RIG_UPSTREAMS; i++)
+	for (int i = 0; i < RIG_UPSTREAMS; i++) {
+		soak.rig->upstreams[i].version = versions[i % 2];
+		soak.rig->upstreams[i].next_version = versions[1 - i % 2];
 		rig_put_upstream(soak.rig, i, "ready");
+	}
 	for (int i = 0; i < RIG_GATEWAYS; i++) {
 		start_gateway(&soak, i);
 		RIG_UNTIL(soak.rig, rig_port(soak.rig, i, "health"));
@@ -686,10 +821,19 @@
 
 		check_call(&soak, call);
 		answered += status_of(call) == 200 && is_whole(call);
+		resumed += call->began && is_whole(call) && status_of(call) == 200;
 	}
-	print_message("seed %u%s: %u calls, %u answered, %u faults\n", seed,
-		      links ? " (links)" : "", soak.calls->len, answered,
-		      soak.faults);
+	for (int i = 0; i < RIG_UPSTREAMS; i++)
+		ends += soak.rig->upstreams[i].ends;
+	print_message("seed %u%s: %u calls, %u answered, %u streams went on, "
+		      "%u faults, %u upstreams ended\n",
+		      seed, links ? " (links)" : "", soak.calls->len, answered,
+		      resumed, soak.faults, ends);
+	if (ends > ENDS_ALLOWED * (1 + soak.gateway_faults))
+		fail_msg("seed %u: %u upstreams ended under one request, %u "
+			 "faults "
+			 "of gateways",
+			 seed, ends, soak.gateway_faults);
 	check_recovery(&soak);
 	for (int i = 0; i < RIG_GATEWAYS; i++)
 		process_signal(soak.rig->gateways[i], SIGCONT);
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -308,6 +308,12 @@
 	rig_remove(server->rig, "servers", id);
 	g_free(id);
 	server->ends++;
+	if (server->next_version) {
+		const char *version = server->version;
+
+		server->version = server->next_version;
+		server->next_version = version;
+	}
 	server_listen(server);
 	rig_put_upstream(server->rig, server->number, stage);
 	g_free(stage);
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -66,6 +66,7 @@
 	uint64_t down_until_ms; /* until then it closes connections */
 	/* of its software, registered and in the data of its events; NULL: none */
 	const char *version;
+	const char *next_version; /* from its next start on; NULL: the same */
 	list_node_t sessions; /* connections to it */
 	uv_timer_t restart;
 	unsigned int ends; /* how often it ended; its id has this number */
