Clear requests that other gateways have completed lately

While two upstreams ended for another reason, streams that many callers had asked for with the same content were held at gateways that had completed none of them yet, though others had.

The new unit test failed before.

--- a/core/forward/quarantine.c
+++ b/core/forward/quarantine.c
@@ -181,6 +181,16 @@
 	return &quarantine->successes[hash_number(fingerprint) % SUCCESSES];
 }
 
+/* Returns whether an upstream has completed a request here lately. */
+static bool was_completed(quarantine_t *quarantine, uint64_t fingerprint,
+			  pd_time_t now)
+{
+	const success_t *success = success_slot(quarantine, fingerprint);
+
+	return success->fingerprint == fingerprint &&
+	       now - success->at < SUCCESS_TTL;
+}
+
 /*
  * Records that an upstream ended while it ran a request. One that upstreams complete
  * is no suspect: it may be one of many that ask for the same.
@@ -188,10 +198,9 @@
 void quarantine_record_end(quarantine_t *quarantine, uint64_t fingerprint,
 			   uint32_t upstream, pd_time_t now)
 {
-	const success_t *success = success_slot(quarantine, fingerprint);
 	entry_t *entry;
 
-	if (success->fingerprint == fingerprint && now - success->at < SUCCESS_TTL)
+	if (was_completed(quarantine, fingerprint, now))
 		return;
 	entry = get_entry(quarantine, fingerprint);
 	entry_touch(quarantine, entry, now);
@@ -213,8 +222,8 @@
 }
 
 /*
- * Applies what another gateway knows of a request. FORWARD: what is new is sent on, as
- * the sender does not reach all gateways.
+ * Applies what another gateway knows of a request, and clears it if it was completed
+ * here. FORWARD: what is new is sent on, as the sender does not reach all gateways.
  */
 void quarantine_merge(quarantine_t *quarantine, const quarantine_report_t *report,
 		      bool forward, pd_time_t now)
@@ -235,7 +244,11 @@
 		changed |= entry_add_end(quarantine, entry,
 					 report->ends[i].upstream,
 					 now - report->ends[i].age);
-	if (changed && forward)
+	if (entry->end_count &&
+	    was_completed(quarantine, report->fingerprint, now) &&
+	    entry_clear(quarantine, entry, now))
+		mark_unsent(quarantine, entry);
+	else if (changed && forward)
 		mark_unsent(quarantine, entry);
 }
 
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -140,6 +140,26 @@
 	assert_false(quarantine_is_held(q, REQUEST));
 }
 
+/* Guards against a hold of what many callers ask for and other gateways have completed. */
+static void test_gateway_that_completed_request_clears_it(void **state)
+{
+	quarantine_t *q = *state;
+	quarantine_t *other = quarantine_create();
+	quarantine_report_t reports[QUARANTINE_REPORTS_MAX];
+
+	quarantine_record_end(q, REQUEST, A, T0);
+	quarantine_record_end(q, REQUEST, B, T0);
+	assert_int_equal(quarantine_take_unsent(q, true, T0, reports), 1);
+	quarantine_record_success(other, REQUEST, T0 - PD_SEC);
+	quarantine_merge(other, &reports[0], false, T0 + PD_MSEC);
+	assert_false(quarantine_is_held(other, REQUEST));
+	assert_int_equal(quarantine_take_unsent(other, true, T0 + PD_MSEC, reports),
+			 1);
+	quarantine_merge(q, &reports[0], false, T0 + 2 * PD_MSEC);
+	assert_false(quarantine_is_held(q, REQUEST));
+	quarantine_destroy(other);
+}
+
 /* Guards against a crash of many upstreams that pushes out what is held. */
 static void test_memory_is_bounded_and_keeps_held_requests(void **state)
 {
@@ -204,6 +224,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_old_report_does_not_undo_success,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_gateway_that_completed_request_clears_it,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_memory_is_bounded_and_keeps_held_requests,
 						setup, teardown),
 		cmocka_unit_test(test_attempts_at_one_request_have_one_fingerprint),
