--- a/tests/process/test_gateway_quarantine.c
+++ b/tests/process/test_gateway_quarantine.c
@@ -8,10 +8,12 @@
 
 #include <cmocka.h>
 
+#include "tests/harness/forwarder.h"
 #include "tests/harness/gateway_calls.h"
 
 #define TRIES 8 /* of a caller at one request */
 #define ENDS_ALLOWED 3 /* upstreams that may end under one request */
+#define CUT_OFF_MS 3000 /* until a gateway has found out that it is cut off */
 #define REFUSAL_MS 300 /* a refusal that is due does not wait */
 
 /* Calls to paths that end in "end" end upstreams. */
@@ -40,20 +42,43 @@
 	rig->peer_ports[number] = rig_port(rig, number, "peers");
 }
 
-/* Starts three gateways that know each other, with three upstreams. */
-static int setup(void **state)
+/*
+ * Starts three gateways that know each other, with three upstreams. CUT_OFF: gateway 0
+ * reaches none of these.
+ */
+static gateway_rig_t *start_rig(bool cut_off)
 {
 	gateway_rig_t *rig = gateway_rig_create();
 
 	rig->choose_behavior = choose_behavior;
 	rig_put_config(rig, 1, "");
-	for (int i = 0; i < RIG_UPSTREAMS; i++)
+	for (int i = 0; i < RIG_UPSTREAMS; i++) {
+		if (cut_off) {
+			forwarder_t *link =
+				forwarder_create(&rig->loop,
+						 rig->upstreams[i].port);
+
+			rig->link_ports[0][i] = (uint16_t)forwarder_port(link);
+			forwarder_close(link, true);
+		}
 		rig_put_upstream(rig, i, "ready");
+	}
 	for (int i = 0; i < RIG_GATEWAYS; i++)
 		start_gateway(rig, i, 1);
 	for (int i = 0; i < RIG_GATEWAYS; i++)
 		RIG_UNTIL(rig, rig_is_ready(rig, i));
-	*state = rig;
+	return rig;
+}
+
+static int setup(void **state)
+{
+	*state = start_rig(false);
+	return 0;
+}
+
+static int setup_cut_off(void **state)
+{
+	*state = start_rig(true);
 	return 0;
 }
 
@@ -180,6 +205,24 @@
 	assert_true(count_ends(rig) <= ENDS_ALLOWED);
 }
 
+/* Guards against a request that is relayed and ends upstreams by other gateways. */
+static void test_relayed_request_that_ends_upstreams_is_held(void **state)
+{
+	gateway_rig_t *rig = *state;
+	uint64_t end = uv_hrtime() / 1000000 + CUT_OFF_MS;
+
+	for (int i = 0; uv_hrtime() / 1000000 < end; i++)
+		is_served(rig, 0, "/safe/x", 500 + i);
+	assert_true(is_served(rig, 0, "/safe/x", 499));
+	for (int i = 0; i < TRIES; i++) {
+		rig_caller_destroy(finish_call(rig, 0, "/safe/end", i));
+		rig_run_for(rig, 100);
+	}
+	rig_run_for(rig, RIG_RESTART_MS + 200);
+	print_message("%u ended\n", count_ends(rig));
+	assert_in_range(count_ends(rig), 1, ENDS_ALLOWED);
+}
+
 /* Guards against a request that takes VMs down, so that no connection breaks. */
 static void test_request_under_which_upstreams_vanish_is_held(void **state)
 {
@@ -253,6 +296,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_restarted_gateway_learns_of_held_requests,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_relayed_request_that_ends_upstreams_is_held,
+						setup_cut_off, teardown),
 		cmocka_unit_test_setup_teardown(test_request_under_which_upstreams_vanish_is_held,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(
--- a/tests/process/test_gateway_versions.c
+++ b/tests/process/test_gateway_versions.c
@@ -9,12 +9,14 @@
 
 #include <cmocka.h>
 
+#include "tests/harness/forwarder.h"
 #include "tests/harness/gateway_calls.h"
 
 #define OLD "-old" /* versions, as they stand in the data of events */
 #define NEW "-new"
 #define STREAMS 24
 #define EVENTS_SEEN 2 /* before a stream is broken off */
+#define CUT_OFF_MS 3000 /* until a gateway has found out that it is cut off */
 #define KNOWN_MS 1000 /* after which other gateways know of a stream */
 
 /* A caller that has received a part of a stream. */
@@ -36,8 +38,11 @@
 		RIG_UNTIL(rig, rig_is_ready(rig, i));
 }
 
-/* Starts three gateways, with upstream 0 of a version and the others of the new one. */
-static void start_rig(void **state, const char *version)
+/*
+ * Starts three gateways, with upstream 0 of a version and the others of the new one.
+ * CUT_OFF: gateway 1 reaches none of them.
+ */
+static void start_rig(void **state, const char *version, bool cut_off)
 {
 	gateway_rig_t *rig = gateway_rig_create();
 
@@ -46,21 +51,36 @@
 	for (int i = 0; i < RIG_UPSTREAMS; i++) {
 		rig->upstreams[i].version = i ? NEW : version;
 		rig->upstreams[i].behavior = RIG_STREAM;
+		if (cut_off) {
+			forwarder_t *link =
+				forwarder_create(&rig->loop,
+						 rig->upstreams[i].port);
+
+			rig->link_ports[1][i] = (uint16_t)forwarder_port(link);
+			forwarder_close(link, true);
+		}
 		rig_put_upstream(rig, i, "ready");
 	}
 	start_gateways(rig, 1);
 	*state = rig;
 }
 
+/* Has gateway 1 reach no upstream. */
+static int setup_cut_off(void **state)
+{
+	start_rig(state, OLD, true);
+	return 0;
+}
+
 static int setup(void **state)
 {
-	start_rig(state, OLD);
+	start_rig(state, OLD, false);
 	return 0;
 }
 
 static int setup_one_version(void **state)
 {
-	start_rig(state, NEW);
+	start_rig(state, NEW, false);
 	return 0;
 }
 
@@ -292,6 +312,23 @@
 	assert_true(resume_all(rig, taken, 0) >= STREAMS * 3 / 4);
 }
 
+/* Guards against a relayed request that goes on at another version. */
+static void test_relayed_stream_goes_on_at_its_version_only(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+	uint64_t end = uv_hrtime() / 1000000 + CUT_OFF_MS;
+
+	while (uv_hrtime() / 1000000 < end) {
+		rig_caller_t *caller = begin(rig, 1, "x", STREAMS);
+
+		RIG_UNTIL(rig, is_over(caller));
+		rig_caller_destroy(caller);
+	}
+	take_parts(rig, taken, true);
+	assert_true(resume_all(rig, taken, 0) >= STREAMS / 2);
+}
+
 /* Guards against the refusal of streams that a restarted gateway has not seen. */
 static void test_restarted_gateway_asks_others_for_versions(void **state)
 {
@@ -330,6 +367,8 @@
 		cmocka_unit_test_setup_teardown(
 			test_streams_of_only_version_go_on_after_kill_of_all_gateways,
 			setup_one_version, teardown),
+		cmocka_unit_test_setup_teardown(test_relayed_stream_goes_on_at_its_version_only,
+						setup_cut_off, teardown),
 		cmocka_unit_test_setup_teardown(test_restarted_gateway_asks_others_for_versions,
 						setup, teardown),
 	};
