Ask for versions of streams whose caller names no attempt

A gateway that has restarted lacks what served before, and asked others for the only version that a service can have had under the hash of the attempt that a caller names. For callers that name none, no reply could be sent. The call's own id is used then.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -256,8 +256,8 @@
 		return;
 	log_line(G_LOG_LEVEL_INFO, "upstream",
 		 "id=%s stage=%s service=%s version=%s zone=%s address=%s:%u "
-		 "slots=%u "
-		 "reclaimable=%d revision=%" G_GUINT64_FORMAT " source=%s",
+		 "slots=%u reclaimable=%d revision=%" G_GUINT64_FORMAT
+		 " source=%s",
 		 id, stages[upstream->stage], upstream->service,
 		 upstream->version, upstream->zone, upstream->address,
 		 upstream->port, upstream->slots, upstream->reclaimable,
@@ -360,8 +360,6 @@
 /* Records which software versions upstreams run, those included that leave. */
 static void record_serving_versions(gateway_t *gateway, pd_time_t now)
 {
-	if (now < gateway->versions_record_at)
-		return;
 	gateway->versions_record_at = now + VERSIONS_RECORD_PERIOD;
 	LIST_FOR_EACH (it, forward_upstreams_list(gateway->upstreams)) {
 		const forward_upstream_t *upstream =
@@ -384,7 +382,6 @@
 
 	if (!gateway_peers_has_current_upstreams(gateway->peers, now))
 		return 0;
-	gateway->versions_record_at = now;
 	record_serving_versions(gateway, now);
 	return stream_versions_sole(gateway->streams, service, now);
 }
@@ -405,7 +402,8 @@
 	upstream_probes_run(gateway, now);
 	gateway_reach_run(gateway, now);
 	gateway_quarantine_run(gateway, now);
-	record_serving_versions(gateway, now);
+	if (now >= gateway->versions_record_at)
+		record_serving_versions(gateway, now);
 	gateway_requests_run(gateway, now);
 	callers_run(gateway, now);
 	upstream_links_run(gateway, now);
--- a/adapters/gateway/request_version.c
+++ b/adapters/gateway/request_version.c
@@ -18,16 +18,23 @@
 							   : NULL;
 }
 
+/* Returns the hash of the attempt that brought the first event; 0: it has no id. */
+static uint64_t first_attempt(const gateway_request_t *request)
+{
+	const forward_call_t *call = request->call;
+	const char *id = call->resume_after && call->resumes ? call->resumes
+							     : call->id;
+
+	return id ? stream_versions_hash(id) : 0;
+}
+
 /* Returns the version that began the stream that a request resumes; 0: unknown. */
 static uint64_t known_version(const gateway_request_t *request)
 {
 	const stream_versions_t *streams = request->gateway->streams;
-	const char *resumes = request->call->resumes;
 	const char *service = only_service(request);
 	uint64_t version_id =
-		resumes ? stream_versions_find(streams,
-					       stream_versions_hash(resumes))
-			: 0;
+		stream_versions_find(streams, first_attempt(request));
 
 	if (!version_id && service)
 		version_id = gateway_sole_version(request->gateway, service);
@@ -55,14 +62,11 @@
 /* Asks other gateways for the version of the stream that a request resumes. */
 static void ask_peers(gateway_request_t *request, pd_time_t now)
 {
-	const char *resumes = request->call->resumes;
-
 	request->version_asked_at = now;
 	metrics_add(request->gateway->metrics,
 		    "gateway_stream_version_queries_total", 1);
 	gateway_peers_query_stream(request->gateway->peers,
-				   resumes ? stream_versions_hash(resumes) : 0,
-				   only_service(request));
+				   first_attempt(request), only_service(request));
 }
 
 /*
@@ -108,16 +112,6 @@
 	}
 }
 
-/* Returns the hash of the attempt that brought the first event; 0: it has no id. */
-static uint64_t first_attempt(const gateway_request_t *request)
-{
-	const forward_call_t *call = request->call;
-
-	if (call->resume_after && call->resumes)
-		return stream_versions_hash(call->resumes);
-	return call->id ? stream_versions_hash(call->id) : 0;
-}
-
 /* Records the version of a stream with the first event that this gateway forwards. */
 void gateway_request_record_version(gateway_request_t *request)
 {
