--- a/tests/harness/gateway_calls.c
+++ b/tests/harness/gateway_calls.c
@@ -8,6 +8,8 @@
 
 #include <cmocka.h>
 
+#include "tests/harness/forwarder.h"
+
 /* Returns whether a caller has received TEXT by now. */
 bool rig_has_received(rig_caller_t *caller, const char *text)
 {
@@ -22,6 +24,27 @@
 	return caller->closed;
 }
 
+/* Starts a gateway for the START_COUNT-th time; its seeds are those that run. */
+void rig_start_gateway(gateway_rig_t *rig, int number, int start_count)
+{
+	rig_start(rig, number);
+	RIG_UNTIL(rig, rig_count_logged(rig, number, "gateway: start") ==
+			       start_count);
+	rig->peer_ports[number] = rig_port(rig, number, "peers");
+}
+
+/* Has a gateway that is not started yet reach no upstream. */
+void rig_cut_off(gateway_rig_t *rig, int number)
+{
+	for (int i = 0; i < RIG_UPSTREAMS; i++) {
+		forwarder_t *link =
+			forwarder_create(&rig->loop, rig->upstreams[i].port);
+
+		rig->link_ports[number][i] = (uint16_t)forwarder_port(link);
+		forwarder_close(link, true);
+	}
+}
+
 /* Returns whether the readiness check of a gateway succeeds. */
 bool rig_is_ready(gateway_rig_t *rig, int number)
 {
--- a/tests/process/test_gateway_cut_off.c
+++ b/tests/process/test_gateway_cut_off.c
@@ -71,13 +71,6 @@
 	links->runs++;
 }
 
-/* Runs the event loop for MS. */
-static void run_for(gateway_rig_t *rig, uint64_t ms)
-{
-	for (uint64_t end = now_ms() + ms; now_ms() < end;)
-		rig_run_once(rig);
-}
-
 /* Starts three gateways, each with links of its own to three upstreams. */
 static int setup(void **state)
 {
@@ -111,7 +104,7 @@
 		rig_write_settings(rig, i, i);
 		process_signal(rig->gateways[i], SIGHUP);
 	}
-	run_for(rig, GOSSIP_MS);
+	rig_run_for(rig, GOSSIP_MS);
 	*state = links;
 	return 0;
 }
--- a/tests/process/test_gateway_quarantine.c
+++ b/tests/process/test_gateway_quarantine.c
@@ -8,7 +8,6 @@
 
 #include <cmocka.h>
 
-#include "tests/harness/forwarder.h"
 #include "tests/harness/gateway_calls.h"
 
 #define TRIES 8 /* of a caller at one request */
@@ -33,15 +32,6 @@
 	return RIG_ANSWER;
 }
 
-/* Starts a gateway for the START_COUNT-th time; its seeds are those that run. */
-static void start_gateway(gateway_rig_t *rig, int number, int start_count)
-{
-	rig_start(rig, number);
-	RIG_UNTIL(rig, rig_count_logged(rig, number, "gateway: start") ==
-			       start_count);
-	rig->peer_ports[number] = rig_port(rig, number, "peers");
-}
-
 /*
  * Starts three gateways that know each other, with three upstreams. CUT_OFF: gateway 0
  * reaches none of these.
@@ -52,19 +42,12 @@
 
 	rig->choose_behavior = choose_behavior;
 	rig_put_config(rig, 1, "");
-	for (int i = 0; i < RIG_UPSTREAMS; i++) {
-		if (cut_off) {
-			forwarder_t *link =
-				forwarder_create(&rig->loop,
-						 rig->upstreams[i].port);
-
-			rig->link_ports[0][i] = (uint16_t)forwarder_port(link);
-			forwarder_close(link, true);
-		}
+	if (cut_off)
+		rig_cut_off(rig, 0);
+	for (int i = 0; i < RIG_UPSTREAMS; i++)
 		rig_put_upstream(rig, i, "ready");
-	}
 	for (int i = 0; i < RIG_GATEWAYS; i++)
-		start_gateway(rig, i, 1);
+		rig_start_gateway(rig, i, 1);
 	for (int i = 0; i < RIG_GATEWAYS; i++)
 		RIG_UNTIL(rig, rig_is_ready(rig, i));
 	return rig;
@@ -197,7 +180,7 @@
 	for (int i = 0; i < RIG_GATEWAYS; i++) {
 		process_destroy(rig->gateways[i]);
 		rig->gateways[i] = NULL;
-		start_gateway(rig, i, 2);
+		rig_start_gateway(rig, i, 2);
 		RIG_UNTIL(rig, rig_is_ready(rig, i));
 		try_in_turn(rig, "/safe/end", 10 + i * RIG_GATEWAYS, RIG_GATEWAYS);
 	}
--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -49,12 +49,8 @@
 static void start_all(gateway_rig_t *rig, int start_count)
 {
 	memset(rig->peer_ports, 0, sizeof(rig->peer_ports));
-	for (int i = 0; i < RIG_GATEWAYS; i++) {
-		rig_start(rig, i);
-		RIG_UNTIL(rig, rig_count_logged(rig, i, "gateway: start") ==
-				       start_count);
-		rig->peer_ports[i] = rig_port(rig, i, "peers");
-	}
+	for (int i = 0; i < RIG_GATEWAYS; i++)
+		rig_start_gateway(rig, i, start_count);
 	for (int i = 0; i < RIG_GATEWAYS; i++)
 		RIG_UNTIL(rig, rig_is_ready(rig, i) &&
 				       rig_count_logged(rig, i, "found=") >=
--- a/tests/process/test_gateway_versions.c
+++ b/tests/process/test_gateway_versions.c
@@ -9,7 +9,6 @@
 
 #include <cmocka.h>
 
-#include "tests/harness/forwarder.h"
 #include "tests/harness/gateway_calls.h"
 
 #define OLD "-old" /* versions, as they stand in the data of events */
@@ -28,12 +27,8 @@
 /* Starts gateways for the START_COUNT-th time, and waits until they are ready. */
 static void start_gateways(gateway_rig_t *rig, int start_count)
 {
-	for (int i = 0; i < RIG_GATEWAYS; i++) {
-		rig_start(rig, i);
-		RIG_UNTIL(rig, rig_count_logged(rig, i, "gateway: start") ==
-				       start_count);
-		rig->peer_ports[i] = rig_port(rig, i, "peers");
-	}
+	for (int i = 0; i < RIG_GATEWAYS; i++)
+		rig_start_gateway(rig, i, start_count);
 	for (int i = 0; i < RIG_GATEWAYS; i++)
 		RIG_UNTIL(rig, rig_is_ready(rig, i));
 }
@@ -47,18 +42,12 @@
 	gateway_rig_t *rig = gateway_rig_create();
 
 	rig->first_start = true;
+	if (cut_off)
+		rig_cut_off(rig, 1);
 	rig_put_config(rig, 1, "");
 	for (int i = 0; i < RIG_UPSTREAMS; i++) {
 		rig->upstreams[i].version = i ? NEW : version;
 		rig->upstreams[i].behavior = RIG_STREAM;
-		if (cut_off) {
-			forwarder_t *link =
-				forwarder_create(&rig->loop,
-						 rig->upstreams[i].port);
-
-			rig->link_ports[1][i] = (uint16_t)forwarder_port(link);
-			forwarder_close(link, true);
-		}
 		rig_put_upstream(rig, i, "ready");
 	}
 	start_gateways(rig, 1);
@@ -338,9 +327,7 @@
 	take_parts(rig, taken, false);
 	process_destroy(rig->gateways[1]);
 	rig->gateways[1] = NULL;
-	rig_start(rig, 1);
-	RIG_UNTIL(rig, rig_count_logged(rig, 1, "gateway: start") == 2);
-	rig->peer_ports[1] = rig_port(rig, 1, "peers");
+	rig_start_gateway(rig, 1, 2);
 	RIG_UNTIL(rig, rig_is_ready(rig, 1));
 	assert_true(resume_all(rig, taken, 0) >= STREAMS * 3 / 4);
 }
