Let reports of requests that were cleared die out

In fleets larger than a mesh gateways send on what is new to them. When a request had been cleared they sent the age of that, which does not count the time on the way: each gateway took it for newer than what it knew and sent it to five others, for ever. Besides, each bystander of a crash that was completed was sent to all gateways.

An end is now unknown, counts, or is cleared, and goes from one to the next only, whatever the times are; so each gateway sends it on twice at most. What was cleared before the request was held is sent with the full state.

--- a/adapters/gateway/peer_quarantine.c
+++ b/adapters/gateway/peer_quarantine.c
@@ -25,16 +25,14 @@
 		msgpack_pack_array(&packer, REPORT_FIELDS);
 		msgpack_pack_uint64(&packer, report->fingerprint);
 		msgpack_pack_uint64(&packer, (uint64_t)(report->idle / PD_MSEC));
-		if (report->cleared)
-			msgpack_pack_uint64(&packer, (uint64_t)(report->cleared_age /
-								PD_MSEC));
-		else
-			msgpack_pack_nil(&packer);
-		msgpack_pack_array(&packer, 2 * report->end_count);
+		msgpack_pack_array(&packer, END_FIELDS * report->end_count);
 		for (unsigned int j = 0; j < report->end_count; j++) {
-			msgpack_pack_uint32(&packer, report->ends[j].upstream);
-			msgpack_pack_uint64(&packer, (uint64_t)(report->ends[j].age /
-								PD_MSEC));
+			const quarantine_end_t *end = &report->ends[j];
+
+			msgpack_pack_uint32(&packer, end->upstream);
+			msgpack_pack_uint8(&packer, end->cleared);
+			msgpack_pack_uint64(&packer,
+					    (uint64_t)(end->age / PD_MSEC));
 		}
 	}
 }
@@ -108,15 +106,13 @@
 }
 
 /* Sends what changed, at most one message of each sort. */
-void gateway_peers_send_quarantine(gateway_peers_t *peers)
+static void send_unsent(gateway_peers_t *peers)
 {
 	quarantine_t *quarantine = peers->gateway->quarantine;
 	quarantine_report_t reports[QUARANTINE_REPORTS_MAX];
 	pd_time_t now = gateway_now();
 	unsigned int count;
 
-	if (!quarantine_has_unsent(quarantine))
-		return;
 	if (peers_is_mesh(peers, now)) {
 		count = quarantine_take_unsent(quarantine, true, now, reports);
 		spread_reports(peers, reports, count);
@@ -129,11 +125,22 @@
 		send_suspects(peers, reports, count, now);
 }
 
-/* Sends the requests held last again to a few, as some gateways may have missed them. */
+/* Sends what other gateways need to know at once. */
+void gateway_peers_send_quarantine(gateway_peers_t *peers)
+{
+	if (quarantine_has_unsent(peers->gateway->quarantine))
+		send_unsent(peers);
+}
+
+/*
+ * Sends what was cleared, and the requests held last again to a few, as some
+ * gateways may have missed them.
+ */
 void peers_repeat_quarantine(gateway_peers_t *peers)
 {
 	quarantine_report_t reports[REPEATED_MAX];
 
+	send_unsent(peers);
 	spread_to_sample(peers, reports,
 			 quarantine_list_held(peers->gateway->quarantine,
 					      gateway_now(), reports,
@@ -172,19 +179,19 @@
 
 	if (!fields)
 		return false;
-	ends = msgpack_field_array(&fields[3], 0, &count);
+	ends = msgpack_field_array(&fields[2], 0, &count);
 	*report = (quarantine_report_t){
 		.fingerprint = msgpack_field_uint64(&fields[0]),
-		.cleared = fields[2].type != MSGPACK_OBJECT_NIL,
-		.end_count = MIN(count / 2, QUARANTINE_ENDS),
+		.end_count = MIN(count / END_FIELDS, QUARANTINE_ENDS_KEPT),
 	};
-	if (!ends || !report->fingerprint || !read_age(&fields[1], &report->idle) ||
-	    (report->cleared && !read_age(&fields[2], &report->cleared_age)))
+	if (!ends || !report->fingerprint || !read_age(&fields[1], &report->idle))
 		return false;
 	for (unsigned int i = 0; i < report->end_count; i++) {
-		report->ends[i].upstream =
-			(uint32_t)msgpack_field_uint64(&ends[2 * i]);
-		if (!read_age(&ends[2 * i + 1], &report->ends[i].age))
+		const msgpack_object *end = &ends[END_FIELDS * i];
+
+		report->ends[i].upstream = (uint32_t)msgpack_field_uint64(&end[0]);
+		report->ends[i].cleared = msgpack_field_uint64(&end[1]) != 0;
+		if (!read_age(&end[2], &report->ends[i].age))
 			return false;
 	}
 	return true;
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -123,8 +123,8 @@
 #define STREAM_QUERY_FIELDS \
 	4 /* kind, sender, hash of the attempt, service or nil */
 #define QUARANTINE_FIELDS 3 /* kind, sender, reports */
-/* fingerprint, idle ms, ms since it was cleared or nil, ends: short id and age in turn */
-#define REPORT_FIELDS 4
+#define REPORT_FIELDS 3 /* fingerprint, idle ms, ends */
+#define END_FIELDS 3 /* short id, whether it was cleared, age in ms */
 #define USAGE_FIELDS 3 /* window, account, count */
 /* An upstream in full, or only its id hash, stage, revision and start time. */
 #define UPSTREAM_FIELDS 11
--- a/core/forward/quarantine.c
+++ b/core/forward/quarantine.c
@@ -18,17 +18,19 @@
 /* An end is no fault of a request that an upstream completed so shortly before. */
 #define SUCCESS_TTL (10 * PD_SEC)
 
+typedef struct end {
+	uint32_t upstream; /* short id */
+	bool cleared; /* once it is, it stays so */
+	pd_time_t at;
+} end_t;
+
 typedef struct entry {
 	list_node_t node; /* in quarantine->entries */
 	uint64_t fingerprint;
 	pd_time_t tried_at;
-	bool cleared;
-	pd_time_t cleared_at;
 	unsigned int end_count;
-	struct {
-		uint32_t upstream;
-		pd_time_t at;
-	} ends[QUARANTINE_ENDS];
+	end_t ends[QUARANTINE_ENDS_KEPT];
+	bool was_held; /* so all gateways were sent it */
 	bool unsent; /* changed since it was last sent to other gateways */
 } entry_t;
 
@@ -43,7 +45,7 @@
 	success_t successes[SUCCESSES]; /* indexed by a hash of the fingerprint */
 	unsigned int held;
 	uint64_t holds; /* how often a request began to be held */
-	bool unsent; /* an entry may be unsent */
+	bool unsent; /* an entry is to be sent at once */
 };
 
 /* Returns an empty quarantine; the caller owns it. */
@@ -56,10 +58,20 @@
 	return quarantine;
 }
 
+/* Returns the number of upstreams that ended under a request and count. */
+static unsigned int entry_open_ends(const entry_t *entry)
+{
+	unsigned int count = 0;
+
+	for (unsigned int i = 0; i < entry->end_count; i++)
+		count += !entry->ends[i].cleared;
+	return count;
+}
+
 /* Returns whether an entry's request gets no further upstream. */
 static bool entry_is_held(const entry_t *entry)
 {
-	return entry->end_count >= QUARANTINE_ENDS;
+	return entry_open_ends(entry) >= QUARANTINE_ENDS;
 }
 
 /* Forgets a request. */
@@ -131,43 +143,81 @@
 	list_append(&quarantine->entries, &entry->node);
 }
 
-/* Adds an upstream that ended at a time. Returns whether that is new. */
-static bool entry_add_end(quarantine_t *quarantine, entry_t *entry,
-			  uint32_t upstream, pd_time_t at)
+/* Counts an entry as held or not, after a change of its ends. */
+static void update_held(quarantine_t *quarantine, entry_t *entry, bool was_held)
+{
+	bool held = entry_is_held(entry);
+
+	quarantine->held += held && !was_held;
+	quarantine->held -= was_held && !held;
+	quarantine->holds += held && !was_held;
+	entry->was_held |= held;
+}
+
+/* Returns the end of an upstream, borrowed, or NULL. */
+static end_t *entry_find_end(entry_t *entry, uint32_t upstream)
 {
-	if (entry_is_held(entry) || (entry->cleared && at <= entry->cleared_at))
-		return false;
 	for (unsigned int i = 0; i < entry->end_count; i++) {
 		if (entry->ends[i].upstream == upstream)
-			return false;
+			return &entry->ends[i];
 	}
-	entry->ends[entry->end_count].upstream = upstream;
-	entry->ends[entry->end_count].at = at;
-	entry->end_count++;
-	quarantine->held += entry_is_held(entry);
-	quarantine->holds += entry_is_held(entry);
-	return true;
+	return NULL;
 }
 
-/* Removes the ends up to a time. Returns whether it is later than the last such time. */
-static bool entry_clear(quarantine_t *quarantine, entry_t *entry, pd_time_t at)
+/*
+ * Returns a place for an end, or NULL if there is none. One that counts may take that of
+ * one that was cleared.
+ */
+static end_t *entry_add_end(entry_t *entry, bool cleared)
 {
-	bool held = entry_is_held(entry);
-	unsigned int kept = 0;
+	if (entry->end_count < QUARANTINE_ENDS_KEPT)
+		return &entry->ends[entry->end_count++];
+	for (unsigned int i = 0; !cleared && i < entry->end_count; i++) {
+		if (entry->ends[i].cleared)
+			return &entry->ends[i];
+	}
+	return NULL;
+}
+
+/*
+ * Records that an upstream ended under a request, or that this was cleared. Each end
+ * becomes known and cleared once at most, in any order of reports. Returns whether it
+ * changed anything.
+ */
+static bool entry_set_end(quarantine_t *quarantine, entry_t *entry,
+			  uint32_t upstream, bool cleared, pd_time_t at)
+{
+	bool was_held = entry_is_held(entry);
+	end_t *end = entry_find_end(entry, upstream);
 
-	if (entry->cleared && at <= entry->cleared_at)
+	if (end && (end->cleared || !cleared))
 		return false;
-	entry->cleared = true;
-	entry->cleared_at = at;
-	for (unsigned int i = 0; i < entry->end_count; i++) {
-		if (entry->ends[i].at > at)
-			entry->ends[kept++] = entry->ends[i];
+	if (!end) {
+		if (was_held && !cleared)
+			return false;
+		end = entry_add_end(entry, cleared);
+		if (!end)
+			return false;
+		end->upstream = upstream;
+		end->at = at;
 	}
-	entry->end_count = kept;
-	quarantine->held -= held && !entry_is_held(entry);
+	end->cleared = cleared;
+	update_held(quarantine, entry, was_held);
 	return true;
 }
 
+/* Clears all ends of a request. Returns whether there was one that counted. */
+static bool entry_clear(quarantine_t *quarantine, entry_t *entry)
+{
+	bool was_held = entry_is_held(entry);
+	bool changed = entry_open_ends(entry) > 0;
+
+	for (unsigned int i = 0; i < entry->end_count; i++)
+		entry->ends[i].cleared = true;
+	update_held(quarantine, entry, was_held);
+	return changed;
+}
+
 /* Has an entry sent to other gateways. */
 static void mark_unsent(quarantine_t *quarantine, entry_t *entry)
 {
@@ -204,11 +254,14 @@
 		return;
 	entry = get_entry(quarantine, fingerprint);
 	entry_touch(quarantine, entry, now);
-	if (entry_add_end(quarantine, entry, upstream, now))
+	if (entry_set_end(quarantine, entry, upstream, false, now))
 		mark_unsent(quarantine, entry);
 }
 
-/* Records that an upstream completed a request: those that ended did so for another. */
+/*
+ * Records that an upstream completed a request: those that ended did so for another.
+ * Only what all gateways hold is sent at once.
+ */
 void quarantine_record_success(quarantine_t *quarantine, uint64_t fingerprint,
 			       pd_time_t now)
 {
@@ -217,8 +270,10 @@
 
 	success->fingerprint = fingerprint;
 	success->at = now;
-	if (entry && entry->end_count && entry_clear(quarantine, entry, now))
-		mark_unsent(quarantine, entry);
+	if (!entry || !entry_clear(quarantine, entry))
+		return;
+	entry->unsent = true;
+	quarantine->unsent |= entry->was_held;
 }
 
 /*
@@ -231,22 +286,19 @@
 	entry_t *entry = find_entry(quarantine, report->fingerprint);
 	bool changed = false;
 
-	if (report->idle > IDLE_TTL ||
-	    (!entry && !report->end_count && !report->cleared))
+	if (report->idle > IDLE_TTL || !report->end_count)
 		return;
 	if (!entry)
 		entry = get_entry(quarantine, report->fingerprint);
 	entry_touch(quarantine, entry, now - report->idle);
-	if (report->cleared)
-		changed |= entry_clear(quarantine, entry,
-				       now - report->cleared_age);
-	for (unsigned int i = 0; i < MIN(report->end_count, QUARANTINE_ENDS); i++)
-		changed |= entry_add_end(quarantine, entry,
+	for (unsigned int i = 0;
+	     i < MIN(report->end_count, QUARANTINE_ENDS_KEPT); i++)
+		changed |= entry_set_end(quarantine, entry,
 					 report->ends[i].upstream,
+					 report->ends[i].cleared,
 					 now - report->ends[i].age);
-	if (entry->end_count &&
-	    was_completed(quarantine, report->fingerprint, now) &&
-	    entry_clear(quarantine, entry, now))
+	if (was_completed(quarantine, report->fingerprint, now) &&
+	    entry_clear(quarantine, entry))
 		mark_unsent(quarantine, entry);
 	else if (changed && forward)
 		mark_unsent(quarantine, entry);
@@ -257,7 +309,7 @@
 {
 	const entry_t *entry = find_entry(quarantine, fingerprint);
 
-	return entry && entry->end_count;
+	return entry && entry_open_ends(entry);
 }
 
 /* Returns whether a request gets no further upstream. */
@@ -271,7 +323,7 @@
 /* Returns when a request is forgotten if nobody tries it again. */
 static pd_time_t entry_expires_at(const entry_t *entry)
 {
-	pd_time_t last_end = entry->cleared ? entry->cleared_at : 0;
+	pd_time_t last_end = 0;
 
 	for (unsigned int i = 0; i < entry->end_count; i++)
 		last_end = MAX(last_end, entry->ends[i].at);
@@ -299,19 +351,18 @@
 	quarantine_report_t report = {
 		.fingerprint = entry->fingerprint,
 		.idle = MAX(now - entry->tried_at, 0),
-		.cleared = entry->cleared,
-		.cleared_age = entry->cleared ? MAX(now - entry->cleared_at, 0) : 0,
 		.end_count = entry->end_count,
 	};
 
 	for (unsigned int i = 0; i < entry->end_count; i++) {
 		report.ends[i].upstream = entry->ends[i].upstream;
+		report.ends[i].cleared = entry->ends[i].cleared;
 		report.ends[i].age = MAX(now - entry->ends[i].at, 0);
 	}
 	return report;
 }
 
-/* Returns whether other gateways may lack a change. */
+/* Returns whether other gateways lack a change that is sent at once. */
 bool quarantine_has_unsent(const quarantine_t *quarantine)
 {
 	return quarantine->unsent;
@@ -320,7 +371,7 @@
 /*
  * Sets REPORTS, of QUARANTINE_REPORTS_MAX, to requests of which other gateways lack a
  * change, and takes them for sent; ALL: suspects too, else those that are held or were
- * cleared. Returns their number.
+ * so. Returns their number.
  */
 unsigned int quarantine_take_unsent(quarantine_t *quarantine, bool all,
 				    pd_time_t now, quarantine_report_t *reports)
@@ -330,8 +381,7 @@
 	LIST_FOR_EACH (it, &quarantine->entries) {
 		entry_t *entry = LIST_ENTRY(it, entry_t, node);
 
-		if (!entry->unsent ||
-		    (!all && !entry_is_held(entry) && !entry->cleared))
+		if (!entry->unsent || (!all && !entry->was_held))
 			continue;
 		if (count == QUARANTINE_REPORTS_MAX)
 			return count;
--- a/core/forward/quarantine.h
+++ b/core/forward/quarantine.h
@@ -17,18 +17,23 @@
 /* Reports in one message. */
 #define QUARANTINE_REPORTS_MAX 64
 
+/* Ends that are remembered of one request, those included that were cleared. */
+#define QUARANTINE_ENDS_KEPT 4
+
+/* An upstream that ended under a request. */
+typedef struct quarantine_end {
+	uint32_t upstream; /* short id */
+	bool cleared; /* an upstream has completed the request since */
+	pd_time_t age;
+} quarantine_end_t;
+
 /* What is known of one request, as gateways send it to each other. */
 typedef struct quarantine_report {
 	uint64_t fingerprint; /* of the request */
 	/* time since an attempt at it was last made or rejected */
 	pd_time_t idle;
-	bool cleared; /* an upstream has completed it; CLEARED_AGE is valid */
-	pd_time_t cleared_age;
 	unsigned int end_count;
-	struct {
-		uint32_t upstream; /* short id */
-		pd_time_t age;
-	} ends[QUARANTINE_ENDS]; /* upstreams that ended under it since */
+	quarantine_end_t ends[QUARANTINE_ENDS_KEPT];
 } quarantine_report_t;
 
 typedef struct quarantine quarantine_t;
