--- a/tests/property/test_quarantine.cc
+++ b/tests/property/test_quarantine.cc
@@ -15,6 +15,7 @@
 #include "core/forward/quarantine.h"
 }
 #include "tests/property/cases.h"
+#include "tests/property/fleet_faults.h"
 
 static const pd_time_t start = 1000 * PD_SEC;
 static const pd_time_t step = PD_MSEC;
@@ -26,16 +27,6 @@
 static const unsigned runs_per_attempt = 2;
 static const uint64_t request = 77;
 
-enum fault_kind { RESTART, FREEZE, CUT };
-
-struct fault {
-	fault_kind kind;
-	pd_time_t at;
-	pd_time_t lasts;
-	unsigned first; /* gateways from this one on */
-	unsigned count;
-};
-
 struct message {
 	unsigned from;
 	unsigned to;
@@ -120,11 +111,6 @@
 		return (unsigned)g_rand_int_range(random, 0, (int)gateways.size());
 	}
 
-	static bool hit(const fault &one, unsigned i)
-	{
-		return i >= one.first && i < one.first + one.count;
-	}
-
 	void apply(const fault &one)
 	{
 		pd_time_t begin = start + one.at;
@@ -187,7 +173,7 @@
 
 			messages.erase(messages.begin());
 			if (to.frozen ||
-			    (cut && hit(*cut, one.from) != hit(*cut, one.to))) {
+			    (cut && cut->hits(one.from) != cut->hits(one.to))) {
 				messages.emplace(now + step, one);
 				continue;
 			}
@@ -350,19 +336,6 @@
 	std::multimap<pd_time_t, message> messages;
 };
 
-static fault make_fault(unsigned size)
-{
-	fault one = {};
-
-	one.kind = *rc::gen::element(RESTART, FREEZE, CUT);
-	one.at = *rc::gen::inRange(0, 150) * 100 * PD_MSEC;
-	one.lasts = *rc::gen::inRange(2, 60) * 100 * PD_MSEC;
-	/* The gateways that count for a larger fleet are hit more often than others. */
-	one.first = *rc::gen::element(0U, 0U, 1U, size / 2);
-	one.count = *rc::gen::element(1U, 2U, size / 3);
-	return one;
-}
-
 static bool prop_ends(unsigned size, unsigned faults_max)
 {
 	std::string name = "few upstreams end under one request, " +
@@ -377,7 +350,7 @@
 		std::vector<fault> faults;
 
 		for (unsigned i = 0; i < faults_max; i++)
-			faults.push_back(make_fault(size));
+			faults.push_back(make_fault(size, 150));
 		fleet all(size, at_once, spread, gap, run,
 			  *rc::gen::arbitrary<uint32_t>());
 		all.run(faults);
--- a/tests/property/test_stream_versions.cc
+++ b/tests/property/test_stream_versions.cc
@@ -15,6 +15,7 @@
 #include "core/forward/stream_versions.h"
 }
 #include "tests/property/cases.h"
+#include "tests/property/fleet_faults.h"
 
 static const pd_time_t start = 1000 * PD_SEC;
 static const pd_time_t step = 5 * PD_MSEC;
@@ -27,16 +28,6 @@
 static const unsigned aggregators = 2; /* gateways 0 and 1 of larger fleets */
 static const char service[] = "s";
 
-enum fault_kind { RESTART, FREEZE, CUT };
-
-struct fault {
-	fault_kind kind;
-	pd_time_t at;
-	pd_time_t lasts;
-	unsigned first; /* gateways from this one on */
-	unsigned count;
-};
-
 struct message {
 	unsigned from;
 	unsigned to;
@@ -132,11 +123,6 @@
 		return (unsigned)g_rand_int_range(random, 0, (int)gateways.size());
 	}
 
-	static bool hit(const fault &one, unsigned i)
-	{
-		return i >= one.first && i < one.first + one.count;
-	}
-
 	void apply(const fault &one)
 	{
 		pd_time_t begin = start + one.at;
@@ -370,19 +356,6 @@
 	std::vector<stream> all;
 };
 
-static fault make_fault(unsigned size)
-{
-	fault one = {};
-
-	one.kind = *rc::gen::element(RESTART, FREEZE, CUT);
-	one.at = *rc::gen::inRange(0, 350) * 100 * PD_MSEC;
-	one.lasts = *rc::gen::inRange(2, 60) * 100 * PD_MSEC;
-	/* The gateways that keep records of a larger fleet are hit more often. */
-	one.first = *rc::gen::element(0U, 0U, 1U, size / 2);
-	one.count = *rc::gen::element(1U, 2U, size / 3);
-	return one;
-}
-
 static bool prop_versions(unsigned size, unsigned faults_max)
 {
 	std::string name = "streams go on at their version, " +
@@ -397,7 +370,7 @@
 			releases.push_back(*rc::gen::inRange(0, 35) * PD_SEC);
 		std::sort(releases.begin(), releases.end());
 		for (unsigned i = 0; i < faults_max; i++)
-			faults.push_back(make_fault(size));
+			faults.push_back(make_fault(size, 350));
 		fleet all(size, 100, releases, *rc::gen::arbitrary<uint32_t>());
 		all.run(faults);
 		if (getenv("SHOW"))
--- a/tests/property/test_upstream_limits.cc
+++ b/tests/property/test_upstream_limits.cc
@@ -15,6 +15,7 @@
 #include "core/forward/upstream_limits.h"
 }
 #include "tests/property/cases.h"
+#include "tests/property/fleet_faults.h"
 
 static const pd_time_t start = 1000 * PD_SEC;
 static const pd_time_t step = 5 * PD_MSEC;
@@ -30,16 +31,6 @@
 /* Requests a second at a gateway for one of seven services, of 28 for all. */
 static const double service_demand = 4;
 
-enum fault_kind { RESTART, FREEZE, CUT };
-
-struct fault {
-	fault_kind kind;
-	pd_time_t at;
-	pd_time_t lasts;
-	unsigned first; /* gateways from this one on */
-	unsigned count;
-};
-
 enum message_kind { STATE, REQUEST, GRANT };
 
 struct message {
@@ -141,11 +132,6 @@
 		return (pd_time_t)(g_rand_double(random) * (double)most);
 	}
 
-	bool hit(const fault &one, unsigned i) const
-	{
-		return i >= one.first && i < one.first + one.count;
-	}
-
 	void apply(const fault &one)
 	{
 		pd_time_t begin = start + one.at;
@@ -176,7 +162,7 @@
 	/* A cut holds messages back until it ends. */
 	bool is_held(const message &one) const
 	{
-		return (cut && hit(*cut, one.from) != hit(*cut, one.to)) ||
+		return (cut && cut->hits(one.from) != cut->hits(one.to)) ||
 		       gateways[one.to].frozen;
 	}
 
@@ -264,7 +250,7 @@
 		bool issues = to == i &&
 			      (i < candidates || gateways.size() <= mesh_max);
 		unsigned reached =
-			cut ? (hit(*cut, i)
+			cut ? (cut->hits(i)
 				       ? cut->count
 				       : (unsigned)gateways.size() - cut->count)
 			    : (unsigned)gateways.size();
@@ -371,19 +357,6 @@
 	std::vector<pd_time_t> sends; /* of gateways that are held to the limit */
 };
 
-static fault make_fault(unsigned size)
-{
-	fault one = {};
-
-	one.kind = *rc::gen::element(RESTART, FREEZE, CUT);
-	one.at = *rc::gen::inRange(0, 220) * 100 * PD_MSEC;
-	one.lasts = *rc::gen::inRange(2, 60) * 100 * PD_MSEC;
-	/* The gateways that may issue are hit more often than others. */
-	one.first = *rc::gen::element(0U, 0U, 1U, size / 2);
-	one.count = *rc::gen::element(1U, 2U, size / 3);
-	return one;
-}
-
 static bool prop_sum(unsigned size)
 {
 	std::string name = "a named rate is kept in sum, " +
@@ -397,7 +370,7 @@
 		unsigned count = *rc::gen::inRange(0U, 3U);
 
 		for (unsigned i = 0; i < count; i++)
-			faults.push_back(make_fault(size));
+			faults.push_back(make_fault(size, 220));
 		fleet all(size, rate, std::min(rate * factor, 2000.0), work,
 			  *rc::gen::arbitrary<uint32_t>());
 		all.run(faults);
