Soak: check the blank line after each event again

When versions were put into the data of events, the check of complete streams lost the blank line that ends an event, and took one without it for whole. It is as strict as before now.

--- a/tests/guarantees/test_gateway_soak.c
+++ b/tests/guarantees/test_gateway_soak.c
@@ -286,7 +286,7 @@
 	for (int i = call->after + 1; i <= RIG_EVENTS; i++) {
 		char event[64];
 
-		snprintf(event, sizeof(event), "id: %d\ndata: e%d%s\n", i, i,
+		snprintf(event, sizeof(event), "id: %d\ndata: e%d%s\n\n", i, i,
 			 version ? version : "");
 		at = strstr(at, event);
 		if (!at) {
