Hash the attempt of a stream once, and share how a request proceeds

The hash of the attempt that began a stream was worked out for each chunk of each stream, before the check that its version is recorded already. A request that knows its version, at once or from other gateways, proceeds by the same lines.

--- a/adapters/gateway/request_version.c
+++ b/adapters/gateway/request_version.c
@@ -69,25 +69,35 @@
 				   first_attempt(request), only_service(request));
 }
 
+/*
+ * Has a request proceed at the version of the stream that it resumes. Returns false if
+ * that is unknown.
+ */
+static bool proceed_at_known_version(gateway_request_t *request)
+{
+	uint64_t version_id = known_version(request);
+
+	if (!version_id)
+		return false;
+	request->version_asked_at = 0;
+	set_version(request, version_id);
+	gateway_request_proceed(request);
+	return true;
+}
+
 /*
  * Finds out at which version a stream goes on if the request resumes one, and has the
  * request proceed then; it may wait for other gateways first.
  */
 void gateway_request_find_version(gateway_request_t *request)
 {
-	uint64_t version_id;
-
 	if (request->route->kind != FORWARD_STREAM ||
 	    !request->route->resumable || !request->call->resume_after) {
 		gateway_request_proceed(request);
 		return;
 	}
-	version_id = known_version(request);
-	if (version_id) {
-		set_version(request, version_id);
-		gateway_request_proceed(request);
+	if (proceed_at_known_version(request))
 		return;
-	}
 	request->state = REQUEST_QUEUED;
 	request->version_wanted_at = gateway_now();
 	ask_peers(request, request->version_wanted_at);
@@ -96,13 +106,9 @@
 /* Has a request proceed if other gateways have sent its version; refuses it in time. */
 void gateway_request_check_version(gateway_request_t *request, pd_time_t now)
 {
-	uint64_t version_id = known_version(request);
-
-	if (version_id) {
-		request->version_asked_at = 0;
-		set_version(request, version_id);
-		gateway_request_proceed(request);
-	} else if (now - request->version_wanted_at > VERSION_WAIT_MAX) {
+	if (proceed_at_known_version(request))
+		return;
+	if (now - request->version_wanted_at > VERSION_WAIT_MAX) {
 		metrics_add(request->gateway->metrics,
 			    "gateway_stream_versions_unknown_total", 1);
 		gateway_request_give_up(request, RETRY_AFTER_NO_UPSTREAM,
@@ -115,12 +121,13 @@
 /* Records the version of a stream with the first event that this gateway forwards. */
 void gateway_request_record_version(gateway_request_t *request)
 {
-	uint64_t attempt = first_attempt(request);
+	uint64_t attempt;
 
 	if (request->version_recorded || !request->route->resumable)
 		return;
 	request->version_recorded = true;
 	request->version_id = request->upstream_version_id;
+	attempt = first_attempt(request);
 	if (attempt)
 		stream_versions_record(request->gateway->streams, attempt,
 				       request->version_id, gateway_now());
