--- a/adapters/gateway/peer_quarantine.c
+++ b/adapters/gateway/peer_quarantine.c
@@ -37,17 +37,21 @@
 	}
 }
 
-/* Sends reports to one peer. */
-static void send_reports(const gateway_peers_t *peers, const peer_t *peer,
+/* Sends reports to those of some peers that know such messages. */
+static void send_reports(const gateway_peers_t *peers, peer_t *const *receivers,
+			 unsigned int receiver_count,
 			 const quarantine_report_t *reports, unsigned int count)
 {
 	msgpack_sbuffer buffer;
 
-	if (!count || !peer->handles_quarantine)
+	if (!count)
 		return;
 	msgpack_sbuffer_init(&buffer);
 	peers_pack_quarantine(&buffer, peers, reports, count);
-	peers_send(peers, peer, &buffer);
+	for (unsigned int i = 0; i < receiver_count; i++) {
+		if (receivers[i]->handles_quarantine)
+			peers_send(peers, receivers[i], &buffer);
+	}
 	msgpack_sbuffer_destroy(&buffer);
 }
 
@@ -77,17 +81,16 @@
 			   const quarantine_report_t *reports, unsigned int count)
 {
 	pd_time_t now = gateway_now();
+	GPtrArray *alive;
 
-	if (knows_all(peers, now)) {
-		LIST_FOR_EACH (it, &peers->list) {
-			const peer_t *peer = LIST_ENTRY(it, peer_t, node);
-
-			if (peer_is_alive(peer, now))
-				send_reports(peers, peer, reports, count);
-		}
+	if (!knows_all(peers, now)) {
+		spread_to_sample(peers, reports, count);
 		return;
 	}
-	spread_to_sample(peers, reports, count);
+	alive = peers_alive(peers, now);
+	send_reports(peers, (peer_t *const *)alive->pdata, alive->len, reports,
+		     count);
+	g_ptr_array_unref(alive);
 }
 
 /*
@@ -99,10 +102,10 @@
 			  unsigned int count, pd_time_t now)
 {
 	peer_t *first[AGGREGATORS];
-	unsigned int receivers = peers_top_ranked(peers, first, AGGREGATORS, now);
 
-	for (unsigned int i = 0; i < receivers; i++)
-		send_reports(peers, first[i], reports, count);
+	send_reports(peers, first,
+		     peers_top_ranked(peers, first, AGGREGATORS, now), reports,
+		     count);
 }
 
 /* Sends what changed, at most one message of each sort. */
@@ -155,7 +158,7 @@
 	if (peer->knows_held || !peer->handles_quarantine)
 		return;
 	peer->knows_held = true;
-	send_reports(peers, peer, reports,
+	send_reports(peers, &peer, 1, reports,
 		     quarantine_list_held(peers->gateway->quarantine, gateway_now(),
 					  reports, QUARANTINE_REPORTS_MAX));
 }
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -293,6 +293,7 @@
 void peers_repeat_quarantine(gateway_peers_t *peers);
 void peers_send_held(gateway_peers_t *peers, peer_t *peer);
 int peers_receive_quarantine(gateway_peers_t *peers, const msgpack_object *fields);
+GPtrArray *peers_alive(const gateway_peers_t *peers, pd_time_t now);
 void peers_spread(gateway_peers_t *peers, const msgpack_sbuffer *buffer,
 		  pd_time_t now);
 bool peers_is_mesh(gateway_peers_t *peers, pd_time_t now);
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -334,7 +334,7 @@
 }
 
 /* Returns the live peers, borrowed, in an array that the caller owns. */
-static GPtrArray *peers_alive(const gateway_peers_t *peers, pd_time_t now)
+GPtrArray *peers_alive(const gateway_peers_t *peers, pd_time_t now)
 {
 	GPtrArray *alive = g_ptr_array_new();
 
