Pack stream records by list_writer_t, and sort them once

No change of behaviour. The number of versions in a list was counted by a pass of its own, where list_writer_t counts, and the records of a period were sorted again for each receiver, by a function that packs. They are sorted where they are taken.

--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -416,7 +416,7 @@
 				   gateway_current_window(peers->gateway) - 1);
 	else
 		msgpack_pack_nil(&packer);
-	peers_pack_stream_records(&packer, peers->stream_records,
+	peers_pack_stream_records(buffer, &packer, peers->stream_records,
 				  peers->stream_record_count);
 }
 
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -276,10 +276,10 @@
 int peers_receive_permit_request(gateway_peers_t *peers,
 				 const msgpack_object *fields);
 int peers_receive_permits(gateway_peers_t *peers, const msgpack_object *fields);
-void peers_pack_stream_records(msgpack_packer *packer, stream_record_t *records,
-			       unsigned int count);
+void peers_pack_stream_records(msgpack_sbuffer *out, msgpack_packer *packer,
+			       const stream_record_t *records, unsigned int count);
 void peers_pack_streams(msgpack_sbuffer *buffer, const gateway_peers_t *peers,
-			stream_record_t *records, unsigned int count);
+			const stream_record_t *records, unsigned int count);
 void peers_pack_stream_query(msgpack_sbuffer *buffer, const gateway_peers_t *peers,
 			     uint64_t attempt, const char *service);
 void peers_take_stream_records(gateway_peers_t *peers);
--- a/adapters/gateway/peer_streams.c
+++ b/adapters/gateway/peer_streams.c
@@ -2,6 +2,7 @@
  * Messages about the software versions that began streams; see
  * core/forward/stream-versions-notes.md.
  */
+#include <stdlib.h>
 #include <string.h>
 
 #include "adapters/gateway/gateway.h"
@@ -20,6 +21,21 @@
 	return first < second ? -1 : first > second;
 }
 
+/*
+ * Takes up to MOST records that were not sent yet, those of a version in a row. Returns
+ * their number.
+ */
+static unsigned int take_records(const gateway_peers_t *peers,
+				 stream_record_t *records, unsigned int most)
+{
+	unsigned int count = stream_versions_take_unsent(peers->gateway->streams,
+							 records, most);
+
+	if (count)
+		qsort(records, count, sizeof(*records), compare_versions);
+	return count;
+}
+
 /* Returns the number of records from FIRST on that have the same version. */
 static unsigned int run_length(const stream_record_t *records,
 			       unsigned int first, unsigned int count)
@@ -32,35 +48,31 @@
 }
 
 /*
- * Packs records, which it sorts: versions in turn with the hashes of the attempts that
- * they began, as bytes.
+ * Packs records with PACKER, whose buffer is OUT: versions in turn with the hashes of
+ * the attempts that they began, as bytes.
  */
-void peers_pack_stream_records(msgpack_packer *packer, stream_record_t *records,
-			       unsigned int count)
+void peers_pack_stream_records(msgpack_sbuffer *out, msgpack_packer *packer,
+			       const stream_record_t *records, unsigned int count)
 {
-	unsigned int versions = 0;
+	list_writer_t writer;
 	unsigned int length;
 
-	if (count)
-		qsort(records, count, sizeof(*records), compare_versions);
-	for (unsigned int i = 0; i < count; i += length) {
-		length = run_length(records, i, count);
-		versions++;
-	}
-	msgpack_pack_array(packer, 2 * versions);
+	list_writer_init(&writer);
 	for (unsigned int i = 0; i < count; i += length) {
 		length = run_length(records, i, count);
-		msgpack_pack_uint64(packer, records[i].version_id);
-		msgpack_pack_bin(packer, length * sizeof(uint64_t));
+		msgpack_pack_uint64(&writer.packer, records[i].version_id);
+		msgpack_pack_bin(&writer.packer, length * sizeof(uint64_t));
 		for (unsigned int j = i; j < i + length; j++)
-			msgpack_pack_bin_body(packer, &records[j].attempt,
+			msgpack_pack_bin_body(&writer.packer, &records[j].attempt,
 					      sizeof(uint64_t));
+		writer.count += 2;
 	}
+	list_writer_end(&writer, out, packer);
 }
 
 /* Packs a message with records. */
 void peers_pack_streams(msgpack_sbuffer *buffer, const gateway_peers_t *peers,
-			stream_record_t *records, unsigned int count)
+			const stream_record_t *records, unsigned int count)
 {
 	msgpack_packer packer;
 
@@ -68,7 +80,7 @@
 	msgpack_pack_array(&packer, STREAMS_FIELDS);
 	msgpack_pack_uint8(&packer, MESSAGE_STREAMS);
 	msgpack_write_string(&packer, peers->address);
-	peers_pack_stream_records(&packer, records, count);
+	peers_pack_stream_records(buffer, &packer, records, count);
 }
 
 /* Packs a query for the stream that an attempt began. SERVICE may be NULL. */
@@ -107,18 +119,15 @@
 void peers_take_stream_records(gateway_peers_t *peers)
 {
 	peers->stream_record_count =
-		stream_versions_take_unsent(peers->gateway->streams,
-					    peers->stream_records,
-					    G_N_ELEMENTS(peers->stream_records));
+		take_records(peers, peers->stream_records,
+			     G_N_ELEMENTS(peers->stream_records));
 }
 
 /* Sends the versions of streams that were not sent yet, as one of them breaks off. */
 void gateway_peers_send_streams(gateway_peers_t *peers)
 {
 	stream_record_t records[BREAK_RECORDS_MAX];
-	unsigned int count =
-		stream_versions_take_unsent(peers->gateway->streams, records,
-					    BREAK_RECORDS_MAX);
+	unsigned int count = take_records(peers, records, BREAK_RECORDS_MAX);
 	msgpack_sbuffer buffer;
 
 	if (!count)
