Simplify the quarantine's lookups, and define the time of streams once

No change of behaviour. The table of requests was searched twice for each report, and eviction had a second loop for its fallback. A fingerprint is a hash already and needs no other one to index a table. The time within which streams can be resumed stood in gateway.c and in checkpoint.c.

--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -30,9 +30,6 @@
 /* The recorded fleet size is used for this long after the start. */
 #define FLEET_SIZE_MAX_AGE (60 * PD_SEC)
 
-/* A stream that was begun before the record was written can't be resumed after this. */
-#define VERSIONS_MAX_AGE (30 * PD_SEC)
-
 static const char *const slot_names[CHECKPOINT_SLOTS] = { "slot-0", "slot-1" };
 
 typedef struct checkpoint_object checkpoint_object_t;
@@ -252,7 +249,7 @@
 	gateway_t *gateway = checkpoint->gateway;
 	pd_time_t start = time_vote_wall(gateway->vote, gateway->started_at);
 
-	if (start - record->written_at > VERSIONS_MAX_AGE)
+	if (start - record->written_at > STREAM_VERSIONS_TTL_MIN)
 		return;
 	for (guint i = 0; i < record->versions->len; i++) {
 		const version_record_t *entry =
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -29,8 +29,6 @@
 /* Resolution of all timeouts; each wake-up costs some processor time. */
 #define TICK_MS 20
 #define LISTEN_BACKLOG 512
-/* Streams may be resumed for this long after their first event, or a route's timeout. */
-#define STREAM_TTL_MIN (30 * PD_SEC)
 #define VERSIONS_RECORD_PERIOD (500 * PD_MSEC)
 /*
  * How long a stopping gateway goes on accepting connections. The load balancer needs
@@ -183,8 +181,8 @@
 	gateway->config = config;
 	g_free(gateway->config_text);
 	gateway->config_text = g_strdup(text);
-	stream_versions_set_ttl(gateway->streams,
-				MAX(longest_stream(config), STREAM_TTL_MIN));
+	stream_versions_set_ttl(gateway->streams, MAX(longest_stream(config),
+						      STREAM_VERSIONS_TTL_MIN));
 	gateway_peers_announce_config(gateway->peers);
 	return true;
 }
@@ -526,7 +524,7 @@
 	gateway->reach = reach_create();
 	gateway->name_hash = hash_string(settings->node_id);
 	gateway->streams =
-		stream_versions_create(STREAM_TTL_MIN,
+		stream_versions_create(STREAM_VERSIONS_TTL_MIN,
 				       !strcmp(settings->node_start, "first"),
 				       gateway->started_at);
 	gateway->quarantine = quarantine_create();
--- a/core/forward/quarantine.c
+++ b/core/forward/quarantine.c
@@ -4,7 +4,6 @@
  */
 #include "core/forward/quarantine.h"
 
-#include "core/hash.h"
 #include "core/list.h"
 
 /* Requests that are remembered; the one idle for longest is forgotten first. */
@@ -42,7 +41,7 @@
 struct quarantine {
 	GHashTable *by_fingerprint; /* uint64_t, in the entry -> entry_t */
 	list_node_t entries; /* the one idle for longest first */
-	success_t successes[SUCCESSES]; /* indexed by a hash of the fingerprint */
+	success_t successes[SUCCESSES]; /* indexed by the fingerprint, which is a hash */
 	unsigned int held;
 	uint64_t holds; /* how often a request began to be held */
 	bool unsent; /* an entry is to be sent at once */
@@ -100,21 +99,23 @@
 	return g_hash_table_lookup(quarantine->by_fingerprint, &fingerprint);
 }
 
-/* Forgets the request that has been idle for longest, one that is not held if any is. */
+/*
+ * Forgets the request that has been idle for longest, one that is not held if there is
+ * any. There must be a request.
+ */
 static void evict(quarantine_t *quarantine)
 {
+	entry_t *evicted = LIST_ENTRY(quarantine->entries.next, entry_t, node);
+
 	LIST_FOR_EACH (it, &quarantine->entries) {
 		entry_t *entry = LIST_ENTRY(it, entry_t, node);
 
 		if (entry_is_held(entry))
 			continue;
-		entry_destroy(quarantine, entry);
-		return;
-	}
-	LIST_FOR_EACH (it, &quarantine->entries) {
-		entry_destroy(quarantine, LIST_ENTRY(it, entry_t, node));
-		return;
+		evicted = entry;
+		break;
 	}
+	entry_destroy(quarantine, evicted);
 }
 
 /* Returns the entry of a request, borrowed; adds one that is missing. */
@@ -228,7 +229,7 @@
 /* Returns the slot in which a request's last success is remembered. */
 static success_t *success_slot(quarantine_t *quarantine, uint64_t fingerprint)
 {
-	return &quarantine->successes[hash_number(fingerprint) % SUCCESSES];
+	return &quarantine->successes[fingerprint % SUCCESSES];
 }
 
 /* Returns whether an upstream has completed a request here lately. */
@@ -283,13 +284,12 @@
 void quarantine_merge(quarantine_t *quarantine, const quarantine_report_t *report,
 		      bool forward, pd_time_t now)
 {
-	entry_t *entry = find_entry(quarantine, report->fingerprint);
 	bool changed = false;
+	entry_t *entry;
 
 	if (report->idle > IDLE_TTL || !report->end_count)
 		return;
-	if (!entry)
-		entry = get_entry(quarantine, report->fingerprint);
+	entry = get_entry(quarantine, report->fingerprint);
 	entry_touch(quarantine, entry, now - report->idle);
 	for (unsigned int i = 0;
 	     i < MIN(report->end_count, QUARANTINE_ENDS_KEPT); i++)
