Send calls and start gateways of test rigs by the same lines

No check is changed. The text of a call stood in the harness, in the soak and in the tests of versions, and two tests started all gateways by loops of their own.

--- a/tests/guarantees/test_gateway_soak.c
+++ b/tests/guarantees/test_gateway_soak.c
@@ -21,7 +21,7 @@
 #include <cmocka.h>
 
 #include "tests/harness/forwarder.h"
-#include "tests/harness/gateway_rig.h"
+#include "tests/harness/gateway_calls.h"
 
 #define SEEDS_DEFAULT 3
 #define SOAK_MS 6000
@@ -153,23 +153,16 @@
 static void send_call(const soak_t *soak, call_t *call, const char *path,
 		      const char *more)
 {
-	char text[320];
-
-	snprintf(text, sizeof(text),
-		 "POST /%s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\n%s"
-		 "X-Deadline-Ms: 3000\r\nAuthorization: Bearer k\r\n"
-		 "Content-Length: 4\r\n\r\nbody",
-		 path, call->id, more);
 	call->begun_at = now_ms();
-	call->caller =
-		rig_call(soak->rig, soak->gateways[call->gateway].port, text);
+	call->caller = rig_call(soak->rig, soak->gateways[call->gateway].port, "");
+	rig_send_call_with(call->caller, "POST", path, call->id, more);
 }
 
 /* Starts a call of a random kind at a random gateway, if that has a port. */
 static void start_call(soak_t *soak)
 {
-	static const char *const paths[] = { "safe/", "unsafe/", "stream/",
-					     "once/" };
+	static const char *const paths[] = { "/safe/", "/unsafe/", "/stream/",
+					     "/once/" };
 	call_kind_t kind = (call_kind_t)g_rand_int_range(soak->random, 0, 4);
 	call_t *call = add_call(soak, kind);
 
@@ -189,7 +182,7 @@
 	soak->ending_at = now_ms() + ENDING_CALL_EVERY_MS;
 	soak->ending = add_call(soak, CALL_SAFE);
 	if (soak->ending)
-		send_call(soak, soak->ending, "safe/end", "");
+		send_call(soak, soak->ending, "/safe/end", "");
 }
 
 /* Records a call at the upstream with a limit, and checks the limit. */
@@ -369,7 +362,7 @@
 		call->after = last_event(broken);
 		snprintf(more, sizeof(more), "Resumes: %s\r\nLast-Event-Id: %d\r\n",
 			 call->began->id, call->after);
-		send_call(soak, call, "stream/", more);
+		send_call(soak, call, "/stream/", more);
 		return;
 	}
 }
@@ -831,8 +824,7 @@
 		      resumed, soak.faults, ends);
 	if (ends > ENDS_ALLOWED * (1 + soak.gateway_faults))
 		fail_msg("seed %u: %u upstreams ended under one request, %u "
-			 "faults "
-			 "of gateways",
+			 "faults of gateways",
 			 seed, ends, soak.gateway_faults);
 	check_recovery(&soak);
 	for (int i = 0; i < RIG_GATEWAYS; i++)
--- a/tests/harness/gateway_calls.c
+++ b/tests/harness/gateway_calls.c
@@ -33,6 +33,15 @@
 	rig->peer_ports[number] = rig_port(rig, number, "peers");
 }
 
+/* Starts all gateways for the START_COUNT-th time, and waits until they are ready. */
+void rig_start_gateways(gateway_rig_t *rig, int start_count)
+{
+	for (int i = 0; i < RIG_GATEWAYS; i++)
+		rig_start_gateway(rig, i, start_count);
+	for (int i = 0; i < RIG_GATEWAYS; i++)
+		RIG_UNTIL(rig, rig_is_ready(rig, i));
+}
+
 /* Has a gateway that is not started yet reach no upstream. */
 void rig_cut_off(gateway_rig_t *rig, int number)
 {
@@ -62,21 +71,28 @@
 	return ready;
 }
 
-/* Sends a call with a body of four bytes on an open connection. */
-void rig_send_call(rig_caller_t *caller, const char *method, const char *path,
-		   const char *id)
+/* Sends a call with a body of four bytes on an open connection; MORE are header lines. */
+void rig_send_call_with(rig_caller_t *caller, const char *method,
+			const char *path, const char *id, const char *more)
 {
 	char *text = g_strdup_printf("%s %s HTTP/1.1\r\nHost: h\r\n"
-				     "X-Attempt-Id: %s\r\n"
+				     "X-Attempt-Id: %s\r\n%s"
 				     "X-Deadline-Ms: 3000\r\n"
 				     "Authorization: Bearer k\r\n"
 				     "Content-Length: 4\r\n\r\nbody",
-				     method, path, id);
+				     method, path, id, more);
 
 	rig_send(caller, text);
 	g_free(text);
 }
 
+/* Sends such a call without further header lines. */
+void rig_send_call(rig_caller_t *caller, const char *method, const char *path,
+		   const char *id)
+{
+	rig_send_call_with(caller, method, path, id, "");
+}
+
 /* Opens a connection to gateway NUMBER and sends such a call; returns it, owned. */
 rig_caller_t *rig_call_at(gateway_rig_t *rig, int number, const char *method,
 			  const char *path, const char *id)
--- a/tests/process/test_gateway_quarantine.c
+++ b/tests/process/test_gateway_quarantine.c
@@ -46,10 +46,7 @@
 		rig_cut_off(rig, 0);
 	for (int i = 0; i < RIG_UPSTREAMS; i++)
 		rig_put_upstream(rig, i, "ready");
-	for (int i = 0; i < RIG_GATEWAYS; i++)
-		rig_start_gateway(rig, i, 1);
-	for (int i = 0; i < RIG_GATEWAYS; i++)
-		RIG_UNTIL(rig, rig_is_ready(rig, i));
+	rig_start_gateways(rig, 1);
 	return rig;
 }
 
--- a/tests/process/test_gateway_versions.c
+++ b/tests/process/test_gateway_versions.c
@@ -24,15 +24,6 @@
 	bool old; /* its first event is from the old version */
 } taken_t;
 
-/* Starts gateways for the START_COUNT-th time, and waits until they are ready. */
-static void start_gateways(gateway_rig_t *rig, int start_count)
-{
-	for (int i = 0; i < RIG_GATEWAYS; i++)
-		rig_start_gateway(rig, i, start_count);
-	for (int i = 0; i < RIG_GATEWAYS; i++)
-		RIG_UNTIL(rig, rig_is_ready(rig, i));
-}
-
 /*
  * Starts three gateways, with upstream 0 of a version and the others of the new one.
  * CUT_OFF: gateway 1 reaches none of them.
@@ -50,7 +41,7 @@
 		rig->upstreams[i].behavior = RIG_STREAM;
 		rig_put_upstream(rig, i, "ready");
 	}
-	start_gateways(rig, 1);
+	rig_start_gateways(rig, 1);
 	*state = rig;
 }
 
@@ -142,17 +133,14 @@
 static rig_caller_t *resume(gateway_rig_t *rig, int gateway, const char *id,
 			    int number, const char *began)
 {
-	char *text = g_strdup_printf("POST /stream/%d HTTP/1.1\r\nHost: h\r\n"
-				     "X-Attempt-Id: %s\r\nResumes: %s\r\n"
-				     "Last-Event-Id: %d\r\n"
-				     "X-Deadline-Ms: 3000\r\n"
-				     "Authorization: Bearer k\r\n"
-				     "Content-Length: 4\r\n\r\nbody",
-				     number, id, began, EVENTS_SEEN);
-	rig_caller_t *caller =
-		rig_call(rig, rig_port(rig, gateway, "callers"), text);
-
-	g_free(text);
+	rig_caller_t *caller = rig_call(rig, rig_port(rig, gateway, "callers"), "");
+	char path[32];
+	char more[64];
+
+	snprintf(path, sizeof(path), "/stream/%d", number);
+	snprintf(more, sizeof(more), "Resumes: %s\r\nLast-Event-Id: %d\r\n",
+		 began, EVENTS_SEEN);
+	rig_send_call_with(caller, "POST", path, id, more);
 	return caller;
 }
 
@@ -273,7 +261,7 @@
 		rig->gateways[i] = NULL;
 	}
 	rig->first_start = false;
-	start_gateways(rig, 2);
+	rig_start_gateways(rig, 2);
 }
 
 /* Guards against joined streams after all gateways were killed. */
