--- a/tests/property/fleet_faults.h
+++ b/tests/property/fleet_faults.h
@@ -1,7 +1,8 @@
-/* Faults of the gateways of a simulated fleet. */
+/* Random draws of a simulated fleet, and the faults of its gateways. */
 #ifndef PISTACHIO_TEST_FLEET_FAULTS_H
 #define PISTACHIO_TEST_FLEET_FAULTS_H
 
+#include <glib.h>
 #include <rapidcheck.h>
 
 extern "C" {
@@ -39,4 +40,35 @@
 	return one;
 }
 
+/* Draws for a simulation; it can't be copied. */
+class random_draws
+{
+      public:
+	explicit random_draws(uint32_t seed)
+	    : random(g_rand_new_with_seed(seed))
+	{
+	}
+	random_draws(const random_draws &) = delete;
+	random_draws &operator=(const random_draws &) = delete;
+
+	~random_draws()
+	{
+		g_rand_free(random);
+	}
+
+      protected:
+	pd_time_t delay(pd_time_t most)
+	{
+		return (pd_time_t)(g_rand_double(random) * (double)most);
+	}
+
+	/* Returns a number below COUNT. */
+	unsigned draw(size_t count)
+	{
+		return (unsigned)g_rand_int_range(random, 0, (int)count);
+	}
+
+	GRand *random;
+};
+
 #endif
--- a/tests/property/test_quarantine.cc
+++ b/tests/property/test_quarantine.cc
@@ -50,14 +50,14 @@
 	unsigned runs = 0;
 };
 
-class fleet
+class fleet : private random_draws
 {
       public:
 	/* AT_ONCE attempts begin within SPREAD. */
 	fleet(unsigned size, unsigned at_once, pd_time_t spread, pd_time_t gap,
 	      pd_time_t run, uint32_t seed)
-	    : gateways(size), attempts(at_once),
-	      random(g_rand_new_with_seed(seed)), gap_max(gap), run_max(run)
+	    : random_draws(seed), gateways(size), attempts(at_once),
+	      gap_max(gap), run_max(run)
 	{
 		is_mesh = size <= mesh_max;
 		for (gateway &one : gateways)
@@ -65,14 +65,10 @@
 		for (attempt &one : attempts)
 			one.until = start + delay(spread);
 	}
-	fleet(const fleet &) = delete;
-	fleet &operator=(const fleet &) = delete;
-
 	~fleet()
 	{
 		for (gateway &one : gateways)
 			quarantine_destroy(one.quarantine);
-		g_rand_free(random);
 	}
 
 	void run(const std::vector<fault> &faults)
@@ -101,14 +97,9 @@
 		one.start++;
 	}
 
-	pd_time_t delay(pd_time_t most)
-	{
-		return (pd_time_t)(g_rand_double(random) * (double)most);
-	}
-
 	unsigned any()
 	{
-		return (unsigned)g_rand_int_range(random, 0, (int)gateways.size());
+		return draw(gateways.size());
 	}
 
 	void apply(const fault &one)
@@ -327,7 +318,6 @@
 
 	std::vector<gateway> gateways;
 	std::vector<attempt> attempts;
-	GRand *random;
 	pd_time_t gap_max;
 	pd_time_t run_max;
 	pd_time_t now = start;
--- a/tests/property/test_stream_versions.cc
+++ b/tests/property/test_stream_versions.cc
@@ -56,13 +56,12 @@
 	pd_time_t asked_since = 0;
 };
 
-class fleet
+class fleet : private random_draws
 {
       public:
 	fleet(unsigned size, double rate_, std::vector<pd_time_t> releases_,
 	      uint32_t seed)
-	    : gateways(size), random(g_rand_new_with_seed(seed)), rate(rate_),
-	      releases(releases_)
+	    : random_draws(seed), gateways(size), rate(rate_), releases(releases_)
 	{
 		is_mesh = size <= mesh_max;
 		period = is_mesh ? 250 * PD_MSEC
@@ -70,14 +69,10 @@
 		for (gateway &one : gateways)
 			boot(one, true);
 	}
-	fleet(const fleet &) = delete;
-	fleet &operator=(const fleet &) = delete;
-
 	~fleet()
 	{
 		for (gateway &one : gateways)
 			stream_versions_destroy(one.streams);
-		g_rand_free(random);
 	}
 
 	void run(const std::vector<fault> &faults)
@@ -113,14 +108,9 @@
 		one.start++;
 	}
 
-	pd_time_t delay(pd_time_t most)
-	{
-		return (pd_time_t)(g_rand_double(random) * (double)most);
-	}
-
 	unsigned any()
 	{
-		return (unsigned)g_rand_int_range(random, 0, (int)gateways.size());
+		return draw(gateways.size());
 	}
 
 	void apply(const fault &one)
@@ -344,7 +334,6 @@
 	}
 
 	std::vector<gateway> gateways;
-	GRand *random;
 	double rate;
 	std::vector<pd_time_t> releases;
 	pd_time_t period;
--- a/tests/property/test_upstream_limits.cc
+++ b/tests/property/test_upstream_limits.cc
@@ -52,12 +52,12 @@
 	bool down = false;
 };
 
-class fleet
+class fleet : private random_draws
 {
       public:
 	fleet(unsigned size, double limit, double load, pd_time_t work, uint32_t seed)
-	    : gateways(size), random(g_rand_new_with_seed(seed)), rate(limit),
-	      demand(load), work_max(work)
+	    : random_draws(seed), gateways(size), rate(limit), demand(load),
+	      work_max(work)
 	{
 		period = size <= mesh_max ? 250 * PD_MSEC
 			 : size <= 100	  ? 200 * PD_MSEC
@@ -65,14 +65,10 @@
 		for (unsigned i = 0; i < size; i++)
 			boot(i);
 	}
-	fleet(const fleet &) = delete;
-	fleet &operator=(const fleet &) = delete;
-
 	~fleet()
 	{
 		for (gateway &one : gateways)
 			upstream_limits_destroy(one.limits);
-		g_rand_free(random);
 	}
 
 	void run(const std::vector<fault> &faults)
@@ -127,11 +123,6 @@
 		std::fill(one.heard_at, one.heard_at + candidates, 0);
 	}
 
-	pd_time_t delay(pd_time_t most)
-	{
-		return (pd_time_t)(g_rand_double(random) * (double)most);
-	}
-
 	void apply(const fault &one)
 	{
 		pd_time_t begin = start + one.at;
@@ -305,9 +296,7 @@
 	{
 		due += demand * (double)step / PD_SEC;
 		for (; due >= 1; due--) {
-			unsigned i =
-				(unsigned)g_rand_int_range(random, 0,
-							   (int)gateways.size());
+			unsigned i = draw(gateways.size());
 			gateway &one = gateways[i];
 
 			if (one.frozen || one.down)
@@ -343,7 +332,6 @@
 	}
 
 	std::vector<gateway> gateways;
-	GRand *random;
 	double rate;
 	double demand;
 	pd_time_t work_max;
