Decide by service and by a share of probes whether a gateway is cut off

Callers of gateways that had lost their links to nearly all upstreams waited 400 ms for one connection after the other, or were refused as "engines pressed": one connection to any upstream, a plain one or an engine that had started since the cut, ended the suspicion and the cut.

A reach_t now belongs to a service. A round of up to twelve probes decides by how many connect, and the cut ends when more than half of the last 24 probes do. A connection makes up for a failure only if it came after it. Waves of probes no longer wait for those that hang. A request that no other gateway took goes to the upstreams that are still reached, if there are any.

Calls of the tests come at the same rate for each gateway at any number of them.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -521,7 +521,8 @@
 
 	gateway->upstreams = forward_upstreams_create();
 	gateway->upstream_limits = upstream_limits_create();
-	gateway->reach = reach_create();
+	gateway->reaches = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						 (GDestroyNotify)reach_destroy);
 	gateway->name_hash = hash_string(settings->node_id);
 	gateway->streams =
 		stream_versions_create(STREAM_VERSIONS_TTL_MIN,
@@ -624,7 +625,7 @@
 			  forward_upstreams_count_serving(gateway->upstreams));
 	metrics_set_gauge(metrics, "gateway_peers", gateway_count(gateway) - 1.0);
 	metrics_set_gauge(metrics, "gateway_cut_off",
-			  reach_is_cut_off(gateway->reach));
+			  gateway_reach_is_cut_off_from_any(gateway));
 	metrics_set_gauge(metrics, "gateway_quarantine_held",
 			  quarantine_held_count(gateway->quarantine));
 	metrics_set_gauge(metrics, "gateway_upstreams_limited",
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -43,7 +43,7 @@
 	bool upstreams_usable; /* at least one page of a listing was read */
 	forward_upstreams_t *upstreams;
 	uint64_t name_hash; /* of the VM, to draw shares by */
-	reach_t *reach; /* whether upstreams can be connected to */
+	GHashTable *reaches; /* service -> reach_t; those whose links failed */
 	list_node_t probes; /* of upstreams, in progress */
 	stream_versions_t *streams; /* which software version began each */
 	pd_time_t versions_record_at; /* when those that serve are next recorded */
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -3,6 +3,7 @@
 #include "adapters/gateway/flight_pack.h"
 #include "adapters/gateway/peer_state.h"
 #include "adapters/gateway/request_flight.h"
+#include "adapters/gateway/upstream_reach.h"
 #include "adapters/msgpack_write.h"
 
 /* Number of top-ranked members listed in each message. */
@@ -322,7 +323,7 @@
 		flags |= STATE_FLAG_REQUESTS_SUMMARY;
 	flags |= STATE_FLAG_HANDLES_LIMITS | STATE_FLAG_HANDLES_QUARANTINE |
 		 STATE_FLAG_HANDLES_STREAMS;
-	if (reach_is_cut_off(peers->gateway->reach))
+	if (gateway_reach_is_cut_off_from_any(peers->gateway))
 		flags |= STATE_FLAG_CUT_OFF;
 	flags |= (unsigned int)peers->gateway->relay_port << STATE_RELAY_PORT_SHIFT;
 	return flags;
--- a/adapters/gateway/quarantine_checks.c
+++ b/adapters/gateway/quarantine_checks.c
@@ -6,6 +6,7 @@
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peers.h"
 #include "adapters/gateway/upstream_probe.h"
+#include "adapters/gateway/upstream_reach.h"
 #include "adapters/log_glib.h"
 
 #define LOG_COMPONENT "quarantine"
@@ -72,9 +73,11 @@
 	case UPSTREAM_PROBE_CONNECTED:
 		return false;
 	case UPSTREAM_PROBE_REFUSED:
-		return !reach_is_cut_off(gateway->reach);
+		return !gateway_reach_is_cut_off(gateway, check->upstream->service);
 	case UPSTREAM_PROBE_SILENT:
-		return check->silent && !reach_is_suspicious(gateway->reach);
+		return check->silent &&
+		       !gateway_reach_is_suspicious(gateway,
+						    check->upstream->service);
 	}
 	return false;
 }
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -3,6 +3,7 @@
 
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/quarantine_checks.h"
+#include "adapters/gateway/upstream_reach.h"
 #include "adapters/log_glib.h"
 #include "platform/wire.h"
 
@@ -246,7 +247,8 @@
 		gateway_request_relay(request);
 		return;
 	}
-	if (caller_is_gateway(request->caller) && reach_is_cut_off(gateway->reach)) {
+	if (caller_is_gateway(request->caller) &&
+	    gateway_reach_is_cut_off(gateway, request->service)) {
 		gateway_request_respond_error(request, 503, RETRY_AFTER_NO_UPSTREAM,
 					      "no upstream reached");
 		return;
--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -17,7 +17,7 @@
 {
 	gateway_request_t *request = ctx;
 
-	gateway_reach_record_connected(request->gateway);
+	gateway_reach_record_connected(request->gateway, request->upstream);
 	gateway_request_send(request);
 }
 
--- a/adapters/gateway/request_relay.c
+++ b/adapters/gateway/request_relay.c
@@ -1,6 +1,7 @@
 /*
- * Relays requests to another gateway while this one reaches no upstream. The other one
- * handles them like those of its own callers; this one does not charge or count them.
+ * Relays requests to another gateway while this one reaches few upstreams or none. The
+ * other one handles them like those of its own callers; this one does not charge or count
+ * them.
  * core/forward/reach-notes.md compares the alternatives.
  */
 #include <string.h>
@@ -8,6 +9,7 @@
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peers.h"
 #include "adapters/gateway/request_state.h"
+#include "adapters/gateway/upstream_reach.h"
 #include "adapters/log_glib.h"
 #include "platform/wire.h"
 
@@ -41,19 +43,22 @@
 }
 
 /*
- * Tries another gateway after one that has not run the request, or else refuses it at
- * once. RETRY_AFTER is what the caller is told then.
+ * Tries another gateway after one that has not run the request, then the upstreams that
+ * this one still reaches, or else refuses it at once. RETRY_AFTER is what the caller is
+ * told then.
  */
 static void relay_failed(gateway_request_t *request, pd_time_t retry_after,
 			 const char *reason)
 {
 	clear_relay(request);
 	request->possible_runs = 0;
-	if (gateway_request_may_relay(request)) {
+	request->usage_counted = false;
+	if (gateway_request_may_relay(request))
 		gateway_request_relay(request);
-		return;
-	}
-	gateway_request_give_up(request, retry_after, reason);
+	else if (!gateway_reach_is_total(request->gateway, request->service))
+		gateway_request_find_version(request);
+	else
+		gateway_request_give_up(request, retry_after, reason);
 }
 
 /* Ends a request of which the other gateway may have run a part. */
@@ -151,14 +156,14 @@
 }
 
 /*
- * Returns whether a request should be relayed: this gateway reaches no upstream, another
- * one may, and the request came from a caller and can't have run.
+ * Returns whether a request should be relayed: this gateway is cut off from its service,
+ * another one may not be, and the request came from a caller and can't have run.
  */
 bool gateway_request_may_relay(const gateway_request_t *request)
 {
 	const gateway_t *gateway = request->gateway;
 
-	return reach_is_cut_off(gateway->reach) &&
+	return gateway_reach_is_cut_off(gateway, request->service) &&
 	       !caller_is_gateway(request->caller) &&
 	       request->state != REQUEST_STREAMING && !request->possible_runs &&
 	       !request->deliveries && request->relays < RELAYS_MAX &&
--- a/adapters/gateway/upstream_reach.c
+++ b/adapters/gateway/upstream_reach.c
@@ -1,4 +1,4 @@
-/* Probes random upstreams while connections fail. */
+/* Probes random upstreams of a service while connections to some fail. */
 #include "adapters/gateway/upstream_reach.h"
 
 #include "adapters/gateway/upstream_probe.h"
@@ -6,11 +6,80 @@
 
 #define LOG_COMPONENT "reach"
 
-/* Records that a connection to an upstream was established. */
-void gateway_reach_record_connected(gateway_t *gateway)
+/* Returns what is known of the links to a service, borrowed; NULL: none have failed. */
+static reach_t *find_reach(const gateway_t *gateway, const char *service)
 {
-	if (reach_record_connected(gateway->reach))
-		log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT, "cut_off=0");
+	return g_hash_table_lookup(gateway->reaches, service);
+}
+
+/* Returns the same; creates what is missing. */
+static reach_t *get_reach(gateway_t *gateway, const char *service)
+{
+	reach_t *reach = find_reach(gateway, service);
+
+	if (!reach) {
+		reach = reach_create();
+		g_hash_table_insert(gateway->reaches, g_strdup(service), reach);
+	}
+	return reach;
+}
+
+/* Returns the number of upstreams of a service that accept new requests. */
+static unsigned int count_serving(const gateway_t *gateway, const char *service)
+{
+	const GPtrArray *serving =
+		forward_upstreams_serving(gateway->upstreams, service);
+
+	return serving ? serving->len : 0;
+}
+
+/* Returns whether this gateway is cut off from all upstreams of a service or most. */
+bool gateway_reach_is_cut_off(const gateway_t *gateway, const char *service)
+{
+	const reach_t *reach = find_reach(gateway, service);
+
+	return reach && reach_is_cut_off(reach);
+}
+
+/* Returns whether it is cut off from all of them, as far as is known. */
+bool gateway_reach_is_total(const gateway_t *gateway, const char *service)
+{
+	const reach_t *reach = find_reach(gateway, service);
+
+	return reach && reach_is_total(reach);
+}
+
+/* Returns whether connections to upstreams of a service have failed lately. */
+bool gateway_reach_is_suspicious(const gateway_t *gateway, const char *service)
+{
+	const reach_t *reach = find_reach(gateway, service);
+
+	return reach && reach_is_suspicious(reach);
+}
+
+/* Returns whether this gateway is cut off from the upstreams of some service. */
+bool gateway_reach_is_cut_off_from_any(const gateway_t *gateway)
+{
+	GHashTableIter iter;
+	gpointer reach;
+
+	g_hash_table_iter_init(&iter, gateway->reaches);
+	while (g_hash_table_iter_next(&iter, NULL, &reach)) {
+		if (reach_is_cut_off(reach))
+			return true;
+	}
+	return false;
+}
+
+/* Records that a request was connected to an upstream. */
+void gateway_reach_record_connected(gateway_t *gateway,
+				    const forward_upstream_t *upstream)
+{
+	reach_t *reach = find_reach(gateway, upstream->service);
+
+	if (reach)
+		reach_record_outcome(reach, forward_upstream_short_id(upstream),
+				     true, gateway_now());
 }
 
 /* Records that a request could not be sent to an upstream, if that serves. */
@@ -18,8 +87,8 @@
 				  const forward_upstream_t *upstream)
 {
 	if (forward_upstream_is_serving(upstream))
-		reach_record_failure(gateway->reach,
-				     forward_upstream_short_id(upstream),
+		reach_record_outcome(get_reach(gateway, upstream->service),
+				     forward_upstream_short_id(upstream), false,
 				     gateway_now());
 }
 
@@ -27,58 +96,84 @@
 static void on_probe_done(gateway_t *gateway, forward_upstream_t *upstream,
 			  upstream_probe_result_t result, void *ctx)
 {
+	const char *service = upstream->service;
+	reach_t *reach = find_reach(gateway, service);
+
 	(void)ctx;
-	if (result == UPSTREAM_PROBE_CONNECTED) {
-		gateway_reach_record_connected(gateway);
+	if (!reach ||
+	    !reach_record_probe_result(reach, result == UPSTREAM_PROBE_CONNECTED,
+				       count_serving(gateway, service)))
 		return;
+	if (reach_is_cut_off(reach)) {
+		log_line(G_LOG_LEVEL_WARNING, LOG_COMPONENT,
+			 "cut_off=1 service=%s upstream=%s", service,
+			 upstream->id);
+		metrics_add(gateway->metrics, "gateway_cut_off_total", 1);
+	} else {
+		log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT,
+			 "cut_off=0 service=%s", service);
 	}
-	if (!reach_record_probe_failure(gateway->reach,
-					forward_upstreams_count_serving(
-						gateway->upstreams)))
-		return;
-	log_line(G_LOG_LEVEL_WARNING, LOG_COMPONENT, "cut_off=1 upstream=%s",
-		 upstream->id);
-	metrics_add(gateway->metrics, "gateway_cut_off_total", 1);
 }
 
-/* Returns a random upstream that serves and was not probed, borrowed, or NULL. */
-static forward_upstream_t *pick_upstream(gateway_t *gateway)
+/* Returns a random upstream of a service that was not probed, borrowed, or NULL. */
+static forward_upstream_t *pick_upstream(gateway_t *gateway, const reach_t *reach,
+					 const GPtrArray *serving)
 {
 	forward_upstream_t *picked = NULL;
 	gint32 count = 0;
 
-	LIST_FOR_EACH (it, forward_upstreams_list(gateway->upstreams)) {
-		forward_upstream_t *upstream =
-			LIST_ENTRY(it, forward_upstream_t, node);
+	for (guint i = 0; i < serving->len; i++) {
+		forward_upstream_t *upstream = g_ptr_array_index(serving, i);
 
-		if (!forward_upstream_is_serving(upstream) ||
-		    !reach_may_probe(gateway->reach,
-				     forward_upstream_short_id(upstream)))
-			continue;
-		if (g_rand_int_range(gateway->random, 0, ++count) == 0)
+		if (reach_may_probe(reach, forward_upstream_short_id(upstream)) &&
+		    g_rand_int_range(gateway->random, 0, ++count) == 0)
 			picked = upstream;
 	}
 	return picked;
 }
 
-/* Starts the probes that are due. */
-void gateway_reach_run(gateway_t *gateway, pd_time_t now)
+/* Starts the probes of a service's upstreams that are due. */
+static void start_probes(gateway_t *gateway, const char *service,
+			 reach_t *reach, pd_time_t now)
 {
+	const GPtrArray *serving =
+		forward_upstreams_serving(gateway->upstreams, service);
 	unsigned int due;
 
-	if (!reach_is_suspicious(gateway->reach))
+	if (!serving || !reach_is_suspicious(reach))
 		return;
-	due = reach_take_probes(gateway->reach,
-				forward_upstreams_count_serving(gateway->upstreams),
-				now);
+	due = reach_take_probes(reach, serving->len, now);
 	for (; due; due--) {
-		forward_upstream_t *upstream = pick_upstream(gateway);
+		forward_upstream_t *upstream =
+			pick_upstream(gateway, reach, serving);
 
 		if (!upstream)
 			return;
-		reach_record_probe(gateway->reach,
-				   forward_upstream_short_id(upstream));
+		reach_record_probe(reach, forward_upstream_short_id(upstream));
 		metrics_add(gateway->metrics, "gateway_reach_probes_total", 1);
 		upstream_probe_start(gateway, upstream, on_probe_done, NULL);
 	}
 }
+
+/* Returns whether a service that was removed from the configuration is to be forgotten. */
+static bool is_removed(const gateway_t *gateway, const char *service)
+{
+	return gateway->config &&
+	       !forward_config_service(gateway->config, service);
+}
+
+/* Starts the probes that are due. */
+void gateway_reach_run(gateway_t *gateway, pd_time_t now)
+{
+	GHashTableIter iter;
+	gpointer service;
+	gpointer reach;
+
+	g_hash_table_iter_init(&iter, gateway->reaches);
+	while (g_hash_table_iter_next(&iter, &service, &reach)) {
+		if (is_removed(gateway, service))
+			g_hash_table_iter_remove(&iter);
+		else
+			start_probes(gateway, service, reach, now);
+	}
+}
--- a/core/forward/reach.c
+++ b/core/forward/reach.c
@@ -3,30 +3,46 @@
 
 /* Upstreams that requests could not be sent to until others are probed. */
 #define FAILURES_PROBED 2
-/* A failure proves nothing for longer than this. */
-#define FAILURE_TTL (3 * PD_SEC)
 /*
- * Probes of different upstreams that fail without one that connects; all of them where
- * fewer serve, but never a single one. Most rounds end with the first wave.
+ * A connection proves nothing for longer than this. An upstream that can't be connected
+ * to is tried again before.
+ */
+#define OUTCOME_TTL (4 * PD_SEC)
+/*
+ * Different upstreams that are probed in a round until its next decision; all of them
+ * where fewer serve. Most rounds end with the first wave.
  */
-#define PROBES_CUT_OFF 6
 #define PROBES_FIRST_WAVE 2
+#define PROBES_SECOND_WAVE 6
+#define PROBES_MAX 12
 #define ROUND_PERIOD PD_SEC
+/* A connection is established within a few milliseconds, or is unlikely to be. */
+#define WAVE_PERIOD (100 * PD_MSEC)
 /* While it is cut off, to notice the end. */
 #define CUT_OFF_PROBE_PERIOD (200 * PD_MSEC)
-#define CUT_OFF_PROBES 2
+#define CUT_OFF_PROBES 3
+/* Results of probes that decide whether a cut is over. */
+#define RESULTS_KEPT 24
+#define RESULTS_MIN 6
 
-typedef struct failure {
+/* How the last connection of a request to an upstream went. */
+typedef struct outcome {
 	uint32_t short_id; /* of the upstream */
+	bool connected;
 	pd_time_t at;
-} failure_t;
+} outcome_t;
 
 struct reach {
-	GArray *failures; /* failure_t, of different upstreams, oldest first */
+	GArray *outcomes; /* outcome_t, oldest first, beginning with a failure */
+	unsigned int failed; /* number of these that are failures */
 	bool cut_off;
 	GArray *probed; /* short ids of the upstreams probed in this round */
-	unsigned int failed_probes; /* in this round */
+	unsigned int result_count; /* of the probes of this round */
+	unsigned int connected; /* of these, how many connected */
+	uint32_t results; /* of probes while cut off, the last one in bit 0; 1: connected */
+	unsigned int results_kept;
 	pd_time_t probe_at; /* when the next round may begin */
+	pd_time_t wave_at; /* when the last probes of this round were started */
 };
 
 /* Returns the state of a gateway that is not cut off; the caller owns it. */
@@ -34,7 +50,7 @@
 {
 	reach_t *reach = g_new0(reach_t, 1);
 
-	reach->failures = g_array_new(FALSE, FALSE, sizeof(failure_t));
+	reach->outcomes = g_array_new(FALSE, FALSE, sizeof(outcome_t));
 	reach->probed = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	return reach;
 }
@@ -44,90 +60,176 @@
 {
 	if (!reach)
 		return;
-	g_array_unref(reach->failures);
+	g_array_unref(reach->outcomes);
 	g_array_unref(reach->probed);
 	g_free(reach);
 }
 
-/* Ends a round of probes. */
+/* Ends a round of probes; results that come later are ignored. */
 static void end_round(reach_t *reach)
 {
 	g_array_set_size(reach->probed, 0);
-	reach->failed_probes = 0;
+	reach->result_count = 0;
+	reach->connected = 0;
+}
+
+/* Removes the outcome at INDEX. */
+static void remove_outcome(reach_t *reach, guint index)
+{
+	reach->failed -= !g_array_index(reach->outcomes, outcome_t, index).connected;
+	g_array_remove_index(reach->outcomes, index);
 }
 
 /*
- * Records that a connection to an upstream was established. Returns whether that ends
- * a time in which the gateway was cut off.
+ * Removes outcomes that are too old, and connections older than any failure: they don't
+ * show that upstreams can be connected to since.
  */
-bool reach_record_connected(reach_t *reach)
+static void expire_outcomes(reach_t *reach, pd_time_t now)
 {
-	bool was_cut_off = reach->cut_off;
+	while (reach->outcomes->len) {
+		const outcome_t *oldest =
+			&g_array_index(reach->outcomes, outcome_t, 0);
 
-	g_array_set_size(reach->failures, 0);
-	end_round(reach);
-	reach->cut_off = false;
-	return was_cut_off;
+		if (!oldest->connected && now - oldest->at <= OUTCOME_TTL)
+			return;
+		remove_outcome(reach, 0);
+	}
+}
+
+/* Removes all outcomes. */
+static void clear_outcomes(reach_t *reach)
+{
+	g_array_set_size(reach->outcomes, 0);
+	reach->failed = 0;
 }
 
-/* Removes the failure of an upstream, and those that are too old. */
-static void remove_failures(reach_t *reach, uint32_t short_id, pd_time_t now)
+/* Records how a connection of a request to an upstream went. */
+void reach_record_outcome(reach_t *reach, uint32_t short_id, bool connected,
+			  pd_time_t now)
 {
-	for (guint i = reach->failures->len; i-- > 0;) {
-		const failure_t *failure =
-			&g_array_index(reach->failures, failure_t, i);
+	const outcome_t outcome = { short_id, connected, now };
 
-		if (failure->short_id == short_id || now - failure->at > FAILURE_TTL)
-			g_array_remove_index(reach->failures, i);
+	for (guint i = reach->outcomes->len; i-- > 0;) {
+		if (g_array_index(reach->outcomes, outcome_t, i).short_id == short_id)
+			remove_outcome(reach, i);
 	}
+	g_array_append_val(reach->outcomes, outcome);
+	reach->failed += !connected;
+	expire_outcomes(reach, now);
+}
+
+/* Returns whether so many connections have failed that upstreams are probed. */
+static bool needs_probes(const reach_t *reach)
+{
+	return reach->failed >= FAILURES_PROBED &&
+	       2 * reach->failed >= reach->outcomes->len;
 }
 
-/* Records that a request could not be sent to an upstream. */
-void reach_record_failure(reach_t *reach, uint32_t short_id, pd_time_t now)
+/* Returns up to which number of probes a round goes on that has had PROBED of them. */
+static unsigned int wave_end(unsigned int probed, unsigned int serving)
 {
-	const failure_t failure = { short_id, now };
+	if (probed <= PROBES_FIRST_WAVE)
+		return MIN(serving, PROBES_FIRST_WAVE);
+	if (probed <= PROBES_SECOND_WAVE)
+		return MIN(serving, PROBES_SECOND_WAVE);
+	return MIN(serving, PROBES_MAX);
+}
 
-	remove_failures(reach, short_id, now);
-	g_array_append_val(reach->failures, failure);
+/* Records the result of a probe while the gateway is cut off. Returns whether it still is. */
+static bool keep_result(reach_t *reach, bool connected)
+{
+	unsigned int count = 0;
+
+	reach->results = (reach->results << 1 | connected) &
+			 ((1u << RESULTS_KEPT) - 1);
+	reach->results_kept = MIN(reach->results_kept + 1, RESULTS_KEPT);
+	for (uint32_t rest = reach->results; rest; rest &= rest - 1)
+		count++;
+	return reach->results_kept < RESULTS_MIN ||
+	       2 * count <= reach->results_kept;
 }
 
-/* Returns how many probes of a round have to fail, where SERVING upstreams serve. */
-static unsigned int probes_needed(unsigned int serving)
+/* Begins a cut, of which the probes of the round were the first results. */
+static void begin_cut(reach_t *reach)
 {
-	return MIN(serving, PROBES_CUT_OFF);
+	reach->cut_off = true;
+	reach->results = (1u << reach->connected) - 1;
+	reach->results_kept = reach->result_count;
+	end_round(reach);
+}
+
+/* Ends a cut, and the suspicion that led to it. */
+static void end_cut(reach_t *reach)
+{
+	reach->cut_off = false;
+	clear_outcomes(reach);
+	end_round(reach);
 }
 
 /*
- * Records that a probe failed, where SERVING upstreams serve. Returns whether the
- * gateway is cut off from now on, and was not before.
+ * Decides by the probes of a round so far. The gateway is cut off if all of the first two
+ * waves failed, or if fewer than a third of all probes connected.
  */
-bool reach_record_probe_failure(reach_t *reach, unsigned int serving)
+static void decide(reach_t *reach, unsigned int serving)
 {
-	/* A round ends with a connection; its other probes count no more. */
-	if (reach->failed_probes >= reach->probed->len)
-		return false;
-	reach->failed_probes++;
-	if (reach->cut_off || reach->failed_probes < probes_needed(serving))
+	bool is_last = reach->result_count >= MIN(serving, PROBES_MAX);
+
+	if (reach->connected == PROBES_FIRST_WAVE &&
+	    reach->result_count == PROBES_FIRST_WAVE) {
+		clear_outcomes(reach);
+		end_round(reach);
+	} else if (reach->result_count < MIN(serving, PROBES_SECOND_WAVE)) {
+		return;
+	} else if (!reach->connected ||
+		   (is_last && 3 * reach->connected < reach->result_count)) {
+		begin_cut(reach);
+	} else if (is_last || 2 * reach->connected >= reach->result_count) {
+		end_round(reach);
+	}
+}
+
+/*
+ * Records the result of a probe, where SERVING upstreams serve. Returns whether a cut
+ * begins or ends with it.
+ */
+bool reach_record_probe_result(reach_t *reach, bool connected, unsigned int serving)
+{
+	bool was_cut_off = reach->cut_off;
+
+	if (reach->result_count >= reach->probed->len)
 		return false;
-	reach->cut_off = true;
-	return true;
+	reach->result_count++;
+	reach->connected += connected;
+	if (was_cut_off) {
+		if (!keep_result(reach, connected))
+			end_cut(reach);
+	} else if (reach->result_count == reach->probed->len) {
+		decide(reach, serving);
+	}
+	return reach->cut_off != was_cut_off;
 }
 
-/* Returns whether a request could not be sent since the last connection. */
+/* Returns whether requests could not be sent lately. */
 bool reach_is_suspicious(const reach_t *reach)
 {
-	return reach->cut_off || reach->failures->len > 0;
+	return reach->cut_off || reach->failed > 0;
 }
 
-/* Returns whether the gateway is cut off from all upstreams. */
+/* Returns whether the gateway is cut off from all upstreams or most. */
 bool reach_is_cut_off(const reach_t *reach)
 {
 	return reach->cut_off;
 }
 
+/* Returns whether the gateway is cut off and no probe connects. */
+bool reach_is_total(const reach_t *reach)
+{
+	return reach->cut_off && !reach->results;
+}
+
 /*
  * Returns how many upstreams to probe now, where SERVING serve: none while requests can
- * be sent, or while probes are under way.
+ * be sent. The next wave of a round does not wait for probes that hang.
  */
 unsigned int reach_take_probes(reach_t *reach, unsigned int serving, pd_time_t now)
 {
@@ -138,20 +240,25 @@
 		reach->probe_at = now + CUT_OFF_PROBE_PERIOD;
 		return MIN(serving, CUT_OFF_PROBES);
 	}
-	remove_failures(reach, 0, now);
-	if (reach->failures->len < FAILURES_PROBED || serving < 2) {
-		end_round(reach);
-		return 0;
+	expire_outcomes(reach, now);
+	if (reach->probed->len) {
+		unsigned int end = wave_end(reach->probed->len + 1, serving);
+		bool all_ended = reach->result_count >= reach->probed->len;
+
+		if (!all_ended && now - reach->wave_at < WAVE_PERIOD)
+			return 0;
+		reach->wave_at = now;
+		if (end > reach->probed->len)
+			return end - reach->probed->len;
+		if (!all_ended)
+			return 0;
+		end_round(reach); /* fewer upstreams serve now */
 	}
-	if (reach->failed_probes < reach->probed->len)
-		return 0;
-	if (reach->probed->len && reach->probed->len < probes_needed(serving))
-		return probes_needed(serving) - reach->probed->len;
-	if (now < reach->probe_at)
+	if (!needs_probes(reach) || serving < 2 || now < reach->probe_at)
 		return 0;
-	end_round(reach);
 	reach->probe_at = now + ROUND_PERIOD;
-	return MIN(PROBES_FIRST_WAVE, probes_needed(serving));
+	reach->wave_at = now;
+	return wave_end(0, serving);
 }
 
 /* Returns whether an upstream was not probed in this round. */
--- a/tests/harness/gateway_calls.c
+++ b/tests/harness/gateway_calls.c
@@ -36,16 +36,16 @@
 /* Starts all gateways for the START_COUNT-th time, and waits until they are ready. */
 void rig_start_gateways(gateway_rig_t *rig, int start_count)
 {
-	for (int i = 0; i < RIG_GATEWAYS; i++)
+	for (int i = 0; i < rig->gateway_count; i++)
 		rig_start_gateway(rig, i, start_count);
-	for (int i = 0; i < RIG_GATEWAYS; i++)
+	for (int i = 0; i < rig->gateway_count; i++)
 		RIG_UNTIL(rig, rig_is_ready(rig, i));
 }
 
 /* Has a gateway that is not started yet reach no upstream. */
 void rig_cut_off(gateway_rig_t *rig, int number)
 {
-	for (int i = 0; i < RIG_UPSTREAMS; i++) {
+	for (int i = 0; i < rig->upstream_count; i++) {
 		forwarder_t *link =
 			forwarder_create(&rig->loop, rig->upstreams[i].port);
 
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#define SEEDS_MAX 3 /* in the settings of a gateway */
 #define EVENT_MS 20 /* between the events of a stream */
 
 /* A connection to one of the mock servers. */
@@ -533,9 +534,9 @@
 static json_t *object_for_gateway(const gateway_rig_t *rig, const char *name,
 				  json_t *object, int store)
 {
-	int number = name[0] == 'u' ? atoi(name + 1) : RIG_UPSTREAMS;
-	uint16_t port = number < RIG_UPSTREAMS ? rig->link_ports[store][number]
-					       : 0;
+	int number = name[0] == 'u' ? atoi(name + 1) : RIG_UPSTREAMS_MAX;
+	uint16_t port =
+		number < RIG_UPSTREAMS_MAX ? rig->link_ports[store][number] : 0;
 	char address[32];
 
 	if (!port)
@@ -690,7 +691,7 @@
 					 "/objects/servers?watch=");
 		return;
 	}
-	if (server >= rig->upstreams && server < rig->upstreams + RIG_UPSTREAMS)
+	if (server >= rig->upstreams && server < rig->upstreams + RIG_UPSTREAMS_MAX)
 		upstream_serve(session);
 	else if (server == &rig->cloud)
 		cloud_serve(session);
@@ -747,8 +748,11 @@
 	(void)timer;
 }
 
-/* Returns a rig whose mock servers listen, without gateways; owned by the caller. */
-gateway_rig_t *gateway_rig_create(void)
+/*
+ * Returns a rig for as many gateways, none of which is started, and upstreams, all of
+ * which listen; owned by the caller.
+ */
+gateway_rig_t *gateway_rig_create_sized(int gateways, int upstreams)
 {
 	gateway_rig_t *rig = g_new0(gateway_rig_t, 1);
 	int i;
@@ -765,14 +769,22 @@
 	rig->usage = g_ptr_array_new_with_free_func(g_free);
 	rig->orders = g_ptr_array_new_with_free_func(g_free);
 	list_init(&rig->watches);
-	for (i = 0; i < RIG_GATEWAYS; i++)
+	rig->gateway_count = gateways;
+	rig->upstream_count = upstreams;
+	for (i = 0; i < gateways; i++)
 		server_start(rig, &rig->stores[i], i);
-	for (i = 0; i < RIG_UPSTREAMS; i++)
+	for (i = 0; i < upstreams; i++)
 		server_start(rig, &rig->upstreams[i], i);
 	server_start(rig, &rig->cloud, 0);
 	return rig;
 }
 
+/* Returns a rig for RIG_GATEWAYS gateways, with RIG_UPSTREAMS upstreams. */
+gateway_rig_t *gateway_rig_create(void)
+{
+	return gateway_rig_create_sized(RIG_GATEWAYS, RIG_UPSTREAMS);
+}
+
 static void close_handle(uv_handle_t *handle, void *ctx)
 {
 	(void)ctx;
@@ -783,7 +795,7 @@
 /* Kills the gateways, closes the mock servers and frees the rig. */
 void gateway_rig_destroy(gateway_rig_t *rig)
 {
-	for (int i = 0; i < RIG_GATEWAYS; i++)
+	for (int i = 0; i < rig->gateway_count; i++)
 		process_destroy(rig->gateways[i]);
 	for (int i = 0; i < 50; i++)
 		uv_run(&rig->loop, UV_RUN_NOWAIT);
@@ -917,11 +929,13 @@
 	GString *seeds = g_string_new(NULL);
 	char *text;
 
-	for (int i = 0; i < RIG_GATEWAYS; i++) {
-		if (i != number && rig->peer_ports[i])
-			g_string_append_printf(seeds, "%s\"127.0.0.1:%u\"",
-					       seeds->len ? ", " : "",
-					       rig->peer_ports[i]);
+	for (int i = 0, listed = 0;
+	     i < rig->gateway_count && listed < SEEDS_MAX; i++) {
+		if (i == number || !rig->peer_ports[i])
+			continue;
+		g_string_append_printf(seeds, "%s\"127.0.0.1:%u\"",
+				       seeds->len ? ", " : "", rig->peer_ports[i]);
+		listed++;
 	}
 	text = g_strdup_printf(
 		"[node]\nid = \"g%d\"\nzone = \"a\"\n%s[fleet]\nzones = "
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -14,8 +14,10 @@
 #include "core/list.h"
 #include "tests/harness/process.h"
 
-#define RIG_UPSTREAMS 3
+#define RIG_UPSTREAMS 3 /* of a rig without a size of its own */
 #define RIG_GATEWAYS 3
+#define RIG_UPSTREAMS_MAX 12
+#define RIG_GATEWAYS_MAX 24
 #define RIG_TIMEOUT_MS 10000 /* of a wait for a condition */
 
 /* What an upstream does with a request. */
@@ -77,9 +79,11 @@
 	uv_loop_t loop;
 	uv_timer_t ticker;
 	char *dir;
-	rig_server_t stores[RIG_GATEWAYS]; /* one store; a listener for each gateway */
+	int gateway_count;
+	int upstream_count;
+	rig_server_t stores[RIG_GATEWAYS_MAX]; /* one store; a listener for each gateway */
 	rig_server_t cloud;
-	rig_server_t upstreams[RIG_UPSTREAMS];
+	rig_server_t upstreams[RIG_UPSTREAMS_MAX];
 	json_t *objects; /* kind -> name -> object */
 	json_t *events; /* array, in the order of their revisions */
 	json_int_t revision;
@@ -98,12 +102,12 @@
 	/* called for each call that reaches an upstream; NULL: not */
 	void (*observe_call)(void *ctx, int upstream, const char *call_id);
 	void *ctx; /* of choose_behavior and observe_call */
-	uint16_t store_proxy_ports[RIG_GATEWAYS]; /* of proxies in front; 0: none */
-	uint16_t upstream_proxy_ports[RIG_UPSTREAMS]; /* 0: none */
+	uint16_t store_proxy_ports[RIG_GATEWAYS_MAX]; /* of proxies in front; 0: none */
+	uint16_t upstream_proxy_ports[RIG_UPSTREAMS_MAX]; /* 0: none */
 	/* of proxies in front of upstreams for one gateway only; 0: none */
-	uint16_t link_ports[RIG_GATEWAYS][RIG_UPSTREAMS];
-	process_t *gateways[RIG_GATEWAYS];
-	uint16_t peer_ports[RIG_GATEWAYS];
+	uint16_t link_ports[RIG_GATEWAYS_MAX][RIG_UPSTREAMS_MAX];
+	process_t *gateways[RIG_GATEWAYS_MAX];
+	uint16_t peer_ports[RIG_GATEWAYS_MAX];
 };
 
 /* A caller's connection and all that was received on it. */
@@ -114,6 +118,7 @@
 } rig_caller_t;
 
 gateway_rig_t *gateway_rig_create(void);
+gateway_rig_t *gateway_rig_create_sized(int gateways, int upstreams);
 void gateway_rig_destroy(gateway_rig_t *rig);
 void rig_put(gateway_rig_t *rig, const char *kind, const char *name,
 	     const char *spec);
--- a/tests/process/test_gateway_cut_off.c
+++ b/tests/process/test_gateway_cut_off.c
@@ -1,6 +1,6 @@
 /*
- * Tests of three gateways of which one loses its links to all upstreams, and still
- * reaches callers, the store and the other gateways.
+ * Tests of gateways of which some lose their links to all upstreams or to most, and
+ * still reach callers, the store and the other gateways.
  */
 #include <setjmp.h>
 #include <signal.h>
@@ -18,12 +18,17 @@
 #include "tests/harness/gateway_calls.h"
 
 #define CUT_OFF 0 /* the gateway */
-#define CALL_PERIOD_MS 20 /* to each gateway in turn */
+#define CALL_PERIOD_MS 60 /* to each gateway */
 /* after which callers of the gateway are served as others */
 #define DETECTION_MS 3000
 #define CALLS_MS 3000
 #define RECOVERY_MS 2000
+#define SILENCE_MS 2000
+#define SLOW_MS \
+	400 /* a call waits for an upstream that does not accept so long */
 #define GOSSIP_MS 1500 /* until gateways know each other */
+#define LATE_UPSTREAMS \
+	3 /* of RIG_UPSTREAMS_MAX, registered after the cut began */
 #define COUNTS_PERIOD_MS 100
 #define COUNTS_MS 5000 /* until counts of usage are in the store */
 
@@ -36,7 +41,7 @@
 
 typedef struct links {
 	gateway_rig_t *rig;
-	forwarder_t *links[RIG_GATEWAYS][RIG_UPSTREAMS];
+	forwarder_t *links[RIG_GATEWAYS_MAX][RIG_UPSTREAMS_MAX];
 	unsigned int runs; /* of all calls */
 	usage_t *usage; /* as read from the store */
 	usage_inflight_t *inflight;
@@ -49,12 +54,14 @@
 	unsigned int sent;
 	unsigned int served;
 	unsigned int refused; /* and told when to come back */
+	unsigned int slow; /* served after SLOW_MS */
 } outcomes_t;
 
 /* A call whose response is awaited. */
 typedef struct pending {
 	rig_caller_t *caller;
 	int gateway;
+	uint64_t sent_ms;
 } pending_t;
 
 static uint64_t now_ms(void)
@@ -71,11 +78,14 @@
 	links->runs++;
 }
 
-/* Starts three gateways, each with links of its own to three upstreams. */
-static int setup(void **state)
+/*
+ * Starts gateways, each with links of its own to the upstreams; the last LATE of these
+ * are not registered yet.
+ */
+static links_t *links_create(int gateways, int upstreams, int late)
 {
 	links_t *links = g_new0(links_t, 1);
-	gateway_rig_t *rig = gateway_rig_create();
+	gateway_rig_t *rig = gateway_rig_create_sized(gateways, upstreams);
 
 	links->rig = rig;
 	links->usage = usage_create("reader#1");
@@ -83,10 +93,10 @@
 	rig->observe_call = count_run;
 	rig->ctx = links;
 	rig_put_config(rig, 1, "");
-	for (int i = 0; i < RIG_UPSTREAMS; i++)
+	for (int i = 0; i < upstreams - late; i++)
 		rig_put_upstream(rig, i, "ready");
-	for (int i = 0; i < RIG_GATEWAYS; i++) {
-		for (int k = 0; k < RIG_UPSTREAMS; k++) {
+	for (int i = 0; i < gateways; i++) {
+		for (int k = 0; k < upstreams; k++) {
 			links->links[i][k] =
 				forwarder_create(&rig->loop,
 						 rig->upstreams[k].port);
@@ -98,14 +108,31 @@
 		RIG_UNTIL(rig, rig_is_ready(rig, i));
 	}
 	/* Each has read the addresses of its own links by now. */
-	for (int i = 0; i < RIG_GATEWAYS; i++)
+	for (int i = 0; i < gateways; i++)
 		rig->peer_ports[i] = rig_port(rig, i, "peers");
-	for (int i = 0; i < RIG_GATEWAYS; i++) {
+	for (int i = 0; i < gateways; i++) {
 		rig_write_settings(rig, i, i);
 		process_signal(rig->gateways[i], SIGHUP);
 	}
 	rig_run_for(rig, GOSSIP_MS);
-	*state = links;
+	return links;
+}
+
+static int setup(void **state)
+{
+	*state = links_create(RIG_GATEWAYS, RIG_UPSTREAMS, 0);
+	return 0;
+}
+
+static int setup_mesh(void **state)
+{
+	*state = links_create(6, RIG_UPSTREAMS_MAX, LATE_UPSTREAMS);
+	return 0;
+}
+
+static int setup_large_fleet(void **state)
+{
+	*state = links_create(RIG_GATEWAYS_MAX, RIG_UPSTREAMS_MAX, LATE_UPSTREAMS);
 	return 0;
 }
 
@@ -120,11 +147,11 @@
 	return 0;
 }
 
-/* Cuts the links of one gateway, or repairs them. */
-static void set_cut(links_t *links, cut_t cut, bool is_cut)
+/* Cuts a gateway's links to the first COUNT upstreams, or repairs them. */
+static void set_cut_of(links_t *links, int gateway, int count, cut_t cut, bool is_cut)
 {
-	for (int k = 0; k < RIG_UPSTREAMS; k++) {
-		forwarder_t *link = links->links[CUT_OFF][k];
+	for (int k = 0; k < count; k++) {
+		forwarder_t *link = links->links[gateway][k];
 
 		switch (cut) {
 		case CUT_RESETS:
@@ -143,6 +170,12 @@
 	}
 }
 
+/* Cuts the links of one gateway, or repairs them. */
+static void set_cut(links_t *links, cut_t cut, bool is_cut)
+{
+	set_cut_of(links, CUT_OFF, RIG_UPSTREAMS, cut, is_cut);
+}
+
 /* Merges the counts of usage in the store, which forgets those that were reported. */
 static void read_counts(links_t *links)
 {
@@ -179,6 +212,8 @@
 			continue;
 		text = pending->caller->received->str;
 		of_gateway->served += strstr(text, "HTTP/1.1 200") != NULL;
+		of_gateway->slow += strstr(text, "HTTP/1.1 200") &&
+				    now_ms() - pending->sent_ms >= SLOW_MS;
 		of_gateway->refused += strstr(text, "HTTP/1.1 503") &&
 				       strstr(text, "Retry-After: ");
 		links->unknown += !strstr(text, "HTTP/1.1 200") &&
@@ -190,26 +225,29 @@
 
 /* Sends calls to all gateways in turn for MS, and waits for their responses. */
 static void send_calls(links_t *links, const char *path, uint64_t ms,
-		       outcomes_t outcomes[RIG_GATEWAYS])
+		       outcomes_t outcomes[RIG_GATEWAYS_MAX])
 {
 	static int number;
+	const int gateways = links->rig->gateway_count;
 	GArray *calls = g_array_new(FALSE, FALSE, sizeof(pending_t));
 	uint64_t start = now_ms();
-	uint64_t next = start;
+	uint64_t sent = 0;
 
-	memset(outcomes, 0, sizeof(*outcomes) * RIG_GATEWAYS);
+	memset(outcomes, 0, sizeof(*outcomes) * RIG_GATEWAYS_MAX);
 	while (now_ms() - start < ms) {
 		rig_run_once(links->rig);
-		if (now_ms() >= next) {
+		if ((now_ms() - start) * (uint64_t)gateways >=
+		    sent * CALL_PERIOD_MS) {
 			char id[32];
-			pending_t pending = { .gateway = ++number % RIG_GATEWAYS };
+			pending_t pending = { .gateway = ++number % gateways,
+					      .sent_ms = now_ms() };
 
 			snprintf(id, sizeof(id), "c%d", number);
 			pending.caller = rig_call_at(links->rig, pending.gateway,
 						     "POST", path, id);
 			outcomes[pending.gateway].sent++;
 			g_array_append_val(calls, pending);
-			next += CALL_PERIOD_MS;
+			sent++;
 		}
 		collect(links, calls, outcomes);
 	}
@@ -282,7 +320,7 @@
  */
 static void check_cut(links_t *links, cut_t cut)
 {
-	outcomes_t outcomes[RIG_GATEWAYS];
+	outcomes_t outcomes[RIG_GATEWAYS_MAX];
 	const outcomes_t *of_cut_off = &outcomes[CUT_OFF];
 	unsigned int served;
 	unsigned int sent;
@@ -339,7 +377,7 @@
 static void test_all_gateways_are_cut_off(void **state)
 {
 	links_t *links = *state;
-	outcomes_t outcomes[RIG_GATEWAYS];
+	outcomes_t outcomes[RIG_GATEWAYS_MAX];
 	unsigned int before;
 
 	send_calls(links, "/unsafe/x", 500, outcomes);
@@ -370,7 +408,7 @@
 static void test_one_upstream_without_links(void **state)
 {
 	links_t *links = *state;
-	outcomes_t outcomes[RIG_GATEWAYS];
+	outcomes_t outcomes[RIG_GATEWAYS_MAX];
 	rig_caller_t *metrics;
 
 	send_calls(links, "/safe/x", 500, outcomes);
@@ -390,6 +428,66 @@
 	rig_caller_destroy(metrics);
 }
 
+/*
+ * Cuts a third of the gateways off from the upstreams that serve, and registers others
+ * that they reach. Checks that their callers are served as those of the others.
+ */
+static void check_late_upstreams(links_t *links, cut_t cut)
+{
+	gateway_rig_t *rig = links->rig;
+	outcomes_t outcomes[RIG_GATEWAYS_MAX];
+	const int old = rig->upstream_count - LATE_UPSTREAMS;
+	const int cut_off = rig->gateway_count / 3;
+	outcomes_t of_cut_off = { 0 };
+	outcomes_t of_others = { 0 };
+
+	send_calls(links, "/unsafe/x", 500, outcomes);
+	for (int i = 0; i < cut_off; i++)
+		set_cut_of(links, i, old, cut, true);
+	rig_run_for(rig, 100);
+	for (int k = old; k < rig->upstream_count; k++)
+		rig_put_upstream(rig, k, "ready");
+	send_calls(links, "/unsafe/x", DETECTION_MS, outcomes);
+	/* Calls on connections that are silent have ended by then. */
+	send_calls(links, "/unsafe/x", SILENCE_MS, outcomes);
+	send_calls(links, "/unsafe/x", CALLS_MS, outcomes);
+	for (int i = 0; i < rig->gateway_count; i++) {
+		outcomes_t *side = i < cut_off ? &of_cut_off : &of_others;
+
+		side->sent += outcomes[i].sent;
+		side->served += outcomes[i].served;
+		side->refused += outcomes[i].refused;
+		side->slow += outcomes[i].slow;
+	}
+	print_message("%d of %d gateways cut off: %u of %u served, %u refused, "
+		      "%u slow; others: %u of %u, %u slow\n",
+		      cut_off, rig->gateway_count, of_cut_off.served,
+		      of_cut_off.sent, of_cut_off.refused, of_cut_off.slow,
+		      of_others.served, of_others.sent, of_others.slow);
+	assert_true(of_others.served * 50 >= of_others.sent * 49);
+	assert_true(of_cut_off.served * 50 >= of_cut_off.sent * 49);
+	assert_true(of_cut_off.slow * 50 <= of_cut_off.sent);
+	for (int i = 0; i < cut_off; i++)
+		set_cut_of(links, i, old, cut, false);
+	send_calls(links, "/unsafe/x", RECOVERY_MS, outcomes);
+	send_calls(links, "/unsafe/x", 500, outcomes);
+	for (int i = 0; i < rig->gateway_count; i++)
+		assert_int_equal(outcomes[i].served, outcomes[i].sent);
+	check_runs(links);
+}
+
+/* Guards against a cut that ends with a connection to one of many upstreams. */
+static void test_few_upstreams_can_be_connected_to(void **state)
+{
+	check_late_upstreams(*state, CUT_HANGS);
+}
+
+/* Guards against a gateway that is cut off from most upstreams for a moment only. */
+static void test_few_upstreams_do_not_reset_connections(void **state)
+{
+	check_late_upstreams(*state, CUT_RESETS);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -403,6 +501,10 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_all_gateways_are_cut_off,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_few_upstreams_can_be_connected_to,
+						setup_mesh, teardown),
+		cmocka_unit_test_setup_teardown(test_few_upstreams_do_not_reset_connections,
+						setup_large_fleet, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
