Count probes that hang past their round while a gateway is cut off

A gateway that reached 3 of 12 upstreams took its cut for over in 3 of 18 cases within ten seconds, and its callers waited for connections again. Each round counted as many results as it had probes, those that connect come first, and so some that hung were dropped. All count now, over 32 probes in place of 24. test_probes_that_hang_count_while_cut_off failed before.

--- a/core/forward/reach.c
+++ b/core/forward/reach.c
@@ -22,7 +22,7 @@
 #define CUT_OFF_PROBE_PERIOD (200 * PD_MSEC)
 #define CUT_OFF_PROBES 3
 /* Results of probes that decide whether a cut is over. */
-#define RESULTS_KEPT 24
+#define RESULTS_KEPT 32
 #define RESULTS_MIN 6
 
 /* How the last connection of a request to an upstream went. */
@@ -39,7 +39,7 @@
 	GArray *probed; /* short ids of the upstreams probed in this round */
 	unsigned int result_count; /* of the probes of this round */
 	unsigned int connected; /* of these, how many connected */
-	uint32_t results; /* of probes while cut off, the last one in bit 0; 1: connected */
+	uint64_t results; /* of probes while cut off, the last one in bit 0; 1: connected */
 	unsigned int results_kept;
 	pd_time_t probe_at; /* when the next round may begin */
 	pd_time_t wave_at; /* when the last probes of this round were started */
@@ -141,9 +141,9 @@
 	unsigned int count = 0;
 
 	reach->results = (reach->results << 1 | connected) &
-			 ((1u << RESULTS_KEPT) - 1);
+			 (((uint64_t)1 << RESULTS_KEPT) - 1);
 	reach->results_kept = MIN(reach->results_kept + 1, RESULTS_KEPT);
-	for (uint32_t rest = reach->results; rest; rest &= rest - 1)
+	for (uint64_t rest = reach->results; rest; rest &= rest - 1)
 		count++;
 	return reach->results_kept < RESULTS_MIN ||
 	       2 * count <= reach->results_kept;
@@ -196,17 +196,19 @@
 {
 	bool was_cut_off = reach->cut_off;
 
+	if (was_cut_off) {
+		/* Probes that hang end after their round, and count like others. */
+		if (!keep_result(reach, connected))
+			end_cut(reach);
+		return !reach->cut_off;
+	}
 	if (reach->result_count >= reach->probed->len)
 		return false;
 	reach->result_count++;
 	reach->connected += connected;
-	if (was_cut_off) {
-		if (!keep_result(reach, connected))
-			end_cut(reach);
-	} else if (reach->result_count == reach->probed->len) {
+	if (reach->result_count == reach->probed->len)
 		decide(reach, serving);
-	}
-	return reach->cut_off != was_cut_off;
+	return reach->cut_off;
 }
 
 /* Returns whether requests could not be sent lately. */
--- a/tests/unit/test_reach.c
+++ b/tests/unit/test_reach.c
@@ -181,6 +181,21 @@
 	assert_false(reach_is_cut_off(reach));
 }
 
+/* Guards against a cut that ends as probes that hang are not counted. */
+static void test_probes_that_hang_count_while_cut_off(void **state)
+{
+	reach_t *reach = *state;
+
+	fail_upstreams(reach, 1, 2, START);
+	run_round(reach, 0, SERVING, START);
+	for (int i = 0; i < 50; i++) {
+		start_probes(reach, 1, SERVING, START + PD_SEC + i * 200 * PD_MSEC);
+		end_probes(reach, true, 2, SERVING);
+		/* Those of the rounds before. */
+		assert_true(fail_probes(reach, 4, SERVING));
+	}
+}
+
 /* Guards against many probes while few of many connections fail. */
 static void test_few_of_many_connections_fail(void **state)
 {
@@ -256,6 +271,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_cut_ends_when_most_upstreams_connect,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_probes_that_hang_count_while_cut_off,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_few_of_many_connections_fail,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(
