Relay to no gateway that others list as cut off

Above a mesh a gateway that was cut off relayed requests to gateways that were cut off too: members listed each other's relay port, but not that its gateway takes none, and only gateways heard from directly were known to be cut off. A request that two of them refused fell back to upstreams that hang. The port is now listed as 0, and what a member says itself is preferred to what others list.

--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -257,7 +257,7 @@
 	msgpack_write_string(packer, peer->address);
 	msgpack_pack_uint8(packer, peer->high_capacity);
 	msgpack_pack_uint16(packer, peer->zone);
-	msgpack_pack_uint16(packer, peer->relay_port);
+	msgpack_pack_uint16(packer, peer->cut_off ? 0 : peer->relay_port);
 }
 
 /* Returns whether a peer is one of the COUNT peers in PEERS. */
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -108,7 +108,7 @@
 /* kind, sender, whether all upstreams are listed, upstreams */
 #define UPDATES_FIELDS 4
 #define FETCH_FIELDS 4 /* kind, sender, FETCH_ flags, digests or id hashes */
-/* address, whether it has high capacity, zone, relay port */
+/* address, whether it has high capacity, zone, relay port or 0 if it takes no relays */
 #define MEMBER_FIELDS 4
 #define MEMBER_FIELDS_MIN 3 /* earlier builds send no relay port */
 /* account, granted tokens, bucket level or nil, requested */
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -218,6 +218,18 @@
 					 (int64_t)msgpack_field_uint64(object));
 }
 
+/*
+ * Applies what another gateway lists of a member, unless the member itself was heard
+ * from, which is newer.
+ */
+static void update_relay_port(peer_t *peer, uint16_t relay_port)
+{
+	if (peer_is_heard(peer, gateway_now()))
+		return;
+	peer->relay_port = relay_port;
+	peer->cut_off = false;
+}
+
 /* Adds the members that a peer lists, and records that it heard from them. */
 static void merge_members(gateway_peers_t *peers, const msgpack_object *object)
 {
@@ -237,8 +249,9 @@
 			peer->high_capacity = msgpack_field_uint64(&fields[1]) != 0;
 			peer->zone = (uint16_t)msgpack_field_uint64(&fields[2]);
 			if (fields_count >= MEMBER_FIELDS)
-				peer->relay_port =
-					(uint16_t)msgpack_field_uint64(&fields[3]);
+				update_relay_port(peer,
+						  (uint16_t)msgpack_field_uint64(
+							  &fields[3]));
 		}
 		g_free(address);
 	}
--- a/tests/process/test_gateway_cut_off.c
+++ b/tests/process/test_gateway_cut_off.c
@@ -503,6 +503,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_few_upstreams_can_be_connected_to,
 						setup_mesh, teardown),
+		cmocka_unit_test_setup_teardown(test_few_upstreams_can_be_connected_to,
+						setup_large_fleet, teardown),
 		cmocka_unit_test_setup_teardown(test_few_upstreams_do_not_reset_connections,
 						setup_large_fleet, teardown),
 	};
