Pause at all gateways after a brittle upstream has rejected a request

Where an upstream admits fewer requests than the slots it registered, as an engine without memory does, each gateway had it reject requests in turn.

A gateway now tells the others at once of a rejection by such an upstream. An upstream that has not answered since its start is taken to be like others of its service, so neither its restart nor that of a gateway undoes what is known.

--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -25,6 +25,7 @@
 	MESSAGE_QUARANTINE, /* requests under which upstreams ended */
 	MESSAGE_STREAMS, /* software versions that began streams */
 	MESSAGE_STREAM_QUERY, /* asks for that of one stream */
+	MESSAGE_REJECTIONS, /* by upstreams that fail under many of them */
 	MESSAGE_KINDS /* number of kinds */
 } message_kind_t;
 
@@ -125,6 +126,8 @@
 #define QUARANTINE_FIELDS 3 /* kind, sender, reports */
 #define REPORT_FIELDS 3 /* fingerprint, idle ms, ends */
 #define END_FIELDS 3 /* short id, whether it was cleared, age in ms */
+#define REJECTIONS_FIELDS 4 /* kind, sender, wall time in ms, rejections */
+#define REJECTION_FIELDS 2 /* short id of the upstream, age in ms */
 #define USAGE_FIELDS 3 /* window, account, count */
 /* An upstream in full, or only its id hash, stage, revision and start time. */
 #define UPSTREAM_FIELDS 11
@@ -142,6 +145,12 @@
 	double prefill_tokens;
 } load_t;
 
+/* A request that an upstream rejected. */
+typedef struct rejection {
+	uint32_t short_id; /* of the upstream */
+	pd_time_t at;
+} rejection_t;
+
 /* Membership as seen by this gateway; recomputed every VIEW_MAX_AGE. */
 typedef struct peer_view {
 	pd_time_t at; /* when it was computed */
@@ -247,6 +256,9 @@
 	GHashTable *pending_updates; /* ids of changed upstreams to send */
 	/* id hash of an unknown upstream -> when it was requested */
 	GHashTable *pending_fetches;
+	GArray *rejections; /* of rejection_t, not sent yet */
+	/* when the next would be sent if all were sent one period apart */
+	pd_time_t rejections_due_at;
 	/* when expired ones were last removed */
 	pd_time_t pending_fetches_pruned_at;
 };
@@ -292,6 +304,10 @@
 			   const quarantine_report_t *reports, unsigned int count);
 void peers_repeat_quarantine(gateway_peers_t *peers);
 void peers_send_held(gateway_peers_t *peers, peer_t *peer);
+void peers_pack_rejections(msgpack_sbuffer *buffer, const gateway_peers_t *peers,
+			   const rejection_t *rejections, unsigned int count);
+void peers_run_rejections(gateway_peers_t *peers, pd_time_t now);
+int peers_receive_rejections(gateway_peers_t *peers, const msgpack_object *fields);
 int peers_receive_quarantine(gateway_peers_t *peers, const msgpack_object *fields);
 GPtrArray *peers_alive(const gateway_peers_t *peers, pd_time_t now);
 void peers_spread(gateway_peers_t *peers, const msgpack_sbuffer *buffer,
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -795,6 +795,7 @@
 		[MESSAGE_QUARANTINE] = QUARANTINE_FIELDS,
 		[MESSAGE_STREAMS] = STREAMS_FIELDS,
 		[MESSAGE_STREAM_QUERY] = STREAM_QUERY_FIELDS,
+		[MESSAGE_REJECTIONS] = REJECTIONS_FIELDS,
 	};
 	uint32_t count = 0;
 	const msgpack_object *fields = msgpack_field_array(object, 1, &count);
@@ -827,6 +828,8 @@
 		return peers_receive_streams(peers, fields);
 	case MESSAGE_STREAM_QUERY:
 		return peers_receive_stream_query(peers, fields);
+	case MESSAGE_REJECTIONS:
+		return peers_receive_rejections(peers, fields);
 	case MESSAGE_KINDS:
 		break;
 	}
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -27,6 +27,8 @@
 bool gateway_peers_has_relay(const gateway_peers_t *peers);
 char *gateway_peers_pick_relay(const gateway_peers_t *peers);
 void gateway_peers_limits_changed(gateway_peers_t *peers);
+void gateway_peers_record_rejection(gateway_peers_t *peers,
+				    forward_upstream_t *upstream);
 void gateway_peers_send_quarantine(gateway_peers_t *peers);
 void gateway_peers_send_streams(gateway_peers_t *peers);
 void gateway_peers_query_stream(gateway_peers_t *peers, uint64_t attempt,
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "adapters/gateway/peers.h"
 #include "adapters/gateway/quarantine_checks.h"
 #include "adapters/gateway/rate_limits.h"
 #include "adapters/gateway/upstream_reach.h"
@@ -157,6 +158,10 @@
 		if (request->status == 421)
 			forward_upstream_record_connect_failure(request->upstream,
 								now);
+		else if (forward_upstreams_is_brittle(request->gateway->upstreams,
+						      request->upstream))
+			gateway_peers_record_rejection(request->gateway->peers,
+						       request->upstream);
 		else
 			forward_upstream_record_rejection(request->upstream, now);
 		gateway_request_record_outcome(request, true);
--- a/core/forward/brittle.h
+++ b/core/forward/brittle.h
@@ -1,6 +1,7 @@
 /*
- * Requests that a gateway may have at an upstream that fails when it has to reject too
- * many, so that all gateways together rarely exceed its slots.
+ * What a gateway may send to an upstream that fails when it has to reject too many
+ * requests: how many at a time, so that all gateways together rarely exceed its slots,
+ * and how long none after it has rejected one.
  */
 #ifndef PISTACHIO_FORWARD_BRITTLE_H
 #define PISTACHIO_FORWARD_BRITTLE_H
@@ -13,6 +14,8 @@
 	unsigned int gateway_count;
 } brittle_sharer_t;
 
+pd_time_t brittle_pause(uint64_t upstream_hash, const brittle_sharer_t *sharer,
+			pd_time_t now);
 unsigned int brittle_share(unsigned int slots, uint64_t upstream_hash,
 			   const brittle_sharer_t *sharer, pd_time_t now);
 
--- a/core/forward/choice.c
+++ b/core/forward/choice.c
@@ -94,6 +94,7 @@
 /* A choice in progress; the upstreams are borrowed. */
 typedef struct search {
 	const forward_criteria_t *criteria;
+	const forward_upstreams_t *set;
 	const GPtrArray *serving;
 	preferred_t preferred;
 	/* prompt tokens that an engine processes per second */
@@ -177,12 +178,14 @@
 }
 
 /* Returns whether an upstream has no room for the request. */
-static bool is_full(const forward_upstream_t *upstream,
-		    const forward_criteria_t *criteria, pd_time_t now)
+static bool is_full(const search_t *search, const forward_upstream_t *upstream)
 {
+	const forward_criteria_t *criteria = search->criteria;
+	pd_time_t now = search->now;
+
 	if (now < upstream->full_until)
 		return true;
-	if (upstream->brittle &&
+	if (forward_upstreams_is_brittle(search->set, upstream) &&
 	    upstream->running >= brittle_share(upstream->slots, upstream->id_hash,
 					       &criteria->sharer, now))
 		return true;
@@ -225,7 +228,7 @@
 	if (is_tried(criteria, upstream->id) ||
 	    (criteria->version_id && upstream->version_id != criteria->version_id))
 		return false;
-	if (is_full(upstream, criteria, search->now)) {
+	if (is_full(search, upstream)) {
 		search->any_full = true;
 		return false;
 	}
@@ -324,6 +327,7 @@
 {
 	search_t search = {
 		.criteria = criteria,
+		.set = set,
 		.serving = forward_upstreams_serving(set, criteria->service),
 		.prefill_rate = engine_speeds_rate(forward_upstreams_speeds(set),
 						   criteria->service),
--- a/core/forward/upstream_record.c
+++ b/core/forward/upstream_record.c
@@ -17,8 +17,8 @@
 #define CONNECT_FAILURE_WEIGHT 4
 /* How long an upstream that rejected a request counts as full. */
 #define REJECTION_PAUSE (150 * PD_MSEC)
-/* The same for one that fails if it has to reject too many in a second. */
-#define BRITTLE_REJECTION_PAUSE PD_SEC
+/* A rejection that becomes known so shortly after another one is no news. */
+#define REJECTION_NEWS_MIN (100 * PD_MSEC)
 /* A probe request without a response for so long no longer blocks others. */
 #define PROBE_TIMEOUT (2 * PD_SEC)
 /*
@@ -129,8 +129,24 @@
  */
 void forward_upstream_record_rejection(forward_upstream_t *upstream, pd_time_t now)
 {
-	upstream->full_until = now + (upstream->brittle ? BRITTLE_REJECTION_PAUSE
-							: REJECTION_PAUSE);
+	upstream->full_until = now + REJECTION_PAUSE;
+}
+
+/*
+ * Records that the upstream, which fails if it has to reject too many requests, has
+ * rejected one of any gateway at a time. Returns whether that is news, of which other
+ * gateways should know; what is sent on does not become news again.
+ */
+bool forward_upstream_record_brittle_rejection(forward_upstream_t *upstream,
+					       const brittle_sharer_t *sharer,
+					       pd_time_t at)
+{
+	upstream->brittle = FORWARD_BRITTLE;
+	if (upstream->rejected_at && at - upstream->rejected_at < REJECTION_NEWS_MIN)
+		return false;
+	upstream->rejected_at = at;
+	upstream->full_until = at + brittle_pause(upstream->id_hash, sharer, at);
+	return true;
 }
 
 /*
@@ -139,9 +155,9 @@
  */
 bool forward_upstream_record_brittle(forward_upstream_t *upstream, bool brittle)
 {
-	bool changed = upstream->brittle != brittle;
+	bool changed = (upstream->brittle == FORWARD_BRITTLE) != brittle;
 
-	upstream->brittle = brittle;
+	upstream->brittle = brittle ? FORWARD_BRITTLE : FORWARD_STURDY;
 	return changed;
 }
 
@@ -160,7 +176,7 @@
 	upstream->failures = 0;
 	upstream->backoff_until = 0;
 	upstream->full_until = 0;
-	upstream->brittle = false;
+	upstream->brittle = FORWARD_BRITTLE_UNKNOWN;
 	upstream->probe_started_at = 0;
 	g_hash_table_remove_all(upstream->cached_parts);
 }
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -503,3 +503,24 @@
 {
 	return upstream->prefill_tokens + upstream->peers_prefill_tokens;
 }
+
+/*
+ * Returns whether an upstream fails if it has to reject too many requests, as far as is
+ * known: one that has not answered since its start is like others of its service.
+ */
+bool forward_upstreams_is_brittle(const forward_upstreams_t *set,
+				  const forward_upstream_t *upstream)
+{
+	const GPtrArray *serving;
+
+	if (upstream->brittle != FORWARD_BRITTLE_UNKNOWN)
+		return upstream->brittle == FORWARD_BRITTLE;
+	serving = forward_upstreams_serving(set, upstream->service);
+	for (guint i = 0; serving && i < serving->len; i++) {
+		const forward_upstream_t *other = g_ptr_array_index(serving, i);
+
+		if (other->brittle == FORWARD_BRITTLE)
+			return true;
+	}
+	return false;
+}
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -5,6 +5,7 @@
 #ifndef PISTACHIO_FORWARD_UPSTREAMS_H
 #define PISTACHIO_FORWARD_UPSTREAMS_H
 
+#include "core/forward/brittle.h"
 #include "core/forward/call.h"
 #include "core/forward/config.h"
 #include "core/forward/engine_speed.h"
@@ -52,6 +53,13 @@
 	uint64_t revision;
 } forward_stage_update_t;
 
+/* Whether an upstream fails if it has to reject too many requests. */
+typedef enum forward_brittle {
+	FORWARD_BRITTLE_UNKNOWN, /* it has not answered since it started */
+	FORWARD_BRITTLE,
+	FORWARD_STURDY
+} forward_brittle_t;
+
 typedef struct forward_upstream {
 	list_node_t node;
 	unsigned int refs;
@@ -90,7 +98,9 @@
 	pd_time_t backoff_until;
 	pd_time_t full_until; /* set when it rejects a request */
 	pd_time_t answered_at; /* when it last sent a head of a response here */
-	bool brittle; /* it fails if it has to reject too many requests */
+	forward_brittle_t brittle;
+	/* when it last rejected a request of any gateway while it was brittle; 0: never */
+	pd_time_t rejected_at;
 	pd_time_t probe_started_at; /* when a probe request was sent; 0: none */
 	/* prompt part id -> pd_time_t of its last use */
 	GHashTable *cached_parts;
@@ -143,7 +153,12 @@
 void forward_upstream_record_connect_failure(forward_upstream_t *upstream,
 					     pd_time_t now);
 void forward_upstream_record_rejection(forward_upstream_t *upstream, pd_time_t now);
+bool forward_upstream_record_brittle_rejection(forward_upstream_t *upstream,
+					       const brittle_sharer_t *sharer,
+					       pd_time_t at);
 bool forward_upstream_record_brittle(forward_upstream_t *upstream, bool brittle);
+bool forward_upstreams_is_brittle(const forward_upstreams_t *set,
+				  const forward_upstream_t *upstream);
 void forward_upstream_record_restart(forward_upstream_t *upstream);
 void forward_upstream_record_success(forward_upstream_t *upstream);
 bool forward_upstream_in_backoff(const forward_upstream_t *upstream, pd_time_t now);
--- a/tests/process/test_gateway_limits.c
+++ b/tests/process/test_gateway_limits.c
@@ -24,6 +24,8 @@
 /* Upstreams that fall over, and that the calls are more than enough for. */
 #define BRITTLE 3 /* rejections a second */
 #define BRITTLE_ROOM 8
+#define FALLS_ALLOWED \
+	2 /* of a few upstreams, while they say that they are brittle */
 #define BRITTLE_WORK_MS 800
 
 /* The outcomes of calls. */
@@ -46,22 +48,39 @@
 	return uv_hrtime() / 1000000;
 }
 
-/* Starts three gateways that know each other, with three upstreams. */
-static int setup(void **state)
+/* Starts gateways that know each other, with RIG_UPSTREAMS upstreams. */
+static gateway_rig_t *start_rig(int gateways)
 {
-	gateway_rig_t *rig = gateway_rig_create();
+	gateway_rig_t *rig = gateway_rig_create_sized(gateways, RIG_UPSTREAMS);
 
 	rig_put_config(rig, 1, "");
-	for (int i = 0; i < RIG_UPSTREAMS; i++)
+	for (int i = 0; i < rig->upstream_count; i++)
 		rig_put_upstream(rig, i, "ready");
-	for (int i = 0; i < RIG_GATEWAYS; i++) {
+	for (int i = 0; i < gateways; i++) {
 		rig_start(rig, i);
 		RIG_UNTIL(rig, rig_port(rig, i, "health"));
 		rig->peer_ports[i] = rig_port(rig, i, "peers");
 	}
-	for (int i = 0; i < RIG_GATEWAYS; i++)
+	for (int i = 0; i < gateways; i++)
 		RIG_UNTIL(rig, rig_is_ready(rig, i));
-	*state = rig;
+	return rig;
+}
+
+static int setup(void **state)
+{
+	*state = start_rig(RIG_GATEWAYS);
+	return 0;
+}
+
+static int setup_mesh(void **state)
+{
+	*state = start_rig(6);
+	return 0;
+}
+
+static int setup_large_fleet(void **state)
+{
+	*state = start_rig(RIG_GATEWAYS_MAX);
 	return 0;
 }
 
@@ -127,8 +146,9 @@
 			pending_t pending = { .sent_ms = now_ms() };
 
 			snprintf(id, sizeof(id), "c%d", ++number);
-			pending.caller = rig_call_at(rig, number % RIG_GATEWAYS,
-						     "POST", path, id);
+			pending.caller =
+				rig_call_at(rig, number % rig->gateway_count,
+					    "POST", path, id);
 			g_array_append_val(calls, pending);
 			next += CALL_PERIOD_MS;
 		}
@@ -242,6 +262,40 @@
 	assert_int_equal(outcomes.other, 0);
 }
 
+/*
+ * Guards against gateways that each go on to try upstreams that admit fewer requests than
+ * their slots, until these fall over.
+ */
+static void test_brittle_upstreams_that_admit_few_do_not_fall_over(void **state)
+{
+	gateway_rig_t *rig = *state;
+	unsigned int falls = 0;
+	outcomes_t outcomes;
+
+	for (int i = 0; i < rig->upstream_count; i++) {
+		rig->upstreams[i].brittle = BRITTLE;
+		rig->upstreams[i].work_ms = BRITTLE_WORK_MS;
+		rig->upstreams[i].room = BRITTLE_ROOM;
+	}
+	send_calls(rig, "/safe/x", LEARNING_MS);
+	for (int i = 0; i < rig->upstream_count; i++) {
+		rig->upstreams[i].room = BRITTLE_ROOM / 3;
+		rig->upstreams[i].falls = 0;
+	}
+	outcomes = send_calls(rig, "/safe/x", 2 * WINDOW_MS);
+	for (int i = 0; i < rig->upstream_count; i++)
+		falls += rig->upstreams[i].falls;
+	print_message("%d gateways: %u falls, %u served, %u refused, %u "
+		      "other\n",
+		      rig->gateway_count, falls, outcomes.served,
+		      outcomes.refused, outcomes.other);
+	assert_true(falls <= FALLS_ALLOWED);
+	/* A quarter of what the upstreams could serve. */
+	assert_true(outcomes.served >= (unsigned int)rig->upstream_count *
+					       (BRITTLE_ROOM / 3) * 2 *
+					       WINDOW_MS / BRITTLE_WORK_MS / 4);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -253,6 +307,12 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_brittle_upstreams_do_not_fall_over,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_brittle_upstreams_that_admit_few_do_not_fall_over,
+			setup_mesh, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_brittle_upstreams_that_admit_few_do_not_fall_over,
+			setup_large_fleet, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -129,6 +129,19 @@
 	peers_pack_quarantine(buffer, gateway->peers, reports, 2);
 }
 
+/* Packs rejections by an upstream that is known and by one that is not. */
+static void pack_rejections(gateway_t *gateway, msgpack_sbuffer *buffer)
+{
+	const rejection_t rejections[] = {
+		{ forward_upstream_short_id(
+			  forward_upstreams_find(gateway->upstreams, "u1")),
+		  gateway_now() - PD_MSEC },
+		{ 77, gateway_now() },
+	};
+
+	peers_pack_rejections(buffer, gateway->peers, rejections, 2);
+}
+
 static void check_limit(void *ctx, const upstream_limit_t *limit)
 {
 	bool valid = limit->rate >= 0 && limit->rate <= UPSTREAM_RATE_MAX &&
@@ -179,6 +192,9 @@
 	case 8:
 		peers_pack_stream_query(&buffer, peers, 77, "s");
 		break;
+	case 9:
+		pack_rejections(gateway, &buffer);
+		break;
 	default:
 		peers_pack_announcement(&packer, peers);
 		break;
@@ -191,7 +207,7 @@
 static bool prop_peers(gateway_t *gateway)
 {
 	return rc::check("messages of peers", [gateway] {
-		auto kind = *rc::gen::inRange(0, 10);
+		auto kind = *rc::gen::inRange(0, 11);
 		bool valid = true;
 		auto bytes = mutated(message(gateway, kind));
 
--- a/tests/unit/test_brittle.c
+++ b/tests/unit/test_brittle.c
@@ -75,12 +75,30 @@
 	}
 }
 
+/* Guards against gateways that all go on at once after a rejection. */
+static void test_gateways_go_on_one_after_the_other(void **state)
+{
+	unsigned int within[30] = { 0 };
+
+	(void)state;
+	for (unsigned int i = 0; i < 100; i++) {
+		const brittle_sharer_t sharer = { hash_number(i + 1), 100 };
+		pd_time_t pause = brittle_pause(77, &sharer, START);
+
+		assert_in_range(pause, 500 * PD_MSEC, 1500 * PD_MSEC);
+		within[pause / (50 * PD_MSEC)]++;
+	}
+	for (unsigned int i = 0; i < 30; i++)
+		assert_in_range(within[i], 0, 15);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_sum_of_shares),
 		cmocka_unit_test(test_few_gateways_share_evenly),
 		cmocka_unit_test(test_every_gateway_draws_a_share),
+		cmocka_unit_test(test_gateways_go_on_one_after_the_other),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_forward_upstreams.c
+++ b/tests/unit/test_forward_upstreams.c
@@ -205,6 +205,43 @@
 	assert_non_null(choose(*state, START + PD_SEC));
 }
 
+/* Guards against a gateway that sends on what an upstream rejected elsewhere for ever. */
+static void test_rejections_of_brittle_upstreams_are_news_once(void **state)
+{
+	const brittle_sharer_t sharer = { 5, 6 };
+	forward_upstream_t *upstream;
+
+	list(*state, "u1", 1, FORWARD_SERVING);
+	upstream = forward_upstreams_find(*state, "u1");
+	assert_true(forward_upstream_record_brittle_rejection(upstream, &sharer,
+							      START));
+	assert_false(
+		forward_upstream_record_brittle_rejection(upstream, &sharer,
+							  START + 20 * PD_MSEC));
+	assert_null(choose(*state, START + 400 * PD_MSEC));
+	assert_non_null(choose(*state, START + 1600 * PD_MSEC));
+	assert_true(forward_upstream_record_brittle_rejection(upstream, &sharer,
+							      START + PD_SEC));
+	assert_null(choose(*state, START + 1400 * PD_MSEC));
+}
+
+/* Guards against an upstream that is filled as it has not answered since its start. */
+static void test_upstream_that_started_is_like_its_service(void **state)
+{
+	forward_upstream_t *upstream;
+
+	list(*state, "u1", 1, FORWARD_SERVING);
+	list(*state, "u2", 2, FORWARD_SERVING);
+	upstream = forward_upstreams_find(*state, "u2");
+	assert_false(forward_upstreams_is_brittle(*state, upstream));
+	forward_upstream_record_brittle(forward_upstreams_find(*state, "u1"), true);
+	assert_true(forward_upstreams_is_brittle(*state, upstream));
+	forward_upstream_record_brittle(upstream, false);
+	assert_false(forward_upstreams_is_brittle(*state, upstream));
+	forward_upstream_record_restart(upstream);
+	assert_true(forward_upstreams_is_brittle(*state, upstream));
+}
+
 static void test_a_full_upstream_is_not_chosen(void **state)
 {
 	list(*state, "u1", 1, FORWARD_SERVING);
@@ -479,6 +516,11 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_an_upstream_that_rejected_is_full,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_rejections_of_brittle_upstreams_are_news_once,
+			setup, teardown),
+		cmocka_unit_test_setup_teardown(test_upstream_that_started_is_like_its_service,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_a_full_upstream_is_not_chosen,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_gateways_agree_on_the_upstream_of_a_prefix,
