Hold parts of prompts under which upstreams end

Upstreams end before the first event of a response. So an end now counts against the request and against the parts that its prompt shares with others, these only until the first event; any first event on a part clears it at all gateways. A part is held after three ends. Parts are counted by the code and the messages that count requests, under odd keys, so fingerprints are even now.

--- a/adapters/gateway/quarantine_checks.c
+++ b/adapters/gateway/quarantine_checks.c
@@ -12,8 +12,8 @@
 #define LOG_COMPONENT "quarantine"
 /* The connections of an upstream that ends break at once; one probe serves them all. */
 #define CHECK_SHARED_TIME PD_MSEC
-/* Requests that one probe decides about. */
-#define CHECK_REQUESTS_MAX 1024
+/* Requests and parts of prompts that one probe decides about. */
+#define CHECK_SUSPECTS_MAX 2048
 #define EXPIRY_PERIOD PD_SEC
 /* The registration of an upstream that ended silently expires within this time. */
 #define SILENCE_TTL (10 * PD_SEC)
@@ -32,7 +32,7 @@
 	forward_upstream_t *upstream;
 	bool silent; /* an upstream that does not answer counts as ended */
 	pd_time_t started_at;
-	GArray *fingerprints; /* of uint64_t */
+	GArray *suspects; /* of uint64_t, keys */
 } check_t;
 
 /* A request that was given up without an answer, while its upstream was registered. */
@@ -40,31 +40,36 @@
 	list_node_t node; /* in gateway->silences */
 	forward_upstream_t *upstream;
 	unsigned int upstream_incarnation;
-	uint64_t fingerprint;
+	quarantine_suspects_t suspects;
 	pd_time_t since;
 } silence_t;
 
-/* Records that an upstream ended while it ran a request, for all gateways. */
-void gateway_quarantine_record_end(gateway_t *gateway,
-				   const forward_upstream_t *upstream,
-				   uint64_t fingerprint)
+/* Records that an upstream ended under a request or part, for all gateways. */
+static void record_end(gateway_t *gateway, const forward_upstream_t *upstream,
+		       uint64_t key)
 {
-	bool was_held;
+	bool was_held = quarantine_is_held(gateway->quarantine, key);
 
-	if (!fingerprint)
-		return;
-	was_held = quarantine_is_held(gateway->quarantine, fingerprint);
-	quarantine_record_end(gateway->quarantine, fingerprint,
+	quarantine_record_end(gateway->quarantine, key,
 			      forward_upstream_short_id(upstream), gateway_now());
-	if (!was_held && quarantine_is_held(gateway->quarantine, fingerprint)) {
+	if (!was_held && quarantine_is_held(gateway->quarantine, key)) {
 		log_line(G_LOG_LEVEL_WARNING, LOG_COMPONENT,
-			 "fingerprint=%016" G_GINT64_MODIFIER
-			 "x held=1 upstream=%s",
-			 fingerprint, upstream->id);
+			 "%s=%016" G_GINT64_MODIFIER "x held=1 upstream=%s",
+			 quarantine_is_part(key) ? "part" : "fingerprint", key,
+			 upstream->id);
 		metrics_add(gateway->metrics, "gateway_quarantined_total", 1);
 	}
 }
 
+/* Records that an upstream ended while it ran a request, for all gateways. */
+void gateway_quarantine_record_ends(gateway_t *gateway,
+				    const forward_upstream_t *upstream,
+				    const quarantine_suspects_t *suspects)
+{
+	for (unsigned int i = 0; i < suspects->count; i++)
+		record_end(gateway, upstream, suspects->keys[i]);
+}
+
 /* Returns whether the result of a probe proves that the upstream has ended. */
 static bool is_end(const gateway_t *gateway, const check_t *check,
 		   upstream_probe_result_t result)
@@ -89,17 +94,16 @@
 	check_t *check = ctx;
 
 	if (is_end(gateway, check, result)) {
-		log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT, "ended=%s requests=%u",
-			 upstream->id, check->fingerprints->len);
+		log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT, "ended=%s suspects=%u",
+			 upstream->id, check->suspects->len);
 		metrics_add(gateway->metrics, "gateway_upstream_ends_total", 1);
-		for (guint i = 0; i < check->fingerprints->len; i++)
-			gateway_quarantine_record_end(
-				gateway, upstream,
-				g_array_index(check->fingerprints, uint64_t, i));
+		for (guint i = 0; i < check->suspects->len; i++)
+			record_end(gateway, upstream,
+				   g_array_index(check->suspects, uint64_t, i));
 		gateway_peers_send_quarantine(gateway->peers);
 	}
 	list_remove(&check->node);
-	g_array_unref(check->fingerprints);
+	g_array_unref(check->suspects);
 	g_free(check);
 }
 
@@ -118,26 +122,33 @@
 	return NULL;
 }
 
+/* Has a check decide about suspects as well. */
+static void add_suspects(check_t *check, const quarantine_suspects_t *suspects)
+{
+	if (check->suspects->len + suspects->count <= CHECK_SUSPECTS_MAX)
+		g_array_append_vals(check->suspects, suspects->keys,
+				    suspects->count);
+}
+
 /* Probes an upstream to find out whether it ended while it ran a request. */
 static void start_check(gateway_t *gateway, forward_upstream_t *upstream,
-			uint64_t fingerprint, bool silent)
+			const quarantine_suspects_t *suspects, bool silent)
 {
 	pd_time_t now = gateway_now();
 	check_t *check = find_check(gateway, upstream, silent, now);
 
-	if (!fingerprint)
+	if (!suspects->count)
 		return;
 	if (check) {
-		if (check->fingerprints->len < CHECK_REQUESTS_MAX)
-			g_array_append_val(check->fingerprints, fingerprint);
+		add_suspects(check, suspects);
 		return;
 	}
 	check = g_new0(check_t, 1);
 	check->upstream = upstream;
 	check->silent = silent;
 	check->started_at = now;
-	check->fingerprints = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	g_array_append_val(check->fingerprints, fingerprint);
+	check->suspects = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	add_suspects(check, suspects);
 	list_append(&gateway->quarantine_checks, &check->node);
 	metrics_add(gateway->metrics, "gateway_quarantine_probes_total", 1);
 	upstream_probe_start(gateway, upstream, on_probe_done, check);
@@ -149,10 +160,10 @@
  */
 void gateway_quarantine_check_broken(gateway_t *gateway,
 				     forward_upstream_t *upstream,
-				     uint64_t fingerprint)
+				     const quarantine_suspects_t *suspects)
 {
 	if (forward_upstream_is_serving(upstream))
-		start_check(gateway, upstream, fingerprint, false);
+		start_check(gateway, upstream, suspects, false);
 }
 
 /*
@@ -161,16 +172,16 @@
  */
 void gateway_quarantine_watch_silent(gateway_t *gateway,
 				     forward_upstream_t *upstream,
-				     uint64_t fingerprint)
+				     const quarantine_suspects_t *suspects)
 {
 	silence_t *silence;
 
-	if (!fingerprint || gateway->silence_count >= SILENCES_MAX)
+	if (!suspects->count || gateway->silence_count >= SILENCES_MAX)
 		return;
 	silence = g_new0(silence_t, 1);
 	silence->upstream = forward_upstream_ref(upstream);
 	silence->upstream_incarnation = upstream->incarnation;
-	silence->fingerprint = fingerprint;
+	silence->suspects = *suspects;
 	silence->since = gateway_now();
 	list_append(&gateway->silences, &silence->node);
 	gateway->silence_count++;
@@ -210,10 +221,10 @@
 		if (upstream->incarnation != silence->upstream_incarnation ||
 		    (upstream->stage == FORWARD_GONE &&
 		     is_replaced(gateway, upstream)))
-			gateway_quarantine_record_end(gateway, upstream,
-						      silence->fingerprint);
+			gateway_quarantine_record_ends(gateway, upstream,
+						       &silence->suspects);
 		else if (upstream->stage == FORWARD_GONE)
-			start_check(gateway, upstream, silence->fingerprint, true);
+			start_check(gateway, upstream, &silence->suspects, true);
 		else if (upstream->stage == FORWARD_SERVING &&
 			 upstream->answered_at <= silence->since &&
 			 now - silence->since < SILENCE_TTL)
--- a/adapters/gateway/quarantine_checks.h
+++ b/adapters/gateway/quarantine_checks.h
@@ -9,13 +9,13 @@
 
 void gateway_quarantine_check_broken(gateway_t *gateway,
 				     forward_upstream_t *upstream,
-				     uint64_t fingerprint);
+				     const quarantine_suspects_t *suspects);
 void gateway_quarantine_watch_silent(gateway_t *gateway,
 				     forward_upstream_t *upstream,
-				     uint64_t fingerprint);
-void gateway_quarantine_record_end(gateway_t *gateway,
-				   const forward_upstream_t *upstream,
-				   uint64_t fingerprint);
+				     const quarantine_suspects_t *suspects);
+void gateway_quarantine_record_ends(gateway_t *gateway,
+				    const forward_upstream_t *upstream,
+				    const quarantine_suspects_t *suspects);
 pd_time_t gateway_quarantine_settle_time(const gateway_t *gateway);
 void gateway_quarantine_run(gateway_t *gateway, pd_time_t now);
 
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -233,6 +233,7 @@
 					 request->account ? request->account->name
 							  : NULL,
 					 request->body);
+	quarantine_find_suspects(call, request->fingerprint, &request->suspects);
 	request->service =
 		forward_route_pick_service(request->route,
 					   g_rand_double(gateway->random));
@@ -370,8 +371,8 @@
 	bool sent = request->sent_at != 0;
 
 	if (sent && attempt_upstream_restarted(request))
-		gateway_quarantine_record_end(request->gateway, request->upstream,
-					      request->fingerprint);
+		gateway_quarantine_record_ends(request->gateway, request->upstream,
+					       &request->suspects);
 	upstream_link_close(request->link);
 	request->link = NULL;
 	gateway_request_end_attempt(request,
--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -166,6 +166,7 @@
 	if (!event_stream_feed(request->events, data, len))
 		return;
 	gateway_request_record_version(request);
+	gateway_request_clear_parts(request);
 	if (request->prefill_tokens > 0) {
 		if (request->prefills_alone)
 			engine_speeds_record_sample(
@@ -273,6 +274,7 @@
 	forward_upstream_record_success(request->upstream);
 	quarantine_record_success(request->gateway->quarantine,
 				  request->fingerprint, gateway_now());
+	gateway_request_clear_parts(request);
 	gateway_request_clear_attempt(request);
 	request->possible_runs++;
 	gateway_request_finish(request);
@@ -295,7 +297,7 @@
 	request->link = NULL;
 	if (sent)
 		gateway_quarantine_check_broken(request->gateway, request->upstream,
-						request->fingerprint);
+						&request->suspects);
 	gateway_request_end_attempt(request,
 				    sent ? ATTEMPT_UNKNOWN : ATTEMPT_UNSENT,
 				    reasons[end]);
--- a/adapters/gateway/request_quarantine.c
+++ b/adapters/gateway/request_quarantine.c
@@ -1,4 +1,4 @@
-/* Requests under which upstreams ended: they get no further one. */
+/* Requests and parts of prompts under which upstreams ended: they get no further one. */
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/quarantine_checks.h"
 #include "adapters/gateway/request_state.h"
@@ -19,6 +19,47 @@
 	return false;
 }
 
+/*
+ * Records that a request is tried. Returns for how long it is held, itself or by a part of
+ * its prompt, if nobody tries such a request; 0: not.
+ */
+static pd_time_t record_attempt(const gateway_request_t *request, pd_time_t now)
+{
+	pd_time_t held = 0;
+
+	for (unsigned int i = 0; i < request->suspects.count; i++)
+		held = MAX(held,
+			   quarantine_record_attempt(request->gateway->quarantine,
+						     request->suspects.keys[i],
+						     now));
+	return held;
+}
+
+/* Returns whether a request is held, itself or by a part of its prompt. */
+static bool is_held(const gateway_request_t *request)
+{
+	for (unsigned int i = 0; i < request->suspects.count; i++) {
+		if (quarantine_is_held(request->gateway->quarantine,
+				       request->suspects.keys[i]))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Records the first event of a request's response: upstreams don't end under the parts of
+ * its prompt. Later ends are not counted against these either.
+ */
+void gateway_request_clear_parts(gateway_request_t *request)
+{
+	pd_time_t now = gateway_now();
+
+	for (unsigned int i = 1; i < request->suspects.count; i++)
+		quarantine_record_success(request->gateway->quarantine,
+					  request->suspects.keys[i], now);
+	request->suspects.count = MIN(request->suspects.count, 1);
+}
+
 /*
  * Rejects a request that has not run if it is held, or if it is a suspect that runs
  * already: then one more upstream could end at the same time. Returns whether it did;
@@ -27,9 +68,7 @@
 bool gateway_request_is_quarantined(gateway_request_t *request)
 {
 	gateway_t *gateway = request->gateway;
-	pd_time_t held = quarantine_record_attempt(gateway->quarantine,
-						   request->fingerprint,
-						   request->read_at);
+	pd_time_t held = record_attempt(request, request->read_at);
 
 	if (!held &&
 	    !(quarantine_is_suspect(gateway->quarantine, request->fingerprint) &&
@@ -44,9 +83,7 @@
 /* Ends a request that is held, wherever it is. */
 static void end_held(gateway_request_t *request)
 {
-	pd_time_t held = quarantine_record_attempt(request->gateway->quarantine,
-						   request->fingerprint,
-						   gateway_now());
+	pd_time_t held = record_attempt(request, gateway_now());
 
 	metrics_add(request->gateway->metrics,
 		    "gateway_quarantine_aborts_total", 1);
@@ -75,8 +112,7 @@
 		gateway_request_t *request =
 			LIST_ENTRY(it, gateway_request_t, node);
 
-		if (request->fingerprint && !request->relay &&
-		    quarantine_is_held(gateway->quarantine, request->fingerprint))
+		if (!request->relay && is_held(request))
 			end_held(request);
 	}
 }
@@ -85,7 +121,7 @@
 void gateway_request_retry(gateway_request_t *request)
 {
 	request->retry_at = 0;
-	if (quarantine_is_held(request->gateway->quarantine, request->fingerprint))
+	if (is_held(request))
 		end_held(request);
 	else
 		gateway_request_dispatch(request);
@@ -96,5 +132,5 @@
 {
 	if (request->upstream && request->sent_at)
 		gateway_quarantine_watch_silent(request->gateway, request->upstream,
-						request->fingerprint);
+						&request->suspects);
 }
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -50,6 +50,8 @@
 	const char *service;
 	int rank; /* 0 is the most urgent */
 	uint64_t fingerprint; /* of what it asks for; 0: not read completely */
+	/* itself and the parts of its prompt, these until its first event */
+	quarantine_suspects_t suspects;
 	double charged; /* to the account's limit, in its unit */
 	pd_time_t arrived_at; /* when its head was read */
 	pd_time_t read_at; /* when it was read completely */
@@ -93,6 +95,7 @@
 
 void gateway_relay_destroy(relay_t *relay);
 bool gateway_request_is_quarantined(gateway_request_t *request);
+void gateway_request_clear_parts(gateway_request_t *request);
 void gateway_requests_end_held(gateway_t *gateway);
 void gateway_request_retry(gateway_request_t *request);
 void gateway_request_watch_upstream(const gateway_request_t *request);
--- a/core/forward/call.c
+++ b/core/forward/call.c
@@ -51,7 +51,7 @@
 /*
  * Returns a hash of what a call asks for, the same for all attempts of a caller at one
  * request: its id, its deadline and the event after which it resumes a stream are left
- * out. ACCOUNT may be NULL. Never returns 0.
+ * out. ACCOUNT may be NULL. Never returns 0 or an odd number.
  */
 uint64_t forward_call_fingerprint(const forward_call_t *call,
 				  const char *account, const GByteArray *body)
@@ -68,5 +68,6 @@
 	}
 	hash = hash_number(hash ^ call->prompt_tokens);
 	hash = hash_number(hash ^ call->output_tokens);
-	return hash ? hash : 1;
+	hash &= ~(uint64_t)1;
+	return hash ? hash : 2;
 }
--- a/core/forward/quarantine.c
+++ b/core/forward/quarantine.c
@@ -1,9 +1,10 @@
 /*
- * Counts the upstreams that ended under each request. quarantine-notes.md argues the
- * bound on them.
+ * Counts the upstreams that ended under each request and each part of prompts.
+ * quarantine-notes.md argues the bound on them.
  */
 #include "core/forward/quarantine.h"
 
+#include "core/hash.h"
 #include "core/list.h"
 
 /* Requests that are remembered; the one idle for longest is forgotten first. */
@@ -12,8 +13,10 @@
 #define IDLE_TTL (60 * PD_SEC)
 /* However often it is tried, so long after the last end. */
 #define END_TTL (600 * PD_SEC)
-/* Slots of the table of requests that upstreams completed lately; a power of two. */
-#define SUCCESSES 1024
+/* Slots of the table of what upstreams completed lately; a power of two. */
+#define SUCCESSES 8192
+/* The bit of a key that is set for a part, and cleared for a request. */
+#define PART_BIT ((uint64_t)1)
 /* An end is no fault of a request that an upstream completed so shortly before. */
 #define SUCCESS_TTL (10 * PD_SEC)
 
@@ -47,6 +50,33 @@
 	bool unsent; /* an entry is to be sent at once */
 };
 
+/* Returns the key of a part of prompts; never 0. */
+uint64_t quarantine_part_key(uint64_t part_id)
+{
+	return hash_number(part_id) | PART_BIT;
+}
+
+/* Returns whether a key is that of a part, and not of a request. */
+bool quarantine_is_part(uint64_t key)
+{
+	return key & PART_BIT;
+}
+
+/*
+ * Sets SUSPECTS to a request, whose key is its fingerprint, and the parts of its prompt
+ * that others may share.
+ */
+void quarantine_find_suspects(const forward_call_t *call, uint64_t fingerprint,
+			      quarantine_suspects_t *suspects)
+{
+	suspects->count = 0;
+	suspects->keys[suspects->count++] = fingerprint;
+	/* The last part is the request's own. */
+	for (unsigned int i = 0; i + 1 < call->part_count; i++)
+		suspects->keys[suspects->count++] =
+			quarantine_part_key(call->parts[i].id);
+}
+
 /* Returns an empty quarantine; the caller owns it. */
 quarantine_t *quarantine_create(void)
 {
@@ -67,10 +97,12 @@
 	return count;
 }
 
-/* Returns whether an entry's request gets no further upstream. */
+/* Returns whether an entry's request or part gets no further upstream. */
 static bool entry_is_held(const entry_t *entry)
 {
-	return entry_open_ends(entry) >= QUARANTINE_ENDS;
+	return entry_open_ends(entry) >= (quarantine_is_part(entry->fingerprint)
+						  ? QUARANTINE_PART_ENDS
+						  : QUARANTINE_ENDS);
 }
 
 /* Forgets a request. */
@@ -229,7 +261,7 @@
 /* Returns the slot in which a request's last success is remembered. */
 static success_t *success_slot(quarantine_t *quarantine, uint64_t fingerprint)
 {
-	return &quarantine->successes[fingerprint % SUCCESSES];
+	return &quarantine->successes[(fingerprint >> 1) % SUCCESSES];
 }
 
 /* Returns whether an upstream has completed a request here lately. */
--- a/core/forward/quarantine.h
+++ b/core/forward/quarantine.h
@@ -1,7 +1,8 @@
 /*
- * Quarantine of requests under which upstreams end: how many of them ended under each
- * request, over all attempts of its caller and all gateways. A request under which
- * QUARANTINE_ENDS ended is held: it gets no further upstream.
+ * Quarantine of requests under which upstreams end, and of parts of prompts: how many
+ * upstreams ended under each, over all attempts of all callers and all gateways. One under
+ * which QUARANTINE_ENDS ended, or QUARANTINE_PART_ENDS for a part, is held: no request of
+ * that kind gets a further upstream. Requests and parts are told apart by their keys.
  */
 #ifndef PISTACHIO_FORWARD_QUARANTINE_H
 #define PISTACHIO_FORWARD_QUARANTINE_H
@@ -10,16 +11,25 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/forward/call.h"
 #include "ports/clock.h"
 
 /* Upstreams that may end under one request. */
 #define QUARANTINE_ENDS 2
+/* The same under requests with one part in their prompts; many share it. */
+#define QUARANTINE_PART_ENDS 3
 /* Reports in one message. */
 #define QUARANTINE_REPORTS_MAX 64
 
 /* Ends that are remembered of one request, those included that were cleared. */
 #define QUARANTINE_ENDS_KEPT 4
 
+/* What an upstream may have ended under: the request first, then parts of its prompt. */
+typedef struct quarantine_suspects {
+	uint64_t keys[PROMPT_PARTS_MAX];
+	unsigned int count;
+} quarantine_suspects_t;
+
 /* An upstream that ended under a request. */
 typedef struct quarantine_end {
 	uint32_t upstream; /* short id */
@@ -27,9 +37,9 @@
 	pd_time_t age;
 } quarantine_end_t;
 
-/* What is known of one request, as gateways send it to each other. */
+/* What is known of one request or part, as gateways send it to each other. */
 typedef struct quarantine_report {
-	uint64_t fingerprint; /* of the request */
+	uint64_t fingerprint; /* the key of the request or part */
 	/* time since an attempt at it was last made or rejected */
 	pd_time_t idle;
 	unsigned int end_count;
@@ -38,6 +48,10 @@
 
 typedef struct quarantine quarantine_t;
 
+uint64_t quarantine_part_key(uint64_t part_id);
+bool quarantine_is_part(uint64_t key);
+void quarantine_find_suspects(const forward_call_t *call, uint64_t fingerprint,
+			      quarantine_suspects_t *suspects);
 quarantine_t *quarantine_create(void);
 void quarantine_destroy(quarantine_t *quarantine);
 void quarantine_record_end(quarantine_t *quarantine, uint64_t fingerprint,
--- a/tests/process/test_gateway_quarantine.c
+++ b/tests/process/test_gateway_quarantine.c
@@ -1,4 +1,7 @@
-/* Tests of three gateways whose upstreams end when they run a certain request. */
+/*
+ * Tests of gateways whose upstreams end when they run a certain request, or requests with
+ * a certain part in their prompts.
+ */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -13,6 +16,10 @@
 #define TRIES 8 /* of a caller at one request */
 #define ENDS_ALLOWED 3 /* upstreams that may end under one request */
 #define CUT_OFF_MS 3000 /* until a gateway has found out that it is cut off */
+#define PROMPTS 100 /* with a part that ends upstreams, and as many without */
+#define PROMPT_PERIOD_MS 40
+#define PART_ENDS_ALLOWED \
+	5 /* upstreams that may end under one part of prompts */
 #define REFUSAL_MS 300 /* a refusal that is due does not wait */
 
 /* Calls to paths that end in "end" end upstreams. */
@@ -32,19 +39,16 @@
 	return RIG_ANSWER;
 }
 
-/*
- * Starts three gateways that know each other, with three upstreams. CUT_OFF: gateway 0
- * reaches none of these.
- */
-static gateway_rig_t *start_rig(bool cut_off)
+/* Starts gateways that know each other. CUT_OFF: gateway 0 reaches no upstream. */
+static gateway_rig_t *start_rig(int gateways, int upstreams, bool cut_off)
 {
-	gateway_rig_t *rig = gateway_rig_create();
+	gateway_rig_t *rig = gateway_rig_create_sized(gateways, upstreams);
 
 	rig->choose_behavior = choose_behavior;
 	rig_put_config(rig, 1, "");
 	if (cut_off)
 		rig_cut_off(rig, 0);
-	for (int i = 0; i < RIG_UPSTREAMS; i++)
+	for (int i = 0; i < upstreams; i++)
 		rig_put_upstream(rig, i, "ready");
 	rig_start_gateways(rig, 1);
 	return rig;
@@ -52,13 +56,25 @@
 
 static int setup(void **state)
 {
-	*state = start_rig(false);
+	*state = start_rig(RIG_GATEWAYS, RIG_UPSTREAMS, false);
 	return 0;
 }
 
 static int setup_cut_off(void **state)
 {
-	*state = start_rig(true);
+	*state = start_rig(RIG_GATEWAYS, RIG_UPSTREAMS, true);
+	return 0;
+}
+
+static int setup_mesh(void **state)
+{
+	*state = start_rig(6, RIG_UPSTREAMS_MAX, false);
+	return 0;
+}
+
+static int setup_large_fleet(void **state)
+{
+	*state = start_rig(RIG_GATEWAYS_MAX, RIG_UPSTREAMS_MAX, false);
 	return 0;
 }
 
@@ -73,7 +89,7 @@
 {
 	unsigned int ends = 0;
 
-	for (int i = 0; i < RIG_UPSTREAMS; i++)
+	for (int i = 0; i < rig->upstream_count; i++)
 		ends += rig->upstreams[i].ends;
 	return ends;
 }
@@ -266,6 +282,66 @@
 	assert_true(is_served(rig, 0, "/safe/cut", 900));
 }
 
+/*
+ * Sends a stream call whose prompt has a part in common with all others, one of the given
+ * id, and one of its own; ENDS: it ends its upstream. Returns its caller, owned.
+ */
+static rig_caller_t *send_prompt(gateway_rig_t *rig, int gateway,
+				 unsigned int part, bool ends, int number)
+{
+	rig_caller_t *caller = rig_call(rig, rig_port(rig, gateway, "callers"), "");
+	char more[128];
+	char path[32];
+	char id[32];
+
+	snprintf(id, sizeof(id), "p%d", number);
+	snprintf(path, sizeof(path), "/stream/%d/%s", number, ends ? "end" : "x");
+	snprintf(more, sizeof(more),
+		 "X-Prompt-Prefix: a1:100,%x:50,%x:10\r\n"
+		 "X-Token-Count: 160,10\r\n",
+		 part, 0x10000U + (unsigned int)number);
+	rig_send_call_with(caller, "POST", path, id, more);
+	return caller;
+}
+
+/*
+ * Guards against a part of a prompt under which upstreams end one after the other, as no
+ * two requests with it are alike, and against holding what is shared with sound ones.
+ */
+static void test_part_of_prompts_that_ends_upstreams_is_held(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *bad[PROMPTS];
+	rig_caller_t *sound[PROMPTS];
+	unsigned int served = 0;
+	unsigned int ends;
+
+	for (int i = 0; i < PROMPTS; i++) {
+		int gateway = i % rig->gateway_count;
+
+		bad[i] = send_prompt(rig, gateway, 0xbad, true, 2 * i);
+		sound[i] = send_prompt(rig, gateway, 0xb0 + (unsigned int)i % 8,
+				       false, 2 * i + 1);
+		rig_run_for(rig, PROMPT_PERIOD_MS);
+	}
+	for (int i = 0; i < PROMPTS; i++) {
+		RIG_UNTIL(rig, is_over(bad[i]));
+		RIG_UNTIL(rig, is_over(sound[i]));
+		served += i >= PROMPTS / 2 &&
+			  strstr(sound[i]->received->str, "HTTP/1.1 200") != NULL;
+		rig_caller_destroy(bad[i]);
+		rig_caller_destroy(sound[i]);
+	}
+	rig_run_for(rig, RIG_RESTART_MS + 200);
+	ends = count_ends(rig);
+	print_message("%d gateways: %u ended under %d calls, %u of %d sound "
+		      "ones "
+		      "served\n",
+		      rig->gateway_count, ends, PROMPTS, served, PROMPTS / 2);
+	assert_true(ends <= PART_ENDS_ALLOWED);
+	assert_true(served * 50 >= PROMPTS / 2 * 49);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -285,6 +361,10 @@
 			setup, teardown),
 		cmocka_unit_test_setup_teardown(test_broken_connections_hold_no_request,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_part_of_prompts_that_ends_upstreams_is_held,
+						setup_mesh, teardown),
+		cmocka_unit_test_setup_teardown(test_part_of_prompts_that_ends_upstreams_is_held,
+						setup_large_fleet, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -247,9 +247,64 @@
 	assert_true(first != fingerprint("a", "/x", NULL, "other"));
 }
 
+/* Guards against a part of prompts that is held as early as a request, or never. */
+static void test_parts_are_held_after_more_ends(void **state)
+{
+	quarantine_t *quarantine = *state;
+	uint64_t part = quarantine_part_key(77);
+
+	assert_true(quarantine_is_part(part));
+	for (uint32_t i = 0; i < QUARANTINE_PART_ENDS; i++) {
+		assert_false(quarantine_is_held(quarantine, part));
+		quarantine_record_end(quarantine, part, i, START);
+	}
+	assert_true(quarantine_is_held(quarantine, part));
+	assert_true(quarantine_record_attempt(quarantine, part, START) > 0);
+}
+
+/* Guards against suspicion of what belongs to one request only. */
+static void test_last_part_is_no_suspect(void **state)
+{
+	forward_call_t *call = forward_call_create();
+	quarantine_suspects_t suspects;
+
+	(void)state;
+	for (uint64_t i = 0; i < 3; i++)
+		call->parts[call->part_count++] = (prompt_part_t){ 10 + i, 100 };
+	quarantine_find_suspects(call, 88, &suspects);
+	assert_int_equal(suspects.count, 3);
+	assert_int_equal(suspects.keys[0], 88);
+	assert_false(quarantine_is_part(suspects.keys[0]));
+	assert_int_equal(suspects.keys[1], quarantine_part_key(10));
+	assert_int_equal(suspects.keys[2], quarantine_part_key(11));
+	call->part_count = 0;
+	quarantine_find_suspects(call, 88, &suspects);
+	assert_int_equal(suspects.count, 1);
+	forward_call_destroy(call);
+}
+
+/* Guards against holding a part that a request with it has cleared since. */
+static void test_first_token_clears_a_part(void **state)
+{
+	quarantine_t *quarantine = *state;
+	uint64_t part = quarantine_part_key(77);
+
+	for (uint32_t i = 0; i + 1 < QUARANTINE_PART_ENDS; i++)
+		quarantine_record_end(quarantine, part, i, START);
+	quarantine_record_success(quarantine, part, START);
+	quarantine_record_end(quarantine, part, 10, START + PD_SEC);
+	assert_false(quarantine_is_suspect(quarantine, part));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_parts_are_held_after_more_ends,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_last_part_is_no_suspect,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_first_token_clears_a_part,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_request_is_held_after_two_upstreams,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_same_upstream_counts_once,
