Don't take reports of ends that were forgotten for new

A simulated fleet of 300 gateways had 140,883 messages on the way half a second after its upstreams began to end under a part of prompts: an entry keeps a few ends, a new one takes the place of one that was cleared, and a report of that one then was news again, which was sent on to five gateways that did the same. An entry now ignores ends as old as the last one it forgot. test_forgotten_ends_are_no_news failed before; the same case has 2,163 messages on the way at most now.

--- a/core/forward/quarantine.c
+++ b/core/forward/quarantine.c
@@ -13,6 +13,8 @@
 #define IDLE_TTL (60 * PD_SEC)
 /* However often it is tried, so long after the last end. */
 #define END_TTL (600 * PD_SEC)
+/* Reports make an end appear later than it was, by the time of their way. */
+#define REPORT_DELAY_MAX PD_SEC
 /* Slots of the table of what upstreams completed lately; a power of two. */
 #define SUCCESSES 8192
 /* The bit of a key that is set for a part, and cleared for a request. */
@@ -32,6 +34,8 @@
 	pd_time_t tried_at;
 	unsigned int end_count;
 	end_t ends[QUARANTINE_ENDS_KEPT];
+	/* ends up to then, and REPORT_DELAY_MAX, were forgotten if they are not in ENDS */
+	pd_time_t forgotten_until;
 	bool was_held; /* so all gateways were sent it */
 	bool unsent; /* changed since it was last sent to other gateways */
 } entry_t;
@@ -197,19 +201,38 @@
 	return NULL;
 }
 
+/* Returns the oldest end that was cleared, borrowed, or NULL. */
+static end_t *entry_oldest_cleared(entry_t *entry)
+{
+	end_t *oldest = NULL;
+
+	for (unsigned int i = 0; i < entry->end_count; i++) {
+		end_t *end = &entry->ends[i];
+
+		if (end->cleared && (!oldest || end->at < oldest->at))
+			oldest = end;
+	}
+	return oldest;
+}
+
 /*
  * Returns a place for an end, or NULL if there is none. One that counts may take that of
- * one that was cleared.
+ * an older one that was cleared. That is forgotten, so reports of it must not be taken for
+ * new, or they would be sent on for ever.
  */
-static end_t *entry_add_end(entry_t *entry, bool cleared)
+static end_t *entry_add_end(entry_t *entry, bool cleared, pd_time_t at)
 {
+	end_t *oldest;
+
+	if (entry->forgotten_until && at <= entry->forgotten_until + REPORT_DELAY_MAX)
+		return NULL;
 	if (entry->end_count < QUARANTINE_ENDS_KEPT)
 		return &entry->ends[entry->end_count++];
-	for (unsigned int i = 0; !cleared && i < entry->end_count; i++) {
-		if (entry->ends[i].cleared)
-			return &entry->ends[i];
-	}
-	return NULL;
+	oldest = cleared ? NULL : entry_oldest_cleared(entry);
+	if (!oldest || at <= oldest->at + REPORT_DELAY_MAX)
+		return NULL;
+	entry->forgotten_until = MAX(entry->forgotten_until, oldest->at);
+	return oldest;
 }
 
 /*
@@ -228,7 +251,7 @@
 	if (!end) {
 		if (was_held && !cleared)
 			return false;
-		end = entry_add_end(entry, cleared);
+		end = entry_add_end(entry, cleared, at);
 		if (!end)
 			return false;
 		end->upstream = upstream;
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -296,9 +296,41 @@
 	assert_false(quarantine_is_suspect(quarantine, part));
 }
 
+/* Guards against gateways that tell each other of ends that one of them forgot for ever. */
+static void test_forgotten_ends_are_no_news(void **state)
+{
+	quarantine_t *q = *state;
+	const pd_time_t period = 11 * PD_SEC; /* a success is not remembered so long */
+	const pd_time_t later = T0 + (QUARANTINE_ENDS_KEPT + 1) * period;
+	quarantine_report_t report = {
+		.fingerprint = REQUEST,
+		.end_count = 1,
+	};
+	quarantine_report_t reports[QUARANTINE_REPORTS_MAX];
+
+	for (uint32_t i = 1; i <= QUARANTINE_ENDS_KEPT; i++) {
+		quarantine_record_end(q, REQUEST, i, T0 + i * period - PD_MSEC);
+		quarantine_record_success(q, REQUEST, T0 + (i - 1) * period);
+	}
+	quarantine_record_end(q, REQUEST, 100, later);
+	assert_true(quarantine_is_suspect(q, REQUEST));
+	quarantine_take_unsent(q, true, later, reports);
+	for (uint32_t i = 1; i <= QUARANTINE_ENDS_KEPT; i++) {
+		report.ends[0] = (quarantine_end_t){
+			.upstream = i,
+			.cleared = i % 2,
+			.age = (QUARANTINE_ENDS_KEPT + 1 - i) * period,
+		};
+		quarantine_merge(q, &report, true, later);
+	}
+	assert_false(quarantine_has_unsent(q));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_forgotten_ends_are_no_news,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_parts_are_held_after_more_ends,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_last_part_is_no_suspect,
