Have the test of forgotten ends report one that counts

With an end that counts it fails there (quarantine_has_unsent) and passes with the fix; checked by runs of both.

--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -318,7 +318,6 @@
 	for (uint32_t i = 1; i <= QUARANTINE_ENDS_KEPT; i++) {
 		report.ends[0] = (quarantine_end_t){
 			.upstream = i,
-			.cleared = i % 2,
 			.age = (QUARANTINE_ENDS_KEPT + 1 - i) * period,
 		};
 		quarantine_merge(q, &report, true, later);
