--- a/adapters/gateway/request_quarantine.c
+++ b/adapters/gateway/request_quarantine.c
@@ -27,6 +27,8 @@
 {
 	pd_time_t held = 0;
 
+	if (!quarantine_rejects(request->gateway->quarantine, &request->suspects))
+		return 0;
 	for (unsigned int i = 0; i < request->suspects.count; i++)
 		held = MAX(held,
 			   quarantine_record_attempt(request->gateway->quarantine,
@@ -38,12 +40,7 @@
 /* Returns whether a request is held, itself or by a part of its prompt. */
 static bool is_held(const gateway_request_t *request)
 {
-	for (unsigned int i = 0; i < request->suspects.count; i++) {
-		if (quarantine_is_held(request->gateway->quarantine,
-				       request->suspects.keys[i]))
-			return true;
-	}
-	return false;
+	return quarantine_rejects(request->gateway->quarantine, &request->suspects);
 }
 
 /*
--- a/core/forward/quarantine.c
+++ b/core/forward/quarantine.c
@@ -249,8 +249,6 @@
 	if (end && (end->cleared || !cleared))
 		return false;
 	if (!end) {
-		if (was_held && !cleared)
-			return false;
 		end = entry_add_end(entry, cleared, at);
 		if (!end)
 			return false;
@@ -375,6 +373,72 @@
 	return entry && entry_is_held(entry);
 }
 
+/* Returns whether a key is among suspects. */
+static bool is_among(uint64_t key, const quarantine_suspects_t *suspects)
+{
+	for (unsigned int i = 0; i < suspects->count; i++) {
+		if (suspects->keys[i] == key)
+			return true;
+	}
+	return false;
+}
+
+/* Returns whether all ends that count against an entry count against OTHER as well. */
+static bool ends_are_shared(const entry_t *entry, entry_t *other)
+{
+	for (unsigned int i = 0; i < entry->end_count; i++) {
+		const end_t *end = &entry->ends[i];
+		const end_t *same = entry_find_end(other, end->upstream);
+
+		if (!end->cleared && (!same || same->cleared))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Returns whether another part explains the ends of a held part: it is held for the same
+ * ones, and not among SUSPECTS.
+ */
+static bool is_explained(const quarantine_t *quarantine, const entry_t *entry,
+			 const quarantine_suspects_t *suspects)
+{
+	unsigned int left = quarantine->held;
+
+	for (const list_node_t *it = quarantine->entries.prev;
+	     left && it != &quarantine->entries; it = it->prev) {
+		entry_t *other = LIST_ENTRY(it, entry_t, node);
+
+		if (!entry_is_held(other))
+			continue;
+		left--;
+		if (quarantine_is_part(other->fingerprint) &&
+		    !is_among(other->fingerprint, suspects) &&
+		    ends_are_shared(entry, other))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Returns whether a request gets no further upstream, as it is held or a part of its prompt
+ * is. A part that always was together with another one that the request lacks is let
+ * through: the first event clears it, or an end tells them apart.
+ */
+bool quarantine_rejects(const quarantine_t *quarantine,
+			const quarantine_suspects_t *suspects)
+{
+	for (unsigned int i = 0; i < suspects->count; i++) {
+		const entry_t *entry = find_entry(quarantine, suspects->keys[i]);
+
+		if (entry && entry_is_held(entry) &&
+		    !(quarantine_is_part(entry->fingerprint) &&
+		      is_explained(quarantine, entry, suspects)))
+			return true;
+	}
+	return false;
+}
+
 /* Returns when a request is forgotten if nobody tries it again. */
 static pd_time_t entry_expires_at(const entry_t *entry)
 {
--- a/core/forward/quarantine.h
+++ b/core/forward/quarantine.h
@@ -22,7 +22,7 @@
 #define QUARANTINE_REPORTS_MAX 64
 
 /* Ends that are remembered of one request, those included that were cleared. */
-#define QUARANTINE_ENDS_KEPT 4
+#define QUARANTINE_ENDS_KEPT 8
 
 /* What an upstream may have ended under: the request first, then parts of its prompt. */
 typedef struct quarantine_suspects {
@@ -64,6 +64,8 @@
 bool quarantine_is_held(const quarantine_t *quarantine, uint64_t fingerprint);
 pd_time_t quarantine_record_attempt(quarantine_t *quarantine,
 				    uint64_t fingerprint, pd_time_t now);
+bool quarantine_rejects(const quarantine_t *quarantine,
+			const quarantine_suspects_t *suspects);
 bool quarantine_has_unsent(const quarantine_t *quarantine);
 unsigned int quarantine_take_unsent(quarantine_t *quarantine, bool all,
 				    pd_time_t now, quarantine_report_t *reports);
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -262,6 +262,57 @@
 	assert_true(quarantine_record_attempt(quarantine, part, T0) > 0);
 }
 
+/* Guards against gateways that tell each other of ends that one of them forgot for ever. */
+static void test_forgotten_ends_are_no_news(void **state)
+{
+	quarantine_t *q = *state;
+	const pd_time_t period = 11 * PD_SEC; /* a success is not remembered so long */
+	const pd_time_t later = T0 + (QUARANTINE_ENDS_KEPT + 1) * period;
+	quarantine_report_t report = {
+		.fingerprint = REQUEST,
+		.end_count = 1,
+	};
+	quarantine_report_t reports[QUARANTINE_REPORTS_MAX];
+
+	for (uint32_t i = 1; i <= QUARANTINE_ENDS_KEPT; i++) {
+		quarantine_record_end(q, REQUEST, i, T0 + i * period - PD_MSEC);
+		quarantine_record_success(q, REQUEST, T0 + (i - 1) * period);
+	}
+	quarantine_record_end(q, REQUEST, 100, later);
+	assert_true(quarantine_is_suspect(q, REQUEST));
+	quarantine_take_unsent(q, true, later, reports);
+	for (uint32_t i = 1; i <= QUARANTINE_ENDS_KEPT; i++) {
+		report.ends[0] = (quarantine_end_t){
+			.upstream = i,
+			.age = (QUARANTINE_ENDS_KEPT + 1 - i) * period,
+		};
+		quarantine_merge(q, &report, true, later);
+	}
+	assert_false(quarantine_has_unsent(q));
+}
+
+/* Guards against holding all requests with what they share with those that end upstreams. */
+static void test_part_that_another_one_explains_is_let_through(void **state)
+{
+	quarantine_t *q = *state;
+	const quarantine_suspects_t bad = {
+		{ REQUEST, quarantine_part_key(1), quarantine_part_key(2) }, 3
+	};
+	const quarantine_suspects_t sound = {
+		{ OTHER, quarantine_part_key(1), quarantine_part_key(3) }, 3
+	};
+
+	for (uint32_t i = 0; i < QUARANTINE_PART_ENDS; i++) {
+		quarantine_record_end(q, bad.keys[1], i, T0);
+		quarantine_record_end(q, bad.keys[2], i, T0);
+	}
+	assert_true(quarantine_rejects(q, &bad));
+	assert_false(quarantine_rejects(q, &sound));
+	/* An upstream ends under the part alone. */
+	quarantine_record_end(q, sound.keys[1], 50, T0);
+	assert_true(quarantine_rejects(q, &sound));
+}
+
 /* Guards against suspicion of what belongs to one request only. */
 static void test_last_part_is_no_suspect(void **state)
 {
@@ -296,38 +347,12 @@
 	assert_false(quarantine_is_suspect(quarantine, part));
 }
 
-/* Guards against gateways that tell each other of ends that one of them forgot for ever. */
-static void test_forgotten_ends_are_no_news(void **state)
-{
-	quarantine_t *q = *state;
-	const pd_time_t period = 11 * PD_SEC; /* a success is not remembered so long */
-	const pd_time_t later = T0 + (QUARANTINE_ENDS_KEPT + 1) * period;
-	quarantine_report_t report = {
-		.fingerprint = REQUEST,
-		.end_count = 1,
-	};
-	quarantine_report_t reports[QUARANTINE_REPORTS_MAX];
-
-	for (uint32_t i = 1; i <= QUARANTINE_ENDS_KEPT; i++) {
-		quarantine_record_end(q, REQUEST, i, T0 + i * period - PD_MSEC);
-		quarantine_record_success(q, REQUEST, T0 + (i - 1) * period);
-	}
-	quarantine_record_end(q, REQUEST, 100, later);
-	assert_true(quarantine_is_suspect(q, REQUEST));
-	quarantine_take_unsent(q, true, later, reports);
-	for (uint32_t i = 1; i <= QUARANTINE_ENDS_KEPT; i++) {
-		report.ends[0] = (quarantine_end_t){
-			.upstream = i,
-			.age = (QUARANTINE_ENDS_KEPT + 1 - i) * period,
-		};
-		quarantine_merge(q, &report, true, later);
-	}
-	assert_false(quarantine_has_unsent(q));
-}
-
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			test_part_that_another_one_explains_is_let_through,
+			setup, teardown),
 		cmocka_unit_test_setup_teardown(test_forgotten_ends_are_no_news,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_parts_are_held_after_more_ends,
