--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -91,6 +91,7 @@
 	request->rejected = answer.not_run || head->status == 421;
 	request->sealed = answer.sealed;
 	request->idle_timeout = answer.idle_timeout;
+	request->ends_with_connection = head->ends_with_connection;
 	request->response_keep_alive = head->keep_alive &&
 				       !head->ends_with_connection;
 	request->is_stream = gateway_request_is_streamed(request, head);
@@ -262,6 +263,11 @@
 	}
 	if (!response_is_complete(request) ||
 	    (request->status < 300 && !request->sealed)) {
+		/* One without a length may end as its upstream does. */
+		if (request->ends_with_connection)
+			gateway_quarantine_check_broken(request->gateway,
+							request->upstream,
+							&request->suspects);
 		gateway_request_end_attempt(request, ATTEMPT_UNKNOWN,
 					    "answer not whole");
 		return;
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -84,6 +84,7 @@
 	bool rejected;
 	bool sealed; /* the response has the upstream's signature */
 	bool is_stream;
+	bool ends_with_connection; /* the response has no length */
 	bool response_keep_alive;
 	pd_time_t idle_timeout;
 	GString *response_headers; /* header lines to forward */
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -271,6 +271,20 @@
 	uv_timer_start(&session->timer, on_event, EVENT_MS, EVENT_MS);
 }
 
+/* Starts a stream that ends with its connection. */
+static void unframed_begin(session_t *session)
+{
+	char *head = g_strdup_printf("HTTP/1.1 200 OK\r\n"
+				     "Content-Type: text/event-stream\r\n"
+				     "X-Attempt-Id: %s\r\n"
+				     "X-Response-Seal: s%d\r\n\r\n",
+				     session->call_id ? session->call_id : "",
+				     session->server->number);
+
+	http1_write(session->conn, head, strlen(head));
+	g_free(head);
+}
+
 /* Returns the id under which an upstream is registered; the caller owns it. */
 static char *upstream_id(const rig_server_t *server)
 {
@@ -415,6 +429,9 @@
 	case RIG_STREAM_CUT:
 		stream_begin(session);
 		return;
+	case RIG_UNFRAMED_END:
+		unframed_begin(session);
+		/* fall through */
 	case RIG_END:
 	case RIG_VANISH:
 		uv_timer_start(&session->timer, on_run_ends_upstream,
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -33,7 +33,8 @@
 	RIG_STREAM, /* RIG_EVENTS events, one every 20 ms */
 	RIG_STREAM_CUT, /* the same, but stops in the middle of the fourth */
 	RIG_END, /* begins to run it, and ends with all its connections */
-	RIG_VANISH /* the same, but its connections stay silent */
+	RIG_VANISH, /* the same, but its connections stay silent */
+	RIG_UNFRAMED_END /* ends after the head of a stream that has no length */
 } rig_behavior_t;
 
 #define RIG_SLOW_MS 1000
--- a/tests/process/test_gateway_quarantine.c
+++ b/tests/process/test_gateway_quarantine.c
@@ -28,6 +28,8 @@
 	(void)ctx;
 	if (g_str_has_suffix(target, "/end"))
 		return RIG_END;
+	if (g_str_has_suffix(target, "/unframed"))
+		return RIG_UNFRAMED_END;
 	if (g_str_has_suffix(target, "/vanish"))
 		return RIG_VANISH;
 	if (g_str_has_suffix(target, "/cut"))
@@ -163,6 +165,16 @@
 	assert_true(is_served(rig, 0, "/safe/x", 900));
 }
 
+/* Guards against an upstream whose end is taken for that of its response. */
+static void test_request_that_ends_upstreams_in_a_response_without_length(void **state)
+{
+	gateway_rig_t *rig = *state;
+
+	try_in_turn(rig, "/stream/unframed", 0, TRIES);
+	print_message("%u ended\n", count_ends(rig));
+	assert_true(count_ends(rig) <= ENDS_ALLOWED);
+}
+
 /* Guards against attempts at once that each end as many upstreams as one alone. */
 static void test_attempts_at_once_end_one_upstream_each(void **state)
 {
@@ -348,6 +360,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_request_that_ends_upstreams_is_held_over_attempts,
 			setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_request_that_ends_upstreams_in_a_response_without_length,
+			setup, teardown),
 		cmocka_unit_test_setup_teardown(test_attempts_at_once_end_one_upstream_each,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_restarted_gateway_learns_of_held_requests,
