Suspect the links only where most connections fail

Found by reading the diff: since the links are judged by a share of connections, one upstream that could not be connected to made all links suspicious for four seconds. While they are, an upstream that vanished without a word is not counted as ended, so a request under which VMs lose power would hardly be held.

--- a/adapters/gateway/upstream_reach.c
+++ b/adapters/gateway/upstream_reach.c
@@ -49,7 +49,7 @@
 	return reach && reach_is_total(reach);
 }
 
-/* Returns whether connections to upstreams of a service have failed lately. */
+/* Returns whether this gateway may be cut off from the upstreams of a service. */
 bool gateway_reach_is_suspicious(const gateway_t *gateway, const char *service)
 {
 	const reach_t *reach = find_reach(gateway, service);
@@ -140,7 +140,7 @@
 		forward_upstreams_serving(gateway->upstreams, service);
 	unsigned int due;
 
-	if (!serving || !reach_is_suspicious(reach))
+	if (!serving)
 		return;
 	due = reach_take_probes(reach, serving->len, now);
 	for (; due; due--) {
--- a/core/forward/reach.c
+++ b/core/forward/reach.c
@@ -211,10 +211,10 @@
 	return reach->cut_off;
 }
 
-/* Returns whether requests could not be sent lately. */
+/* Returns whether the gateway may be cut off: most connections have failed lately. */
 bool reach_is_suspicious(const reach_t *reach)
 {
-	return reach->cut_off || reach->failed > 0;
+	return reach->cut_off || needs_probes(reach);
 }
 
 /* Returns whether the gateway is cut off from all upstreams or most. */
