Have the forwarder of tests wait for a port that it closed

The tests of 24 gateways close 72 links for ten seconds. The forwarder now tries again until the port is free.

--- a/tests/harness/forwarder.c
+++ b/tests/harness/forwarder.c
@@ -8,6 +8,7 @@
 #include "core/list.h"
 
 #define BACKLOG 128
+#define LISTEN_RETRY_MS 20 /* while a connection of the machine has the port */
 #define FILLERS 4 /* connections that fill a backlog of 0 */
 #define TICK_MS 5 /* resolution of delays */
 
@@ -50,6 +51,8 @@
 struct forwarder {
 	uv_loop_t *loop;
 	uv_tcp_t listener;
+	uv_timer_t retry; /* to listen again */
+	bool retrying;
 	int port;
 	int target_port;
 	bool refuse; /* new connections are closed at once */
@@ -248,7 +251,26 @@
 		pair_close(pair);
 }
 
-/* Listens on a port of loopback; 0: any. */
+static void start_listening(forwarder_t *forwarder, int port);
+
+static void on_retry(uv_timer_t *timer)
+{
+	forwarder_t *forwarder = timer->data;
+
+	forwarder->retrying = false;
+	if (!forwarder->closed)
+		start_listening(forwarder, forwarder->port);
+}
+
+static void on_unlistened_closed(uv_handle_t *handle)
+{
+	forwarder_t *forwarder = handle->data;
+
+	if (!uv_is_closing((uv_handle_t *)&forwarder->retry))
+		uv_timer_start(&forwarder->retry, on_retry, LISTEN_RETRY_MS, 0);
+}
+
+/* Listens on a port of loopback, as soon as nobody has it; 0: on any. */
 static void start_listening(forwarder_t *forwarder, int port)
 {
 	struct sockaddr_in addr;
@@ -259,8 +281,13 @@
 	uv_ip4_addr("127.0.0.1", port, &addr);
 	uv_tcp_bind(&forwarder->listener, (const struct sockaddr *)&addr, 0);
 	if (uv_listen((uv_stream_t *)&forwarder->listener, BACKLOG,
-		      on_connection) < 0)
-		g_error("the forwarder can't listen");
+		      on_connection) < 0) {
+		if (!port)
+			g_error("the forwarder can't listen");
+		forwarder->retrying = true;
+		uv_close((uv_handle_t *)&forwarder->listener, on_unlistened_closed);
+		return;
+	}
 	uv_tcp_getsockname(&forwarder->listener, (struct sockaddr *)&addr, &len);
 	forwarder->port = ntohs(addr.sin_port);
 }
@@ -274,6 +301,8 @@
 	forwarder->target_port = target_port;
 	list_init(&forwarder->pairs);
 	list_init(&forwarder->delayed);
+	uv_timer_init(loop, &forwarder->retry);
+	forwarder->retry.data = forwarder;
 	uv_timer_init(loop, &forwarder->ticker);
 	forwarder->ticker.data = forwarder;
 	uv_timer_start(&forwarder->ticker, on_tick, TICK_MS, TICK_MS);
@@ -398,6 +427,8 @@
 	if (closed == forwarder->closed)
 		return;
 	forwarder->closed = closed;
+	if (forwarder->retrying)
+		return;
 	if (closed)
 		uv_close((uv_handle_t *)&forwarder->listener, on_listener_closed);
 	else if (closing)
