Count probes under way as not connected while a gateway is cut off

A probe that connects is heard of at once, one that hangs 0.4 s later, so the first results of a cut are too good. A probe now counts as failed when it is started, and only a connection changes that, which also makes it needless to tell late results from others.

--- a/core/forward/reach.c
+++ b/core/forward/reach.c
@@ -24,6 +24,7 @@
 /* Results of probes that decide whether a cut is over. */
 #define RESULTS_KEPT 32
 #define RESULTS_MIN 6
+#define RESULTS_MASK (((uint64_t)1 << RESULTS_KEPT) - 1)
 
 /* How the last connection of a request to an upstream went. */
 typedef struct outcome {
@@ -39,7 +40,8 @@
 	GArray *probed; /* short ids of the upstreams probed in this round */
 	unsigned int result_count; /* of the probes of this round */
 	unsigned int connected; /* of these, how many connected */
-	uint64_t results; /* of probes while cut off, the last one in bit 0; 1: connected */
+	/* probes while cut off, the last one in bit 0; 1: connected, 0: not or not yet */
+	uint64_t results;
 	unsigned int results_kept;
 	pd_time_t probe_at; /* when the next round may begin */
 	pd_time_t wave_at; /* when the last probes of this round were started */
@@ -135,18 +137,13 @@
 	return MIN(serving, PROBES_MAX);
 }
 
-/* Records the result of a probe while the gateway is cut off. Returns whether it still is. */
-static bool keep_result(reach_t *reach, bool connected)
+/* Returns whether more than half of the probes kept have connected. */
+static bool most_connected(const reach_t *reach)
 {
-	unsigned int count = 0;
+	unsigned int count = (unsigned int)__builtin_popcountll(reach->results);
 
-	reach->results = (reach->results << 1 | connected) &
-			 (((uint64_t)1 << RESULTS_KEPT) - 1);
-	reach->results_kept = MIN(reach->results_kept + 1, RESULTS_KEPT);
-	for (uint64_t rest = reach->results; rest; rest &= rest - 1)
-		count++;
-	return reach->results_kept < RESULTS_MIN ||
-	       2 * count <= reach->results_kept;
+	return reach->results_kept >= RESULTS_MIN &&
+	       2 * count > reach->results_kept;
 }
 
 /* Begins a cut, of which the probes of the round were the first results. */
@@ -194,13 +191,14 @@
  */
 bool reach_record_probe_result(reach_t *reach, bool connected, unsigned int serving)
 {
-	bool was_cut_off = reach->cut_off;
-
-	if (was_cut_off) {
-		/* Probes that hang end after their round, and count like others. */
-		if (!keep_result(reach, connected))
-			end_cut(reach);
-		return !reach->cut_off;
+	if (reach->cut_off) {
+		/* Which of the last probes it was makes no difference. */
+		if (connected)
+			reach->results |= reach->results + 1;
+		if (!connected || !most_connected(reach))
+			return false;
+		end_cut(reach);
+		return true;
 	}
 	if (reach->result_count >= reach->probed->len)
 		return false;
@@ -273,8 +271,12 @@
 	return true;
 }
 
-/* Records that an upstream is being probed. */
+/* Records that an upstream is being probed. One that hangs counts as not connected. */
 void reach_record_probe(reach_t *reach, uint32_t short_id)
 {
+	if (reach->cut_off) {
+		reach->results = reach->results << 1 & RESULTS_MASK;
+		reach->results_kept = MIN(reach->results_kept + 1, RESULTS_KEPT);
+	}
 	g_array_append_val(reach->probed, short_id);
 }
--- a/tests/unit/test_reach.c
+++ b/tests/unit/test_reach.c
@@ -194,15 +194,36 @@
 /* Guards against a cut that ends as probes that hang are not counted. */
 static void test_probes_that_hang_count_while_cut_off(void **state)
 {
+	/* How many of three probes connect; the others hang for two rounds. */
+	static const unsigned int connect[] = { 3, 3, 0, 0, 0 };
 	reach_t *reach = *state;
 
 	fail_upstreams(reach, 1, 2, START);
 	run_round(reach, 0, SERVING, START);
-	for (int i = 0; i < 50; i++) {
-		start_probes(reach, 1, SERVING, START + PD_SEC + i * 200 * PD_MSEC);
-		end_probes(reach, true, 2, SERVING);
-		/* Those of the rounds before. */
-		assert_true(fail_probes(reach, 4, SERVING));
+	for (unsigned int i = 0; i < 50; i++) {
+		pd_time_t now = START + PD_SEC + i * 200 * PD_MSEC;
+
+		assert_int_equal(start_probes(reach, 1, SERVING, now), 3);
+		assert_true(end_probes(reach, true, connect[i % 5], SERVING));
+		if (i >= 2)
+			assert_true(fail_probes(reach, 3 - connect[(i - 2) % 5],
+						SERVING));
+	}
+}
+
+/* Guards against a cut that ends as those that connect are heard of first. */
+static void test_probes_under_way_count_while_cut_off(void **state)
+{
+	static const unsigned int connect[] = { 3, 3, 2, 1 };
+	reach_t *reach = *state;
+
+	fail_upstreams(reach, 1, 2, START);
+	assert_int_equal(run_round(reach, 2, SERVING, START), 12);
+	for (unsigned int i = 0; i < 4; i++) {
+		pd_time_t now = START + PD_SEC + i * 200 * PD_MSEC;
+
+		assert_int_equal(start_probes(reach, 1, SERVING, now), 3);
+		assert_true(end_probes(reach, true, connect[i], SERVING));
 	}
 }
 
@@ -263,7 +284,8 @@
 	assert_int_equal(start_probes(reach, 1, 2, START + 2 * PD_SEC), 2);
 	assert_int_equal(start_probes(reach, 1, 2, START + 2 * PD_SEC), 0);
 	assert_true(fail_probes(reach, 2, 2));
-	assert_int_equal(start_probes(reach, 1, 9, START + 2200 * PD_MSEC), 3);
+	assert_int_equal(start_probes(reach, 1, 2, START + 2200 * PD_MSEC), 2);
+	assert_int_equal(start_probes(reach, 1, 9, START + 2400 * PD_MSEC), 3);
 }
 
 int main(void)
@@ -285,6 +307,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_probes_that_hang_count_while_cut_off,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_probes_under_way_count_while_cut_off,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_few_of_many_connections_fail,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(
