Share how faults hit simulated gateways between property tests

quarantine_fleet.h and test_stream_versions.cc walked the gateways of a fault by the same lines, and two tests removed finished items by the same loop.

--- a/tests/property/fleet_faults.h
+++ b/tests/property/fleet_faults.h
@@ -5,6 +5,8 @@
 #include <glib.h>
 #include <rapidcheck.h>
 
+#include <vector>
+
 extern "C" {
 #include "ports/clock.h"
 }
@@ -22,8 +24,35 @@
 	{
 		return i >= first && i < first + count;
 	}
+
+	/*
+	 * Calls HIT with each gateway of SIZE that it hits SINCE the start, and with
+	 * whether it is over then. Each step of the simulation must divide its times.
+	 */
+	template <typename F>
+	void each_hit(pd_time_t since, unsigned size, F hit) const
+	{
+		if (since < at || since > at + lasts)
+			return;
+		for (unsigned i = first; i < first + count && i < size; i++)
+			hit(i, since == at + lasts);
+	}
 };
 
+/* Removes the items for which OVER is true; the others may change places. */
+template <typename T, typename F>
+void remove_over(std::vector<T> &items, F over)
+{
+	for (size_t i = 0; i < items.size();) {
+		if (over(items[i])) {
+			items[i] = items.back();
+			items.pop_back();
+		} else {
+			i++;
+		}
+	}
+}
+
 /*
  * Draws a fault of 0.2 to 6 s within AT_MAX tenths of a second, in a fleet of SIZE. The
  * gateways that serve all, which rank first, are hit more often than others.
--- a/tests/property/quarantine_fleet.h
+++ b/tests/property/quarantine_fleet.h
@@ -75,28 +75,22 @@
 
 	void apply(const fault &one)
 	{
-		pd_time_t begin = start + one.at;
-		pd_time_t end = begin + one.lasts;
-
-		if (now < begin || now > end)
-			return;
-		bool over = now == end;
-		if (one.kind == CUT)
-			cut = over ? nullptr : &one;
-		for (unsigned i = one.first;
-		     i < one.first + one.count && i < gateways.size(); i++) {
-			gateway &gate = gateways[i];
-
-			if (one.kind == FREEZE)
-				gate.frozen = !over;
-			if (one.kind != RESTART)
-				continue;
-			if (gate.down && over) {
-				boot(gate);
-				greet(i);
-			}
-			gate.down = !over;
-		}
+		one.each_hit(now - start, gateways.size(),
+			     [&](unsigned i, bool over) {
+				     gateway &gate = gateways[i];
+
+				     if (one.kind == CUT)
+					     cut = over ? nullptr : &one;
+				     if (one.kind == FREEZE)
+					     gate.frozen = !over;
+				     if (one.kind != RESTART)
+					     return;
+				     if (gate.down && over) {
+					     boot(gate);
+					     greet(i);
+				     }
+				     gate.down = !over;
+			     });
 	}
 
 	/* Those that receive the first state of a gateway send it what they hold. */
--- a/tests/property/test_prompt_parts.cc
+++ b/tests/property/test_prompt_parts.cc
@@ -64,14 +64,9 @@
 				arrive(true);
 			if (g_rand_double(random) < sound_per_step)
 				arrive(false);
-			for (size_t i = 0; i < requests.size();) {
-				if (advance(requests[i])) {
-					requests[i] = requests.back();
-					requests.pop_back();
-				} else {
-					i++;
-				}
-			}
+			remove_over(requests, [&](prompt_request &one) {
+				return advance(one);
+			});
 			count_running();
 			repeat_all();
 		}
@@ -249,9 +244,8 @@
 				 relays, *rc::gen::arbitrary<uint32_t>());
 		all.run(faults);
 		if (getenv("SHOW"))
-			printf("%u: %.0f a second, %u ended, %u at once, %u of "
-			       "%u "
-			       "sound ones begun\n",
+			printf("%u: %.0f a second, %u ended, %u at once, "
+			       "%u of %u sound ones begun\n",
 			       size, rate, all.ends, all.at_once,
 			       all.sound_begun, all.sound);
 		/* See quarantine-notes.md. */
--- a/tests/property/test_stream_versions.cc
+++ b/tests/property/test_stream_versions.cc
@@ -84,13 +84,7 @@
 			for (unsigned i = 0; i < gateways.size(); i++)
 				tick(i);
 			begin_streams();
-			for (size_t i = 0; i < all.size();)
-				if (advance(all[i])) {
-					all[i] = all.back();
-					all.pop_back();
-				} else {
-					i++;
-				}
+			remove_over(all, [&](auto &one) { return advance(one); });
 		}
 	}
 
@@ -115,27 +109,21 @@
 
 	void apply(const fault &one)
 	{
-		pd_time_t begin = start + one.at;
-		pd_time_t end = begin + one.lasts;
-
-		if (now < begin || now > end)
-			return;
-		bool over = now == end;
-		for (unsigned i = one.first;
-		     i < one.first + one.count && i < gateways.size(); i++) {
-			gateway &gate = gateways[i];
-
-			gate.faulty_until = now + in_touch_after;
-			if (one.kind == CUT)
-				gate.cut = !over;
-			if (one.kind == FREEZE)
-				gate.frozen = !over;
-			if (one.kind != RESTART)
-				continue;
-			if (gate.down && over)
-				boot(gate, false);
-			gate.down = !over;
-		}
+		one.each_hit(now - start, gateways.size(),
+			     [&](unsigned i, bool over) {
+				     gateway &gate = gateways[i];
+
+				     gate.faulty_until = now + in_touch_after;
+				     if (one.kind == CUT)
+					     gate.cut = !over;
+				     if (one.kind == FREEZE)
+					     gate.frozen = !over;
+				     if (one.kind != RESTART)
+					     return;
+				     if (gate.down && over)
+					     boot(gate, false);
+				     gate.down = !over;
+			     });
 	}
 
 	/* Returns whether a version has upstreams: two of them overlap in each release. */
