--- a/adapters/gateway/request_quarantine.c
+++ b/adapters/gateway/request_quarantine.c
@@ -19,6 +19,12 @@
 	return false;
 }
 
+/* Returns whether a request is held, itself or by a part of its prompt. */
+static bool is_held(const gateway_request_t *request)
+{
+	return quarantine_rejects(request->gateway->quarantine, &request->suspects);
+}
+
 /*
  * Records that a request is tried. Returns for how long it is held, itself or by a part of
  * its prompt, if nobody tries such a request; 0: not.
@@ -27,7 +33,7 @@
 {
 	pd_time_t held = 0;
 
-	if (!quarantine_rejects(request->gateway->quarantine, &request->suspects))
+	if (!is_held(request))
 		return 0;
 	for (unsigned int i = 0; i < request->suspects.count; i++)
 		held = MAX(held,
@@ -37,24 +43,17 @@
 	return held;
 }
 
-/* Returns whether a request is held, itself or by a part of its prompt. */
-static bool is_held(const gateway_request_t *request)
-{
-	return quarantine_rejects(request->gateway->quarantine, &request->suspects);
-}
-
 /*
  * Records the first event of a request's response: upstreams don't end under the parts of
  * its prompt. Later ends are not counted against these either.
  */
 void gateway_request_clear_parts(gateway_request_t *request)
 {
-	pd_time_t now = gateway_now();
-
-	for (unsigned int i = 1; i < request->suspects.count; i++)
-		quarantine_record_success(request->gateway->quarantine,
-					  request->suspects.keys[i], now);
-	request->suspects.count = MIN(request->suspects.count, 1);
+	for (; request->suspects.count > 1; request->suspects.count--)
+		quarantine_record_success(
+			request->gateway->quarantine,
+			request->suspects.keys[request->suspects.count - 1],
+			gateway_now());
 }
 
 /*
