--- a/adapters/gateway/peer_rejections.c
+++ b/adapters/gateway/peer_rejections.c
@@ -45,7 +45,7 @@
 
 	msgpack_sbuffer_init(&buffer);
 	peers_pack_rejections(&buffer, peers,
-			      (const rejection_t *)(void *)peers->rejections->data,
+			      &g_array_index(peers->rejections, rejection_t, 0),
 			      peers->rejections->len);
 	peers_spread(peers, &buffer, now);
 	msgpack_sbuffer_destroy(&buffer);
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -67,7 +67,7 @@
 #define STATE_FLAG_REQUESTS_SUMMARY 4u /* requests a summary in return */
 /* knows messages about rate limits of upstreams */
 #define STATE_FLAG_HANDLES_LIMITS 8u
-#define STATE_FLAG_CUT_OFF 16u /* reaches no upstream */
+#define STATE_FLAG_CUT_OFF 16u /* from the upstreams of some service */
 /* knows messages about requests under which upstreams ended */
 #define STATE_FLAG_HANDLES_QUARANTINE 32u
 /* knows messages about software versions that began streams */
@@ -172,7 +172,7 @@
 	bool high_capacity; /* its VM has CPU and bandwidth for an aggregator */
 	uint16_t zone; /* hash of its availability zone; 0: unknown */
 	bool has_store; /* the store was serving it when last heard from */
-	bool cut_off; /* it reached no upstream when last heard from */
+	bool cut_off; /* it took no relays when last heard from */
 	uint16_t relay_port; /* where it takes relayed requests; 0: nowhere */
 	bool handles_limits; /* it knows messages about upstreams' limits */
 	pd_time_t limits_sent_at; /* when limits were last sent to it; 0: never */
--- a/core/forward/brittle.c
+++ b/core/forward/brittle.c
@@ -1,5 +1,7 @@
 /*
- * brittle-notes.md argues the bound on rejections. An even share of the slots for each gateway, in whole requests. What is left over, and
+ * brittle-notes.md argues the bound on rejections.
+ *
+ * An even share of the slots for each gateway, in whole requests. What is left over, and
  * all slots where there are fewer of them than gateways, is drawn for a short time: by a
  * hash of the gateway, the upstream and the time, so no messages are needed. Loads that
  * peers report are too old for this, as requests to plain services take milliseconds.
--- a/core/forward/quarantine.h
+++ b/core/forward/quarantine.h
@@ -21,7 +21,7 @@
 /* Reports in one message. */
 #define QUARANTINE_REPORTS_MAX 64
 
-/* Ends that are remembered of one request, those included that were cleared. */
+/* Ends that are remembered of a request or part, those included that were cleared. */
 #define QUARANTINE_ENDS_KEPT 8
 
 /* What an upstream may have ended under: the request first, then parts of its prompt. */
