Evaluate the condition of RIG_UNTIL once

The macro evaluated its condition once more after its loop, and failed the test if that was false. A condition that sends a call, as the check of the gateways' soak that each gateway serves again, was true in the loop and then false: the gateway answered 200, and 2 ms later 503 "over the limits of upstreams", as it had not heard yet that upstreams without a limit serve again. The last evaluation of the loop decides now.

--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -144,14 +144,18 @@
 void rig_caller_close(rig_caller_t *caller);
 void rig_caller_destroy(rig_caller_t *caller);
 
-/* Runs the event loop until a condition holds; fails the test after MS. */
-#define RIG_UNTIL_WITHIN(rig, condition, ms)                             \
-	do {                                                             \
-		uint64_t rig_end = rig_now_ms() + (ms);                  \
-		while (!(condition) && rig_now_ms() < rig_end)           \
-			rig_run_once(rig);                               \
-		if (!(condition))                                        \
-			fail_msg("gave up waiting for: %s", #condition); \
+/*
+ * Runs the event loop until a condition holds; fails the test after MS. The condition is
+ * evaluated once each time, as it may send a call.
+ */
+#define RIG_UNTIL_WITHIN(rig, condition, ms)                                 \
+	do {                                                                 \
+		uint64_t rig_end = rig_now_ms() + (ms);                      \
+		bool rig_holds;                                              \
+		while (!(rig_holds = (condition)) && rig_now_ms() < rig_end) \
+			rig_run_once(rig);                                   \
+		if (!rig_holds)                                              \
+			fail_msg("gave up waiting for: %s", #condition);     \
 	} while (0)
 
 /* The same, with RIG_TIMEOUT_MS. */
