Serve operators' roll-outs of software versions

Orders under rollouts/SERVICE were not read: a new version got its even share of the requests as soon as its upstreams registered, good or bad, and no order was ever completed or rolled back.

Gateways that watch the store read orders; the new version gets a canary's share on few upstreams, is compared with the old one on each route by the answers that all gateways count, and gets the rest shortly before the deadline, or nothing. Any gateway's verdict stops it everywhere. The leader advances the steps and writes the status; the checkpoint has what the store has not.

--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -9,6 +9,7 @@
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peers.h"
 #include "adapters/gateway/request_flight.h"
+#include "adapters/gateway/rollouts.h"
 #include "adapters/gateway/usage_table.h"
 #include "adapters/log_glib.h"
 #include "core/forward/call_pacer.h"
@@ -260,6 +261,22 @@
 	}
 }
 
+/* Restores the roll-outs that ran, for what the store does not have of them. */
+static void restore_rollouts(gateway_checkpoint_t *checkpoint,
+			     const checkpoint_record_t *record)
+{
+	gateway_t *gateway = checkpoint->gateway;
+	pd_time_t now = gateway_rollouts_now(gateway);
+
+	for (guint i = 0; i < record->rollouts->len; i++) {
+		const rollout_record_t *entry =
+			&g_array_index(record->rollouts, rollout_record_t, i);
+
+		rollouts_restore(gateway->rollouts, &entry->report,
+				 entry->sent_new, entry->sent_all, now);
+	}
+}
+
 /* Returns the leader as it is logged, borrowed. */
 static const char *leader_or_none(const char *leader)
 {
@@ -299,6 +316,8 @@
 	restore_accounts(checkpoint, record);
 	restore_clocks(checkpoint, record);
 	restore_versions(checkpoint, record);
+	if (rollouts_is_enabled(checkpoint->gateway->rollouts))
+		restore_rollouts(checkpoint, record);
 	if (!g_strcmp0(record->leader, checkpoint->gateway->settings->node_id))
 		gateway_duties_resume(checkpoint->gateway->duties);
 	log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT,
@@ -585,6 +604,24 @@
 	checkpoint_record_add_version(ctx, service, version_id);
 }
 
+typedef struct rollout_writer {
+	const rollouts_t *rollouts;
+	checkpoint_record_t *record;
+} rollout_writer_t;
+
+/* Adds a roll-out that runs to the record of CTX, a rollout_writer_t. */
+static void add_rollout(void *ctx, const rollout_report_t *report)
+{
+	const rollout_writer_t *writer = ctx;
+	uint64_t sent_new;
+	uint64_t sent_all;
+
+	if (report->state != ROLLOUT_RUNNING)
+		return;
+	rollouts_sent(writer->rollouts, report->service, &sent_new, &sent_all);
+	checkpoint_record_add_rollout(writer->record, report, sent_new, sent_all);
+}
+
 /* Returns the current record as JSON, owned by the caller. */
 static char *create_record_text(gateway_checkpoint_t *checkpoint, pd_time_t now)
 {
@@ -592,6 +629,7 @@
 	checkpoint_record_t *record = checkpoint_record_create();
 	account_writer_t accounts = { gateway->limits, record, now };
 	clock_writer_t clocks = { record, gateway->settings->node_id };
+	rollout_writer_t rollouts = { gateway->rollouts, record };
 	char *text;
 
 	record->fleet_size = gateway_count(gateway);
@@ -602,6 +640,7 @@
 	if (gateway_peers_has_current_upstreams(gateway->peers, now))
 		stream_versions_each_sole(gateway->streams, now, add_version,
 					  record);
+	rollouts_each(gateway->rollouts, add_rollout, &rollouts);
 	text = checkpoint_record_format(record);
 	checkpoint_record_destroy(record);
 	return text;
--- a/adapters/gateway/checkpoint_record.c
+++ b/adapters/gateway/checkpoint_record.c
@@ -36,6 +36,15 @@
 	g_free(((version_record_t *)data)->service);
 }
 
+/* Frees what a rollout_record_t owns. */
+static void rollout_clear(void *data)
+{
+	rollout_record_t *entry = data;
+
+	g_free((char *)entry->report.service);
+	g_free((char *)entry->report.to);
+}
+
 /* Returns an empty record; the caller owns it. */
 checkpoint_record_t *checkpoint_record_create(void)
 {
@@ -47,6 +56,8 @@
 	g_array_set_clear_func(record->clocks, clock_clear);
 	record->versions = g_array_new(FALSE, TRUE, sizeof(version_record_t));
 	g_array_set_clear_func(record->versions, version_clear);
+	record->rollouts = g_array_new(FALSE, TRUE, sizeof(rollout_record_t));
+	g_array_set_clear_func(record->rollouts, rollout_clear);
 	return record;
 }
 
@@ -59,6 +70,7 @@
 	g_array_unref(record->accounts);
 	g_array_unref(record->clocks);
 	g_array_unref(record->versions);
+	g_array_unref(record->rollouts);
 	g_free(record);
 }
 
@@ -89,6 +101,18 @@
 	g_array_append_val(record->versions, entry);
 }
 
+/* Adds a roll-out, and the requests that the new version and all versions had. */
+void checkpoint_record_add_rollout(checkpoint_record_t *record,
+				   const rollout_report_t *report,
+				   uint64_t sent_new, uint64_t sent_all)
+{
+	rollout_record_t entry = { *report, sent_new, sent_all };
+
+	entry.report.service = g_strdup(report->service);
+	entry.report.to = g_strdup(report->to);
+	g_array_append_val(record->rollouts, entry);
+}
+
 /* Returns a non-negative integer, or 0 for any other value. */
 static uint64_t non_negative(const json_t *value)
 {
@@ -154,6 +178,35 @@
 	return pd_time_from_ms(non_negative(json_object_get(root, key)));
 }
 
+/* Reads {service: {...}}; entries without a version, period or known step are skipped. */
+static void read_rollouts(checkpoint_record_t *record, json_t *rollouts)
+{
+	const char *service;
+	json_t *entry;
+
+	json_object_foreach(rollouts, service, entry)
+	{
+		uint64_t step = non_negative(json_object_get(entry, "step"));
+		const rollout_report_t report = {
+			.service = service,
+			.to = json_string_or(entry, "to", NULL),
+			.revision = non_negative(
+				json_object_get(entry, "revision")),
+			.ordered_at = read_time(entry, "at"),
+			.period = read_time(entry, "period"),
+			.step = (rollout_step_t)step,
+			.bad = json_is_true(json_object_get(entry, "bad")),
+		};
+
+		if (report.to && report.period > 0 &&
+		    report.period <= ROLLOUT_PERIOD_MAX && step < ROLLOUT_STEPS)
+			checkpoint_record_add_rollout(
+				record, &report,
+				non_negative(json_object_get(entry, "new")),
+				non_negative(json_object_get(entry, "all")));
+	}
+}
+
 /*
  * Parses a record. Returns it, owned by the caller, or NULL with ERR set if
  * TEXT is not JSON. Invalid fields are skipped, which leaves their values
@@ -175,6 +228,7 @@
 	read_accounts(record, json_object_get(root, "accounts"));
 	read_clocks(record, json_object_get(root, "clocks"));
 	read_versions(record, json_object_get(root, "versions"));
+	read_rollouts(record, json_object_get(root, "rollouts"));
 	json_decref(root);
 	return record;
 }
@@ -227,6 +281,30 @@
 	return versions;
 }
 
+/* Returns the roll-outs as JSON, owned by the caller: by service. */
+static json_t *write_rollouts(const checkpoint_record_t *record)
+{
+	json_t *rollouts = json_object();
+
+	for (guint i = 0; i < record->rollouts->len; i++) {
+		const rollout_record_t *entry =
+			&g_array_index(record->rollouts, rollout_record_t, i);
+		const rollout_report_t *report = &entry->report;
+
+		json_object_set_new(
+			rollouts, report->service,
+			json_pack("{s:s, s:I, s:I, s:I, s:i, s:b, s:I, s:I}",
+				  "to", report->to, "revision",
+				  (json_int_t)report->revision, "at",
+				  (json_int_t)(report->ordered_at / PD_MSEC),
+				  "period", (json_int_t)(report->period / PD_MSEC),
+				  "step", (int)report->step, "bad", report->bad,
+				  "new", (json_int_t)entry->sent_new, "all",
+				  (json_int_t)entry->sent_all));
+	}
+	return rollouts;
+}
+
 /*
  * Returns the record as JSON without the time of writing; the caller owns it.
  */
@@ -241,6 +319,8 @@
 
 	if (record->versions->len)
 		json_object_set_new(root, "versions", write_versions(record));
+	if (record->rollouts->len)
+		json_object_set_new(root, "rollouts", write_rollouts(record));
 	if (record->leader)
 		json_object_set_new(root, "leader", json_string(record->leader));
 	if (record->previous_write_at)
--- a/adapters/gateway/checkpoint_record.h
+++ b/adapters/gateway/checkpoint_record.h
@@ -9,6 +9,7 @@
 #include <glib.h>
 
 #include "core/error.h"
+#include "core/forward/rollout.h"
 #include "ports/clock.h"
 
 /* State of an account's limit. */
@@ -30,6 +31,13 @@
 	uint64_t version_id; /* as forward_upstream_t has it */
 } version_record_t;
 
+/* A roll-out that runs, and the requests that it has had so far. */
+typedef struct rollout_record {
+	rollout_report_t report; /* owns its strings */
+	uint64_t sent_new;
+	uint64_t sent_all;
+} rollout_record_t;
+
 typedef struct checkpoint_record {
 	unsigned int fleet_size; /* number of gateways that share the limits */
 	char *leader; /* id of its VM; NULL: unknown */
@@ -41,6 +49,7 @@
 	GArray *accounts; /* of account_record_t */
 	GArray *clocks; /* of clock_record_t */
 	GArray *versions; /* of version_record_t */
+	GArray *rollouts; /* of rollout_record_t */
 } checkpoint_record_t;
 
 checkpoint_record_t *checkpoint_record_create(void);
@@ -52,6 +61,9 @@
 				 pd_time_t offset);
 void checkpoint_record_add_version(checkpoint_record_t *record,
 				   const char *service, uint64_t version_id);
+void checkpoint_record_add_rollout(checkpoint_record_t *record,
+				   const rollout_report_t *report,
+				   uint64_t sent_new, uint64_t sent_all);
 char *checkpoint_record_format(const checkpoint_record_t *record);
 char *checkpoint_record_stamp(const char *text, pd_time_t at);
 
--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -175,7 +175,7 @@
 }
 
 /* Returns whether this gateway is the leader and may make calls as such. */
-static bool is_acting(const gateway_duties_t *duties, pd_time_t now)
+bool gateway_duties_is_acting(const gateway_duties_t *duties, pd_time_t now)
 {
 	return lease_is_held(duties->lease, now) && now >= duties->act_not_before &&
 	       lease_fencing_token(duties->lease) == duties->fencing_token;
@@ -298,7 +298,7 @@
 	gateway_peers_set_leadership(duties->gateway->peers,
 				     lease_is_held(duties->lease, now),
 				     lease_fencing_token(duties->lease));
-	if (!is_acting(duties, now))
+	if (!gateway_duties_is_acting(duties, now))
 		return;
 	duties_run_usage(duties, now);
 	duties_run_scale(duties, now);
--- a/adapters/gateway/duties.h
+++ b/adapters/gateway/duties.h
@@ -9,6 +9,7 @@
 #include "adapters/gateway/gateway_state.h"
 
 gateway_duties_t *gateway_duties_create(gateway_t *gateway);
+bool gateway_duties_is_acting(const gateway_duties_t *duties, pd_time_t now);
 bool gateway_duties_may_hold(const gateway_duties_t *duties);
 void gateway_duties_resume(gateway_duties_t *duties);
 void gateway_duties_run(gateway_duties_t *duties, pd_time_t now);
--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -3,6 +3,7 @@
 
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peers.h"
+#include "adapters/gateway/rollouts.h"
 #include "adapters/log_glib.h"
 #include "core/forward/store_feed.h"
 #include "platform/wire.h"
@@ -28,6 +29,7 @@
 	gateway_t *gateway;
 	feed_t config;
 	feed_t upstreams;
+	feed_t rollouts; /* only called if they are served */
 };
 
 static void feed_run(feed_t *feed, pd_time_t now);
@@ -50,6 +52,7 @@
 	fleet->gateway = gateway;
 	feed_init(&fleet->config, fleet, WIRE_CONFIG, "configuration");
 	feed_init(&fleet->upstreams, fleet, WIRE_UPSTREAMS, "upstreams");
+	feed_init(&fleet->rollouts, fleet, WIRE_ROLLOUTS, "rollouts");
 	return fleet;
 }
 
@@ -155,6 +158,9 @@
 	case WIRE_UPSTREAMS:
 		apply_upstreams(feed, page);
 		break;
+	case WIRE_ROLLOUTS:
+		gateway_rollouts_apply_page(feed->fleet->gateway, page);
+		break;
 	case WIRE_LEASES:
 	case WIRE_RECORDS:
 	case WIRE_COUNTS:
@@ -333,4 +339,6 @@
 {
 	feed_run(&feed->config, now);
 	feed_run(&feed->upstreams, now);
+	if (rollouts_is_enabled(feed->gateway->rollouts))
+		feed_run(&feed->rollouts, now);
 }
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -16,6 +16,7 @@
 #include "adapters/gateway/rate_limits.h"
 #include "adapters/gateway/reload.h"
 #include "adapters/gateway/request.h"
+#include "adapters/gateway/rollouts.h"
 #include "adapters/gateway/upstream_link.h"
 #include "adapters/gateway/upstream_probe.h"
 #include "adapters/gateway/upstream_reach.h"
@@ -260,6 +261,7 @@
 		 upstream->version, upstream->zone, upstream->address,
 		 upstream->port, upstream->slots, upstream->reclaimable,
 		 upstream->revision, source);
+	gateway_rollouts_record_version(gateway, upstream);
 	gateway_peers_queue_update(gateway->peers, id);
 }
 
@@ -367,6 +369,7 @@
 			stream_versions_record_serving(gateway->streams,
 						       upstream->service,
 						       upstream->version_id, now);
+		gateway_rollouts_record_version(gateway, upstream);
 	}
 }
 
@@ -412,6 +415,7 @@
 			     gateway_peers_propagation_delay(gateway->peers, now));
 	work_rate_update(gateway->work, now);
 	gateway_duties_run(gateway->duties, now);
+	gateway_rollouts_run(gateway, now);
 	gateway_reload_run(gateway, now);
 	log_buffer_flush(now);
 	if (gateway->stop_requested_at)
@@ -518,6 +522,8 @@
 	const gateway_settings_t *settings = gateway->settings;
 	const retry_limits_t retries = gateway_settings_retries(settings);
 	const token_limits_config_t limits = gateway_settings_limits(settings);
+	const rollout_settings_t rollout_bounds =
+		gateway_settings_rollouts(settings);
 
 	gateway->upstreams = forward_upstreams_create();
 	gateway->upstream_limits = upstream_limits_create();
@@ -528,6 +534,11 @@
 		stream_versions_create(STREAM_VERSIONS_TTL_MIN,
 				       !strcmp(settings->node_start, "first"),
 				       gateway->started_at);
+	gateway->rollouts = rollouts_create(&rollout_bounds);
+	gateway->invalid_orders =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	gateway->logged_rollouts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gateway->quarantine = quarantine_create();
 	list_init(&gateway->quarantine_checks);
 	list_init(&gateway->silences);
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -11,6 +11,7 @@
 #include "core/forward/quarantine.h"
 #include "core/forward/reach.h"
 #include "core/forward/retry_window.h"
+#include "core/forward/rollout.h"
 #include "core/forward/store_outage.h"
 #include "core/forward/stream_versions.h"
 #include "core/forward/time_vote.h"
@@ -46,6 +47,9 @@
 	GHashTable *reaches; /* service -> reach_t; those whose links failed */
 	list_node_t probes; /* of upstreams, in progress */
 	stream_versions_t *streams; /* which software version began each */
+	rollouts_t *rollouts; /* orders to change a service's software version */
+	GHashTable *invalid_orders; /* name -> revision of those logged */
+	GHashTable *logged_rollouts; /* service -> what was logged last */
 	pd_time_t versions_record_at; /* when those that serve are next recorded */
 	quarantine_t *quarantine; /* of requests under which upstreams end */
 	list_node_t quarantine_checks; /* of upstreams that may have ended */
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -26,6 +26,7 @@
 	MESSAGE_STREAMS, /* software versions that began streams */
 	MESSAGE_STREAM_QUERY, /* asks for that of one stream */
 	MESSAGE_REJECTIONS, /* by upstreams that fail under many of them */
+	MESSAGE_ROLLOUT, /* orders to change software versions, and how they go */
 	MESSAGE_KINDS /* number of kinds */
 } message_kind_t;
 
@@ -57,6 +58,7 @@
 	/* last window whose usage counts are complete; nil: unknown */
 	STATE_WATERMARK,
 	STATE_STREAMS, /* software versions that began streams lately */
+	STATE_ROLLOUTS, /* answers by version while a roll-out runs; nil: none runs */
 	STATE_FIELDS /* number of fields */
 } state_field_t;
 
@@ -129,6 +131,12 @@
 #define REJECTIONS_FIELDS 4 /* kind, sender, wall time in ms, rejections */
 #define REJECTION_FIELDS 2 /* short id of the upstream, age in ms */
 #define USAGE_FIELDS 3 /* window, account, count */
+/* kind, sender, revision up to which orders are known, reports */
+#define ROLLOUT_FIELDS 4
+/* service, version, revision, ordered at, period, step, state, bad, heartbeat */
+#define ROLLOUT_REPORT_FIELDS 9
+/* service, id of the new version, route, whether new, sent, answers, failed, slow */
+#define ROLLOUT_COUNT_FIELDS 8
 /* An upstream in full, or only its id hash, stage, revision and start time. */
 #define UPSTREAM_FIELDS 11
 #define UPSTREAM_FIELDS_MIN 10 /* earlier builds send no software version */
@@ -277,6 +285,13 @@
 			 const msgpack_object *object);
 void peers_receive_summed_loads(gateway_peers_t *peers,
 				const msgpack_object *object);
+void peers_pack_rollouts(msgpack_sbuffer *buffer, const gateway_peers_t *peers);
+void peers_send_rollouts(gateway_peers_t *peers, const peer_t *peer);
+int peers_receive_rollouts(gateway_peers_t *peers, const msgpack_object *fields);
+void peers_pack_rollout_counts(msgpack_sbuffer *buffer, msgpack_packer *packer,
+			       const gateway_peers_t *peers, const peer_t *except);
+void peers_receive_rollout_counts(gateway_peers_t *peers, const char *peer,
+				  const msgpack_object *object);
 void peers_remove_values(gateway_peers_t *peers, peer_t *peer);
 const peer_view_t *peers_view(gateway_peers_t *peers, pd_time_t now);
 bool peers_ranks_before(const gateway_peers_t *peers, const peer_t *other);
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -455,6 +455,8 @@
 	record_peer_store_health(gateway, peer, now);
 	vote_clock(gateway, peer, fields, now);
 	peers_send_held(peers, peer);
+	if (first)
+		peers_send_rollouts(peers, peer);
 	merge_usage(gateway, peer->incarnation, &fields[STATE_USAGE]);
 	merge_watermark(gateway, peer->incarnation, &fields[STATE_WATERMARK]);
 	merge_engine_speeds(gateway, &fields[STATE_ENGINE_SPEEDS]);
@@ -462,6 +464,9 @@
 		peers_merge_stream_records(peers, &fields[STATE_STREAMS]);
 	merge_members(peers, &fields[STATE_MEMBERS]);
 	/* An aggregator's sums already include this peer. */
+	if (!peers->aggregator && count > STATE_ROLLOUTS)
+		peers_receive_rollout_counts(peers, peer->incarnation,
+					     &fields[STATE_ROLLOUTS]);
 	if (!peers->aggregator) {
 		const summed_values_t work = { peer->work, peers->work };
 
@@ -483,10 +488,11 @@
 }
 
 /*
- * Applies a summary; its sums only if it is from the current aggregator.
+ * Applies a summary of COUNT fields; its sums only if it is from the current aggregator.
  * Returns 0, or -1 if it is malformed.
  */
-static int handle_summary(gateway_peers_t *peers, const msgpack_object *fields)
+static int handle_summary(gateway_peers_t *peers, const msgpack_object *fields,
+			  uint32_t count)
 {
 	gateway_t *gateway = peers->gateway;
 	peer_t *peer = identify_sender(peers, fields);
@@ -512,6 +518,9 @@
 	merge_work(gateway, ALL_PEERS, &fields[STATE_WORK], NULL);
 	merge_engine_speeds(gateway, &fields[STATE_ENGINE_SPEEDS]);
 	peers_receive_summed_loads(peers, &fields[STATE_LOADS]);
+	if (count > STATE_ROLLOUTS)
+		peers_receive_rollout_counts(peers, ALL_PEERS,
+					     &fields[STATE_ROLLOUTS]);
 	return 0;
 }
 
@@ -796,6 +805,7 @@
 		[MESSAGE_STREAMS] = STREAMS_FIELDS,
 		[MESSAGE_STREAM_QUERY] = STREAM_QUERY_FIELDS,
 		[MESSAGE_REJECTIONS] = REJECTIONS_FIELDS,
+		[MESSAGE_ROLLOUT] = ROLLOUT_FIELDS,
 	};
 	uint32_t count = 0;
 	const msgpack_object *fields = msgpack_field_array(object, 1, &count);
@@ -807,7 +817,7 @@
 	case MESSAGE_STATE:
 		return handle_state(peers, fields, count);
 	case MESSAGE_SUMMARY:
-		return handle_summary(peers, fields);
+		return handle_summary(peers, fields, count);
 	case MESSAGE_UPDATES:
 		return handle_updates(peers, fields);
 	case MESSAGE_ANNOUNCEMENT:
@@ -830,6 +840,8 @@
 		return peers_receive_stream_query(peers, fields);
 	case MESSAGE_REJECTIONS:
 		return peers_receive_rejections(peers, fields);
+	case MESSAGE_ROLLOUT:
+		return peers_receive_rollouts(peers, fields);
 	case MESSAGE_KINDS:
 		break;
 	}
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -444,6 +444,7 @@
 		/* Both would count the same use, work and loads. */
 		token_limits_clear_peers(peers->gateway->limits);
 		work_rate_clear_peers(peers->gateway->work);
+		rollouts_clear_peers(peers->gateway->rollouts);
 		LIST_FOR_EACH (it, &peers->list)
 			peers_remove_loads(peers,
 					   LIST_ENTRY(it, peer_t, node)->loads);
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -30,6 +30,7 @@
 void gateway_peers_record_rejection(gateway_peers_t *peers,
 				    forward_upstream_t *upstream);
 void gateway_peers_send_quarantine(gateway_peers_t *peers);
+void gateway_peers_spread_rollouts(gateway_peers_t *peers);
 void gateway_peers_send_streams(gateway_peers_t *peers);
 void gateway_peers_query_stream(gateway_peers_t *peers, uint64_t attempt,
 				const char *service);
--- a/adapters/gateway/reload.c
+++ b/adapters/gateway/reload.c
@@ -66,6 +66,11 @@
 		const retry_limits_t limits = gateway_settings_retries(settings);
 
 		retry_windows_set_limits(gateway->retries, &limits);
+	} else if (g_str_has_prefix(setting->key, "rollout.")) {
+		const rollout_settings_t bounds =
+			gateway_settings_rollouts(settings);
+
+		rollouts_configure(gateway->rollouts, &bounds);
 	} else if (g_str_has_prefix(setting->key, "limits.")) {
 		const token_limits_config_t rules =
 			gateway_settings_limits(settings);
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -388,8 +388,10 @@
 		return;
 	}
 	if (request->link) {
-		if (request->sent_at)
+		if (request->sent_at) {
 			request->possible_runs++;
+			gateway_request_record_rollout_answer(request, true);
+		}
 		gateway_request_watch_upstream(request);
 		upstream_link_close(request->link);
 		request->link = NULL;
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -67,8 +67,7 @@
 
 	for (unsigned int i = 0; i < request->tried_count; i++)
 		criteria.tried[i] = request->tried[i];
-	return forward_upstreams_choose(gateway->upstreams, &criteria,
-					gateway_now(), pick);
+	return gateway_request_choose_version(request, &criteria, pick);
 }
 
 /* Sends the request on the link of its attempt, which must be connected. */
@@ -91,6 +90,7 @@
 		send.resume_after = request->events->last_id;
 	wire_call_format(head, call, &send);
 	request->sent_at = now;
+	gateway_request_record_rollout_send(request);
 	request->deliveries++;
 	if (request->state != REQUEST_STREAMING)
 		request->state = REQUEST_SENT;
@@ -182,6 +182,7 @@
 	bool streaming = request->state == REQUEST_STREAMING;
 
 	if (outcome == ATTEMPT_UNKNOWN || outcome == ATTEMPT_FAILED) {
+		gateway_request_record_rollout_answer(request, true);
 		request->possible_runs++;
 		gateway_request_count_usage(request);
 	}
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -73,6 +73,11 @@
 	forward_upstream_t *upstream; /* NULL: no attempt */
 	unsigned int upstream_incarnation; /* when the attempt began */
 	uint64_t upstream_version_id; /* the same */
+	bool has_rollout_draw;
+	double rollout_draw; /* whether it may use the new version in a roll-out */
+	pd_time_t first_event_at; /* of this attempt; 0: none yet */
+	pd_time_t last_event_at;
+	unsigned int attempt_events; /* events of this attempt */
 	upstream_link_t *link;
 	pd_time_t attempt_started_at;
 	pd_time_t sent_at; /* 0: nothing was sent yet */
@@ -124,6 +129,13 @@
 void gateway_request_finish(gateway_request_t *request);
 forward_choice_t gateway_request_choose(gateway_request_t *request,
 					forward_pick_t *pick);
+forward_choice_t gateway_request_choose_version(gateway_request_t *request,
+						forward_criteria_t *criteria,
+						forward_pick_t *pick);
+void gateway_request_record_rollout_send(gateway_request_t *request);
+void gateway_request_record_events(gateway_request_t *request, unsigned int events);
+void gateway_request_record_rollout_answer(const gateway_request_t *request,
+					   bool failed);
 void gateway_request_send(gateway_request_t *request);
 bool gateway_request_is_retryable(const gateway_request_t *request);
 void gateway_request_end_attempt(gateway_request_t *request,
--- a/adapters/gateway/settings.c
+++ b/adapters/gateway/settings.c
@@ -54,6 +54,14 @@
 	  3600, "5", "seconds of a window of usage" },
 	{ "duties.usage_due_s", SETTING_DECIMAL, OFFSET(usage_due_s), 1, 3600,
 	  "10", "seconds after a window in which its report is due" },
+	{ "rollout.exposure_share", SETTING_DECIMAL, OFFSET(exposure_share), 0,
+	  1, "0",
+	  "part of a service's requests that a bad version may get during its "
+	  "roll-out; 0: roll-outs are not served" },
+	{ "rollout.exposure_slack", SETTING_DECIMAL, OFFSET(exposure_slack), 0,
+	  1000000, "50", "requests that it may get besides" },
+	{ "rollout.rollback_ms", SETTING_INTEGER, OFFSET(rollback_ms), 1, 600000,
+	  "5000", "milliseconds after its 50th bad answer in which it may get requests" },
 };
 
 /* Returns the table of all settings; it is static. */
@@ -100,6 +108,16 @@
 	};
 }
 
+/* Returns the bounds on what a bad version may get in a roll-out. */
+rollout_settings_t gateway_settings_rollouts(const gateway_settings_t *settings)
+{
+	return (rollout_settings_t){
+		.exposure_share = settings->exposure_share,
+		.exposure_slack = settings->exposure_slack,
+		.rollback_time = settings->rollback_ms * PD_MSEC,
+	};
+}
+
 /* Frees the settings; NULL is allowed. */
 void gateway_settings_destroy(gateway_settings_t *settings)
 {
--- a/adapters/gateway/settings.h
+++ b/adapters/gateway/settings.h
@@ -4,6 +4,7 @@
 
 #include "adapters/setting_table.h"
 #include "core/forward/retry_window.h"
+#include "core/forward/rollout.h"
 #include "core/forward/token_limits.h"
 
 #define GATEWAY_SEEDS_MAX 8
@@ -33,11 +34,15 @@
 	int64_t lease_gap_ms;
 	double usage_window_s;
 	double usage_due_s;
+	double exposure_share;
+	double exposure_slack;
+	int64_t rollback_ms;
 } gateway_settings_t;
 
 const setting_table_t *gateway_settings_table(void);
 gateway_settings_t *gateway_settings_read(const char *path, pd_error_t *err);
 retry_limits_t gateway_settings_retries(const gateway_settings_t *settings);
+rollout_settings_t gateway_settings_rollouts(const gateway_settings_t *settings);
 token_limits_config_t gateway_settings_limits(const gateway_settings_t *settings);
 void gateway_settings_destroy(gateway_settings_t *settings);
 
--- a/core/forward/choice.c
+++ b/core/forward/choice.c
@@ -25,6 +25,16 @@
 	return false;
 }
 
+/* Returns whether the criteria allow an upstream by its version. */
+static bool has_allowed_version(const forward_criteria_t *criteria,
+				const forward_upstream_t *upstream)
+{
+	if (criteria->version_id)
+		return upstream->version_id == criteria->version_id;
+	return !criteria->excluded_version_id ||
+	       upstream->version_id != criteria->excluded_version_id;
+}
+
 /*
  * Returns the id of the last prompt part that other requests may share; 0:
  * none.
@@ -68,6 +78,9 @@
 		forward_upstream_t *upstream = g_ptr_array_index(serving, i);
 		uint64_t score = hash_number(prefix ^ upstream->id_hash);
 
+		if (!has_allowed_version(criteria, upstream))
+			continue;
+
 		if (!preferred.first || score > best_score) {
 			preferred.second = preferred.first;
 			second_score = best_score;
@@ -97,6 +110,7 @@
 	const forward_upstreams_t *set;
 	const GPtrArray *serving;
 	preferred_t preferred;
+	uint64_t part_limit; /* upstreams whose hash exceeds it are not chosen */
 	/* prompt tokens that an engine processes per second */
 	double prefill_rate;
 	pd_time_t now;
@@ -216,6 +230,34 @@
 	return candidate->cost < best->cost;
 }
 
+/* Returns the hash by which a part of a version's upstreams is selected. */
+static uint64_t part_hash(const forward_upstream_t *upstream)
+{
+	return hash_number(upstream->id_hash ^ upstream->version_id);
+}
+
+/*
+ * Returns the highest hash of the part of a version's upstreams that is used: its part of
+ * all hashes, or the lowest hash of an upstream if that is higher.
+ */
+static uint64_t find_part_limit(const GPtrArray *serving,
+				const forward_criteria_t *criteria)
+{
+	uint64_t lowest = UINT64_MAX;
+
+	if (criteria->upstreams_part <= 0 || criteria->upstreams_part >= 1)
+		return UINT64_MAX;
+	for (guint i = 0; i < serving->len; i++) {
+		const forward_upstream_t *upstream = g_ptr_array_index(serving, i);
+
+		if (has_allowed_version(criteria, upstream))
+			lowest = MIN(lowest, part_hash(upstream));
+	}
+	return MAX(lowest, (uint64_t)(criteria->upstreams_part *
+				      (double)(UINT64_MAX >> 1)) *
+				   2);
+}
+
 /*
  * Makes an upstream the best candidate so far if it is better. Returns whether
  * it can be chosen at all.
@@ -226,7 +268,9 @@
 	candidate_t candidate;
 
 	if (is_tried(criteria, upstream->id) ||
-	    (criteria->version_id && upstream->version_id != criteria->version_id))
+	    !has_allowed_version(criteria, upstream) ||
+	    (search->part_limit < UINT64_MAX &&
+	     part_hash(upstream) > search->part_limit))
 		return false;
 	if (is_full(search, upstream)) {
 		search->any_full = true;
@@ -337,6 +381,7 @@
 	*pick = (forward_pick_t){ 0 };
 	if (!search.serving || !search.serving->len)
 		return FORWARD_NONE_LEFT;
+	search.part_limit = find_part_limit(search.serving, criteria);
 	search.preferred = find_preferred(search.serving, criteria);
 	if (criteria->sample_size) {
 		consider_sample(&search);
--- a/core/forward/choice.h
+++ b/core/forward/choice.h
@@ -20,6 +20,9 @@
 	/* shares the slots of brittle upstreams with the other gateways */
 	brittle_sharer_t sharer;
 	uint64_t version_id; /* of the upstreams to choose from; 0: any */
+	uint64_t excluded_version_id; /* of upstreams not to choose; 0: none */
+	/* part of the upstreams of VERSION_ID to choose from, the same everywhere */
+	double upstreams_part; /* 0 or 1: all */
 	/* rate limits of upstreams; NULL: none has one */
 	const upstream_limits_t *limits;
 	/* upstreams to compare at random; 0: compare all */
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -174,6 +174,21 @@
 	return g_hash_table_lookup(set->groups, service);
 }
 
+/* Returns whether an upstream of a service that runs another version accepts requests. */
+bool forward_upstreams_has_other_version(const forward_upstreams_t *set,
+					 const char *service, uint64_t version_id)
+{
+	const GPtrArray *serving = forward_upstreams_serving(set, service);
+
+	for (guint i = 0; serving && i < serving->len; i++) {
+		const forward_upstream_t *upstream = g_ptr_array_index(serving, i);
+
+		if (upstream->version_id != version_id)
+			return true;
+	}
+	return false;
+}
+
 /* Returns whether an upstream of a service that runs a version accepts new requests. */
 bool forward_upstreams_has_version(const forward_upstreams_t *set,
 				   const char *service, uint64_t version_id)
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -131,6 +131,8 @@
 					   const char *service);
 double forward_upstreams_utilization(const forward_upstreams_t *set,
 				     const char *service);
+bool forward_upstreams_has_other_version(const forward_upstreams_t *set,
+					 const char *service, uint64_t version_id);
 bool forward_upstreams_has_version(const forward_upstreams_t *set,
 				   const char *service, uint64_t version_id);
 uint64_t forward_upstreams_digest(const forward_upstreams_t *set,
