Choose upstreams by their speed

Engines of one service whose speeds differ by 2.7 got equal shares of the requests, and those queued at the slow ones: median answer times of engines from 174 to 2,536 ms.

Each gateway samples the speed of upstreams by the median pause between the events of a stream, and by the answer times of plain services with free slots. The cost of an upstream is divided by its speed, random candidates are drawn and prefixes assigned in proportion to it. With equal speeds the decisions are those of before.

--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -419,6 +419,7 @@
 		msgpack_pack_nil(&packer);
 	peers_pack_stream_records(buffer, &packer, peers->stream_records,
 				  peers->stream_record_count);
+	peers_pack_speed_samples(&packer, peers);
 }
 
 /*
@@ -465,6 +466,7 @@
 	msgpack_pack_uint64(&packer, 0);
 	msgpack_pack_nil(&packer);
 	msgpack_pack_nil(&packer);
+	peers_pack_speed_levels(&packer, peers);
 }
 
 /* Sends a peer the sums over all other gateways. FULL: includes the members. */
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -57,6 +57,7 @@
 	/* last window whose usage counts are complete; nil: unknown */
 	STATE_WATERMARK,
 	STATE_STREAMS, /* software versions that began streams lately */
+	STATE_SPEEDS, /* samples of upstreams' speeds; in a summary their levels */
 	STATE_FIELDS /* number of fields */
 } state_field_t;
 
@@ -105,6 +106,10 @@
 #define PREFILL_UNIT_TOKENS 64
 /* short id of the upstream, running requests, prefill units */
 #define LOAD_FIELDS 3
+/* short id of the upstream, samples, mean of their logarithms in thousandths */
+#define SPEED_SAMPLE_FIELDS 3
+/* short id of the upstream, level above the lowest one */
+#define SPEED_LEVEL_FIELDS 2
 
 /* kind, sender, whether all upstreams are listed, upstreams */
 #define UPDATES_FIELDS 4
@@ -138,6 +143,13 @@
 #define FETCH_UPSTREAMS 2u /* those in buckets whose digests differ */
 #define FETCH_BY_ID_HASH 4u /* those listed by id hash */
 
+/* Samples of an upstream's speed. */
+typedef struct speed_sample {
+	uint32_t short_id; /* of the upstream */
+	unsigned int count;
+	double log_mean;
+} speed_sample_t;
+
 /* Requests running at an upstream, of one gateway or of several. */
 typedef struct load {
 	uint32_t short_id; /* of the upstream */
@@ -217,6 +229,8 @@
 	msgpack_sbuffer loads_packed;
 	pd_time_t loads_packed_at;
 	GArray *last_sent_loads; /* of load_t: own loads as last sent */
+	GArray *speed_samples; /* of speed_sample_t: in the states of a period */
+	pd_time_t speeds_updated_at;
 	pd_time_t started_at;
 	pd_time_t next_state_at;
 	pd_time_t next_full_state_at; /* when members and usage are sent next */
@@ -277,6 +291,14 @@
 			 const msgpack_object *object);
 void peers_receive_summed_loads(gateway_peers_t *peers,
 				const msgpack_object *object);
+void peers_run_speeds(gateway_peers_t *peers, pd_time_t now);
+void peers_take_speed_samples(gateway_peers_t *peers);
+void peers_pack_speed_samples(msgpack_packer *packer, const gateway_peers_t *peers);
+void peers_pack_speed_levels(msgpack_packer *packer, const gateway_peers_t *peers);
+void peers_receive_speed_samples(gateway_peers_t *peers,
+				 const msgpack_object *object);
+void peers_receive_speed_levels(gateway_peers_t *peers,
+				const msgpack_object *object);
 void peers_remove_values(gateway_peers_t *peers, peer_t *peer);
 const peer_view_t *peers_view(gateway_peers_t *peers, pd_time_t now);
 bool peers_ranks_before(const gateway_peers_t *peers, const peer_t *other);
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -462,6 +462,8 @@
 		peers_merge_stream_records(peers, &fields[STATE_STREAMS]);
 	merge_members(peers, &fields[STATE_MEMBERS]);
 	/* An aggregator's sums already include this peer. */
+	if (!peers->aggregator && count > STATE_SPEEDS)
+		peers_receive_speed_samples(peers, &fields[STATE_SPEEDS]);
 	if (!peers->aggregator) {
 		const summed_values_t work = { peer->work, peers->work };
 
@@ -483,10 +485,11 @@
 }
 
 /*
- * Applies a summary; its sums only if it is from the current aggregator.
+ * Applies a summary of COUNT fields; its sums only if it is from the current aggregator.
  * Returns 0, or -1 if it is malformed.
  */
-static int handle_summary(gateway_peers_t *peers, const msgpack_object *fields)
+static int handle_summary(gateway_peers_t *peers, const msgpack_object *fields,
+			  uint32_t count)
 {
 	gateway_t *gateway = peers->gateway;
 	peer_t *peer = identify_sender(peers, fields);
@@ -512,6 +515,8 @@
 	merge_work(gateway, ALL_PEERS, &fields[STATE_WORK], NULL);
 	merge_engine_speeds(gateway, &fields[STATE_ENGINE_SPEEDS]);
 	peers_receive_summed_loads(peers, &fields[STATE_LOADS]);
+	if (count > STATE_SPEEDS)
+		peers_receive_speed_levels(peers, &fields[STATE_SPEEDS]);
 	return 0;
 }
 
@@ -807,7 +812,7 @@
 	case MESSAGE_STATE:
 		return handle_state(peers, fields, count);
 	case MESSAGE_SUMMARY:
-		return handle_summary(peers, fields);
+		return handle_summary(peers, fields, count);
 	case MESSAGE_UPDATES:
 		return handle_updates(peers, fields);
 	case MESSAGE_ANNOUNCEMENT:
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -239,6 +239,7 @@
 					     g_rand_int(gateway->random));
 	peers->aggregator_loads = loads_create();
 	peers->last_sent_loads = loads_create();
+	peers->speed_samples = g_array_new(FALSE, FALSE, sizeof(speed_sample_t));
 	peers->by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	peers->granted = peers_values_create();
 	peers->requested = peers_values_create();
@@ -270,6 +271,7 @@
 	g_free(peers->incarnation);
 	g_array_unref(peers->aggregator_loads);
 	g_array_unref(peers->last_sent_loads);
+	g_array_unref(peers->speed_samples);
 	g_hash_table_unref(peers->by_address);
 	g_hash_table_unref(peers->granted);
 	g_hash_table_unref(peers->requested);
@@ -671,6 +673,7 @@
 	send_counts(peers, now);
 	peers_run_limits(peers, now);
 	peers_run_rejections(peers, now);
+	peers_run_speeds(peers, now);
 	if (now < peers->next_state_at)
 		return;
 	mesh = peers_is_mesh(peers, now);
@@ -682,6 +685,7 @@
 		peers_repeat_quarantine(peers);
 	}
 	peers_take_stream_records(peers);
+	peers_take_speed_samples(peers);
 	if (mesh)
 		send_to_mesh(peers, full);
 	else
--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -162,17 +162,24 @@
 /* Handles data of a streamed response; the first event shows that prefill has ended. */
 static void stream_body(gateway_request_t *request, const char *data, size_t len)
 {
+	unsigned int completed;
+
 	if (!request->events)
 		request->events = event_stream_create();
-	if (!event_stream_feed(request->events, data, len))
+	completed = event_stream_feed(request->events, data, len);
+	if (!completed)
 		return;
+	gateway_request_record_pause(request, completed);
 	gateway_request_record_version(request);
 	gateway_request_clear_parts(request);
 	if (request->prefill_tokens > 0) {
 		if (request->prefills_alone)
 			engine_speeds_record_sample(
 				forward_upstreams_speeds(request->gateway->upstreams),
-				request->service, request->prefill_tokens,
+				request->service,
+				request->prefill_tokens /
+					upstream_speed_factor(
+						&request->upstream->speed),
 				gateway_now() - request->sent_at);
 		request->upstream->prefill_tokens -= request->prefill_tokens;
 		request->prefill_tokens = 0;
@@ -278,6 +285,7 @@
 		return;
 	}
 	forward_upstream_record_success(request->upstream);
+	gateway_request_record_speed(request);
 	quarantine_record_success(request->gateway->quarantine,
 				  request->fingerprint, gateway_now());
 	gateway_request_clear_parts(request);
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -92,6 +92,7 @@
 	wire_call_format(head, call, &send);
 	request->sent_at = now;
 	request->deliveries++;
+	gateway_request_begin_speed_sample(request);
 	if (request->state != REQUEST_STREAMING)
 		request->state = REQUEST_SENT;
 	request->gateway->inflight_changed = true;
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -6,6 +6,7 @@
 #include "adapters/gateway/upstream_link.h"
 #include "core/forward/choice.h"
 #include "core/forward/event_stream.h"
+#include "core/forward/quantile.h"
 
 /*
  * Values of Retry-After: without capacity, about the time in which some requests end;
@@ -79,6 +80,9 @@
 	pd_time_t retry_at; /* when another upstream is tried; 0: not waiting for that */
 	double prefill_tokens; /* added to the upstream's; 0 after the first event */
 	bool prefills_alone; /* the upstream had no other prompt to prefill */
+	quantile_t pause; /* median of the times between events, in microseconds */
+	pd_time_t events_at; /* when the last event arrived; 0: none yet */
+	bool is_speed_sample; /* the upstream had free slots when it was sent */
 	bool skipping_response; /* the current response is for another request */
 	int status;
 	bool rejected;
@@ -143,6 +147,9 @@
 bool gateway_request_admit(gateway_request_t *request);
 void gateway_request_record_outcome(gateway_request_t *request, bool overloaded);
 void gateway_request_record_first_event(gateway_request_t *request);
+void gateway_request_begin_speed_sample(gateway_request_t *request);
+void gateway_request_record_pause(gateway_request_t *request, unsigned int events);
+void gateway_request_record_speed(gateway_request_t *request);
 void gateway_request_check_first_event(gateway_request_t *request, pd_time_t now);
 void gateway_shedders_run(gateway_t *gateway, pd_time_t now);
 
--- a/core/forward/choice.c
+++ b/core/forward/choice.c
@@ -3,6 +3,7 @@
  */
 #include "core/forward/choice.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "core/forward/engine_cost.h"
@@ -14,6 +15,8 @@
  */
 #define CROSS_ZONE_PENALTY_SLOTS 0.15
 #define CROSS_ZONE_PENALTY (400 * PD_USEC)
+/* Draws of a random upstream by speed, before the last one is taken as it is. */
+#define SPEED_DRAWS_MAX 16
 
 /* Returns whether the request has already tried the upstream with this id. */
 static bool is_tried(const forward_criteria_t *criteria, const char *id)
@@ -46,9 +49,22 @@
 	forward_upstream_t *second; /* only where a choice compares a sample */
 } preferred_t;
 
+/*
+ * Returns the weight of an upstream for a prefix in weighted rendezvous hashing: upstreams
+ * are preferred for a share of the prefixes in proportion to their speeds, and a change
+ * of one's speed moves only its own. With equal speeds the order is that of the hashes.
+ */
+static double prefix_weight(uint64_t prefix, const forward_upstream_t *upstream)
+{
+	uint64_t hash = hash_number(prefix ^ upstream->id_hash);
+	double unit = ((double)(hash >> 11) + 0.5) / (double)(1ULL << 53);
+
+	return -upstream_speed_factor(&upstream->speed) / log(unit);
+}
+
 /*
  * Returns the preferred upstreams of a call's shared prefix, by rendezvous
- * hashing: the upstreams with the highest hash of both. All gateways agree on
+ * hashing: the upstreams with the highest weight of both. All gateways agree on
  * them without communication, so only they process the shared parts. Where a
  * choice compares a sample, loads are out of date and the first one may be
  * overloaded before other gateways receive its load; the second then has the
@@ -59,14 +75,14 @@
 {
 	preferred_t preferred = { 0 };
 	uint64_t prefix = shared_prefix_of(criteria->call);
-	uint64_t best_score = 0;
-	uint64_t second_score = 0;
+	double best_score = 0;
+	double second_score = 0;
 
 	if (!criteria->has_prompt || !prefix)
 		return preferred;
 	for (guint i = 0; i < serving->len; i++) {
 		forward_upstream_t *upstream = g_ptr_array_index(serving, i);
-		uint64_t score = hash_number(prefix ^ upstream->id_hash);
+		double score = prefix_weight(prefix, upstream);
 
 		if (!preferred.first || score > best_score) {
 			preferred.second = preferred.first;
@@ -97,7 +113,8 @@
 	const forward_upstreams_t *set;
 	const GPtrArray *serving;
 	preferred_t preferred;
-	/* prompt tokens that an engine processes per second */
+	double speed_max; /* of the serving upstreams; 1 if all are equal */
+	/* prompt tokens that an engine of the usual speed processes per second */
 	double prefill_rate;
 	pd_time_t now;
 	candidate_t best; /* so far */
@@ -174,6 +191,7 @@
 	} else {
 		candidate.cost = plain_cost(upstream, other_zone);
 	}
+	candidate.cost /= upstream_speed_factor(&upstream->speed);
 	return candidate;
 }
 
@@ -242,6 +260,43 @@
 	return true;
 }
 
+/* Returns the highest speed of some upstreams; exactly 1 if all have the usual one. */
+static double highest_speed(const GPtrArray *serving)
+{
+	double highest = 0;
+
+	for (guint i = 0; i < serving->len; i++) {
+		const forward_upstream_t *upstream = g_ptr_array_index(serving, i);
+
+		highest = MAX(highest, upstream_speed_factor(&upstream->speed));
+	}
+	return highest;
+}
+
+/*
+ * Returns the index of a random upstream, drawn in proportion to speed by rejection
+ * sampling: the first draw is taken if all have the usual speed.
+ */
+static guint random_index(const search_t *search)
+{
+	const GPtrArray *serving = search->serving;
+	GRand *random = search->criteria->random;
+	guint index = 0;
+
+	for (unsigned int i = 0; i < SPEED_DRAWS_MAX; i++) {
+		const forward_upstream_t *upstream;
+		double speed;
+
+		index = (guint)g_rand_int_range(random, 0, (gint32)serving->len);
+		upstream = g_ptr_array_index(serving, index);
+		speed = upstream_speed_factor(&upstream->speed);
+		if (speed >= search->speed_max ||
+		    g_rand_double(random) * search->speed_max < speed)
+			break;
+	}
+	return index;
+}
+
 /*
  * Considers upstreams in order from a random index on until one can be chosen.
  * Returns whether one can.
@@ -249,8 +304,7 @@
 static bool consider_random(search_t *search)
 {
 	const GPtrArray *serving = search->serving;
-	guint from = (guint)g_rand_int_range(search->criteria->random, 0,
-					     (gint32)serving->len);
+	guint from = random_index(search);
 
 	for (guint i = 0; i < serving->len; i++) {
 		guint at = (from + i) % serving->len;
@@ -339,6 +393,7 @@
 		return FORWARD_NONE_LEFT;
 	search.preferred = find_preferred(search.serving, criteria);
 	if (criteria->sample_size) {
+		search.speed_max = highest_speed(search.serving);
 		consider_sample(&search);
 		consider_permits(&search, set);
 	} else {
--- a/core/forward/upstream_record.c
+++ b/core/forward/upstream_record.c
@@ -178,6 +178,7 @@
 	upstream->full_until = 0;
 	upstream->brittle = FORWARD_BRITTLE_UNKNOWN;
 	upstream->probe_started_at = 0;
+	upstream_speed_reset(&upstream->speed);
 	g_hash_table_remove_all(upstream->cached_parts);
 }
 
--- /dev/null
+++ b/core/forward/upstream_speed.c
@@ -0,0 +1,100 @@
+/* Estimates the speed of an upstream by a decayed mean in the logarithmic domain. */
+#include "core/forward/upstream_speed.h"
+
+#include <math.h>
+
+/*
+ * The estimate follows the last samples of about this number: some ten seconds of an
+ * engine's streams at all gateways. Upstreams that pause for half a second spoil a few.
+ */
+#define SAMPLES_MAX 30.0
+/* With fewer samples the estimate is mostly the usual speed. */
+#define PRIOR_SAMPLES 4.0
+#define KNOWN_SAMPLES_MIN 3.0
+/* Speeds of neighbouring levels, as a ratio. */
+#define LEVEL_FACTOR 1.2
+/* Levels that an estimate has to be off before the level changes; over a half. */
+#define LEVEL_HYSTERESIS 0.8
+/* A sample moves the estimate by this factor at most, so that a hang counts as slow only. */
+#define OUTLIER_FACTOR 8.0
+
+/* Forgets what is known, as the upstream was started again. */
+void upstream_speed_reset(upstream_speed_t *speed)
+{
+	*speed = (upstream_speed_t){ 0 };
+}
+
+/* Adds COUNT samples with the mean LOG_MEAN to the estimate. */
+static void add_samples(upstream_speed_t *speed, unsigned int count, double log_mean)
+{
+	double limit = log(OUTLIER_FACTOR);
+	double off = log_mean - speed->log_time;
+
+	if (!(speed->samples > 0)) {
+		speed->log_time = log_mean;
+		speed->samples = count;
+		return;
+	}
+	off = fmax(fmin(off, limit), -limit);
+	speed->samples = fmin(speed->samples + count, SAMPLES_MAX);
+	speed->log_time += off * fmin(count / speed->samples, 1);
+}
+
+/* Records a sample that was taken here: a positive TIME, in any unit. */
+void upstream_speed_record_own(upstream_speed_t *speed, double time)
+{
+	if (!(time > 0))
+		return;
+	speed->unsent++;
+	speed->unsent_sum += log(time);
+	add_samples(speed, 1, log(time));
+}
+
+/* Records COUNT samples of a peer, with the mean of their logarithms. */
+void upstream_speed_record_peer(upstream_speed_t *speed, unsigned int count,
+				double log_mean)
+{
+	if (count && isfinite(log_mean))
+		add_samples(speed, count, log_mean);
+}
+
+/* Returns whether there are samples enough to take part in the usual speed. */
+bool upstream_speed_is_known(const upstream_speed_t *speed)
+{
+	return speed->samples >= KNOWN_SAMPLES_MIN;
+}
+
+/* Sets the level as another gateway has it. Returns whether it changed. */
+bool upstream_speed_set_level(upstream_speed_t *speed, int level)
+{
+	if (level < -UPSTREAM_SPEED_LEVEL_MAX ||
+	    level > UPSTREAM_SPEED_LEVEL_MAX || level == speed->level)
+		return false;
+	speed->level = level;
+	speed->factor = pow(LEVEL_FACTOR, level);
+	return true;
+}
+
+/*
+ * Updates the level by the estimate; USUAL_LOG_TIME is the mean of its service's upstreams.
+ * Returns whether it changed.
+ */
+bool upstream_speed_update_level(upstream_speed_t *speed, double usual_log_time)
+{
+	double known = speed->samples / (speed->samples + PRIOR_SAMPLES);
+	double exact =
+		(usual_log_time - speed->log_time) * known / log(LEVEL_FACTOR);
+
+	if (!upstream_speed_is_known(speed) ||
+	    fabs(exact - speed->level) < LEVEL_HYSTERESIS)
+		return false;
+	exact = fmax(fmin(exact, UPSTREAM_SPEED_LEVEL_MAX),
+		     -UPSTREAM_SPEED_LEVEL_MAX);
+	return upstream_speed_set_level(speed, (int)lround(exact));
+}
+
+/* Returns the speed as a multiple of the usual one; exactly 1 at level 0. */
+double upstream_speed_factor(const upstream_speed_t *speed)
+{
+	return speed->level ? speed->factor : 1;
+}
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -174,6 +174,48 @@
 	return g_hash_table_lookup(set->groups, service);
 }
 
+/* Updates the speeds of a service's upstreams. Returns whether a level changed. */
+static bool update_group_speeds(const GPtrArray *group)
+{
+	double log_sum = 0;
+	unsigned int known = 0;
+	bool changed = false;
+
+	for (guint i = 0; i < group->len; i++) {
+		const forward_upstream_t *upstream = g_ptr_array_index(group, i);
+
+		if (!upstream_speed_is_known(&upstream->speed))
+			continue;
+		known++;
+		log_sum += upstream->speed.log_time;
+	}
+	if (known < 2)
+		return false;
+	for (guint i = 0; i < group->len; i++) {
+		forward_upstream_t *upstream = g_ptr_array_index(group, i);
+
+		changed |= upstream_speed_update_level(&upstream->speed,
+						       log_sum / known);
+	}
+	return changed;
+}
+
+/*
+ * Updates the relative speeds of all upstreams by the samples of all gateways, which this
+ * one must have. Returns whether a level changed.
+ */
+bool forward_upstreams_update_speeds(forward_upstreams_t *set)
+{
+	GHashTableIter iter;
+	gpointer group;
+	bool changed = false;
+
+	g_hash_table_iter_init(&iter, set->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &group))
+		changed |= update_group_speeds(group);
+	return changed;
+}
+
 /* Returns whether an upstream of a service that runs a version accepts new requests. */
 bool forward_upstreams_has_version(const forward_upstreams_t *set,
 				   const char *service, uint64_t version_id)
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -9,6 +9,7 @@
 #include "core/forward/call.h"
 #include "core/forward/config.h"
 #include "core/forward/engine_speed.h"
+#include "core/forward/upstream_speed.h"
 #include "core/list.h"
 
 typedef enum forward_stage {
@@ -102,6 +103,7 @@
 	/* when it last rejected a request of any gateway while it was brittle; 0: never */
 	pd_time_t rejected_at;
 	pd_time_t probe_started_at; /* when a probe request was sent; 0: none */
+	upstream_speed_t speed; /* relative to others of its service */
 	/* prompt part id -> pd_time_t of its last use */
 	GHashTable *cached_parts;
 } forward_upstream_t;
@@ -127,6 +129,7 @@
 			      void *ctx);
 list_node_t *forward_upstreams_list(forward_upstreams_t *set);
 engine_speeds_t *forward_upstreams_speeds(const forward_upstreams_t *set);
+bool forward_upstreams_update_speeds(forward_upstreams_t *set);
 const GPtrArray *forward_upstreams_serving(const forward_upstreams_t *set,
 					   const char *service);
 double forward_upstreams_utilization(const forward_upstreams_t *set,
