--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -467,6 +467,8 @@
 	if (!peers->aggregator && count > STATE_ROLLOUTS)
 		peers_receive_rollout_counts(peers, peer->incarnation,
 					     &fields[STATE_ROLLOUTS]);
+	if (!peers->aggregator && count > STATE_SPEEDS)
+		peers_receive_speed_samples(peers, &fields[STATE_SPEEDS]);
 	if (!peers->aggregator) {
 		const summed_values_t work = { peer->work, peers->work };
 
@@ -521,6 +523,8 @@
 	if (count > STATE_ROLLOUTS)
 		peers_receive_rollout_counts(peers, ALL_PEERS,
 					     &fields[STATE_ROLLOUTS]);
+	if (count > STATE_SPEEDS)
+		peers_receive_speed_levels(peers, &fields[STATE_SPEEDS]);
 	return 0;
 }
 
