Assign the slots of plain services by one queue while they are scarce

Callers of a plain service waited, and were rejected, while slots were free elsewhere: 64 gateways chose among three upstreams with 6 slots each by loads half a second old, so each upstream queued by itself, and those that were slowed for 0.6 s got as many requests as the others.

One gateway per service, of those that rank first, now queues the requests of all while slots are scarce: by rank, by what each account was served lately for its limit, returned ones first, then by arrival. It grants a slot where most are free, and refuses at once what can't begin in time. Gateways that get no answer within 25 ms choose as before.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -16,6 +16,7 @@
 #include "adapters/gateway/rate_limits.h"
 #include "adapters/gateway/reload.h"
 #include "adapters/gateway/request.h"
+#include "adapters/gateway/slots.h"
 #include "adapters/gateway/upstream_link.h"
 #include "adapters/gateway/upstream_probe.h"
 #include "adapters/gateway/upstream_reach.h"
@@ -402,6 +403,7 @@
 	gateway_quarantine_run(gateway, now);
 	if (now >= gateway->versions_record_at)
 		record_serving_versions(gateway, now);
+	gateway_slots_run(gateway->slots, now);
 	gateway_requests_run(gateway, now);
 	callers_run(gateway, now);
 	upstream_links_run(gateway, now);
@@ -418,6 +420,14 @@
 		run_shutdown(gateway, now);
 }
 
+/* Sends what arose in the last iteration of the loop. */
+static void on_flush(uv_prepare_t *flush)
+{
+	const gateway_t *gateway = flush->data;
+
+	gateway_peers_flush_slots(gateway->peers);
+}
+
 static void on_caller(uv_stream_t *listener, int status)
 {
 	if (status == 0)
@@ -547,6 +557,8 @@
 	run_time_vote(gateway, gateway->started_at);
 	gateway->metrics = metrics_create();
 	gateway->random = g_rand_new();
+	gateway->slots =
+		gateway_slots_create(gateway, gateway_request_slot_hooks());
 	token_limits_seed(gateway->limits, g_rand_int(gateway->random));
 	upstream_limits_seed(gateway->upstream_limits, g_rand_int(gateway->random));
 	list_init(&gateway->callers);
@@ -595,6 +607,9 @@
 	gateway->usage = usage_create(gateway_peers_incarnation(gateway->peers));
 	gateway->feed = fleet_feed_create(gateway);
 	gateway->duties = gateway_duties_create(gateway);
+	uv_prepare_init(loop, &gateway->flush);
+	gateway->flush.data = gateway;
+	uv_prepare_start(&gateway->flush, on_flush);
 	uv_timer_init(loop, &gateway->timer);
 	gateway->timer.data = gateway;
 	uv_timer_start(&gateway->timer, on_tick, 1, TICK_MS);
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -30,6 +30,7 @@
 typedef struct gateway_duties gateway_duties_t;
 typedef struct gateway_checkpoint gateway_checkpoint_t;
 typedef struct fleet_feed fleet_feed_t;
+typedef struct gateway_slots gateway_slots_t;
 
 typedef struct gateway {
 	uv_loop_t *loop;
@@ -72,6 +73,7 @@
 	fleet_feed_t *feed;
 	gateway_peers_t *peers;
 	gateway_duties_t *duties;
+	gateway_slots_t *slots; /* of plain services, while they are scarce */
 	gateway_checkpoint_t *checkpoint;
 	GRand *random;
 	uv_tcp_t callers_listener;
@@ -79,6 +81,7 @@
 	uv_tcp_t relay_listener;
 	uint16_t relay_port; /* 0: no requests of other gateways are accepted */
 	uv_timer_t timer;
+	uv_prepare_t flush; /* sends what an iteration of the loop has queued */
 	pd_time_t links_check_at; /* next check of idle upstream connections */
 	list_node_t callers; /* caller_t: open connections */
 	list_node_t requests; /* gateway_request_t: all in progress */
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -26,6 +26,9 @@
 	MESSAGE_STREAMS, /* software versions that began streams */
 	MESSAGE_STREAM_QUERY, /* asks for that of one stream */
 	MESSAGE_REJECTIONS, /* by upstreams that fail under many of them */
+	MESSAGE_SLOT_REQUEST, /* to the dispatcher of a plain service */
+	MESSAGE_SLOT_ANSWER,
+	MESSAGE_SLOT_RELEASE,
 	MESSAGE_KINDS /* number of kinds */
 } message_kind_t;
 
@@ -129,6 +132,12 @@
 #define REJECTIONS_FIELDS 4 /* kind, sender, wall time in ms, rejections */
 #define REJECTION_FIELDS 2 /* short id of the upstream, age in ms */
 #define USAGE_FIELDS 3 /* window, account, count */
+#define SLOT_FIELDS 3 /* kind, sender, items */
+/* service, number, rank, account, weight, returned, ms to the goal, ms left, tried */
+#define SLOT_REQUEST_FIELDS 9
+#define SLOT_ANSWER_FIELDS \
+	4 /* number, kind, short id of the upstream, retry after ms */
+#define SLOT_RELEASE_FIELDS 3 /* service, number, whether it was rejected */
 /* An upstream in full, or only its id hash, stage, revision and start time. */
 #define UPSTREAM_FIELDS 11
 #define UPSTREAM_FIELDS_MIN 10 /* earlier builds send no software version */
@@ -217,6 +226,7 @@
 	msgpack_sbuffer loads_packed;
 	pd_time_t loads_packed_at;
 	GArray *last_sent_loads; /* of load_t: own loads as last sent */
+	GHashTable *slot_outboxes; /* address -> items to send about slots */
 	pd_time_t started_at;
 	pd_time_t next_state_at;
 	pd_time_t next_full_state_at; /* when members and usage are sent next */
@@ -277,6 +287,9 @@
 			 const msgpack_object *object);
 void peers_receive_summed_loads(gateway_peers_t *peers,
 				const msgpack_object *object);
+GHashTable *peers_slot_outboxes_create(void);
+int peers_receive_slots(gateway_peers_t *peers, message_kind_t kind,
+			const msgpack_object *fields);
 void peers_remove_values(gateway_peers_t *peers, peer_t *peer);
 const peer_view_t *peers_view(gateway_peers_t *peers, pd_time_t now);
 bool peers_ranks_before(const gateway_peers_t *peers, const peer_t *other);
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -4,6 +4,7 @@
 #include "adapters/gateway/flight_pack.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peer_state.h"
+#include "adapters/gateway/slots.h"
 #include "adapters/log_glib.h"
 #include "adapters/msgpack_check.h"
 
@@ -386,6 +387,7 @@
 			token_limits_remove_peer(peers->gateway->limits,
 						 peer->incarnation);
 		peers_remove_values(peers, peer);
+		gateway_slots_remove_gateway(peers->gateway->slots, address);
 		peer->knows_held = false;
 	}
 	g_free(peer->incarnation);
@@ -796,6 +798,9 @@
 		[MESSAGE_STREAMS] = STREAMS_FIELDS,
 		[MESSAGE_STREAM_QUERY] = STREAM_QUERY_FIELDS,
 		[MESSAGE_REJECTIONS] = REJECTIONS_FIELDS,
+		[MESSAGE_SLOT_REQUEST] = SLOT_FIELDS,
+		[MESSAGE_SLOT_ANSWER] = SLOT_FIELDS,
+		[MESSAGE_SLOT_RELEASE] = SLOT_FIELDS,
 	};
 	uint32_t count = 0;
 	const msgpack_object *fields = msgpack_field_array(object, 1, &count);
@@ -830,6 +835,10 @@
 		return peers_receive_stream_query(peers, fields);
 	case MESSAGE_REJECTIONS:
 		return peers_receive_rejections(peers, fields);
+	case MESSAGE_SLOT_REQUEST:
+	case MESSAGE_SLOT_ANSWER:
+	case MESSAGE_SLOT_RELEASE:
+		return peers_receive_slots(peers, (message_kind_t)kind, fields);
 	case MESSAGE_KINDS:
 		break;
 	}
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -239,6 +239,7 @@
 					     g_rand_int(gateway->random));
 	peers->aggregator_loads = loads_create();
 	peers->last_sent_loads = loads_create();
+	peers->slot_outboxes = peers_slot_outboxes_create();
 	peers->by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	peers->granted = peers_values_create();
 	peers->requested = peers_values_create();
@@ -270,6 +271,7 @@
 	g_free(peers->incarnation);
 	g_array_unref(peers->aggregator_loads);
 	g_array_unref(peers->last_sent_loads);
+	g_hash_table_unref(peers->slot_outboxes);
 	g_hash_table_unref(peers->by_address);
 	g_hash_table_unref(peers->granted);
 	g_hash_table_unref(peers->requested);
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -8,6 +8,7 @@
 
 #include "adapters/gateway/gateway_state.h"
 #include "core/error.h"
+#include "core/forward/slot_dispatch.h"
 
 /*
  * Up to this many gateways form a full mesh. In larger fleets each gateway
@@ -30,6 +31,18 @@
 void gateway_peers_record_rejection(gateway_peers_t *peers,
 				    forward_upstream_t *upstream);
 void gateway_peers_send_quarantine(gateway_peers_t *peers);
+const char *gateway_peers_address(const gateway_peers_t *peers);
+const char *gateway_peers_slot_dispatcher(gateway_peers_t *peers,
+					  const char *service);
+void gateway_peers_send_slot_request(gateway_peers_t *peers,
+				     const char *address, uint32_t service,
+				     const slot_request_t *request);
+void gateway_peers_send_slot_answer(gateway_peers_t *peers,
+				    const slot_answer_t *answer);
+void gateway_peers_send_slot_release(gateway_peers_t *peers,
+				     const char *address, uint32_t service,
+				     uint32_t number, bool rejected);
+void gateway_peers_flush_slots(gateway_peers_t *peers);
 void gateway_peers_send_streams(gateway_peers_t *peers);
 void gateway_peers_query_stream(gateway_peers_t *peers, uint64_t attempt,
 				const char *service);
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -3,6 +3,7 @@
 
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/quarantine_checks.h"
+#include "adapters/gateway/slots.h"
 #include "adapters/gateway/upstream_reach.h"
 #include "adapters/log_glib.h"
 #include "platform/wire.h"
@@ -275,6 +276,7 @@
 	gateway_t *gateway = request->gateway;
 
 	request->state = REQUEST_QUEUED;
+	gateway_slots_record_shortage(gateway->slots, request->service);
 	list_append(&gateway->queues[request->rank], &request->queue_node);
 	gateway->queued++;
 }
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -6,6 +6,7 @@
 #include "adapters/gateway/peers.h"
 #include "adapters/gateway/quarantine_checks.h"
 #include "adapters/gateway/rate_limits.h"
+#include "adapters/gateway/slots.h"
 #include "adapters/gateway/upstream_reach.h"
 #include "adapters/log_glib.h"
 #include "core/forward/engine_cost.h"
@@ -165,6 +166,8 @@
 		else
 			forward_upstream_record_rejection(request->upstream, now);
 		gateway_request_record_outcome(request, true);
+		gateway_slots_record_shortage(request->gateway->slots,
+					      request->service);
 		break;
 	case ATTEMPT_FAILED:
 		forward_upstream_record_success(request->upstream);
@@ -289,6 +292,8 @@
 		return;
 	}
 	gateway_limits_record_demand(request->gateway, request->service);
+	if (gateway_request_await_slot(request))
+		return;
 	switch (gateway_request_choose(request, &pick)) {
 	case FORWARD_CHOSEN:
 		gateway_request_start_attempt(request, &pick);
--- /dev/null
+++ b/adapters/gateway/request_slot.c
@@ -0,0 +1,114 @@
+/* Requests that wait for a slot of a plain service. */
+#include "adapters/gateway/request_state.h"
+#include "adapters/gateway/slots.h"
+#include "adapters/log_glib.h"
+#include "core/hash.h"
+
+/* Part of the latency goal in which a request has to begin, to be answered in time. */
+#define BEGIN_GOAL_PART 0.7
+
+/* Returns what a request asks for. */
+static slot_request_t make_ask(const gateway_request_t *request)
+{
+	pd_time_t now = gateway_now();
+	pd_time_t begin = (pd_time_t)((double)request->route->latency_goal *
+				      BEGIN_GOAL_PART);
+	slot_request_t ask = {
+		.rank = request->rank,
+		.weight = 1,
+		.goal = MAX(request->arrived_at + begin - now, 0),
+		.time_left = request->deadline - now,
+	};
+
+	if (request->account) {
+		ask.account = (uint32_t)hash_string(request->account->name);
+		if (request->account->rate > 0)
+			ask.weight = request->account->rate;
+	}
+	for (unsigned int i = 0;
+	     i < request->tried_count && ask.tried_count < SLOT_TRIED_MAX; i++) {
+		const forward_upstream_t *upstream =
+			forward_upstreams_find(request->gateway->upstreams,
+					       request->tried[i]);
+
+		if (upstream)
+			ask.tried[ask.tried_count++] =
+				forward_upstream_short_id(upstream);
+	}
+	return ask;
+}
+
+/*
+ * Has a request wait for a slot if those of its service are scarce. Returns false if it is
+ * to choose an upstream itself; otherwise it may have been freed already.
+ */
+bool gateway_request_await_slot(gateway_request_t *request)
+{
+	gateway_slots_t *slots = request->gateway->slots;
+	slot_request_t ask;
+
+	if (request->route->has_prompt ||
+	    request->route->kind == FORWARD_STREAM || request->slot_number ||
+	    request->slot_unanswered || request->state == REQUEST_STREAMING ||
+	    !upstream_limits_are_empty(request->gateway->upstream_limits) ||
+	    !gateway_slots_are_scarce(slots, request->service))
+		return false;
+	ask = make_ask(request);
+	request->state = REQUEST_QUEUED;
+	/* The answer may come at once, and end the request. */
+	return gateway_slots_ask(slots, request->service, &ask, request,
+				 &request->slot_number);
+}
+
+/* Releases the slot of a request that has one or waits for one. */
+void gateway_request_release_slot(gateway_request_t *request)
+{
+	uint32_t number = request->slot_number;
+
+	request->slot_number = 0;
+	if (number)
+		gateway_slots_release(request->gateway->slots, number,
+				      request->rejected);
+}
+
+/* Sends a request to the upstream whose slot it got. */
+static void on_granted(gateway_request_t *request, uint32_t short_id)
+{
+	forward_pick_t pick = {
+		.upstream = forward_upstreams_find_by_short_id(
+			request->gateway->upstreams, short_id),
+	};
+
+	if (pick.upstream && forward_upstream_is_serving(pick.upstream) &&
+	    request->tried_count < FORWARD_TRIED_MAX) {
+		gateway_request_start_attempt(request, &pick);
+		return;
+	}
+	gateway_request_release_slot(request);
+	request->slot_unanswered = true;
+	gateway_request_dispatch(request);
+}
+
+/* Refuses a request for which no slot comes free in time. */
+static void on_refused(gateway_request_t *request, pd_time_t retry_after)
+{
+	request->slot_number = 0;
+	gateway_request_give_up(request, retry_after, "no slot in time");
+}
+
+/* Has a request choose an upstream itself, as the dispatcher does not answer. */
+static void on_unanswered(gateway_request_t *request)
+{
+	request->slot_number = 0;
+	request->slot_unanswered = true;
+	gateway_request_dispatch(request);
+}
+
+/* Returns what happens to requests that ask for slots. */
+const gateway_slot_hooks_t *gateway_request_slot_hooks(void)
+{
+	static const gateway_slot_hooks_t hooks = { on_granted, on_refused,
+						    on_unanswered };
+
+	return &hooks;
+}
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -67,6 +67,8 @@
 	bool outcome_recorded; /* for load shedding */
 	char *tried[FORWARD_TRIED_MAX];
 	unsigned int tried_count;
+	uint32_t slot_number; /* of the slot it has or waits for; 0: none */
+	bool slot_unanswered; /* it chooses an upstream without asking for a slot */
 	unsigned int relays; /* other gateways that it was relayed to */
 	relay_t *relay; /* in progress; NULL: none */
 	/* The current attempt. */
@@ -124,6 +126,8 @@
 void gateway_request_finish(gateway_request_t *request);
 forward_choice_t gateway_request_choose(gateway_request_t *request,
 					forward_pick_t *pick);
+bool gateway_request_await_slot(gateway_request_t *request);
+void gateway_request_release_slot(gateway_request_t *request);
 void gateway_request_send(gateway_request_t *request);
 bool gateway_request_is_retryable(const gateway_request_t *request);
 void gateway_request_end_attempt(gateway_request_t *request,
