--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -27,6 +27,9 @@
 	MESSAGE_STREAM_QUERY, /* asks for that of one stream */
 	MESSAGE_REJECTIONS, /* by upstreams that fail under many of them */
 	MESSAGE_ROLLOUT, /* orders to change software versions, and how they go */
+	MESSAGE_SLOT_REQUEST, /* to the dispatcher of a plain service */
+	MESSAGE_SLOT_ANSWER,
+	MESSAGE_SLOT_RELEASE,
 	MESSAGE_KINDS /* number of kinds */
 } message_kind_t;
 
@@ -142,6 +145,12 @@
 #define ROLLOUT_REPORT_FIELDS 9
 /* service, id of the new version, route, whether new, sent, answers, failed, slow */
 #define ROLLOUT_COUNT_FIELDS 8
+#define SLOT_FIELDS 3 /* kind, sender, items */
+/* service, number, rank, account, weight, returned, ms to the goal, ms left, tried */
+#define SLOT_REQUEST_FIELDS 9
+#define SLOT_ANSWER_FIELDS \
+	4 /* number, kind, short id of the upstream, retry after ms */
+#define SLOT_RELEASE_FIELDS 3 /* service, number, whether it was rejected */
 /* An upstream in full, or only its id hash, stage, revision and start time. */
 #define UPSTREAM_FIELDS 11
 #define UPSTREAM_FIELDS_MIN 10 /* earlier builds send no software version */
@@ -239,6 +248,7 @@
 	GArray *last_sent_loads; /* of load_t: own loads as last sent */
 	GArray *speed_samples; /* of speed_sample_t: in the states of a period */
 	pd_time_t speeds_updated_at;
+	GHashTable *slot_outboxes; /* address -> items to send about slots */
 	pd_time_t started_at;
 	pd_time_t next_state_at;
 	pd_time_t next_full_state_at; /* when members and usage are sent next */
@@ -314,6 +324,9 @@
 				 const msgpack_object *object);
 void peers_receive_speed_levels(gateway_peers_t *peers,
 				const msgpack_object *object);
+GHashTable *peers_slot_outboxes_create(void);
+int peers_receive_slots(gateway_peers_t *peers, message_kind_t kind,
+			const msgpack_object *fields);
 void peers_remove_values(gateway_peers_t *peers, peer_t *peer);
 const peer_view_t *peers_view(gateway_peers_t *peers, pd_time_t now);
 bool peers_ranks_before(const gateway_peers_t *peers, const peer_t *other);
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -240,6 +240,7 @@
 	peers->aggregator_loads = loads_create();
 	peers->last_sent_loads = loads_create();
 	peers->speed_samples = g_array_new(FALSE, FALSE, sizeof(speed_sample_t));
+	peers->slot_outboxes = peers_slot_outboxes_create();
 	peers->by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	peers->granted = peers_values_create();
 	peers->requested = peers_values_create();
@@ -272,6 +273,7 @@
 	g_array_unref(peers->aggregator_loads);
 	g_array_unref(peers->last_sent_loads);
 	g_array_unref(peers->speed_samples);
+	g_hash_table_unref(peers->slot_outboxes);
 	g_hash_table_unref(peers->by_address);
 	g_hash_table_unref(peers->granted);
 	g_hash_table_unref(peers->requested);
--- a/adapters/gateway/request_rollout.c
+++ b/adapters/gateway/request_rollout.c
@@ -20,6 +20,16 @@
 	return request->rollout_draw;
 }
 
+/* Returns whether a roll-out restricts the versions that a request may use. */
+bool gateway_request_is_restricted(const gateway_request_t *request)
+{
+	const gateway_t *gateway = request->gateway;
+	rollout_use_t use = rollouts_choose(gateway->rollouts, request->service,
+					    0, gateway_rollouts_now(gateway));
+
+	return use.only || use.except;
+}
+
 /* Chooses among the versions that were not allowed at first. */
 static forward_choice_t choose_other(const gateway_request_t *request,
 				     forward_criteria_t *criteria,
