Keep speeds of upstreams in the checkpoint record

After a kill of all gateways every speed counted as the usual one until some seconds of samples had been taken. The record lists up to 64 upstreams whose level is not 0, those that are off most first.

--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -21,6 +21,8 @@
 #define CALL_TIMEOUT_MS 1500
 /* Bound on the age of bucket levels, see token-limits-notes.md. */
 #define RECORD_PERIOD (280 * PD_MSEC)
+/* Upstreams whose speeds are in a record, so that it does not grow with the fleet. */
+#define SPEEDS_RECORDED_MAX 64
 /* Minimum time before an unanswered read is repeated. */
 #define READ_PERIOD (100 * PD_MSEC)
 /*
@@ -277,6 +279,19 @@
 	}
 }
 
+/* Restores the speeds of upstreams. */
+static void restore_speeds(gateway_checkpoint_t *checkpoint,
+			   const checkpoint_record_t *record)
+{
+	for (guint i = 0; i < record->speeds->len; i++) {
+		const speed_record_t *entry =
+			&g_array_index(record->speeds, speed_record_t, i);
+
+		forward_upstreams_restore_speed(checkpoint->gateway->upstreams,
+						entry->short_id, entry->level);
+	}
+}
+
 /* Returns the leader as it is logged, borrowed. */
 static const char *leader_or_none(const char *leader)
 {
@@ -316,6 +331,7 @@
 	restore_accounts(checkpoint, record);
 	restore_clocks(checkpoint, record);
 	restore_versions(checkpoint, record);
+	restore_speeds(checkpoint, record);
 	if (rollouts_is_enabled(checkpoint->gateway->rollouts))
 		restore_rollouts(checkpoint, record);
 	if (!g_strcmp0(record->leader, checkpoint->gateway->settings->node_id))
@@ -604,6 +620,29 @@
 	checkpoint_record_add_version(ctx, service, version_id);
 }
 
+/* Adds the upstreams whose speeds differ most from the usual ones to a record. */
+static void add_speeds(const gateway_t *gateway, checkpoint_record_t *record)
+{
+	unsigned int count = 0;
+
+	for (int off = UPSTREAM_SPEED_LEVEL_MAX; off > 0; off--) {
+		LIST_FOR_EACH (it, forward_upstreams_list(gateway->upstreams)) {
+			const forward_upstream_t *upstream =
+				LIST_ENTRY(it, forward_upstream_t, node);
+
+			if (ABS(upstream->speed.level) != off ||
+			    !forward_upstream_is_serving(upstream))
+				continue;
+			if (count++ >= SPEEDS_RECORDED_MAX)
+				return;
+			checkpoint_record_add_speed(record,
+						    forward_upstream_short_id(
+							    upstream),
+						    upstream->speed.level);
+		}
+	}
+}
+
 typedef struct rollout_writer {
 	const rollouts_t *rollouts;
 	checkpoint_record_t *record;
@@ -641,6 +680,7 @@
 		stream_versions_each_sole(gateway->streams, now, add_version,
 					  record);
 	rollouts_each(gateway->rollouts, add_rollout, &rollouts);
+	add_speeds(gateway, record);
 	text = checkpoint_record_format(record);
 	checkpoint_record_destroy(record);
 	return text;
--- a/adapters/gateway/checkpoint_record.c
+++ b/adapters/gateway/checkpoint_record.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "adapters/json.h"
+#include "core/forward/upstream_speed.h"
 
 /* Upper bound on a plausible fleet; larger numbers are errors. */
 #define GATEWAYS_MAX 100000
@@ -58,6 +59,7 @@
 	g_array_set_clear_func(record->versions, version_clear);
 	record->rollouts = g_array_new(FALSE, TRUE, sizeof(rollout_record_t));
 	g_array_set_clear_func(record->rollouts, rollout_clear);
+	record->speeds = g_array_new(FALSE, TRUE, sizeof(speed_record_t));
 	return record;
 }
 
@@ -71,6 +73,7 @@
 	g_array_unref(record->clocks);
 	g_array_unref(record->versions);
 	g_array_unref(record->rollouts);
+	g_array_unref(record->speeds);
 	g_free(record);
 }
 
@@ -113,6 +116,15 @@
 	g_array_append_val(record->rollouts, entry);
 }
 
+/* Adds an upstream with the level of its speed. */
+void checkpoint_record_add_speed(checkpoint_record_t *record, uint32_t short_id,
+				 int level)
+{
+	const speed_record_t entry = { short_id, level };
+
+	g_array_append_val(record->speeds, entry);
+}
+
 /* Returns a non-negative integer, or 0 for any other value. */
 static uint64_t non_negative(const json_t *value)
 {
@@ -178,6 +190,25 @@
 	return pd_time_from_ms(non_negative(json_object_get(root, key)));
 }
 
+/* Reads {short id in hex: level}; levels that there are not are skipped. */
+static void read_speeds(checkpoint_record_t *record, json_t *speeds)
+{
+	const char *short_id;
+	json_t *level;
+
+	json_object_foreach(speeds, short_id, level)
+	{
+		json_int_t value = json_integer_value(level);
+
+		if (value >= -UPSTREAM_SPEED_LEVEL_MAX &&
+		    value <= UPSTREAM_SPEED_LEVEL_MAX)
+			checkpoint_record_add_speed(
+				record,
+				(uint32_t)g_ascii_strtoull(short_id, NULL, 16),
+				(int)value);
+	}
+}
+
 /* Reads {service: {...}}; entries without a version, period or known step are skipped. */
 static void read_rollouts(checkpoint_record_t *record, json_t *rollouts)
 {
@@ -229,6 +260,7 @@
 	read_clocks(record, json_object_get(root, "clocks"));
 	read_versions(record, json_object_get(root, "versions"));
 	read_rollouts(record, json_object_get(root, "rollouts"));
+	read_speeds(record, json_object_get(root, "speeds"));
 	json_decref(root);
 	return record;
 }
@@ -281,6 +313,22 @@
 	return versions;
 }
 
+/* Returns the speeds as JSON, owned by the caller: short id -> level. */
+static json_t *write_speeds(const checkpoint_record_t *record)
+{
+	json_t *speeds = json_object();
+	char short_id[16];
+
+	for (guint i = 0; i < record->speeds->len; i++) {
+		const speed_record_t *entry =
+			&g_array_index(record->speeds, speed_record_t, i);
+
+		g_snprintf(short_id, sizeof(short_id), "%x", entry->short_id);
+		json_object_set_new(speeds, short_id, json_integer(entry->level));
+	}
+	return speeds;
+}
+
 /* Returns the roll-outs as JSON, owned by the caller: by service. */
 static json_t *write_rollouts(const checkpoint_record_t *record)
 {
@@ -319,6 +367,8 @@
 
 	if (record->versions->len)
 		json_object_set_new(root, "versions", write_versions(record));
+	if (record->speeds->len)
+		json_object_set_new(root, "speeds", write_speeds(record));
 	if (record->rollouts->len)
 		json_object_set_new(root, "rollouts", write_rollouts(record));
 	if (record->leader)
--- a/adapters/gateway/checkpoint_record.h
+++ b/adapters/gateway/checkpoint_record.h
@@ -38,6 +38,12 @@
 	uint64_t sent_all;
 } rollout_record_t;
 
+/* An upstream whose speed is not the usual one of its service. */
+typedef struct speed_record {
+	uint32_t short_id;
+	int level; /* as upstream_speed_t has it */
+} speed_record_t;
+
 typedef struct checkpoint_record {
 	unsigned int fleet_size; /* number of gateways that share the limits */
 	char *leader; /* id of its VM; NULL: unknown */
@@ -50,6 +56,7 @@
 	GArray *clocks; /* of clock_record_t */
 	GArray *versions; /* of version_record_t */
 	GArray *rollouts; /* of rollout_record_t */
+	GArray *speeds; /* of speed_record_t */
 } checkpoint_record_t;
 
 checkpoint_record_t *checkpoint_record_create(void);
@@ -64,6 +71,8 @@
 void checkpoint_record_add_rollout(checkpoint_record_t *record,
 				   const rollout_report_t *report,
 				   uint64_t sent_new, uint64_t sent_all);
+void checkpoint_record_add_speed(checkpoint_record_t *record, uint32_t short_id,
+				 int level);
 char *checkpoint_record_format(const checkpoint_record_t *record);
 char *checkpoint_record_stamp(const char *text, pd_time_t at);
 
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -24,6 +24,7 @@
 	GHashTable *by_short_id;
 	GHashTable *groups; /* service -> GPtrArray of its serving upstreams */
 	engine_speeds_t *speeds;
+	GHashTable *restored_speeds; /* short id -> level, of upstreams not seen yet */
 	uint64_t digests[FORWARD_DIGEST_BUCKETS];
 	pd_time_t grace_until;
 	/* next call of forward_upstreams_expire() that has work; 0: none */
@@ -47,6 +48,7 @@
 	set->groups = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    (GDestroyNotify)g_ptr_array_unref);
 	set->speeds = engine_speeds_create();
+	set->restored_speeds = g_hash_table_new(NULL, NULL);
 	return set;
 }
 
@@ -149,6 +151,7 @@
 	g_hash_table_unref(set->by_short_id);
 	g_hash_table_unref(set->groups);
 	engine_speeds_destroy(set->speeds);
+	g_hash_table_unref(set->restored_speeds);
 	g_free(set);
 }
 
@@ -174,6 +177,23 @@
 	return g_hash_table_lookup(set->groups, service);
 }
 
+/*
+ * Sets the level of an upstream's speed as it was before all gateways were killed, now or
+ * when the upstream is first seen. Samples correct it.
+ */
+void forward_upstreams_restore_speed(forward_upstreams_t *set,
+				     uint32_t short_id, int level)
+{
+	forward_upstream_t *upstream =
+		forward_upstreams_find_by_short_id(set, short_id);
+
+	if (upstream)
+		upstream_speed_set_level(&upstream->speed, level);
+	else
+		g_hash_table_insert(set->restored_speeds, short_id_key(short_id),
+				    GINT_TO_POINTER(level));
+}
+
 /* Updates the speeds of a service's upstreams. Returns whether a level changed. */
 static bool update_group_speeds(const GPtrArray *group)
 {
@@ -301,6 +321,17 @@
 	return g_hash_table_lookup(set->by_id, id);
 }
 
+/* Sets the speed that an upstream had before all gateways were killed, if it is known. */
+static void restore_speed(forward_upstreams_t *set, forward_upstream_t *upstream)
+{
+	gpointer key = short_id_key(forward_upstream_short_id(upstream));
+
+	upstream_speed_set_level(
+		&upstream->speed,
+		GPOINTER_TO_INT(g_hash_table_lookup(set->restored_speeds, key)));
+	g_hash_table_remove(set->restored_speeds, key);
+}
+
 /*
  * Adds an upstream about which nothing but the id is known. Returns it,
  * borrowed.
@@ -324,6 +355,7 @@
 	g_hash_table_insert(set->by_short_id,
 			    short_id_key(forward_upstream_short_id(upstream)),
 			    upstream);
+	restore_speed(set, upstream);
 	return upstream;
 }
 
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -129,6 +129,8 @@
 			      void *ctx);
 list_node_t *forward_upstreams_list(forward_upstreams_t *set);
 engine_speeds_t *forward_upstreams_speeds(const forward_upstreams_t *set);
+void forward_upstreams_restore_speed(forward_upstreams_t *set,
+				     uint32_t short_id, int level);
 bool forward_upstreams_update_speeds(forward_upstreams_t *set);
 const GPtrArray *forward_upstreams_serving(const forward_upstreams_t *set,
 					   const char *service);
