--- a/adapters/gateway/request_end.c
+++ b/adapters/gateway/request_end.c
@@ -177,6 +177,7 @@
 {
 	if (request->state >= REQUEST_SENT) {
 		request->possible_runs++;
+		gateway_request_record_rollout_abandoned(request);
 		gateway_request_watch_upstream(request);
 	}
 	gateway_request_drop(request, reason);
--- a/adapters/gateway/request_rollout.c
+++ b/adapters/gateway/request_rollout.c
@@ -93,21 +93,42 @@
 	request->attempt_events += events;
 }
 
-/* Records the outcome of an attempt that reached its upstream. */
-void gateway_request_record_rollout_answer(const gateway_request_t *request,
-					   bool failed)
+/* Returns what an attempt took so far. */
+static rollout_times_t attempt_times(const gateway_request_t *request)
 {
-	pd_time_t now = gateway_now();
-	rollout_times_t times = { .total = now - request->sent_at };
+	pd_time_t total = gateway_now() - request->sent_at;
+	rollout_times_t times = { .total = total };
 
-	if (!request->sent_at)
-		return;
 	if (request->first_event_at)
 		times.first_event = request->first_event_at - request->sent_at;
+	else if (request->route->kind == FORWARD_STREAM)
+		times.first_event = total;
 	if (request->attempt_events > 1)
 		times.mean_gap =
 			(request->last_event_at - request->first_event_at) /
 			(request->attempt_events - 1);
+	return times;
+}
+
+/* Records that the caller left during an attempt. */
+void gateway_request_record_rollout_abandoned(const gateway_request_t *request)
+{
+	rollout_times_t times = attempt_times(request);
+
+	if (request->sent_at && request->upstream)
+		rollouts_record_abandoned(request->gateway->rollouts,
+					  request->service, request->route->name,
+					  request->upstream_version_id, &times);
+}
+
+/* Records the outcome of an attempt that reached its upstream. */
+void gateway_request_record_rollout_answer(const gateway_request_t *request,
+					   bool failed)
+{
+	rollout_times_t times = attempt_times(request);
+
+	if (!request->sent_at)
+		return;
 	rollouts_record_answer(request->gateway->rollouts, request->service,
 			       request->route->name,
 			       request->upstream_version_id, failed, &times);
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -141,6 +141,7 @@
 						forward_pick_t *pick);
 void gateway_request_record_rollout_send(gateway_request_t *request);
 void gateway_request_record_events(gateway_request_t *request, unsigned int events);
+void gateway_request_record_rollout_abandoned(const gateway_request_t *request);
 void gateway_request_record_rollout_answer(const gateway_request_t *request,
 					   bool failed);
 bool gateway_request_await_slot(gateway_request_t *request);
--- a/core/forward/rollout.c
+++ b/core/forward/rollout.c
@@ -18,6 +18,8 @@
  * periods of states and summaries.
  */
 #define RAMP_STEP_TIME (500 * PD_MSEC)
+/* However late its upstreams serve, a new version has the canary's share for this long. */
+#define CANARY_TIME_MIN (1500 * PD_MSEC)
 /* Time to write the final status, and to repeat the write once. */
 #define WRITE_MARGIN (600 * PD_MSEC)
 #define WRITE_PERIOD (500 * PD_MSEC)
@@ -662,6 +664,25 @@
 	quantile_add(&rollout->old_duration, DRAIN_PART, (double)times->total);
 }
 
+/*
+ * Records that a caller left before the answer was complete. That counts if the answer was
+ * slow by then: callers of a version that is too slow for them see no other sign of it.
+ */
+void rollouts_record_abandoned(rollouts_t *rollouts, const char *service,
+			       const char *route, uint64_t version_id,
+			       const rollout_times_t *times)
+{
+	rollout_t *rollout = running_rollout(rollouts, service);
+	uint32_t number = route_number(route);
+	rollout_tally_t *tally;
+
+	if (!rollout || !rollout_pace_is_slow(get_pace(rollout, number), times))
+		return;
+	tally = own_tally(rollout, number, version_id);
+	tally->answers++;
+	tally->slow++;
+}
+
 /* Returns whether a roll-out runs whose counts gateways send each other. */
 bool rollouts_is_counting(const rollouts_t *rollouts)
 {
@@ -857,9 +878,11 @@
 static bool advance(rollout_t *rollout, const rollout_fleet_t *fleet, pd_time_t now)
 {
 	pd_time_t from = MAX(rollout->step_at, rollout->new_served_at);
+	pd_time_t least = rollout->step == ROLLOUT_CANARY ? CANARY_TIME_MIN
+							  : RAMP_STEP_TIME;
 
 	if (!fleet->new_serving || rollout->step == ROLLOUT_FULL ||
-	    now < commit_time(rollout) || now - from < RAMP_STEP_TIME)
+	    now < commit_time(rollout) || now - from < least)
 		return false;
 	return raise_step(rollout, rollout->step + 1, now);
 }
--- a/core/forward/rollout.h
+++ b/core/forward/rollout.h
@@ -146,6 +146,9 @@
 void rollouts_record_answer(rollouts_t *rollouts, const char *service,
 			    const char *route, uint64_t version_id, bool failed,
 			    const rollout_times_t *times);
+void rollouts_record_abandoned(rollouts_t *rollouts, const char *service,
+			       const char *route, uint64_t version_id,
+			       const rollout_times_t *times);
 bool rollouts_is_counting(const rollouts_t *rollouts);
 void rollouts_each_own_count(const rollouts_t *rollouts,
 			     rollouts_count_each_t each, void *ctx);
