Share scarce capacity between client accounts, and spread their returns

While the engines of a service were short of room, each account was admitted in proportion to what it asked for, so one that sent six times its usual pushed the others out; refused callers were told 0.3 of their time left, and came back together, among newcomers.

Inside the rank that fits in part, accounts are filled to a common level (max-min, weighted by their limits, by the demand of all gateways). Returned requests, recognized by the time that their callers have left, go before newcomers of their account. Retry-After is when what was refused lately would have been taken in, spread at random.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -561,6 +561,9 @@
 	gateway->work = work_rate_create();
 	gateway->shedders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 						  (GDestroyNotify)shed_destroy);
+	gateway->rooms =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gateway->returns = return_detector_create();
 	gateway->watermarks = usage_watermarks_create();
 	gateway->inflight = usage_inflight_create();
 	gateway->inflight_changed = true;
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -10,8 +10,10 @@
 #include "core/forward/config.h"
 #include "core/forward/quarantine.h"
 #include "core/forward/reach.h"
+#include "core/forward/return_detector.h"
 #include "core/forward/retry_window.h"
 #include "core/forward/rollout.h"
+#include "core/forward/room_rate.h"
 #include "core/forward/store_outage.h"
 #include "core/forward/stream_versions.h"
 #include "core/forward/time_vote.h"
@@ -69,6 +71,8 @@
 	int64_t usage_discarded_window; /* current window when usage was last discarded */
 	work_rate_t *work;
 	GHashTable *shedders; /* service -> shed_t */
+	GHashTable *rooms; /* service -> room_rate_t */
+	return_detector_t *returns; /* recognizes callers that come back */
 	time_vote_t *vote;
 	metrics_t *metrics;
 	http1_client_t *store;
--- a/adapters/gateway/request_shed.c
+++ b/adapters/gateway/request_shed.c
@@ -5,14 +5,6 @@
 #include "core/forward/engine_cost.h"
 #include "core/forward/shed.h"
 
-/*
- * Retry-After of a shed request: by then an overload of some seconds has decreased, and
- * the caller has waited no more than a third of the time until its deadline.
- */
-#define RETRY_AFTER_FRACTION 0.3
-#define RETRY_AFTER_MIN (400 * PD_MSEC)
-#define RETRY_AFTER_MAX (3 * PD_SEC)
-
 /* Returns the load shedder of a service; creates one that is missing. */
 static shed_t *get_shedder(gateway_t *gateway, const char *service)
 {
@@ -25,6 +17,18 @@
 	return shed;
 }
 
+/* Returns how fast a service takes in work; adds it if it is missing. */
+static room_rate_t *get_room(gateway_t *gateway, const char *service)
+{
+	room_rate_t *room = g_hash_table_lookup(gateway->rooms, service);
+
+	if (!room) {
+		room = g_new0(room_rate_t, 1);
+		g_hash_table_insert(gateway->rooms, g_strdup(service), room);
+	}
+	return room;
+}
+
 /* Returns the work of a request, in prompt tokens, if its shared parts are cached. */
 double gateway_request_unshared_work(const gateway_request_t *request)
 {
@@ -36,23 +40,69 @@
 		       engine_time_to_tokens(rate, ENGINE_OUTPUT_TOKEN_TIME);
 }
 
+/* Returns what a request of an account asks for. */
+static account_request_t account_request(const gateway_request_t *request,
+					 double work)
+{
+	const forward_account_t *account = request->account;
+	account_request_t asked = {
+		.account = account->name,
+		.weight = 1,
+		.work = work,
+		.returned = request->returned,
+	};
+
+	/* What exceeds an account's limit was refused before. */
+	if (account->rate > 0) {
+		asked.weight = account->rate;
+		asked.fleet_demand =
+			MIN(token_limits_demand(request->gateway->limits,
+						account->name, gateway_now()),
+			    account->rate);
+	}
+	return asked;
+}
+
+/* Returns whether the shedder of its service admits a request. */
+static bool is_admitted(const gateway_request_t *request, double work)
+{
+	gateway_t *gateway = request->gateway;
+	shed_t *shed = get_shedder(gateway, request->service);
+	double draw = g_rand_double(gateway->random);
+	account_request_t asked;
+
+	if (!request->account)
+		return shed_admit(shed, request->rank, work, draw);
+	asked = account_request(request, work);
+	return shed_admit_account(shed, request->rank, &asked, draw);
+}
+
 /* Returns whether a request is admitted; one that is not was refused with a 503. */
 bool gateway_request_admit(gateway_request_t *request)
 {
 	gateway_t *gateway = request->gateway;
-	double work = gateway_request_unshared_work(request);
-	pd_time_t left = request->deadline - gateway_now();
-	pd_time_t retry_after =
-		CLAMP((pd_time_t)((double)left * RETRY_AFTER_FRACTION),
-		      RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+	pd_time_t now = gateway_now();
+	double work;
+	room_rate_t *room;
 
+	request->returned = return_detector_record(gateway->returns,
+						   request->route->name,
+						   request->call->time_left);
 	if (!request->route->has_prompt)
 		return true;
-	if (shed_admit(get_shedder(gateway, request->service), request->rank,
-		       work, g_rand_double(gateway->random)))
+	work = gateway_request_unshared_work(request);
+	room = get_room(gateway, request->service);
+	if (is_admitted(request, work)) {
+		room_rate_record(room, true, work, now);
 		return true;
+	}
+	room_rate_record(room, false, work, now);
 	work_rate_add_refused(gateway->work, request->service, work);
-	gateway_request_respond_error(request, 503, retry_after, "engines pressed");
+	gateway_request_respond_error(
+		request, 503,
+		room_rate_retry_after(room, request->deadline - now,
+				      g_rand_double(gateway->random)),
+		"engines pressed");
 	return false;
 }
 
--- a/adapters/gateway/request_slot.c
+++ b/adapters/gateway/request_slot.c
@@ -16,6 +16,7 @@
 	slot_request_t ask = {
 		.rank = request->rank,
 		.weight = 1,
+		.returned = request->returned,
 		.goal = MAX(request->arrived_at + begin - now, 0),
 		.time_left = request->deadline - now,
 	};
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -50,6 +50,7 @@
 	const forward_account_t *account; /* NULL: unauthenticated, on an open route */
 	const char *service;
 	int rank; /* 0 is the most urgent */
+	bool returned; /* its caller was told to come back, and did */
 	uint64_t fingerprint; /* of what it asks for; 0: not read completely */
 	/* itself and the parts of its prompt, these until its first event */
 	quarantine_suspects_t suspects;
--- a/core/forward/shed.c
+++ b/core/forward/shed.c
@@ -48,6 +48,7 @@
 
 struct shed {
 	double work[SHED_RANKS]; /* offered lately, by rank; decayed */
+	account_shares_t *accounts[SHED_RANKS]; /* of that work */
 	double outcomes;
 	double overloaded; /* of the outcomes; decayed */
 	double share; /* of the work that is admitted */
@@ -62,12 +63,18 @@
 
 	shed->share = 1;
 	shed->logged_share = 1;
+	for (int i = 0; i < SHED_RANKS; i++)
+		shed->accounts[i] = account_shares_create();
 	return shed;
 }
 
 /* Frees a shedder; NULL is allowed. */
 void shed_destroy(shed_t *shed)
 {
+	if (!shed)
+		return;
+	for (int i = 0; i < SHED_RANKS; i++)
+		account_shares_destroy(shed->accounts[i]);
 	g_free(shed);
 }
 
@@ -99,6 +106,37 @@
 	return before + draw * shed->work[rank] < shed->share * all;
 }
 
+/* Returns the part of a rank's work that is admitted, from 0 to 1. */
+static double rank_part(const shed_t *shed, int rank)
+{
+	double all = 0;
+	double before = 0;
+
+	for (int i = 0; i < SHED_RANKS; i++) {
+		all += shed->work[i];
+		if (i < rank)
+			before += shed->work[i];
+	}
+	if (shed->work[rank] <= 0)
+		return 1;
+	return CLAMP((shed->share * all - before) / shed->work[rank], 0, 1);
+}
+
+/*
+ * The same as shed_admit() for a request of an account: of the rank that fits in part,
+ * accounts get equal shares by weight.
+ */
+bool shed_admit_account(shed_t *shed, int rank,
+			const account_request_t *request, double draw)
+{
+	shed->work[rank] += request->work;
+	account_shares_record(shed->accounts[rank], request);
+	if (shed->share >= 1)
+		return true;
+	return draw < account_shares_part(shed->accounts[rank], request,
+					  rank_part(shed, rank));
+}
+
 /*
  * Records how a request sent to an engine went; it is OVERLOADED if it was
  * rejected or began late.
@@ -159,8 +197,10 @@
 	update_share(shed, utilization);
 	shed->outcomes *= DECAY;
 	shed->overloaded *= DECAY;
-	for (int i = 0; i < SHED_RANKS; i++)
+	for (int i = 0; i < SHED_RANKS; i++) {
 		shed->work[i] *= DECAY;
+		account_shares_decay(shed->accounts[i], DECAY);
+	}
 	if (ABS(shed->share - shed->logged_share) < LOG_STEP &&
 	    (shed->share < 1 || shed->logged_share >= 1))
 		return false;
--- a/core/forward/shed.h
+++ b/core/forward/shed.h
@@ -8,6 +8,7 @@
 
 #include <stdbool.h>
 
+#include "core/forward/account_shares.h"
 #include "ports/clock.h"
 
 #define SHED_RANKS 10 /* 0 is the most urgent */
@@ -25,6 +26,8 @@
 shed_t *shed_create(void);
 void shed_destroy(shed_t *shed);
 bool shed_admit(shed_t *shed, int rank, double work, double draw);
+bool shed_admit_account(shed_t *shed, int rank,
+			const account_request_t *request, double draw);
 void shed_record_outcome(shed_t *shed, bool overloaded);
 bool shed_update_is_due(const shed_t *shed, pd_time_t now);
 bool shed_update(shed_t *shed, const shed_utilization_t *utilization,
