--- a/adapters/gateway/slots.c
+++ b/adapters/gateway/slots.c
@@ -123,16 +123,24 @@
 	get_service(slots, service)->shortage_at = gateway_now();
 }
 
-/* Returns whether a service has fewer slots than its gateways can share evenly. */
+/*
+ * Returns whether a service has fewer slots than its gateways can share evenly. Brittle
+ * upstreams may admit fewer requests than their slots, and fall over if others are sent:
+ * gateways share them by what each was rejected.
+ */
 static bool has_few_slots(const gateway_t *gateway, const char *service)
 {
 	const GPtrArray *serving =
 		forward_upstreams_serving(gateway->upstreams, service);
 	unsigned int slots = 0;
 
-	for (guint i = 0; serving && i < serving->len; i++)
-		slots += ((const forward_upstream_t *)g_ptr_array_index(serving, i))
-				 ->slots;
+	for (guint i = 0; serving && i < serving->len; i++) {
+		const forward_upstream_t *upstream = g_ptr_array_index(serving, i);
+
+		if (forward_upstreams_is_brittle(gateway->upstreams, upstream))
+			return false;
+		slots += upstream->slots;
+	}
 	return slots && slots < SLOTS_PER_GATEWAY_MAX * gateway_count(gateway);
 }
 
