Compare accounts with all others of the fleet when shares are filled

A gateway filled only the accounts that it had seen itself, with the part that fits of its own work. Where the requests of an account come to a few gateways, each gateway had a level of its own. What an account asks for in other ranks and services counted too, accounts without a limit had the weight 1 beside limits of thousands of tokens, and limits in requests were compared with limits in tokens.

Gateways now set the demand of all accounts at each update, divided between services and ranks.

The shed log line has the numbers of accounts below the level and of limited ones.

--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -136,14 +136,24 @@
 	return false;
 }
 
+/* Returns the ranks that requests of an account may have, by its priority. */
+shed_ranks_t gateway_account_ranks(const forward_account_t *account)
+{
+	shed_ranks_t ranks = { .count = RANKS_PER_ACCOUNT };
+
+	if (account->priority != FORWARD_PRIORITY_UNSET)
+		ranks.first = CLAMP(account->priority, 0, ACCOUNT_RANKS - 1) *
+			      RANKS_PER_ACCOUNT;
+	return ranks;
+}
+
 /* Returns the rank by the account's priority first, then by that of the route. */
 static int request_rank(const gateway_request_t *request)
 {
 	int rank = CLAMP(request->route->priority, 0, RANKS_PER_ACCOUNT - 1);
 
-	if (request->account && request->account->priority != FORWARD_PRIORITY_UNSET)
-		rank += CLAMP(request->account->priority, 0, ACCOUNT_RANKS - 1) *
-			RANKS_PER_ACCOUNT;
+	if (request->account)
+		rank += gateway_account_ranks(request->account).first;
 	return rank;
 }
 
--- a/adapters/gateway/request_shed.c
+++ b/adapters/gateway/request_shed.c
@@ -40,27 +40,13 @@
 		       engine_time_to_tokens(rate, ENGINE_OUTPUT_TOKEN_TIME);
 }
 
-/* Returns what a request of an account asks for. */
-static account_request_t account_request(const gateway_request_t *request,
-					 double work)
+/*
+ * Returns the weight of an account; 0 if its limit is not in tokens, so that it can't be
+ * compared with those of others.
+ */
+static double account_weight(const forward_account_t *account)
 {
-	const forward_account_t *account = request->account;
-	account_request_t asked = {
-		.account = account->name,
-		.weight = 1,
-		.work = work,
-		.returned = request->returned,
-	};
-
-	/* What exceeds an account's limit was refused before. */
-	if (account->rate > 0) {
-		asked.weight = account->rate;
-		asked.fleet_demand =
-			MIN(token_limits_demand(request->gateway->limits,
-						account->name, gateway_now()),
-			    account->rate);
-	}
-	return asked;
+	return account->limits_tokens ? account->rate : 0;
 }
 
 /* Returns whether the shedder of its service admits a request. */
@@ -69,11 +55,12 @@
 	gateway_t *gateway = request->gateway;
 	shed_t *shed = get_shedder(gateway, request->service);
 	double draw = g_rand_double(gateway->random);
-	account_request_t asked;
+	account_request_t asked = { .work = work, .returned = request->returned };
 
 	if (!request->account)
 		return shed_admit(shed, request->rank, work, draw);
-	asked = account_request(request, work);
+	asked.account = request->account->name;
+	asked.weight = account_weight(request->account);
 	return shed_admit_account(shed, request->rank, &asked, draw);
 }
 
@@ -143,6 +130,63 @@
 		gateway_request_record_outcome(request, true);
 }
 
+/* Returns what an account can be expected to ask for here, of all services. */
+static double expected_work(const gateway_t *gateway, const char *account,
+			    const shed_ranks_t *ranks)
+{
+	GHashTableIter iter;
+	gpointer shed;
+	double expected = 0;
+
+	g_hash_table_iter_init(&iter, gateway->shedders);
+	while (g_hash_table_iter_next(&iter, NULL, &shed))
+		expected += shed_expected_work(shed, account, ranks);
+	return expected;
+}
+
+/* Sets what the accounts ask all gateways for of the service of a shedder. */
+static void set_account_demands(gateway_t *gateway, shed_t *shed, pd_time_t now)
+{
+	const GPtrArray *accounts;
+
+	if (!gateway->config)
+		return;
+	accounts = gateway->config->accounts;
+	for (guint i = 0; i < accounts->len; i++) {
+		const forward_account_t *account = accounts->pdata[i];
+		shed_ranks_t ranks = gateway_account_ranks(account);
+		fleet_demand_t demand = { account->name,
+					  account_weight(account), 0 };
+		double expected;
+
+		if (demand.weight <= 0)
+			continue;
+		expected = expected_work(gateway, account->name, &ranks);
+		if (expected <= 0)
+			continue;
+		/* What exceeds an account's limit was refused before. */
+		demand.per_second =
+			MIN(token_limits_demand(gateway->limits, account->name, now),
+			    account->rate) *
+			shed_expected_work(shed, account->name, &ranks) / expected;
+		shed_set_account_demand(shed, &demand, &ranks);
+	}
+}
+
+/* Logs the state of a load shedder. */
+static void log_shed(const char *service, shed_t *shed,
+		     const shed_utilization_t *utilization)
+{
+	account_counts_t counts = shed_count_accounts(shed);
+
+	log_line(G_LOG_LEVEL_INFO, "shed",
+		 "service=%s share=%.2f fill=%.2f known=%d pressed=%.2f "
+		 "accounts_below=%u accounts_limited=%u",
+		 service, shed_admitted_share(shed), utilization->ratio,
+		 utilization->includes_peers, shed_overload_ratio(shed),
+		 counts.below, counts.limited);
+}
+
 /* Updates the load shedders that are due, and logs changes of their shares. */
 void gateway_shedders_run(gateway_t *gateway, pd_time_t now)
 {
@@ -156,17 +200,17 @@
 
 	g_hash_table_iter_init(&iter, gateway->shedders);
 	while (g_hash_table_iter_next(&iter, &service, &shed)) {
+		bool changed;
+
 		/* Checked first, as this visits all upstreams. */
 		if (!shed_update_is_due(shed, now))
 			continue;
 		utilization.ratio =
 			forward_upstreams_utilization(gateway->upstreams, service);
-		if (shed_update(shed, &utilization, now))
-			log_line(G_LOG_LEVEL_INFO, "shed",
-				 "service=%s share=%.2f fill=%.2f known=%d "
-				 "pressed=%.2f",
-				 (const char *)service, shed_admitted_share(shed),
-				 utilization.ratio, utilization.includes_peers,
-				 shed_overload_ratio(shed));
+		changed = shed_update(shed, &utilization, now);
+		if (shed_admitted_share(shed) < 1)
+			set_account_demands(gateway, shed, now);
+		if (changed)
+			log_shed(service, shed, &utilization);
 	}
 }
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -7,6 +7,7 @@
 #include "core/forward/choice.h"
 #include "core/forward/event_stream.h"
 #include "core/forward/quantile.h"
+#include "core/forward/shed.h"
 
 /*
  * Values of Retry-After: without capacity, about the time in which some requests end;
@@ -170,6 +171,7 @@
 void gateway_request_record_pause(gateway_request_t *request, unsigned int events);
 void gateway_request_record_speed(gateway_request_t *request);
 void gateway_request_check_first_event(gateway_request_t *request, pd_time_t now);
+shed_ranks_t gateway_account_ranks(const forward_account_t *account);
 void gateway_shedders_run(gateway_t *gateway, pd_time_t now);
 
 #endif
--- a/core/forward/shed.c
+++ b/core/forward/shed.c
@@ -43,6 +43,12 @@
  */
 #define SHARE_MIN 0.2
 
+/*
+ * What an account asks for is divided between ranks and services like its work here. Most
+ * gateways see few of its requests, so this part of the work of all counts with it.
+ */
+#define EXPECTED_PART 0.06
+
 /* A change of the share that is logged. */
 #define LOG_STEP 0.1
 
@@ -137,6 +143,60 @@
 					  rank_part(shed, rank));
 }
 
+/* Returns what an account can be expected to ask for here in a rank. */
+static double expected_in_rank(const shed_t *shed, const char *account, int rank)
+{
+	return account_shares_work(shed->accounts[rank], account) +
+	       EXPECTED_PART * shed->work[rank];
+}
+
+/*
+ * Returns what an account can be expected to ask for here, by its own work and that of all
+ * of its ranks. Its demand is divided between services in proportion.
+ */
+double shed_expected_work(const shed_t *shed, const char *account,
+			  const shed_ranks_t *ranks)
+{
+	double expected = 0;
+
+	for (int i = ranks->first; i < ranks->first + ranks->count; i++)
+		expected += expected_in_rank(shed, account, i);
+	return expected;
+}
+
+/*
+ * Sets what an account asks all gateways for in its ranks of the service, until the next
+ * update.
+ */
+void shed_set_account_demand(shed_t *shed, const fleet_demand_t *demand,
+			     const shed_ranks_t *ranks)
+{
+	double expected = shed_expected_work(shed, demand->account, ranks);
+
+	if (expected <= 0)
+		return;
+	for (int i = ranks->first; i < ranks->first + ranks->count; i++) {
+		fleet_demand_t part = *demand;
+
+		part.per_second *=
+			expected_in_rank(shed, demand->account, i) / expected;
+		account_shares_set_demand(shed->accounts[i], &part);
+	}
+}
+
+/* Returns how many accounts shares limit, and how many not, in the rank that fits in part. */
+account_counts_t shed_count_accounts(shed_t *shed)
+{
+	account_counts_t counts = { 0 };
+
+	if (shed->share >= 1)
+		return counts;
+	for (int i = 0; i < SHED_RANKS; i++)
+		account_shares_count(shed->accounts[i], rank_part(shed, i),
+				     &counts);
+	return counts;
+}
+
 /*
  * Records how a request sent to an engine went; it is OVERLOADED if it was
  * rejected or began late.
