--- a/tests/unit/test_account_shares.c
+++ b/tests/unit/test_account_shares.c
@@ -42,6 +42,8 @@
 	double demand[ACCOUNTS]; /* as gateways know it, per second */
 	bool plain; /* shed_admit() decides */
 	bool knows_demand;
+	bool has_ranks; /* a half of the requests is less urgent */
+	bool returns[ACCOUNTS]; /* says so of half of its requests */
 	double capacity; /* work in a period */
 	double used; /* lately, in a period */
 	tally_t accounts[ACCOUNTS];
@@ -93,12 +95,14 @@
 		.account = names[account],
 		.weight = fleet->weights[account],
 		.work = work,
+		.returned = fleet->returns[account] && g_rand_boolean(fleet->random),
 	};
+	int rank = fleet->has_ranks ? g_rand_boolean(fleet->random) : 0;
 	double draw = g_rand_double(fleet->random);
 
 	if (fleet->plain)
-		return shed_admit(fleet->sheds[place], 0, work, draw);
-	return shed_admit_account(fleet->sheds[place], 0, &request, draw);
+		return shed_admit(fleet->sheds[place], rank, work, draw);
+	return shed_admit_account(fleet->sheds[place], rank, &request, draw);
 }
 
 static void tally_add(tally_t *tally, bool admitted, double work)
@@ -216,10 +220,210 @@
 	fleet_destroy(plain);
 }
 
+/* Guards against shares of the less urgent work that depend on what a gateway has seen. */
+static void test_shares_hold_inside_a_rank(void **state)
+{
+	fleet_t *fleet = fleet_create();
+	/* 14.5 usual amounts are less urgent, and there is room for 2.9, a 16th for each. */
+	double expected = 0.5 + 2.9 / ACCOUNTS;
+
+	(void)state;
+	fleet->has_ranks = true;
+	fleet_run(fleet, 0.6);
+	assert_true(fabs(fleet_print(fleet, "two ranks") - 1) < 0.05);
+	for (int i = HEAVY; i < ACCOUNTS; i++)
+		assert_true(part_of(&fleet->accounts[i]) > 0.9 * expected);
+	fleet_destroy(fleet);
+}
+
+/* Guards against starving large requests, which fit where little room is left less often. */
+static void test_large_requests_are_admitted_like_others(void **state)
+{
+	fleet_t *fleet = fleet_create();
+	double part;
+
+	(void)state;
+	fleet_run(fleet, 0.6);
+	part = part_of(&fleet->small);
+	print_message("large %.3f of %.0f, others %.3f of %.0f\n",
+		      part_of(&fleet->large), fleet->large.offered, part,
+		      fleet->small.offered);
+	assert_true(fabs(part_of(&fleet->large) - part) <
+		    3 * sqrt(part * (1 - part) / fleet->large.offered));
+	fleet_destroy(fleet);
+}
+
+/* Guards against shares that ignore the limits of accounts. */
+static void test_twice_the_limit_gets_twice_the_share(void **state)
+{
+	fleet_t *fleet = fleet_create();
+	double first = 0;
+	double second = 0;
+
+	(void)state;
+	for (int i = 0; i < ACCOUNTS; i++) {
+		fleet->rates[i] = 3 * USUAL_RATE;
+		fleet->weights[i] *= i < ACCOUNTS / 2 ? 2 : 1;
+	}
+	fleet_run(fleet, 0.4);
+	fleet_print(fleet, "weights 2 and 1");
+	for (int i = 0; i < ACCOUNTS / 2; i++) {
+		first += part_of(&fleet->accounts[i]);
+		second += part_of(&fleet->accounts[i + ACCOUNTS / 2]);
+	}
+	print_message("ratio %.3f\n", first / second);
+	/* Three times the standard deviation that chance gives so many requests. */
+	assert_true(fabs(first / second - 2) < 0.15);
+	fleet_destroy(fleet);
+}
+
+/* Guards against accounts without a limit that get nearly nothing beside those with one. */
+static void test_an_account_without_a_limit_has_the_usual_weight(void **state)
+{
+	fleet_t *fleet = fleet_create();
+
+	(void)state;
+	fleet->weights[ACCOUNTS - 1] = 0;
+	fleet_run(fleet, 0.6);
+	fleet_print(fleet, "the last has no limit");
+	assert_true(part_of(&fleet->accounts[ACCOUNTS - 1]) >= 0.95);
+	fleet_destroy(fleet);
+}
+
+/* Guards against callers that state short deadlines in order to displace other accounts. */
+static void test_returned_requests_get_no_more_than_the_account(void **state)
+{
+	fleet_t *fleet = fleet_create();
+
+	(void)state;
+	fleet->returns[0] = true;
+	fleet_run(fleet, 0.6);
+	fleet_print(fleet, "the first returns");
+	assert_true(fabs(fleet->accounts[0].admitted / fleet->accounts[1].admitted -
+			 1) < 0.15);
+	fleet_destroy(fleet);
+}
+
+/* Guards against a cut-off gateway that falls back to admitting by what is asked for. */
+static void test_a_cut_off_gateway_is_fair_by_its_own_figures(void **state)
+{
+	fleet_t *fleet = fleet_create();
+
+	(void)state;
+	fleet->knows_demand = false;
+	for (int i = 0; i < ACCOUNTS; i++)
+		for (int j = 0; j < GATEWAYS_OF_ACCOUNT; j++)
+			fleet->gateways[i][j] = 0;
+	fleet_run(fleet, 0.6);
+	assert_true(fabs(fleet_print(fleet, "cut off") - 1) < 0.05);
+	for (int i = HEAVY; i < ACCOUNTS; i++)
+		assert_true(part_of(&fleet->accounts[i]) >= 0.9);
+	fleet_destroy(fleet);
+}
+
+/* Returns a shedder that admits about half of the work. */
+static shed_t *create_short(pd_time_t *now)
+{
+	const shed_utilization_t utilization = { 2, true };
+	shed_t *shed = shed_create();
+
+	for (*now = START; shed_admitted_share(shed) > 0.5; *now += PERIOD)
+		shed_update(shed, &utilization, *now);
+	return shed;
+}
+
+/* Guards against decisions that change where all accounts are alike. */
+static void test_equal_accounts_are_admitted_as_without_shares(void **state)
+{
+	const shed_utilization_t steady = { 0.9, true };
+	GRand *random = g_rand_new_with_seed(SEED);
+	pd_time_t now;
+	shed_t *plain = create_short(&now);
+	shed_t *shed = create_short(&now);
+	unsigned int differing = 0;
+
+	(void)state;
+	for (int i = 0; i < 200 * ACCOUNTS; i++) {
+		account_request_t request = { names[i % ACCOUNTS], 1, 0, false };
+		int rank = i / ACCOUNTS % 3;
+		double draw = g_rand_double(random);
+		bool same;
+
+		if (i % (20 * ACCOUNTS) == 0) {
+			now += PERIOD;
+			shed_update(plain, &steady, now);
+			shed_update(shed, &steady, now);
+			for (int j = 0; j < ACCOUNTS; j++) {
+				const fleet_demand_t demand = { names[j], 1, 700 };
+
+				shed_set_account_demand(shed, &demand, &all_ranks);
+			}
+		}
+		request.work = 1 + i / ACCOUNTS % 5;
+		/* The demand is known from the second period on. */
+		same = shed_admit(plain, rank, request.work, draw) ==
+		       shed_admit_account(shed, rank, &request, draw);
+		differing += i >= 20 * ACCOUNTS && !same;
+	}
+	assert_int_equal(differing, 0);
+	shed_destroy(plain);
+	shed_destroy(shed);
+	g_rand_free(random);
+}
+
+/* Guards against accounts beyond the limit that get nothing, or all that they ask for. */
+static void test_accounts_beyond_the_limit_get_the_part_of_all(void **state)
+{
+	account_shares_t *shares = account_shares_create();
+	account_counts_t counts = { 0 };
+
+	(void)state;
+	for (int i = 0; i < ACCOUNT_SHARES_MAX + 44; i++) {
+		g_autofree char *name = g_strdup_printf("%d", i);
+		/* The first asks for as much as ten. */
+		account_request_t request = { name, 1, i ? 1 : 10, false };
+		double part;
+
+		account_shares_record(shares, &request);
+		part = account_shares_part(shares, &request, 0.5);
+		assert_true(i < ACCOUNT_SHARES_MAX || part == 0.5);
+	}
+	account_shares_decay(shares, 1);
+	account_shares_count(shares, 0.99, &counts);
+	assert_int_equal(counts.below, ACCOUNT_SHARES_MAX - 1);
+	assert_int_equal(counts.limited, 1);
+	account_shares_destroy(shares);
+}
+
+/* Guards against room that is kept for accounts that ask for nothing any more. */
+static void test_an_account_that_stops_asking_is_forgotten(void **state)
+{
+	account_shares_t *shares = account_shares_create();
+	account_request_t request = { "gone", 1, 1000, false };
+	account_counts_t counts = { 0 };
+
+	(void)state;
+	account_shares_record(shares, &request);
+	for (int i = 0; i < 70; i++)
+		account_shares_decay(shares, 0.8);
+	account_shares_count(shares, 0.5, &counts);
+	assert_int_equal(counts.below + counts.limited, 0);
+	account_shares_destroy(shares);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_heavy_accounts_do_not_displace_others),
+		cmocka_unit_test(test_shares_hold_inside_a_rank),
+		cmocka_unit_test(test_large_requests_are_admitted_like_others),
+		cmocka_unit_test(test_twice_the_limit_gets_twice_the_share),
+		cmocka_unit_test(test_an_account_without_a_limit_has_the_usual_weight),
+		cmocka_unit_test(test_returned_requests_get_no_more_than_the_account),
+		cmocka_unit_test(test_a_cut_off_gateway_is_fair_by_its_own_figures),
+		cmocka_unit_test(test_equal_accounts_are_admitted_as_without_shares),
+		cmocka_unit_test(test_accounts_beyond_the_limit_get_the_part_of_all),
+		cmocka_unit_test(test_an_account_that_stops_asking_is_forgotten),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
