Spread refused callers also where the expected wait is short

Draws below the shortest Retry-After of 0.4 s were raised to it, and those beyond the time left were put among the others, so up to all of the callers of a moment were told to come back within one 100 ms. The wait is now drawn evenly over at least 0.6 s, unless the time left is shorter.

test_room_rate: callers refused at once with 4 to 30 s left, refused work 0.05 to 3 times the admitted: at most a fifth in any 100 ms (failed before); after a second of 1.5 times the room, 502 of 502 that return as told find room.

--- a/core/forward/room_rate.c
+++ b/core/forward/room_rate.c
@@ -13,6 +13,8 @@
 #define RETRY_AFTER_MAX (3 * PD_SEC)
 /* Callers come back within this part of the expected wait before and after it. */
 #define SPREAD 0.5
+/* Over at least this, so that no 100 ms gets more than a fifth of them. */
+#define SPAN_MIN (600 * PD_MSEC)
 
 /* Records work that was admitted or refused. */
 void room_rate_record(room_rate_t *rate, bool admitted, double work, pd_time_t now)
@@ -46,12 +48,13 @@
 	double expected = rate->admitted > 0
 				  ? rate->refused / rate->admitted * MEMORY
 				  : RETRY_AFTER_MAX;
-	double spread = expected * (1 - SPREAD + 2 * SPREAD * draw);
-	pd_time_t most = CLAMP((pd_time_t)((double)time_left * TIME_LEFT_PART),
-			       RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+	double most = CLAMP((double)time_left * TIME_LEFT_PART, RETRY_AFTER_MIN,
+			    RETRY_AFTER_MAX);
+	double from = CLAMP(expected * (1 - SPREAD), RETRY_AFTER_MIN,
+			    MAX(most * (1 - SPREAD), RETRY_AFTER_MIN));
+	double to = MIN(MAX(expected * (1 + SPREAD), from + SPAN_MIN), most);
 
 	/* Those that can't wait as long are spread over the time that they have. */
-	if (spread > (double)most)
-		spread = (double)most * (1 - SPREAD * draw);
-	return MAX((pd_time_t)spread, RETRY_AFTER_MIN);
+	from = MAX(MIN(from, to - SPAN_MIN), RETRY_AFTER_MIN);
+	return (pd_time_t)(from + draw * (to - from));
 }
