--- a/tests/unit/test_room_rate.c
+++ b/tests/unit/test_room_rate.c
@@ -34,8 +34,8 @@
 	pd_time_t last = 0;
 
 	(void)state;
-	for (double refused = 0.4; refused < 1.4; refused += 0.2) {
-		room_rate_t rate = rate_after(1, refused);
+	for (int refused = 4; refused < 14; refused += 2) {
+		room_rate_t rate = rate_after(10, refused);
 		pd_time_t wait = room_rate_retry_after(&rate, 60 * PD_SEC, 0.5);
 
 		assert_true(wait > last);
@@ -50,14 +50,14 @@
 					   60 * PD_SEC };
 
 	(void)state;
-	for (double refused = 0; refused < 10; refused += 0.5) {
-		room_rate_t rate = rate_after(refused < 9 ? 1 : 0, refused);
+	for (int refused = 0; refused < 20; refused++) {
+		room_rate_t rate = rate_after(refused < 18 ? 2 : 0, refused);
 
 		for (size_t i = 0; i < G_N_ELEMENTS(times); i++) {
-			for (double draw = 0; draw < 1; draw += 0.1) {
-				pd_time_t wait = room_rate_retry_after(&rate,
-								       times[i],
-								       draw);
+			for (int draw = 0; draw < 10; draw++) {
+				pd_time_t wait =
+					room_rate_retry_after(&rate, times[i],
+							      draw / 10.0);
 
 				assert_true(wait >= RETRY_AFTER_MIN);
 				assert_true(wait <=
@@ -74,8 +74,8 @@
 					   30 * PD_SEC };
 
 	(void)state;
-	for (double refused = 0.05; refused < 3; refused += 0.05) {
-		room_rate_t rate = rate_after(1, refused);
+	for (int refused = 1; refused < 60; refused++) {
+		room_rate_t rate = rate_after(20, refused);
 
 		for (size_t i = 0; i < G_N_ELEMENTS(times); i++) {
 			unsigned int slots[SLOTS] = { 0 };
