Ignore samples of peers that are no times

A finite but huge logarithm was taken as the first sample of an upstream. Its estimate then never came back, as each sample moves it by a factor of eight at most, and the mean of its service was as wrong, so that all other upstreams looked seven levels fast. Logarithms beyond 30 are ignored.

--- a/core/forward/upstream_speed.c
+++ b/core/forward/upstream_speed.c
@@ -17,6 +17,8 @@
 #define LEVEL_HYSTERESIS 0.8
 /* A sample moves the estimate by this factor at most, so that a hang counts as slow only. */
 #define OUTLIER_FACTOR 8.0
+/* Logarithms of samples beyond it are no times: in microseconds it is a hundred days. */
+#define LOG_TIME_MAX 30.0
 
 /* Forgets what is known, as the upstream was started again. */
 void upstream_speed_reset(upstream_speed_t *speed)
@@ -50,11 +52,11 @@
 	add_samples(speed, 1, log(time));
 }
 
-/* Records COUNT samples of a peer, with the mean of their logarithms. */
+/* Records COUNT samples of a peer, with the mean of their logarithms; ignores implausible ones. */
 void upstream_speed_record_peer(upstream_speed_t *speed, unsigned int count,
 				double log_mean)
 {
-	if (count && isfinite(log_mean))
+	if (count && fabs(log_mean) <= LOG_TIME_MAX)
 		add_samples(speed, count, log_mean);
 }
 
--- a/tests/unit/test_upstream_speed.c
+++ b/tests/unit/test_upstream_speed.c
@@ -574,6 +574,27 @@
 	forward_upstreams_destroy(set);
 }
 
+/*
+ * Guards against a peer whose malformed samples make an upstream, or all others of its
+ * service, look several times faster or slower for ever.
+ */
+static void test_malformed_samples_are_ignored(void **state)
+{
+	service_t *service = *state;
+	static const double invalid[] = { 1e290, -1e290, 1000, -1000 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++)
+		upstream_speed_record_peer(&service->first->speed, 5, invalid[i]);
+	upstream_speed_record_peer(&service->first->speed, 5, (double)NAN);
+	upstream_speed_record_peer(&service->first->speed, 0, log(PAUSE));
+	upstream_speed_record_own(&service->first->speed, 0);
+	upstream_speed_record_own(&service->first->speed, -1);
+	assert_false(upstream_speed_is_known(&service->first->speed));
+	add_samples(service, 40, 1);
+	for (unsigned int j = 0; j < SERVICE_UPSTREAMS; j++)
+		assert_int_equal(engine_at(service->set, j)->speed.level, 0);
+}
+
 #define SERVICE_TEST(test) \
 	cmocka_unit_test_setup_teardown(test, service_setup, service_teardown)
 
@@ -587,6 +608,7 @@
 		SERVICE_TEST(test_a_single_hang_does_not_move_the_level),
 		SERVICE_TEST(test_a_restart_forgets_the_speed),
 		SERVICE_TEST(test_speeds_are_restored_before_and_after_registration),
+		SERVICE_TEST(test_malformed_samples_are_ignored),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
