Keep a known level until samples contradict it

The estimate was shrunk towards the usual speed also where the level was known from the checkpoint or an aggregator. The first samples at a new aggregator, or after a kill of all gateways, thus moved levels towards 0 although they confirmed them: level -3 became -1 after three samples of that speed. While samples are missing, the level that is known counts. With all samples the estimate is as before.

--- a/core/forward/upstream_speed.c
+++ b/core/forward/upstream_speed.c
@@ -8,7 +8,10 @@
  * engine's streams at all gateways. Upstreams that pause for half a second spoil a few.
  */
 #define SAMPLES_MAX 30.0
-/* With fewer samples the estimate is mostly the usual speed. */
+/*
+ * Samples that the usual speed counts for, so that the level is moderate: without it, slow
+ * engines got 0.58 of their part of the requests, and a hang now and then changed a level.
+ */
 #define PRIOR_SAMPLES 4.0
 #define KNOWN_SAMPLES_MIN 3.0
 /* Speeds of neighbouring levels, as a ratio. */
@@ -66,33 +69,48 @@
 	return speed->samples >= KNOWN_SAMPLES_MIN;
 }
 
-/* Sets the level as another gateway has it. Returns whether it changed. */
-bool upstream_speed_set_level(upstream_speed_t *speed, int level)
+/* Sets the level that is used. Returns whether it changed. */
+static bool set_level(upstream_speed_t *speed, int level)
 {
-	if (level < -UPSTREAM_SPEED_LEVEL_MAX ||
-	    level > UPSTREAM_SPEED_LEVEL_MAX || level == speed->level)
+	if (level == speed->level)
 		return false;
 	speed->level = level;
 	speed->factor = pow(LEVEL_FACTOR, level);
 	return true;
 }
 
+/*
+ * Sets the level as another gateway has it; ignores one out of range. Returns whether it
+ * changed.
+ */
+bool upstream_speed_set_level(upstream_speed_t *speed, int level)
+{
+	if (level < -UPSTREAM_SPEED_LEVEL_MAX || level > UPSTREAM_SPEED_LEVEL_MAX)
+		return false;
+	speed->prior_level = level;
+	return set_level(speed, level);
+}
+
 /*
  * Updates the level by the estimate; USUAL_LOG_TIME is the mean of its service's upstreams.
- * Returns whether it changed.
+ * While samples are missing, the level known before counts too: without it, three samples
+ * that confirmed it moved the level towards 0. Returns whether it changed.
  */
 bool upstream_speed_update_level(upstream_speed_t *speed, double usual_log_time)
 {
-	double known = speed->samples / (speed->samples + PRIOR_SAMPLES);
+	double measured = (usual_log_time - speed->log_time) / log(LEVEL_FACTOR);
+	double weight = speed->samples / (speed->samples + PRIOR_SAMPLES);
+	double missing = fmax(1 - speed->samples / SAMPLES_MAX, 0);
 	double exact =
-		(usual_log_time - speed->log_time) * known / log(LEVEL_FACTOR);
+		measured * weight + speed->prior_level * (1 - weight) * missing;
 
-	if (!upstream_speed_is_known(speed) ||
-	    fabs(exact - speed->level) < LEVEL_HYSTERESIS)
+	if (!upstream_speed_is_known(speed))
+		return false;
+	if (fabs(exact - speed->level) < LEVEL_HYSTERESIS)
 		return false;
 	exact = fmax(fmin(exact, UPSTREAM_SPEED_LEVEL_MAX),
 		     -UPSTREAM_SPEED_LEVEL_MAX);
-	return upstream_speed_set_level(speed, (int)lround(exact));
+	return set_level(speed, (int)lround(exact));
 }
 
 /* Returns the speed as a multiple of the usual one; exactly 1 at level 0. */
--- a/core/forward/upstream_speed.h
+++ b/core/forward/upstream_speed.h
@@ -17,6 +17,7 @@
 	double log_time; /* decayed mean of the logarithms of the samples */
 	double samples; /* behind it, decayed; 0: none */
 	int level;
+	int prior_level; /* as the checkpoint or an aggregator had it last */
 	double factor; /* of the level, if that is not 0 */
 	/* taken here and not sent to other gateways yet */
 	unsigned int unsent;
--- a/tests/unit/test_upstream_speed.c
+++ b/tests/unit/test_upstream_speed.c
@@ -513,6 +513,26 @@
 	}
 }
 
+/*
+ * Guards against gateways that treat upstreams alike again after all were killed or the
+ * aggregator died: the next one has few samples, which say what was known before.
+ */
+static void test_a_known_level_survives_the_first_samples(void **state)
+{
+	service_t *service = *state;
+
+	forward_upstreams_restore_speed(service->set,
+					forward_upstream_short_id(service->first),
+					-3);
+	for (unsigned int i = 0; i < 60; i++) {
+		add_samples(service, 1, 0.58);
+		assert_true(service->first->speed.level <= -2);
+	}
+	/* A level that is wrong by now is given up, to within the hysteresis. */
+	add_samples(service, 60, 1);
+	assert_true(abs(service->first->speed.level) <= 1);
+}
+
 /* Guards against the speed of a process that no longer runs. */
 static void test_a_restart_forgets_the_speed(void **state)
 {
@@ -606,6 +626,7 @@
 			test_choices_among_equal_upstreams_are_as_without_speeds),
 		SERVICE_TEST(test_a_change_of_speed_is_followed_within_40_samples),
 		SERVICE_TEST(test_a_single_hang_does_not_move_the_level),
+		SERVICE_TEST(test_a_known_level_survives_the_first_samples),
 		SERVICE_TEST(test_a_restart_forgets_the_speed),
 		SERVICE_TEST(test_speeds_are_restored_before_and_after_registration),
 		SERVICE_TEST(test_malformed_samples_are_ignored),
