Drop speeds of upstreams whose fields have another type

A level that was no integer was read as the lowest level, and a sample that was no number as one of a microsecond. Such fields are dropped now.

--- a/adapters/gateway/peer_speeds.c
+++ b/adapters/gateway/peer_speeds.c
@@ -124,7 +124,7 @@
 							  short_id));
 }
 
-/* Applies the samples of a peer; those of unknown upstreams are dropped. */
+/* Applies the samples of a peer; drops those of unknown upstreams, and malformed ones. */
 void peers_receive_speed_samples(gateway_peers_t *peers, const msgpack_object *object)
 {
 	uint32_t count = 0;
@@ -134,15 +134,17 @@
 	     i += SPEED_SAMPLE_FIELDS) {
 		forward_upstream_t *upstream = find_upstream(peers, &items[i]);
 		uint64_t samples = msgpack_field_uint64(&items[i + 1]);
+		double log_mean = msgpack_field_double(&items[i + 2]);
 
-		if (upstream && samples <= SAMPLE_COUNT_MAX)
-			upstream_speed_record_peer(
-				&upstream->speed, (unsigned int)samples,
-				msgpack_field_double(&items[i + 2]) / LOG_UNITS);
+		/* A field of another type is read as 0, which is no plausible time. */
+		if (upstream && samples <= SAMPLE_COUNT_MAX && log_mean > 0)
+			upstream_speed_record_peer(&upstream->speed,
+						   (unsigned int)samples,
+						   log_mean / LOG_UNITS);
 	}
 }
 
-/* Applies the levels of an aggregator. */
+/* Applies the levels of an aggregator; drops malformed ones. */
 void peers_receive_speed_levels(gateway_peers_t *peers, const msgpack_object *object)
 {
 	uint32_t count = 0;
@@ -153,7 +155,10 @@
 		forward_upstream_t *upstream = find_upstream(peers, &items[i]);
 		uint64_t level = msgpack_field_uint64(&items[i + 1]);
 
-		if (upstream && level <= 2 * UPSTREAM_SPEED_LEVEL_MAX)
+		/* A field of another type would be read as the lowest level. */
+		if (upstream &&
+		    items[i + 1].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+		    level <= 2 * UPSTREAM_SPEED_LEVEL_MAX)
 			upstream_speed_set_level(&upstream->speed,
 						 (int)level -
 							 UPSTREAM_SPEED_LEVEL_MAX);
--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -5,6 +5,8 @@
  */
 #include <rapidcheck.h>
 
+#include <cmath>
+#include <cstdlib>
 #include <cstring>
 #include <string>
 #include <vector>
@@ -18,6 +20,7 @@
 #include "adapters/gateway/peer_state.h"
 #include "adapters/gateway/usage_table.h"
 #include "adapters/log_glib.h"
+#include "adapters/msgpack_check.h"
 #include "core/forward/event_stream.h"
 #include "platform/wire.h"
 }
@@ -150,6 +153,34 @@
 	*static_cast<bool *>(ctx) &= valid;
 }
 
+/* Records samples of the speeds of the first upstreams. */
+static void record_speeds(gateway_t *gateway)
+{
+	for (int i = 0; i < 9; i++) {
+		std::string id = "u" + std::to_string(i % 3);
+
+		upstream_speed_record_own(
+			&forward_upstreams_find(gateway->upstreams, id.c_str())->speed,
+			20000.0);
+	}
+}
+
+/* Returns whether the speeds of all upstreams are within their bounds. */
+static bool speeds_are_valid(gateway_t *gateway)
+{
+	LIST_FOR_EACH (it, forward_upstreams_list(gateway->upstreams)) {
+		const upstream_speed_t *speed =
+			&LIST_ENTRY(it, forward_upstream_t, node)->speed;
+
+		if (std::abs(speed->level) > UPSTREAM_SPEED_LEVEL_MAX ||
+		    !(std::fabs(speed->log_time) <= 32) ||
+		    !(speed->samples >= 0 && speed->samples <= 1000) ||
+		    !(upstream_speed_factor(speed) > 0))
+			return false;
+	}
+	return true;
+}
+
 static std::string message(gateway_t *gateway, int kind)
 {
 	gateway_peers_t *peers = gateway->peers;
@@ -165,9 +196,12 @@
 	case 0:
 		stream_versions_record(gateway->streams, 80, 5, gateway_now());
 		peers_take_stream_records(peers);
+		record_speeds(gateway);
+		peers_take_speed_samples(peers);
 		peers_pack_state(&buffer, peers, true, true);
 		break;
 	case 1:
+		record_speeds(gateway);
 		peers_pack_summary(&buffer, peers, peer, true);
 		break;
 	case 2:
@@ -222,6 +256,43 @@
 
 			RC_ASSERT(upstream->stage <= FORWARD_GONE);
 		}
+		RC_ASSERT(speeds_are_valid(gateway));
+	});
+}
+
+/* A gateway that follows an aggregator reads levels, and an aggregator reads samples. */
+static bool prop_speeds(gateway_t *gateway)
+{
+	return rc::check("speeds of upstreams", [gateway] {
+		auto levels = *rc::gen::arbitrary<bool>();
+		gateway_peers_t *peers = gateway->peers;
+		msgpack_sbuffer buffer;
+		msgpack_packer packer;
+		msgpack_unpacked unpacked;
+		size_t offset = 0;
+		std::string bytes;
+
+		msgpack_sbuffer_init(&buffer);
+		msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+		record_speeds(gateway);
+		peers_take_speed_samples(peers);
+		if (levels)
+			peers_pack_speed_levels(&packer, peers);
+		else
+			peers_pack_speed_samples(&packer, peers);
+		bytes.assign(buffer.data, buffer.size);
+		msgpack_sbuffer_destroy(&buffer);
+		bytes = mutated(bytes);
+		msgpack_unpacked_init(&unpacked);
+		if (msgpack_lengths_fit(bytes.data(), bytes.size()) &&
+		    msgpack_unpack_next(&unpacked, bytes.data(), bytes.size(),
+					&offset) == MSGPACK_UNPACK_SUCCESS) {
+			peers_receive_speed_levels(peers, &unpacked.data);
+			peers_receive_speed_samples(peers, &unpacked.data);
+		}
+		msgpack_unpacked_destroy(&unpacked);
+		forward_upstreams_update_speeds(gateway->upstreams);
+		RC_ASSERT(speeds_are_valid(gateway));
 	});
 }
 
@@ -297,6 +368,7 @@
 				     "{\"mill\":[-5,900]},"
 				     "\"clocks\":{\"g1\":-25},"
 				     "\"versions\":{\"s\":\"9f\"},"
+				     "\"speeds\":{\"9f\":-3},"
 				     "\"leader\":\"g5\"}}");
 		uint64_t revision = 0;
 		pd_error_t err;
@@ -447,6 +519,7 @@
 		return 1;
 	fill_gateway(gateway);
 	ok &= prop_peers(gateway);
+	ok &= prop_speeds(gateway);
 	ok &= prop_config();
 	ok &= prop_pages();
 	ok &= prop_lease();
