Skip speeds in the checkpoint record that name no upstream or level

A level of another type was read as level 0, and an id that is no hexadecimal number of 32 bits as a part of it. Test valid and invalid speeds in the record.

--- a/adapters/gateway/checkpoint_record.c
+++ b/adapters/gateway/checkpoint_record.c
@@ -190,7 +190,7 @@
 	return pd_time_from_ms(non_negative(json_object_get(root, key)));
 }
 
-/* Reads {short id in hex: level}; levels that there are not are skipped. */
+/* Reads {short id in hex: level}; ids and levels that there are not are skipped. */
 static void read_speeds(checkpoint_record_t *record, json_t *speeds)
 {
 	const char *short_id;
@@ -199,13 +199,14 @@
 	json_object_foreach(speeds, short_id, level)
 	{
 		json_int_t value = json_integer_value(level);
-
-		if (value >= -UPSTREAM_SPEED_LEVEL_MAX &&
-		    value <= UPSTREAM_SPEED_LEVEL_MAX)
-			checkpoint_record_add_speed(
-				record,
-				(uint32_t)g_ascii_strtoull(short_id, NULL, 16),
-				(int)value);
+		guint64 id;
+
+		if (json_is_integer(level) && value >= -UPSTREAM_SPEED_LEVEL_MAX &&
+		    value <= UPSTREAM_SPEED_LEVEL_MAX &&
+		    g_ascii_string_to_unsigned(short_id, 16, 0, UINT32_MAX, &id,
+					       NULL))
+			checkpoint_record_add_speed(record, (uint32_t)id,
+						    (int)value);
 	}
 }
 
--- a/tests/unit/test_checkpoint_record.c
+++ b/tests/unit/test_checkpoint_record.c
@@ -34,6 +34,8 @@
 	checkpoint_record_add_account(record, "mill", -500, 9000);
 	checkpoint_record_add_clock(record, "g1", -2500 * PD_MSEC);
 	checkpoint_record_add_version(record, "s", 0xfedcba9876543210);
+	checkpoint_record_add_speed(record, 0xfedcba98, -7);
+	checkpoint_record_add_speed(record, 3, 2);
 	text = checkpoint_record_format(record);
 	stamped = checkpoint_record_stamp(text, 7 * PD_SEC);
 	read = checkpoint_record_parse(stamped, &err);
@@ -55,6 +57,14 @@
 			    "g1");
 	assert_int_equal(g_array_index(read->clocks, clock_record_t, 0).offset,
 			 -2500 * PD_MSEC);
+	assert_int_equal(read->speeds->len, 2);
+	for (guint i = 0; i < 2; i++) {
+		const speed_record_t *speed =
+			&g_array_index(read->speeds, speed_record_t, i);
+
+		assert_true((speed->short_id == 0xfedcba98 && speed->level == -7) ||
+			    (speed->short_id == 3 && speed->level == 2));
+	}
 	checkpoint_record_destroy(record);
 	checkpoint_record_destroy(read);
 	g_free(text);
@@ -81,6 +91,38 @@
 	checkpoint_record_destroy(record);
 }
 
+/* Guards against levels and ids of upstreams that are of another type or out of range. */
+static void test_invalid_speeds_are_ignored(void **state)
+{
+	static const char *const invalid[] = {
+		"{\"speeds\":{\"9f\":8}}",
+		"{\"speeds\":{\"9f\":-8}}",
+		"{\"speeds\":{\"9f\":9223372036854775807}}",
+		"{\"speeds\":{\"9f\":\"2\"}}",
+		"{\"speeds\":{\"9f\":null}}",
+		"{\"speeds\":{\"9f\":1.5}}",
+		"{\"speeds\":{\"\":2}}",
+		"{\"speeds\":{\"u9\":2}}",
+		"{\"speeds\":{\"9fx\":2}}",
+		"{\"speeds\":{\"-1\":2}}",
+		"{\"speeds\":{\"10000009f\":2}}",
+		"{\"speeds\":[2]}",
+		"{\"speeds\":7}",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+		pd_error_t err;
+		checkpoint_record_t *record =
+			checkpoint_record_parse(invalid[i], &err);
+
+		assert_non_null(record);
+		if (record->speeds->len)
+			fail_msg("%s", invalid[i]);
+		checkpoint_record_destroy(record);
+	}
+}
+
 static void add_to_sum(void *ctx, const char *account, uint64_t sum)
 {
 	(void)account;
@@ -227,6 +269,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_record_round_trip),
 		cmocka_unit_test(test_invalid_clock_offsets_are_ignored),
+		cmocka_unit_test(test_invalid_speeds_are_ignored),
 		cmocka_unit_test(test_counts_round_trip),
 		cmocka_unit_test(test_counts_of_large_fleet_are_small),
 		cmocka_unit_test(test_snapshots_of_large_fleet_are_small),
