Send samples of speeds of all upstreams in turn

A state lists the samples of 64 upstreams, the first ones in the table. Where more have samples in each period, those of the later ones were never sent, and once a thousand had gathered they were too many for a receiver. The next state now goes on where the last one ended.

--- a/adapters/gateway/peer_speeds.c
+++ b/adapters/gateway/peer_speeds.c
@@ -42,24 +42,47 @@
 		log_levels(peers);
 }
 
-/* Takes the samples that the next states have in them. */
-void peers_take_speed_samples(gateway_peers_t *peers)
+/* Returns the upstreams with samples that were not sent, borrowed; the caller frees it. */
+static GPtrArray *unsent_upstreams(const gateway_peers_t *peers)
 {
-	g_array_set_size(peers->speed_samples, 0);
+	GPtrArray *unsent = g_ptr_array_new();
+
 	LIST_FOR_EACH (it, forward_upstreams_list(peers->gateway->upstreams)) {
 		forward_upstream_t *upstream =
 			LIST_ENTRY(it, forward_upstream_t, node);
+
+		if (upstream->speed.unsent)
+			g_ptr_array_add(unsent, upstream);
+	}
+	return unsent;
+}
+
+/*
+ * Takes the samples that the next states have in them. Where they do not fit, upstreams
+ * take turns.
+ */
+void peers_take_speed_samples(gateway_peers_t *peers)
+{
+	GPtrArray *unsent = unsent_upstreams(peers);
+	guint count = MIN(unsent->len, SAMPLES_LISTED_MAX);
+
+	g_array_set_size(peers->speed_samples, 0);
+	for (guint i = 0; i < count; i++) {
+		forward_upstream_t *upstream =
+			g_ptr_array_index(unsent, (peers->speed_samples_from +
+						   i) % unsent->len);
 		upstream_speed_t *speed = &upstream->speed;
-		speed_sample_t sample = { forward_upstream_short_id(upstream),
-					  speed->unsent, 0 };
+		const speed_sample_t sample = {
+			forward_upstream_short_id(upstream), speed->unsent,
+			speed->unsent_sum / speed->unsent
+		};
 
-		if (!speed->unsent || peers->speed_samples->len >= SAMPLES_LISTED_MAX)
-			continue;
-		sample.log_mean = speed->unsent_sum / speed->unsent;
 		g_array_append_val(peers->speed_samples, sample);
 		speed->unsent = 0;
 		speed->unsent_sum = 0;
 	}
+	peers->speed_samples_from += count;
+	g_ptr_array_unref(unsent);
 }
 
 /* Packs the samples of this period. */
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -247,6 +247,7 @@
 	pd_time_t loads_packed_at;
 	GArray *last_sent_loads; /* of load_t: own loads as last sent */
 	GArray *speed_samples; /* of speed_sample_t: in the states of a period */
+	guint speed_samples_from; /* turn of the upstreams with samples */
 	pd_time_t speeds_updated_at;
 	GHashTable *slot_outboxes; /* address -> items to send about slots */
 	pd_time_t started_at;
--- a/tests/unit/test_peer_speeds.c
+++ b/tests/unit/test_peer_speeds.c
@@ -175,6 +175,23 @@
 	fixture_destroy(aggregator);
 }
 
+/* Guards against upstreams whose samples never fit into a state, as others come first. */
+static void test_samples_of_all_upstreams_are_sent_in_turn(void **state)
+{
+	fixture_t *node = fixture_create(MANY);
+	fixture_t *aggregator = fixture_create(MANY);
+
+	(void)state;
+	for (unsigned int i = 0; i < 2 * MANY / 64; i++) {
+		record_samples(node, MANY, 1);
+		send_samples(node, aggregator);
+	}
+	for (unsigned int i = 0; i < MANY; i++)
+		assert_true(upstream_at(aggregator, i)->speed.samples > 0);
+	fixture_destroy(node);
+	fixture_destroy(aggregator);
+}
+
 /*
  * Guards against a gateway that changes levels by its own few samples, and one that
  * loses what was known when it takes over from an aggregator that died.
@@ -252,6 +269,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_a_summary_is_bounded_and_all_levels_are_learned),
 		cmocka_unit_test(test_samples_are_sent_once),
+		cmocka_unit_test(test_samples_of_all_upstreams_are_sent_in_turn),
 		cmocka_unit_test(test_levels_are_updated_only_without_an_aggregator),
 		cmocka_unit_test(test_malformed_speeds_are_ignored),
 	};
