Sample a stream's speed by the exact median of its last pauses

The running estimate began at the first pause and moved in small steps. With 500 ms there and 20 ms in all others it was at 291 ms after 4 pauses, 136 ms after 20 and 64 ms after 50, so one hang or the prefill of another prompt after the first event made an engine look several times slower.

--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -6,7 +6,7 @@
 #include "adapters/gateway/upstream_link.h"
 #include "core/forward/choice.h"
 #include "core/forward/event_stream.h"
-#include "core/forward/quantile.h"
+#include "core/forward/recent_median.h"
 
 /*
  * Values of Retry-After: without capacity, about the time in which some requests end;
@@ -88,7 +88,7 @@
 	pd_time_t retry_at; /* when another upstream is tried; 0: not waiting for that */
 	double prefill_tokens; /* added to the upstream's; 0 after the first event */
 	bool prefills_alone; /* the upstream had no other prompt to prefill */
-	quantile_t pause; /* median of the times between events, in microseconds */
+	recent_median_t pauses; /* between events, in microseconds */
 	pd_time_t events_at; /* when the last event arrived; 0: none yet */
 	bool is_speed_sample; /* the upstream had free slots when it was sent */
 	bool skipping_response; /* the current response is for another request */
