--- a/adapters/gateway/peer_speeds.c
+++ b/adapters/gateway/peer_speeds.c
@@ -42,24 +42,47 @@
 		log_levels(peers);
 }
 
-/* Takes the samples that the next states have in them. */
-void peers_take_speed_samples(gateway_peers_t *peers)
+/* Returns the upstreams with samples that were not sent, borrowed; the caller frees it. */
+static GPtrArray *unsent_upstreams(const gateway_peers_t *peers)
 {
-	g_array_set_size(peers->speed_samples, 0);
+	GPtrArray *unsent = g_ptr_array_new();
+
 	LIST_FOR_EACH (it, forward_upstreams_list(peers->gateway->upstreams)) {
 		forward_upstream_t *upstream =
 			LIST_ENTRY(it, forward_upstream_t, node);
+
+		if (upstream->speed.unsent)
+			g_ptr_array_add(unsent, upstream);
+	}
+	return unsent;
+}
+
+/*
+ * Takes the samples that the next states have in them. Where they do not fit, upstreams
+ * take turns.
+ */
+void peers_take_speed_samples(gateway_peers_t *peers)
+{
+	GPtrArray *unsent = unsent_upstreams(peers);
+	guint count = MIN(unsent->len, SAMPLES_LISTED_MAX);
+
+	g_array_set_size(peers->speed_samples, 0);
+	for (guint i = 0; i < count; i++) {
+		forward_upstream_t *upstream =
+			g_ptr_array_index(unsent, (peers->speed_samples_from +
+						   i) % unsent->len);
 		upstream_speed_t *speed = &upstream->speed;
-		speed_sample_t sample = { forward_upstream_short_id(upstream),
-					  speed->unsent, 0 };
+		const speed_sample_t sample = {
+			forward_upstream_short_id(upstream), speed->unsent,
+			speed->unsent_sum / speed->unsent
+		};
 
-		if (!speed->unsent || peers->speed_samples->len >= SAMPLES_LISTED_MAX)
-			continue;
-		sample.log_mean = speed->unsent_sum / speed->unsent;
 		g_array_append_val(peers->speed_samples, sample);
 		speed->unsent = 0;
 		speed->unsent_sum = 0;
 	}
+	peers->speed_samples_from += count;
+	g_ptr_array_unref(unsent);
 }
 
 /* Packs the samples of this period. */
@@ -124,7 +147,7 @@
 							  short_id));
 }
 
-/* Applies the samples of a peer; those of unknown upstreams are dropped. */
+/* Applies the samples of a peer; drops those of unknown upstreams, and malformed ones. */
 void peers_receive_speed_samples(gateway_peers_t *peers, const msgpack_object *object)
 {
 	uint32_t count = 0;
@@ -134,15 +157,17 @@
 	     i += SPEED_SAMPLE_FIELDS) {
 		forward_upstream_t *upstream = find_upstream(peers, &items[i]);
 		uint64_t samples = msgpack_field_uint64(&items[i + 1]);
+		double log_mean = msgpack_field_double(&items[i + 2]);
 
-		if (upstream && samples <= SAMPLE_COUNT_MAX)
-			upstream_speed_record_peer(
-				&upstream->speed, (unsigned int)samples,
-				msgpack_field_double(&items[i + 2]) / LOG_UNITS);
+		/* A field of another type is read as 0, which is no plausible time. */
+		if (upstream && samples <= SAMPLE_COUNT_MAX && log_mean > 0)
+			upstream_speed_record_peer(&upstream->speed,
+						   (unsigned int)samples,
+						   log_mean / LOG_UNITS);
 	}
 }
 
-/* Applies the levels of an aggregator. */
+/* Applies the levels of an aggregator; drops malformed ones. */
 void peers_receive_speed_levels(gateway_peers_t *peers, const msgpack_object *object)
 {
 	uint32_t count = 0;
@@ -153,7 +178,10 @@
 		forward_upstream_t *upstream = find_upstream(peers, &items[i]);
 		uint64_t level = msgpack_field_uint64(&items[i + 1]);
 
-		if (upstream && level <= 2 * UPSTREAM_SPEED_LEVEL_MAX)
+		/* A field of another type would be read as the lowest level. */
+		if (upstream &&
+		    items[i + 1].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+		    level <= 2 * UPSTREAM_SPEED_LEVEL_MAX)
 			upstream_speed_set_level(&upstream->speed,
 						 (int)level -
 							 UPSTREAM_SPEED_LEVEL_MAX);
