Limit the interim responses before one response

An upstream that sent 1xx responses without end occupied its request until the deadline, as each one was skipped without a limit. The connection now ends after 32 of them like one whose head is too large.

--- a/adapters/http1/http1.c
+++ b/adapters/http1/http1.c
@@ -18,6 +18,11 @@
 #define HEADERS_MAX 128
 /* The default; the limit for callers' requests is configurable. */
 #define HEAD_BYTES_MAX (64 * 1024)
+/*
+ * Interim (1xx) responses before one response. Upstreams send one or two; without a
+ * limit, an upstream that sends nothing else occupies its request until the deadline.
+ */
+#define INTERIM_RESPONSES_MAX 32
 /*
  * A connection can die without a reset, for example when a device on the path
  * loses its state. TCP keep-alive probes start after one idle second and end such
@@ -47,9 +52,10 @@
 	bool in_message; /* a message has begun and not ended */
 	bool expecting_response; /* client only */
 	bool response_to_head; /* the expected response is to a HEAD request */
+	unsigned int interim_responses; /* received before the expected one */
 	bool paused; /* the next message is buffered */
 	bool malformed; /* the head is rejected by this module's checks */
-	bool too_large;
+	bool too_large; /* the head, or the number of interim responses */
 	bool reading;
 	bool draining;
 	bool closing;
@@ -311,6 +317,7 @@
 {
 	conn->expecting_response = true;
 	conn->response_to_head = for_head;
+	conn->interim_responses = 0;
 }
 
 static void append_head_text(http1_t *conn, const char *at, size_t len)
@@ -460,8 +467,10 @@
 	bool interim = conn->side == HTTP1_CLIENT && parser->status_code < 200;
 
 	conn->in_message = false;
-	if (interim)
-		return 0;
+	if (interim) {
+		conn->too_large = ++conn->interim_responses > INTERIM_RESPONSES_MAX;
+		return conn->too_large;
+	}
 	conn->expecting_response = false;
 	conn->events.on_message(conn->ctx);
 	/* Pipelined requests wait until the current one is answered. */
--- a/adapters/http1/http1.h
+++ b/adapters/http1/http1.h
@@ -37,7 +37,7 @@
 	HTTP1_END_RESET, /* reset between two messages */
 	HTTP1_END_CONNECT_FAILED, /* never established */
 	HTTP1_END_PROTOCOL_ERROR, /* malformed or unsolicited bytes */
-	HTTP1_END_TOO_LARGE /* the head exceeds the limit */
+	HTTP1_END_TOO_LARGE /* the head, or interim responses, exceed the limit */
 } http1_end_t;
 
 /* Callbacks of a connection. */
--- a/tests/unit/test_http1.c
+++ b/tests/unit/test_http1.c
@@ -379,6 +379,82 @@
 	assert_int_equal(fixture->status, 204);
 }
 
+/* Sends the repeated TEXT until the peer closes, or fails after LEN bytes. */
+static void send_until_closed(fixture_t *fixture, const char *text, size_t len)
+{
+	GString *block = g_string_new(NULL);
+	size_t sent = 0;
+
+	while (block->len < 4096)
+		g_string_append(block, text);
+	while (!fixture->ended && sent < len) {
+		ssize_t step = send(fixture->fd, block->str, block->len,
+				    MSG_DONTWAIT | MSG_NOSIGNAL);
+
+		/* A partial write shifts the text, which all parsers reject. */
+		if (step > 0)
+			assert_int_equal(step, block->len);
+		sent += step > 0 ? (size_t)step : 0;
+		uv_run(&fixture->loop, UV_RUN_NOWAIT);
+	}
+	g_string_free(block, TRUE);
+	if (!fixture->ended)
+		fail_msg("not ended after %zu bytes of: %s", sent, text);
+}
+
+/*
+ * Guards against an upstream that occupies a request with bytes that never become
+ * an answer. Each response begins as it should.
+ */
+static void test_endless_responses_end_connection(void **state)
+{
+	static const char chunked[] =
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+	static const struct {
+		const char *begin;
+		const char *first;
+		const char *repeated;
+		http1_end_t end;
+	} cases[] = {
+		{ "", "HTTP/1.1 200 OK\r\n", "A: bcdef\r\n", HTTP1_END_TOO_LARGE },
+		{ "", "HTTP/1.1 200 OK\r\nA: ", "a", HTTP1_END_TOO_LARGE },
+		{ "", "HTTP/1.1 200 ", "O", HTTP1_END_TOO_LARGE },
+		{ "", "", "\r\n", HTTP1_END_TOO_LARGE },
+		{ "", "", "HTTP/1.1 102 Processing\r\n\r\n", HTTP1_END_TOO_LARGE },
+		{ "", "", "HTTP/1.1 100 Continue\r\nA: b\r\n\r\n",
+		  HTTP1_END_TOO_LARGE },
+		{ chunked, "", "0", HTTP1_END_TOO_LARGE },
+		{ chunked, "1;", "a", HTTP1_END_TOO_LARGE },
+		{ chunked, "0\r\n", "A: b\r\n", HTTP1_END_TOO_LARGE },
+		{ chunked, "0\r\nA: ", "a", HTTP1_END_TOO_LARGE },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fixture_t *fixture;
+
+		setup(state);
+		fixture = *state;
+		open_client(fixture);
+		http1_expect_response(fixture->conn, false);
+		send_text(fixture, cases[i].begin);
+		send_text(fixture, cases[i].first);
+		send_until_closed(fixture, cases[i].repeated, 1024 * 1024);
+		assert_int_equal(fixture->messages, 0);
+		assert_int_equal(fixture->end, cases[i].end);
+		teardown(state);
+	}
+}
+
+/* Guards against an idle connection that stays open while its upstream sends on. */
+static void test_endless_blank_lines_end_idle_connection(void **state)
+{
+	fixture_t *fixture = *state;
+
+	open_client(fixture);
+	send_until_closed(fixture, "\r\n", 1024 * 1024);
+	assert_int_equal(fixture->heads, 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -400,6 +476,9 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_interim_response_is_skipped,
 						setup, teardown),
+		cmocka_unit_test(test_endless_responses_end_connection),
+		cmocka_unit_test_setup_teardown(test_endless_blank_lines_end_idle_connection,
+						setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
