Limit what endless answers of upstreams and the store take

An answer that never ended was buffered without a limit if it was an event of a stream, an answer of the store or the cloud API, or one of many answers that were each below 16 MB; answers to other calls and answers to a stream that was not resumed were discarded until the deadline. A gateway has as little as 120 MB of memory.

Buffers of attempts that ended are freed, not only emptied.

--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -97,6 +97,7 @@
 	list_node_t queues[GATEWAY_RANKS]; /* requests that wait for capacity */
 	unsigned int queued; /* requests in startup_queue and queues */
 	size_t body_bytes; /* buffered for all requests in progress */
+	size_t answer_bytes; /* of upstreams' answers, the same */
 	pd_time_t started_at;
 	pd_time_t stop_requested_at; /* 0: not stopping */
 	bool listening;
--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -11,6 +11,17 @@
 
 /* Limit of a response that is not streamed, as it is buffered completely. */
 #define RESPONSE_BYTES_MAX (16 * 1024 * 1024)
+/*
+ * Limit of one event of a stream, which is buffered until it is complete. Events of
+ * prompts' answers have some KB.
+ */
+#define EVENT_BYTES_MAX ((size_t)256 * 1024)
+/*
+ * Responses to other requests that an attempt skips. One is usual after an upstream
+ * has responded twice.
+ */
+#define SKIPPED_RESPONSES_MAX 8
+#define REASON_OTHER_CALLS "answers to other calls"
 
 /* The link is connected: sends the request. */
 static void on_connected(void *ctx)
@@ -101,6 +112,8 @@
 	gateway_request_store_headers(request, head);
 	if (!request->rejected)
 		gateway_request_count_usage(request);
+	if (!gateway_request_answer_fits(request))
+		gateway_request_cut_off(request, REASON_NO_MEMORY);
 }
 
 /*
@@ -159,16 +172,9 @@
 	event_stream_discard_complete(events);
 }
 
-/* Handles data of a streamed response; the first event shows that prefill has ended. */
-static void stream_body(gateway_request_t *request, const char *data, size_t len)
+/* Records completed events; the first one shows that prefill has ended. */
+static void record_events(gateway_request_t *request, unsigned int completed)
 {
-	unsigned int completed;
-
-	if (!request->events)
-		request->events = event_stream_create();
-	completed = event_stream_feed(request->events, data, len);
-	if (!completed)
-		return;
 	gateway_request_record_events(request, completed);
 	gateway_request_record_pause(request, completed);
 	gateway_request_record_version(request);
@@ -192,40 +198,72 @@
 				   (double)(gateway_now() - request->arrived_at) /
 					   PD_MSEC);
 	}
-	stream_forward_events(request);
 }
 
-/* Appends to a response that is not streamed. Returns false if it is too long. */
-bool gateway_request_buffer_body(gateway_request_t *request, const char *data,
-				 size_t len)
+/*
+ * Handles data of a streamed response. Returns NULL, or the reason to end the attempt
+ * if too much is buffered.
+ */
+static const char *stream_body(gateway_request_t *request, const char *data,
+			       size_t len)
+{
+	unsigned int completed;
+
+	if (!request->events)
+		request->events = event_stream_create();
+	completed = event_stream_feed(request->events, data, len);
+	if (completed) {
+		record_events(request, completed);
+		stream_forward_events(request);
+	}
+	/* Blank lines are buffered as well until an event is complete. */
+	if (request->events->bytes->len > EVENT_BYTES_MAX)
+		return "event too large";
+	return gateway_request_answer_fits(request) ? NULL : REASON_NO_MEMORY;
+}
+
+/*
+ * Appends to a response that is not streamed. Returns NULL, or the reason to end the
+ * attempt if too much is buffered.
+ */
+const char *gateway_request_buffer_body(gateway_request_t *request,
+					const char *data, size_t len)
 {
 	if (request->response_body->len + len > RESPONSE_BYTES_MAX)
-		return false;
+		return "answer too large";
 	g_byte_array_append(request->response_body, (const guint8 *)data,
 			    (guint)len);
-	return true;
+	return gateway_request_answer_fits(request) ? NULL : REASON_NO_MEMORY;
+}
+
+/*
+ * Counts data that is discarded, since an upstream may send it without end. Returns
+ * NULL, or the reason to end the attempt.
+ */
+static const char *discard_body(gateway_request_t *request, size_t len)
+{
+	request->discarded_bytes += len;
+	if (request->discarded_bytes <= RESPONSE_BYTES_MAX)
+		return NULL;
+	return request->skipping_response ? REASON_OTHER_CALLS : "answer too large";
 }
 
 /* Forwards data of a streamed response, and buffers that of any other. */
 static void on_body(void *ctx, const char *data, size_t len)
 {
 	gateway_request_t *request = ctx;
+	const char *excess;
 
 	if (request->skipping_response)
-		return;
-	if (request->is_stream) {
-		stream_body(request, data, len);
-		return;
-	}
-	if (request->state == REQUEST_STREAMING)
-		return; /* the upstream did not resume the stream */
-	if (!gateway_request_buffer_body(request, data, len)) {
-		upstream_link_close(request->link);
-		request->link = NULL;
-		gateway_request_end_attempt(request, ATTEMPT_UNKNOWN,
-					    "answer too large");
-		return;
-	}
+		excess = discard_body(request, len);
+	else if (request->is_stream)
+		excess = stream_body(request, data, len);
+	else if (request->state == REQUEST_STREAMING)
+		excess = discard_body(request, len); /* it was not resumed */
+	else
+		excess = gateway_request_buffer_body(request, data, len);
+	if (excess)
+		gateway_request_cut_off(request, excess);
 }
 
 /* Releases the attempt's link for another request, or closes it. */
@@ -255,6 +293,10 @@
 	gateway_request_t *request = ctx;
 
 	if (request->skipping_response) {
+		if (++request->skipped_responses > SKIPPED_RESPONSES_MAX) {
+			gateway_request_cut_off(request, REASON_OTHER_CALLS);
+			return;
+		}
 		request->skipping_response = false;
 		upstream_link_expect_response(request->link);
 		return;
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -193,7 +193,9 @@
 	record_attempt_outcome(request, outcome);
 	gateway_request_clear_attempt(request);
 	request->sent_at = 0;
-	if (request->events)
+	if (outcome != ATTEMPT_FAILED)
+		gateway_request_discard_answer(request);
+	else if (request->events)
 		event_stream_discard_partial(request->events);
 	if (is_retry_allowed(request, outcome)) {
 		log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT,
@@ -263,9 +265,11 @@
 	request->attempt_started_at = now;
 	request->sent_at = 0;
 	request->skipping_response = false;
+	request->skipped_responses = 0;
+	request->discarded_bytes = 0;
 	if (request->state != REQUEST_STREAMING)
 		request->state = REQUEST_CONNECTING;
-	g_byte_array_set_size(request->response_body, 0);
+	gateway_request_discard_answer(request);
 	if (request->route->has_prompt)
 		attempt_add_work(request, pick->uncached_tokens);
 	upstream->running++;
--- a/adapters/gateway/request_end.c
+++ b/adapters/gateway/request_end.c
@@ -18,6 +18,7 @@
 	list_remove(&request->queue_node);
 	gateway_relay_destroy(request->relay);
 	request->gateway->body_bytes -= request->body->len;
+	request->gateway->answer_bytes -= request->answer_bytes;
 	forward_call_destroy(request->call);
 	forward_config_unref(request->config);
 	g_byte_array_unref(request->body);
--- a/adapters/gateway/request_relay.c
+++ b/adapters/gateway/request_relay.c
@@ -61,14 +61,14 @@
 		gateway_request_give_up(request, retry_after, reason);
 }
 
-/* Ends a request of which the other gateway may have run a part. */
-static void relay_broke_off(gateway_request_t *request)
+/* Ends a request of which the other gateway may have run a part; REASON is logged. */
+void gateway_request_end_relay(gateway_request_t *request, const char *reason)
 {
 	clear_relay(request);
 	if (request->state == REQUEST_STREAMING)
-		gateway_request_abort_stream(request, "relay broke off");
+		gateway_request_abort_stream(request, reason);
 	else
-		gateway_request_give_up(request, 0, "relay broke off");
+		gateway_request_give_up(request, 0, reason);
 }
 
 /* Sends the request. From now on it may run there, and counts there. */
@@ -111,17 +111,23 @@
 	request->is_stream = gateway_request_is_streamed(request, head);
 	request->state = REQUEST_HEAD_RECEIVED;
 	gateway_request_store_headers(request, head);
+	if (!gateway_request_answer_fits(request))
+		gateway_request_end_relay(request, REASON_NO_MEMORY);
 }
 
 /* Forwards data of a streamed response, and buffers that of any other. */
 static void on_body(void *ctx, const char *data, size_t len)
 {
 	gateway_request_t *request = ctx;
+	const char *excess;
 
-	if (request->is_stream)
+	if (request->is_stream) {
 		gateway_request_forward_chunk(request, data, len);
-	else if (!gateway_request_buffer_body(request, data, len))
-		relay_broke_off(request);
+		return;
+	}
+	excess = gateway_request_buffer_body(request, data, len);
+	if (excess)
+		gateway_request_end_relay(request, excess);
 }
 
 /* The response is complete: forwards it, unless another gateway is tried. */
@@ -152,7 +158,7 @@
 	if (end == HTTP1_END_CONNECT_FAILED || !request->relay->connected)
 		relay_failed(request, RETRY_AFTER_NO_UPSTREAM, "no relay");
 	else
-		relay_broke_off(request);
+		gateway_request_end_relay(request, "relay broke off");
 }
 
 /*
@@ -184,7 +190,7 @@
 	request->relays++;
 	request->relay = relay;
 	request->state = REQUEST_CONNECTING;
-	g_byte_array_set_size(request->response_body, 0);
+	gateway_request_discard_answer(request);
 	relay->peer = gateway_peers_pick_relay(gateway->peers);
 	relay->started_at = gateway_now();
 	relay->conn = http1_create(gateway->loop, HTTP1_CLIENT, &events, request);
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -14,6 +14,8 @@
  */
 #define RETRY_AFTER_FULL (400 * PD_MSEC)
 #define RETRY_AFTER_NO_UPSTREAM (600 * PD_MSEC)
+/* The reason of requests that end as all together buffer too much of their answers. */
+#define REASON_NO_MEMORY "no memory for answers"
 
 typedef enum request_state {
 	REQUEST_READING, /* receiving it from the caller */
@@ -92,6 +94,8 @@
 	pd_time_t events_at; /* when the last event arrived; 0: none yet */
 	bool is_speed_sample; /* the upstream had free slots when it was sent */
 	bool skipping_response; /* the current response is for another request */
+	unsigned int skipped_responses; /* of this attempt */
+	size_t discarded_bytes; /* received in this attempt, of no use to the caller */
 	int status;
 	bool rejected;
 	bool sealed; /* the response has the upstream's signature */
@@ -102,6 +106,7 @@
 	GString *response_headers; /* header lines to forward */
 	GByteArray *response_body;
 	event_stream_t *events;
+	size_t answer_bytes; /* in the three above, as counted in gateway->answer_bytes */
 };
 
 extern const upstream_link_callbacks_t gateway_request_link_callbacks;
@@ -119,6 +124,7 @@
 void gateway_request_share_version(const gateway_request_t *request);
 bool gateway_request_may_relay(const gateway_request_t *request);
 void gateway_request_relay(gateway_request_t *request);
+void gateway_request_end_relay(gateway_request_t *request, const char *reason);
 void gateway_request_check_relay(gateway_request_t *request, pd_time_t now);
 void gateway_request_refund(gateway_request_t *request);
 bool gateway_request_is_streamed(const gateway_request_t *request,
@@ -157,8 +163,11 @@
 void gateway_request_begin_response(gateway_request_t *request, gint64 length);
 void gateway_request_forward_chunk(gateway_request_t *request, const char *data,
 				   size_t len);
-bool gateway_request_buffer_body(gateway_request_t *request, const char *data,
-				 size_t len);
+const char *gateway_request_buffer_body(gateway_request_t *request,
+					const char *data, size_t len);
+bool gateway_request_answer_fits(gateway_request_t *request);
+void gateway_request_discard_answer(gateway_request_t *request);
+void gateway_request_cut_off(gateway_request_t *request, const char *reason);
 void gateway_request_enqueue(gateway_request_t *request);
 pd_time_t gateway_request_queue_time_max(const gateway_request_t *request);
 bool gateway_request_may_await_permit(gateway_request_t *request, pd_time_t now);
--- a/adapters/http1/http1_call.c
+++ b/adapters/http1/http1_call.c
@@ -13,6 +13,11 @@
 #define IDLE_TIMEOUT_MS 2500
 #define IDLE_CHANNELS_MAX 4
 #define CONNECT_TIMEOUT_MS 1000
+/*
+ * Limit of the bodies that all calls of a client buffer. A page of the store's objects
+ * has some 100 KB; a server that sends without end must not exhaust the memory.
+ */
+#define REPLIES_BYTES_MAX ((size_t)8 * 1024 * 1024)
 
 /* A pooled connection and the call on it. */
 typedef struct channel {
@@ -37,6 +42,7 @@
 	char *address;
 	uint16_t port;
 	list_node_t channels;
+	size_t reply_bytes; /* buffered for calls in progress */
 	http1_on_done_t on_done; /* NULL: none */
 	void *on_done_ctx;
 };
@@ -82,6 +88,7 @@
 		     count_idle_channels(channel->client) < IDLE_CHANNELS_MAX;
 
 	uv_timer_stop(&channel->timer);
+	channel->client->reply_bytes -= channel->body->len;
 	channel->busy = false;
 	channel->idle_since = uv_now(channel->client->loop);
 	if (channel->client->on_done)
@@ -125,10 +132,16 @@
 	channel->reusable = head->keep_alive;
 }
 
+/* Buffers a part of the reply; ends the call, as without a reply, if it is too long. */
 static void on_body(void *ctx, const char *data, size_t len)
 {
 	channel_t *channel = ctx;
 
+	if (channel->client->reply_bytes + len > REPLIES_BYTES_MAX) {
+		channel_end_call(channel, 0);
+		return;
+	}
+	channel->client->reply_bytes += len;
 	g_string_append_len(channel->body, data, (gssize)len);
 }
 
--- a/core/forward/event_stream.c
+++ b/core/forward/event_stream.c
@@ -108,6 +108,11 @@
 /* Discards the incomplete event, as its upstream will not complete it. */
 void event_stream_discard_partial(event_stream_t *stream)
 {
+	if (!stream->whole && stream->bytes->len) {
+		/* Setting its size would not free its memory. */
+		g_byte_array_unref(stream->bytes);
+		stream->bytes = g_byte_array_new();
+	}
 	g_byte_array_set_size(stream->bytes, (guint)stream->whole);
 	stream->scanned_len = stream->whole;
 }
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -36,6 +36,7 @@
 	uv_timer_t timer;
 	rig_behavior_t behavior;
 	int event; /* number of the last one sent */
+	const char *piece; /* of an endless answer */
 	const char *version; /* of the upstream when the stream began */
 	bool busy; /* a request awaits its response */
 	bool works; /* it takes room of its upstream */
@@ -291,6 +292,32 @@
 	g_free(head);
 }
 
+/* Sends a block of an endless answer when the one before is sent. */
+static void on_endless(uv_timer_t *timer)
+{
+	session_t *session = timer->data;
+	GString *block;
+
+	if (http1_unsent_bytes(session->conn))
+		return;
+	block = g_string_new(session->piece);
+	while (!session->server->endless_gap_ms && block->len < RIG_ENDLESS_BLOCK)
+		g_string_append(block, session->piece);
+	http1_write(session->conn, block->str, block->len);
+	g_string_free(block, TRUE);
+}
+
+/* Begins an answer that goes on until the client disconnects. */
+static void endless_begin(session_t *session)
+{
+	const char *begin = session->server->endless_begin;
+
+	session->piece = session->server->endless_piece;
+	http1_write(session->conn, begin, strlen(begin));
+	uv_timer_start(&session->timer, on_endless, 0,
+		       MAX(session->server->endless_gap_ms, 1));
+}
+
 /* Returns the id under which an upstream is registered; the caller owns it. */
 static char *upstream_id(const rig_server_t *server)
 {
@@ -435,6 +462,9 @@
 	case RIG_STREAM_CUT:
 		stream_begin(session);
 		return;
+	case RIG_ENDLESS:
+		endless_begin(session);
+		return;
 	case RIG_UNFRAMED_END:
 		unframed_begin(session);
 		/* fall through */
@@ -716,6 +746,8 @@
 	}
 	if (server >= rig->upstreams && server < rig->upstreams + RIG_UPSTREAMS_MAX)
 		upstream_serve(session);
+	else if (server->behavior == RIG_ENDLESS)
+		endless_begin(session);
 	else if (server == &rig->cloud)
 		cloud_serve(session);
 	else
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -34,7 +34,8 @@
 	RIG_STREAM_CUT, /* the same, but stops in the middle of the fourth */
 	RIG_END, /* begins to run it, and ends with all its connections */
 	RIG_VANISH, /* the same, but its connections stay silent */
-	RIG_UNFRAMED_END /* ends after the head of a stream that has no length */
+	RIG_UNFRAMED_END, /* ends after the head of a stream that has no length */
+	RIG_ENDLESS /* sends the server's endless_begin, and endless_piece on and on */
 } rig_behavior_t;
 
 #define RIG_SLOW_MS 1000
@@ -43,6 +44,7 @@
 #define RIG_RESTART_MS 400 /* from the end of an upstream to its next start */
 #define RIG_LARGE_BYTES 12000000 /* more than socket buffers hold */
 #define RIG_EVENTS 6
+#define RIG_ENDLESS_BLOCK 65536 /* at least so many bytes are sent at a time */
 
 typedef struct gateway_rig gateway_rig_t;
 
@@ -56,7 +58,10 @@
 	unsigned int silent_watches; /* watches of upstreams received while silent */
 	unsigned int arrivals;
 	unsigned int aborted_calls; /* closed by the client before the response */
-	rig_behavior_t behavior;
+	rig_behavior_t behavior; /* of a store or the cloud: RIG_ENDLESS or ignored */
+	const char *endless_begin;
+	const char *endless_piece; /* repeated until the client disconnects */
+	uint64_t endless_gap_ms; /* between the pieces; 0: as fast as possible */
 	double rate_limit; /* requests per second that its answers name; 0: none */
 	unsigned int room; /* calls at a time; it rejects more; 0: any number */
 	unsigned int work_ms; /* of a call with RIG_ANSWER; 0: none */
--- /dev/null
+++ b/tests/process/test_gateway_endless.c
@@ -0,0 +1,325 @@
+/* Tests of a gateway whose upstreams or store send answers that never end. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "tests/harness/gateway_calls.h"
+
+#define HEAD "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n"
+#define LENGTH_HEAD HEAD "Content-Length: 1000000000\r\n\r\n"
+#define CHUNKED_HEAD HEAD "Transfer-Encoding: chunked\r\n\r\n"
+#define STREAM_TYPE "Content-Type: text/event-stream\r\n"
+#define STREAM_HEAD HEAD STREAM_TYPE "Transfer-Encoding: chunked\r\n\r\n"
+#define FIRST_EVENT "f\r\nid: 1\ndata: a\n\n\r\n"
+#define OTHER_HEAD \
+	"HTTP/1.1 200 OK\r\nX-Attempt-Id: of-another-call\r\nContent-Length: "
+#define CALLS 48 /* at a time; without a common limit they hold 16 MB each */
+/* A gateway has 120 MB of memory; a sanitizer takes several times as much. */
+#define GATEWAY_BYTES_MAX ((size_t)110 * 1000 * 1000)
+#define ANSWER_MS_MAX 1500 /* calls have 3 s; endless answers are cut before */
+#define OTHER_CALL_MS_MAX 1000
+#define DEADLINE_MS 3000 /* of calls */
+#define SLOW_GAP_MS 10
+#define RESUMED_CALLS 6 /* enough for one at each upstream */
+
+/* An answer without end; the log gives REASON, unless NULL. */
+typedef struct endless {
+	const char *begin;
+	const char *piece;
+	const char *reason;
+} endless_t;
+
+static const endless_t unstreamed[] = {
+	{ HEAD "A: ", "a", "upstream's head too large" },
+	{ "", "HTTP/1.1 102 Processing\r\n\r\n", "upstream's head too large" },
+	{ CHUNKED_HEAD, "0", "upstream's head too large" },
+	{ CHUNKED_HEAD "0\r\nA: ", "a", "upstream's head too large" },
+	{ LENGTH_HEAD, "a", "answer too large" },
+	{ HEAD "\r\n", "a", "answer too large" },
+	{ OTHER_HEAD "1000000000\r\n\r\n", "a", "answers to other calls" },
+	{ "", OTHER_HEAD "0\r\n\r\n", "answers to other calls" },
+};
+
+/* Answers that have not begun for the caller. */
+static const endless_t streams[] = {
+	{ STREAM_HEAD, "4\r\naaaa\r\n", "event too large" },
+	{ STREAM_HEAD, "2\r\n\n\n\r\n", "event too large" },
+	{ HEAD STREAM_TYPE "\r\n", "a", "event too large" },
+};
+
+/* Answers whose caller has received an event. */
+static const endless_t begun_streams[] = {
+	{ STREAM_HEAD FIRST_EVENT, "4\r\naaaa\r\n", "event too large" },
+	{ STREAM_HEAD FIRST_EVENT "1;", "a", "upstream's head too large" },
+};
+
+/* Has calls to paths with "endless" get such answers, and others usual ones. */
+static rig_behavior_t choose_behavior(void *ctx, const char *target)
+{
+	(void)ctx;
+	return strstr(target, "endless") ? RIG_ENDLESS : RIG_ANSWER;
+}
+
+static int setup(void **state)
+{
+	gateway_rig_t *rig = gateway_rig_create_sized(1, RIG_UPSTREAMS);
+
+	rig->choose_behavior = choose_behavior;
+	rig_start_fleet(rig);
+	*state = rig;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	gateway_rig_destroy(*state);
+	return 0;
+}
+
+static void set_endless(gateway_rig_t *rig, const endless_t *endless)
+{
+	for (int i = 0; i < rig->upstream_count; i++) {
+		rig->upstreams[i].endless_begin = endless->begin;
+		rig->upstreams[i].endless_piece = endless->piece;
+	}
+}
+
+/* Returns the resident bytes of the gateway. */
+static size_t gateway_bytes(const gateway_rig_t *rig)
+{
+	char *path = g_strdup_printf("/proc/%d/statm", (int)rig->gateways[0]->pid);
+	char *text = NULL;
+	unsigned long pages = 0;
+
+	assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	assert_int_equal(sscanf(text, "%*u %lu", &pages), 1);
+	g_free(text);
+	g_free(path);
+	return pages * (size_t)sysconf(_SC_PAGESIZE);
+}
+
+static void check_memory(const gateway_rig_t *rig)
+{
+#ifndef __SANITIZE_ADDRESS__
+	assert_in_range(gateway_bytes(rig), 1, GATEWAY_BYTES_MAX);
+#else
+	(void)rig;
+#endif
+}
+
+/* Sends a call with a usual answer, and waits for that. */
+static void check_serves(gateway_rig_t *rig, const char *id)
+{
+	rig_caller_t *caller = rig_call_at(rig, 0, "POST", "/unsafe/x", id);
+
+	RIG_UNTIL_WITHIN(rig, rig_has_received(caller, "from "), OTHER_CALL_MS_MAX);
+	rig_caller_destroy(caller);
+}
+
+/* Waits for the end of a call: RESPONSE, or the close of its connection if NULL. */
+static void await_end(gateway_rig_t *rig, rig_caller_t *caller, const char *response)
+{
+	if (response)
+		RIG_UNTIL_WITHIN(rig, rig_has_received(caller, response),
+				 ANSWER_MS_MAX);
+	else
+		RIG_UNTIL_WITHIN(rig, rig_is_closed(caller), ANSWER_MS_MAX);
+}
+
+/* Makes one call for each answer to a route that allows no repetition. */
+static void check_each(gateway_rig_t *rig, const endless_t *answers,
+		       size_t count, const char *path, const char *response)
+{
+	for (size_t i = 0; i < count; i++) {
+		char *id = g_strdup_printf("%s-%zu", path + 1, i);
+		char *usual = g_strdup_printf("usual-%s", id);
+		int logged = rig_count_logged(rig, 0, answers[i].reason);
+		rig_caller_t *caller;
+
+		set_endless(rig, &answers[i]);
+		caller = rig_call_at(rig, 0, "POST", path, id);
+		check_serves(rig, usual);
+		await_end(rig, caller, response);
+		check_memory(rig);
+		assert_int_equal(rig_run_count(rig, id), 1);
+		RIG_UNTIL(rig,
+			  rig_count_logged(rig, 0, answers[i].reason) > logged);
+		/* The last chunk would make a stream look complete. */
+		assert_null(strstr(caller->received->str, "\r\n0\r\n\r\n"));
+		rig_caller_destroy(caller);
+		g_free(usual);
+		g_free(id);
+	}
+}
+
+/* Guards against requests that endless answers occupy until their deadlines. */
+static void test_endless_answers_end(void **state)
+{
+	check_each(*state, unstreamed, G_N_ELEMENTS(unstreamed),
+		   "/unsafe/endless", "HTTP/1.1 502 ");
+}
+
+/* Guards against an event without end that is buffered without a limit. */
+static void test_endless_events_end(void **state)
+{
+	check_each(*state, streams, G_N_ELEMENTS(streams), "/once/endless",
+		   "HTTP/1.1 502 ");
+	check_each(*state, begun_streams, G_N_ELEMENTS(begun_streams),
+		   "/once/endless-begun", NULL);
+}
+
+/* Guards against slow answers without end that outlast their calls' deadlines. */
+static void test_slow_endless_answers_end_at_the_deadline(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *callers[G_N_ELEMENTS(unstreamed)];
+	uint64_t end = rig_now_ms() + DEADLINE_MS + ANSWER_MS_MAX;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(unstreamed); i++) {
+		char id[16];
+
+		set_endless(rig, &unstreamed[i]);
+		for (int j = 0; j < rig->upstream_count; j++)
+			rig->upstreams[j].endless_gap_ms = SLOW_GAP_MS;
+		snprintf(id, sizeof(id), "slow-%zu", i);
+		callers[i] = rig_call_at(rig, 0, "POST", "/unsafe/endless", id);
+		RIG_UNTIL(rig, rig_run_count(rig, id) == 1);
+	}
+	check_serves(rig, "usual-slow");
+	for (size_t i = 0; i < G_N_ELEMENTS(unstreamed); i++) {
+		RIG_UNTIL_WITHIN(rig, rig_has_received(callers[i], "HTTP/1.1 50"),
+				 end - rig_now_ms());
+		rig_caller_destroy(callers[i]);
+	}
+}
+
+/* Guards against a stream that is lost, though another upstream can resume it. */
+static void test_stream_resumes_after_an_endless_event(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *callers[RESUMED_CALLS];
+
+	set_endless(rig, &begun_streams[0]);
+	rig->choose_behavior = NULL;
+	rig->upstreams[0].behavior = RIG_ENDLESS;
+	rig->upstreams[1].behavior = RIG_STREAM;
+	rig->upstreams[2].behavior = RIG_STREAM;
+	for (int i = 0; i < RESUMED_CALLS; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "resumed-%d", i);
+		callers[i] = rig_call_at(rig, 0, "POST", "/stream/x", id);
+	}
+	for (int i = 0; i < RESUMED_CALLS; i++) {
+		RIG_UNTIL(rig, rig_has_received(callers[i], "\r\n0\r\n\r\n"));
+		for (const char *event = "123456"; *event; event++) {
+			char line[] = "\nid: 1\n";
+
+			line[5] = *event;
+			assert_non_null(strstr(callers[i]->received->str, line));
+		}
+		rig_caller_destroy(callers[i]);
+	}
+	assert_true(rig_count_logged(rig, 0,
+				     "retry=1 reason=\"event too large\"") > 0);
+}
+
+/* Guards against a gateway whose memory many endless answers exhaust together. */
+static void test_many_endless_answers_fit_into_memory(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *callers[CALLS];
+	unsigned int open = CALLS;
+	uint64_t end;
+
+	set_endless(rig, &(endless_t){ .begin = LENGTH_HEAD, .piece = "a" });
+	for (int i = 0; i < CALLS; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "many-%d", i);
+		callers[i] = rig_call_at(rig, 0, "POST", "/unsafe/endless", id);
+	}
+	check_serves(rig, "usual-many");
+	for (end = rig_now_ms() + 2 * ANSWER_MS_MAX; open && rig_now_ms() < end;) {
+		rig_run_once(rig);
+		check_memory(rig);
+		open = 0;
+		for (int i = 0; i < CALLS; i++)
+			open += !rig_has_received(callers[i], "HTTP/1.1 50");
+	}
+	assert_int_equal(open, 0);
+	assert_true(rig_count_logged(rig, 0, "no memory for answers") > 0);
+	for (int i = 0; i < CALLS; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "many-%d", i);
+		assert_in_range(rig_run_count(rig, id), 0, 1);
+		rig_caller_destroy(callers[i]);
+	}
+	check_serves(rig, "usual-after");
+}
+
+/* Guards against an upstream that uses its connection to send on after an answer. */
+static void test_answer_goes_on_after_its_length(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller;
+
+	set_endless(rig,
+		    &(endless_t){ .begin = HEAD "Content-Length: 2\r\n\r\nok",
+				  .piece = "\r\n" });
+	caller = rig_call_at(rig, 0, "POST", "/unsafe/endless", "goes-on");
+	await_end(rig, caller, "\r\n\r\nok");
+	for (int i = 0; i < rig->upstream_count; i++)
+		RIG_UNTIL_WITHIN(rig, list_empty(&rig->upstreams[i].sessions),
+				 ANSWER_MS_MAX);
+	check_serves(rig, "usual");
+	rig_caller_destroy(caller);
+}
+
+/* Guards against a store whose answers exhaust the gateway's memory. */
+static void test_store_answers_without_end(void **state)
+{
+	gateway_rig_t *rig = *state;
+	uint64_t end = rig_now_ms() + 4000;
+
+	rig->stores[0].endless_begin = LENGTH_HEAD;
+	rig->stores[0].endless_piece = "a";
+	rig->stores[0].behavior = RIG_ENDLESS;
+	while (rig_now_ms() < end) {
+		rig_run_once(rig);
+		check_memory(rig);
+	}
+	check_serves(rig, "meanwhile");
+	rig->stores[0].behavior = RIG_ANSWER;
+	rig_put_config(rig, 2, "");
+	RIG_UNTIL(rig, rig_count_logged(rig, 0, "config=2") > 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_endless_answers_end, setup,
+						teardown),
+		cmocka_unit_test_setup_teardown(test_endless_events_end, setup,
+						teardown),
+		cmocka_unit_test_setup_teardown(test_slow_endless_answers_end_at_the_deadline,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_stream_resumes_after_an_endless_event,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_many_endless_answers_fit_into_memory,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_answer_goes_on_after_its_length,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_store_answers_without_end,
+						setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
