Describe the limits of endless answers; buffer 24 MB of answers in all

Bodies of requests take up to 64 MB of a gateway's 120 MB and the control plane up to 32 MB, which leaves 24 MB for answers, not 32 MB. The memory check of test_gateway_endless also applies under a sanitizer, with a larger limit.

--- a/adapters/gateway/request_memory.c
+++ b/adapters/gateway/request_memory.c
@@ -6,9 +6,9 @@
 
 /*
  * Answers that all requests in progress buffer. A gateway has as little as 120 MB of
- * memory, of which bodies of requests take up to 64 MB and the rest of it some 15 MB.
+ * memory, of which bodies of requests take up to 64 MB and the control plane 32 MB.
  */
-#define ANSWERS_BYTES_MAX (32 * 1024 * 1024)
+#define ANSWERS_BYTES_MAX ((size_t)24 * 1024 * 1024)
 
 /* Updates the sum over all requests after the buffers of one have changed. */
 static void account_answer(gateway_request_t *request)
--- a/adapters/http1/http1_call.c
+++ b/adapters/http1/http1_call.c
@@ -14,8 +14,9 @@
 #define IDLE_CHANNELS_MAX 4
 #define CONNECT_TIMEOUT_MS 1000
 /*
- * Limit of the bodies that all calls of a client buffer. A page of the store's objects
- * has some 100 KB; a server that sends without end must not exhaust the memory.
+ * Limit of the bodies that all calls of a client buffer. A reply has some thousand
+ * objects of a few hundred bytes at most; a server that sends without end must not
+ * exhaust the memory.
  */
 #define REPLIES_BYTES_MAX ((size_t)8 * 1024 * 1024)
 
--- a/tests/process/test_gateway_endless.c
+++ b/tests/process/test_gateway_endless.c
@@ -20,8 +20,12 @@
 #define OTHER_HEAD \
 	"HTTP/1.1 200 OK\r\nX-Attempt-Id: of-another-call\r\nContent-Length: "
 #define CALLS 48 /* at a time; without a common limit they hold 16 MB each */
-/* A gateway has 120 MB of memory; a sanitizer takes several times as much. */
-#define GATEWAY_BYTES_MAX ((size_t)110 * 1000 * 1000)
+#ifdef __SANITIZE_ADDRESS__
+#define GATEWAY_BYTES_MAX \
+	((size_t)1000 * 1000 * 1000) /* it keeps freed memory */
+#else
+#define GATEWAY_BYTES_MAX ((size_t)110 * 1000 * 1000) /* a gateway has 120 MB */
+#endif
 #define ANSWER_MS_MAX 1500 /* calls have 3 s; endless answers are cut before */
 #define OTHER_CALL_MS_MAX 1000
 #define DEADLINE_MS 3000 /* of calls */
@@ -106,11 +110,7 @@
 
 static void check_memory(const gateway_rig_t *rig)
 {
-#ifndef __SANITIZE_ADDRESS__
 	assert_in_range(gateway_bytes(rig), 1, GATEWAY_BYTES_MAX);
-#else
-	(void)rig;
-#endif
 }
 
 /* Sends a call with a usual answer, and waits for that. */
@@ -182,7 +182,7 @@
 	uint64_t end = rig_now_ms() + DEADLINE_MS + ANSWER_MS_MAX;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(unstreamed); i++) {
-		char id[16];
+		char id[32];
 
 		set_endless(rig, &unstreamed[i]);
 		for (int j = 0; j < rig->upstream_count; j++)
@@ -211,7 +211,7 @@
 	rig->upstreams[1].behavior = RIG_STREAM;
 	rig->upstreams[2].behavior = RIG_STREAM;
 	for (int i = 0; i < RESUMED_CALLS; i++) {
-		char id[16];
+		char id[32];
 
 		snprintf(id, sizeof(id), "resumed-%d", i);
 		callers[i] = rig_call_at(rig, 0, "POST", "/stream/x", id);
@@ -240,7 +240,7 @@
 
 	set_endless(rig, &(endless_t){ .begin = LENGTH_HEAD, .piece = "a" });
 	for (int i = 0; i < CALLS; i++) {
-		char id[16];
+		char id[32];
 
 		snprintf(id, sizeof(id), "many-%d", i);
 		callers[i] = rig_call_at(rig, 0, "POST", "/unsafe/endless", id);
@@ -256,7 +256,7 @@
 	assert_int_equal(open, 0);
 	assert_true(rig_count_logged(rig, 0, "no memory for answers") > 0);
 	for (int i = 0; i < CALLS; i++) {
-		char id[16];
+		char id[32];
 
 		snprintf(id, sizeof(id), "many-%d", i);
 		assert_in_range(rig_run_count(rig, id), 0, 1);
