--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -6,7 +6,6 @@
 #include "adapters/gateway/upstream_link.h"
 #include "core/forward/choice.h"
 #include "core/forward/event_stream.h"
-#include "core/forward/quantile.h"
 #include "core/forward/shed.h"
 #include "core/forward/recent_median.h"
 
