Have requests wait for slots again after a standstill

While the upstreams stood still for a second, the measured rate at which slots come free fell to almost nothing. All requests were refused then, so nobody waited, and without a queue the rate was not measured any more: from then on a request was granted a slot at once or refused.

Count a rate that is higher than the average also without a queue. The weight of a sample now gives the half second that the comment on it states; it was four times as much.

The test was refused before, and waits now.

--- a/core/forward/slot_dispatch.c
+++ b/core/forward/slot_dispatch.c
@@ -447,7 +447,10 @@
 	slot_dispatch_run(dispatch, now);
 }
 
-/* Updates the rate at which slots come free, which only a queue shows. */
+/*
+ * Updates the rate at which slots come free. Without a queue fewer may have ended as fewer
+ * arrived, so only a higher rate counts.
+ */
 static void update_rate(slot_dispatch_t *dispatch, pd_time_t now)
 {
 	double rate;
@@ -455,10 +458,10 @@
 	if (now - dispatch->rate_at < RATE_PERIOD)
 		return;
 	rate = dispatch->ended * (double)PD_SEC / (double)(now - dispatch->rate_at);
-	if (dispatch->rate_at && dispatch->queued)
-		dispatch->rate += dispatch->rate > 0 ? (rate - dispatch->rate) *
-							       RATE_WEIGHT * 4
-						     : rate;
+	if (dispatch->rate_at && (dispatch->queued || rate > dispatch->rate))
+		dispatch->rate += dispatch->rate > 0
+					  ? (rate - dispatch->rate) * RATE_WEIGHT
+					  : rate;
 	dispatch->ended = 0;
 	dispatch->rate_at = now;
 }
--- a/tests/unit/test_slot_dispatch.c
+++ b/tests/unit/test_slot_dispatch.c
@@ -457,6 +457,34 @@
 	assert_int_equal(slot_dispatch_stats(f->dispatch)->queued, 0);
 }
 
+/* Guards against refusals that go on after the upstreams stood still for a second. */
+static void test_queue_is_used_again_after_a_standstill(void **state)
+{
+	fixture_t *f = *state;
+	slot_request_t request = make_request(200);
+
+	fill_and_learn_rate(f);
+	queue_some(f, 100, 1);
+	for (int ms = 0; ms < 1000; ms += 20) {
+		f->now += 20 * PD_MSEC;
+		slot_dispatch_run(f->dispatch, f->now);
+	}
+	/* They go on as before, but nobody waits. */
+	drain(f, 1, 10);
+	for (uint32_t i = 0; i < 40; i++) {
+		drain(f, 1, 10);
+		g_array_remove_index(f->granted, 0);
+		request.number = 150 + i;
+		ask(f, &request);
+		slot_dispatch_run(f->dispatch, f->now);
+	}
+	request.number = 200;
+	ask(f, &request);
+	request.number = 201;
+	ask(f, &request);
+	assert_int_equal(f->last[201].kind, SLOT_QUEUED);
+}
+
 /* Guards against slots that stay taken by a gateway that has ended or starts anew. */
 static void test_lost_grants_are_freed(void **state)
 {
@@ -536,6 +564,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_waiting_ends_at_the_deadline,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_queue_is_used_again_after_a_standstill,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_lost_grants_are_freed,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_upstreams_that_leave_or_reject_get_nothing,
