Refuse requests at once that have no upstream left

A request that had tried every upstream of its service, or whose upstreams had all left, waited for a slot until its deadline. It is refused at once.

--- a/core/forward/slot_dispatch.c
+++ b/core/forward/slot_dispatch.c
@@ -164,17 +164,31 @@
 	return server->slots + MAX(server->slots / SPARE_SLOTS_PART, 1);
 }
 
-/* Returns whether an upstream may be assigned to a request. */
-static bool is_usable(const server_t *server, const entry_t *entry, pd_time_t now)
+/* Returns whether an upstream serves that a request has not tried. */
+static bool is_untried(const server_t *server, const entry_t *entry)
 {
-	if (!server->listed || now < server->paused_until ||
-	    server->granted >= capacity(server))
-		return false;
 	for (unsigned int i = 0; i < entry->request.tried_count; i++) {
 		if (entry->request.tried[i] == server->short_id)
 			return false;
 	}
-	return true;
+	return server->listed;
+}
+
+/* Returns whether there is an upstream for a request, though it may have no free slot. */
+static bool has_upstream(const slot_dispatch_t *dispatch, const entry_t *entry)
+{
+	for (guint i = 0; i < dispatch->servers->len; i++) {
+		if (is_untried(&g_array_index(dispatch->servers, server_t, i), entry))
+			return true;
+	}
+	return false;
+}
+
+/* Returns whether an upstream may be assigned to a request now. */
+static bool is_usable(const server_t *server, const entry_t *entry, pd_time_t now)
+{
+	return now >= server->paused_until &&
+	       server->granted < capacity(server) && is_untried(server, entry);
 }
 
 /* Returns the upstream with the most free slots for a request; NULL: none is free. */
@@ -325,14 +339,23 @@
 	return (pd_time_t)((before + 1) * (double)PD_SEC / dispatch->rate);
 }
 
-/* Queues a request, or refuses it if its answer would be late by the time it is free. */
-static void enqueue(slot_dispatch_t *dispatch, entry_t *entry, pd_time_t now)
+/* Returns whether a request can't begin in time, or at all. */
+static bool is_hopeless(slot_dispatch_t *dispatch, const entry_t *entry,
+			pd_time_t now)
 {
-	pd_time_t wait =
+	pd_time_t begin =
+		now +
 		time_until_free(dispatch, count_before(dispatch, entry, now));
 
-	if (dispatch->queued >= QUEUE_MAX || now + wait > entry->deadline ||
-	    (now < entry->late_at && now + wait > entry->late_at)) {
+	return !has_upstream(dispatch, entry) ||
+	       dispatch->queued >= QUEUE_MAX || begin > entry->deadline ||
+	       (now < entry->late_at && begin > entry->late_at);
+}
+
+/* Queues a request, or refuses it if it can't begin in time. */
+static void enqueue(slot_dispatch_t *dispatch, entry_t *entry, pd_time_t now)
+{
+	if (is_hopeless(dispatch, entry, now)) {
 		refuse(dispatch, entry,
 		       time_until_free(dispatch, dispatch->queued));
 		return;
@@ -477,13 +500,13 @@
 	}
 }
 
-/* Refuses requests that wait until their deadline, and tells the others that they wait. */
+/* Refuses requests that wait in vain, and tells the others that they wait. */
 static void run_queue(slot_dispatch_t *dispatch, pd_time_t now)
 {
 	LIST_FOR_EACH_SAFE (it, &dispatch->queue) {
 		entry_t *entry = LIST_ENTRY(it, entry_t, node);
 
-		if (now >= entry->deadline) {
+		if (now >= entry->deadline || !has_upstream(dispatch, entry)) {
 			refuse(dispatch, entry, RETRY_AFTER_MIN);
 		} else if (now - entry->answered_at >= QUEUED_REPEAT) {
 			entry->answered_at = now;
--- a/tests/unit/test_slot_dispatch.c
+++ b/tests/unit/test_slot_dispatch.c
@@ -485,6 +485,26 @@
 	assert_int_equal(f->last[201].kind, SLOT_QUEUED);
 }
 
+/* Guards against waiting for upstreams that have all been tried, or have all left. */
+static void test_requests_without_an_upstream_are_refused(void **state)
+{
+	fixture_t *f = *state;
+	slot_request_t request = make_request(20);
+
+	request.tried[0] = 1;
+	request.tried_count = 1;
+	ask(f, &request);
+	assert_int_equal(f->last[20].kind, SLOT_REFUSED);
+	fill(f);
+	queue_some(f, 21, 1);
+	slot_dispatch_set_upstreams(f->dispatch, NULL, 0);
+	slot_dispatch_run(f->dispatch, f->now);
+	assert_int_equal(f->last[21].kind, SLOT_REFUSED);
+	request = make_request(22);
+	ask(f, &request);
+	assert_int_equal(f->last[22].kind, SLOT_REFUSED);
+}
+
 /* Guards against slots that stay taken by a gateway that has ended or starts anew. */
 static void test_lost_grants_are_freed(void **state)
 {
@@ -566,6 +586,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_queue_is_used_again_after_a_standstill,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_requests_without_an_upstream_are_refused,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_lost_grants_are_freed,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_upstreams_that_leave_or_reject_get_nothing,
