Grant a free slot past requests that can't use it

While a request waited for an upstream that it had not tried, others were queued or refused although another upstream had a free slot, until the next release or tick.

--- a/core/forward/slot_dispatch.c
+++ b/core/forward/slot_dispatch.c
@@ -384,21 +384,25 @@
 }
 
 /*
- * Handles a gateway's request for a slot: it is granted at once, queued or refused. Urgent
- * requests that wait go first, so a slot is granted at once only if nobody waits for it.
+ * Handles a gateway's request for a slot: it is granted at once, queued or refused. Those
+ * that wait are granted what they can use as soon as it is free, so a slot that is free for
+ * this request is none of theirs.
  */
 void slot_dispatch_request(slot_dispatch_t *dispatch,
 			   const slot_request_t *request, pd_time_t now)
 {
-	entry_t *entry = entry_create(request, now);
-	server_t *server = choose_server(dispatch, entry, now);
+	entry_t *entry;
+	server_t *server;
 
-	if (server && !dispatch->queued)
+	if (dispatch->queued)
+		slot_dispatch_run(dispatch, now);
+	entry = entry_create(request, now);
+	server = choose_server(dispatch, entry, now);
+	if (server)
 		grant(dispatch, entry, server, now);
 	else
 		enqueue(dispatch, entry, now);
-	if (dispatch->queued)
-		slot_dispatch_run(dispatch, now);
+	dispatch->stats.queued = dispatch->queued;
 }
 
 /* Returns a gateway's request in a list, borrowed; NULL: it is not there. */
@@ -445,8 +449,7 @@
 		dispatch->queued--;
 		entry_destroy(entry);
 	}
-	if (dispatch->queued)
-		slot_dispatch_run(dispatch, now);
+	slot_dispatch_run(dispatch, now);
 }
 
 /* Frees all that a gateway was granted or waits for, as it has ended. */
--- a/tests/unit/test_slot_dispatch.c
+++ b/tests/unit/test_slot_dispatch.c
@@ -505,6 +505,26 @@
 	assert_int_equal(f->last[22].kind, SLOT_REFUSED);
 }
 
+/* Guards against a free slot that is withheld as others wait that can't use it. */
+static void test_free_slot_goes_past_those_that_tried_its_upstream(void **state)
+{
+	static const slot_upstream_t upstreams[] = { { 1, SLOTS }, { 2, SLOTS } };
+	fixture_t *f = *state;
+	slot_request_t request = make_request(20);
+
+	fill_and_learn_rate(f);
+	slot_dispatch_set_upstreams(f->dispatch, upstreams, 2);
+	request.tried[0] = 2;
+	request.tried_count = 1;
+	ask(f, &request);
+	assert_int_equal(f->last[20].kind, SLOT_QUEUED);
+	request = make_request(21);
+	request.goal = PD_MSEC;
+	ask(f, &request);
+	assert_int_equal(f->last[21].kind, SLOT_GRANTED);
+	assert_int_equal(f->last[21].short_id, 2);
+}
+
 /* Guards against slots that stay taken by a gateway that has ended or starts anew. */
 static void test_lost_grants_are_freed(void **state)
 {
@@ -588,6 +608,9 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_requests_without_an_upstream_are_refused,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_free_slot_goes_past_those_that_tried_its_upstream,
+			setup, teardown),
 		cmocka_unit_test_setup_teardown(test_lost_grants_are_freed,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_upstreams_that_leave_or_reject_get_nothing,
