Apply answers of a gateway's own dispatcher after the call

Where a gateway dispatches the slots that its own requests ask for, the answers were applied inside of the call. The end of one request could grant or refuse another one, and so free it, while it was the next one in a list that was gone through, or start a request of another service while the table of dispatchers was; a refusal in the queue could be repeated for the same entry, which was freed twice.

They are kept until the end of the iteration of the event loop now, like messages to others, so neither the dispatcher nor a request calls itself.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -429,6 +429,7 @@
 {
 	const gateway_t *gateway = flush->data;
 
+	gateway_slots_flush(gateway->slots);
 	gateway_peers_flush_slots(gateway->peers);
 }
 
--- a/adapters/gateway/request_slot.c
+++ b/adapters/gateway/request_slot.c
@@ -41,7 +41,7 @@
 
 /*
  * Has a request wait for a slot if those of its service are scarce. Returns false if it is
- * to choose an upstream itself; otherwise it may have been freed already.
+ * to choose an upstream itself.
  */
 bool gateway_request_await_slot(gateway_request_t *request)
 {
@@ -57,7 +57,6 @@
 		return false;
 	ask = make_ask(request);
 	request->state = REQUEST_QUEUED;
-	/* The answer may come at once, and end the request. */
 	return gateway_slots_ask(slots, request->service, &ask, request,
 				 &request->slot_number);
 }
--- a/adapters/gateway/slots.c
+++ b/adapters/gateway/slots.c
@@ -61,6 +61,12 @@
 	GHashTable *services; /* name -> service_state_t */
 	GHashTable *dispatches; /* hash -> dispatch_state_t */
 	GHashTable *asks; /* number -> ask_t */
+	/*
+	 * Of slot_answer_t: answers to requests of this gateway from a dispatcher of its
+	 * own, until the next flush. Their hooks may end requests and send others, which
+	 * neither the dispatcher nor whoever asks or releases expects.
+	 */
+	GArray *answers;
 	uint32_t last_number;
 	pd_time_t paused_until; /* no dispatcher is asked */
 };
@@ -102,6 +108,7 @@
 	slots->dispatches =
 		g_hash_table_new_full(NULL, NULL, NULL, dispatch_state_destroy);
 	slots->asks = g_hash_table_new_full(NULL, NULL, NULL, ask_destroy);
+	slots->answers = g_array_new(FALSE, FALSE, sizeof(slot_answer_t));
 	return slots;
 }
 
@@ -197,9 +204,9 @@
 
 /*
  * Asks the dispatcher of a service for a slot on behalf of REQUEST, which then waits for
- * one of the hooks; it may be called before this returns. Sets NUMBER, which names the ask
- * until it is released, first, and ASK's gateway and number. Returns whether there is a
- * dispatcher to ask.
+ * one of the hooks; none is called before this returns. Sets NUMBER, which names the ask
+ * until it is released, and ASK's gateway and number. Returns whether there is a dispatcher
+ * to ask.
  */
 bool gateway_slots_ask(gateway_slots_t *slots, const char *service,
 		       slot_request_t *ask, gateway_request_t *request,
@@ -278,6 +285,21 @@
 	}
 }
 
+/* Applies the answers to requests of this gateway from dispatchers of its own. */
+void gateway_slots_flush(gateway_slots_t *slots)
+{
+	while (slots->answers->len) {
+		GArray *answers = slots->answers;
+
+		/* The hooks may ask and release, which adds answers. */
+		slots->answers = g_array_new(FALSE, FALSE, sizeof(slot_answer_t));
+		for (guint i = 0; i < answers->len; i++)
+			gateway_slots_receive_answer(
+				slots, &g_array_index(answers, slot_answer_t, i));
+		g_array_unref(answers);
+	}
+}
+
 /* Sends an answer to the gateway that asked; CTX is a dispatch_state_t. */
 static void on_answer(void *ctx, const slot_answer_t *answer)
 {
@@ -286,7 +308,7 @@
 	gateway_peers_t *peers = slots->gateway->peers;
 
 	if (!g_strcmp0(answer->gateway, gateway_peers_address(peers)))
-		gateway_slots_receive_answer(slots, answer);
+		g_array_append_val(slots->answers, *answer);
 	else
 		gateway_peers_send_slot_answer(peers, answer);
 }
--- a/adapters/gateway/slots.h
+++ b/adapters/gateway/slots.h
@@ -29,6 +29,7 @@
 		       uint32_t *number);
 void gateway_slots_release(gateway_slots_t *slots, uint32_t number, bool rejected);
 void gateway_slots_run(gateway_slots_t *slots, pd_time_t now);
+void gateway_slots_flush(gateway_slots_t *slots);
 
 /* Messages, from peer_slots.c. */
 void gateway_slots_receive_request(gateway_slots_t *slots, uint32_t service,
--- a/core/forward/slot_dispatch.h
+++ b/core/forward/slot_dispatch.h
@@ -49,6 +49,7 @@
 	pd_time_t retry_after; /* of a refusal: when a slot is expected */
 } slot_answer_t;
 
+/* Called while a request is handled; must not call the dispatcher. */
 typedef void (*slot_answer_fn_t)(void *ctx, const slot_answer_t *answer);
 
 /* Figures for metrics. */
--- /dev/null
+++ b/tests/unit/test_gateway_slots.c
@@ -0,0 +1,168 @@
+/* Tests how a gateway asks for slots, and dispatches those of other gateways. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "adapters/gateway/peer_state.h"
+#include "adapters/gateway/slots.h"
+#include "adapters/log_glib.h"
+#include "core/hash.h"
+
+#define OWN "127.0.0.1:1"
+#define OTHER "127.0.0.1:2"
+#define ROOM 7 /* requests that an upstream of 6 slots is granted */
+
+/* A gateway with only what slots need. */
+typedef struct fixture {
+	gateway_t gateway;
+	gateway_peers_t peers;
+	uint32_t service;
+	unsigned int granted;
+	unsigned int refused;
+} fixture_t;
+
+static fixture_t *hook_target;
+
+static void on_granted(gateway_request_t *request, uint32_t short_id)
+{
+	(void)request;
+	(void)short_id;
+	hook_target->granted++;
+}
+
+static void on_refused(gateway_request_t *request, pd_time_t retry_after)
+{
+	(void)request;
+	(void)retry_after;
+	hook_target->refused++;
+}
+
+static void on_unanswered(gateway_request_t *request)
+{
+	(void)request;
+}
+
+static int setup(void **state)
+{
+	static const gateway_slot_hooks_t hooks = { on_granted, on_refused,
+						    on_unanswered };
+	static const forward_registration_t registration = {
+		.id = "u",
+		.service = "s",
+		.address = "127.0.0.1",
+		.port = 1,
+		.zone = "a",
+		.slots = 6,
+		.stage = FORWARD_SERVING,
+		.revision = 1
+	};
+	fixture_t *f = g_new0(fixture_t, 1);
+
+	f->gateway.random = g_rand_new_with_seed(1);
+	f->gateway.metrics = metrics_create();
+	f->gateway.upstreams = forward_upstreams_create();
+	f->gateway.config = forward_config_create();
+	forward_config_add_service(f->gateway.config)->name = g_strdup("s");
+	forward_upstreams_apply(f->gateway.upstreams, &registration);
+	f->gateway.peers = &f->peers;
+	f->gateway.slots = gateway_slots_create(&f->gateway, &hooks);
+	f->peers.gateway = &f->gateway;
+	f->peers.address = g_strdup(OWN);
+	f->peers.by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	f->peers.slot_outboxes = peers_slot_outboxes_create();
+	list_init(&f->peers.list);
+	f->service = (uint32_t)hash_string("s");
+	hook_target = f;
+	*state = f;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	fixture_t *f = *state;
+
+	g_hash_table_unref(f->peers.slot_outboxes);
+	g_hash_table_unref(f->peers.by_address);
+	g_free(f->peers.address);
+	forward_config_unref(f->gateway.config);
+	forward_upstreams_destroy(f->gateway.upstreams);
+	g_rand_free(f->gateway.random);
+	g_free(f);
+	return 0;
+}
+
+/* Asks for a slot at this gateway itself; returns the number. */
+static uint32_t ask_own(fixture_t *f, pd_time_t time_left)
+{
+	/* Never a null pointer: the hooks get it back. */
+	gateway_request_t *request = (gateway_request_t *)f;
+	slot_request_t ask = { .weight = 1,
+			       .goal = time_left,
+			       .time_left = time_left };
+	uint32_t number = 0;
+
+	f->peers.view = (peer_view_t){
+		.at = gateway_now(), .alive = 20, .fleet_size = 20, .rank = 3
+	};
+	assert_true(gateway_slots_ask(f->gateway.slots, "s", &ask, request,
+				      &number));
+	return number;
+}
+
+/*
+ * Guards against requests that are freed by the answer to another one: while a request
+ * asks or ends, code further up still uses it, and others in its list.
+ */
+static void test_own_answers_come_after_the_call(void **state)
+{
+	fixture_t *f = *state;
+	uint32_t numbers[ROOM];
+
+	for (int i = 0; i < ROOM; i++)
+		numbers[i] = ask_own(f, PD_SEC);
+	assert_int_equal(f->granted, 0);
+	gateway_slots_flush(f->gateway.slots);
+	assert_int_equal(f->granted, ROOM);
+	ask_own(f, PD_SEC);
+	ask_own(f, 0);
+	gateway_slots_flush(f->gateway.slots);
+	gateway_slots_run(f->gateway.slots, gateway_now());
+	gateway_slots_release(f->gateway.slots, numbers[0], false);
+	assert_int_equal(f->granted, ROOM);
+	assert_int_equal(f->refused, 0);
+	gateway_slots_flush(f->gateway.slots);
+	assert_int_equal(f->granted, ROOM + 1);
+	assert_int_equal(f->refused, 1);
+}
+
+/* Guards against an answer to a request that has ended before the answer is applied. */
+static void test_answers_to_ended_requests_are_dropped(void **state)
+{
+	fixture_t *f = *state;
+	uint32_t number = ask_own(f, PD_SEC);
+
+	gateway_slots_release(f->gateway.slots, number, false);
+	gateway_slots_release(f->gateway.slots, number, false);
+	gateway_slots_flush(f->gateway.slots);
+	assert_int_equal(f->granted, 0);
+	for (int i = 0; i < ROOM; i++)
+		ask_own(f, PD_SEC);
+	gateway_slots_flush(f->gateway.slots);
+	assert_int_equal(f->granted, ROOM);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_own_answers_come_after_the_call,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_answers_to_ended_requests_are_dropped,
+						setup, teardown),
+	};
+
+	log_init("error");
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
