Free the slots of a gateway's last process when a new one asks

A dispatcher freed them at the first state of another incarnation. In a large fleet states go to two aggregators, so it got none of most gateways. Where it did, the first state of any gateway, and the state of a new process that had asked before it was sent, freed slots that were in use, and dropped requests that waited, which then did so for 700 ms.

--- a/adapters/gateway/peer_slots.c
+++ b/adapters/gateway/peer_slots.c
@@ -157,20 +157,45 @@
 	msgpack_pack_uint8(packer, rejected);
 }
 
-/* Sends the items of one kind to a gateway. */
-static void send_items(gateway_peers_t *peers, const peer_t *peer,
+/* Packs a message with the items of one kind, and removes them. */
+static void pack_items(msgpack_sbuffer *buffer, const gateway_peers_t *peers,
 		       outbox_t *outbox, item_kind_t kind)
 {
-	msgpack_sbuffer buffer;
 	msgpack_packer packer;
 
-	msgpack_sbuffer_init(&buffer);
-	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	msgpack_sbuffer_init(buffer);
+	msgpack_packer_init(&packer, buffer, msgpack_sbuffer_write);
 	msgpack_pack_array(&packer, SLOT_FIELDS);
 	msgpack_pack_uint8(&packer, (uint8_t)message_kinds[kind]);
 	msgpack_write_string(&packer, peers->address);
-	list_writer_end(&outbox->items[kind], &buffer, &packer);
+	msgpack_pack_uint32(&packer, (uint32_t)hash_string(peers->incarnation));
+	list_writer_end(&outbox->items[kind], buffer, &packer);
 	outbox->used[kind] = false;
+}
+
+/*
+ * Packs a message with the queued items of a kind to a gateway, and removes them. Returns
+ * false, with BUFFER as it was, if there are none.
+ */
+bool peers_pack_slots(msgpack_sbuffer *buffer, gateway_peers_t *peers,
+		      const char *address, message_kind_t kind)
+{
+	outbox_t *outbox = g_hash_table_lookup(peers->slot_outboxes, address);
+	int item = kind - MESSAGE_SLOT_REQUEST;
+
+	if (!outbox || !outbox->used[item])
+		return false;
+	pack_items(buffer, peers, outbox, (item_kind_t)item);
+	return true;
+}
+
+/* Sends the items of one kind to a gateway. */
+static void send_items(gateway_peers_t *peers, const peer_t *peer,
+		       outbox_t *outbox, item_kind_t kind)
+{
+	msgpack_sbuffer buffer;
+
+	pack_items(&buffer, peers, outbox, kind);
 	peers_send(peers, peer, &buffer);
 	msgpack_sbuffer_destroy(&buffer);
 }
@@ -260,16 +285,29 @@
 			msgpack_field_uint64(&fields[2]) != 0);
 }
 
+/*
+ * Frees what earlier processes of a gateway had, when a new one asks. States don't tell a
+ * dispatcher in time, as it gets them from few gateways.
+ */
+static void note_start(gateway_peers_t *peers, peer_t *peer, uint32_t start)
+{
+	if (peer->slots_start && peer->slots_start != start)
+		gateway_slots_remove_gateway(peers->gateway->slots, peer->address);
+	peer->slots_start = start;
+}
+
 /* Applies a message about slots. Returns 0, or -1 if it is malformed. */
 int peers_receive_slots(gateway_peers_t *peers, message_kind_t kind,
 			const msgpack_object *fields)
 {
 	uint32_t count = 0;
-	const msgpack_object *items = msgpack_field_array(&fields[2], 0, &count);
+	const msgpack_object *items = msgpack_field_array(&fields[3], 0, &count);
 	char *sender = msgpack_field_string(&fields[1]);
-	int rc = items && sender && peers_add(peers, sender) ? 0 : -1;
+	peer_t *peer = items && sender ? peers_add(peers, sender) : NULL;
 
-	for (uint32_t i = 0; rc == 0 && i < count && i < ITEMS_MAX; i++) {
+	if (peer && kind == MESSAGE_SLOT_REQUEST)
+		note_start(peers, peer, (uint32_t)msgpack_field_uint64(&fields[2]));
+	for (uint32_t i = 0; peer && i < count && i < ITEMS_MAX; i++) {
 		if (kind == MESSAGE_SLOT_REQUEST)
 			receive_request(peers, sender, &items[i]);
 		else if (kind == MESSAGE_SLOT_ANSWER)
@@ -278,5 +316,5 @@
 			receive_release(peers, sender, &items[i]);
 	}
 	g_free(sender);
-	return rc;
+	return peer ? 0 : -1;
 }
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -145,7 +145,7 @@
 #define ROLLOUT_REPORT_FIELDS 9
 /* service, id of the new version, route, whether new, sent, answers, failed, slow */
 #define ROLLOUT_COUNT_FIELDS 8
-#define SLOT_FIELDS 3 /* kind, sender, items */
+#define SLOT_FIELDS 4 /* kind, sender, hash of its incarnation, items */
 /* service, number, rank, account, weight, returned, ms to the goal, ms left, tried */
 #define SLOT_REQUEST_FIELDS 9
 #define SLOT_ANSWER_FIELDS \
@@ -202,6 +202,7 @@
 	uint16_t zone; /* hash of its availability zone; 0: unknown */
 	bool has_store; /* the store was serving it when last heard from */
 	bool cut_off; /* it took no relays when last heard from */
+	uint32_t slots_start; /* incarnation that last asked for slots; 0: none */
 	uint16_t relay_port; /* where it takes relayed requests; 0: nowhere */
 	bool handles_limits; /* it knows messages about upstreams' limits */
 	pd_time_t limits_sent_at; /* when limits were last sent to it; 0: never */
@@ -325,6 +326,8 @@
 void peers_receive_speed_levels(gateway_peers_t *peers,
 				const msgpack_object *object);
 GHashTable *peers_slot_outboxes_create(void);
+bool peers_pack_slots(msgpack_sbuffer *buffer, gateway_peers_t *peers,
+		      const char *address, message_kind_t kind);
 int peers_receive_slots(gateway_peers_t *peers, message_kind_t kind,
 			const msgpack_object *fields);
 void peers_remove_values(gateway_peers_t *peers, peer_t *peer);
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -4,7 +4,6 @@
 #include "adapters/gateway/flight_pack.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peer_state.h"
-#include "adapters/gateway/slots.h"
 #include "adapters/log_glib.h"
 #include "adapters/msgpack_check.h"
 
@@ -387,7 +386,6 @@
 			token_limits_remove_peer(peers->gateway->limits,
 						 peer->incarnation);
 		peers_remove_values(peers, peer);
-		gateway_slots_remove_gateway(peers->gateway->slots, address);
 		peer->knows_held = false;
 	}
 	g_free(peer->incarnation);
--- a/tests/unit/test_gateway_slots.c
+++ b/tests/unit/test_gateway_slots.c
@@ -71,6 +71,7 @@
 	f->gateway.slots = gateway_slots_create(&f->gateway, &hooks);
 	f->peers.gateway = &f->gateway;
 	f->peers.address = g_strdup(OWN);
+	f->peers.incarnation = g_strdup("g#1");
 	f->peers.by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	f->peers.slot_outboxes = peers_slot_outboxes_create();
 	list_init(&f->peers.list);
@@ -87,6 +88,7 @@
 	g_hash_table_unref(f->peers.slot_outboxes);
 	g_hash_table_unref(f->peers.by_address);
 	g_free(f->peers.address);
+	g_free(f->peers.incarnation);
 	forward_config_unref(f->gateway.config);
 	forward_upstreams_destroy(f->gateway.upstreams);
 	g_rand_free(f->gateway.random);
@@ -154,6 +156,67 @@
 	assert_int_equal(f->granted, ROOM);
 }
 
+/* Has the gateway OTHER, or one with its address, send a request to this one. */
+static void receive_request(fixture_t *f, const char *incarnation, uint32_t number)
+{
+	gateway_peers_t sender = { .address = (char *)OTHER,
+				   .incarnation = (char *)incarnation,
+				   .slot_outboxes = peers_slot_outboxes_create() };
+	slot_request_t request = {
+		.number = number, .weight = 1, .goal = PD_SEC, .time_left = PD_SEC
+	};
+	msgpack_sbuffer buffer;
+
+	gateway_peers_send_slot_request(&sender, OWN, f->service, &request);
+	assert_true(peers_pack_slots(&buffer, &sender, OWN, MESSAGE_SLOT_REQUEST));
+	assert_int_equal(peers_receive(&f->peers, buffer.data, buffer.size), 0);
+	msgpack_sbuffer_destroy(&buffer);
+	g_hash_table_unref(sender.slot_outboxes);
+}
+
+/* Returns the kind of the only answer that waits to be sent to the gateway OTHER. */
+static slot_answer_kind_t take_answer(fixture_t *f)
+{
+	msgpack_unpacked unpacked;
+	msgpack_sbuffer buffer;
+	size_t offset = 0;
+	const msgpack_object *items;
+	slot_answer_kind_t kind;
+
+	assert_true(peers_pack_slots(&buffer, &f->peers, OTHER,
+				     MESSAGE_SLOT_ANSWER));
+	msgpack_unpacked_init(&unpacked);
+	assert_int_equal(msgpack_unpack_next(&unpacked, buffer.data,
+					     buffer.size, &offset),
+			 MSGPACK_UNPACK_SUCCESS);
+	items = &unpacked.data.via.array.ptr[SLOT_FIELDS - 1];
+	assert_int_equal(items->via.array.size, 1);
+	kind = (slot_answer_kind_t)msgpack_field_uint64(
+		&items->via.array.ptr[0].via.array.ptr[1]);
+	msgpack_unpacked_destroy(&unpacked);
+	msgpack_sbuffer_destroy(&buffer);
+	return kind;
+}
+
+/* Guards against slots that stay taken by the earlier process of a gateway. */
+static void test_new_process_frees_the_slots_of_the_last(void **state)
+{
+	fixture_t *f = *state;
+
+	for (uint32_t i = 1; i <= ROOM; i++) {
+		receive_request(f, "h#1", i);
+		assert_int_equal(take_answer(f), SLOT_GRANTED);
+	}
+	receive_request(f, "h#1", ROOM + 1);
+	assert_int_equal(take_answer(f), SLOT_QUEUED);
+	for (uint32_t i = 1; i <= ROOM; i++) {
+		receive_request(f, "h#2", i);
+		assert_int_equal(take_answer(f), SLOT_GRANTED);
+	}
+	receive_request(f, "h#2", ROOM + 1);
+	assert_int_equal(take_answer(f), SLOT_QUEUED);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -161,6 +224,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_answers_to_ended_requests_are_dropped,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_new_process_frees_the_slots_of_the_last,
+						setup, teardown),
 	};
 
 	log_init("error");
