--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -16,9 +16,11 @@
 #include "adapters/gateway/checkpoint_record.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peer_state.h"
+#include "adapters/gateway/slots.h"
 #include "adapters/gateway/usage_table.h"
 #include "adapters/log_glib.h"
 #include "core/forward/event_stream.h"
+#include "core/hash.h"
 #include "platform/wire.h"
 }
 
@@ -142,6 +144,36 @@
 	peers_pack_rejections(buffer, gateway->peers, rejections, 2);
 }
 
+/* Packs requests for slots, answers to requests of the receiver, or releases. */
+static void pack_slots(msgpack_sbuffer *buffer, message_kind_t kind)
+{
+	static const char to[] = "127.0.0.1:9";
+	gateway_peers_t sender = {};
+	char address[] = "127.0.0.1:8";
+	char incarnation[] = "h#1";
+	auto service = static_cast<uint32_t>(hash_string("s"));
+	slot_request_t request = {};
+	slot_answer_t answer = {};
+
+	sender.address = address;
+	sender.incarnation = incarnation;
+	sender.slot_outboxes = peers_slot_outboxes_create();
+	request.weight = 2.5;
+	request.goal = request.time_left = 200 * PD_MSEC;
+	request.tried_count = 2;
+	answer.gateway = to;
+	for (uint32_t number = 1; number < 4; number++) {
+		request.number = answer.number = number;
+		answer.kind = static_cast<slot_answer_kind_t>(number - 1);
+		gateway_peers_send_slot_request(&sender, to, service, &request);
+		gateway_peers_send_slot_answer(&sender, &answer);
+		gateway_peers_send_slot_release(&sender, to, service, number,
+						number == 2);
+	}
+	peers_pack_slots(buffer, &sender, to, kind);
+	g_hash_table_unref(sender.slot_outboxes);
+}
+
 static void check_limit(void *ctx, const upstream_limit_t *limit)
 {
 	bool valid = limit->rate >= 0 && limit->rate <= UPSTREAM_RATE_MAX &&
@@ -195,6 +227,13 @@
 	case 9:
 		pack_rejections(gateway, &buffer);
 		break;
+	case 10:
+	case 11:
+	case 12:
+		msgpack_sbuffer_destroy(&buffer);
+		pack_slots(&buffer, static_cast<message_kind_t>(
+					    MESSAGE_SLOT_REQUEST + kind - 10));
+		break;
 	default:
 		peers_pack_announcement(&packer, peers);
 		break;
@@ -207,11 +246,13 @@
 static bool prop_peers(gateway_t *gateway)
 {
 	return rc::check("messages of peers", [gateway] {
-		auto kind = *rc::gen::inRange(0, 11);
+		auto kind = *rc::gen::inRange(0, 14);
 		bool valid = true;
 		auto bytes = mutated(message(gateway, kind));
 
 		peers_receive(gateway->peers, bytes.data(), bytes.size());
+		gateway_slots_run(gateway->slots, gateway_now());
+		gateway_slots_flush(gateway->slots);
 		upstream_limits_each(gateway->upstream_limits, gateway_now(),
 				     check_limit, &valid);
 		RC_ASSERT(valid);
