Release a slot with the outcome of its own attempt

A request that one upstream had rejected, and whose next attempt failed or was cut off before a response, released the second slot as rejected as well. The dispatcher then paused an upstream that had room, for 60 ms. Found by reading; no test shows it.

--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -191,6 +191,7 @@
 		gateway_request_count_usage(request);
 	}
 	record_attempt_outcome(request, outcome);
+	gateway_request_release_slot(request, outcome == ATTEMPT_REJECTED);
 	gateway_request_clear_attempt(request);
 	request->sent_at = 0;
 	if (request->events)
--- a/adapters/gateway/request_end.c
+++ b/adapters/gateway/request_end.c
@@ -11,7 +11,7 @@
 /* Removes a request from the gateway and frees it; its attempt must be cleared. */
 static void request_free(gateway_request_t *request)
 {
-	gateway_request_release_slot(request);
+	gateway_request_release_slot(request, false);
 	list_remove(&request->node);
 	if (!list_empty(&request->queue_node))
 		request->gateway->queued--;
@@ -45,7 +45,7 @@
 void gateway_request_clear_attempt(gateway_request_t *request)
 {
 	release_upstream_load(request);
-	gateway_request_release_slot(request);
+	gateway_request_release_slot(request, false);
 	request->gateway->inflight_changed |= request->sent_at &&
 					      !request->usage_counted;
 	if (request->upstream)
--- a/adapters/gateway/request_slot.c
+++ b/adapters/gateway/request_slot.c
@@ -61,15 +61,17 @@
 				 &request->slot_number);
 }
 
-/* Releases the slot of a request that has one or waits for one. */
-void gateway_request_release_slot(gateway_request_t *request)
+/*
+ * Releases the slot of a request that has one or waits for one. REJECTED: the upstream had
+ * no room for it.
+ */
+void gateway_request_release_slot(gateway_request_t *request, bool rejected)
 {
 	uint32_t number = request->slot_number;
 
 	request->slot_number = 0;
 	if (number)
-		gateway_slots_release(request->gateway->slots, number,
-				      request->rejected);
+		gateway_slots_release(request->gateway->slots, number, rejected);
 }
 
 /* Sends a request to the upstream whose slot it got. */
@@ -85,7 +87,7 @@
 		gateway_request_start_attempt(request, &pick);
 		return;
 	}
-	gateway_request_release_slot(request);
+	gateway_request_release_slot(request, false);
 	request->slot_unanswered = true;
 	gateway_request_dispatch(request);
 }
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -146,7 +146,7 @@
 void gateway_request_record_rollout_answer(const gateway_request_t *request,
 					   bool failed);
 bool gateway_request_await_slot(gateway_request_t *request);
-void gateway_request_release_slot(gateway_request_t *request);
+void gateway_request_release_slot(gateway_request_t *request, bool rejected);
 void gateway_request_send(gateway_request_t *request);
 bool gateway_request_is_retryable(const gateway_request_t *request);
 void gateway_request_end_attempt(gateway_request_t *request,
