Ask for no slots of upstreams in backoff

A request that has no upstream left chooses as before, and is refused by its gateway.

A route without a latency goal had its requests count as late at once, so they went behind all others. They are late at their deadline.

--- a/adapters/gateway/request_slot.c
+++ b/adapters/gateway/request_slot.c
@@ -1,4 +1,6 @@
 /* Requests that wait for a slot of a plain service. */
+#include <string.h>
+
 #include "adapters/gateway/request_state.h"
 #include "adapters/gateway/slots.h"
 #include "adapters/log_glib.h"
@@ -7,36 +9,76 @@
 /* Part of the latency goal in which a request has to begin, to be answered in time. */
 #define BEGIN_GOAL_PART 0.7
 
-/* Returns what a request asks for. */
-static slot_request_t make_ask(const gateway_request_t *request)
+/* Returns whether a request has been sent to an upstream, or tried to be. */
+static bool is_tried(const gateway_request_t *request,
+		     const forward_upstream_t *upstream)
+{
+	for (unsigned int i = 0; i < request->tried_count; i++) {
+		if (!strcmp(request->tried[i], upstream->id))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Lists the upstreams that a request is not to get: those that it tried and, while there
+ * are others, those in backoff. One that takes no connections from this gateway would
+ * otherwise have the most free slots and get every request first; the dispatcher can't
+ * leave it out, as others may reach it. Returns whether any upstream is left.
+ */
+static bool list_excluded(const gateway_request_t *request, slot_request_t *ask,
+			  pd_time_t now)
+{
+	const GPtrArray *serving =
+		forward_upstreams_serving(request->gateway->upstreams,
+					  request->service);
+	uint32_t in_backoff[SLOT_TRIED_MAX];
+	unsigned int backoff_count = 0;
+	unsigned int untried = 0;
+
+	for (guint i = 0; serving && i < serving->len; i++) {
+		const forward_upstream_t *upstream = g_ptr_array_index(serving, i);
+		uint32_t short_id = forward_upstream_short_id(upstream);
+
+		if (is_tried(request, upstream)) {
+			if (ask->tried_count < SLOT_TRIED_MAX)
+				ask->tried[ask->tried_count++] = short_id;
+			continue;
+		}
+		untried++;
+		if (forward_upstream_in_backoff(upstream, now) &&
+		    backoff_count < SLOT_TRIED_MAX)
+			in_backoff[backoff_count++] = short_id;
+	}
+	for (unsigned int i = 0; i < backoff_count && backoff_count < untried &&
+				 ask->tried_count < SLOT_TRIED_MAX;
+	     i++)
+		ask->tried[ask->tried_count++] = in_backoff[i];
+	return untried > 0;
+}
+
+/* Fills in what a request asks for. Returns false if no upstream is left for it. */
+static bool make_ask(const gateway_request_t *request, slot_request_t *ask)
 {
 	pd_time_t now = gateway_now();
 	pd_time_t begin = (pd_time_t)((double)request->route->latency_goal *
 				      BEGIN_GOAL_PART);
-	slot_request_t ask = {
+
+	*ask = (slot_request_t){
 		.rank = request->rank,
 		.weight = 1,
 		.returned = request->returned,
-		.goal = MAX(request->arrived_at + begin - now, 0),
 		.time_left = request->deadline - now,
 	};
-
+	/* Without a goal an answer is late at its deadline. */
+	ask->goal = begin ? MAX(request->arrived_at + begin - now, 0)
+			  : ask->time_left;
 	if (request->account) {
-		ask.account = (uint32_t)hash_string(request->account->name);
+		ask->account = (uint32_t)hash_string(request->account->name);
 		if (request->account->rate > 0)
-			ask.weight = request->account->rate;
-	}
-	for (unsigned int i = 0;
-	     i < request->tried_count && ask.tried_count < SLOT_TRIED_MAX; i++) {
-		const forward_upstream_t *upstream =
-			forward_upstreams_find(request->gateway->upstreams,
-					       request->tried[i]);
-
-		if (upstream)
-			ask.tried[ask.tried_count++] =
-				forward_upstream_short_id(upstream);
+			ask->weight = request->account->rate;
 	}
-	return ask;
+	return list_excluded(request, ask, now);
 }
 
 /*
@@ -53,9 +95,9 @@
 	    request->slot_unanswered || request->state == REQUEST_STREAMING ||
 	    !upstream_limits_are_empty(request->gateway->upstream_limits) ||
 	    gateway_request_is_restricted(request) ||
-	    !gateway_slots_are_scarce(slots, request->service))
+	    !gateway_slots_are_scarce(slots, request->service) ||
+	    !make_ask(request, &ask))
 		return false;
-	ask = make_ask(request);
 	request->state = REQUEST_QUEUED;
 	return gateway_slots_ask(slots, request->service, &ask, request,
 				 &request->slot_number);
--- a/tests/process/test_gateway_slots.c
+++ b/tests/process/test_gateway_slots.c
@@ -11,6 +11,7 @@
 
 #include <cmocka.h>
 
+#include "tests/harness/forwarder.h"
 #include "tests/harness/gateway_calls.h"
 
 #define SLOTS 8 /* of each upstream, as the rig registers them */
@@ -190,15 +191,33 @@
 	return part;
 }
 
-static int setup(void **state)
+static gateway_rig_t *create_rig(int upstreams)
 {
-	gateway_rig_t *rig =
-		gateway_rig_create_sized(RIG_GATEWAYS_MAX, RIG_UPSTREAMS);
+	gateway_rig_t *rig = gateway_rig_create_sized(RIG_GATEWAYS_MAX, upstreams);
 
 	for (int i = 0; i < rig->upstream_count; i++) {
 		rig->upstreams[i].work_ms = WORK_MS;
 		rig->upstreams[i].room = ROOM;
 	}
+	return rig;
+}
+
+static int setup(void **state)
+{
+	*state = create_rig(RIG_UPSTREAMS);
+	rig_start_fleet(*state);
+	return 0;
+}
+
+/* One more upstream is registered that takes no connections. */
+static int setup_unreachable(void **state)
+{
+	gateway_rig_t *rig = create_rig(RIG_UPSTREAMS + 1);
+	forwarder_t *link =
+		forwarder_create(&rig->loop, rig->upstreams[RIG_UPSTREAMS].port);
+
+	rig->upstream_proxy_ports[RIG_UPSTREAMS] = (uint16_t)forwarder_port(link);
+	forwarder_close(link, true);
 	rig_start_fleet(rig);
 	*state = rig;
 	return 0;
@@ -267,11 +286,29 @@
 	load_destroy(load);
 }
 
+/* Guards against slots that are granted again and again where nobody can connect. */
+static void test_unreachable_upstream_gets_few_calls(void **state)
+{
+	load_t *load = load_create(*state);
+
+	unsigned int refused = 0;
+
+	load_run(load, START_MS + LOAD_MS);
+	load_finish(load);
+	for (int i = 0; i < load->rig->gateway_count; i++)
+		refused += rig_count_logged(load->rig, i, "refused the connection");
+	print_message("%u connections refused\n", refused);
+	assert_true(refused * 5 < load->number);
+	load_destroy(load);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(test_few_calls_are_rejected,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_unreachable_upstream_gets_few_calls,
+						setup_unreachable, teardown),
 		cmocka_unit_test_setup_teardown(test_dispatcher_is_killed,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_dispatcher_is_frozen,
