Refuse no request for a service that the dispatcher does not know

While a new configuration spread, a dispatcher without it refused requests for a service that was added, without a Retry-After. It does not answer, so their gateways choose an upstream as usual.

--- a/adapters/gateway/slots.c
+++ b/adapters/gateway/slots.c
@@ -376,20 +376,10 @@
 				   const slot_request_t *request)
 {
 	dispatch_state_t *state = get_dispatch(slots, service);
-	const slot_answer_t refusal = {
-		.kind = SLOT_REFUSED,
-		.gateway = request->gateway,
-		.number = request->number,
-	};
 
-	if (!state) {
-		/* The service is gone here, so that nobody waits for its slots. */
-		if (g_strcmp0(request->gateway,
-			      gateway_peers_address(slots->gateway->peers)) != 0)
-			gateway_peers_send_slot_answer(slots->gateway->peers,
-						       &refusal);
+	/* The gateway may have a newer configuration, and goes on without an answer. */
+	if (!state)
 		return;
-	}
 	state->requested_at = gateway_now();
 	slot_dispatch_request(state->dispatch, request, state->requested_at);
 }
--- a/tests/unit/test_gateway_slots.c
+++ b/tests/unit/test_gateway_slots.c
@@ -217,6 +217,18 @@
 	assert_int_equal(take_answer(f), SLOT_QUEUED);
 }
 
+/* Guards against refusals where the dispatcher does not have a new service yet. */
+static void test_unknown_service_is_not_refused(void **state)
+{
+	fixture_t *f = *state;
+	msgpack_sbuffer buffer;
+
+	f->service++;
+	receive_request(f, "h#1", 1);
+	assert_false(peers_pack_slots(&buffer, &f->peers, OTHER,
+				      MESSAGE_SLOT_ANSWER));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -226,6 +238,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_new_process_frees_the_slots_of_the_last,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_unknown_service_is_not_refused,
+						setup, teardown),
 	};
 
 	log_init("error");
