Count slots granted, refused, rejected and waited for

The gauges of grants and refusals were set with a log line every five seconds, and two services overwrote each other's. They are counters now, and there are counts of requests that upstreams rejected after a grant and a histogram of the time from a request to its grant. The test finds the dispatcher by them: by log lines it took one that had been in charge for less than a second at the start.

--- a/adapters/gateway/slots.c
+++ b/adapters/gateway/slots.c
@@ -33,6 +33,7 @@
 	uint32_t number;
 	uint32_t service; /* hash of the name */
 	char *dispatcher; /* address of the gateway */
+	pd_time_t asked_at;
 	pd_time_t heard_at; /* when it was asked, or last answered */
 	pd_time_t timeout; /* after heard_at */
 } ask_t;
@@ -231,6 +232,7 @@
 	entry->number = ask->number;
 	entry->service = service_hash(service);
 	entry->dispatcher = g_strdup(dispatcher);
+	entry->asked_at = now;
 	entry->heard_at = now;
 	entry->timeout = ANSWER_TIMEOUT;
 	g_hash_table_insert(slots->asks, GUINT_TO_POINTER(ask->number), entry);
@@ -254,6 +256,9 @@
 
 	if (!ask)
 		return;
+	if (rejected)
+		metrics_add(slots->gateway->metrics,
+			    "gateway_slot_rejections_total", 1);
 	g_hash_table_steal(slots->asks, key);
 	send_release(slots, ask, rejected);
 	ask_destroy(ask);
@@ -276,6 +281,10 @@
 		break;
 	case SLOT_GRANTED:
 		ask->request = NULL;
+		metrics_observe_ms(slots->gateway->metrics,
+				   "gateway_slot_wait_ms", "answer", "granted",
+				   (double)(gateway_now() - ask->asked_at) /
+					   PD_MSEC);
 		slots->hooks.on_granted(request, answer->short_id);
 		break;
 	case SLOT_REFUSED:
@@ -307,6 +316,12 @@
 	gateway_slots_t *slots = state->slots;
 	gateway_peers_t *peers = slots->gateway->peers;
 
+	if (answer->kind != SLOT_QUEUED)
+		metrics_add(slots->gateway->metrics,
+			    answer->kind == SLOT_GRANTED
+				    ? "gateway_slot_grants_total"
+				    : "gateway_slot_refusals_total",
+			    1);
 	if (!g_strcmp0(answer->gateway, gateway_peers_address(peers)))
 		g_array_append_val(slots->answers, *answer);
 	else
@@ -418,10 +433,6 @@
 		return;
 	state->logged_at = now;
 	state->logged_granted = stats->granted;
-	metrics_set_gauge(state->slots->gateway->metrics,
-			  "gateway_slots_granted", (double)stats->granted);
-	metrics_set_gauge(state->slots->gateway->metrics,
-			  "gateway_slots_refused", (double)stats->refused);
 	log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT,
 		 "service=%s granted=%" G_GUINT64_FORMAT
 		 " waited=%" G_GUINT64_FORMAT " refused=%" G_GUINT64_FORMAT
--- a/tests/process/test_gateway_slots.c
+++ b/tests/process/test_gateway_slots.c
@@ -19,8 +19,8 @@
 #define ROOM (SLOTS + 1)
 #define UTILIZATION 0.85
 #define CALLS_PER_MS (UTILIZATION * RIG_UPSTREAMS * SLOTS / WORK_MS)
-#define START_MS 1000 /* until the gateways find that slots are scarce */
-#define LOAD_MS 2500
+#define START_MS 1500 /* until the gateways find that slots are scarce */
+#define LOAD_MS 2000
 #define ANSWER_MS 1000
 /* Without a dispatcher upstreams are chosen at random, and some calls retried in vain. */
 #define SERVED_PART 0.9
@@ -167,14 +167,36 @@
 	return arrivals;
 }
 
-/* Returns the gateway that dispatches the slots. */
+/* Returns how many slots a gateway has granted, by its metrics. */
+static double count_grants(gateway_rig_t *rig, int number)
+{
+	static const char name[] = "\ngateway_slot_grants_total ";
+	rig_caller_t *caller =
+		rig_call(rig, rig_port(rig, number, "health"),
+			 "GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n");
+	const char *line;
+	double grants;
+
+	RIG_UNTIL(rig, rig_is_closed(caller));
+	line = strstr(caller->received->str, name);
+	grants = line ? g_ascii_strtod(line + sizeof(name) - 1, NULL) : 0;
+	rig_caller_destroy(caller);
+	return grants;
+}
+
+/* Returns the gateway that has dispatched most slots. */
 static int find_dispatcher(gateway_rig_t *rig)
 {
+	double most = 0;
 	int found = -1;
 
 	for (int i = 0; i < rig->gateway_count; i++) {
-		if (rig_count_logged(rig, i, "dispatched=here"))
+		double grants = count_grants(rig, i);
+
+		if (grants > most) {
+			most = grants;
 			found = i;
+		}
 	}
 	assert_in_range(found, 0, rig->gateway_count - 1);
 	return found;
