--- a/adapters/gateway/slots.c
+++ b/adapters/gateway/slots.c
@@ -113,6 +113,18 @@
 	return slots;
 }
 
+/* Frees the object, without calls of the hooks; NULL is allowed. */
+void gateway_slots_destroy(gateway_slots_t *slots)
+{
+	if (!slots)
+		return;
+	g_hash_table_unref(slots->services);
+	g_hash_table_unref(slots->dispatches);
+	g_hash_table_unref(slots->asks);
+	g_array_unref(slots->answers);
+	g_free(slots);
+}
+
 /* Returns the state of a service; adds one that is missing. */
 static service_state_t *get_service(gateway_slots_t *slots, const char *service)
 {
--- a/adapters/gateway/slots.h
+++ b/adapters/gateway/slots.h
@@ -22,6 +22,7 @@
 
 gateway_slots_t *gateway_slots_create(gateway_t *gateway,
 				      const gateway_slot_hooks_t *hooks);
+void gateway_slots_destroy(gateway_slots_t *slots);
 bool gateway_slots_are_scarce(gateway_slots_t *slots, const char *service);
 void gateway_slots_record_shortage(gateway_slots_t *slots, const char *service);
 bool gateway_slots_ask(gateway_slots_t *slots, const char *service,
--- a/tests/unit/test_gateway_slots.c
+++ b/tests/unit/test_gateway_slots.c
@@ -19,6 +19,7 @@
 typedef struct fixture {
 	gateway_t gateway;
 	gateway_peers_t peers;
+	peer_t other;
 	uint32_t service;
 	unsigned int granted;
 	unsigned int refused;
@@ -75,6 +76,8 @@
 	f->peers.by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	f->peers.slot_outboxes = peers_slot_outboxes_create();
 	list_init(&f->peers.list);
+	f->other.address = (char *)OTHER;
+	g_hash_table_insert(f->peers.by_address, f->other.address, &f->other);
 	f->service = (uint32_t)hash_string("s");
 	hook_target = f;
 	*state = f;
@@ -85,6 +88,8 @@
 {
 	fixture_t *f = *state;
 
+	gateway_slots_destroy(f->gateway.slots);
+	metrics_destroy(f->gateway.metrics);
 	g_hash_table_unref(f->peers.slot_outboxes);
 	g_hash_table_unref(f->peers.by_address);
 	g_free(f->peers.address);
