Spread the Retry-After of refused slots

Requests that were refused together got the same Retry-After but for a few milliseconds, so their callers returned together. It is longer by up to a half now, by a hash of the request.

--- a/core/forward/slot_dispatch.c
+++ b/core/forward/slot_dispatch.c
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "core/hash.h"
 #include "core/list.h"
 
 /*
@@ -24,9 +25,10 @@
 #define RATE_PERIOD (100 * PD_MSEC)
 /* What an account got counts for about this long. */
 #define SERVED_HALF_LIFE (2 * PD_SEC)
-/* Bounds of Retry-After. */
+/* Bounds of Retry-After, before it is spread. */
 #define RETRY_AFTER_MIN (100 * PD_MSEC)
-#define RETRY_AFTER_MAX (3 * PD_SEC)
+#define RETRY_AFTER_MAX (2 * PD_SEC)
+#define RETRY_AFTER_SPREAD 0.5 /* it is longer by up to this part */
 
 /* A request that waits or was granted. */
 typedef struct entry {
@@ -320,6 +322,20 @@
 	send_answer(dispatch, entry, SLOT_GRANTED, 0);
 }
 
+/*
+ * Returns the Retry-After of a refusal within bounds. It differs between requests, so that
+ * those that are refused together do not return together.
+ */
+static pd_time_t spread_retry_after(const entry_t *entry, pd_time_t retry_after)
+{
+	uint64_t hash =
+		hash_number(hash_string(entry->gateway) ^ entry->request.number);
+	double part = (double)(hash >> 11) / (double)(1ULL << 53);
+	pd_time_t bounded = CLAMP(retry_after, RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+
+	return bounded + (pd_time_t)((double)bounded * RETRY_AFTER_SPREAD * part);
+}
+
 /* Refuses a request, and frees it. */
 static void refuse(slot_dispatch_t *dispatch, entry_t *entry, pd_time_t retry_after)
 {
@@ -327,7 +343,7 @@
 	if (!list_empty(&entry->node))
 		dispatch->queued--;
 	send_answer(dispatch, entry, SLOT_REFUSED,
-		    CLAMP(retry_after, RETRY_AFTER_MIN, RETRY_AFTER_MAX));
+		    spread_retry_after(entry, retry_after));
 	entry_destroy(entry);
 }
 
