--- a/adapters/gateway/slots.c
+++ b/adapters/gateway/slots.c
@@ -33,6 +33,7 @@
 	uint32_t number;
 	uint32_t service; /* hash of the name */
 	char *dispatcher; /* address of the gateway */
+	pd_time_t asked_at;
 	pd_time_t heard_at; /* when it was asked, or last answered */
 	pd_time_t timeout; /* after heard_at */
 } ask_t;
@@ -61,6 +62,12 @@
 	GHashTable *services; /* name -> service_state_t */
 	GHashTable *dispatches; /* hash -> dispatch_state_t */
 	GHashTable *asks; /* number -> ask_t */
+	/*
+	 * Of slot_answer_t: answers to requests of this gateway from a dispatcher of its
+	 * own, until the next flush. Their hooks may end requests and send others, which
+	 * neither the dispatcher nor whoever asks or releases expects.
+	 */
+	GArray *answers;
 	uint32_t last_number;
 	pd_time_t paused_until; /* no dispatcher is asked */
 };
@@ -102,9 +109,22 @@
 	slots->dispatches =
 		g_hash_table_new_full(NULL, NULL, NULL, dispatch_state_destroy);
 	slots->asks = g_hash_table_new_full(NULL, NULL, NULL, ask_destroy);
+	slots->answers = g_array_new(FALSE, FALSE, sizeof(slot_answer_t));
 	return slots;
 }
 
+/* Frees the object, without calls of the hooks; NULL is allowed. */
+void gateway_slots_destroy(gateway_slots_t *slots)
+{
+	if (!slots)
+		return;
+	g_hash_table_unref(slots->services);
+	g_hash_table_unref(slots->dispatches);
+	g_hash_table_unref(slots->asks);
+	g_array_unref(slots->answers);
+	g_free(slots);
+}
+
 /* Returns the state of a service; adds one that is missing. */
 static service_state_t *get_service(gateway_slots_t *slots, const char *service)
 {
@@ -205,9 +225,9 @@
 
 /*
  * Asks the dispatcher of a service for a slot on behalf of REQUEST, which then waits for
- * one of the hooks; it may be called before this returns. Sets NUMBER, which names the ask
- * until it is released, first, and ASK's gateway and number. Returns whether there is a
- * dispatcher to ask.
+ * one of the hooks; none is called before this returns. Sets NUMBER, which names the ask
+ * until it is released, and ASK's gateway and number. Returns whether there is a dispatcher
+ * to ask.
  */
 bool gateway_slots_ask(gateway_slots_t *slots, const char *service,
 		       slot_request_t *ask, gateway_request_t *request,
@@ -232,6 +252,7 @@
 	entry->number = ask->number;
 	entry->service = service_hash(service);
 	entry->dispatcher = g_strdup(dispatcher);
+	entry->asked_at = now;
 	entry->heard_at = now;
 	entry->timeout = ANSWER_TIMEOUT;
 	g_hash_table_insert(slots->asks, GUINT_TO_POINTER(ask->number), entry);
@@ -255,6 +276,9 @@
 
 	if (!ask)
 		return;
+	if (rejected)
+		metrics_add(slots->gateway->metrics,
+			    "gateway_slot_rejections_total", 1);
 	g_hash_table_steal(slots->asks, key);
 	send_release(slots, ask, rejected);
 	ask_destroy(ask);
@@ -277,6 +301,10 @@
 		break;
 	case SLOT_GRANTED:
 		ask->request = NULL;
+		metrics_observe_ms(slots->gateway->metrics,
+				   "gateway_slot_wait_ms", "answer", "granted",
+				   (double)(gateway_now() - ask->asked_at) /
+					   PD_MSEC);
 		slots->hooks.on_granted(request, answer->short_id);
 		break;
 	case SLOT_REFUSED:
@@ -286,6 +314,21 @@
 	}
 }
 
+/* Applies the answers to requests of this gateway from dispatchers of its own. */
+void gateway_slots_flush(gateway_slots_t *slots)
+{
+	while (slots->answers->len) {
+		GArray *answers = slots->answers;
+
+		/* The hooks may ask and release, which adds answers. */
+		slots->answers = g_array_new(FALSE, FALSE, sizeof(slot_answer_t));
+		for (guint i = 0; i < answers->len; i++)
+			gateway_slots_receive_answer(
+				slots, &g_array_index(answers, slot_answer_t, i));
+		g_array_unref(answers);
+	}
+}
+
 /* Sends an answer to the gateway that asked; CTX is a dispatch_state_t. */
 static void on_answer(void *ctx, const slot_answer_t *answer)
 {
@@ -293,8 +336,14 @@
 	gateway_slots_t *slots = state->slots;
 	gateway_peers_t *peers = slots->gateway->peers;
 
+	if (answer->kind != SLOT_QUEUED)
+		metrics_add(slots->gateway->metrics,
+			    answer->kind == SLOT_GRANTED
+				    ? "gateway_slot_grants_total"
+				    : "gateway_slot_refusals_total",
+			    1);
 	if (!g_strcmp0(answer->gateway, gateway_peers_address(peers)))
-		gateway_slots_receive_answer(slots, answer);
+		g_array_append_val(slots->answers, *answer);
 	else
 		gateway_peers_send_slot_answer(peers, answer);
 }
@@ -362,20 +411,10 @@
 				   const slot_request_t *request)
 {
 	dispatch_state_t *state = get_dispatch(slots, service);
-	const slot_answer_t refusal = {
-		.kind = SLOT_REFUSED,
-		.gateway = request->gateway,
-		.number = request->number,
-	};
 
-	if (!state) {
-		/* The service is gone here, so that nobody waits for its slots. */
-		if (g_strcmp0(request->gateway,
-			      gateway_peers_address(slots->gateway->peers)) != 0)
-			gateway_peers_send_slot_answer(slots->gateway->peers,
-						       &refusal);
+	/* The gateway may have a newer configuration, and goes on without an answer. */
+	if (!state)
 		return;
-	}
 	state->requested_at = gateway_now();
 	slot_dispatch_request(state->dispatch, request, state->requested_at);
 }
@@ -414,10 +453,6 @@
 		return;
 	state->logged_at = now;
 	state->logged_granted = stats->granted;
-	metrics_set_gauge(state->slots->gateway->metrics,
-			  "gateway_slots_granted", (double)stats->granted);
-	metrics_set_gauge(state->slots->gateway->metrics,
-			  "gateway_slots_refused", (double)stats->refused);
 	log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT,
 		 "service=%s granted=%" G_GUINT64_FORMAT
 		 " waited=%" G_GUINT64_FORMAT " refused=%" G_GUINT64_FORMAT
--- a/adapters/gateway/slots.h
+++ b/adapters/gateway/slots.h
@@ -22,6 +22,7 @@
 
 gateway_slots_t *gateway_slots_create(gateway_t *gateway,
 				      const gateway_slot_hooks_t *hooks);
+void gateway_slots_destroy(gateway_slots_t *slots);
 bool gateway_slots_are_scarce(gateway_slots_t *slots, const char *service);
 void gateway_slots_record_shortage(gateway_slots_t *slots, const char *service);
 bool gateway_slots_ask(gateway_slots_t *slots, const char *service,
@@ -29,6 +30,7 @@
 		       uint32_t *number);
 void gateway_slots_release(gateway_slots_t *slots, uint32_t number, bool rejected);
 void gateway_slots_run(gateway_slots_t *slots, pd_time_t now);
+void gateway_slots_flush(gateway_slots_t *slots);
 
 /* Messages, from peer_slots.c. */
 void gateway_slots_receive_request(gateway_slots_t *slots, uint32_t service,
--- a/core/forward/slot_dispatch.c
+++ b/core/forward/slot_dispatch.c
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "core/hash.h"
 #include "core/list.h"
 
 /*
@@ -24,9 +25,10 @@
 #define RATE_PERIOD (100 * PD_MSEC)
 /* What an account got counts for about this long. */
 #define SERVED_HALF_LIFE (2 * PD_SEC)
-/* Bounds of Retry-After. */
+/* Bounds of Retry-After, before it is spread. */
 #define RETRY_AFTER_MIN (100 * PD_MSEC)
-#define RETRY_AFTER_MAX (3 * PD_SEC)
+#define RETRY_AFTER_MAX (2 * PD_SEC)
+#define RETRY_AFTER_SPREAD 0.5 /* it is longer by up to this part */
 
 /* A request that waits or was granted. */
 typedef struct entry {
@@ -164,17 +166,31 @@
 	return server->slots + MAX(server->slots / SPARE_SLOTS_PART, 1);
 }
 
-/* Returns whether an upstream may be assigned to a request. */
-static bool is_usable(const server_t *server, const entry_t *entry, pd_time_t now)
+/* Returns whether an upstream serves that a request has not tried. */
+static bool is_untried(const server_t *server, const entry_t *entry)
 {
-	if (!server->listed || now < server->paused_until ||
-	    server->granted >= capacity(server))
-		return false;
 	for (unsigned int i = 0; i < entry->request.tried_count; i++) {
 		if (entry->request.tried[i] == server->short_id)
 			return false;
 	}
-	return true;
+	return server->listed;
+}
+
+/* Returns whether there is an upstream for a request, though it may have no free slot. */
+static bool has_upstream(const slot_dispatch_t *dispatch, const entry_t *entry)
+{
+	for (guint i = 0; i < dispatch->servers->len; i++) {
+		if (is_untried(&g_array_index(dispatch->servers, server_t, i), entry))
+			return true;
+	}
+	return false;
+}
+
+/* Returns whether an upstream may be assigned to a request now. */
+static bool is_usable(const server_t *server, const entry_t *entry, pd_time_t now)
+{
+	return now >= server->paused_until &&
+	       server->granted < capacity(server) && is_untried(server, entry);
 }
 
 /* Returns the upstream with the most free slots for a request; NULL: none is free. */
@@ -306,6 +322,20 @@
 	send_answer(dispatch, entry, SLOT_GRANTED, 0);
 }
 
+/*
+ * Returns the Retry-After of a refusal within bounds. It differs between requests, so that
+ * those that are refused together do not return together.
+ */
+static pd_time_t spread_retry_after(const entry_t *entry, pd_time_t retry_after)
+{
+	uint64_t hash =
+		hash_number(hash_string(entry->gateway) ^ entry->request.number);
+	double part = (double)(hash >> 11) / (double)(1ULL << 53);
+	pd_time_t bounded = CLAMP(retry_after, RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+
+	return bounded + (pd_time_t)((double)bounded * RETRY_AFTER_SPREAD * part);
+}
+
 /* Refuses a request, and frees it. */
 static void refuse(slot_dispatch_t *dispatch, entry_t *entry, pd_time_t retry_after)
 {
@@ -313,7 +343,7 @@
 	if (!list_empty(&entry->node))
 		dispatch->queued--;
 	send_answer(dispatch, entry, SLOT_REFUSED,
-		    CLAMP(retry_after, RETRY_AFTER_MIN, RETRY_AFTER_MAX));
+		    spread_retry_after(entry, retry_after));
 	entry_destroy(entry);
 }
 
@@ -325,14 +355,23 @@
 	return (pd_time_t)((before + 1) * (double)PD_SEC / dispatch->rate);
 }
 
-/* Queues a request, or refuses it if its answer would be late by the time it is free. */
-static void enqueue(slot_dispatch_t *dispatch, entry_t *entry, pd_time_t now)
+/* Returns whether a request can't begin in time, or at all. */
+static bool is_hopeless(slot_dispatch_t *dispatch, const entry_t *entry,
+			pd_time_t now)
 {
-	pd_time_t wait =
+	pd_time_t begin =
+		now +
 		time_until_free(dispatch, count_before(dispatch, entry, now));
 
-	if (dispatch->queued >= QUEUE_MAX || now + wait > entry->deadline ||
-	    (now < entry->late_at && now + wait > entry->late_at)) {
+	return !has_upstream(dispatch, entry) ||
+	       dispatch->queued >= QUEUE_MAX || begin > entry->deadline ||
+	       (now < entry->late_at && begin > entry->late_at);
+}
+
+/* Queues a request, or refuses it if it can't begin in time. */
+static void enqueue(slot_dispatch_t *dispatch, entry_t *entry, pd_time_t now)
+{
+	if (is_hopeless(dispatch, entry, now)) {
 		refuse(dispatch, entry,
 		       time_until_free(dispatch, dispatch->queued));
 		return;
@@ -361,21 +400,25 @@
 }
 
 /*
- * Handles a gateway's request for a slot: it is granted at once, queued or refused. Urgent
- * requests that wait go first, so a slot is granted at once only if nobody waits for it.
+ * Handles a gateway's request for a slot: it is granted at once, queued or refused. Those
+ * that wait are granted what they can use as soon as it is free, so a slot that is free for
+ * this request is none of theirs.
  */
 void slot_dispatch_request(slot_dispatch_t *dispatch,
 			   const slot_request_t *request, pd_time_t now)
 {
-	entry_t *entry = entry_create(request, now);
-	server_t *server = choose_server(dispatch, entry, now);
+	entry_t *entry;
+	server_t *server;
 
-	if (server && !dispatch->queued)
+	if (dispatch->queued)
+		slot_dispatch_run(dispatch, now);
+	entry = entry_create(request, now);
+	server = choose_server(dispatch, entry, now);
+	if (server)
 		grant(dispatch, entry, server, now);
 	else
 		enqueue(dispatch, entry, now);
-	if (dispatch->queued)
-		slot_dispatch_run(dispatch, now);
+	dispatch->stats.queued = dispatch->queued;
 }
 
 /* Returns a gateway's request in a list, borrowed; NULL: it is not there. */
@@ -422,8 +465,7 @@
 		dispatch->queued--;
 		entry_destroy(entry);
 	}
-	if (dispatch->queued)
-		slot_dispatch_run(dispatch, now);
+	slot_dispatch_run(dispatch, now);
 }
 
 /* Frees all that a gateway was granted or waits for, as it has ended. */
@@ -447,7 +489,10 @@
 	slot_dispatch_run(dispatch, now);
 }
 
-/* Updates the rate at which slots come free, which only a queue shows. */
+/*
+ * Updates the rate at which slots come free. Without a queue fewer may have ended as fewer
+ * arrived, so only a higher rate counts.
+ */
 static void update_rate(slot_dispatch_t *dispatch, pd_time_t now)
 {
 	double rate;
@@ -455,10 +500,10 @@
 	if (now - dispatch->rate_at < RATE_PERIOD)
 		return;
 	rate = dispatch->ended * (double)PD_SEC / (double)(now - dispatch->rate_at);
-	if (dispatch->rate_at && dispatch->queued)
-		dispatch->rate += dispatch->rate > 0 ? (rate - dispatch->rate) *
-							       RATE_WEIGHT * 4
-						     : rate;
+	if (dispatch->rate_at && (dispatch->queued || rate > dispatch->rate))
+		dispatch->rate += dispatch->rate > 0
+					  ? (rate - dispatch->rate) * RATE_WEIGHT
+					  : rate;
 	dispatch->ended = 0;
 	dispatch->rate_at = now;
 }
@@ -474,13 +519,13 @@
 	}
 }
 
-/* Refuses requests that wait until their deadline, and tells the others that they wait. */
+/* Refuses requests that wait in vain, and tells the others that they wait. */
 static void run_queue(slot_dispatch_t *dispatch, pd_time_t now)
 {
 	LIST_FOR_EACH_SAFE (it, &dispatch->queue) {
 		entry_t *entry = LIST_ENTRY(it, entry_t, node);
 
-		if (now >= entry->deadline) {
+		if (now >= entry->deadline || !has_upstream(dispatch, entry)) {
 			refuse(dispatch, entry, RETRY_AFTER_MIN);
 		} else if (now - entry->answered_at >= QUEUED_REPEAT) {
 			entry->answered_at = now;
