--- a/core/forward/rollout.c
+++ b/core/forward/rollout.c
@@ -70,7 +70,8 @@
 	bool bad;
 	uint64_t heartbeat;
 	pd_time_t heard_at; /* of the last heartbeat; 0: none since this start */
-	pd_time_t next_write_at;
+	rollout_state_t written; /* the status that was last written */
+	pd_time_t next_write_at; /* of the same status */
 	pd_time_t new_served_at; /* since when new upstreams serve; 0: they don't */
 	pd_time_t old_busy_at; /* when a request last ran at an old upstream */
 	rollout_counts_t *counts;
@@ -905,7 +906,10 @@
 	return ROLLOUT_RUNNING;
 }
 
-/* Calls the hook to write the status that the store lacks, at most every WRITE_PERIOD. */
+/*
+ * Calls the hook to write the status that the store lacks: at once if it has changed, and
+ * every WRITE_PERIOD until it is read back.
+ */
 static void write_state(const service_t *service, const rollouts_hooks_t *hooks,
 			rollout_state_t state, pd_time_t now)
 {
@@ -915,8 +919,9 @@
 
 	if (state == ROLLOUT_RUNNING && rollout->has_status)
 		return;
-	if (now < rollout->next_write_at)
+	if (state == rollout->written && now < rollout->next_write_at)
 		return;
+	rollout->written = state;
 	rollout->next_write_at = now + WRITE_PERIOD;
 	hooks->write(hooks->ctx, &write);
 }
