Begin the ramp early enough for short requests

The last step lasts for a second before `completed` may be written, but the ramp left half a second for it where requests are short. The status was then written 100 ms before the deadline, within the margin of 600 ms. The time for old requests is a second at least now. test_good_version_is_completed_in_time failed before and passes (release).

--- a/core/forward/rollout.c
+++ b/core/forward/rollout.c
@@ -25,8 +25,11 @@
 #define WRITE_PERIOD (500 * PD_MSEC)
 /* Old upstreams count as idle if no gateway reported a request there for this long. */
 #define IDLE_TIME PD_SEC
-/* Bounds on the time that old upstreams get to finish; the second is a part of the period. */
-#define DRAIN_MIN (500 * PD_MSEC)
+/*
+ * Bounds on the time that old upstreams get to finish; the second is a part of the period.
+ * Completion takes IDLE_TIME from the last step on, however short the requests are.
+ */
+#define DRAIN_MIN IDLE_TIME
 #define DRAIN_PART_MAX 0.3
 /* So many requests to old upstreams end within the drain time. */
 #define DRAIN_PART 0.99
--- a/tests/unit/test_rollout.c
+++ b/tests/unit/test_rollout.c
@@ -281,6 +281,27 @@
 	assert_false(get_report(fix)->bad);
 }
 
+/* Guards against a write so late that its repetition misses the deadline. */
+static void test_good_version_is_completed_in_time(void **state)
+{
+	fixture_t *fix = *state;
+
+	apply(fix, "v2", ORDER);
+	play(fix, T0 + 9 * PD_SEC, &good);
+	assert_int_equal(get_report(fix)->step, ROLLOUT_CANARY);
+	play(fix, T0 + 11 * PD_SEC, &good);
+	assert_int_equal(get_report(fix)->step, ROLLOUT_FULL);
+	fix->fleet.old_running = 0;
+	play(fix, T0 + PERIOD - 500 * PD_MSEC, &good);
+	assert_int_equal(fix->written.state, ROLLOUT_COMPLETED);
+	assert_int_equal(fix->written.revision, ORDER);
+	assert_false(
+		rollouts_choose(fix->rollouts, "s", 0.99, fix->now).may_fall_back);
+	assert_true(apply_state(fix, ORDER + 1, ROLLOUT_COMPLETED));
+	assert_int_equal(rollouts_choose(fix->rollouts, "s", 0.99, fix->now).only,
+			 fix->new_id);
+}
+
 /* Guards against a `completed` that stops old upstreams while requests run there. */
 static void test_completion_waits_for_old_requests_until_the_deadline(void **state)
 {
@@ -438,6 +459,7 @@
 		TEST(test_version_that_fails_on_one_route_is_rolled_back),
 		TEST(test_version_that_turns_bad_is_rolled_back),
 		TEST(test_equal_versions_are_not_judged_bad),
+		TEST(test_good_version_is_completed_in_time),
 		TEST(test_completion_waits_for_old_requests_until_the_deadline),
 		TEST(test_write_is_repeated_until_it_is_seen),
 		TEST(test_order_without_upstreams_is_rolled_back_at_the_deadline),
