Ignore reports about an order that was given before

An order for the same version again, after the first one was over, was ended by late reports of the first: they name the same version, and their verdict and state were merged. Reports up to the revision at which the previous order was last known are ignored. test_report_of_earlier_order_does_not_end_a_newer_one failed before and passes (release).

--- a/core/forward/rollout.c
+++ b/core/forward/rollout.c
@@ -64,6 +64,7 @@
 	char *to;
 	uint64_t to_id;
 	uint64_t revision; /* of the object in the store, as last known */
+	uint64_t earlier_revision; /* reports up to this one are about earlier orders */
 	pd_time_t ordered_at;
 	pd_time_t period;
 	rollout_step_t step;
@@ -204,6 +205,8 @@
 	rollout->old_busy_at = now;
 	rollout->counts = rollout_counts_create();
 	rollout->paces = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	if (service->rollout)
+		rollout->earlier_revision = service->rollout->revision;
 	rollout_destroy(service->rollout);
 	service->rollout = rollout;
 	return rollout;
@@ -306,6 +309,8 @@
 	bool is_over = report->state != ROLLOUT_RUNNING;
 	bool is_news = false;
 
+	if (rollout && report->revision <= rollout->earlier_revision)
+		return false;
 	if (rollout && strcmp(rollout->to, report->to) != 0 &&
 	    report->revision < rollout->revision)
 		return false;
--- a/tests/unit/test_rollout.c
+++ b/tests/unit/test_rollout.c
@@ -445,6 +445,27 @@
 	assert_int_equal(get_report(fix)->revision, ORDER + 2);
 }
 
+/* Guards against reports of an order that is over, which end the same order given again. */
+static void test_report_of_earlier_order_does_not_end_a_newer_one(void **state)
+{
+	static const rollout_report_t earlier = {
+		"s",	"v2",	      ORDER + 1,	   T0,
+		PERIOD, ROLLOUT_FULL, ROLLOUT_ROLLED_BACK, true,
+		77
+	};
+	fixture_t *fix = *state;
+
+	apply(fix, "v2", ORDER);
+	assert_true(rollouts_merge(fix->rollouts, &earlier, fix->now));
+	fix->now += 20 * PD_SEC;
+	apply(fix, "v2", ORDER + 5);
+	assert_int_equal(get_report(fix)->state, ROLLOUT_RUNNING);
+	assert_false(rollouts_merge(fix->rollouts, &earlier, fix->now));
+	assert_int_equal(get_report(fix)->state, ROLLOUT_RUNNING);
+	assert_false(get_report(fix)->bad);
+	assert_int_equal(get_report(fix)->ordered_at, fix->now);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
 
 int main(void)
@@ -468,6 +489,7 @@
 		TEST(test_restored_rollout_waits_for_a_heartbeat),
 		TEST(test_newer_order_replaces_the_roll_out),
 		TEST(test_order_read_again_goes_on),
+		TEST(test_report_of_earlier_order_does_not_end_a_newer_one),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
