Keep usual times of answers between roll-outs

A gateway judged no answer as slow before it had ten answers of the old version on the route since the order. Usual times and durations are now recorded per service all the time, while the part is on.

--- a/core/forward/rollout.c
+++ b/core/forward/rollout.c
@@ -83,8 +83,6 @@
 	uint64_t restored_all;
 	uint64_t sent_new; /* by all gateways, as last summed */
 	uint64_t sent_all;
-	quantile_t old_duration; /* of requests to old upstreams */
-	GHashTable *paces; /* hash of a route -> rollout_pace_t */
 	pd_time_t judged_at;
 	/* sums of the last two seconds, the newest first; NULL: not reached yet */
 	GArray *snapshots[RECENT_SNAPSHOTS];
@@ -95,6 +93,12 @@
 typedef struct service {
 	char *name;
 	GArray *versions; /* of version_t */
+	/*
+	 * Of all answers but those of a new version, also while no roll-out runs: a gateway
+	 * of a large fleet has too few on a route within a period.
+	 */
+	GHashTable *paces; /* hash of a route -> rollout_pace_t */
+	quantile_t duration; /* of requests */
 	rollout_t *rollout; /* the newest; NULL: none */
 } service_t;
 
@@ -123,7 +127,6 @@
 		return;
 	clear_snapshots(rollout);
 	rollout_counts_destroy(rollout->counts);
-	g_hash_table_unref(rollout->paces);
 	g_free(rollout->to);
 	g_free(rollout);
 }
@@ -133,6 +136,7 @@
 	service_t *service = data;
 
 	rollout_destroy(service->rollout);
+	g_hash_table_unref(service->paces);
 	g_array_unref(service->versions);
 	g_free(service->name);
 	g_free(service);
@@ -186,6 +190,7 @@
 	service = g_new0(service_t, 1);
 	service->name = g_strdup(name);
 	service->versions = g_array_new(FALSE, TRUE, sizeof(version_t));
+	service->paces = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	g_hash_table_insert(rollouts->services, service->name, service);
 	return service;
 }
@@ -204,7 +209,6 @@
 	rollout->step_at = now;
 	rollout->old_busy_at = now;
 	rollout->counts = rollout_counts_create();
-	rollout->paces = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	if (service->rollout)
 		rollout->earlier_revision = service->rollout->revision;
 	rollout_destroy(service->rollout);
@@ -631,65 +635,69 @@
 		own_tally(rollout, route_number(route), version_id)->sent++;
 }
 
-/* Returns what the old version's answers on a route take; adds it if it is missing. */
-static rollout_pace_t *get_pace(rollout_t *rollout, uint32_t route)
+/* Returns what a service's answers on a route usually take; adds it if it is missing. */
+static rollout_pace_t *get_pace(service_t *service, uint32_t route)
 {
 	gpointer key = GUINT_TO_POINTER(route);
-	rollout_pace_t *pace = g_hash_table_lookup(rollout->paces, key);
+	rollout_pace_t *pace = g_hash_table_lookup(service->paces, key);
 
 	if (!pace) {
 		pace = g_new0(rollout_pace_t, 1);
-		g_hash_table_insert(rollout->paces, key, pace);
+		g_hash_table_insert(service->paces, key, pace);
 	}
 	return pace;
 }
 
+/* Counts an answer that failed, was slow, or neither. */
+static void record_outcome(rollout_tally_t *tally, bool failed, bool slow)
+{
+	tally->answers++;
+	tally->failed += failed;
+	tally->slow += slow;
+}
+
 /*
  * Records an answer of an upstream, with the times that it took, or that the upstream
  * FAILED to answer. Requests that it rejected or that did not reach it don't count.
  */
-void rollouts_record_answer(rollouts_t *rollouts, const char *service,
+void rollouts_record_answer(rollouts_t *rollouts, const char *name,
 			    const char *route, uint64_t version_id, bool failed,
 			    const rollout_times_t *times)
 {
-	rollout_t *rollout = running_rollout(rollouts, service);
+	rollout_t *rollout = running_rollout(rollouts, name);
 	uint32_t number = route_number(route);
-	rollout_tally_t *tally;
+	service_t *service;
 	rollout_pace_t *pace;
 
-	if (!rollout)
-		return;
-	tally = own_tally(rollout, number, version_id);
-	tally->answers++;
-	if (failed) {
-		tally->failed++;
+	if (!rollouts_is_enabled(rollouts))
 		return;
-	}
-	pace = get_pace(rollout, number);
-	tally->slow += rollout_pace_is_slow(pace, times);
-	if (version_id == rollout->to_id)
+	service = get_service(rollouts, name);
+	pace = get_pace(service, number);
+	if (rollout)
+		record_outcome(own_tally(rollout, number, version_id), failed,
+			       !failed && rollout_pace_is_slow(pace, times));
+	if (failed || (rollout && version_id == rollout->to_id))
 		return;
 	rollout_pace_add(pace, times);
-	quantile_add(&rollout->old_duration, DRAIN_PART, (double)times->total);
+	quantile_add(&service->duration, DRAIN_PART, (double)times->total);
 }
 
 /*
  * Records that a caller left before the answer was complete. That counts if the answer was
  * slow by then: callers of a version that is too slow for them see no other sign of it.
  */
-void rollouts_record_abandoned(rollouts_t *rollouts, const char *service,
+void rollouts_record_abandoned(rollouts_t *rollouts, const char *name,
 			       const char *route, uint64_t version_id,
 			       const rollout_times_t *times)
 {
-	rollout_t *rollout = running_rollout(rollouts, service);
+	rollout_t *rollout = running_rollout(rollouts, name);
 	uint32_t number = route_number(route);
-	rollout_tally_t *tally;
 
-	if (!rollout || !rollout_pace_is_slow(get_pace(rollout, number), times))
+	if (!rollout ||
+	    !rollout_pace_is_slow(get_pace(find_service(rollouts, name), number),
+				  times))
 		return;
-	tally = own_tally(rollout, number, version_id);
-	tally->answers++;
-	tally->slow++;
+	record_outcome(own_tally(rollout, number, version_id), false, true);
 }
 
 /* Returns whether a roll-out runs whose counts gateways send each other. */
@@ -868,30 +876,35 @@
 }
 
 /* Returns how long requests at old upstreams need to end. */
-static pd_time_t drain_time(const rollout_t *rollout)
+static pd_time_t drain_time(const service_t *service)
 {
-	pd_time_t most = (pd_time_t)((double)rollout->period * DRAIN_PART_MAX);
+	pd_time_t most =
+		(pd_time_t)((double)service->rollout->period * DRAIN_PART_MAX);
 
-	return CLAMP((pd_time_t)rollout->old_duration.value,
-		     MIN(DRAIN_MIN, most), most);
+	return CLAMP((pd_time_t)service->duration.value, MIN(DRAIN_MIN, most),
+		     most);
 }
 
 /* Returns when the ramp is to begin. */
-static pd_time_t commit_time(const rollout_t *rollout)
+static pd_time_t commit_time(const service_t *service)
 {
+	const rollout_t *rollout = service->rollout;
+
 	return rollout->ordered_at + rollout->period - WRITE_MARGIN -
-	       drain_time(rollout) - 2 * RAMP_STEP_TIME;
+	       drain_time(service) - 2 * RAMP_STEP_TIME;
 }
 
 /* Advances the step of a roll-out whose new version is not known to be bad. */
-static bool advance(rollout_t *rollout, const rollout_fleet_t *fleet, pd_time_t now)
+static bool advance(const service_t *service, const rollout_fleet_t *fleet,
+		    pd_time_t now)
 {
+	rollout_t *rollout = service->rollout;
 	pd_time_t from = MAX(rollout->step_at, rollout->new_served_at);
 	pd_time_t least = rollout->step == ROLLOUT_CANARY ? CANARY_TIME_MIN
 							  : RAMP_STEP_TIME;
 
 	if (!fleet->new_serving || rollout->step == ROLLOUT_FULL ||
-	    now < commit_time(rollout) || now - from < least)
+	    now < commit_time(service) || now - from < least)
 		return false;
 	return raise_step(rollout, rollout->step + 1, now);
 }
@@ -942,7 +955,7 @@
 	bool is_news = false;
 
 	if (!rollout->bad)
-		is_news = advance(rollout, fleet, now);
+		is_news = advance(service, fleet, now);
 	/* By the time, so that a new leader's numbers are higher. */
 	if (now - rollout->heard_at >= HEARTBEAT_PERIOD || is_news) {
 		rollout->heartbeat =
