--- a/core/forward/rollout.c
+++ b/core/forward/rollout.c
@@ -25,8 +25,11 @@
 #define WRITE_PERIOD (500 * PD_MSEC)
 /* Old upstreams count as idle if no gateway reported a request there for this long. */
 #define IDLE_TIME PD_SEC
-/* Bounds on the time that old upstreams get to finish; the second is a part of the period. */
-#define DRAIN_MIN (500 * PD_MSEC)
+/*
+ * Bounds on the time that old upstreams get to finish; the second is a part of the period.
+ * Completion takes IDLE_TIME from the last step on, however short the requests are.
+ */
+#define DRAIN_MIN IDLE_TIME
 #define DRAIN_PART_MAX 0.3
 /* So many requests to old upstreams end within the drain time. */
 #define DRAIN_PART 0.99
@@ -48,6 +51,8 @@
 #define JUDGE_PERIOD (100 * PD_MSEC)
 #define RECENT_PERIOD (500 * PD_MSEC)
 #define RECENT_SNAPSHOTS 4
+/* Fewer recent answers of the old version are no measure; all since the order are taken. */
+#define RECENT_OLD_MIN 20
 
 /* A software version of a service's upstreams. */
 typedef struct version {
@@ -61,6 +66,7 @@
 	char *to;
 	uint64_t to_id;
 	uint64_t revision; /* of the object in the store, as last known */
+	uint64_t earlier_revision; /* reports up to this one are about earlier orders */
 	pd_time_t ordered_at;
 	pd_time_t period;
 	rollout_step_t step;
@@ -70,7 +76,8 @@
 	bool bad;
 	uint64_t heartbeat;
 	pd_time_t heard_at; /* of the last heartbeat; 0: none since this start */
-	pd_time_t next_write_at;
+	rollout_state_t written; /* the status that was last written */
+	pd_time_t next_write_at; /* of the same status */
 	pd_time_t new_served_at; /* since when new upstreams serve; 0: they don't */
 	pd_time_t old_busy_at; /* when a request last ran at an old upstream */
 	rollout_counts_t *counts;
@@ -78,9 +85,8 @@
 	uint64_t restored_all;
 	uint64_t sent_new; /* by all gateways, as last summed */
 	uint64_t sent_all;
-	quantile_t old_duration; /* of requests to old upstreams */
-	GHashTable *paces; /* hash of a route -> rollout_pace_t */
 	pd_time_t judged_at;
+	GArray *latest; /* sums as last judged; NULL: not yet */
 	/* sums of the last two seconds, the newest first; NULL: not reached yet */
 	GArray *snapshots[RECENT_SNAPSHOTS];
 	pd_time_t snapshot_at;
@@ -90,6 +96,12 @@
 typedef struct service {
 	char *name;
 	GArray *versions; /* of version_t */
+	/*
+	 * Of all answers but those of a new version, also while no roll-out runs: a gateway
+	 * of a large fleet has too few on a route within a period.
+	 */
+	GHashTable *paces; /* hash of a route -> rollout_pace_t */
+	quantile_t duration; /* of requests */
 	rollout_t *rollout; /* the newest; NULL: none */
 } service_t;
 
@@ -117,8 +129,8 @@
 	if (!rollout)
 		return;
 	clear_snapshots(rollout);
+	g_clear_pointer(&rollout->latest, g_array_unref);
 	rollout_counts_destroy(rollout->counts);
-	g_hash_table_unref(rollout->paces);
 	g_free(rollout->to);
 	g_free(rollout);
 }
@@ -128,6 +140,7 @@
 	service_t *service = data;
 
 	rollout_destroy(service->rollout);
+	g_hash_table_unref(service->paces);
 	g_array_unref(service->versions);
 	g_free(service->name);
 	g_free(service);
@@ -181,6 +194,7 @@
 	service = g_new0(service_t, 1);
 	service->name = g_strdup(name);
 	service->versions = g_array_new(FALSE, TRUE, sizeof(version_t));
+	service->paces = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	g_hash_table_insert(rollouts->services, service->name, service);
 	return service;
 }
@@ -199,7 +213,8 @@
 	rollout->step_at = now;
 	rollout->old_busy_at = now;
 	rollout->counts = rollout_counts_create();
-	rollout->paces = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	if (service->rollout)
+		rollout->earlier_revision = service->rollout->revision;
 	rollout_destroy(service->rollout);
 	service->rollout = rollout;
 	return rollout;
@@ -302,6 +317,8 @@
 	bool is_over = report->state != ROLLOUT_RUNNING;
 	bool is_news = false;
 
+	if (rollout && report->revision <= rollout->earlier_revision)
+		return false;
 	if (rollout && strcmp(rollout->to, report->to) != 0 &&
 	    report->revision < rollout->revision)
 		return false;
@@ -622,65 +639,87 @@
 		own_tally(rollout, route_number(route), version_id)->sent++;
 }
 
-/* Returns what the old version's answers on a route take; adds it if it is missing. */
-static rollout_pace_t *get_pace(rollout_t *rollout, uint32_t route)
+/* Returns what a service's answers on a route usually take; adds it if it is missing. */
+static rollout_pace_t *get_pace(service_t *service, uint32_t route)
 {
 	gpointer key = GUINT_TO_POINTER(route);
-	rollout_pace_t *pace = g_hash_table_lookup(rollout->paces, key);
+	rollout_pace_t *pace = g_hash_table_lookup(service->paces, key);
 
 	if (!pace) {
 		pace = g_new0(rollout_pace_t, 1);
-		g_hash_table_insert(rollout->paces, key, pace);
+		g_hash_table_insert(service->paces, key, pace);
 	}
 	return pace;
 }
 
+/*
+ * Returns whether an answer was slow, by what this gateway's usually take, or by the sums
+ * of all gateways while it has got too few.
+ */
+static bool is_slow(const rollout_t *rollout, const rollout_pace_t *pace,
+		    uint32_t route, const rollout_times_t *times)
+{
+	const rollout_row_t *row;
+
+	if (rollout_pace_is_known(pace, times) || !rollout->latest)
+		return rollout_pace_is_slow(pace, times);
+	row = rollout_rows_find(rollout->latest, route);
+	return row && rollout_tally_is_slow(&row->sides[ROLLOUT_OLD], times);
+}
+
+/* Counts an answer that failed, was slow, or neither. */
+static void record_outcome(rollout_tally_t *tally, bool failed, bool slow)
+{
+	tally->answers++;
+	tally->failed += failed;
+	tally->slow += slow;
+}
+
 /*
  * Records an answer of an upstream, with the times that it took, or that the upstream
  * FAILED to answer. Requests that it rejected or that did not reach it don't count.
  */
-void rollouts_record_answer(rollouts_t *rollouts, const char *service,
+void rollouts_record_answer(rollouts_t *rollouts, const char *name,
 			    const char *route, uint64_t version_id, bool failed,
 			    const rollout_times_t *times)
 {
-	rollout_t *rollout = running_rollout(rollouts, service);
+	rollout_t *rollout = running_rollout(rollouts, name);
 	uint32_t number = route_number(route);
-	rollout_tally_t *tally;
+	service_t *service;
 	rollout_pace_t *pace;
 
-	if (!rollout)
-		return;
-	tally = own_tally(rollout, number, version_id);
-	tally->answers++;
-	if (failed) {
-		tally->failed++;
+	if (!rollouts_is_enabled(rollouts))
 		return;
-	}
-	pace = get_pace(rollout, number);
-	tally->slow += rollout_pace_is_slow(pace, times);
-	if (version_id == rollout->to_id)
+	service = get_service(rollouts, name);
+	pace = get_pace(service, number);
+	if (rollout)
+		record_outcome(own_tally(rollout, number, version_id), failed,
+			       !failed && is_slow(rollout, pace, number, times));
+	if (failed || (rollout && version_id == rollout->to_id))
 		return;
+	if (rollout)
+		rollout_tally_add_times(own_tally(rollout, number, version_id),
+					times);
 	rollout_pace_add(pace, times);
-	quantile_add(&rollout->old_duration, DRAIN_PART, (double)times->total);
+	quantile_add(&service->duration, DRAIN_PART, (double)times->total);
 }
 
 /*
  * Records that a caller left before the answer was complete. That counts if the answer was
  * slow by then: callers of a version that is too slow for them see no other sign of it.
  */
-void rollouts_record_abandoned(rollouts_t *rollouts, const char *service,
+void rollouts_record_abandoned(rollouts_t *rollouts, const char *name,
 			       const char *route, uint64_t version_id,
 			       const rollout_times_t *times)
 {
-	rollout_t *rollout = running_rollout(rollouts, service);
+	rollout_t *rollout = running_rollout(rollouts, name);
 	uint32_t number = route_number(route);
-	rollout_tally_t *tally;
 
-	if (!rollout || !rollout_pace_is_slow(get_pace(rollout, number), times))
+	if (!rollout ||
+	    !is_slow(rollout, get_pace(find_service(rollouts, name), number),
+		     number, times))
 		return;
-	tally = own_tally(rollout, number, version_id);
-	tally->answers++;
-	tally->slow++;
+	record_outcome(own_tally(rollout, number, version_id), false, true);
 }
 
 /* Returns whether a roll-out runs whose counts gateways send each other. */
@@ -805,23 +844,40 @@
 	rollout->snapshots[0] = sum;
 }
 
+/* Returns what was counted on one side of a row after an earlier state of it. */
+static rollout_tally_t recent_tally(const rollout_row_t *row,
+				    const rollout_row_t *earlier,
+				    rollout_side_t side)
+{
+	rollout_tally_t tally = row->sides[side];
+
+	rollout_tally_subtract(&tally, &earlier->sides[side]);
+	return tally;
+}
+
 /*
  * Returns whether the new version is worse by a row's counts, or by those of the last two
- * seconds: one that turns bad later has many good answers before.
+ * seconds: one that turns bad later has many good answers before. The old version is taken
+ * over the same time, as an outage may hit both.
  */
 static bool row_is_worse(const rollout_t *rollout, const rollout_row_t *row)
 {
-	GArray *earlier = rollout->snapshots[RECENT_SNAPSHOTS - 1];
-	rollout_tally_t recent = row->sides[ROLLOUT_NEW];
+	GArray *earlier_rows = rollout->snapshots[RECENT_SNAPSHOTS - 1];
+	const rollout_row_t *earlier;
+	rollout_tally_t recent_old;
+	rollout_tally_t recent_new;
 
 	if (rollout_judge_is_worse(&row->sides[ROLLOUT_OLD],
 				   &row->sides[ROLLOUT_NEW]))
 		return true;
-	if (!earlier)
+	if (!earlier_rows)
 		return false;
-	rollout_tally_subtract(&recent, &rollout_rows_get(earlier, row->route)
-						 ->sides[ROLLOUT_NEW]);
-	return rollout_judge_is_worse(&row->sides[ROLLOUT_OLD], &recent);
+	earlier = rollout_rows_get(earlier_rows, row->route);
+	recent_old = recent_tally(row, earlier, ROLLOUT_OLD);
+	recent_new = recent_tally(row, earlier, ROLLOUT_NEW);
+	if (recent_old.answers < RECENT_OLD_MIN)
+		recent_old = row->sides[ROLLOUT_OLD];
+	return rollout_judge_is_worse(&recent_old, &recent_new);
 }
 
 /* Judges the new version by each route, and by all together. */
@@ -854,35 +910,42 @@
 	rollout->sent_all = rollout->restored_all + old_total.sent +
 			    rollout_rows_total(sum, ROLLOUT_NEW).sent;
 	rollout->bad |= is_worse(rollout, sum);
+	g_clear_pointer(&rollout->latest, g_array_unref);
+	rollout->latest = g_array_ref(sum);
 	keep_snapshot(rollout, sum, now);
 	return rollout->bad && !was_bad;
 }
 
 /* Returns how long requests at old upstreams need to end. */
-static pd_time_t drain_time(const rollout_t *rollout)
+static pd_time_t drain_time(const service_t *service)
 {
-	pd_time_t most = (pd_time_t)((double)rollout->period * DRAIN_PART_MAX);
+	pd_time_t most =
+		(pd_time_t)((double)service->rollout->period * DRAIN_PART_MAX);
 
-	return CLAMP((pd_time_t)rollout->old_duration.value,
-		     MIN(DRAIN_MIN, most), most);
+	return CLAMP((pd_time_t)service->duration.value, MIN(DRAIN_MIN, most),
+		     most);
 }
 
 /* Returns when the ramp is to begin. */
-static pd_time_t commit_time(const rollout_t *rollout)
+static pd_time_t commit_time(const service_t *service)
 {
+	const rollout_t *rollout = service->rollout;
+
 	return rollout->ordered_at + rollout->period - WRITE_MARGIN -
-	       drain_time(rollout) - 2 * RAMP_STEP_TIME;
+	       drain_time(service) - 2 * RAMP_STEP_TIME;
 }
 
 /* Advances the step of a roll-out whose new version is not known to be bad. */
-static bool advance(rollout_t *rollout, const rollout_fleet_t *fleet, pd_time_t now)
+static bool advance(const service_t *service, const rollout_fleet_t *fleet,
+		    pd_time_t now)
 {
+	rollout_t *rollout = service->rollout;
 	pd_time_t from = MAX(rollout->step_at, rollout->new_served_at);
 	pd_time_t least = rollout->step == ROLLOUT_CANARY ? CANARY_TIME_MIN
 							  : RAMP_STEP_TIME;
 
 	if (!fleet->new_serving || rollout->step == ROLLOUT_FULL ||
-	    now < commit_time(rollout) || now - from < least)
+	    now < commit_time(service) || now - from < least)
 		return false;
 	return raise_step(rollout, rollout->step + 1, now);
 }
@@ -905,7 +968,10 @@
 	return ROLLOUT_RUNNING;
 }
 
-/* Calls the hook to write the status that the store lacks, at most every WRITE_PERIOD. */
+/*
+ * Calls the hook to write the status that the store lacks: at once if it has changed, and
+ * every WRITE_PERIOD until it is read back.
+ */
 static void write_state(const service_t *service, const rollouts_hooks_t *hooks,
 			rollout_state_t state, pd_time_t now)
 {
@@ -915,8 +981,9 @@
 
 	if (state == ROLLOUT_RUNNING && rollout->has_status)
 		return;
-	if (now < rollout->next_write_at)
+	if (state == rollout->written && now < rollout->next_write_at)
 		return;
+	rollout->written = state;
 	rollout->next_write_at = now + WRITE_PERIOD;
 	hooks->write(hooks->ctx, &write);
 }
@@ -929,7 +996,7 @@
 	bool is_news = false;
 
 	if (!rollout->bad)
-		is_news = advance(rollout, fleet, now);
+		is_news = advance(service, fleet, now);
 	/* By the time, so that a new leader's numbers are higher. */
 	if (now - rollout->heard_at >= HEARTBEAT_PERIOD || is_news) {
 		rollout->heartbeat =
