--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -237,6 +237,8 @@
 			return false;
 	}
 	return true;
+}
+
 static rollout_fleet_t get_fleet(void *, const char *, uint64_t)
 {
 	return { 1, 0, 1 };
@@ -318,6 +320,9 @@
 		msgpack_sbuffer_destroy(&buffer);
 		pack_slots(&buffer, static_cast<message_kind_t>(
 					    MESSAGE_SLOT_REQUEST + kind - 10));
+		break;
+	case 13:
+		msgpack_sbuffer_destroy(&buffer);
 		peers_pack_rollouts(&buffer, peers);
 		break;
 	default:
@@ -332,8 +337,7 @@
 static bool prop_peers(gateway_t *gateway)
 {
 	return rc::check("messages of peers", [gateway] {
-		auto kind = *rc::gen::inRange(0, 14);
-		auto kind = *rc::gen::inRange(0, 12);
+		auto kind = *rc::gen::inRange(0, 15);
 		bool valid = true;
 		auto bytes = mutated(message(gateway, kind));
 
