Judge slowness by the times of all gateways where one knows too few

A gateway with fewer than ten answers on a route judged none as slow, so in a large fleet with few requests, and after a kill of all gateways, a slow version was completed. The counts of the old version now carry sums of logarithms of times to the first event (or to the end) and of pauses; an answer counts as slow at three times their geometric mean while the gateway's own estimate is unknown.

--- a/adapters/gateway/peer_rollouts.c
+++ b/adapters/gateway/peer_rollouts.c
@@ -141,6 +141,10 @@
 	msgpack_pack_uint64(packer, count->tally.answers);
 	msgpack_pack_uint64(packer, count->tally.failed);
 	msgpack_pack_uint64(packer, count->tally.slow);
+	msgpack_pack_uint64(packer, count->tally.timed);
+	msgpack_pack_uint64(packer, count->tally.log_times);
+	msgpack_pack_uint64(packer, count->tally.gapped);
+	msgpack_pack_uint64(packer, count->tally.log_gaps);
 }
 
 /*
@@ -188,6 +192,10 @@
 		entry.tally.answers = msgpack_field_uint64(&fields[5]);
 		entry.tally.failed = msgpack_field_uint64(&fields[6]);
 		entry.tally.slow = msgpack_field_uint64(&fields[7]);
+		entry.tally.timed = msgpack_field_uint64(&fields[8]);
+		entry.tally.log_times = msgpack_field_uint64(&fields[9]);
+		entry.tally.gapped = msgpack_field_uint64(&fields[10]);
+		entry.tally.log_gaps = msgpack_field_uint64(&fields[11]);
 		rollouts_record_peer(peers->gateway->rollouts, peer, &entry);
 		g_free(service);
 	}
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -144,7 +144,7 @@
 /* service, version, revision, ordered at, period, step, state, bad, heartbeat */
 #define ROLLOUT_REPORT_FIELDS 9
 /* service, id of the new version, route, whether new, sent, answers, failed, slow */
-#define ROLLOUT_COUNT_FIELDS 8
+#define ROLLOUT_COUNT_FIELDS 12
 #define SLOT_FIELDS 3 /* kind, sender, items */
 /* service, number, rank, account, weight, returned, ms to the goal, ms left, tried */
 #define SLOT_REQUEST_FIELDS 9
--- a/core/forward/rollout.c
+++ b/core/forward/rollout.c
@@ -84,6 +84,7 @@
 	uint64_t sent_new; /* by all gateways, as last summed */
 	uint64_t sent_all;
 	pd_time_t judged_at;
+	GArray *latest; /* sums as last judged; NULL: not yet */
 	/* sums of the last two seconds, the newest first; NULL: not reached yet */
 	GArray *snapshots[RECENT_SNAPSHOTS];
 	pd_time_t snapshot_at;
@@ -126,6 +127,7 @@
 	if (!rollout)
 		return;
 	clear_snapshots(rollout);
+	g_clear_pointer(&rollout->latest, g_array_unref);
 	rollout_counts_destroy(rollout->counts);
 	g_free(rollout->to);
 	g_free(rollout);
@@ -648,6 +650,21 @@
 	return pace;
 }
 
+/*
+ * Returns whether an answer was slow, by what this gateway's usually take, or by the sums
+ * of all gateways while it has got too few.
+ */
+static bool is_slow(const rollout_t *rollout, const rollout_pace_t *pace,
+		    uint32_t route, const rollout_times_t *times)
+{
+	const rollout_row_t *row;
+
+	if (rollout_pace_is_known(pace, times) || !rollout->latest)
+		return rollout_pace_is_slow(pace, times);
+	row = rollout_rows_find(rollout->latest, route);
+	return row && rollout_tally_is_slow(&row->sides[ROLLOUT_OLD], times);
+}
+
 /* Counts an answer that failed, was slow, or neither. */
 static void record_outcome(rollout_tally_t *tally, bool failed, bool slow)
 {
@@ -675,9 +692,12 @@
 	pace = get_pace(service, number);
 	if (rollout)
 		record_outcome(own_tally(rollout, number, version_id), failed,
-			       !failed && rollout_pace_is_slow(pace, times));
+			       !failed && is_slow(rollout, pace, number, times));
 	if (failed || (rollout && version_id == rollout->to_id))
 		return;
+	if (rollout)
+		rollout_tally_add_times(own_tally(rollout, number, version_id),
+					times);
 	rollout_pace_add(pace, times);
 	quantile_add(&service->duration, DRAIN_PART, (double)times->total);
 }
@@ -694,8 +714,8 @@
 	uint32_t number = route_number(route);
 
 	if (!rollout ||
-	    !rollout_pace_is_slow(get_pace(find_service(rollouts, name), number),
-				  times))
+	    !is_slow(rollout, get_pace(find_service(rollouts, name), number),
+		     number, times))
 		return;
 	record_outcome(own_tally(rollout, number, version_id), false, true);
 }
@@ -871,6 +891,8 @@
 	rollout->sent_all = rollout->restored_all + old_total.sent +
 			    rollout_rows_total(sum, ROLLOUT_NEW).sent;
 	rollout->bad |= is_worse(rollout, sum);
+	g_clear_pointer(&rollout->latest, g_array_unref);
+	rollout->latest = g_array_ref(sum);
 	keep_snapshot(rollout, sum, now);
 	return rollout->bad && !was_bad;
 }
--- a/core/forward/rollout_counts.c
+++ b/core/forward/rollout_counts.c
@@ -53,6 +53,22 @@
 	return &g_array_index(rows, rollout_row_t, rows->len - 1);
 }
 
+/* Returns the row in which a route is counted, borrowed; NULL: none. */
+const rollout_row_t *rollout_rows_find(const GArray *rows, uint32_t route)
+{
+	const rollout_row_t *common = NULL;
+
+	for (guint i = 0; i < rows->len; i++) {
+		const rollout_row_t *row = &g_array_index(rows, rollout_row_t, i);
+
+		if (row->route == route)
+			return row;
+		if (!row->route)
+			common = row;
+	}
+	return common;
+}
+
 /* Returns this gateway's row of a route, borrowed. */
 rollout_row_t *rollout_counts_own(rollout_counts_t *counts, uint32_t route)
 {
--- a/core/forward/rollout_counts.h
+++ b/core/forward/rollout_counts.h
@@ -34,6 +34,7 @@
 void rollout_counts_clear_peers(rollout_counts_t *counts);
 const GArray *rollout_counts_own_rows(const rollout_counts_t *counts);
 GArray *rollout_counts_sum(const rollout_counts_t *counts, const char *except_peer);
+const rollout_row_t *rollout_rows_find(const GArray *rows, uint32_t route);
 rollout_row_t *rollout_rows_get(GArray *rows, uint32_t route);
 rollout_tally_t rollout_rows_total(const GArray *rows, rollout_side_t side);
 
--- a/core/forward/rollout_judge.c
+++ b/core/forward/rollout_judge.c
@@ -13,6 +13,14 @@
 #define SLOW_FACTOR 2.0
 /* The usual time is not known by fewer answers of the old version. */
 #define PACE_SAMPLES_MIN 10
+/*
+ * While a gateway does not know the usual time, an answer is slow if it takes more than
+ * this many times the geometric mean of all gateways.
+ */
+#define MEAN_FACTOR 3.0
+/* The mean is not known by fewer answers of the old version. */
+#define MEAN_SAMPLES_MIN 20
+#define LOG_UNITS 1000 /* in which logarithms are summed */
 /* Fewer bad answers may be the fault of single upstreams. */
 #define BAD_MIN 5
 /* Shares of bad answers that differ by less are taken as equal. */
@@ -49,6 +57,17 @@
 	       (double)time > usual->value * SLOW_FACTOR;
 }
 
+/* Returns whether the usual times that apply to an answer are known. */
+bool rollout_pace_is_known(const rollout_pace_t *pace, const rollout_times_t *times)
+{
+	const quantile_t *usual = times->first_event ? &pace->first_event
+						     : &pace->total;
+
+	return usual->sample_count >= PACE_SAMPLES_MIN &&
+	       (!times->mean_gap ||
+		pace->mean_gap.sample_count >= PACE_SAMPLES_MIN);
+}
+
 /*
  * Returns whether an answer took several times as long as the old version's. The duration
  * of a stream depends on its length, so streams are compared by the time to the first
@@ -61,6 +80,49 @@
 	       (!times->first_event && exceeds(&pace->total, times->total));
 }
 
+/* Returns the time of an answer that is compared: the first event, or the end. */
+static pd_time_t main_time(const rollout_times_t *times)
+{
+	return times->first_event ? times->first_event : times->total;
+}
+
+/* Adds the logarithm of a positive time to a sum. */
+static void add_log(uint64_t *count, uint64_t *sum, pd_time_t time)
+{
+	if (time <= 0)
+		return;
+	(*count)++;
+	*sum += (uint64_t)(log((double)time) * LOG_UNITS);
+}
+
+/* Adds the times of an answer of the old version to the sums of a tally. */
+void rollout_tally_add_times(rollout_tally_t *tally, const rollout_times_t *times)
+{
+	add_log(&tally->timed, &tally->log_times, main_time(times));
+	add_log(&tally->gapped, &tally->log_gaps, times->mean_gap);
+}
+
+/* Returns whether a time is well above a mean. */
+static bool exceeds_mean(uint64_t count, uint64_t sum, pd_time_t time)
+{
+	return count >= MEAN_SAMPLES_MIN &&
+	       (double)time >
+		       MEAN_FACTOR * exp((double)sum / LOG_UNITS / (double)count);
+}
+
+/*
+ * Returns whether an answer took several times as long as the old version's on average. It
+ * finds fewer slow answers than rollout_pace_is_slow(), but needs few of each gateway.
+ */
+bool rollout_tally_is_slow(const rollout_tally_t *old_version,
+			   const rollout_times_t *times)
+{
+	return exceeds_mean(old_version->timed, old_version->log_times,
+			    main_time(times)) ||
+	       exceeds_mean(old_version->gapped, old_version->log_gaps,
+			    times->mean_gap);
+}
+
 /* Adds the numbers of MORE to a tally. */
 void rollout_tally_add(rollout_tally_t *tally, const rollout_tally_t *more)
 {
@@ -68,6 +130,10 @@
 	tally->answers += more->answers;
 	tally->failed += more->failed;
 	tally->slow += more->slow;
+	tally->timed += more->timed;
+	tally->log_times += more->log_times;
+	tally->gapped += more->gapped;
+	tally->log_gaps += more->log_gaps;
 }
 
 /* Returns A - B, or 0 if B is larger. */
--- a/core/forward/rollout_judge.h
+++ b/core/forward/rollout_judge.h
@@ -17,6 +17,11 @@
 	uint64_t answers; /* those that the upstream began to answer, or broke off */
 	uint64_t failed; /* of the answers */
 	uint64_t slow; /* of the answers that did not fail */
+	/* of the old version: sums of logarithms of times, in thousandths */
+	uint64_t timed; /* answers with a time to the first event, or to the end */
+	uint64_t log_times;
+	uint64_t gapped; /* answers with pauses */
+	uint64_t log_gaps;
 } rollout_tally_t;
 
 /* How long an answer took; a time of 0 does not apply to it. */
@@ -34,7 +39,12 @@
 } rollout_pace_t;
 
 void rollout_pace_add(rollout_pace_t *pace, const rollout_times_t *times);
+bool rollout_pace_is_known(const rollout_pace_t *pace,
+			   const rollout_times_t *times);
 bool rollout_pace_is_slow(const rollout_pace_t *pace, const rollout_times_t *times);
+void rollout_tally_add_times(rollout_tally_t *tally, const rollout_times_t *times);
+bool rollout_tally_is_slow(const rollout_tally_t *old_version,
+			   const rollout_times_t *times);
 void rollout_tally_add(rollout_tally_t *tally, const rollout_tally_t *more);
 void rollout_tally_subtract(rollout_tally_t *tally, const rollout_tally_t *less);
 bool rollout_judge_is_worse(const rollout_tally_t *old_version,
