--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -299,6 +299,90 @@
 	}
 }
 
+/* Parses the only entry of a page, an order named "s" with the rest as given. */
+static int parse_order(const char *rest, rollout_order_t *order, pd_error_t *err)
+{
+	char *text =
+		g_strdup_printf("{\"items\":[{\"metadata\":{\"name\":\"s\","
+				"\"revision\":4},%s}],\"asOf\":9}",
+				rest);
+	wire_page_t *page = wire_page_parse(text, strlen(text), err);
+	int rc;
+
+	assert_non_null(page);
+	rc = wire_page_parse_rollout(page, 0, order, err);
+	wire_page_destroy(page);
+	g_free(text);
+	return rc;
+}
+
+#define VALID_ORDER "\"spec\":{\"service\":\"s\",\"to\":\"v\",\"periodS\":1.5}"
+
+/* Guards against orders written by hand that would begin a roll-out by chance. */
+static void test_invalid_order_is_rejected(void **state)
+{
+	static const char *const invalid[] = {
+		"\"spec\":null",
+		"\"spec\":[]",
+		"\"spec\":{}",
+		"\"status\":{}",
+		"\"spec\":{\"service\":\"t\",\"to\":\"v\",\"periodS\":1}",
+		"\"spec\":{\"service\":7,\"to\":\"v\",\"periodS\":1}",
+		"\"spec\":{\"service\":\"s\",\"to\":\"\",\"periodS\":1}",
+		"\"spec\":{\"service\":\"s\",\"to\":null,\"periodS\":1}",
+		"\"spec\":{\"service\":\"s\",\"to\":\"\xff\",\"periodS\":1}",
+		"\"spec\":{\"service\":\"s\",\"to\":\"v\"}",
+		"\"spec\":{\"service\":\"s\",\"to\":\"v\",\"periodS\":0}",
+		"\"spec\":{\"service\":\"s\",\"to\":\"v\",\"periodS\":-1}",
+		"\"spec\":{\"service\":\"s\",\"to\":\"v\",\"periodS\":\"1\"}",
+		"\"spec\":{\"service\":\"s\",\"to\":\"v\",\"periodS\":1e300}",
+		"\"spec\":{\"service\":\"s\",\"to\":\"v\",\"periodS\":1e-9}",
+	};
+	rollout_order_t order;
+	pd_error_t err;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+		if (!parse_order(invalid[i], &order, &err))
+			fail_msg("accepted: %s", invalid[i]);
+		assert_int_equal(err.kind, PD_ERROR_INPUT);
+	}
+	assert_int_equal(parse_order(VALID_ORDER, &order, &err), 0);
+	assert_int_equal(order.period, 1500 * PD_MSEC);
+	assert_int_equal(order.revision, 4);
+}
+
+/* Guards against a status of another version, or an unknown one, that ends an order. */
+static void test_only_valid_status_of_its_version_counts(void **state)
+{
+	static const char *const ignored[] = {
+		"",
+		",\"status\":7",
+		",\"status\":{\"state\":\"completed\"}",
+		",\"status\":{\"state\":\"completed\",\"to\":\"u\"}",
+		",\"status\":{\"state\":\"done\",\"to\":\"v\"}",
+		",\"status\":{\"state\":[],\"to\":\"v\"}",
+	};
+	rollout_order_t order;
+	pd_error_t err;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(ignored); i++) {
+		char *text = g_strconcat(VALID_ORDER, ignored[i], NULL);
+
+		assert_int_equal(parse_order(text, &order, &err), 0);
+		assert_false(order.has_state);
+		g_free(text);
+	}
+	assert_int_equal(parse_order(VALID_ORDER
+				     ",\"status\":{\"state\":"
+				     "\"rolled_back\",\"to\":\"v\"}",
+				     &order, &err),
+			 0);
+	assert_true(order.has_state);
+	assert_int_equal(order.state, ROLLOUT_ROLLED_BACK);
+}
+
 /*
  * A registration has invalid UTF-8, lone surrogates or numbers out of range. The
  * JSON library rejects a whole page for one such string; a gateway would then
@@ -468,6 +552,8 @@
 		cmocka_unit_test(test_invalid_text_affects_only_its_entry),
 		cmocka_unit_test(test_name_with_nul_is_empty),
 		cmocka_unit_test(test_lease_round_trip),
+		cmocka_unit_test(test_invalid_order_is_rejected),
+		cmocka_unit_test(test_only_valid_status_of_its_version_counts),
 		cmocka_unit_test(test_usage_report_is_deterministic),
 		cmocka_unit_test(test_limits_of_responses_are_parsed),
 		cmocka_unit_test(test_relayed_call_is_formatted),
