Fuzz the decoders of roll-outs

Mutates MESSAGE_ROLLOUT, states and summaries with counts of a roll-out, and orders in pages of the store.

--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -16,6 +16,7 @@
 #include "adapters/gateway/checkpoint_record.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peer_state.h"
+#include "adapters/gateway/rollouts.h"
 #include "adapters/gateway/usage_table.h"
 #include "adapters/log_glib.h"
 #include "core/forward/event_stream.h"
@@ -44,6 +45,11 @@
 	"\"version\":\"v1\",\"preemptible\":true}}],\"hasMore\":true,\"asOf\":"
 	"9}";
 
+static const char order_text[] =
+	"{\"items\":[{\"metadata\":{\"name\":\"s\",\"revision\":4},"
+	"\"spec\":{\"service\":\"s\",\"to\":\"v2\",\"periodS\":12},"
+	"\"status\":{\"state\":\"running\",\"to\":\"v2\"}}],\"asOf\":9}";
+
 static const char watch_text[] =
 	"{\"events\":[{\"tombstone\":true,\"object\":{\"metadata\":"
 	"{\"name\":\"i-1\",\"revision\":4}}}],\"asOf\":12}";
@@ -75,9 +81,28 @@
 	settings.limits_window_s = 8;
 	settings.usage_window_s = 5;
 	settings.stop_grace_s = 8;
+	settings.exposure_share = 0.1;
 	return gateway_create(uv_default_loop(), &settings, &err);
 }
 
+/* Has a roll-out run, with counts of answers that are packed in states. */
+static void add_rollout(gateway_t *gateway)
+{
+	const rollout_order_t order = { "s", "v2",  12 * PD_SEC,
+					5,   false, ROLLOUT_RUNNING };
+	const rollout_times_t times = { PD_MSEC, PD_MSEC, 9 * PD_MSEC };
+
+	rollouts_apply_order(gateway->rollouts, &order, PD_SEC);
+	rollouts_set_known_revision(gateway->rollouts, 5);
+	for (const char *version : { "v1", "v2" }) {
+		uint64_t id = rollout_version_id("s", version);
+
+		rollouts_record_send(gateway->rollouts, "s", "r", id);
+		rollouts_record_answer(gateway->rollouts, "s", "r", id, false,
+				       &times);
+	}
+}
+
 /* Adds data to the gateway, so that its messages have all parts. */
 static void fill_gateway(gateway_t *gateway)
 {
@@ -99,6 +124,7 @@
 	gateway->upstreams_listed = true;
 	usage_increment(gateway->usage, 3, "mill");
 	work_rate_add(gateway->work, "s", 1000);
+	add_rollout(gateway);
 }
 
 /* Packs a request for permits, or a reply to one. */
@@ -150,6 +176,33 @@
 	*static_cast<bool *>(ctx) &= valid;
 }
 
+static rollout_fleet_t get_fleet(void *, const char *, uint64_t)
+{
+	return { 1, 0, 1 };
+}
+
+static void ignore_write(void *, const rollout_write_t *)
+{
+}
+
+/* Has the leader decide by what was received. */
+static void run_rollouts(gateway_t *gateway)
+{
+	const rollouts_hooks_t hooks = { get_fleet, ignore_write, nullptr };
+
+	rollouts_run(gateway->rollouts, true, &hooks,
+		     gateway_rollouts_now(gateway));
+}
+
+static void check_report(void *ctx, const rollout_report_t *report)
+{
+	bool valid = report->step < ROLLOUT_STEPS && report->period > 0 &&
+		     report->period <= ROLLOUT_PERIOD_MAX &&
+		     report->state <= ROLLOUT_ROLLED_BACK;
+
+	*static_cast<bool *>(ctx) &= valid;
+}
+
 static std::string message(gateway_t *gateway, int kind)
 {
 	gateway_peers_t *peers = gateway->peers;
@@ -195,6 +248,9 @@
 	case 9:
 		pack_rejections(gateway, &buffer);
 		break;
+	case 10:
+		peers_pack_rollouts(&buffer, peers);
+		break;
 	default:
 		peers_pack_announcement(&packer, peers);
 		break;
@@ -207,13 +263,15 @@
 static bool prop_peers(gateway_t *gateway)
 {
 	return rc::check("messages of peers", [gateway] {
-		auto kind = *rc::gen::inRange(0, 11);
+		auto kind = *rc::gen::inRange(0, 12);
 		bool valid = true;
 		auto bytes = mutated(message(gateway, kind));
 
 		peers_receive(gateway->peers, bytes.data(), bytes.size());
 		upstream_limits_each(gateway->upstream_limits, gateway_now(),
 				     check_limit, &valid);
+		run_rollouts(gateway);
+		rollouts_each(gateway->rollouts, check_report, &valid);
 		RC_ASSERT(valid);
 		RC_ASSERT(quarantine_held_count(gateway->quarantine) <= 4096U);
 		LIST_FOR_EACH (it, forward_upstreams_list(gateway->upstreams)) {
@@ -245,11 +303,13 @@
 {
 	return rc::check("pages of the store", [] {
 		auto bytes = mutated(*rc::gen::element(std::string(list_text),
+						       std::string(order_text),
 						       std::string(watch_text)));
 		pd_error_t err;
 		wire_page_t *page =
 			wire_page_parse(bytes.data(), bytes.size(), &err);
 		forward_registration_t listing;
+		rollout_order_t order;
 
 		for (size_t i = 0; page && i < wire_page_count(page); i++) {
 			RC_ASSERT(wire_page_name(page, i) != nullptr);
@@ -257,6 +317,9 @@
 				continue;
 			if (wire_page_parse_upstream(page, i, &listing, &err) == 0)
 				RC_ASSERT(listing.stage <= FORWARD_GONE);
+			if (wire_page_parse_rollout(page, i, &order, &err) == 0)
+				RC_ASSERT(order.period > 0 &&
+					  order.period <= ROLLOUT_PERIOD_MAX);
 			g_free(wire_page_spec(page, i));
 		}
 		if (page)
