--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -515,13 +515,18 @@
 		watch_answer(LIST_ENTRY(it, session_t, watch), false);
 }
 
-/* Writes an object at the next revision; takes over SPEC. Returns it, borrowed. */
+/*
+ * Writes an object at the next revision; takes over SPEC and STATUS, which may be NULL.
+ * Returns it, borrowed.
+ */
 static json_t *store_write(gateway_rig_t *rig, const char *kind,
-			   const char *name, json_t *spec)
+			   const char *name, json_t *spec, json_t *status)
 {
 	json_t *object = json_pack("{s:{s:s, s:I}, s:o}", "metadata", "name", name,
 				   "revision", ++rig->revision, "spec", spec);
 
+	if (status)
+		json_object_set_new(object, "status", status);
 	json_object_set_new(store_kind(rig, kind), name, object);
 	store_changed(rig, kind, object, false);
 	return object;
@@ -536,7 +541,7 @@
 
 	if (!value)
 		g_error("not JSON: %s", spec);
-	store_write(rig, kind, name, value);
+	store_write(rig, kind, name, value, NULL);
 }
 
 /* Deletes an object, which must exist, from the store. */
@@ -594,13 +599,17 @@
 {
 	gateway_rig_t *rig = session->server->rig;
 
-	if (!rig->answers_to_drop || !strcmp(session->kind, "leases"))
+	unsigned int *left = strcmp(session->kind, "rollouts") != 0
+				     ? &rig->answers_to_drop
+				     : &rig->status_answers_to_drop;
+
+	if (!*left || !strcmp(session->kind, "leases"))
 		return false;
-	rig->answers_to_drop--;
+	(*left)--;
 	return true;
 }
 
-/* Executes a conditional write; responds with 409 if the revision has changed. */
+/* Executes a conditional write of a spec or a status; responds with 409 if the revision has changed. */
 static void store_change(session_t *session, const char *name)
 {
 	gateway_rig_t *rig = session->server->rig;
@@ -622,9 +631,11 @@
 	if (conflict) {
 		session_json(session, 409, json_incref(stored));
 	} else {
-		stored =
-			store_write(rig, session->kind, name,
-				    json_incref(json_object_get(body, "spec")));
+		json_t *status = json_object_get(body, "status");
+		json_t *spec = json_object_get(status ? stored : body, "spec");
+
+		stored = store_write(rig, session->kind, name,
+				     json_incref(spec), json_incref(status));
 		if (!store_drops_answer(session))
 			session_json(session, 200, json_incref(stored));
 	}
@@ -970,11 +981,11 @@
 		"[store]\naddress = \"127.0.0.1:%u\"\n"
 		"[cloud]\naddress = \"127.0.0.1:%u\"\n"
 		"[retry]\nslack = 100\n[stop]\ngrace_s = 8\n"
-		"[duties]\nusage_window_s = 1\nlease_gap_ms = 300\n",
+		"[duties]\nusage_window_s = 1\nlease_gap_ms = 300\n%s",
 		number, rig->first_start ? "start = \"first\"\n" : "", seeds->str,
 		proxy_or_direct(rig->store_proxy_ports[store],
 				rig->stores[store].port),
-		rig->cloud.port);
+		rig->cloud.port, rig->more_settings ? rig->more_settings : "");
 	g_file_set_contents(path, text, -1, NULL);
 	g_free(text);
 	g_string_free(seeds, TRUE);
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -90,12 +90,14 @@
 	json_int_t revision;
 	bool first_page_only; /* every page of upstreams claims that more follow */
 	unsigned int answers_to_drop; /* number of checkpoint writes to leave unanswered */
+	unsigned int status_answers_to_drop; /* the same of writes of a status */
 	uint64_t upstreams_listed_ms; /* when upstreams were last listed */
 	uint64_t upstreams_watched_ms; /* first watch after that; 0: none yet */
 	list_node_t watches;
 	GPtrArray *usage; /* bodies of the usage reports received */
 	GPtrArray *orders; /* bodies of the orders received */
 	bool orders_unanswered;
+	const char *more_settings; /* TOML appended to the settings; NULL: none */
 	bool first_start; /* gateways that start are the first ever */
 	GHashTable *runs; /* call id -> GUINT_TO_POINTER(number of runs) */
 	/* behavior of an upstream for a request; NULL: that of the server */
