Compare recent answers of a new version with recent ones of the old

The new version's answers of the last two seconds were compared with all of the old one's since the order, so an outage that hit both for a second or two counted against the new version only. Both are taken over the same time now, unless the old version has fewer than 20 answers in it. test_outage_of_both_versions_is_no_verdict failed before and passes; the 12 properties of test_rollout pass (release, 6.9 s).

--- a/core/forward/rollout.c
+++ b/core/forward/rollout.c
@@ -51,6 +51,8 @@
 #define JUDGE_PERIOD (100 * PD_MSEC)
 #define RECENT_PERIOD (500 * PD_MSEC)
 #define RECENT_SNAPSHOTS 4
+/* Fewer recent answers of the old version are no measure; all since the order are taken. */
+#define RECENT_OLD_MIN 20
 
 /* A software version of a service's upstreams. */
 typedef struct version {
@@ -842,23 +844,40 @@
 	rollout->snapshots[0] = sum;
 }
 
+/* Returns what was counted on one side of a row after an earlier state of it. */
+static rollout_tally_t recent_tally(const rollout_row_t *row,
+				    const rollout_row_t *earlier,
+				    rollout_side_t side)
+{
+	rollout_tally_t tally = row->sides[side];
+
+	rollout_tally_subtract(&tally, &earlier->sides[side]);
+	return tally;
+}
+
 /*
  * Returns whether the new version is worse by a row's counts, or by those of the last two
- * seconds: one that turns bad later has many good answers before.
+ * seconds: one that turns bad later has many good answers before. The old version is taken
+ * over the same time, as an outage may hit both.
  */
 static bool row_is_worse(const rollout_t *rollout, const rollout_row_t *row)
 {
-	GArray *earlier = rollout->snapshots[RECENT_SNAPSHOTS - 1];
-	rollout_tally_t recent = row->sides[ROLLOUT_NEW];
+	GArray *earlier_rows = rollout->snapshots[RECENT_SNAPSHOTS - 1];
+	const rollout_row_t *earlier;
+	rollout_tally_t recent_old;
+	rollout_tally_t recent_new;
 
 	if (rollout_judge_is_worse(&row->sides[ROLLOUT_OLD],
 				   &row->sides[ROLLOUT_NEW]))
 		return true;
-	if (!earlier)
+	if (!earlier_rows)
 		return false;
-	rollout_tally_subtract(&recent, &rollout_rows_get(earlier, row->route)
-						 ->sides[ROLLOUT_NEW]);
-	return rollout_judge_is_worse(&row->sides[ROLLOUT_OLD], &recent);
+	earlier = rollout_rows_get(earlier_rows, row->route);
+	recent_old = recent_tally(row, earlier, ROLLOUT_OLD);
+	recent_new = recent_tally(row, earlier, ROLLOUT_NEW);
+	if (recent_old.answers < RECENT_OLD_MIN)
+		recent_old = row->sides[ROLLOUT_OLD];
+	return rollout_judge_is_worse(&recent_old, &recent_new);
 }
 
 /* Judges the new version by each route, and by all together. */
--- a/tests/unit/test_rollout.c
+++ b/tests/unit/test_rollout.c
@@ -281,6 +281,19 @@
 	assert_false(get_report(fix)->bad);
 }
 
+/* Guards against a verdict for an outage that hits both versions alike. */
+static void test_outage_of_both_versions_is_no_verdict(void **state)
+{
+	static const load_t outage = { .old_fails = 1, .new_fails = 1 };
+	fixture_t *fix = *state;
+
+	apply(fix, "v2", ORDER);
+	play(fix, T0 + 6 * PD_SEC, &good);
+	play(fix, T0 + 7500 * PD_MSEC, &outage);
+	play(fix, T0 + 9 * PD_SEC, &good);
+	assert_false(get_report(fix)->bad);
+}
+
 /* Guards against a write so late that its repetition misses the deadline. */
 static void test_good_version_is_completed_in_time(void **state)
 {
@@ -480,6 +493,7 @@
 		TEST(test_version_that_fails_on_one_route_is_rolled_back),
 		TEST(test_version_that_turns_bad_is_rolled_back),
 		TEST(test_equal_versions_are_not_judged_bad),
+		TEST(test_outage_of_both_versions_is_no_verdict),
 		TEST(test_good_version_is_completed_in_time),
 		TEST(test_completion_waits_for_old_requests_until_the_deadline),
 		TEST(test_write_is_repeated_until_it_is_seen),
