Use old upstreams where no new one serves in the last step of a roll-out

In step full, requests waited for new upstreams also if all of these had left, until the order was rolled back at its deadline. They use old upstreams then; while new ones serve and are full, requests wait as before.

test_old_version_serves_where_the_new_one_is_gone failed before and passes.

--- a/adapters/gateway/request_rollout.c
+++ b/adapters/gateway/request_rollout.c
@@ -63,11 +63,14 @@
 	criteria->upstreams_part = use.upstreams_part;
 	choice = forward_upstreams_choose(gateway->upstreams, criteria,
 					  gateway_now(), pick);
-	if (choice == FORWARD_CHOSEN || !use.may_fall_back)
+	if (choice == FORWARD_CHOSEN)
 		return choice;
-	if (use.only)
+	if (use.only &&
+	    (use.may_fall_back ||
+	     !forward_upstreams_has_version(gateway->upstreams,
+					    request->service, use.only)))
 		return choose_other(request, criteria, &use, pick);
-	if (use.except &&
+	if (use.except && use.may_fall_back &&
 	    !forward_upstreams_has_other_version(gateway->upstreams,
 						 request->service, use.except))
 		return choose_other(request, criteria, &use, pick);
--- a/core/forward/rollout.h
+++ b/core/forward/rollout.h
@@ -78,7 +78,10 @@
 	uint64_t except; /* version id */
 	/* part of the upstreams of ONLY that are used; 1: all */
 	double upstreams_part;
-	/* if no upstream can be chosen, the other versions may be used */
+	/*
+	 * If no upstream can be chosen, the other versions may be used. Without this, they
+	 * may be used instead of ONLY if none of its upstreams serves.
+	 */
 	bool may_fall_back;
 } rollout_use_t;
 
