Test brittle upstreams in a large fleet, and list two failures

What callers see: upstreams that fail under many rejections fall over, and the requests that run there are cut off.

The rig counts rejections in any second now, not in seconds that begin with a rejection, so it is stricter. The tests that used its largest number of upstreams keep the number that they had, 12.

--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -194,16 +194,22 @@
 	rig_server_t *server = session->server;
 	uint64_t now = rig_now_ms();
 	GString *headers = g_string_new("X-Not-Run: 1\r\n");
+	uint64_t *oldest;
+	bool falls;
 
 	append_limits(headers, server);
 	session_write(session, 503, headers->str, "");
 	g_string_free(headers, TRUE);
-	if (now - server->rejections_since_ms >= 1000) {
-		server->rejections = 0;
-		server->rejections_since_ms = now;
-	}
-	if (!server->brittle || ++server->rejections <= server->brittle)
+	if (!server->brittle)
+		return;
+	/* More than BRITTLE in any second: the one so many before is in it. */
+	oldest = &server->rejected_ms[server->rejections++ %
+				      MIN(server->brittle, RIG_BRITTLE_MAX)];
+	falls = *oldest && now - *oldest < 1000;
+	*oldest = now;
+	if (!falls)
 		return;
+	memset(server->rejected_ms, 0, sizeof(server->rejected_ms));
 	server->rejections = 0;
 	server->falls++;
 	server->down_until_ms = now + RIG_DOWN_MS;
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -16,7 +16,7 @@
 
 #define RIG_UPSTREAMS 3 /* of a rig without a size of its own */
 #define RIG_GATEWAYS 3
-#define RIG_UPSTREAMS_MAX 12
+#define RIG_UPSTREAMS_MAX 20
 #define RIG_GATEWAYS_MAX 24
 #define RIG_TIMEOUT_MS 10000 /* of a wait for a condition */
 
@@ -39,6 +39,7 @@
 } rig_behavior_t;
 
 #define RIG_SLOW_MS 1000
+#define RIG_BRITTLE_MAX 32 /* rejections in a second */
 #define RIG_DOWN_MS 1500 /* of an upstream that fell over */
 #define RIG_RUN_MS 30 /* from the start of a run to the end of its upstream */
 #define RIG_RESTART_MS 400 /* from the end of an upstream to its next start */
@@ -68,8 +69,8 @@
 	unsigned int running;
 	/* rejections in a second with which it falls over, as answers name; 0: none */
 	unsigned int brittle;
-	unsigned int rejections; /* in the second that began at rejections_since_ms */
-	uint64_t rejections_since_ms;
+	unsigned int rejections; /* since it last fell over */
+	uint64_t rejected_ms[RIG_BRITTLE_MAX]; /* times of the last BRITTLE ones */
 	unsigned int falls;
 	uint64_t down_until_ms; /* until then it closes connections */
 	/* of its software, registered and in the data of its events; NULL: none */
--- a/tests/process/test_gateway_cut_off.c
+++ b/tests/process/test_gateway_cut_off.c
@@ -17,6 +17,7 @@
 #include "tests/harness/forwarder.h"
 #include "tests/harness/gateway_calls.h"
 
+#define UPSTREAMS_LARGE 12 /* of the larger rigs */
 #define CUT_OFF 0 /* the gateway */
 #define CALL_PERIOD_MS 60 /* to each gateway */
 /* after which callers of the gateway are served as others */
@@ -119,13 +120,13 @@
 
 static int setup_mesh(void **state)
 {
-	*state = links_create(6, RIG_UPSTREAMS_MAX, LATE_UPSTREAMS);
+	*state = links_create(6, UPSTREAMS_LARGE, LATE_UPSTREAMS);
 	return 0;
 }
 
 static int setup_large_fleet(void **state)
 {
-	*state = links_create(RIG_GATEWAYS_MAX, RIG_UPSTREAMS_MAX, LATE_UPSTREAMS);
+	*state = links_create(RIG_GATEWAYS_MAX, UPSTREAMS_LARGE, LATE_UPSTREAMS);
 	return 0;
 }
 
--- a/tests/process/test_gateway_limits.c
+++ b/tests/process/test_gateway_limits.c
@@ -26,6 +26,11 @@
 #define BRITTLE_ROOM 8
 #define FALLS_ALLOWED 2 /* of a few upstreams while they are brittle */
 #define BRITTLE_WORK_MS 800
+/* Many upstreams, and calls that are more than enough for them. */
+#define MANY_UPSTREAMS RIG_UPSTREAMS_MAX
+#define MANY_CALLS_PERIOD_MS 3
+#define MANY_FALLS_ALLOWED (2 + MANY_UPSTREAMS / 10)
+#define LONG_WORK_MS 1500
 
 /* The outcomes of calls. */
 typedef struct outcomes {
@@ -42,10 +47,10 @@
 	uint64_t sent_ms;
 } pending_t;
 
-/* Starts gateways that know each other, with RIG_UPSTREAMS upstreams. */
-static gateway_rig_t *start_rig(int gateways)
+/* Starts gateways that know each other, with some upstreams. */
+static gateway_rig_t *start_rig(int gateways, int upstreams)
 {
-	gateway_rig_t *rig = gateway_rig_create_sized(gateways, RIG_UPSTREAMS);
+	gateway_rig_t *rig = gateway_rig_create_sized(gateways, upstreams);
 
 	rig_start_fleet(rig);
 	return rig;
@@ -53,19 +58,31 @@
 
 static int setup(void **state)
 {
-	*state = start_rig(RIG_GATEWAYS);
+	*state = start_rig(RIG_GATEWAYS, RIG_UPSTREAMS);
 	return 0;
 }
 
 static int setup_mesh(void **state)
 {
-	*state = start_rig(6);
+	*state = start_rig(6, RIG_UPSTREAMS);
 	return 0;
 }
 
 static int setup_large_fleet(void **state)
 {
-	*state = start_rig(RIG_GATEWAYS_MAX);
+	*state = start_rig(RIG_GATEWAYS_MAX, RIG_UPSTREAMS);
+	return 0;
+}
+
+static int setup_mesh_of_many_upstreams(void **state)
+{
+	*state = start_rig(6, MANY_UPSTREAMS);
+	return 0;
+}
+
+static int setup_large_fleet_of_many_upstreams(void **state)
+{
+	*state = start_rig(RIG_GATEWAYS_MAX, MANY_UPSTREAMS);
 	return 0;
 }
 
@@ -116,8 +133,9 @@
 	}
 }
 
-/* Sends calls to all gateways in turn for MS, and waits for their responses. */
-static outcomes_t send_calls(gateway_rig_t *rig, const char *path, uint64_t ms)
+/* Sends calls, one each PERIOD ms, to all gateways in turn for MS; waits for responses. */
+static outcomes_t send_calls_every(gateway_rig_t *rig, const char *path,
+				   uint64_t period, uint64_t ms)
 {
 	static int number;
 	GArray *calls = g_array_new(FALSE, FALSE, sizeof(pending_t));
@@ -136,7 +154,7 @@
 				rig_call_at(rig, number % rig->gateway_count,
 					    "POST", path, id);
 			g_array_append_val(calls, pending);
-			next += CALL_PERIOD_MS;
+			next += period;
 		}
 		collect(calls, &outcomes);
 	}
@@ -145,6 +163,12 @@
 	return outcomes;
 }
 
+/* Does the same with a call each CALL_PERIOD_MS. */
+static outcomes_t send_calls(gateway_rig_t *rig, const char *path, uint64_t ms)
+{
+	return send_calls_every(rig, path, CALL_PERIOD_MS, ms);
+}
+
 /*
  * Guards against gateways that together send an upstream several times the rate
  * that it names.
@@ -285,6 +309,54 @@
 					       WINDOW_MS / BRITTLE_WORK_MS / 4);
 }
 
+/*
+ * Guards against rejections that are too many to be sent to all gateways, so that these go
+ * on to cause more until the upstreams fall over.
+ */
+static void test_many_brittle_upstreams_do_not_fall_over(void **state)
+{
+	gateway_rig_t *rig = *state;
+	outcomes_t outcomes;
+
+	make_brittle(rig, BRITTLE_ROOM);
+	send_calls_every(rig, "/safe/x", MANY_CALLS_PERIOD_MS, LEARNING_MS);
+	make_brittle(rig, BRITTLE_ROOM / 4);
+	outcomes = send_calls_every(rig, "/safe/x", MANY_CALLS_PERIOD_MS,
+				    2 * WINDOW_MS);
+	print_message("%d gateways: %u falls, %u served, %u refused, %u "
+		      "other\n",
+		      rig->gateway_count, count_falls(rig), outcomes.served,
+		      outcomes.refused, outcomes.other);
+	assert_true(count_falls(rig) <= MANY_FALLS_ALLOWED);
+	/* A quarter of what the upstreams could serve. */
+	assert_true(outcomes.served >= MANY_UPSTREAMS * (BRITTLE_ROOM / 4) * 2 *
+					       WINDOW_MS / BRITTLE_WORK_MS / 4);
+}
+
+/*
+ * Guards against shares of the slots that change while requests last, so that all
+ * gateways together fill upstreams beyond their slots.
+ */
+static void test_long_requests_do_not_overfill_brittle_upstreams(void **state)
+{
+	gateway_rig_t *rig = *state;
+	outcomes_t outcomes;
+
+	make_brittle(rig, BRITTLE_ROOM);
+	for (int i = 0; i < rig->upstream_count; i++)
+		rig->upstreams[i].work_ms = LONG_WORK_MS;
+	outcomes = send_calls_every(rig, "/once/x", 2 * MANY_CALLS_PERIOD_MS,
+				    2 * WINDOW_MS);
+	print_message("%d gateways: %u falls, %u served, %u refused, %u "
+		      "other\n",
+		      rig->gateway_count, count_falls(rig), outcomes.served,
+		      outcomes.refused, outcomes.other);
+	assert_true(count_falls(rig) <= MANY_FALLS_ALLOWED);
+	/* A quarter of what the upstreams could serve. */
+	assert_true(outcomes.served >= MANY_UPSTREAMS * BRITTLE_ROOM * 2 *
+					       WINDOW_MS / LONG_WORK_MS / 4);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -302,6 +374,15 @@
 		cmocka_unit_test_setup_teardown(
 			test_brittle_upstreams_that_admit_few_do_not_fall_over,
 			setup_large_fleet, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_many_brittle_upstreams_do_not_fall_over,
+			setup_mesh_of_many_upstreams, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_many_brittle_upstreams_do_not_fall_over,
+			setup_large_fleet_of_many_upstreams, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_long_requests_do_not_overfill_brittle_upstreams,
+			setup_large_fleet_of_many_upstreams, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/process/test_gateway_quarantine.c
+++ b/tests/process/test_gateway_quarantine.c
@@ -13,6 +13,7 @@
 
 #include "tests/harness/gateway_calls.h"
 
+#define UPSTREAMS_LARGE 12 /* of the larger rigs */
 #define TRIES 8 /* of a caller at one request */
 #define ENDS_ALLOWED 3 /* upstreams that may end under one request */
 #define CUT_OFF_MS 3000 /* until a gateway has found out that it is cut off */
@@ -67,13 +68,13 @@
 
 static int setup_mesh(void **state)
 {
-	*state = start_rig(6, RIG_UPSTREAMS_MAX, false);
+	*state = start_rig(6, UPSTREAMS_LARGE, false);
 	return 0;
 }
 
 static int setup_large_fleet(void **state)
 {
-	*state = start_rig(RIG_GATEWAYS_MAX, RIG_UPSTREAMS_MAX, false);
+	*state = start_rig(RIG_GATEWAYS_MAX, UPSTREAMS_LARGE, false);
 	return 0;
 }
 
