--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -9,6 +9,7 @@
 #include "adapters/gateway/caller.h"
 #include "adapters/gateway/duties.h"
 #include "adapters/gateway/fleet_feed.h"
+#include "adapters/gateway/grants.h"
 #include "adapters/gateway/health.h"
 #include "adapters/gateway/peers.h"
 #include "adapters/gateway/checkpoint.h"
@@ -407,6 +408,7 @@
 	if (now >= gateway->versions_record_at)
 		record_serving_versions(gateway, now);
 	gateway_slots_run(gateway->slots, now);
+	gateway_grants_run(gateway->grants, now);
 	gateway_requests_run(gateway, now);
 	callers_run(gateway, now);
 	upstream_links_run(gateway, now);
@@ -430,6 +432,7 @@
 	const gateway_t *gateway = flush->data;
 
 	gateway_slots_flush(gateway->slots);
+	gateway_grants_flush(gateway->grants);
 	gateway_peers_flush_slots(gateway->peers);
 }
 
@@ -574,6 +577,8 @@
 	gateway->random = g_rand_new();
 	gateway->slots =
 		gateway_slots_create(gateway, gateway_request_slot_hooks());
+	gateway->grants =
+		gateway_grants_create(gateway, gateway_request_grant_hooks());
 	token_limits_seed(gateway->limits, g_rand_int(gateway->random));
 	upstream_limits_seed(gateway->upstream_limits, g_rand_int(gateway->random));
 	list_init(&gateway->callers);
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -34,6 +34,7 @@
 typedef struct gateway_checkpoint gateway_checkpoint_t;
 typedef struct fleet_feed fleet_feed_t;
 typedef struct gateway_slots gateway_slots_t;
+typedef struct gateway_grants gateway_grants_t;
 
 typedef struct gateway {
 	uv_loop_t *loop;
@@ -82,6 +83,7 @@
 	gateway_peers_t *peers;
 	gateway_duties_t *duties;
 	gateway_slots_t *slots; /* of plain services, while they are scarce */
+	gateway_grants_t *grants; /* for brittle upstreams */
 	gateway_checkpoint_t *checkpoint;
 	GRand *random;
 	uv_tcp_t callers_listener;
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -7,7 +7,7 @@
 #include "adapters/msgpack_write.h"
 
 /* Number of top-ranked members listed in each message. */
-#define MEMBERS_TOP_RANKED 8
+#define MEMBERS_TOP_RANKED GRANT_CANDIDATES
 
 /* Sends an encoded message to a peer. The buffer is copied. */
 void peers_send(const gateway_peers_t *peers, const peer_t *peer,
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -133,24 +133,39 @@
 	return count;
 }
 
-/*
- * Fills in the MOST live peers that rank first, without skipped ones. Returns
- * their number.
- */
-unsigned int peers_top_ranked(const gateway_peers_t *peers, peer_t **first,
-			      unsigned int most, pd_time_t now)
+/* Fills in the MOST live peers that rank first. Returns their number. */
+static unsigned int fill_by_rank(const gateway_peers_t *peers, peer_t **first,
+				 unsigned int most, bool skipped, pd_time_t now)
 {
 	unsigned int count = 0;
 
 	LIST_FOR_EACH (it, &peers->list) {
 		peer_t *peer = LIST_ENTRY(it, peer_t, node);
 
-		if (peer_is_alive(peer, now) && now >= peer->skipped_until)
+		if (peer_is_alive(peer, now) &&
+		    (skipped || now >= peer->skipped_until))
 			count = insert_by_rank(first, count, most, peer);
 	}
 	return count;
 }
 
+/*
+ * Fills in the MOST live peers that rank first, without skipped ones. Returns
+ * their number.
+ */
+unsigned int peers_top_ranked(const gateway_peers_t *peers, peer_t **first,
+			      unsigned int most, pd_time_t now)
+{
+	return fill_by_rank(peers, first, most, false, now);
+}
+
+/* The same with those that this gateway skips, so that all gateways agree on them. */
+unsigned int peers_top_alive(const gateway_peers_t *peers, peer_t **first,
+			     unsigned int most, pd_time_t now)
+{
+	return fill_by_rank(peers, first, most, true, now);
+}
+
 /* Returns whether the fleet is small enough for a full mesh. */
 bool peers_is_mesh(gateway_peers_t *peers, pd_time_t now)
 {
--- a/adapters/gateway/peer_slots.c
+++ b/adapters/gateway/peer_slots.c
@@ -1,9 +1,10 @@
 /*
- * Messages about the slots of plain services. Those to one gateway that arise in one
- * iteration of the event loop are sent together.
+ * Messages about the slots of plain services, and the framing of those about grants. Those
+ * to one gateway that arise in one iteration of the event loop are sent together.
  */
 #include <string.h>
 
+#include "adapters/gateway/grants.h"
 #include "adapters/gateway/peer_state.h"
 #include "adapters/gateway/slots.h"
 #include "adapters/msgpack_write.h"
@@ -15,14 +16,6 @@
 #define ITEMS_MAX 4096
 #define WEIGHT_UNIT 1000.0
 
-/* The kinds of items, in the order of their messages. */
-typedef enum item_kind {
-	ITEM_REQUEST,
-	ITEM_ANSWER,
-	ITEM_RELEASE,
-	ITEM_KINDS /* number of kinds */
-} item_kind_t;
-
 /* Items for one gateway. */
 typedef struct outbox {
 	list_writer_t items[ITEM_KINDS];
@@ -30,9 +23,12 @@
 } outbox_t;
 
 static const message_kind_t message_kinds[] = {
-	[ITEM_REQUEST] = MESSAGE_SLOT_REQUEST,
-	[ITEM_ANSWER] = MESSAGE_SLOT_ANSWER,
-	[ITEM_RELEASE] = MESSAGE_SLOT_RELEASE,
+	[ITEM_SLOT_REQUEST] = MESSAGE_SLOT_REQUEST,
+	[ITEM_SLOT_ANSWER] = MESSAGE_SLOT_ANSWER,
+	[ITEM_SLOT_RELEASE] = MESSAGE_SLOT_RELEASE,
+	[ITEM_GRANT_ASK] = MESSAGE_GRANT_ASK,
+	[ITEM_GRANT_ANSWER] = MESSAGE_GRANT_ANSWER,
+	[ITEM_GRANT_REPORT] = MESSAGE_GRANT_REPORT,
 };
 
 /* Returns the address of this gateway, borrowed. */
@@ -93,8 +89,8 @@
 }
 
 /* Returns the writer of items of a kind to a gateway, with one item more counted. */
-static msgpack_packer *begin_item(gateway_peers_t *peers, const char *address,
-				  item_kind_t kind)
+msgpack_packer *peers_begin_item(gateway_peers_t *peers, const char *address,
+				 item_kind_t kind)
 {
 	outbox_t *outbox = g_hash_table_lookup(peers->slot_outboxes, address);
 
@@ -115,7 +111,8 @@
 				     const char *address, uint32_t service,
 				     const slot_request_t *request)
 {
-	msgpack_packer *packer = begin_item(peers, address, ITEM_REQUEST);
+	msgpack_packer *packer =
+		peers_begin_item(peers, address, ITEM_SLOT_REQUEST);
 
 	msgpack_pack_array(packer, SLOT_REQUEST_FIELDS);
 	msgpack_pack_uint32(packer, service);
@@ -135,7 +132,8 @@
 void gateway_peers_send_slot_answer(gateway_peers_t *peers,
 				    const slot_answer_t *answer)
 {
-	msgpack_packer *packer = begin_item(peers, answer->gateway, ITEM_ANSWER);
+	msgpack_packer *packer =
+		peers_begin_item(peers, answer->gateway, ITEM_SLOT_ANSWER);
 
 	msgpack_pack_array(packer, SLOT_ANSWER_FIELDS);
 	msgpack_pack_uint32(packer, answer->number);
@@ -149,7 +147,8 @@
 				     const char *address, uint32_t service,
 				     uint32_t number, bool rejected)
 {
-	msgpack_packer *packer = begin_item(peers, address, ITEM_RELEASE);
+	msgpack_packer *packer =
+		peers_begin_item(peers, address, ITEM_SLOT_RELEASE);
 
 	msgpack_pack_array(packer, SLOT_RELEASE_FIELDS);
 	msgpack_pack_uint32(packer, service);
@@ -291,30 +290,36 @@
  */
 static void note_start(gateway_peers_t *peers, peer_t *peer, uint32_t start)
 {
-	if (peer->slots_start && peer->slots_start != start)
+	if (peer->slots_start && peer->slots_start != start) {
 		gateway_slots_remove_gateway(peers->gateway->slots, peer->address);
+		gateway_grants_remove_gateway(peers->gateway->grants,
+					      peer->address);
+	}
 	peer->slots_start = start;
 }
 
-/* Applies a message about slots. Returns 0, or -1 if it is malformed. */
+/* Applies a message about slots or grants. Returns 0, or -1 if it is malformed. */
 int peers_receive_slots(gateway_peers_t *peers, message_kind_t kind,
 			const msgpack_object *fields)
 {
+	static void (*const receive[])(gateway_peers_t * peers, const char *sender,
+				       const msgpack_object *object) = {
+		[MESSAGE_SLOT_REQUEST] = receive_request,
+		[MESSAGE_SLOT_ANSWER] = receive_answer,
+		[MESSAGE_SLOT_RELEASE] = receive_release,
+		[MESSAGE_GRANT_ASK] = peers_receive_grant_ask,
+		[MESSAGE_GRANT_ANSWER] = peers_receive_grant_answer,
+		[MESSAGE_GRANT_REPORT] = peers_receive_grant_report,
+	};
 	uint32_t count = 0;
 	const msgpack_object *items = msgpack_field_array(&fields[3], 0, &count);
 	char *sender = msgpack_field_string(&fields[1]);
 	peer_t *peer = items && sender ? peers_add(peers, sender) : NULL;
 
-	if (peer && kind == MESSAGE_SLOT_REQUEST)
+	if (peer && (kind == MESSAGE_SLOT_REQUEST || kind == MESSAGE_GRANT_ASK))
 		note_start(peers, peer, (uint32_t)msgpack_field_uint64(&fields[2]));
-	for (uint32_t i = 0; peer && i < count && i < ITEMS_MAX; i++) {
-		if (kind == MESSAGE_SLOT_REQUEST)
-			receive_request(peers, sender, &items[i]);
-		else if (kind == MESSAGE_SLOT_ANSWER)
-			receive_answer(peers, sender, &items[i]);
-		else
-			receive_release(peers, sender, &items[i]);
-	}
+	for (uint32_t i = 0; peer && i < count && i < ITEMS_MAX; i++)
+		receive[kind](peers, sender, &items[i]);
 	g_free(sender);
 	return peer ? 0 : -1;
 }
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -25,11 +25,15 @@
 	MESSAGE_QUARANTINE, /* requests under which upstreams ended */
 	MESSAGE_STREAMS, /* software versions that began streams */
 	MESSAGE_STREAM_QUERY, /* asks for that of one stream */
-	MESSAGE_REJECTIONS, /* by upstreams that fail under many of them */
+	MESSAGE_REJECTIONS, /* of earlier builds; ignored */
 	MESSAGE_ROLLOUT, /* orders to change software versions, and how they go */
 	MESSAGE_SLOT_REQUEST, /* to the dispatcher of a plain service */
 	MESSAGE_SLOT_ANSWER,
 	MESSAGE_SLOT_RELEASE,
+	MESSAGE_GRANT_ASK, /* to the gateway that issues an upstream's grants */
+	MESSAGE_GRANT_ANSWER,
+	MESSAGE_GRANT_REPORT, /* what became of granted requests */
+	MESSAGE_BRITTLE, /* services whose upstreams are brittle */
 	MESSAGE_KINDS /* number of kinds */
 } message_kind_t;
 
@@ -136,8 +140,15 @@
 #define QUARANTINE_FIELDS 3 /* kind, sender, reports */
 #define REPORT_FIELDS 3 /* fingerprint, idle ms, ends */
 #define END_FIELDS 3 /* short id, whether it was cleared, age in ms */
-#define REJECTIONS_FIELDS 4 /* kind, sender, wall time in ms, rejections */
-#define REJECTION_FIELDS 2 /* short id of the upstream, age in ms */
+#define REJECTIONS_FIELDS 4
+/* number, short id of the upstream, its slots, rejections it bears, ms left */
+#define GRANT_ASK_FIELDS 5
+#define GRANT_ANSWER_FIELDS \
+	3 /* number, whether it was granted, retry after ms */
+#define GRANT_REPORT_FIELDS 3 /* short id of the upstream, number, outcome */
+#define BRITTLE_FIELDS 3 /* kind, sender, services */
+/* name, rejections its upstreams bear, age of the response in ms */
+#define BRITTLE_SERVICE_FIELDS 3
 #define USAGE_FIELDS 3 /* window, account, count */
 /* kind, sender, revision up to which orders are known, reports */
 #define ROLLOUT_FIELDS 4
@@ -174,11 +185,29 @@
 	double prefill_tokens;
 } load_t;
 
-/* A request that an upstream rejected. */
-typedef struct rejection {
-	uint32_t short_id; /* of the upstream */
-	pd_time_t at;
-} rejection_t;
+/* Gateways that rank first and issue the grants of brittle upstreams. */
+#define GRANT_CANDIDATES 24
+#define GRANT_CANDIDATES_AGE (100 * PD_MSEC)
+
+/* These gateways; recomputed every GRANT_CANDIDATES_AGE. */
+typedef struct grant_candidates {
+	GPtrArray *addresses; /* of char */
+	GArray *hashes; /* of uint64_t: of the addresses */
+	uint64_t generation; /* differs for other gateways */
+	pd_time_t at; /* when they were computed */
+	pd_time_t changed_at;
+} grant_candidates_t;
+
+/* The kinds of items that are sent to one gateway together, in the order of messages. */
+typedef enum item_kind {
+	ITEM_SLOT_REQUEST,
+	ITEM_SLOT_ANSWER,
+	ITEM_SLOT_RELEASE,
+	ITEM_GRANT_ASK,
+	ITEM_GRANT_ANSWER,
+	ITEM_GRANT_REPORT,
+	ITEM_KINDS /* number of kinds */
+} item_kind_t;
 
 /* Membership as seen by this gateway; recomputed every VIEW_MAX_AGE. */
 typedef struct peer_view {
@@ -250,7 +279,7 @@
 	GArray *speed_samples; /* of speed_sample_t: in the states of a period */
 	guint speed_samples_from; /* turn of the upstreams with samples */
 	pd_time_t speeds_updated_at;
-	GHashTable *slot_outboxes; /* address -> items to send about slots */
+	GHashTable *slot_outboxes; /* address -> items to send about slots and grants */
 	pd_time_t started_at;
 	pd_time_t next_state_at;
 	pd_time_t next_full_state_at; /* when members and usage are sent next */
@@ -290,9 +319,7 @@
 	GHashTable *pending_updates; /* ids of changed upstreams to send */
 	/* id hash of an unknown upstream -> when it was requested */
 	GHashTable *pending_fetches;
-	GArray *rejections; /* of rejection_t, not sent yet */
-	/* when the next would be sent if all were sent one period apart */
-	pd_time_t rejections_due_at;
+	grant_candidates_t grant_candidates;
 	/* when expired ones were last removed */
 	pd_time_t pending_fetches_pruned_at;
 };
@@ -358,10 +385,19 @@
 			   const quarantine_report_t *reports, unsigned int count);
 void peers_repeat_quarantine(gateway_peers_t *peers);
 void peers_send_held(gateway_peers_t *peers, peer_t *peer);
-void peers_pack_rejections(msgpack_sbuffer *buffer, const gateway_peers_t *peers,
-			   const rejection_t *rejections, unsigned int count);
-void peers_run_rejections(gateway_peers_t *peers, pd_time_t now);
-int peers_receive_rejections(gateway_peers_t *peers, const msgpack_object *fields);
+msgpack_packer *peers_begin_item(gateway_peers_t *peers, const char *address,
+				 item_kind_t kind);
+void peers_grant_candidates_init(grant_candidates_t *candidates);
+void peers_grant_candidates_clear(grant_candidates_t *candidates);
+void peers_receive_grant_ask(gateway_peers_t *peers, const char *sender,
+			     const msgpack_object *object);
+void peers_receive_grant_answer(gateway_peers_t *peers, const char *sender,
+				const msgpack_object *object);
+void peers_receive_grant_report(gateway_peers_t *peers, const char *sender,
+				const msgpack_object *object);
+void peers_pack_brittle(msgpack_sbuffer *buffer, const gateway_peers_t *peers);
+void peers_send_brittle(gateway_peers_t *peers, const peer_t *peer);
+int peers_receive_brittle(gateway_peers_t *peers, const msgpack_object *fields);
 int peers_receive_quarantine(gateway_peers_t *peers, const msgpack_object *fields);
 GPtrArray *peers_alive(const gateway_peers_t *peers, pd_time_t now);
 void peers_spread(gateway_peers_t *peers, const msgpack_sbuffer *buffer,
@@ -370,6 +406,8 @@
 pd_time_t peers_store_silence_max(gateway_peers_t *peers, pd_time_t now);
 unsigned int peers_top_ranked(const gateway_peers_t *peers, peer_t **first,
 			      unsigned int most, pd_time_t now);
+unsigned int peers_top_alive(const gateway_peers_t *peers, peer_t **first,
+			     unsigned int most, pd_time_t now);
 unsigned int peers_checkpoint_writers(gateway_peers_t *peers, peer_t **writers,
 				      pd_time_t now);
 void peers_send(const gateway_peers_t *peers, const peer_t *peer,
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -455,8 +455,10 @@
 	record_peer_store_health(gateway, peer, now);
 	vote_clock(gateway, peer, fields, now);
 	peers_send_held(peers, peer);
-	if (first)
+	if (first) {
 		peers_send_rollouts(peers, peer);
+		peers_send_brittle(peers, peer);
+	}
 	merge_usage(gateway, peer->incarnation, &fields[STATE_USAGE]);
 	merge_watermark(gateway, peer->incarnation, &fields[STATE_WATERMARK]);
 	merge_engine_speeds(gateway, &fields[STATE_ENGINE_SPEEDS]);
@@ -813,6 +815,10 @@
 		[MESSAGE_SLOT_REQUEST] = SLOT_FIELDS,
 		[MESSAGE_SLOT_ANSWER] = SLOT_FIELDS,
 		[MESSAGE_SLOT_RELEASE] = SLOT_FIELDS,
+		[MESSAGE_GRANT_ASK] = SLOT_FIELDS,
+		[MESSAGE_GRANT_ANSWER] = SLOT_FIELDS,
+		[MESSAGE_GRANT_REPORT] = SLOT_FIELDS,
+		[MESSAGE_BRITTLE] = BRITTLE_FIELDS,
 	};
 	uint32_t count = 0;
 	const msgpack_object *fields = msgpack_field_array(object, 1, &count);
@@ -846,13 +852,18 @@
 	case MESSAGE_STREAM_QUERY:
 		return peers_receive_stream_query(peers, fields);
 	case MESSAGE_REJECTIONS:
-		return peers_receive_rejections(peers, fields);
+		return 0;
 	case MESSAGE_ROLLOUT:
 		return peers_receive_rollouts(peers, fields);
 	case MESSAGE_SLOT_REQUEST:
 	case MESSAGE_SLOT_ANSWER:
 	case MESSAGE_SLOT_RELEASE:
+	case MESSAGE_GRANT_ASK:
+	case MESSAGE_GRANT_ANSWER:
+	case MESSAGE_GRANT_REPORT:
 		return peers_receive_slots(peers, (message_kind_t)kind, fields);
+	case MESSAGE_BRITTLE:
+		return peers_receive_brittle(peers, fields);
 	case MESSAGE_KINDS:
 		break;
 	}
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -249,7 +249,7 @@
 	peers->pending_updates =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	peers->pending_fetches = g_hash_table_new(g_direct_hash, g_direct_equal);
-	peers->rejections = g_array_new(FALSE, FALSE, sizeof(rejection_t));
+	peers_grant_candidates_init(&peers->grant_candidates);
 	list_init(&peers->list);
 	if (!gateway_split_address(settings->peers_listen, &host, &config.port)) {
 		pd_error_set(err, PD_ERROR_SETTINGS, "peers.listen: %s",
@@ -280,7 +280,7 @@
 	g_hash_table_unref(peers->work);
 	g_hash_table_unref(peers->pending_updates);
 	g_hash_table_unref(peers->pending_fetches);
-	g_array_unref(peers->rejections);
+	peers_grant_candidates_clear(&peers->grant_candidates);
 	g_free(peers);
 	return NULL;
 }
@@ -675,7 +675,6 @@
 	spread_updates(peers, now);
 	send_counts(peers, now);
 	peers_run_limits(peers, now);
-	peers_run_rejections(peers, now);
 	peers_run_speeds(peers, now);
 	if (now < peers->next_state_at)
 		return;
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -8,6 +8,7 @@
 
 #include "adapters/gateway/gateway_state.h"
 #include "core/error.h"
+#include "core/forward/brittle.h"
 #include "core/forward/slot_dispatch.h"
 
 /*
@@ -28,8 +29,19 @@
 bool gateway_peers_has_relay(const gateway_peers_t *peers);
 char *gateway_peers_pick_relay(const gateway_peers_t *peers);
 void gateway_peers_limits_changed(gateway_peers_t *peers);
-void gateway_peers_record_rejection(gateway_peers_t *peers,
-				    forward_upstream_t *upstream);
+uint64_t gateway_peers_grant_candidates(gateway_peers_t *peers);
+pd_time_t gateway_peers_issues_grants_since(gateway_peers_t *peers);
+const char *gateway_peers_grant_issuer(gateway_peers_t *peers,
+				       uint64_t upstream_hash);
+double gateway_peers_fleet_share(gateway_peers_t *peers);
+void gateway_peers_send_grant_ask(gateway_peers_t *peers, const char *address,
+				  const brittle_ask_t *ask);
+void gateway_peers_send_grant_answer(gateway_peers_t *peers, const char *address,
+				     const brittle_answer_t *answer);
+void gateway_peers_send_grant_report(gateway_peers_t *peers,
+				     const char *address, uint32_t short_id,
+				     uint32_t number, brittle_outcome_t outcome);
+void gateway_peers_spread_brittle(gateway_peers_t *peers);
 void gateway_peers_send_quarantine(gateway_peers_t *peers);
 void gateway_peers_spread_rollouts(gateway_peers_t *peers);
 const char *gateway_peers_address(const gateway_peers_t *peers);
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -319,7 +319,7 @@
 			case FORWARD_CHOSEN:
 				list_remove(&request->queue_node);
 				gateway->queued--;
-				gateway_request_start_attempt(request, &pick);
+				gateway_request_begin_attempt(request, &pick);
 				continue;
 			case FORWARD_ALL_FULL:
 				break;
@@ -426,6 +426,7 @@
 		if (request->state == REQUEST_READING)
 			continue;
 		gateway_request_check_first_event(request, now);
+		gateway_request_check_grant(request, now);
 		if (now >= request->deadline)
 			request_expire(request);
 		else if (request->version_asked_at)
--- a/adapters/gateway/request.h
+++ b/adapters/gateway/request.h
@@ -18,6 +18,7 @@
 void gateway_request_start(gateway_request_t *request);
 void gateway_request_abandon(gateway_request_t *request, const char *reason);
 const struct gateway_slot_hooks *gateway_request_slot_hooks(void);
+const struct gateway_grant_hooks *gateway_request_grant_hooks(void);
 unsigned int gateway_queue_length(const gateway_t *gateway, const char *service,
 				  int ranks);
 void gateway_requests_run(gateway_t *gateway, pd_time_t now);
--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "adapters/gateway/peers.h"
 #include "adapters/gateway/quarantine_checks.h"
 #include "adapters/gateway/rate_limits.h"
 #include "adapters/gateway/upstream_reach.h"
@@ -63,6 +64,28 @@
 	       is_event_stream(head);
 }
 
+/*
+ * Records how many rejections in a second the upstream bears; 0: any number. Other gateways
+ * are sent now and then that a service is brittle.
+ */
+static void record_brittleness(const gateway_request_t *request,
+			       unsigned int rejections_max)
+{
+	gateway_t *gateway = request->gateway;
+	forward_upstream_t *upstream = request->upstream;
+	pd_time_t now = gateway_now();
+	pd_time_t before = forward_upstreams_brittleness(gateway->upstreams,
+							 upstream->service)
+				   .at;
+
+	if (forward_upstreams_record_brittleness(gateway->upstreams, upstream,
+						 rejections_max, now))
+		log_line(G_LOG_LEVEL_INFO, "upstream", "id=%s brittle=%u",
+			 upstream->id, rejections_max);
+	if (rejections_max && (!before || now - before > FORWARD_BRITTLENESS_REPEAT))
+		gateway_peers_spread_brittle(gateway->peers);
+}
+
 /*
  * Records the limits that the upstream names, or that it names none. An upstream
  * that has a limit says so in each response; one that broke off or is garbled proves
@@ -71,10 +94,8 @@
 static void record_limits(const gateway_request_t *request,
 			  const wire_response_t *answer)
 {
-	if ((answer->is_brittle || answer->sealed) &&
-	    forward_upstream_record_brittle(request->upstream, answer->is_brittle))
-		log_line(G_LOG_LEVEL_INFO, "upstream", "id=%s brittle=%d",
-			 request->upstream->id, answer->is_brittle);
+	if (answer->rejections_max || answer->sealed)
+		record_brittleness(request, answer->rejections_max);
 	if (answer->has_rate_limit || answer->sealed)
 		gateway_limits_record(request->gateway, request->upstream,
 				      answer->has_rate_limit, answer->rate_limit);
@@ -110,8 +131,10 @@
 		return;
 	request->state = REQUEST_HEAD_RECEIVED;
 	gateway_request_store_headers(request, head);
-	if (!request->rejected)
+	if (!request->rejected) {
+		gateway_request_settle_grant(request);
 		gateway_request_count_usage(request);
+	}
 	if (!gateway_request_answer_fits(request))
 		gateway_request_cut_off(request, REASON_NO_MEMORY);
 }
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "adapters/gateway/grants.h"
 #include "adapters/gateway/peers.h"
 #include "adapters/gateway/quarantine_checks.h"
 #include "adapters/gateway/rate_limits.h"
@@ -48,6 +49,7 @@
 {
 	const gateway_t *gateway = request->gateway;
 	unsigned int fleet_size = gateway_count(gateway);
+	forward_choice_t choice;
 	forward_criteria_t criteria = {
 		.service = request->service,
 		.zone = gateway->settings->node_zone,
@@ -56,7 +58,6 @@
 		.overcommit = request->route->has_prompt ? ENGINE_OVERCOMMIT
 							 : PLAIN_OVERCOMMIT,
 		.connections_max = connections_max(request, fleet_size),
-		.sharer = { gateway->name_hash, fleet_size },
 		.limits = upstream_limits_are_empty(gateway->upstream_limits)
 				  ? NULL
 				  : gateway->upstream_limits,
@@ -68,13 +69,18 @@
 
 	for (unsigned int i = 0; i < request->tried_count; i++)
 		criteria.tried[i] = request->tried[i];
-	return gateway_request_choose_version(request, &criteria, pick);
+	choice = gateway_request_choose_version(request, &criteria, pick);
+	if (choice == FORWARD_CHOSEN &&
+	    forward_upstreams_rejections_max(gateway->upstreams, pick->upstream) &&
+	    !gateway_grants_may_ask(gateway->grants, gateway_now()))
+		return FORWARD_ALL_FULL;
+	return choice;
 }
 
 /* Sends the request on the link of its attempt, which must be connected. */
 void gateway_request_send(gateway_request_t *request)
 {
-	GString *head = g_string_sized_new(512);
+	GString *head;
 	const forward_call_t *call = request->call;
 	pd_time_t now = gateway_now();
 	wire_attempt_t send = {
@@ -87,8 +93,16 @@
 		.has_body = request->has_body,
 	};
 
+	if (!gateway_request_has_fresh_grant(request, now)) {
+		upstream_link_close(request->link);
+		request->link = NULL;
+		gateway_request_end_attempt(request, ATTEMPT_UNSENT,
+					    "no connection in time");
+		return;
+	}
 	if (request->events && request->events->last_id)
 		send.resume_after = request->events->last_id;
+	head = g_string_sized_new(512);
 	wire_call_format(head, call, &send);
 	request->sent_at = now;
 	gateway_request_record_rollout_send(request);
@@ -160,10 +174,6 @@
 		if (request->status == 421)
 			forward_upstream_record_connect_failure(request->upstream,
 								now);
-		else if (forward_upstreams_is_brittle(request->gateway->upstreams,
-						      request->upstream))
-			gateway_peers_record_rejection(request->gateway->peers,
-						       request->upstream);
 		else
 			forward_upstream_record_rejection(request->upstream, now);
 		gateway_request_record_outcome(request, true);
@@ -192,6 +202,8 @@
 	}
 	record_attempt_outcome(request, outcome);
 	gateway_request_release_slot(request, outcome == ATTEMPT_REJECTED);
+	gateway_request_release_grant(request, outcome == ATTEMPT_REJECTED &&
+						       request->status != 421);
 	gateway_request_clear_attempt(request);
 	request->sent_at = 0;
 	if (outcome != ATTEMPT_FAILED)
@@ -303,7 +315,7 @@
 		return;
 	switch (gateway_request_choose(request, &pick)) {
 	case FORWARD_CHOSEN:
-		gateway_request_start_attempt(request, &pick);
+		gateway_request_begin_attempt(request, &pick);
 		return;
 	case FORWARD_ALL_LIMITED:
 		if (request->state == REQUEST_STREAMING)
--- a/adapters/gateway/request_end.c
+++ b/adapters/gateway/request_end.c
@@ -12,6 +12,7 @@
 static void request_free(gateway_request_t *request)
 {
 	gateway_request_release_slot(request, false);
+	gateway_request_release_grant(request, false);
 	list_remove(&request->node);
 	if (!list_empty(&request->queue_node))
 		request->gateway->queued--;
@@ -47,6 +48,7 @@
 {
 	release_upstream_load(request);
 	gateway_request_release_slot(request, false);
+	gateway_request_release_grant(request, false);
 	request->gateway->inflight_changed |= request->sent_at &&
 					      !request->usage_counted;
 	if (request->upstream)
--- a/adapters/gateway/request_slot.c
+++ b/adapters/gateway/request_slot.c
@@ -126,7 +126,7 @@
 
 	if (pick.upstream && forward_upstream_is_serving(pick.upstream) &&
 	    request->tried_count < FORWARD_TRIED_MAX) {
-		gateway_request_start_attempt(request, &pick);
+		gateway_request_begin_attempt(request, &pick);
 		return;
 	}
 	gateway_request_release_slot(request, false);
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -74,6 +74,10 @@
 	unsigned int tried_count;
 	uint32_t slot_number; /* of the slot it has or waits for; 0: none */
 	bool slot_unanswered; /* it chooses an upstream without asking for a slot */
+	/* of the grant of a brittle upstream that it has or waits for; 0: none */
+	uint32_t grant_number;
+	forward_pick_t granted_pick; /* what it is for; holds a reference */
+	bool grant_settled; /* the upstream admitted the request */
 	unsigned int relays; /* other gateways that it was relayed to */
 	relay_t *relay; /* in progress; NULL: none */
 	/* The current attempt. */
@@ -154,6 +158,13 @@
 					   bool failed);
 bool gateway_request_await_slot(gateway_request_t *request);
 void gateway_request_release_slot(gateway_request_t *request, bool rejected);
+void gateway_request_begin_attempt(gateway_request_t *request,
+				   const forward_pick_t *pick);
+void gateway_request_release_grant(gateway_request_t *request, bool rejected);
+void gateway_request_settle_grant(gateway_request_t *request);
+void gateway_request_check_grant(gateway_request_t *request, pd_time_t now);
+bool gateway_request_has_fresh_grant(const gateway_request_t *request,
+				     pd_time_t now);
 void gateway_request_send(gateway_request_t *request);
 bool gateway_request_is_retryable(const gateway_request_t *request);
 void gateway_request_end_attempt(gateway_request_t *request,
--- a/adapters/gateway/slots.c
+++ b/adapters/gateway/slots.c
@@ -145,8 +145,7 @@
 
 /*
  * Returns whether a service has fewer slots than its gateways can share evenly. Brittle
- * upstreams may admit fewer requests than their slots, and fall over if others are sent:
- * gateways share them by what each was rejected.
+ * upstreams may admit fewer requests than their slots; requests to them need grants.
  */
 static bool has_few_slots(const gateway_t *gateway, const char *service)
 {
@@ -157,7 +156,7 @@
 	for (guint i = 0; serving && i < serving->len; i++) {
 		const forward_upstream_t *upstream = g_ptr_array_index(serving, i);
 
-		if (forward_upstreams_is_brittle(gateway->upstreams, upstream))
+		if (forward_upstreams_rejections_max(gateway->upstreams, upstream))
 			return false;
 		slots += upstream->slots;
 	}
--- a/core/forward/choice.c
+++ b/core/forward/choice.c
@@ -217,10 +217,6 @@
 
 	if (now < upstream->full_until)
 		return true;
-	if (forward_upstreams_is_brittle(search->set, upstream) &&
-	    upstream->running >= brittle_share(upstream->slots, upstream->id_hash,
-					       &criteria->sharer, now))
-		return true;
 	if (criteria->connections_max &&
 	    upstream->running >= criteria->connections_max)
 		return true;
--- a/core/forward/choice.h
+++ b/core/forward/choice.h
@@ -2,7 +2,6 @@
 #ifndef PISTACHIO_FORWARD_CHOICE_H
 #define PISTACHIO_FORWARD_CHOICE_H
 
-#include "core/forward/brittle.h"
 #include "core/forward/upstream_limits.h"
 #include "core/forward/upstreams.h"
 
@@ -17,8 +16,6 @@
 	double overcommit; /* part of the slots that may be used; 1: all */
 	/* of this gateway to one upstream; 0: no limit */
 	unsigned int connections_max;
-	/* shares the slots of brittle upstreams with the other gateways */
-	brittle_sharer_t sharer;
 	uint64_t version_id; /* of the upstreams to choose from; 0: any */
 	uint64_t excluded_version_id; /* of upstreams not to choose; 0: none */
 	/* part of the upstreams of VERSION_ID to choose from, the same everywhere */
--- a/core/forward/upstream_record.c
+++ b/core/forward/upstream_record.c
@@ -17,8 +17,6 @@
 #define CONNECT_FAILURE_WEIGHT 4
 /* How long an upstream that rejected a request counts as full. */
 #define REJECTION_PAUSE (150 * PD_MSEC)
-/* A rejection that becomes known so shortly after another one is no news. */
-#define REJECTION_NEWS_MIN (100 * PD_MSEC)
 /* A probe request without a response for so long no longer blocks others. */
 #define PROBE_TIMEOUT (2 * PD_SEC)
 /*
@@ -132,35 +130,6 @@
 	upstream->full_until = now + REJECTION_PAUSE;
 }
 
-/*
- * Records that the upstream, which fails if it has to reject too many requests, has
- * rejected one of any gateway at a time. Returns whether that is news, of which other
- * gateways should know; what is sent on does not become news again.
- */
-bool forward_upstream_record_brittle_rejection(forward_upstream_t *upstream,
-					       const brittle_sharer_t *sharer,
-					       pd_time_t at)
-{
-	upstream->brittle = FORWARD_BRITTLE;
-	if (upstream->rejected_at && at - upstream->rejected_at < REJECTION_NEWS_MIN)
-		return false;
-	upstream->rejected_at = at;
-	upstream->full_until = at + brittle_pause(upstream->id_hash, sharer, at);
-	return true;
-}
-
-/*
- * Records whether a response said that the upstream fails if it has to reject too many
- * requests. Returns whether that is new.
- */
-bool forward_upstream_record_brittle(forward_upstream_t *upstream, bool brittle)
-{
-	bool changed = (upstream->brittle == FORWARD_BRITTLE) != brittle;
-
-	upstream->brittle = brittle ? FORWARD_BRITTLE : FORWARD_STURDY;
-	return changed;
-}
-
 /*
  * Resets what was observed before a restart. A process that crashed and runs
  * again under its id has nothing cached and no requests. With the old state it
@@ -176,7 +145,7 @@
 	upstream->failures = 0;
 	upstream->backoff_until = 0;
 	upstream->full_until = 0;
-	upstream->brittle = FORWARD_BRITTLE_UNKNOWN;
+	upstream->brittleness = (forward_brittleness_t){ 0 };
 	upstream->probe_started_at = 0;
 	upstream_speed_reset(&upstream->speed);
 	g_hash_table_remove_all(upstream->cached_parts);
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -18,11 +18,15 @@
  */
 #define TOMBSTONE_TTL (60 * PD_SEC)
 
+/* A sturdy response counts for so long after which others of its service are brittle. */
+#define BRITTLENESS_LAG (2 * PD_SEC)
+
 struct forward_upstreams {
 	list_node_t list; /* of forward_upstream_t, the gone ones included */
 	GHashTable *by_id; /* id -> forward_upstream_t; the ids are borrowed */
 	GHashTable *by_short_id;
 	GHashTable *groups; /* service -> GPtrArray of its serving upstreams */
+	GHashTable *brittle; /* service -> forward_brittleness_t of its last such answer */
 	engine_speeds_t *speeds;
 	GHashTable *restored_speeds; /* short id -> level, of upstreams not seen yet */
 	uint64_t digests[FORWARD_DIGEST_BUCKETS];
@@ -47,6 +51,8 @@
 	set->by_short_id = g_hash_table_new(g_direct_hash, g_direct_equal);
 	set->groups = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    (GDestroyNotify)g_ptr_array_unref);
+	set->brittle =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	set->speeds = engine_speeds_create();
 	set->restored_speeds = g_hash_table_new(NULL, NULL);
 	return set;
@@ -150,6 +156,7 @@
 	g_hash_table_unref(set->by_id);
 	g_hash_table_unref(set->by_short_id);
 	g_hash_table_unref(set->groups);
+	g_hash_table_unref(set->brittle);
 	engine_speeds_destroy(set->speeds);
 	g_hash_table_unref(set->restored_speeds);
 	g_free(set);
@@ -594,22 +601,69 @@
 }
 
 /*
- * Returns whether an upstream fails if it has to reject too many requests, as far as is
- * known: one that has not answered since its start is like others of its service.
+ * Records what a response of an upstream said: how many rejections in a second it bears; 0:
+ * any number. Returns whether that is new of it.
  */
-bool forward_upstreams_is_brittle(const forward_upstreams_t *set,
-				  const forward_upstream_t *upstream)
-{
-	const GPtrArray *serving;
+bool forward_upstreams_record_brittleness(forward_upstreams_t *set,
+					  forward_upstream_t *upstream,
+					  unsigned int rejections_max,
+					  pd_time_t now)
+{
+	const forward_brittleness_t brittleness = { now, rejections_max };
+	bool changed = upstream->brittleness.rejections_max != rejections_max;
+
+	upstream->brittleness = brittleness;
+	if (rejections_max)
+		forward_upstreams_merge_brittleness(set, upstream->service,
+						    &brittleness);
+	return changed;
+}
 
-	if (upstream->brittle != FORWARD_BRITTLE_UNKNOWN)
-		return upstream->brittle == FORWARD_BRITTLE;
-	serving = forward_upstreams_serving(set, upstream->service);
-	for (guint i = 0; serving && i < serving->len; i++) {
-		const forward_upstream_t *other = g_ptr_array_index(serving, i);
+/*
+ * Records that a response of some upstream of a service named a number of rejections.
+ * Returns whether it is newer by more than FORWARD_BRITTLENESS_REPEAT than what was known.
+ */
+bool forward_upstreams_merge_brittleness(forward_upstreams_t *set,
+					 const char *service,
+					 const forward_brittleness_t *brittleness)
+{
+	forward_brittleness_t *known = g_hash_table_lookup(set->brittle, service);
+	pd_time_t before = known ? known->at : 0;
 
-		if (other->brittle == FORWARD_BRITTLE)
-			return true;
+	if (known && brittleness->at <= known->at)
+		return false;
+	if (!known) {
+		known = g_new0(forward_brittleness_t, 1);
+		g_hash_table_insert(set->brittle, g_strdup(service), known);
 	}
-	return false;
+	*known = *brittleness;
+	return !before || brittleness->at - before > FORWARD_BRITTLENESS_REPEAT;
+}
+
+/* Returns what the last brittle response of a service's upstreams said; all 0: none. */
+forward_brittleness_t forward_upstreams_brittleness(const forward_upstreams_t *set,
+						    const char *service)
+{
+	const forward_brittleness_t *known =
+		g_hash_table_lookup(set->brittle, service);
+
+	return known ? *known : (forward_brittleness_t){ 0 };
+}
+
+/*
+ * Returns how many rejections in a second an upstream bears; 0: any number. An upstream
+ * becomes brittle together with others of its service: what the last brittle one of them
+ * said holds for it if its own last response is older.
+ */
+unsigned int forward_upstreams_rejections_max(const forward_upstreams_t *set,
+					      const forward_upstream_t *upstream)
+{
+	const forward_brittleness_t *own = &upstream->brittleness;
+	const forward_brittleness_t *known =
+		g_hash_table_lookup(set->brittle, upstream->service);
+
+	if (own->rejections_max || !known ||
+	    (own->at && known->at - own->at < BRITTLENESS_LAG))
+		return own->rejections_max;
+	return known->rejections_max;
 }
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -5,7 +5,6 @@
 #ifndef PISTACHIO_FORWARD_UPSTREAMS_H
 #define PISTACHIO_FORWARD_UPSTREAMS_H
 
-#include "core/forward/brittle.h"
 #include "core/forward/call.h"
 #include "core/forward/config.h"
 #include "core/forward/engine_speed.h"
@@ -54,12 +53,17 @@
 	uint64_t revision;
 } forward_stage_update_t;
 
-/* Whether an upstream fails if it has to reject too many requests. */
-typedef enum forward_brittle {
-	FORWARD_BRITTLE_UNKNOWN, /* it has not answered since it started */
-	FORWARD_BRITTLE,
-	FORWARD_STURDY
-} forward_brittle_t;
+/*
+ * What a response said of whether an upstream fails when it has to reject too many
+ * requests.
+ */
+typedef struct forward_brittleness {
+	pd_time_t at; /* of the response; 0: there was none */
+	unsigned int rejections_max; /* in a second that it bears; 0: any number */
+} forward_brittleness_t;
+
+/* What is known of a brittle service is sent to other gateways again after this. */
+#define FORWARD_BRITTLENESS_REPEAT PD_SEC
 
 typedef struct forward_upstream {
 	list_node_t node;
@@ -99,9 +103,7 @@
 	pd_time_t backoff_until;
 	pd_time_t full_until; /* set when it rejects a request */
 	pd_time_t answered_at; /* when it last sent a head of a response here */
-	forward_brittle_t brittle;
-	/* when it last rejected a request of any gateway while it was brittle; 0: never */
-	pd_time_t rejected_at;
+	forward_brittleness_t brittleness; /* by its own responses since it started */
 	pd_time_t probe_started_at; /* when a probe request was sent; 0: none */
 	upstream_speed_t speed; /* relative to others of its service */
 	/* prompt part id -> pd_time_t of its last use */
@@ -160,12 +162,17 @@
 void forward_upstream_record_connect_failure(forward_upstream_t *upstream,
 					     pd_time_t now);
 void forward_upstream_record_rejection(forward_upstream_t *upstream, pd_time_t now);
-bool forward_upstream_record_brittle_rejection(forward_upstream_t *upstream,
-					       const brittle_sharer_t *sharer,
-					       pd_time_t at);
-bool forward_upstream_record_brittle(forward_upstream_t *upstream, bool brittle);
-bool forward_upstreams_is_brittle(const forward_upstreams_t *set,
-				  const forward_upstream_t *upstream);
+bool forward_upstreams_record_brittleness(forward_upstreams_t *set,
+					  forward_upstream_t *upstream,
+					  unsigned int rejections_max,
+					  pd_time_t now);
+bool forward_upstreams_merge_brittleness(forward_upstreams_t *set,
+					 const char *service,
+					 const forward_brittleness_t *brittleness);
+forward_brittleness_t forward_upstreams_brittleness(const forward_upstreams_t *set,
+						    const char *service);
+unsigned int forward_upstreams_rejections_max(const forward_upstreams_t *set,
+					      const forward_upstream_t *upstream);
 void forward_upstream_record_restart(forward_upstream_t *upstream);
 void forward_upstream_record_success(forward_upstream_t *upstream);
 bool forward_upstream_in_backoff(const forward_upstream_t *upstream, pd_time_t now);
--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -18,6 +18,7 @@
 #include "adapters/gateway/checkpoint_record.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peer_state.h"
+#include "adapters/gateway/grants.h"
 #include "adapters/gateway/slots.h"
 #include "adapters/gateway/rollouts.h"
 #include "adapters/gateway/usage_table.h"
@@ -160,17 +161,37 @@
 	peers_pack_quarantine(buffer, gateway->peers, reports, 2);
 }
 
-/* Packs rejections by an upstream that is known and by one that is not. */
-static void pack_rejections(gateway_t *gateway, msgpack_sbuffer *buffer)
+/* Packs asks for grants, answers to asks of the receiver, or reports. */
+static void pack_grants(const gateway_t *gateway, msgpack_sbuffer *buffer,
+			message_kind_t kind)
 {
-	const rejection_t rejections[] = {
-		{ forward_upstream_short_id(
-			  forward_upstreams_find(gateway->upstreams, "u1")),
-		  gateway_now() - PD_MSEC },
-		{ 77, gateway_now() },
-	};
+	static const char to[] = "127.0.0.1:9";
+	gateway_peers_t sender = {};
+	char address[] = "127.0.0.1:8";
+	char incarnation[] = "h#1";
+	brittle_ask_t ask = {};
+	brittle_answer_t answer = {};
 
-	peers_pack_rejections(buffer, gateway->peers, rejections, 2);
+	sender.address = address;
+	sender.incarnation = incarnation;
+	sender.slot_outboxes = peers_slot_outboxes_create();
+	ask.short_id = forward_upstream_short_id(
+		forward_upstreams_find(gateway->upstreams, "u1"));
+	ask.slots = 6;
+	ask.rejections_max = 3;
+	ask.time_left = PD_SEC;
+	for (uint32_t number = 1; number < 4; number++) {
+		ask.number = answer.number = number;
+		answer.granted = number == 2;
+		answer.retry_after = 20 * PD_MSEC;
+		gateway_peers_send_grant_ask(&sender, to, &ask);
+		gateway_peers_send_grant_answer(&sender, to, &answer);
+		gateway_peers_send_grant_report(&sender, to, ask.short_id, number,
+						static_cast<brittle_outcome_t>(
+							number));
+	}
+	peers_pack_slots(buffer, &sender, to, kind);
+	g_hash_table_unref(sender.slot_outboxes);
 }
 
 /* Packs requests for slots, answers to requests of the receiver, or releases. */
@@ -312,7 +333,11 @@
 		peers_pack_stream_query(&buffer, peers, 77, "s");
 		break;
 	case 9:
-		pack_rejections(gateway, &buffer);
+		forward_upstreams_record_brittleness(
+			gateway->upstreams,
+			forward_upstreams_find(gateway->upstreams, "u1"), 3,
+			gateway_now());
+		peers_pack_brittle(&buffer, peers);
 		break;
 	case 10:
 	case 11:
@@ -325,6 +350,14 @@
 		msgpack_sbuffer_destroy(&buffer);
 		peers_pack_rollouts(&buffer, peers);
 		break;
+	case 14:
+	case 15:
+	case 16:
+		msgpack_sbuffer_destroy(&buffer);
+		pack_grants(gateway, &buffer,
+			    static_cast<message_kind_t>(MESSAGE_GRANT_ASK +
+							kind - 14));
+		break;
 	default:
 		peers_pack_announcement(&packer, peers);
 		break;
@@ -337,13 +370,16 @@
 static bool prop_peers(gateway_t *gateway)
 {
 	return rc::check("messages of peers", [gateway] {
-		auto kind = *rc::gen::inRange(0, 15);
+		auto kind = *rc::gen::inRange(0, 18);
 		bool valid = true;
 		auto bytes = mutated(message(gateway, kind));
 
 		peers_receive(gateway->peers, bytes.data(), bytes.size());
 		gateway_slots_run(gateway->slots, gateway_now());
 		gateway_slots_flush(gateway->slots);
+		gateway_grants_run(gateway->grants, gateway_now());
+		gateway_grants_flush(gateway->grants);
+		gateway_peers_flush_slots(gateway->peers);
 		upstream_limits_each(gateway->upstream_limits, gateway_now(),
 				     check_limit, &valid);
 		run_rollouts(gateway);
--- a/tests/unit/test_forward_upstreams.c
+++ b/tests/unit/test_forward_upstreams.c
@@ -205,41 +205,58 @@
 	assert_non_null(choose(*state, START + PD_SEC));
 }
 
-/* Guards against a gateway that sends on what an upstream rejected elsewhere for ever. */
-static void test_rejections_of_brittle_upstreams_are_news_once(void **state)
+/* Guards against an upstream that is filled as it has not answered since its start. */
+static void test_upstream_that_started_is_like_its_service(void **state)
 {
-	const brittle_sharer_t sharer = { 5, 6 };
-	forward_upstream_t *upstream;
+	forward_upstream_t *first;
+	forward_upstream_t *second;
 
 	list(*state, "u1", 1, FORWARD_SERVING);
-	upstream = forward_upstreams_find(*state, "u1");
-	assert_true(forward_upstream_record_brittle_rejection(upstream, &sharer,
-							      START));
-	assert_false(
-		forward_upstream_record_brittle_rejection(upstream, &sharer,
-							  START + 20 * PD_MSEC));
-	assert_null(choose(*state, START + 400 * PD_MSEC));
-	assert_non_null(choose(*state, START + 1600 * PD_MSEC));
-	assert_true(forward_upstream_record_brittle_rejection(upstream, &sharer,
-							      START + PD_SEC));
-	assert_null(choose(*state, START + 1400 * PD_MSEC));
+	list(*state, "u2", 2, FORWARD_SERVING);
+	first = forward_upstreams_find(*state, "u1");
+	second = forward_upstreams_find(*state, "u2");
+	assert_int_equal(forward_upstreams_rejections_max(*state, second), 0);
+	forward_upstreams_record_brittleness(*state, first, 3, START);
+	assert_int_equal(forward_upstreams_rejections_max(*state, second), 3);
+	forward_upstreams_record_brittleness(*state, second, 0, START);
+	assert_int_equal(forward_upstreams_rejections_max(*state, second), 0);
+	forward_upstream_record_restart(second);
+	assert_int_equal(forward_upstreams_rejections_max(*state, second), 3);
 }
 
-/* Guards against an upstream that is filled as it has not answered since its start. */
-static void test_upstream_that_started_is_like_its_service(void **state)
+/* Guards against a response of before the service became brittle, which is still trusted. */
+static void test_old_sturdy_response_counts_no_more(void **state)
 {
-	forward_upstream_t *upstream;
+	forward_upstream_t *first;
+	forward_upstream_t *second;
 
 	list(*state, "u1", 1, FORWARD_SERVING);
 	list(*state, "u2", 2, FORWARD_SERVING);
-	upstream = forward_upstreams_find(*state, "u2");
-	assert_false(forward_upstreams_is_brittle(*state, upstream));
-	forward_upstream_record_brittle(forward_upstreams_find(*state, "u1"), true);
-	assert_true(forward_upstreams_is_brittle(*state, upstream));
-	forward_upstream_record_brittle(upstream, false);
-	assert_false(forward_upstreams_is_brittle(*state, upstream));
-	forward_upstream_record_restart(upstream);
-	assert_true(forward_upstreams_is_brittle(*state, upstream));
+	first = forward_upstreams_find(*state, "u1");
+	second = forward_upstreams_find(*state, "u2");
+	forward_upstreams_record_brittleness(*state, second, 0, START);
+	forward_upstreams_record_brittleness(*state, first, 3, START + PD_SEC);
+	assert_int_equal(forward_upstreams_rejections_max(*state, second), 0);
+	forward_upstreams_record_brittleness(*state, first, 4, START + 3 * PD_SEC);
+	assert_int_equal(forward_upstreams_rejections_max(*state, second), 4);
+	forward_upstreams_record_brittleness(*state, second, 0, START + 4 * PD_SEC);
+	assert_int_equal(forward_upstreams_rejections_max(*state, second), 0);
+	assert_int_equal(forward_upstreams_rejections_max(*state, first), 4);
+}
+
+/* Guards against a gateway that sends on for ever what it was sent. */
+static void test_brittle_services_are_news_once(void **state)
+{
+	const forward_brittleness_t said = { START, 3 };
+	const forward_brittleness_t again = { START + 20 * PD_MSEC, 3 };
+	const forward_brittleness_t later = { START + 2 * PD_SEC, 5 };
+
+	assert_true(forward_upstreams_merge_brittleness(*state, "s", &said));
+	assert_false(forward_upstreams_merge_brittleness(*state, "s", &said));
+	assert_false(forward_upstreams_merge_brittleness(*state, "s", &again));
+	assert_true(forward_upstreams_merge_brittleness(*state, "s", &later));
+	assert_int_equal(forward_upstreams_brittleness(*state, "s").rejections_max,
+			 5);
 }
 
 static void test_a_full_upstream_is_not_chosen(void **state)
@@ -516,9 +533,10 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_an_upstream_that_rejected_is_full,
 						setup, teardown),
-		cmocka_unit_test_setup_teardown(
-			test_rejections_of_brittle_upstreams_are_news_once,
-			setup, teardown),
+		cmocka_unit_test_setup_teardown(test_brittle_services_are_news_once,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_old_sturdy_response_counts_no_more,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_upstream_that_started_is_like_its_service,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_a_full_upstream_is_not_chosen,
--- a/tests/unit/test_gateway_slots.c
+++ b/tests/unit/test_gateway_slots.c
@@ -6,6 +6,7 @@
 
 #include <cmocka.h>
 
+#include "adapters/gateway/grants.h"
 #include "adapters/gateway/peer_state.h"
 #include "adapters/gateway/slots.h"
 #include "adapters/log_glib.h"
@@ -50,6 +51,7 @@
 {
 	static const gateway_slot_hooks_t hooks = { on_granted, on_refused,
 						    on_unanswered };
+	static const gateway_grant_hooks_t grant_hooks = { 0 };
 	static const forward_registration_t registration = {
 		.id = "u",
 		.service = "s",
@@ -70,6 +72,7 @@
 	forward_upstreams_apply(f->gateway.upstreams, &registration);
 	f->gateway.peers = &f->peers;
 	f->gateway.slots = gateway_slots_create(&f->gateway, &hooks);
+	f->gateway.grants = gateway_grants_create(&f->gateway, &grant_hooks);
 	f->peers.gateway = &f->gateway;
 	f->peers.address = g_strdup(OWN);
 	f->peers.incarnation = g_strdup("g#1");
@@ -89,6 +92,7 @@
 	fixture_t *f = *state;
 
 	gateway_slots_destroy(f->gateway.slots);
+	gateway_grants_destroy(f->gateway.grants);
 	metrics_destroy(f->gateway.metrics);
 	g_hash_table_unref(f->peers.slot_outboxes);
 	g_hash_table_unref(f->peers.by_address);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -488,7 +488,7 @@
 	wire_response_t response;
 
 	wire_response_parse(headers, G_N_ELEMENTS(headers), &response);
-	assert_false(response.is_brittle);
+	assert_int_equal(response.rejections_max, 0);
 	return response.has_rate_limit ? response.rate_limit : -1;
 }
 
@@ -506,7 +506,7 @@
 	assert_true(rate_limit_of("1e9") < 0);
 	assert_true(rate_limit_of("many") < 0);
 	wire_response_parse(headers, G_N_ELEMENTS(headers), &response);
-	assert_true(response.is_brittle);
+	assert_int_equal(response.rejections_max, 3);
 	assert_false(response.has_rate_limit);
 	assert_int_equal(response.retry_after, 250 * PD_MSEC);
 }
