Have issuers of grants wait for gateways that they have not heard

A gateway that starts while others are cut off from it took the gateways that it heard for the whole fleet, and issued grants of brittle upstreams beside the issuers on the other side, which still counted its side as alive.

Now it waits until those would take its side for lost, unless it hears as many gateways as there are.

--- a/adapters/gateway/peer_grants.c
+++ b/adapters/gateway/peer_grants.c
@@ -11,6 +11,8 @@
 
 /* What is known of a brittle service is older than this if no response said so lately. */
 #define BRITTLENESS_AGE_MAX (2 * PD_SEC)
+/* Until a gateway that is cut off from others takes them for lost. */
+#define UNHEARD_TIME (6 * PD_SEC)
 /* Services in one message; further ones are not sent. */
 #define SERVICES_MAX 16
 
@@ -57,12 +59,6 @@
 	return get_candidates(peers)->generation;
 }
 
-/* Returns since when the gateways that issue grants are the same as now. */
-pd_time_t gateway_peers_issues_grants_since(gateway_peers_t *peers)
-{
-	return get_candidates(peers)->changed_at;
-}
-
 /* Returns the address of the gateway that issues the grants of an upstream, borrowed. */
 const char *gateway_peers_grant_issuer(gateway_peers_t *peers, uint64_t upstream_hash)
 {
@@ -76,14 +72,29 @@
 }
 
 /*
- * Returns the part of the gateways of the last minute that are alive, including this one:
- * in a fleet that is split, each side issues grants for its own members.
+ * Returns the part of the gateways that are alive, including this one: in a fleet that is
+ * split, each side issues grants for its own members. One that has just started knows the
+ * size of the fleet from the checkpoint.
  */
 double gateway_peers_fleet_share(gateway_peers_t *peers)
 {
 	const peer_view_t *view = peers_view(peers, gateway_now());
 
-	return (double)view->alive / MAX(view->fleet_size, 1);
+	return (double)view->alive / MAX(gateway_count(peers->gateway), 1);
+}
+
+/*
+ * Returns since when no other gateway issues grants of the upstreams that are this one's,
+ * or until when one may. Gateways that this one has not heard since it started may still
+ * take each other for the whole fleet.
+ */
+pd_time_t gateway_peers_issues_grants_since(gateway_peers_t *peers)
+{
+	pd_time_t since = get_candidates(peers)->changed_at;
+
+	if (gateway_peers_fleet_share(peers) < 1)
+		return MAX(since, peers->started_at + UNHEARD_TIME);
+	return since;
 }
 
 /* Initializes the candidates, with none. */
--- a/core/forward/brittle.c
+++ b/core/forward/brittle.c
@@ -118,17 +118,15 @@
 	return g_hash_table_lookup(issuer->entries, GUINT_TO_POINTER(short_id));
 }
 
-/* Adds an entry for what an upstream registered. Returns it, borrowed. */
+/* Adds an entry for an upstream. Returns it, borrowed. */
 static brittle_entry_t *add_entry(brittle_issuer_t *issuer,
-				  const brittle_ask_t *ask,
-				  pd_time_t issues_since, pd_time_t now)
+				  const brittle_ask_t *ask, pd_time_t now)
 {
 	brittle_entry_t *entry = g_new0(brittle_entry_t, 1);
 
-	entry->slots = MAX(ask->slots, 1);
-	entry->room = entry->slots;
+	entry->room = MAX(ask->slots, 1);
 	entry->room_changed_at = now;
-	entry->issues_from = MAX(issues_since + HANDOVER_TIME, issuer->issues_from);
+	entry->issues_from = PD_TIME_MAX;
 	entry->grants = g_array_new(FALSE, FALSE, sizeof(grant_t));
 	g_hash_table_insert(issuer->entries, GUINT_TO_POINTER(ask->short_id),
 			    entry);
@@ -247,7 +245,10 @@
 
 	check_stall(issuer, now);
 	if (!entry)
-		entry = add_entry(issuer, ask, issues_since, now);
+		entry = add_entry(issuer, ask, now);
+	entry->issues_from =
+		MIN(entry->issues_from,
+		    MAX(issues_since + HANDOVER_TIME, issuer->issues_from));
 	entry->asked_at = now;
 	entry->slots = MAX(ask->slots, 1);
 	entry->room = MIN(entry->room, entry->slots);
--- a/tests/property/test_brittle.cc
+++ b/tests/property/test_brittle.cc
@@ -51,6 +51,8 @@
 	std::map<uint32_t, event> waiting; /* number -> ask */
 	std::vector<unsigned> candidates; /* the first that it takes for alive */
 	pd_time_t candidates_at = 0; /* when they last changed */
+	pd_time_t booted_at = 0;
+	bool hears_all = true;
 	unsigned boot = 0;
 	bool frozen = false;
 	bool down = false;
@@ -84,6 +86,7 @@
 			boot(i);
 			find_candidates(i);
 			gateways[i].candidates_at = start - 10 * PD_SEC;
+			gateways[i].booted_at = start - 10 * PD_SEC;
 		}
 	}
 	~fleet()
@@ -159,10 +162,11 @@
 
 		brittle_issuer_destroy(one.issuer);
 		one.issuer = brittle_issuer_create();
-		one.heard_at.assign(gateways.size(), now);
+		one.heard_at.assign(gateways.size(), now - silence_max);
 		one.full_until.assign(all.upstreams, 0);
 		one.waiting.clear();
 		one.candidates.clear();
+		one.booted_at = now;
 		one.boot++;
 	}
 
@@ -223,6 +227,7 @@
 		find_candidates(i);
 		for (pd_time_t heard_at : one.heard_at)
 			alive += now - heard_at < silence_max;
+		one.hears_all = alive == gateways.size();
 		brittle_issuer_set_share(one.issuer,
 					 (double)alive / (double)gateways.size(),
 					 now);
@@ -232,6 +237,13 @@
 		deny_unanswered(i);
 	}
 
+	static pd_time_t issues_since(const gateway &one)
+	{
+		if (one.hears_all)
+			return one.candidates_at;
+		return std::max(one.candidates_at, one.booted_at + silence_max);
+	}
+
 	struct keep_check {
 		fleet *self;
 		unsigned i;
@@ -402,7 +414,7 @@
 		answer.kind = ANSWER;
 		answer.granted = issuer(ask.to, ask.upstream) == ask.to &&
 				 brittle_issuer_request(to.issuer, &asked,
-							to.candidates_at, now,
+							issues_since(to), now,
 							&retry_after);
 		answer.asked_at = answer.granted ? ask.asked_at : retry_after;
 		post(answer);
