Test that upstreams get no requests in a rest that they ask for

What callers see: requests go to upstreams that have just asked for some seconds of rest, are rejected there and use up the retry budget; callers are told to come back in 0.4 s where all upstreams rest for 20 s.

An upstream that answers 503 with Retry-After: 2 gets 10 requests of one gateway between half a second after it and the end, where 2 are allowed; 9 by resumed streams, 10 and 9 where no other upstream is left, at 6 and 24 gateways.

--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -198,6 +198,9 @@
 	bool falls;
 
 	append_limits(headers, server);
+	if (server->rest)
+		g_string_append_printf(headers, "Retry-After: %s\r\n",
+				       server->rest);
 	session_write(session, 503, headers->str, "");
 	g_string_free(headers, TRUE);
 	if (!server->brittle)
@@ -423,6 +426,10 @@
 	if (rig->observe_call && session->call_id)
 		rig->observe_call(rig->ctx, session->server->number,
 				  session->call_id);
+	if (session->server->rest) {
+		upstream_reject(session);
+		return;
+	}
 	session->behavior = session->server->behavior;
 	if (rig->choose_behavior)
 		session->behavior = rig->choose_behavior(rig->ctx, session->target);
