Keep the time of rest that an upstream asks for

What callers saw: requests reached engines that had asked a gateway for 3 s of rest, 8 and 12 where two are allowed; they were rejected there and used up the retry budget, so that over a tenth of two kinds of requests was not served.

Cause: Retry-After of an upstream's 503 was parsed and used by nothing. Each upstream that rejects was tried again after 150 ms.

Now the rest is kept for the process of the upstream, by this gateway, wherever an upstream is chosen, where a slot or a grant for it comes, and when a request is written, as its connection may have been opened before. Utilization and the plan of the fleet's size don't count what rests. If all upstreams rest, a request is refused at once with the time at which the first is back, unless that is within the time that it may be queued.

--- a/adapters/gateway/duties_scale.c
+++ b/adapters/gateway/duties_scale.c
@@ -203,7 +203,9 @@
 		.rate = engine_speeds_is_known(speeds, service->name)
 				? engine_speeds_rate(speeds, service->name)
 				: 0,
-		.lost = gateway_limits_lost_upstreams(gateway, service->name, now),
+		.lost = gateway_limits_lost_upstreams(gateway, service->name, now) +
+			forward_upstreams_count_resting(gateway->upstreams,
+							service->name, now),
 	};
 	unsigned int count = scale_plan_make(get_plan(duties, service->name),
 					     service, gateway->upstreams,
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -327,6 +327,12 @@
 				if (!gateway_request_may_await_permit(request, now))
 					continue;
 				break;
+			case FORWARD_ALL_RESTING:
+				if (!gateway_request_may_await_rest(request,
+								    pick.rest_until,
+								    now))
+					continue;
+				break;
 			case FORWARD_NONE_LEFT:
 				gateway_request_give_up(request,
 							RETRY_AFTER_NO_UPSTREAM,
--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -122,6 +122,9 @@
 	request->status = head->status;
 	request->rejected = answer.not_run || head->status == 421;
 	request->sealed = answer.sealed;
+	if (head->status == 503 && answer.retry_after &&
+	    (request->rejected || !request->sealed))
+		gateway_request_record_rest(request, answer.retry_after);
 	request->idle_timeout = answer.idle_timeout;
 	request->ends_with_connection = head->ends_with_connection;
 	request->response_keep_alive = head->keep_alive &&
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -77,6 +77,35 @@
 	return choice;
 }
 
+/*
+ * Returns whether an upstream that was chosen a moment ago, here or by another gateway, may
+ * still be used.
+ */
+bool gateway_request_may_use(const gateway_request_t *request,
+			     const forward_upstream_t *upstream)
+{
+	pd_time_t now = gateway_now();
+
+	for (unsigned int i = 0; i < request->tried_count; i++) {
+		if (!strcmp(request->tried[i], upstream->id))
+			return false;
+	}
+	return request->tried_count < FORWARD_TRIED_MAX &&
+	       forward_upstream_is_serving(upstream) &&
+	       !forward_upstream_is_resting(upstream, now) &&
+	       upstream_limits_has_permit(request->gateway->upstream_limits,
+					  forward_upstream_short_id(upstream),
+					  now);
+}
+
+/* Ends an attempt before its request is sent, on a link that others may use. */
+static void withhold(gateway_request_t *request, const char *reason)
+{
+	upstream_link_release(request->link, 0);
+	request->link = NULL;
+	gateway_request_end_attempt(request, ATTEMPT_WITHHELD, reason);
+}
+
 /* Sends the request on the link of its attempt, which must be connected. */
 void gateway_request_send(gateway_request_t *request)
 {
@@ -93,11 +122,13 @@
 		.has_body = request->has_body,
 	};
 
+	/* These may have changed while the connection was made. */
 	if (!gateway_request_has_fresh_grant(request, now)) {
-		upstream_link_close(request->link);
-		request->link = NULL;
-		gateway_request_end_attempt(request, ATTEMPT_UNSENT,
-					    "no connection in time");
+		withhold(request, "no connection in time");
+		return;
+	}
+	if (forward_upstream_is_resting(request->upstream, now)) {
+		withhold(request, "upstream rests");
 		return;
 	}
 	if (request->events && request->events->last_id)
@@ -141,6 +172,7 @@
 		return false;
 	switch (outcome) {
 	case ATTEMPT_UNSENT:
+	case ATTEMPT_WITHHELD:
 		return true; /* not delivered, so it is no repeated send */
 	case ATTEMPT_REJECTED:
 		break;
@@ -166,6 +198,8 @@
 		forward_upstream_record_connect_failure(request->upstream, now);
 		gateway_reach_record_failure(request->gateway, request->upstream);
 		break;
+	case ATTEMPT_WITHHELD:
+		break;
 	case ATTEMPT_UNKNOWN:
 		forward_upstream_record_failure(request->upstream, now);
 		break;
@@ -323,6 +357,13 @@
 		if (gateway_request_may_await_permit(request, gateway_now()))
 			gateway_request_enqueue(request);
 		return;
+	case FORWARD_ALL_RESTING:
+		if (request->state == REQUEST_STREAMING)
+			break;
+		if (gateway_request_may_await_rest(request, pick.rest_until,
+						   gateway_now()))
+			gateway_request_enqueue(request);
+		return;
 	case FORWARD_ALL_FULL:
 		if (request->state == REQUEST_STREAMING)
 			break;
--- a/adapters/gateway/request_grant.c
+++ b/adapters/gateway/request_grant.c
@@ -1,24 +1,7 @@
 /* Requests that wait for a grant of a brittle upstream. */
-#include <string.h>
-
 #include "adapters/gateway/grants.h"
 #include "adapters/gateway/request_state.h"
 
-/* Returns whether an upstream that was chosen before the grant came may still be used. */
-static bool is_usable(const gateway_request_t *request,
-		      const forward_upstream_t *upstream)
-{
-	for (unsigned int i = 0; i < request->tried_count; i++) {
-		if (!strcmp(request->tried[i], upstream->id))
-			return false;
-	}
-	return request->tried_count < FORWARD_TRIED_MAX &&
-	       forward_upstream_is_serving(upstream) &&
-	       upstream_limits_has_permit(request->gateway->upstream_limits,
-					  forward_upstream_short_id(upstream),
-					  gateway_now());
-}
-
 /*
  * Starts an attempt at an upstream. At a brittle one this comes when a grant does; the
  * request waits without an attempt until then.
@@ -98,7 +81,7 @@
 /* Sends a request to the upstream that it has a grant for. */
 static void on_granted(gateway_request_t *request)
 {
-	if (is_usable(request, request->granted_pick.upstream)) {
+	if (gateway_request_may_use(request, request->granted_pick.upstream)) {
 		gateway_request_start_attempt(request, &request->granted_pick);
 		return;
 	}
--- a/adapters/gateway/request_shed.c
+++ b/adapters/gateway/request_shed.c
@@ -205,8 +205,8 @@
 		/* Checked first, as this visits all upstreams. */
 		if (!shed_update_is_due(shed, now))
 			continue;
-		utilization.ratio =
-			forward_upstreams_utilization(gateway->upstreams, service);
+		utilization.ratio = forward_upstreams_utilization(gateway->upstreams,
+								  service, now);
 		changed = shed_update(shed, &utilization, now);
 		if (shed_admitted_share(shed) < 1)
 			set_account_demands(gateway, shed, now);
--- a/adapters/gateway/request_slot.c
+++ b/adapters/gateway/request_slot.c
@@ -1,6 +1,4 @@
 /* Requests that wait for a slot of a plain service. */
-#include <string.h>
-
 #include "adapters/gateway/request_state.h"
 #include "adapters/gateway/slots.h"
 #include "adapters/log_glib.h"
@@ -9,20 +7,9 @@
 /* Part of the latency goal in which a request has to begin, to be answered in time. */
 #define BEGIN_GOAL_PART 0.7
 
-/* Returns whether a request has been sent to an upstream, or tried to be. */
-static bool is_tried(const gateway_request_t *request,
-		     const forward_upstream_t *upstream)
-{
-	for (unsigned int i = 0; i < request->tried_count; i++) {
-		if (!strcmp(request->tried[i], upstream->id))
-			return true;
-	}
-	return false;
-}
-
 /*
- * Lists the upstreams that a request is not to get: those that it tried and, while there
- * are others, those in backoff. One that takes no connections from this gateway would
+ * Lists the upstreams that a request is not to get: those that it tried or that asked this
+ * gateway for a rest and, while there are others, those in backoff. One that takes no connections from this gateway would
  * otherwise have the most free slots and get every request first; the dispatcher can't
  * leave it out, as others may reach it. Returns whether any upstream is left.
  */
@@ -40,7 +27,7 @@
 		const forward_upstream_t *upstream = g_ptr_array_index(serving, i);
 		uint32_t short_id = forward_upstream_short_id(upstream);
 
-		if (is_tried(request, upstream)) {
+		if (!gateway_request_may_use(request, upstream)) {
 			if (ask->tried_count < SLOT_TRIED_MAX)
 				ask->tried[ask->tried_count++] = short_id;
 			continue;
@@ -124,8 +111,7 @@
 			request->gateway->upstreams, short_id),
 	};
 
-	if (pick.upstream && forward_upstream_is_serving(pick.upstream) &&
-	    request->tried_count < FORWARD_TRIED_MAX) {
+	if (pick.upstream && gateway_request_may_use(request, pick.upstream)) {
 		gateway_request_begin_attempt(request, &pick);
 		return;
 	}
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -31,6 +31,7 @@
 /* How an attempt at an upstream ended without a response to forward. */
 typedef enum attempt_outcome {
 	ATTEMPT_UNSENT, /* nothing was sent */
+	ATTEMPT_WITHHELD, /* the same, for no fault of the upstream */
 	ATTEMPT_REJECTED, /* the upstream confirmed that it did not run */
 	ATTEMPT_UNKNOWN, /* it may have run */
 	ATTEMPT_FAILED /* the upstream ran it and reported a failure */
@@ -183,6 +184,11 @@
 void gateway_request_enqueue(gateway_request_t *request);
 pd_time_t gateway_request_queue_time_max(const gateway_request_t *request);
 bool gateway_request_may_await_permit(gateway_request_t *request, pd_time_t now);
+void gateway_request_record_rest(const gateway_request_t *request, pd_time_t rest);
+bool gateway_request_may_await_rest(gateway_request_t *request,
+				    pd_time_t rest_until, pd_time_t now);
+bool gateway_request_may_use(const gateway_request_t *request,
+			     const forward_upstream_t *upstream);
 double gateway_request_unshared_work(const gateway_request_t *request);
 bool gateway_request_admit(gateway_request_t *request);
 void gateway_request_record_outcome(gateway_request_t *request, bool overloaded);
--- a/adapters/gateway/slots.c
+++ b/adapters/gateway/slots.c
@@ -158,7 +158,8 @@
 
 		if (forward_upstreams_rejections_max(gateway->upstreams, upstream))
 			return false;
-		slots += upstream->slots;
+		if (!forward_upstream_is_resting(upstream, gateway_now()))
+			slots += upstream->slots;
 	}
 	return slots && slots < SLOTS_PER_GATEWAY_MAX * gateway_count(gateway);
 }
@@ -175,7 +176,8 @@
 		return false;
 	if (state->shortage_at && now - state->shortage_at < SHORTAGE_TTL)
 		return true;
-	utilization = forward_upstreams_utilization(gateway->upstreams, service);
+	utilization =
+		forward_upstreams_utilization(gateway->upstreams, service, now);
 	return utilization >
 	       (state->scarce ? PLENTY_UTILIZATION : SCARCE_UTILIZATION);
 }
--- a/core/forward/choice.c
+++ b/core/forward/choice.c
@@ -134,6 +134,7 @@
 	candidate_t best; /* so far */
 	bool any_full; /* an upstream that was not tried yet has no room */
 	bool any_limited; /* one has room, but needs a permit */
+	pd_time_t rest_until; /* when the first one that rests is back; 0: none does */
 } search_t;
 
 /*
@@ -286,6 +287,13 @@
 	    (search->part_limit < UINT64_MAX &&
 	     part_hash(upstream) > search->part_limit))
 		return false;
+	if (forward_upstream_is_resting(upstream, search->now)) {
+		search->rest_until =
+			search->rest_until
+				? MIN(search->rest_until, upstream->rest_until)
+				: upstream->rest_until;
+		return false;
+	}
 	if (is_full(search, upstream)) {
 		search->any_full = true;
 		return false;
@@ -444,9 +452,12 @@
 	}
 	pick->upstream = search.best.upstream;
 	pick->uncached_tokens = search.best.uncached_tokens;
+	pick->rest_until = search.rest_until;
 	if (pick->upstream)
 		return FORWARD_CHOSEN;
 	if (search.any_full)
 		return FORWARD_ALL_FULL;
-	return search.any_limited ? FORWARD_ALL_LIMITED : FORWARD_NONE_LEFT;
+	if (search.any_limited)
+		return FORWARD_ALL_LIMITED;
+	return search.rest_until ? FORWARD_ALL_RESTING : FORWARD_NONE_LEFT;
 }
--- a/core/forward/choice.h
+++ b/core/forward/choice.h
@@ -35,12 +35,14 @@
 	forward_upstream_t *upstream; /* borrowed; NULL: none */
 	/* tokens of the call's prompt that it has to process */
 	double uncached_tokens;
+	pd_time_t rest_until; /* if all rest: when the first one is back */
 } forward_pick_t;
 
 typedef enum forward_choice {
 	FORWARD_CHOSEN,
 	FORWARD_ALL_FULL,
 	FORWARD_ALL_LIMITED, /* all that could be used need a permit first */
+	FORWARD_ALL_RESTING, /* all that could be used asked for a rest */
 	FORWARD_NONE_LEFT /* no upstream serves, or all were tried */
 } forward_choice_t;
 
--- a/core/forward/upstream_record.c
+++ b/core/forward/upstream_record.c
@@ -130,6 +130,22 @@
 	upstream->full_until = now + REJECTION_PAUSE;
 }
 
+/*
+ * Records that the upstream rejected a request and asked for a time of rest. A shorter one
+ * doesn't end one that it asked for before.
+ */
+void forward_upstream_record_rest(forward_upstream_t *upstream, pd_time_t rest,
+				  pd_time_t now)
+{
+	upstream->rest_until = MAX(upstream->rest_until, now + rest);
+}
+
+/* Returns whether the upstream has asked this gateway for no requests now. */
+bool forward_upstream_is_resting(const forward_upstream_t *upstream, pd_time_t now)
+{
+	return now < upstream->rest_until;
+}
+
 /*
  * Resets what was observed before a restart. A process that crashed and runs
  * again under its id has nothing cached and no requests. With the old state it
@@ -145,6 +161,7 @@
 	upstream->failures = 0;
 	upstream->backoff_until = 0;
 	upstream->full_until = 0;
+	upstream->rest_until = 0;
 	upstream->brittleness = (forward_brittleness_t){ 0 };
 	upstream->probe_started_at = 0;
 	upstream_speed_reset(&upstream->speed);
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -274,12 +274,11 @@
 }
 
 /*
- * Returns the requests of all gateways, as far as they are known, divided by
- * the slots of a service. Over 1, some requests queue at the upstreams. Returns
- * 0 if no upstream serves.
+ * Returns the part of the slots of a service's upstreams that is in use; 0: there are none.
+ * Upstreams that rest have no slots for this gateway; if all do, all slots are in use.
  */
 double forward_upstreams_utilization(const forward_upstreams_t *set,
-				     const char *service)
+				     const char *service, pd_time_t now)
 {
 	const GPtrArray *serving = forward_upstreams_serving(set, service);
 	double running = 0;
@@ -288,10 +287,27 @@
 	for (guint i = 0; serving && i < serving->len; i++) {
 		const forward_upstream_t *upstream = g_ptr_array_index(serving, i);
 
+		if (forward_upstream_is_resting(upstream, now))
+			continue;
 		running += forward_upstream_running(upstream);
 		slots += upstream->slots;
 	}
-	return slots > 0 ? running / slots : 0;
+	if (slots > 0)
+		return running / slots;
+	return forward_upstreams_count_resting(set, service, now) > 0;
+}
+
+/* Returns how many of the serving upstreams of a service rest. */
+unsigned int forward_upstreams_count_resting(const forward_upstreams_t *set,
+					     const char *service, pd_time_t now)
+{
+	const GPtrArray *serving = forward_upstreams_serving(set, service);
+	unsigned int count = 0;
+
+	for (guint i = 0; serving && i < serving->len; i++)
+		count += forward_upstream_is_resting(g_ptr_array_index(serving, i),
+						     now);
+	return count;
 }
 
 /*
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -102,6 +102,7 @@
 	/* until then it is used only if no other can be */
 	pd_time_t backoff_until;
 	pd_time_t full_until; /* set when it rejects a request */
+	pd_time_t rest_until; /* its process asked this gateway for no requests until then */
 	pd_time_t answered_at; /* when it last sent a head of a response here */
 	forward_brittleness_t brittleness; /* by its own responses since it started */
 	pd_time_t probe_started_at; /* when a probe request was sent; 0: none */
@@ -137,7 +138,7 @@
 const GPtrArray *forward_upstreams_serving(const forward_upstreams_t *set,
 					   const char *service);
 double forward_upstreams_utilization(const forward_upstreams_t *set,
-				     const char *service);
+				     const char *service, pd_time_t now);
 bool forward_upstreams_has_other_version(const forward_upstreams_t *set,
 					 const char *service, uint64_t version_id);
 bool forward_upstreams_has_version(const forward_upstreams_t *set,
@@ -173,6 +174,11 @@
 						    const char *service);
 unsigned int forward_upstreams_rejections_max(const forward_upstreams_t *set,
 					      const forward_upstream_t *upstream);
+void forward_upstream_record_rest(forward_upstream_t *upstream, pd_time_t rest,
+				  pd_time_t now);
+bool forward_upstream_is_resting(const forward_upstream_t *upstream, pd_time_t now);
+unsigned int forward_upstreams_count_resting(const forward_upstreams_t *set,
+					     const char *service, pd_time_t now);
 void forward_upstream_record_restart(forward_upstream_t *upstream);
 void forward_upstream_record_success(forward_upstream_t *upstream);
 bool forward_upstream_in_backoff(const forward_upstream_t *upstream, pd_time_t now);
--- a/tests/unit/test_forward_upstreams.c
+++ b/tests/unit/test_forward_upstreams.c
@@ -205,6 +205,33 @@
 	assert_non_null(choose(*state, START + PD_SEC));
 }
 
+/* Guards against requests to an upstream that asked for a rest, and capacity that is none. */
+static void test_resting_upstreams_are_not_chosen(void **state)
+{
+	forward_upstream_t *first;
+	forward_upstream_t *second;
+
+	list(*state, "u1", 1, FORWARD_SERVING);
+	list(*state, "u2", 2, FORWARD_SERVING);
+	first = forward_upstreams_find(*state, "u1");
+	second = forward_upstreams_find(*state, "u2");
+	forward_upstream_record_rest(first, 3 * PD_SEC, START);
+	forward_upstream_record_rest(first, PD_SEC, START);
+	for (int i = 0; i < 20; i++)
+		assert_string_equal(choose(*state, START + 2 * PD_SEC)->id,
+				    "u2");
+	assert_int_equal(forward_upstreams_count_resting(*state, "s", START), 1);
+	second->running = second->slots;
+	assert_true(forward_upstreams_utilization(*state, "s", START) == 1);
+	second->running = 0;
+	forward_upstream_record_rest(second, 5 * PD_SEC, START);
+	assert_null(choose(*state, START + 2 * PD_SEC));
+	assert_true(forward_upstreams_utilization(*state, "s", START) == 1);
+	assert_string_equal(choose(*state, START + 4 * PD_SEC)->id, "u1");
+	forward_upstream_record_restart(second);
+	assert_string_equal(choose(*state, START + 2 * PD_SEC)->id, "u2");
+}
+
 /* Guards against an upstream that is filled as it has not answered since its start. */
 static void test_upstream_that_started_is_like_its_service(void **state)
 {
@@ -535,6 +562,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_brittle_services_are_news_once,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_resting_upstreams_are_not_chosen,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_old_sturdy_response_counts_no_more,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_upstream_that_started_is_like_its_service,
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -511,6 +511,29 @@
 	assert_int_equal(response.retry_after, 250 * PD_MSEC);
 }
 
+static pd_time_t retry_after_of(const char *value)
+{
+	const header_t headers[] = { { "Retry-After", value } };
+	wire_response_t response;
+
+	wire_response_parse(headers, G_N_ELEMENTS(headers), &response);
+	return response.retry_after;
+}
+
+/* Guards against a time of rest for ever, or one that is no time at all. */
+static void test_odd_times_of_rest_are_bounded(void **state)
+{
+	static const char *const none[] = { "",	    "0",    "-3",     "nan",
+					    "-inf", "soon", "2 days", "1,5" };
+
+	(void)state;
+	assert_int_equal(retry_after_of("3"), 3 * PD_SEC);
+	assert_int_equal(retry_after_of("1e30"), 600 * PD_SEC);
+	assert_int_equal(retry_after_of("inf"), 600 * PD_SEC);
+	for (size_t i = 0; i < G_N_ELEMENTS(none); i++)
+		assert_int_equal(retry_after_of(none[i]), 0);
+}
+
 /* Guards against a relayed request that gets more time, or is not authenticated. */
 static void test_relayed_call_is_formatted(void **state)
 {
@@ -555,6 +578,7 @@
 		cmocka_unit_test(test_invalid_order_is_rejected),
 		cmocka_unit_test(test_only_valid_status_of_its_version_counts),
 		cmocka_unit_test(test_usage_report_is_deterministic),
+		cmocka_unit_test(test_odd_times_of_rest_are_bounded),
 		cmocka_unit_test(test_limits_of_responses_are_parsed),
 		cmocka_unit_test(test_relayed_call_is_formatted),
 	};
