Send nothing to upstreams that say in an answer that they leave

What callers saw: requests went to an upstream that had said in its answers that it leaves (Server-Leaving: 1) for as long as the store did not say so, and were lost when it ended.

Cause: the header was not read; only the store's registration ends requests, and a gateway that is out of touch with it goes on.

Now a response with the header makes that process one that does not serve, for this gateway, before the response is passed on. All ways to an upstream ask for that already, as they do for one that drains: choice, queue, slots, grants, attempts that are still connecting, kept connections, and the plan of the fleet's size. A gateway that relays such a response is told which upstream it is (Relayed-Upstream), as it passes the answer on as well. A start under the same id ends it. Other values than 1 say nothing.

--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -40,13 +40,23 @@
 	g_string_truncate(request->response_headers, 0);
 	for (size_t i = 0; i < head->header_count; i++) {
 		if (wire_response_header_is_forwarded(head->headers,
-						      head->header_count, i))
+						      head->header_count, i) &&
+		    !gateway_is_relay_header(head->headers[i].name))
 			g_string_append_printf(request->response_headers,
 					       "%s: %s\r\n", head->headers[i].name,
 					       head->headers[i].value);
 	}
 }
 
+/* Records that an upstream leaves, by one of its responses. */
+void gateway_request_record_leaving(gateway_t *gateway, forward_upstream_t *upstream)
+{
+	if (!forward_upstreams_record_leaving(gateway->upstreams, upstream))
+		return;
+	log_line(G_LOG_LEVEL_INFO, "upstream", "id=%s leaving=1", upstream->id);
+	metrics_add(gateway->metrics, "gateway_upstreams_leaving_total", 1);
+}
+
 /* Returns whether the body of a response is a stream of server-sent events. */
 static bool is_event_stream(const http1_head_t *head)
 {
@@ -118,6 +128,8 @@
 	if (request->skipping_response)
 		return;
 	record_limits(request, &answer);
+	if (answer.leaving)
+		gateway_request_record_leaving(request->gateway, request->upstream);
 	request->upstream->answered_at = gateway_now();
 	request->status = head->status;
 	request->rejected = answer.not_run || head->status == 421;
@@ -134,6 +146,7 @@
 		return;
 	request->state = REQUEST_HEAD_RECEIVED;
 	gateway_request_store_headers(request, head);
+	gateway_request_append_leaving(request, request->response_headers);
 	if (!request->rejected) {
 		gateway_request_settle_grant(request);
 		gateway_request_count_usage(request);
--- a/adapters/gateway/request_relay.c
+++ b/adapters/gateway/request_relay.c
@@ -5,6 +5,7 @@
  * core/forward/reach-notes.md compares the alternatives.
  */
 #include <string.h>
+#include <strings.h>
 
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peers.h"
@@ -17,6 +18,12 @@
 /* Gateways that a request is relayed to at most; only one may have run it. */
 #define RELAYS_MAX 2
 
+/*
+ * Names the upstream of a relayed response if that leaves: the gateway that relays it passes
+ * on that it leaves, so it must know that as well.
+ */
+#define LEAVING_UPSTREAM "Relayed-Upstream"
+
 struct relay {
 	http1_t *conn;
 	char *peer; /* address:port of the other gateway's relays */
@@ -25,6 +32,34 @@
 	pd_time_t retry_after; /* of a refusal; 0: not stated */
 };
 
+/* Returns whether a header is one between gateways, which is not forwarded. */
+bool gateway_is_relay_header(const char *name)
+{
+	return !strcasecmp(name, LEAVING_UPSTREAM);
+}
+
+/* Appends which upstream leaves to the headers for a gateway that relays the response. */
+void gateway_request_append_leaving(const gateway_request_t *request,
+				    GString *headers)
+{
+	if (caller_is_gateway(request->caller) && request->upstream->leaving)
+		g_string_append_printf(headers, LEAVING_UPSTREAM ": %s\r\n",
+				       request->upstream->id);
+}
+
+/* Records that an upstream leaves if a relayed response names one. */
+static void record_leaving(const gateway_request_t *request,
+			   const http1_head_t *head)
+{
+	const char *id =
+		header_find(head->headers, head->header_count, LEAVING_UPSTREAM);
+	forward_upstream_t *upstream =
+		id ? forward_upstreams_find(request->gateway->upstreams, id) : NULL;
+
+	if (upstream)
+		gateway_request_record_leaving(request->gateway, upstream);
+}
+
 /* Closes a relay's connection and frees the relay; NULL is allowed. */
 void gateway_relay_destroy(relay_t *relay)
 {
@@ -108,6 +143,7 @@
 	request->status = head->status;
 	request->sealed = answer.sealed;
 	request->relay->retry_after = answer.retry_after;
+	record_leaving(request, head);
 	request->is_stream = gateway_request_is_streamed(request, head);
 	request->state = REQUEST_HEAD_RECEIVED;
 	gateway_request_store_headers(request, head);
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -184,6 +184,11 @@
 void gateway_request_enqueue(gateway_request_t *request);
 pd_time_t gateway_request_queue_time_max(const gateway_request_t *request);
 bool gateway_request_may_await_permit(gateway_request_t *request, pd_time_t now);
+void gateway_request_record_leaving(gateway_t *gateway,
+				    forward_upstream_t *upstream);
+bool gateway_is_relay_header(const char *name);
+void gateway_request_append_leaving(const gateway_request_t *request,
+				    GString *headers);
 void gateway_request_record_rest(const gateway_request_t *request, pd_time_t rest);
 bool gateway_request_may_await_rest(gateway_request_t *request,
 				    pd_time_t rest_until, pd_time_t now);
--- a/core/forward/scale_plan.c
+++ b/core/forward/scale_plan.c
@@ -192,7 +192,7 @@
 		const forward_upstream_t *upstream =
 			LIST_ENTRY(it, forward_upstream_t, node);
 
-		count += upstream->stage == FORWARD_SERVING &&
+		count += upstream->stage == FORWARD_SERVING && !upstream->leaving &&
 			 upstream->reclaimable == reclaimable &&
 			 !strcmp(upstream->service, service) &&
 			 (!zone || !strcmp(upstream->zone, zone));
--- a/core/forward/upstream_record.c
+++ b/core/forward/upstream_record.c
@@ -162,6 +162,7 @@
 	upstream->backoff_until = 0;
 	upstream->full_until = 0;
 	upstream->rest_until = 0;
+	upstream->leaving = false;
 	upstream->brittleness = (forward_brittleness_t){ 0 };
 	upstream->probe_started_at = 0;
 	upstream_speed_reset(&upstream->speed);
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -595,7 +595,8 @@
 /* Returns whether an upstream accepts new requests. */
 bool forward_upstream_is_serving(const forward_upstream_t *upstream)
 {
-	return upstream->stage == FORWARD_SERVING && upstream->revision;
+	return upstream->stage == FORWARD_SERVING && !upstream->leaving &&
+	       upstream->revision;
 }
 
 /*
@@ -616,6 +617,20 @@
 	return upstream->prefill_tokens + upstream->peers_prefill_tokens;
 }
 
+/*
+ * Records that the process of an upstream leaves, by one of its responses. It accepts no new
+ * requests from then on, whatever its registration says. Returns whether that is new.
+ */
+bool forward_upstreams_record_leaving(forward_upstreams_t *set,
+				      forward_upstream_t *upstream)
+{
+	if (upstream->leaving)
+		return false;
+	upstream->leaving = true;
+	update_indexes(set, upstream);
+	return true;
+}
+
 /*
  * Records what a response of an upstream said: how many rejections in a second it bears; 0:
  * any number. Returns whether that is new of it.
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -84,6 +84,7 @@
 	uint64_t version_id; /* of its service and version; not 0 */
 	unsigned int slots;
 	forward_stage_t stage;
+	bool leaving; /* its process said so in a response, perhaps not in the store */
 	bool reclaimable;
 	uint64_t revision;
 	bool listed; /* seen in the listing in progress */
@@ -163,6 +164,8 @@
 void forward_upstream_record_connect_failure(forward_upstream_t *upstream,
 					     pd_time_t now);
 void forward_upstream_record_rejection(forward_upstream_t *upstream, pd_time_t now);
+bool forward_upstreams_record_leaving(forward_upstreams_t *set,
+				      forward_upstream_t *upstream);
 bool forward_upstreams_record_brittleness(forward_upstreams_t *set,
 					  forward_upstream_t *upstream,
 					  unsigned int rejections_max,
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -159,6 +159,9 @@
 	if (server->brittle)
 		g_string_append_printf(headers, "Server-Brittle: %u\r\n",
 				       server->brittle);
+	if (server->leaving)
+		g_string_append_printf(headers, "Server-Leaving: %s\r\n",
+				       server->leaving);
 	if (server->rate_limit > 0)
 		g_string_append_printf(headers, "Server-Limit: %.1f\r\n",
 				       server->rate_limit);
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -72,6 +72,7 @@
 	unsigned int rejections; /* since it last fell over */
 	uint64_t rejected_ms[RIG_BRITTLE_MAX]; /* times of the last BRITTLE ones */
 	unsigned int falls;
+	const char *leaving; /* Server-Leaving of its answers; NULL: none */
 	const char *rest; /* it rejects all calls with this Retry-After; NULL: none */
 	uint64_t down_until_ms; /* until then it closes connections */
 	/* of its software, registered and in the data of its events; NULL: none */
--- a/tests/process/test_gateway_cut_off.c
+++ b/tests/process/test_gateway_cut_off.c
@@ -488,6 +488,40 @@
 	check_late_upstreams(*state, CUT_RESETS);
 }
 
+/*
+ * Guards against requests to an upstream that leaves from a gateway that knows it only by
+ * an answer which it relayed.
+ */
+static void test_relayed_answers_say_which_upstream_leaves(void **state)
+{
+	links_t *links = *state;
+	gateway_rig_t *rig = links->rig;
+	outcomes_t outcomes[RIG_GATEWAYS_MAX];
+	rig_caller_t *caller = NULL;
+	char id[32];
+
+	set_cut(links, CUT_RESETS, true);
+	send_calls(links, "/safe/x", DETECTION_MS, outcomes);
+	rig->upstreams[0].leaving = "1";
+	for (int i = 0; i < 50; i++) {
+		snprintf(id, sizeof(id), "r%d", i);
+		if (caller)
+			rig_caller_destroy(caller);
+		caller = rig_call_at(rig, CUT_OFF, "POST", "/safe/x", id);
+		RIG_UNTIL(rig, rig_has_received(caller, "from "));
+		if (rig_has_received(caller, "Server-Leaving: 1"))
+			break;
+	}
+	assert_true(rig_has_received(caller, "from 0"));
+	assert_false(rig_has_received(caller, "Relayed-Upstream"));
+	rig_caller_destroy(caller);
+	rig->upstreams[0].arrivals = 0;
+	set_cut(links, CUT_RESETS, false);
+	send_calls(links, "/safe/x", CALLS_MS, outcomes);
+	/* The other gateways may each have one such answer. */
+	assert_in_range(rig->upstreams[0].arrivals, 0, RIG_GATEWAYS - 2);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -499,6 +533,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_one_upstream_without_links,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_relayed_answers_say_which_upstream_leaves,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_all_gateways_are_cut_off,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_few_upstreams_can_be_connected_to,
