Have the gateway soak play brittle, resting and leaving upstreams

Six upstreams instead of three: one names a rate limit as before, one is brittle and admits few from 3 s on, one rejects everything for 0.7 s in 2.1 s and asks for 2 s of rest, and one that drains says so in its answers. Checked: falls (two, and one for each fault of a gateway), requests of a gateway in a rest, and requests to an upstream 2.3 s after an answer that it leaves, in touch or not.

--- a/tests/guarantees/test_gateway_soak.c
+++ b/tests/guarantees/test_gateway_soak.c
@@ -24,6 +24,7 @@
 #include "tests/harness/gateway_calls.h"
 
 #define SEEDS_DEFAULT 3
+#define SOAK_UPSTREAMS 6 /* three of them ask for less */
 #define SOAK_MS 6000
 #define CALL_EVERY_MS 8
 #define FAULT_EVERY_MS 400
@@ -44,6 +45,22 @@
 #define LIMIT_WINDOW_MS 4000
 #define LIMIT_ALLOWED (1.5 * RATE_LIMIT * LIMIT_WINDOW_MS / 1000 + 5)
 
+/* What another upstream bears, and admits at a time from LIMIT_LEARNED_MS on. */
+#define BRITTLE 3 /* rejections in a second */
+#define BRITTLE_ROOM 8
+#define BRITTLE_ROOM_LATER 2
+#define BRITTLE_WORK_MS 300
+/* Falls of it; each fault of a gateway may add one. */
+#define FALLS_ALLOWED 2
+
+/* The third upstream asks for this rest when it rejects everything for a while. */
+#define REST "2"
+#define REST_MS 2000
+#define REST_UNDER_WAY_MS 500
+#define REST_ALLOWED 2 /* requests of one gateway in it */
+#define REST_TURN_MS \
+	700 /* for so long it rejects, in each three times as long */
+
 /* A caller tries a request that ends upstreams this often, one try after the other. */
 #define ENDING_CALL_EVERY_MS 400
 /* Upstreams that may end under it, and again for each fault of a gateway. */
@@ -64,6 +81,7 @@
 	int gateway;
 	uint64_t begun_at;
 	bool left; /* the caller hung up */
+	bool read; /* its answer was looked at for what the upstream says */
 	bool resumed; /* another call has taken it up */
 	struct call *began; /* the call whose stream it takes up; NULL: none */
 	int after; /* the last event that the caller has then */
@@ -77,6 +95,7 @@
 	bool paused;
 	uint64_t act_at; /* when it is resumed or restarted; 0: never */
 	uint64_t disturbed_at; /* last fault; exempt from checks for DISTURBED_MS */
+	uint64_t broken_at; /* last kill, pause, stop or start */
 	uint16_t port;
 } gateway_state_t;
 
@@ -86,10 +105,17 @@
 	unsigned int seed;
 	GPtrArray *calls; /* of call_t */
 	gateway_state_t gateways[RIG_GATEWAYS];
-	uint64_t drained_at[RIG_UPSTREAMS]; /* 0: it serves */
+	uint64_t drained_at[SOAK_UPSTREAMS]; /* 0: it serves */
 	int limited; /* number of the upstream that names a rate limit */
 	uint64_t limited_at;
 	GArray *limited_calls; /* uint64_t: times, of calls by undisturbed gateways */
+	int brittle; /* number of the upstream that fails under many rejections */
+	int resting; /* of the one that asks for a rest now and then */
+	uint64_t rest_turn_at; /* when it begins or ends to reject */
+	uint64_t rest_asked_at[RIG_GATEWAYS]; /* 0: not yet */
+	unsigned int rest_arrivals[RIG_GATEWAYS];
+	/* when a caller of a gateway had an answer of an upstream that leaves; 0: none */
+	uint64_t leaving_told_at[RIG_GATEWAYS][SOAK_UPSTREAMS];
 	unsigned int faults;
 	unsigned int gateway_faults; /* kills, pauses and stops */
 	call_t *ending; /* the last try at the request that ends upstreams */
@@ -97,9 +123,9 @@
 	int version;
 	bool links; /* inject faults into links as well */
 	forwarder_t *to_store[RIG_GATEWAYS];
-	forwarder_t *to_upstream[RIG_UPSTREAMS];
+	forwarder_t *to_upstream[SOAK_UPSTREAMS];
 	/* from each gateway, in front of those */
-	forwarder_t *from_gateway[RIG_GATEWAYS][RIG_UPSTREAMS];
+	forwarder_t *from_gateway[RIG_GATEWAYS][SOAK_UPSTREAMS];
 	uint64_t reconnected_at[RIG_GATEWAYS]; /* 0: it is not cut off */
 	uint64_t store_link_repaired_at[RIG_GATEWAYS]; /* 0: no lasting fault */
 } soak_t;
@@ -180,19 +206,64 @@
 		send_call(soak, soak->ending, "/safe/end", "");
 }
 
-/* Records a call at the upstream with a limit, and checks the limit. */
-static void check_rate_limit(void *ctx, int upstream, const char *call_id)
+/* Checks that an upstream gets few calls of a gateway in the rest that it asked it for. */
+static void check_rest(soak_t *soak, int upstream, int gateway)
 {
-	soak_t *soak = ctx;
-	const char *number = strchr(call_id, '-');
-	const call_t *call;
 	uint64_t now = rig_now_ms();
+	uint64_t *asked = &soak->rest_asked_at[gateway];
 
-	if (upstream != soak->limited || !number ||
-	    now < soak->limited_at + LIMIT_LEARNED_MS)
+	if (upstream != soak->resting || soak->links)
 		return;
-	call = g_ptr_array_index(soak->calls, strtoul(number + 1, NULL, 10));
-	if (now < soak->gateways[call->gateway].disturbed_at + DISTURBED_MS)
+	if (*asked && now > *asked + REST_UNDER_WAY_MS &&
+	    now < *asked + REST_MS && soak->gateways[gateway].broken_at < *asked &&
+	    ++soak->rest_arrivals[gateway] > REST_ALLOWED)
+		fail_msg("seed %u: gateway %d sent %u calls to an upstream "
+			 "that "
+			 "it was to leave alone",
+			 soak->seed, gateway, soak->rest_arrivals[gateway]);
+	if (!soak->rig->upstreams[upstream].rest ||
+	    (*asked && now < *asked + REST_MS))
+		return;
+	*asked = now;
+	soak->rest_arrivals[gateway] = 0;
+}
+
+/* Checks that a gateway sends nothing to an upstream that told it long ago to leave. */
+static void check_leaving(const soak_t *soak, int upstream, int gateway)
+{
+	uint64_t told = soak->leaving_told_at[gateway][upstream];
+
+	if (told && !soak->links && soak->rig->upstreams[upstream].leaving &&
+	    soak->gateways[gateway].broken_at < told &&
+	    rig_now_ms() > told + DRAIN_MAX_MS)
+		fail_msg("seed %u: gateway %d sent a call to upstream %d %d ms "
+			 "after an answer that it leaves",
+			 soak->seed, gateway, upstream,
+			 (int)(rig_now_ms() - told));
+}
+
+/* Looks once whether the answer of a call that is over says that its upstream leaves. */
+static void read_answer(soak_t *soak, call_t *call)
+{
+	const char *text = call->caller->received->str;
+	const char *seal = strstr(text, "X-Response-Seal: s");
+	int upstream = seal ? atoi(seal + strlen("X-Response-Seal: s")) : -1;
+
+	call->read = true;
+	if (!strstr(text, "Server-Leaving: 1") || upstream < 0 ||
+	    upstream >= SOAK_UPSTREAMS ||
+	    soak->leaving_told_at[call->gateway][upstream])
+		return;
+	soak->leaving_told_at[call->gateway][upstream] = rig_now_ms();
+}
+
+/* Records a call at the upstream with a limit, and checks the limit. */
+static void check_rate_limit(soak_t *soak, int upstream, int gateway)
+{
+	uint64_t now = rig_now_ms();
+
+	if (upstream != soak->limited || now < soak->limited_at + LIMIT_LEARNED_MS ||
+	    now < soak->gateways[gateway].disturbed_at + DISTURBED_MS)
 		return;
 	g_array_append_val(soak->limited_calls, now);
 	while (g_array_index(soak->limited_calls, uint64_t, 0) + LIMIT_WINDOW_MS <=
@@ -205,6 +276,35 @@
 			 LIMIT_WINDOW_MS, LIMIT_ALLOWED);
 }
 
+/* Checks a call that reaches an upstream against what that has asked for. */
+static void check_arrival(void *ctx, int upstream, const char *call_id)
+{
+	soak_t *soak = ctx;
+	const char *number = strchr(call_id, '-');
+	const call_t *call;
+
+	if (!number)
+		return;
+	call = g_ptr_array_index(soak->calls, strtoul(number + 1, NULL, 10));
+	check_rate_limit(soak, upstream, call->gateway);
+	check_rest(soak, upstream, call->gateway);
+	check_leaving(soak, upstream, call->gateway);
+}
+
+/* Has the resting upstream reject calls in turn, and the brittle one admit few later. */
+static void run_upstreams(soak_t *soak)
+{
+	rig_server_t *resting = &soak->rig->upstreams[soak->resting];
+	uint64_t now = rig_now_ms();
+
+	if (now >= soak->limited_at + LIMIT_LEARNED_MS)
+		soak->rig->upstreams[soak->brittle].room = BRITTLE_ROOM_LATER;
+	if (now < soak->rest_turn_at)
+		return;
+	soak->rest_turn_at = now + (resting->rest ? 2 : 1) * REST_TURN_MS;
+	resting->rest = resting->rest ? NULL : REST;
+}
+
 /* Returns the body received so far, borrowed; NULL: the head is incomplete. */
 static const char *body_of(const call_t *call)
 {
@@ -377,6 +477,7 @@
 static void mark_disturbed(soak_t *soak, int number, uint64_t for_ms)
 {
 	soak->gateways[number].disturbed_at = rig_now_ms();
+	soak->gateways[number].broken_at = rig_now_ms();
 	soak->gateways[number].act_at = rig_now_ms() + for_ms;
 }
 
@@ -423,11 +524,20 @@
 	bool drained = soak->drained_at[number] != 0;
 	unsigned int serving = 0;
 
-	for (int i = 0; i < RIG_UPSTREAMS; i++)
+	for (int i = 0; i < SOAK_UPSTREAMS; i++)
 		serving += !soak->drained_at[i];
 	if (!drained && serving == 1)
 		return;
-	rig_put_upstream(soak->rig, number, drained ? "ready" : "draining");
+	if (!drained) {
+		rig_put_upstream(soak->rig, number, "draining");
+		soak->rig->upstreams[number].leaving = "1";
+	} else {
+		/* It starts again under its id. */
+		soak->rig->upstreams[number].leaving = NULL;
+		for (int i = 0; i < RIG_GATEWAYS; i++)
+			soak->leaving_told_at[i][number] = 0;
+		rig_put_upstream_started_at(soak->rig, number, (long)rig_now_ms());
+	}
 	soak->drained_at[number] = drained ? 0 : rig_now_ms();
 }
 
@@ -464,7 +574,7 @@
 /* Sets how a gateway's links to all upstreams treat new connections. */
 static void set_cut_off(soak_t *soak, int number, bool hang, bool closed)
 {
-	for (int i = 0; i < RIG_UPSTREAMS; i++) {
+	for (int i = 0; i < SOAK_UPSTREAMS; i++) {
 		forwarder_hang(soak->from_gateway[number][i], hang);
 		forwarder_close(soak->from_gateway[number][i], closed);
 	}
@@ -478,7 +588,7 @@
 	if (soak->reconnected_at[number])
 		return;
 	set_cut_off(soak, number, way == 0, way != 0);
-	for (int i = 0; way < 2 && i < RIG_UPSTREAMS; i++) {
+	for (int i = 0; way < 2 && i < SOAK_UPSTREAMS; i++) {
 		if (way == 0)
 			forwarder_silence(soak->from_gateway[number][i]);
 		else
@@ -510,7 +620,7 @@
 		return;
 	}
 	if (g_rand_boolean(soak->random)) {
-		number = g_rand_int_range(soak->random, 0, RIG_UPSTREAMS);
+		number = g_rand_int_range(soak->random, 0, SOAK_UPSTREAMS);
 		repair_link(soak->to_upstream[number]);
 		inject_fault_on_link(soak, soak->to_upstream[number]);
 		return;
@@ -561,7 +671,7 @@
 	case 3:
 	case 4:
 		inject_upstream_fault(soak, g_rand_int_range(soak->random, 0,
-							     RIG_UPSTREAMS));
+							     SOAK_UPSTREAMS));
 		return;
 	default:
 		rig_put_config(soak->rig, ++soak->version, "");
@@ -580,6 +690,9 @@
 	gateway->port = 0;
 	gateway->act_at = 0;
 	gateway->disturbed_at = rig_now_ms();
+	gateway->broken_at = rig_now_ms();
+	memset(soak->leaving_told_at[number], 0,
+	       sizeof(soak->leaving_told_at[number]));
 }
 
 /* Resumes and restarts gateways after their faults, and reads their new ports. */
@@ -593,6 +706,7 @@
 			process_signal(process, SIGCONT);
 			gateway->paused = false;
 			gateway->disturbed_at = rig_now_ms();
+			gateway->broken_at = rig_now_ms();
 		}
 		if (gateway->stopping && process_ended(process))
 			start_gateway(soak, i);
@@ -612,7 +726,7 @@
 		if (rig_now_ms() - soak->gateways[i].disturbed_at < DISTURBED_MS)
 			return;
 	}
-	for (int i = 0; i < RIG_UPSTREAMS; i++) {
+	for (int i = 0; i < SOAK_UPSTREAMS; i++) {
 		if (soak->drained_at[i] &&
 		    rig_now_ms() - soak->drained_at[i] > DRAIN_MAX_MS &&
 		    soak->rig->upstreams[i].arrivals != before[i])
@@ -626,17 +740,23 @@
 /* Runs the rig once, and checks the calls and upstreams. */
 static void run_step(soak_t *soak)
 {
-	unsigned int before[RIG_UPSTREAMS];
+	unsigned int before[SOAK_UPSTREAMS];
 
-	for (int i = 0; i < RIG_UPSTREAMS; i++)
+	for (int i = 0; i < SOAK_UPSTREAMS; i++)
 		before[i] = soak->rig->upstreams[i].arrivals;
 	rig_run_once(soak->rig);
 	check_drained(soak, before);
 	repair_gateways(soak);
 	update_store_links(soak);
 	update_cut_off(soak);
-	for (guint i = 0; i < soak->calls->len; i++)
-		check_answered(soak, g_ptr_array_index(soak->calls, i));
+	run_upstreams(soak);
+	for (guint i = 0; i < soak->calls->len; i++) {
+		call_t *call = g_ptr_array_index(soak->calls, i);
+
+		check_answered(soak, call);
+		if (!call->read && is_over(call))
+			read_answer(soak, call);
+	}
 }
 
 /* Hangs up the latest call, one time in ten. */
@@ -729,10 +849,16 @@
 		}
 		soak->gateways[i].act_at = 0;
 	}
-	for (int i = 0; i < RIG_UPSTREAMS; i++) {
+	for (int i = 0; i < SOAK_UPSTREAMS; i++) {
 		if (soak->links)
 			repair_link(soak->to_upstream[i]);
-		rig_put_upstream(soak->rig, i, "ready");
+		if (soak->rig->upstreams[i].leaving) {
+			soak->rig->upstreams[i].leaving = NULL;
+			rig_put_upstream_started_at(soak->rig, i,
+						    (long)rig_now_ms());
+		} else {
+			rig_put_upstream(soak->rig, i, "ready");
+		}
 	}
 	for (int i = 0; i < RIG_GATEWAYS; i++) {
 		RIG_UNTIL(soak->rig, (repair_gateways(soak),
@@ -748,7 +874,7 @@
 {
 	gateway_rig_t *rig = soak->rig;
 
-	for (int i = 0; i < RIG_UPSTREAMS; i++) {
+	for (int i = 0; i < SOAK_UPSTREAMS; i++) {
 		soak->to_upstream[i] =
 			forwarder_create(&rig->loop, rig->upstreams[i].port);
 		rig->upstream_proxy_ports[i] =
@@ -759,7 +885,7 @@
 			forwarder_create(&rig->loop, rig->stores[i].port);
 		rig->store_proxy_ports[i] =
 			(uint16_t)forwarder_port(soak->to_store[i]);
-		for (int k = 0; k < RIG_UPSTREAMS; k++) {
+		for (int k = 0; k < SOAK_UPSTREAMS; k++) {
 			soak->from_gateway[i][k] =
 				forwarder_create(&rig->loop,
 						 rig->upstream_proxy_ports[k]);
@@ -772,7 +898,7 @@
 /* Runs and checks the schedule of one seed. */
 static void run_seed(unsigned int seed, bool links)
 {
-	soak_t soak = { .rig = gateway_rig_create(),
+	soak_t soak = { .rig = gateway_rig_create_sized(RIG_GATEWAYS, SOAK_UPSTREAMS),
 			.random = g_rand_new_with_seed(seed),
 			.seed = seed,
 			.version = 1,
@@ -783,15 +909,20 @@
 
 	soak.calls = g_ptr_array_new_with_free_func(call_destroy);
 	soak.rig->choose_behavior = choose_behavior;
-	soak.rig->observe_call = check_rate_limit;
+	soak.rig->observe_call = check_arrival;
 	soak.rig->ctx = &soak;
-	soak.limited = (int)(seed % RIG_UPSTREAMS);
+	soak.limited = (int)(seed % SOAK_UPSTREAMS);
+	soak.brittle = (soak.limited + 1) % SOAK_UPSTREAMS;
+	soak.resting = (soak.limited + 2) % SOAK_UPSTREAMS;
 	soak.limited_calls = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	soak.rig->upstreams[soak.limited].rate_limit = RATE_LIMIT;
+	soak.rig->upstreams[soak.brittle].brittle = BRITTLE;
+	soak.rig->upstreams[soak.brittle].room = BRITTLE_ROOM;
+	soak.rig->upstreams[soak.brittle].work_ms = BRITTLE_WORK_MS;
 	if (links)
 		create_links(&soak);
 	rig_put_config(soak.rig, soak.version, "");
-	for (int i = 0; i < RIG_UPSTREAMS; i++) {
+	for (int i = 0; i < SOAK_UPSTREAMS; i++) {
 		soak.rig->upstreams[i].version = versions[i % 2];
 		soak.rig->upstreams[i].next_version = versions[1 - i % 2];
 		rig_put_upstream(soak.rig, i, "ready");
@@ -802,6 +933,7 @@
 		repair_gateways(&soak);
 	}
 	soak.limited_at = rig_now_ms();
+	soak.rest_turn_at = soak.limited_at + REST_TURN_MS;
 	run_schedule(&soak);
 	for (uint64_t end = rig_now_ms() + CALL_MAX_MS + 500; rig_now_ms() < end;)
 		run_step(&soak);
@@ -812,7 +944,7 @@
 		answered += status_of(call) == 200 && is_whole(call);
 		resumed += call->began && is_whole(call) && status_of(call) == 200;
 	}
-	for (int i = 0; i < RIG_UPSTREAMS; i++)
+	for (int i = 0; i < SOAK_UPSTREAMS; i++)
 		ends += soak.rig->upstreams[i].ends;
 	print_message("seed %u%s: %u calls, %u answered, %u streams went on, "
 		      "%u faults, %u upstreams ended\n",
@@ -822,6 +954,16 @@
 		fail_msg("seed %u: %u upstreams ended under one request, %u "
 			 "faults of gateways",
 			 seed, ends, soak.gateway_faults);
+	if (soak.rig->upstreams[soak.brittle].falls >
+	    FALLS_ALLOWED + soak.gateway_faults)
+		fail_msg("seed %u: upstream %d fell over %u times, %u faults "
+			 "of "
+			 "gateways",
+			 seed, soak.brittle,
+			 soak.rig->upstreams[soak.brittle].falls,
+			 soak.gateway_faults);
+	soak.rig->upstreams[soak.resting].rest = NULL;
+	soak.rig->upstreams[soak.brittle].room = 0;
 	check_recovery(&soak);
 	for (int i = 0; i < RIG_GATEWAYS; i++)
 		process_signal(soak.rig->gateways[i], SIGCONT);
