Release the slot of a request that is denied a grant

A request that got a slot of an upstream that became brittle meanwhile kept it when the grant was denied, while it went on to another upstream. Read in the diff, not seen. Removes a field and an include that nothing uses any more.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -25,7 +25,6 @@
 #include "adapters/log_buffer.h"
 #include "adapters/log_glib.h"
 #include "core/forward/shed.h"
-#include "core/hash.h"
 #include "platform/wire.h"
 
 #define LOG_COMPONENT "gateway"
@@ -543,7 +542,6 @@
 	gateway->upstream_limits = upstream_limits_create();
 	gateway->reaches = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 						 (GDestroyNotify)reach_destroy);
-	gateway->name_hash = hash_string(settings->node_id);
 	gateway->streams =
 		stream_versions_create(STREAM_VERSIONS_TTL_MIN,
 				       !strcmp(settings->node_start, "first"),
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -47,7 +47,6 @@
 	bool upstreams_listed; /* a complete listing was read, here or by a peer */
 	bool upstreams_usable; /* at least one page of a listing was read */
 	forward_upstreams_t *upstreams;
-	uint64_t name_hash; /* of the VM, to draw shares by */
 	GHashTable *reaches; /* service -> reach_t; those whose links failed */
 	list_node_t probes; /* of upstreams, in progress */
 	stream_versions_t *streams; /* which software version began each */
--- a/adapters/gateway/grants.c
+++ b/adapters/gateway/grants.c
@@ -30,7 +30,7 @@
 	GHashTable *asks; /* number -> ask_t */
 	/*
 	 * Of brittle_answer_t: answers of this gateway to itself, until the next flush.
-	 * Their hooks may end requests, which whoever asks does not expect.
+	 * Their hooks may end requests, which must not happen during an ask.
 	 */
 	GArray *answers;
 	uint32_t last_number;
--- a/adapters/gateway/request_grant.c
+++ b/adapters/gateway/request_grant.c
@@ -97,6 +97,7 @@
 	upstream->full_until =
 		MAX(upstream->full_until, gateway_now() + retry_after);
 	clear_pick(request);
+	gateway_request_release_slot(request, false);
 	gateway_request_dispatch(request);
 }
 
