Tell rejected callers when the first resting upstream is back

What callers saw: a request that learned itself that all upstreams rest, as each rejected it, was told to come back in 0.4 or 0.6 s; so was one that the shedder refused. Only later requests got the time at which the first upstream is back.

Now no refusal names an earlier time while all upstreams of a service rest. test_calls_are_refused_at_once_while_all_rest looks at the first call as well: it failed before (a time below 17 s where 20 s are asked for), and passes.

--- a/adapters/gateway/request_end.c
+++ b/adapters/gateway/request_end.c
@@ -144,7 +144,8 @@
 
 /*
  * Responds when no upstream did, and frees the request. The status tells the caller
- * that the request was not run only if that is certain.
+ * that the request was not run only if that is certain. One that comes back earlier than
+ * the first of upstreams that all rest would be refused again.
  */
 void gateway_request_give_up(gateway_request_t *request, pd_time_t retry_after,
 			     const char *reason)
@@ -152,7 +153,10 @@
 	bool late = gateway_now() >= request->deadline;
 
 	if (!request->possible_runs)
-		gateway_request_respond_error(request, 503, retry_after, reason);
+		gateway_request_respond_error(
+			request, 503,
+			MAX(retry_after, gateway_request_rest_left(request)),
+			reason);
 	else
 		gateway_request_respond_error(request, late ? 504 : 502, 0, reason);
 }
--- a/adapters/gateway/request_rest.c
+++ b/adapters/gateway/request_rest.c
@@ -20,15 +20,24 @@
 	forward_upstream_record_rest(request->upstream, rest, now);
 }
 
-/* Returns when a caller is to come back that is refused until REST_UNTIL. */
-static pd_time_t retry_after(const gateway_t *gateway, pd_time_t rest_until,
-			     pd_time_t now)
+/*
+ * Returns how long all upstreams of a request's service rest, and a random part of that in
+ * which callers come back; 0: one does not rest.
+ */
+pd_time_t gateway_request_rest_left(const gateway_request_t *request)
 {
-	pd_time_t rest = MAX(rest_until - now, 0);
-	pd_time_t spread = MIN((pd_time_t)((double)rest * RETRY_SPREAD_PART),
+	const gateway_t *gateway = request->gateway;
+	pd_time_t now = gateway_now();
+	pd_time_t until =
+		request->service
+			? forward_upstreams_rest_until(gateway->upstreams,
+						       request->service, now)
+			: 0;
+	pd_time_t left = MAX(until - now, 0);
+	pd_time_t spread = MIN((pd_time_t)((double)left * RETRY_SPREAD_PART),
 			       RETRY_SPREAD_MAX);
 
-	return rest + gateway_jitter(gateway, spread);
+	return left + gateway_jitter(gateway, spread);
 }
 
 /*
@@ -49,7 +58,6 @@
 		work_rate_add_refused(gateway->work, request->service,
 				      gateway_request_unshared_work(request));
 	}
-	gateway_request_give_up(request, retry_after(gateway, rest_until, now),
-				"all upstreams rest");
+	gateway_request_give_up(request, rest_until - now, "all upstreams rest");
 	return false;
 }
--- a/adapters/gateway/request_shed.c
+++ b/adapters/gateway/request_shed.c
@@ -85,11 +85,10 @@
 	}
 	room_rate_record(room, false, work, now);
 	work_rate_add_refused(gateway->work, request->service, work);
-	gateway_request_respond_error(
-		request, 503,
-		room_rate_retry_after(room, request->deadline - now,
-				      g_rand_double(gateway->random)),
-		"engines pressed");
+	gateway_request_give_up(request,
+				room_rate_retry_after(room, request->deadline - now,
+						      g_rand_double(gateway->random)),
+				"engines pressed");
 	return false;
 }
 
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -190,6 +190,7 @@
 void gateway_request_append_leaving(const gateway_request_t *request,
 				    GString *headers);
 void gateway_request_record_rest(const gateway_request_t *request, pd_time_t rest);
+pd_time_t gateway_request_rest_left(const gateway_request_t *request);
 bool gateway_request_may_await_rest(gateway_request_t *request,
 				    pd_time_t rest_until, pd_time_t now);
 bool gateway_request_may_use(const gateway_request_t *request,
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -297,6 +297,27 @@
 	return forward_upstreams_count_resting(set, service, now) > 0;
 }
 
+/*
+ * Returns when the first of the serving upstreams of a service is back if all of them rest;
+ * 0: one does not, or there are none.
+ */
+pd_time_t forward_upstreams_rest_until(const forward_upstreams_t *set,
+				       const char *service, pd_time_t now)
+{
+	const GPtrArray *serving = forward_upstreams_serving(set, service);
+	pd_time_t first = 0;
+
+	for (guint i = 0; serving && i < serving->len; i++) {
+		const forward_upstream_t *upstream = g_ptr_array_index(serving, i);
+
+		if (!forward_upstream_is_resting(upstream, now))
+			return 0;
+		first = first ? MIN(first, upstream->rest_until)
+			      : upstream->rest_until;
+	}
+	return first;
+}
+
 /* Returns how many of the serving upstreams of a service rest. */
 unsigned int forward_upstreams_count_resting(const forward_upstreams_t *set,
 					     const char *service, pd_time_t now)
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -180,6 +180,8 @@
 void forward_upstream_record_rest(forward_upstream_t *upstream, pd_time_t rest,
 				  pd_time_t now);
 bool forward_upstream_is_resting(const forward_upstream_t *upstream, pd_time_t now);
+pd_time_t forward_upstreams_rest_until(const forward_upstreams_t *set,
+				       const char *service, pd_time_t now);
 unsigned int forward_upstreams_count_resting(const forward_upstreams_t *set,
 					     const char *service, pd_time_t now);
 void forward_upstream_record_restart(forward_upstream_t *upstream);
--- a/tests/process/test_gateway_rest.c
+++ b/tests/process/test_gateway_rest.c
@@ -204,8 +204,12 @@
 
 	for (int i = 0; i < UPSTREAMS; i++)
 		f->rig->upstreams[i].rest = "20";
+	/* A call that all upstreams reject is told so as well. */
+	send_calls(f, "/safe/x", 5, 5);
+	assert_true(f->refused > 0);
+	assert_true(f->retry_after_min > 17 && f->retry_after_min < 1000);
 	/* Each gateway learns it from one call to each upstream. */
-	send_calls(f, "/safe/x", period(f), 1500);
+	send_calls(f, "/safe/x", period(f), 500);
 	f->refused = 0;
 	f->retry_after_min = 1000;
 	start = rig_now_ms();
