--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -676,6 +676,10 @@
 				       "revision"));
 	if (conflict) {
 		session_json(session, 409, json_incref(stored));
+	} else if (!json_object_get(json_object_get(body, "status") ? stored : body,
+				    "spec")) {
+		/* A status of an object that does not exist. */
+		session_json(session, 404, json_object());
 	} else {
 		json_t *status = json_object_get(body, "status");
 		json_t *spec = json_object_get(status ? stored : body, "spec");
