--- a/core/forward/brittle.c
+++ b/core/forward/brittle.c
@@ -158,21 +158,14 @@
 
 /*
  * Returns the number of requests that an upstream may have rejected in the last second, or
- * may still reject. Sets when the first of them no longer counts, if there is any.
+ * may still reject.
  */
-static unsigned int count_at_risk(const brittle_entry_t *entry, pd_time_t *until)
+static unsigned int count_at_risk(const brittle_entry_t *entry)
 {
 	unsigned int count = 0;
 
-	for (guint i = 0; i < entry->grants->len; i++) {
-		const grant_t *grant = &g_array_index(entry->grants, grant_t, i);
-
-		if (!grant->at_risk)
-			continue;
-		*until = count ? MIN(*until, grant->at_risk_until)
-			       : grant->at_risk_until;
-		count++;
-	}
+	for (guint i = 0; i < entry->grants->len; i++)
+		count += g_array_index(entry->grants, grant_t, i).at_risk;
 	return count;
 }
 
@@ -232,7 +225,6 @@
 			    pd_time_t *retry_after)
 {
 	brittle_entry_t *entry = find_entry(issuer, ask->short_id);
-	pd_time_t until = now;
 	grant_t grant = {
 		.gateway = hash_string(ask->gateway),
 		.number = ask->number,
@@ -259,7 +251,7 @@
 		if (count_running(entry) >= entry->room)
 			grow_room(entry, now);
 		if (count_running(entry) < entry->room &&
-		    count_at_risk(entry, &until) < risk_max(issuer, entry)) {
+		    count_at_risk(entry) < risk_max(issuer, entry)) {
 			g_array_append_val(entry->grants, grant);
 			entry->denials = 0;
 			issuer->stats.granted++;
--- a/core/forward/brittle.h
+++ b/core/forward/brittle.h
@@ -54,7 +54,7 @@
 
 typedef struct brittle_issuer brittle_issuer_t;
 
-/* Called for each upstream that grants are issued for; must not call the issuer. */
+/* Returns whether this gateway still issues an upstream's grants; must not call the issuer. */
 typedef bool (*brittle_keep_fn_t)(void *ctx, uint32_t short_id);
 
 unsigned int brittle_find_issuer(uint64_t upstream_hash, const uint64_t *hashes,
