Test that prompts and calls sent once more keep the rest of an upstream

Prompts whose shared part is cached at the resting upstream, at 6 and 24 gateways, and calls that are sent once more after 250 ms of silence elsewhere.

--- a/tests/process/test_gateway_rest.c
+++ b/tests/process/test_gateway_rest.c
@@ -47,6 +47,16 @@
 	rested->arrivals += now > rested->asked_ms + UNDER_WAY_MS;
 }
 
+/* A route of prompts, and one whose calls are tried elsewhere after 250 ms. */
+static const char more_routes[] =
+	",{\"name\":\"prompt\",\"host\":\"h\",\"pathPrefix\":\"/prompt/\","
+	"\"kind\":\"stream\",\"timeoutMs\":4000,\"goalMs\":2000,\"priority\":1,"
+	"\"service\":\"s\",\"maxAttempts\":2,\"resumable\":true,\"sticky\":"
+	"true}"
+	",{\"name\":\"quick\",\"host\":\"h\",\"pathPrefix\":\"/quick/\","
+	"\"kind\":\"safe\",\"timeoutMs\":4000,\"goalMs\":100,\"priority\":1,"
+	"\"service\":\"s\",\"maxAttempts\":2,\"resumable\":false}";
+
 static fixture_t *create(int gateways)
 {
 	fixture_t *f = g_new0(fixture_t, 1);
@@ -56,6 +66,9 @@
 	f->rig->ctx = f;
 	f->retry_after_min = 1000;
 	rig_start_fleet(f->rig);
+	rig_put_config(f->rig, 2, more_routes);
+	for (int i = 0; i < gateways; i++)
+		RIG_UNTIL(f->rig, rig_count_logged(f->rig, i, "config=2"));
 	return f;
 }
 
@@ -97,11 +110,20 @@
 		if (now - start < ms && now >= start + sent->len * period) {
 			int gateway =
 				(int)(f->number % (unsigned)rig->gateway_count);
+			rig_caller_t *caller;
+			char more[96];
 			char id[32];
 
 			snprintf(id, sizeof(id), "%d-%u", gateway, f->number++);
-			g_ptr_array_add(callers, rig_call_at(rig, gateway,
-							     "POST", path, id));
+			/* Prompts of a few kinds, each with an upstream of its own. */
+			snprintf(more, sizeof(more),
+				 "X-Token-Count: 400,8\r\n"
+				 "X-Prompt-Prefix: %x:300,%x:100\r\n",
+				 f->number % 7 + 1, f->number + 100);
+			caller = rig_call(rig,
+					  rig_port(rig, gateway, "callers"), "");
+			rig_send_call_with(caller, "POST", path, id, more);
+			g_ptr_array_add(callers, caller);
 			g_array_append_val(sent, now);
 		}
 		for (guint i = callers->len; i-- > 0;) {
@@ -196,6 +218,32 @@
 	assert_in_range(worst(f), 0, ARRIVALS_ALLOWED);
 }
 
+/* Guards against prompts that go to the upstream that has their shared part cached. */
+static void test_rest_is_kept_by_prompts(void **state)
+{
+	fixture_t *f = *state;
+
+	for (int i = 0; i < UPSTREAMS; i++)
+		f->rig->upstreams[i].behavior = RIG_STREAM;
+	send_calls(f, "/prompt/x", period(f), 300);
+	assert_true(f->rig->upstreams[0].arrivals > 0);
+	f->rig->upstreams[0].rest = REST;
+	send_calls(f, "/prompt/x", period(f), REST_MS);
+	assert_in_range(worst(f), 0, ARRIVALS_ALLOWED);
+}
+
+/* Guards against calls that are sent once more to a resting upstream, as one is silent. */
+static void test_rest_is_kept_by_calls_without_answer(void **state)
+{
+	fixture_t *f = *state;
+
+	send_calls(f, "/quick/x", period(f), 300);
+	f->rig->upstreams[0].rest = REST;
+	f->rig->upstreams[1].behavior = RIG_HANG;
+	send_calls(f, "/quick/x", 10, REST_MS);
+	assert_in_range(worst(f), 0, ARRIVALS_ALLOWED);
+}
+
 /* Guards against calls that wait, or are told a wrong time, where all upstreams rest. */
 static void test_calls_are_refused_at_once_while_all_rest(void **state)
 {
@@ -254,6 +302,9 @@
 		REST_TEST(test_rest_is_kept_where_no_other_upstream_is_left,
 			  large_fleet),
 		REST_TEST(test_rest_is_kept_by_resumed_streams, mesh),
+		REST_TEST(test_rest_is_kept_by_prompts, mesh),
+		REST_TEST(test_rest_is_kept_by_prompts, large_fleet),
+		REST_TEST(test_rest_is_kept_by_calls_without_answer, mesh),
 		REST_TEST(test_calls_are_refused_at_once_while_all_rest, mesh),
 		REST_TEST(test_odd_times_of_rest_do_no_harm, mesh),
 	};
