Keep the versions of the latest streams in the checkpoint

Callers whose streams broke off when all gateways were killed were refused by all of them ("version of the stream unknown") while two versions of the service were in use, although upstreams of their version served.

Cause: which version began a stream was known in the memory of gateways only. The checkpoint named the version of services that have one; of the others it had nothing, and every stream that is not known is refused.

Change: each gateway keeps the streams that it learns of in slices of a second. The two checkpoint writers write each slice as an object of its own, if it has streams of services with several versions, so that a write repeats a second of streams at most: 16 slices of 2,048 streams, 22 KB an object. A gateway that is asked to take up a stream that it does not know reads them, at most once a second and seldomer in large fleets, besides asking its peers. A record names what began a stream, which never changes, so that old or repeated records cannot join two versions.

--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -10,6 +10,7 @@
 #include "adapters/gateway/peers.h"
 #include "adapters/gateway/request_flight.h"
 #include "adapters/gateway/rollouts.h"
+#include "adapters/gateway/stream_slices.h"
 #include "adapters/gateway/usage_table.h"
 #include "adapters/log_glib.h"
 #include "core/forward/call_pacer.h"
@@ -32,6 +33,10 @@
 #define RECOVERY_TIMEOUT PD_SEC
 /* The recorded fleet size is used for this long after the start. */
 #define FLEET_SIZE_MAX_AGE (60 * PD_SEC)
+/* Minimum time between reads of the streams, and what each gateway adds to it. */
+#define STREAMS_READ_PERIOD PD_SEC
+#define STREAMS_READ_PERIOD_PER_GATEWAY (15 * PD_MSEC)
+#define OBJECT_NAME_SIZE 16
 
 static const char *const slot_names[CHECKPOINT_SLOTS] = { "slot-0", "slot-1" };
 
@@ -47,7 +52,7 @@
 struct checkpoint_object {
 	gateway_checkpoint_t *checkpoint;
 	wire_kind_t kind;
-	const char *name;
+	char name[OBJECT_NAME_SIZE];
 	object_writer_t *writer;
 	write_call_t calls[CALL_PACER_IN_FLIGHT_MAX];
 };
@@ -87,14 +92,18 @@
 	pd_time_t previous_write_at;
 	reader_t record_reader;
 	reader_t counts_reader;
+	reader_t streams_reader;
 	checkpoint_object_t records[CHECKPOINT_SLOTS];
 	checkpoint_object_t counts[CHECKPOINT_SLOTS];
+	checkpoint_object_t streams[CHECKPOINT_SLOTS][STREAM_SLICES];
 };
 
 static void handle_records(gateway_checkpoint_t *checkpoint,
 			   const wire_page_t *page);
 static void handle_counts(gateway_checkpoint_t *checkpoint,
 			  const wire_page_t *page);
+static void handle_streams(gateway_checkpoint_t *checkpoint,
+			   const wire_page_t *page);
 
 /* Initializes a reader of the objects of one kind, without a request. */
 static void reader_init(reader_t *reader, gateway_checkpoint_t *checkpoint,
@@ -109,14 +118,14 @@
 	}
 }
 
-/* Initializes an object of the checkpoint, which is not written yet. */
+/* Initializes an object of the checkpoint, which is not written yet; copies NAME. */
 static void object_init(checkpoint_object_t *object,
 			gateway_checkpoint_t *checkpoint, wire_kind_t kind,
-			unsigned int slot)
+			const char *name)
 {
 	object->checkpoint = checkpoint;
 	object->kind = kind;
-	object->name = slot_names[slot];
+	g_strlcpy(object->name, name, sizeof(object->name));
 	object->writer = object_writer_create(RECORD_PERIOD);
 	for (unsigned int i = 0; i < CALL_PACER_IN_FLIGHT_MAX; i++) {
 		object->calls[i].object = object;
@@ -124,6 +133,22 @@
 	}
 }
 
+/* Initializes the objects of a slot. */
+static void slot_init(gateway_checkpoint_t *checkpoint, unsigned int slot)
+{
+	object_init(&checkpoint->records[slot], checkpoint, WIRE_RECORDS,
+		    slot_names[slot]);
+	object_init(&checkpoint->counts[slot], checkpoint, WIRE_COUNTS,
+		    slot_names[slot]);
+	for (unsigned int i = 0; i < STREAM_SLICES; i++) {
+		char name[OBJECT_NAME_SIZE];
+
+		g_snprintf(name, sizeof(name), "%s-%u", slot_names[slot], i);
+		object_init(&checkpoint->streams[slot][i], checkpoint,
+			    WIRE_STREAMS, name);
+	}
+}
+
 /*
  * Returns a checkpoint that begins by reading the record; the caller owns it.
  */
@@ -138,10 +163,10 @@
 	checkpoint->record_reader.requested = true;
 	reader_init(&checkpoint->counts_reader, checkpoint, WIRE_COUNTS);
 	checkpoint->counts_reader.handle_page = handle_counts;
-	for (unsigned int i = 0; i < CHECKPOINT_SLOTS; i++) {
-		object_init(&checkpoint->records[i], checkpoint, WIRE_RECORDS, i);
-		object_init(&checkpoint->counts[i], checkpoint, WIRE_COUNTS, i);
-	}
+	reader_init(&checkpoint->streams_reader, checkpoint, WIRE_STREAMS);
+	checkpoint->streams_reader.handle_page = handle_streams;
+	for (unsigned int i = 0; i < CHECKPOINT_SLOTS; i++)
+		slot_init(checkpoint, i);
 	return checkpoint;
 }
 
@@ -195,6 +220,29 @@
 	reader_request(&checkpoint->counts_reader);
 }
 
+/*
+ * Requests the versions that began streams, unless they were read lately. What is read
+ * is added to those known.
+ */
+void gateway_checkpoint_request_streams(gateway_checkpoint_t *checkpoint)
+{
+	reader_t *reader = &checkpoint->streams_reader;
+	pd_time_t period = MAX(STREAMS_READ_PERIOD,
+			       (pd_time_t)gateway_count(checkpoint->gateway) *
+				       STREAMS_READ_PERIOD_PER_GATEWAY);
+
+	if (!reader->requested &&
+	    (!reader->read_started_at ||
+	     gateway_now() - reader->read_started_at >= period))
+		reader_request(reader);
+}
+
+/* Returns whether requested versions of streams are still to be read. */
+bool gateway_checkpoint_is_reading_streams(const gateway_checkpoint_t *checkpoint)
+{
+	return checkpoint->streams_reader.requested;
+}
+
 /* Returns when the latest answered read of the counts began; 0: none was. */
 pd_time_t gateway_checkpoint_counts_read_at(const gateway_checkpoint_t *checkpoint)
 {
@@ -405,6 +453,32 @@
 		 wire_page_count(page), wire_page_has_more(page));
 }
 
+/* Merges one object with versions of streams; logs an error if it is malformed. */
+static void merge_streams(gateway_checkpoint_t *checkpoint, const char *text)
+{
+	const gateway_t *gateway = checkpoint->gateway;
+	pd_time_t now = gateway_now();
+	pd_error_t err;
+
+	if (stream_slice_merge(text, gateway->stream_journal, gateway->streams,
+			       now, time_vote_wall(gateway->vote, now), &err) < 0)
+		log_error(LOG_COMPONENT, "streams", &err);
+}
+
+/* Merges a page of versions of streams; all objects fit into one. */
+static void handle_streams(gateway_checkpoint_t *checkpoint, const wire_page_t *page)
+{
+	for (size_t i = 0; i < wire_page_count(page); i++) {
+		char *text = wire_page_spec(page, i);
+
+		if (text)
+			merge_streams(checkpoint, text);
+		g_free(text);
+	}
+	log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT, "streams read objects=%zu",
+		 wire_page_count(page));
+}
+
 /*
  * Handles the answer to a read. Returns false, with an error logged, if it has
  * no valid page.
@@ -489,6 +563,28 @@
 	}
 }
 
+/* Handles what another gateway has written to an object. */
+static void object_handle_conflict(checkpoint_object_t *object,
+				   const char *text, uint64_t revision)
+{
+	switch (object->kind) {
+	case WIRE_COUNTS:
+		merge_counts(object->checkpoint, text);
+		break;
+	case WIRE_STREAMS:
+		merge_streams(object->checkpoint, text);
+		break;
+	case WIRE_RECORDS:
+		handle_record(object->checkpoint, text, revision);
+		break;
+	case WIRE_CONFIG:
+	case WIRE_UPSTREAMS:
+	case WIRE_LEASES:
+	case WIRE_ROLLOUTS:
+		break;
+	}
+}
+
 /* Ends a write. After a conflict, what another gateway wrote is merged. */
 static void on_write_reply(void *ctx, const http1_reply_t *reply)
 {
@@ -508,10 +604,8 @@
 			 "write=%s failed status=%d", object->name, reply->status);
 	}
 	/* The next write includes what another gateway wrote. */
-	if (text && end == WRITE_CONFLICT && object->kind == WIRE_COUNTS)
-		merge_counts(object->checkpoint, text);
-	else if (text && end == WRITE_CONFLICT)
-		handle_record(object->checkpoint, text, revision);
+	if (text && end == WRITE_CONFLICT)
+		object_handle_conflict(object, text, revision);
 	object_writer_end(object->writer, call->number, end, revision,
 			  gateway_now());
 	g_free(text);
@@ -686,7 +780,27 @@
 	return text;
 }
 
-/* Writes the counts and the record of a slot if they are due. */
+/* Writes the slices of streams of a slot that have changed and are due. */
+static void write_streams(gateway_checkpoint_t *checkpoint, int slot, pd_time_t now)
+{
+	const gateway_t *gateway = checkpoint->gateway;
+
+	for (unsigned int i = 0; i < STREAM_SLICES; i++) {
+		checkpoint_object_t *object = &checkpoint->streams[slot][i];
+		char *text;
+
+		if (!object_writer_is_due(object->writer, now))
+			continue;
+		text = stream_slice_encode(stream_journal_slice(gateway->stream_journal,
+								i),
+					   gateway->streams, now);
+		if (text)
+			object_write(object, text, now);
+		g_free(text);
+	}
+}
+
+/* Writes the counts, the record and the streams of a slot that are due. */
 static void write_slot(gateway_checkpoint_t *checkpoint, int slot, pd_time_t now)
 {
 	gateway_t *gateway = checkpoint->gateway;
@@ -717,6 +831,7 @@
 		object_write(record, text, now);
 		g_free(text);
 	}
+	write_streams(checkpoint, slot, now);
 }
 
 /*
@@ -742,6 +857,9 @@
 	for (unsigned int i = 0; i < CHECKPOINT_SLOTS; i++) {
 		object_writer_set_answer_time(checkpoint->records[i].writer, time);
 		object_writer_set_answer_time(checkpoint->counts[i].writer, time);
+		for (unsigned int j = 0; j < STREAM_SLICES; j++)
+			object_writer_set_answer_time(checkpoint->streams[i][j].writer,
+						      time);
 	}
 }
 
@@ -774,6 +892,7 @@
 	end_recovery(checkpoint, now);
 	reader_run(&checkpoint->record_reader, now);
 	reader_run(&checkpoint->counts_reader, now);
+	reader_run(&checkpoint->streams_reader, now);
 	if (!checkpoint->recovery_ended || now < checkpoint->first_write_at)
 		return;
 	slot = gateway_peers_checkpoint_slot(checkpoint->gateway->peers, now);
--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -164,6 +164,7 @@
 	case WIRE_LEASES:
 	case WIRE_RECORDS:
 	case WIRE_COUNTS:
+	case WIRE_STREAMS:
 		break;
 	}
 }
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -546,6 +546,7 @@
 		stream_versions_create(STREAM_VERSIONS_TTL_MIN,
 				       !strcmp(settings->node_start, "first"),
 				       gateway->started_at);
+	gateway->stream_journal = stream_journal_create();
 	gateway->rollouts = rollouts_create(&rollout_bounds);
 	gateway->invalid_orders =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -15,6 +15,7 @@
 #include "core/forward/rollout.h"
 #include "core/forward/room_rate.h"
 #include "core/forward/store_outage.h"
+#include "core/forward/stream_journal.h"
 #include "core/forward/stream_versions.h"
 #include "core/forward/time_vote.h"
 #include "core/forward/token_limits.h"
@@ -50,6 +51,7 @@
 	GHashTable *reaches; /* service -> reach_t; those whose links failed */
 	list_node_t probes; /* of upstreams, in progress */
 	stream_versions_t *streams; /* which software version began each */
+	stream_journal_t *stream_journal; /* of the latest, for the checkpoint */
 	rollouts_t *rollouts; /* orders to change a service's software version */
 	GHashTable *invalid_orders; /* name -> revision of those logged */
 	GHashTable *logged_rollouts; /* service -> what was logged last */
--- a/adapters/gateway/peer_streams.c
+++ b/adapters/gateway/peer_streams.c
@@ -155,7 +155,9 @@
 {
 	uint32_t count = 0;
 	const msgpack_object *items = msgpack_field_array(object, 0, &count);
+	gateway_t *gateway = peers->gateway;
 	pd_time_t now = gateway_now();
+	pd_time_t wall = time_vote_wall(gateway->vote, now);
 
 	for (uint32_t i = 0; i + 1 < count; i += 2) {
 		stream_record_t record = {
@@ -169,8 +171,8 @@
 		     at += sizeof(uint64_t)) {
 			memcpy(&record.attempt, items[i + 1].via.bin.ptr + at,
 			       sizeof(uint64_t));
-			stream_versions_merge(peers->gateway->streams, &record,
-					      now);
+			stream_versions_merge(gateway->streams, &record, now);
+			stream_journal_add(gateway->stream_journal, &record, wall);
 		}
 	}
 }
--- a/adapters/gateway/request_version.c
+++ b/adapters/gateway/request_version.c
@@ -2,12 +2,16 @@
  * The software version at which a stream goes on: the one that began it, as this gateway
  * or another one knows. core/forward/stream-versions-notes.md compares the ways.
  */
+#include "adapters/gateway/checkpoint.h"
+#include "adapters/gateway/fleet_feed.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peers.h"
 #include "adapters/gateway/request_state.h"
 
 /* A request waits for the answers of other gateways for at most this long. */
 #define VERSION_WAIT_MAX (150 * PD_MSEC)
+/* If the store answers, for its streams as well, so long at most. */
+#define VERSION_READ_MAX PD_SEC
 /* They are asked again, as they may receive the version meanwhile. */
 #define VERSION_ASK_PERIOD (40 * PD_MSEC)
 
@@ -100,15 +104,29 @@
 		return;
 	request->state = REQUEST_QUEUED;
 	request->version_wanted_at = gateway_now();
+	gateway_checkpoint_request_streams(request->gateway->checkpoint);
 	ask_peers(request, request->version_wanted_at);
 }
 
+/* Returns whether another gateway or the store may still answer a request's query. */
+static bool may_be_answered(const gateway_request_t *request, pd_time_t now)
+{
+	const gateway_t *gateway = request->gateway;
+	pd_time_t waited = now - request->version_wanted_at;
+
+	if (waited <= VERSION_WAIT_MAX)
+		return true;
+	return waited <= VERSION_READ_MAX &&
+	       gateway_checkpoint_is_reading_streams(gateway->checkpoint) &&
+	       fleet_feed_is_store_reachable(gateway->feed);
+}
+
 /* Has a request proceed if other gateways have sent its version; refuses it in time. */
 void gateway_request_check_version(gateway_request_t *request, pd_time_t now)
 {
 	if (proceed_at_known_version(request))
 		return;
-	if (now - request->version_wanted_at > VERSION_WAIT_MAX) {
+	if (!may_be_answered(request, now)) {
 		metrics_add(request->gateway->metrics,
 			    "gateway_stream_versions_unknown_total", 1);
 		gateway_request_give_up(request, RETRY_AFTER_NO_UPSTREAM,
@@ -121,16 +139,23 @@
 /* Records the version of a stream with the first event that this gateway forwards. */
 void gateway_request_record_version(gateway_request_t *request)
 {
-	uint64_t attempt;
+	gateway_t *gateway = request->gateway;
+	stream_record_t record;
+	pd_time_t now;
 
 	if (request->version_recorded || !request->route->resumable)
 		return;
 	request->version_recorded = true;
 	request->version_id = request->upstream_version_id;
-	attempt = first_attempt(request);
-	if (attempt)
-		stream_versions_record(request->gateway->streams, attempt,
-				       request->version_id, gateway_now());
+	record.attempt = first_attempt(request);
+	record.version_id = request->version_id;
+	if (!record.attempt)
+		return;
+	now = gateway_now();
+	stream_versions_record(gateway->streams, record.attempt,
+			       record.version_id, now);
+	stream_journal_add(gateway->stream_journal, &record,
+			   time_vote_wall(gateway->vote, now));
 }
 
 /* Sends the version of a stream that breaks off to gateways that may lack it. */
--- a/core/forward/stream_versions.c
+++ b/core/forward/stream_versions.c
@@ -244,6 +244,35 @@
 	return versions ? sole_version(streams, versions, now) : 0;
 }
 
+/* Returns whether a version is among those that served of a service. */
+static bool has_served(const service_versions_t *service, uint64_t version_id)
+{
+	for (guint i = 0; i < service->served->len; i++) {
+		if (g_array_index(service->served, served_version_t, i).version_id ==
+		    version_id)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Returns whether an unknown stream of the service of VERSION_ID may have begun at another
+ * version. A version that served nowhere is taken for ambiguous.
+ */
+bool stream_versions_is_ambiguous(const stream_versions_t *streams,
+				  uint64_t version_id, pd_time_t now)
+{
+	GHashTableIter iter;
+	gpointer service;
+
+	g_hash_table_iter_init(&iter, streams->services);
+	while (g_hash_table_iter_next(&iter, NULL, &service)) {
+		if (has_served(service, version_id))
+			return !sole_version(streams, service, now);
+	}
+	return true;
+}
+
 /* Calls EACH with CTX for each service with such a version. */
 void stream_versions_each_sole(const stream_versions_t *streams, pd_time_t now,
 			       stream_versions_each_t each, void *ctx)
--- a/core/forward/stream_versions.h
+++ b/core/forward/stream_versions.h
@@ -47,6 +47,8 @@
 				  uint64_t version_id, pd_time_t now);
 uint64_t stream_versions_sole(const stream_versions_t *streams,
 			      const char *service, pd_time_t now);
+bool stream_versions_is_ambiguous(const stream_versions_t *streams,
+				  uint64_t version_id, pd_time_t now);
 void stream_versions_each_sole(const stream_versions_t *streams, pd_time_t now,
 			       stream_versions_each_t each, void *ctx);
 
--- a/tests/process/test_gateway_versions.c
+++ b/tests/process/test_gateway_versions.c
@@ -251,26 +251,45 @@
 	}
 }
 
-/* Kills all gateways and starts them again. */
-static void restart_all(gateway_rig_t *rig)
+/* Kills all gateways and starts them again, for the time START_COUNT. */
+static void restart_all(gateway_rig_t *rig, unsigned int start_count)
 {
 	for (int i = 0; i < RIG_GATEWAYS; i++) {
 		process_destroy(rig->gateways[i]);
 		rig->gateways[i] = NULL;
 	}
 	rig->first_start = false;
-	rig_start_gateways(rig, 2);
+	rig_start_gateways(rig, start_count);
 }
 
-/* Guards against joined streams after all gateways were killed. */
-static void test_streams_after_kill_of_all_gateways_are_not_joined(void **state)
+/*
+ * Guards against streams that are joined, or refused, after all gateways were killed while
+ * two versions serve.
+ */
+static void test_streams_go_on_at_their_version_after_kill_of_all_gateways(void **state)
 {
 	gateway_rig_t *rig = *state;
 	taken_t taken[STREAMS];
 
 	take_parts(rig, taken, false);
-	restart_all(rig);
-	resume_all(rig, taken, 0);
+	restart_all(rig, 2);
+	assert_true(resume_all(rig, taken, 0) >= STREAMS * 3 / 4);
+}
+
+/* Guards against the loss of what one kill of all left by another one soon after. */
+static void test_streams_go_on_after_two_kills_of_all_gateways(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	take_parts(rig, taken, false);
+	restart_all(rig, 2);
+	rig_run_for(rig, KNOWN_MS / 4);
+	restart_all(rig, 3);
+	assert_true(resume_all(rig, taken, 0) >= STREAMS * 3 / 4);
+	rig_run_for(rig, KNOWN_MS);
+	restart_all(rig, 4);
+	assert_true(resume_all(rig, taken, 1) >= STREAMS * 3 / 4);
 }
 
 /*
@@ -283,7 +302,7 @@
 	taken_t taken[STREAMS];
 
 	take_parts(rig, taken, false);
-	restart_all(rig);
+	restart_all(rig, 2);
 	assert_true(resume_all(rig, taken, 0) >= STREAMS * 3 / 4);
 }
 
@@ -335,7 +354,10 @@
 			test_version_is_replaced_at_same_address_mid_stream,
 			setup, teardown),
 		cmocka_unit_test_setup_teardown(
-			test_streams_after_kill_of_all_gateways_are_not_joined,
+			test_streams_go_on_at_their_version_after_kill_of_all_gateways,
+			setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_streams_go_on_after_two_kills_of_all_gateways,
 			setup, teardown),
 		cmocka_unit_test_setup_teardown(
 			test_streams_of_only_version_go_on_after_kill_of_all_gateways,
--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -21,6 +21,7 @@
 #include "adapters/gateway/grants.h"
 #include "adapters/gateway/slots.h"
 #include "adapters/gateway/rollouts.h"
+#include "adapters/gateway/stream_slices.h"
 #include "adapters/gateway/usage_table.h"
 #include "adapters/log_glib.h"
 #include "adapters/msgpack_check.h"
@@ -606,6 +607,35 @@
 	});
 }
 
+/* Slices of streams: what is not of the format changes nothing. */
+static bool prop_stream_slices()
+{
+	static const char slice[] =
+		"{\"format\":1,\"slice\":8,\"versions\":{\"fe\":"
+		"\"AQAAAAAAAAACAAAAAAAAAA==\",\"7\":\"AwAAAAAAAAA=\"}}";
+
+	return rc::check("slices of streams", [] {
+		auto text = mutated(slice);
+		stream_versions_t *streams =
+			stream_versions_create(PD_SEC, false, 0);
+		stream_journal_t *journal = stream_journal_create();
+		pd_error_t err;
+		int rc = stream_slice_merge(text.c_str(), journal, streams, 0,
+					    9 * PD_SEC, &err);
+
+		for (unsigned i = 0; i < STREAM_SLICES; i++) {
+			const stream_slice_t *one =
+				stream_journal_slice(journal, i);
+
+			RC_ASSERT(one->number <= 9 + STREAM_SLICES);
+			if (rc < 0)
+				RC_ASSERT(!g_hash_table_size(one->versions));
+		}
+		stream_journal_destroy(journal);
+		stream_versions_destroy(streams);
+	});
+}
+
 /* The same complete events are found however a response is split. */
 static bool prop_events()
 {
@@ -667,6 +697,7 @@
 	ok &= prop_note();
 	ok &= prop_record();
 	ok &= prop_counts();
+	ok &= prop_stream_slices();
 	ok &= prop_events();
 	ok &= prop_calls();
 	return ok ? 0 : 1;
