--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -294,6 +294,7 @@
 	pd_time_t snapshot_sent_at;
 	stream_record_t stream_records[STATE_STREAMS_MAX]; /* in the states of a period */
 	unsigned int stream_record_count;
+	pd_time_t next_streams_at; /* when records may be sent before the next state */
 	/* addresses of the current writers; NULL: none */
 	char *checkpoint_writers[CHECKPOINT_SLOTS];
 	/* when a peer last sent counts; 0: never */
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -29,6 +29,9 @@
 /* Period of sending limit uses to the checkpoint writers. */
 #define LIMIT_USES_PERIOD (70 * PD_MSEC)
 #define LIMIT_USES_PERIOD_FACTOR_MAX 3
+/* Period of sending streams of services with several versions. */
+#define STREAMS_PERIOD (50 * PD_MSEC)
+#define STREAMS_PERIOD_FACTOR_MAX 4
 /* Half-periods until a state has reached the last gateway in a summary. */
 #define PROPAGATION_HALF_PERIODS 5
 /*
@@ -666,12 +669,28 @@
 	}
 }
 
+/*
+ * Sends records of streams of services with several versions before the next state, as
+ * they are lost with this gateway until the checkpoint has them.
+ */
+static void send_urgent_streams(gateway_peers_t *peers, pd_time_t now)
+{
+	if (now < peers->next_streams_at ||
+	    !stream_versions_has_urgent(peers->gateway->streams))
+		return;
+	peers->next_streams_at = now + fleet_period(peers, STREAMS_PERIOD,
+						    STREAMS_PERIOD_FACTOR_MAX,
+						    now);
+	gateway_peers_send_streams(peers);
+}
+
 /* Sends the messages that are due and removes expired peers. */
 void gateway_peers_run(gateway_peers_t *peers, pd_time_t now)
 {
 	bool mesh;
 	bool full;
 
+	send_urgent_streams(peers, now);
 	spread_updates(peers, now);
 	send_counts(peers, now);
 	peers_run_limits(peers, now);
--- a/core/forward/stream_versions.c
+++ b/core/forward/stream_versions.c
@@ -26,6 +26,7 @@
 	pd_time_t rotated_at;
 	pd_time_t ttl; /* a stream may be resumed for so long after its first event */
 	GArray *unsent; /* of stream_record_t */
+	bool urgent; /* one of these is of a service with several versions */
 	GHashTable *services; /* name -> service_versions_t */
 	bool first; /* no gateway has served before this one */
 	pd_time_t started_at;
@@ -113,8 +114,12 @@
 	const stream_record_t record = { attempt, version_id };
 
 	set_version(streams, attempt, version_id, now);
-	if (streams->unsent->len < UNSENT_MAX)
-		g_array_append_val(streams->unsent, record);
+	if (streams->unsent->len >= UNSENT_MAX)
+		return;
+	g_array_append_val(streams->unsent, record);
+	if (!streams->urgent)
+		streams->urgent =
+			stream_versions_is_ambiguous(streams, version_id, now);
 }
 
 /* Records what another gateway knows; what is known here stays. */
@@ -159,9 +164,16 @@
 		records[i] = g_array_index(streams->unsent, stream_record_t, i);
 	if (count)
 		g_array_remove_range(streams->unsent, 0, count);
+	streams->urgent = streams->urgent && streams->unsent->len;
 	return count;
 }
 
+/* Returns whether a stream was not sent yet whose version only its record tells. */
+bool stream_versions_has_urgent(const stream_versions_t *streams)
+{
+	return streams->urgent;
+}
+
 /* Returns the versions of a service, borrowed; adds one that is missing. */
 static service_versions_t *get_service(stream_versions_t *streams, const char *name)
 {
--- a/core/forward/stream_versions.h
+++ b/core/forward/stream_versions.h
@@ -40,6 +40,7 @@
 unsigned int stream_versions_take_unsent(stream_versions_t *streams,
 					 stream_record_t *records,
 					 unsigned int most);
+bool stream_versions_has_urgent(const stream_versions_t *streams);
 bool stream_versions_is_unsent(const stream_versions_t *streams, uint64_t attempt);
 void stream_versions_record_serving(stream_versions_t *streams, const char *service,
 				    uint64_t version_id, pd_time_t now);
