--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -22,11 +22,8 @@
 #define CALL_TIMEOUT_MS 1500
 /* Bound on the age of bucket levels, see token-limits-notes.md. */
 #define RECORD_PERIOD (280 * PD_MSEC)
-/*
- * Of the slice of streams that is filled; streams that began since the last write are
- * lost in a kill of all. The writers take turns.
- */
-#define STREAMS_PERIOD (140 * PD_MSEC)
+/* Of the slice of streams that is filled; with it those are lost that began later. */
+#define STREAMS_PERIOD (70 * PD_MSEC)
 /* Upstreams whose speeds are in a record, so that it does not grow with the fleet. */
 #define SPEEDS_RECORDED_MAX 64
 /* Minimum time before an unanswered read is repeated. */
@@ -789,26 +786,24 @@
 static void write_streams(gateway_checkpoint_t *checkpoint, int slot, pd_time_t now)
 {
 	const gateway_t *gateway = checkpoint->gateway;
-	pd_time_t wall = time_vote_wall(gateway->vote, now);
-	int64_t latest = wall / STREAM_SLICE_LENGTH;
-	bool is_turn = usage_is_writer_turn(wall, STREAMS_PERIOD, slot);
+	int64_t latest = time_vote_wall(gateway->vote, now) / STREAM_SLICE_LENGTH;
 
 	for (unsigned int i = 0; i < STREAM_SLICES; i++) {
-		object_writer_t *writer = checkpoint->streams[slot][i].writer;
+		checkpoint_object_t *object = &checkpoint->streams[slot][i];
 		const stream_slice_t *slice =
 			stream_journal_slice(gateway->stream_journal, i);
-		bool is_latest = slice->number == latest;
 		char *text;
 
-		/* A write that began late must not make the writer miss its turn. */
-		object_writer_set_period(writer, is_latest ? STREAMS_PERIOD * 3 / 4
-							   : RECORD_PERIOD);
-		if (!object_writer_is_due(writer, now) ||
-		    (is_latest && !is_turn && object_writer_is_regular(writer)))
+		object_writer_set_period(object->writer, slice->number == latest
+								 ? STREAMS_PERIOD
+								 : RECORD_PERIOD);
+		if (!object_writer_is_due(object->writer, now))
 			continue;
-		text = stream_slice_encode(slice, gateway->streams, now);
+		text = stream_slice_encode(stream_journal_slice(gateway->stream_journal,
+								i),
+					   gateway->streams, now);
 		if (text)
-			object_write(&checkpoint->streams[slot][i], text, now);
+			object_write(object, text, now);
 		g_free(text);
 	}
 }
