Record the version of a stream as its request is sent

Cause: a version was recorded with the first event that is forwarded, and was in the checkpoint 50 to 150 ms after that.

Change: where a service has several versions and no roll-out decides, a request is tied to the version of the upstream that it is sent to first, and that is recorded as it is sent. The record is final, as retries stay at that version; while the upstream reads the prompt, it reaches the checkpoint.

--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -136,6 +136,7 @@
 	head = g_string_sized_new(512);
 	wire_call_format(head, call, &send);
 	request->sent_at = now;
+	gateway_request_pin_version(request);
 	gateway_request_record_rollout_send(request);
 	request->deliveries++;
 	gateway_request_begin_speed_sample(request);
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -65,7 +65,8 @@
 	unsigned int sends; /* attempts begun */
 	unsigned int deliveries; /* attempts whose request was sent */
 	unsigned int possible_runs; /* attempts that may have run */
-	uint64_t version_id; /* that began the stream; 0: no event came yet */
+	uint64_t version_id; /* that began the stream or may only; 0: any may */
+	bool version_pinned; /* it was recorded before the first event */
 	bool version_recorded; /* an event of this attempt was forwarded */
 	pd_time_t version_asked_at; /* when other gateways were; 0: it does not wait */
 	pd_time_t version_wanted_at; /* since when it waits for the version */
@@ -126,6 +127,7 @@
 void gateway_request_proceed(gateway_request_t *request);
 void gateway_request_find_version(gateway_request_t *request);
 void gateway_request_check_version(gateway_request_t *request, pd_time_t now);
+void gateway_request_pin_version(gateway_request_t *request);
 void gateway_request_record_version(gateway_request_t *request);
 void gateway_request_share_version(const gateway_request_t *request);
 bool gateway_request_may_relay(const gateway_request_t *request);
--- a/adapters/gateway/request_version.c
+++ b/adapters/gateway/request_version.c
@@ -136,28 +136,53 @@
 	}
 }
 
-/* Records the version of a stream with the first event that this gateway forwards. */
-void gateway_request_record_version(gateway_request_t *request)
+/* Records for all gateways that the version of a request begins its stream. */
+static void record_version(const gateway_request_t *request)
 {
 	gateway_t *gateway = request->gateway;
-	stream_record_t record;
-	pd_time_t now;
+	const stream_record_t record = { first_attempt(request),
+					 request->version_id };
+	pd_time_t now = gateway_now();
 
-	if (request->version_recorded || !request->route->resumable)
-		return;
-	request->version_recorded = true;
-	request->version_id = request->upstream_version_id;
-	record.attempt = first_attempt(request);
-	record.version_id = request->version_id;
 	if (!record.attempt)
 		return;
-	now = gateway_now();
 	stream_versions_record(gateway->streams, record.attempt,
 			       record.version_id, now);
 	stream_journal_add(gateway->stream_journal, &record,
 			   time_vote_wall(gateway->vote, now));
 }
 
+/*
+ * Has a request that is sent begin its stream at the version of its upstream or not at all,
+ * where the service has several: until the first event comes, others get to know that.
+ * Roll-outs choose the version of each attempt.
+ */
+void gateway_request_pin_version(gateway_request_t *request)
+{
+	gateway_t *gateway = request->gateway;
+
+	if (request->version_id || request->route->kind != FORWARD_STREAM ||
+	    !request->route->resumable || gateway_request_is_restricted(request) ||
+	    !stream_versions_is_ambiguous(gateway->streams,
+					  request->upstream_version_id,
+					  gateway_now()))
+		return;
+	request->version_id = request->upstream_version_id;
+	request->version_pinned = true;
+	record_version(request);
+}
+
+/* Records the version of a stream with the first event that this gateway forwards. */
+void gateway_request_record_version(gateway_request_t *request)
+{
+	if (request->version_recorded || !request->route->resumable)
+		return;
+	request->version_recorded = true;
+	request->version_id = request->upstream_version_id;
+	if (!request->version_pinned)
+		record_version(request);
+}
+
 /* Sends the version of a stream that breaks off to gateways that may lack it. */
 void gateway_request_share_version(const gateway_request_t *request)
 {
