Read the history of registrations before an only version is restored

The fault of the users' report: after a kill of all gateways a caller's stream that one software version had begun went on at another one (ORDER).

Cause: the checkpoint names the services that have one version, and a start trusted it for 30 s. A version that registered after the last write, served and was gone again by the start was not known to anybody; streams that it had begun went on at the version of the checkpoint. Writes are 0.28 s apart, and more while the store refuses them. Besides, the record was made from versions that are noted every 0.5 s only.

Change: the record says as of which revision of the store its only versions are, by the writer's own reading of registrations. A start reads the history from there on, after its listing; another version in it makes the service ambiguous. Without the history, or with a record of an older build, nothing is restored, and unknown streams are refused. A version is noted as it registers.

test_version_that_came_after_last_write_is_not_joined fails before, also on the code of the start ("t2 of version -old went on"), and passes now.

--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -10,6 +10,7 @@
 #include "adapters/gateway/peers.h"
 #include "adapters/gateway/request_flight.h"
 #include "adapters/gateway/rollouts.h"
+#include "adapters/gateway/sole_versions.h"
 #include "adapters/gateway/stream_slices.h"
 #include "adapters/gateway/usage_table.h"
 #include "adapters/log_glib.h"
@@ -92,6 +93,7 @@
 	char *leader; /* id of its VM, as last read or written; NULL: none */
 	/* time of day, before this start; 0: unknown */
 	pd_time_t previous_write_at;
+	sole_versions_t *sole_versions;
 	reader_t record_reader;
 	reader_t counts_reader;
 	reader_t streams_reader;
@@ -160,6 +162,7 @@
 
 	checkpoint->gateway = gateway;
 	checkpoint->slot = -1;
+	checkpoint->sole_versions = sole_versions_create(gateway);
 	reader_init(&checkpoint->record_reader, checkpoint, WIRE_RECORDS);
 	checkpoint->record_reader.handle_page = handle_records;
 	checkpoint->record_reader.requested = true;
@@ -292,27 +295,6 @@
 	}
 }
 
-/*
- * Applies which services ran one software version only, unless the record is too old to
- * tell of the streams that may be resumed.
- */
-static void restore_versions(gateway_checkpoint_t *checkpoint,
-			     const checkpoint_record_t *record)
-{
-	gateway_t *gateway = checkpoint->gateway;
-	pd_time_t start = time_vote_wall(gateway->vote, gateway->started_at);
-
-	if (start - record->written_at > STREAM_VERSIONS_TTL_MIN)
-		return;
-	for (guint i = 0; i < record->versions->len; i++) {
-		const version_record_t *entry =
-			&g_array_index(record->versions, version_record_t, i);
-
-		stream_versions_restore_sole(gateway->streams, entry->service,
-					     entry->version_id, gateway_now());
-	}
-}
-
 /* Restores the roll-outs that ran, for what the store does not have of them. */
 static void restore_rollouts(gateway_checkpoint_t *checkpoint,
 			     const checkpoint_record_t *record)
@@ -380,7 +362,7 @@
 	checkpoint->fleet_size = record->fleet_size;
 	restore_accounts(checkpoint, record);
 	restore_clocks(checkpoint, record);
-	restore_versions(checkpoint, record);
+	sole_versions_restore(checkpoint->sole_versions, record);
 	restore_speeds(checkpoint, record);
 	if (rollouts_is_enabled(checkpoint->gateway->rollouts))
 		restore_rollouts(checkpoint, record);
@@ -772,9 +754,8 @@
 	add_leader(checkpoint, record);
 	token_limits_each(gateway->limits, now, add_account, &accounts);
 	time_vote_each_offset(gateway->vote, now, add_clock, &clocks);
-	if (gateway_peers_has_current_upstreams(gateway->peers, now))
-		stream_versions_each_sole(gateway->streams, now, add_version,
-					  record);
+	record->upstreams_revision =
+		gateway_each_sole_version(gateway, add_version, record);
 	rollouts_each(gateway->rollouts, add_rollout, &rollouts);
 	add_speeds(gateway, record);
 	text = checkpoint_record_format(record);
@@ -898,6 +879,7 @@
 	int slot;
 
 	end_recovery(checkpoint, now);
+	sole_versions_run(checkpoint->sole_versions, now);
 	reader_run(&checkpoint->record_reader, now);
 	reader_run(&checkpoint->counts_reader, now);
 	reader_run(&checkpoint->streams_reader, now);
--- a/adapters/gateway/checkpoint_record.c
+++ b/adapters/gateway/checkpoint_record.c
@@ -260,6 +260,8 @@
 	read_accounts(record, json_object_get(root, "accounts"));
 	read_clocks(record, json_object_get(root, "clocks"));
 	read_versions(record, json_object_get(root, "versions"));
+	record->upstreams_revision =
+		non_negative(json_object_get(root, "versions_as_of"));
 	read_rollouts(record, json_object_get(root, "rollouts"));
 	read_speeds(record, json_object_get(root, "speeds"));
 	json_decref(root);
@@ -366,8 +368,12 @@
 	char *text;
 	char *copy;
 
-	if (record->versions->len)
+	if (record->versions->len) {
 		json_object_set_new(root, "versions", write_versions(record));
+		json_object_set_new(
+			root, "versions_as_of",
+			json_integer((json_int_t)record->upstreams_revision));
+	}
 	if (record->speeds->len)
 		json_object_set_new(root, "speeds", write_speeds(record));
 	if (record->rollouts->len)
--- a/adapters/gateway/checkpoint_record.h
+++ b/adapters/gateway/checkpoint_record.h
@@ -55,6 +55,7 @@
 	GArray *accounts; /* of account_record_t */
 	GArray *clocks; /* of clock_record_t */
 	GArray *versions; /* of version_record_t */
+	uint64_t upstreams_revision; /* of the store, as of which they are; 0: unknown */
 	GArray *rollouts; /* of rollout_record_t */
 	GArray *speeds; /* of speed_record_t */
 } checkpoint_record_t;
--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -56,6 +56,15 @@
 	return fleet;
 }
 
+/*
+ * Returns the revision of the store up to which this gateway has read all changes of
+ * upstreams itself; 0: it has not listed them.
+ */
+uint64_t fleet_feed_upstreams_revision(const fleet_feed_t *feed)
+{
+	return feed->upstreams.revision;
+}
+
 /* Returns whether the store answered the last call for the upstreams. */
 bool fleet_feed_is_store_reachable(const fleet_feed_t *feed)
 {
--- a/adapters/gateway/fleet_feed.h
+++ b/adapters/gateway/fleet_feed.h
@@ -10,6 +10,7 @@
 
 fleet_feed_t *fleet_feed_create(gateway_t *gateway);
 void fleet_feed_run(fleet_feed_t *feed, pd_time_t now);
+uint64_t fleet_feed_upstreams_revision(const fleet_feed_t *feed);
 bool fleet_feed_is_store_reachable(const fleet_feed_t *feed);
 
 #endif
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -262,6 +262,11 @@
 		 upstream->version, upstream->zone, upstream->address,
 		 upstream->port, upstream->slots, upstream->reclaimable,
 		 upstream->revision, source);
+	/* It may be gone before the versions that serve are next recorded. */
+	if (upstream->revision && upstream->stage != FORWARD_GONE)
+		stream_versions_record_serving(gateway->streams, upstream->service,
+					       upstream->version_id,
+					       gateway_now());
 	gateway_rollouts_record_version(gateway, upstream);
 	gateway_peers_queue_update(gateway->peers, id);
 }
@@ -388,6 +393,23 @@
 	return stream_versions_sole(gateway->streams, service, now);
 }
 
+/*
+ * Calls EACH with CTX for each service with such a version. Returns the revision of the
+ * store as of which they are, or 0 without a call if that is unknown.
+ */
+uint64_t gateway_each_sole_version(gateway_t *gateway,
+				   stream_versions_each_t each, void *ctx)
+{
+	uint64_t revision = fleet_feed_upstreams_revision(gateway->feed);
+	pd_time_t now = gateway_now();
+
+	if (!revision || !gateway_peers_has_current_upstreams(gateway->peers, now))
+		return 0;
+	record_serving_versions(gateway, now);
+	stream_versions_each_sole(gateway->streams, now, each, ctx);
+	return revision;
+}
+
 /* Advances all parts of the gateway; called every TICK_MS. */
 static void on_tick(uv_timer_t *timer)
 {
@@ -662,6 +684,8 @@
 			  gateway_reach_is_cut_off_from_any(gateway));
 	metrics_set_gauge(metrics, "gateway_quarantine_held",
 			  quarantine_held_count(gateway->quarantine));
+	metrics_set_gauge(metrics, "gateway_stream_journal_dropped",
+			  (double)stream_journal_dropped(gateway->stream_journal));
 	metrics_set_gauge(metrics, "gateway_upstreams_limited",
 			  gateway_limits_count(gateway, gateway_now()));
 	metrics_set_gauge(metrics, "gateway_store_serves",
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -19,6 +19,8 @@
 void gateway_store_answered(gateway_t *gateway, pd_time_t at);
 void gateway_store_failed(gateway_t *gateway, pd_time_t sent_at);
 uint64_t gateway_sole_version(gateway_t *gateway, const char *service);
+uint64_t gateway_each_sole_version(gateway_t *gateway,
+				   stream_versions_each_t each, void *ctx);
 void gateway_upstream_changed(gateway_t *gateway, const char *id,
 			      const char *source);
 
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -425,12 +425,18 @@
 	upstream->start_time_ms = start_time_ms;
 }
 
+/* Returns the id of a service's software version, not 0. VERSION may be empty. */
+uint64_t forward_version_id(const char *service, const char *version)
+{
+	return MAX(hash_pair(service, version), 1);
+}
+
 /* Sets the software version of an upstream of a known service; NULL: unknown. */
 static void set_version(forward_upstream_t *upstream, const char *version)
 {
 	replace_string(&upstream->version, version ? version : "");
 	upstream->version_id =
-		MAX(hash_pair(upstream->service, upstream->version), 1);
+		forward_version_id(upstream->service, upstream->version);
 }
 
 /*
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -114,6 +114,7 @@
 
 typedef struct forward_upstreams forward_upstreams_t;
 
+uint64_t forward_version_id(const char *service, const char *version);
 forward_upstreams_t *forward_upstreams_create(void);
 void forward_upstreams_destroy(forward_upstreams_t *set);
 bool forward_upstreams_apply(forward_upstreams_t *set,
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -97,6 +97,7 @@
 	json_t *events; /* array, in the order of their revisions */
 	json_int_t revision;
 	bool first_page_only; /* every page of upstreams claims that more follow */
+	bool refuses_writes; /* the store answers them with 503 */
 	unsigned int answers_to_drop; /* number of checkpoint writes to leave unanswered */
 	unsigned int status_answers_to_drop; /* the same of writes of a status */
 	uint64_t upstreams_listed_ms; /* when upstreams were last listed */
--- a/tests/process/test_gateway_versions.c
+++ b/tests/process/test_gateway_versions.c
@@ -306,6 +306,32 @@
 	assert_true(resume_all(rig, taken, 0) >= STREAMS * 3 / 4);
 }
 
+/* Has upstream 0 end, and serve again at a version. */
+static void replace_upstream(gateway_rig_t *rig, const char *version)
+{
+	rig->upstreams[0].version = version;
+	rig_end_upstream(rig, 0);
+	rig_run_for(rig, RIG_RESTART_MS + 300);
+}
+
+/*
+ * Guards against streams that are joined after a kill of all gateways, as the checkpoint
+ * names the only version of a time before another one came and went.
+ */
+static void test_version_that_came_after_last_write_is_not_joined(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	rig_run_for(rig, KNOWN_MS);
+	rig->refuses_writes = true;
+	replace_upstream(rig, OLD);
+	take_parts(rig, taken, false);
+	replace_upstream(rig, NEW);
+	restart_all(rig, 2);
+	resume_all(rig, taken, 0);
+}
+
 /* Guards against a relayed request that goes on at another version. */
 static void test_relayed_stream_goes_on_at_its_version_only(void **state)
 {
@@ -362,6 +388,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_streams_of_only_version_go_on_after_kill_of_all_gateways,
 			setup_one_version, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_version_that_came_after_last_write_is_not_joined,
+			setup_one_version, teardown),
 		cmocka_unit_test_setup_teardown(test_relayed_stream_goes_on_at_its_version_only,
 						setup_cut_off, teardown),
 		cmocka_unit_test_setup_teardown(test_restarted_gateway_asks_others_for_versions,
