--- a/tests/property/test_token_limits.cc
+++ b/tests/property/test_token_limits.cc
@@ -117,6 +117,18 @@
 		return most;
 	}
 
+	/* Returns what was granted after the first five seconds, of what flows in. */
+	double granted_share() const
+	{
+		const pd_time_t from = start + 5 * PD_SEC;
+		double sum = 0;
+
+		for (const request &grant : grants)
+			sum += grant.at >= from ? grant.tokens : 0;
+		return sum * PD_SEC /
+		       (account.rate * (double)(duration - 5 * PD_SEC));
+	}
+
 	unsigned asked = 0; /* requests */
 	unsigned refused = 0;
 
@@ -348,6 +360,26 @@
 	});
 }
 
+/* Guards against withholding what an account is owed while it requests more. */
+static bool prop_owed(unsigned size)
+{
+	std::string name = "an account is granted what it is owed, " +
+			   std::to_string(size) + " entries";
+
+	return rc::check(name, [size] {
+		auto mean = *rc::gen::element(200.0, 3500.0, 12000.0);
+		auto factor = *rc::gen::element(0.9, 1.0, 1.5, 7.0);
+		fleet all(size, 600000, mean, factor,
+			  *rc::gen::arbitrary<uint32_t>());
+
+		all.run({}, 0);
+		if (getenv("SHOW"))
+			printf("%u mean %.0f x%.1f: granted %.3f of the rate\n",
+			       size, mean, factor, all.granted_share());
+		RC_ASSERT(all.granted_share() >= 0.95 * std::min(factor, 1.0));
+	});
+}
+
 int main()
 {
 	bool ok = true;
@@ -356,6 +388,7 @@
 	for (unsigned size : { 6U, 63U, 300U }) {
 		ok &= prop_kills(size);
 		ok &= prop_within(size);
+		ok &= prop_owed(size);
 	}
 	return ok ? 0 : 1;
 }
