--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -23,7 +23,7 @@
 #define CALL_TIMEOUT_MS 1500
 /* Bound on the age of bucket levels, see token-limits-notes.md. */
 #define RECORD_PERIOD (280 * PD_MSEC)
-/* Of the slice of streams that is filled; with it those are lost that began later. */
+/* Of the latest slice: streams that begin after its last write are lost in a kill of all. */
 #define STREAMS_PERIOD (70 * PD_MSEC)
 /* Upstreams whose speeds are in a record, so that it does not grow with the fleet. */
 #define SPEEDS_RECORDED_MAX 64
@@ -780,9 +780,7 @@
 								 : RECORD_PERIOD);
 		if (!object_writer_is_due(object->writer, now))
 			continue;
-		text = stream_slice_encode(stream_journal_slice(gateway->stream_journal,
-								i),
-					   gateway->streams, now);
+		text = stream_slice_encode(slice, gateway->streams, now);
 		if (text)
 			object_write(object, text, now);
 		g_free(text);
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -65,7 +65,7 @@
 	unsigned int sends; /* attempts begun */
 	unsigned int deliveries; /* attempts whose request was sent */
 	unsigned int possible_runs; /* attempts that may have run */
-	uint64_t version_id; /* that began the stream or may only; 0: any may */
+	uint64_t version_id; /* at which the stream began or has to begin; 0: any */
 	bool version_pinned; /* it was recorded before the first event */
 	bool version_recorded; /* an event of this attempt was forwarded */
 	pd_time_t version_asked_at; /* when other gateways were; 0: it does not wait */
--- a/adapters/gateway/request_version.c
+++ b/adapters/gateway/request_version.c
@@ -10,7 +10,7 @@
 
 /* A request waits for the answers of other gateways for at most this long. */
 #define VERSION_WAIT_MAX (150 * PD_MSEC)
-/* If the store answers, for its streams as well, so long at most. */
+/* While the store can be reached, it waits for a read of its streams as well. */
 #define VERSION_READ_MAX PD_SEC
 /* They are asked again, as they may receive the version meanwhile. */
 #define VERSION_ASK_PERIOD (40 * PD_MSEC)
@@ -153,9 +153,9 @@
 }
 
 /*
- * Has a request that is sent begin its stream at the version of its upstream or not at all,
- * where the service has several: until the first event comes, others get to know that.
- * Roll-outs choose the version of each attempt.
+ * Ties a request that is sent to the version of its upstream where the service has several:
+ * its stream begins there or not at all, so the version can be recorded before the first
+ * event. Roll-outs choose the version of each attempt, and are left to that.
  */
 void gateway_request_pin_version(gateway_request_t *request)
 {
