Restore only versions from the records of both checkpoint writers

After a kill of all gateways callers of services with one version were refused if a checkpoint writer had been cut off shortly before: a writer out of touch wrote no only versions, and of the two records the newer one counted.

Change: a writer names its only versions as of the revision up to which it has read the registrations, also if that is out of date, as a start reads the history from there on. A start restores from both records, if the older one was written within 5 s of the newer one, and reads the history from the lower revision. Each claim holds by itself, so their union does.

--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -40,6 +40,8 @@
 #define STREAMS_READ_PERIOD PD_SEC
 #define STREAMS_READ_PERIOD_PER_GATEWAY (15 * PD_MSEC)
 #define OBJECT_NAME_SIZE 16
+/* A record that was written so long before the other one is out of date. */
+#define OLDER_RECORD_MAX (5 * PD_SEC)
 
 static const char *const slot_names[CHECKPOINT_SLOTS] = { "slot-0", "slot-1" };
 
@@ -375,28 +377,53 @@
 		 record->clocks->len, leader_or_none(record->leader));
 }
 
-/* Handles a record. Only a gateway that has not served yet restores from it. */
-static void handle_record(gateway_checkpoint_t *checkpoint, const char *text,
-			  uint64_t revision)
+/*
+ * Handles a record. Only a gateway that has not served yet restores from it. Returns the
+ * time of day at which it was written, 0 if that is unknown.
+ */
+static pd_time_t handle_record(gateway_checkpoint_t *checkpoint,
+			       const char *text, uint64_t revision)
 {
 	pd_error_t err;
 	checkpoint_record_t *record = checkpoint_record_parse(text, &err);
+	pd_time_t written_at;
 
 	if (!record) {
 		log_error(LOG_COMPONENT, "record", &err);
-		return;
+		return 0;
 	}
 	set_previous_write_at(checkpoint, record);
 	if (!checkpoint->leader)
 		set_leader(checkpoint, record->leader);
 	if (!checkpoint->recovery_ended)
 		restore_record(checkpoint, record, revision);
+	written_at = record->written_at;
+	checkpoint_record_destroy(record);
+	return written_at;
+}
+
+/*
+ * Restores the only versions of a record that is not the newest, whose writer may have been
+ * out of touch; a record that was written well before NEWEST_AT is out of date.
+ */
+static void handle_older_record(gateway_checkpoint_t *checkpoint,
+				const char *text, pd_time_t newest_at)
+{
+	pd_error_t err;
+	checkpoint_record_t *record = checkpoint_record_parse(text, &err);
+
+	if (!record)
+		log_error(LOG_COMPONENT, "record", &err);
+	else if (!checkpoint->recovery_ended &&
+		 newest_at - record->written_at <= OLDER_RECORD_MAX)
+		sole_versions_restore(checkpoint->sole_versions, record);
 	checkpoint_record_destroy(record);
 }
 
-/* Handles a page of records: only the most recently written one counts. */
+/* Handles a page of records: the most recently written one counts, and others' versions. */
 static void handle_records(gateway_checkpoint_t *checkpoint, const wire_page_t *page)
 {
+	pd_time_t written_at = 0;
 	uint64_t revision = 0;
 	size_t newest = 0;
 	char *text;
@@ -409,8 +436,14 @@
 	}
 	text = revision ? wire_page_spec(page, newest) : NULL;
 	if (text)
-		handle_record(checkpoint, text, revision);
+		written_at = handle_record(checkpoint, text, revision);
 	g_free(text);
+	for (size_t i = 0; i < wire_page_count(page) && written_at; i++) {
+		text = i != newest ? wire_page_spec(page, i) : NULL;
+		if (text)
+			handle_older_record(checkpoint, text, written_at);
+		g_free(text);
+	}
 }
 
 /* Merges the counts of one object; logs an error if they are malformed. */
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -395,7 +395,7 @@
 
 /*
  * Calls EACH with CTX for each service with such a version. Returns the revision of the
- * store as of which they are, or 0 without a call if that is unknown.
+ * store as of which they are, or 0 without a call if that is unknown. It may be out of date.
  */
 uint64_t gateway_each_sole_version(gateway_t *gateway,
 				   stream_versions_each_t each, void *ctx)
@@ -403,7 +403,7 @@
 	uint64_t revision = fleet_feed_upstreams_revision(gateway->feed);
 	pd_time_t now = gateway_now();
 
-	if (!revision || !gateway_peers_has_current_upstreams(gateway->peers, now))
+	if (!revision)
 		return 0;
 	record_serving_versions(gateway, now);
 	stream_versions_each_sole(gateway->streams, now, each, ctx);
--- a/adapters/gateway/sole_versions.c
+++ b/adapters/gateway/sole_versions.c
@@ -40,8 +40,9 @@
 }
 
 /*
- * Has the services of a record restored once the history since it was written is read. A
- * record that is too old, or does not say as of when, restores nothing.
+ * Has the services of a record restored, besides those of records before, once the history
+ * since it was written is read. A record that is too old, or does not say as of when,
+ * restores nothing.
  */
 void sole_versions_restore(sole_versions_t *versions,
 			   const checkpoint_record_t *record)
@@ -49,12 +50,13 @@
 	const gateway_t *gateway = versions->gateway;
 	pd_time_t start = time_vote_wall(gateway->vote, gateway->started_at);
 
-	if (!record->upstreams_revision ||
+	if (!record->versions->len || !record->upstreams_revision ||
 	    start - record->written_at > STREAM_VERSIONS_TTL_MIN)
 		return;
-	versions->revision = record->upstreams_revision;
+	if (!versions->pending->len ||
+	    record->upstreams_revision < versions->revision)
+		versions->revision = record->upstreams_revision;
 	versions->pages = 0;
-	g_array_set_size(versions->pending, 0);
 	for (guint i = 0; i < record->versions->len; i++) {
 		const version_record_t *entry =
 			&g_array_index(record->versions, version_record_t, i);
