--- a/tests/process/test_gateway_versions.c
+++ b/tests/process/test_gateway_versions.c
@@ -252,7 +252,7 @@
 }
 
 /* Kills all gateways and starts them again, for the time START_COUNT. */
-static void restart_all(gateway_rig_t *rig, unsigned int start_count)
+static void restart_all(gateway_rig_t *rig, int start_count)
 {
 	for (int i = 0; i < RIG_GATEWAYS; i++) {
 		process_destroy(rig->gateways[i]);
