Skip slices of streams that have no ambiguous version

Where every service has one version, the two checkpoint writers walked all 16 slices in each tick of 20 ms, as a slice that has nothing to write never counts as written: some 8,000 records 50 times a second at 504 streams a second, for nothing. Found in a reading of the change, by counting, not by a profile.

Change: a slice keeps the set of its versions, and encoding it ends there if none of them is ambiguous. What is written is the same.

--- a/adapters/gateway/stream_slices.c
+++ b/adapters/gateway/stream_slices.c
@@ -14,6 +14,22 @@
 #define FORMAT 1
 #define VERSION_ID_DIGITS 16
 
+/* Returns whether a slice has a version whose service has several. */
+static bool has_ambiguous(const stream_slice_t *slice,
+			  const stream_versions_t *streams, pd_time_t now)
+{
+	GHashTableIter iter;
+	gpointer version_id;
+
+	g_hash_table_iter_init(&iter, slice->version_ids);
+	while (g_hash_table_iter_next(&iter, &version_id, NULL)) {
+		if (stream_versions_is_ambiguous(streams,
+						 GPOINTER_TO_SIZE(version_id), now))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Returns the attempts of a slice by version: version id -> GByteArray, only of versions
  * whose service has several. The caller owns it.
@@ -74,9 +90,12 @@
 char *stream_slice_encode(const stream_slice_t *slice,
 			  const stream_versions_t *streams, pd_time_t now)
 {
-	GHashTable *groups = group_by_version(slice, streams, now);
+	GHashTable *groups;
 	char *copy = NULL;
 
+	if (!has_ambiguous(slice, streams, now))
+		return NULL;
+	groups = group_by_version(slice, streams, now);
 	if (g_hash_table_size(groups)) {
 		json_t *root = json_pack("{s:i, s:I, s:o}", "format", FORMAT,
 					 "slice", (json_int_t)slice->number,
--- a/core/forward/stream_journal.c
+++ b/core/forward/stream_journal.c
@@ -11,9 +11,13 @@
 {
 	stream_journal_t *journal = g_new0(stream_journal_t, 1);
 
-	for (unsigned int i = 0; i < STREAM_SLICES; i++)
-		journal->slices[i].versions =
+	for (unsigned int i = 0; i < STREAM_SLICES; i++) {
+		stream_slice_t *slice = &journal->slices[i];
+
+		slice->versions = g_hash_table_new(g_direct_hash, g_direct_equal);
+		slice->version_ids =
 			g_hash_table_new(g_direct_hash, g_direct_equal);
+	}
 	return journal;
 }
 
@@ -22,8 +26,10 @@
 {
 	if (!journal)
 		return;
-	for (unsigned int i = 0; i < STREAM_SLICES; i++)
+	for (unsigned int i = 0; i < STREAM_SLICES; i++) {
 		g_hash_table_unref(journal->slices[i].versions);
+		g_hash_table_unref(journal->slices[i].version_ids);
+	}
 	g_free(journal);
 }
 
@@ -48,6 +54,7 @@
 		return;
 	if (number > slice->number) {
 		g_hash_table_remove_all(slice->versions);
+		g_hash_table_remove_all(slice->version_ids);
 		slice->number = number;
 	}
 	if (g_hash_table_size(slice->versions) >= STREAM_SLICE_RECORDS_MAX &&
@@ -57,6 +64,7 @@
 	}
 	g_hash_table_insert(slice->versions, key,
 			    GSIZE_TO_POINTER(record->version_id));
+	g_hash_table_add(slice->version_ids, GSIZE_TO_POINTER(record->version_id));
 }
 
 /* Returns the slice whose number has the remainder INDEX, borrowed; it may be empty. */
--- a/core/forward/stream_journal.h
+++ b/core/forward/stream_journal.h
@@ -20,6 +20,7 @@
 typedef struct stream_slice {
 	int64_t number; /* of its start, by fleet time, in lengths */
 	GHashTable *versions; /* attempt -> version id, as pointers */
+	GHashTable *version_ids; /* set of those */
 } stream_slice_t;
 
 typedef struct stream_journal stream_journal_t;
