--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")"
 python3 -B -c 'import sys; sys.exit(sys.version_info < (3, 8))'
-for file in lib/*.py [1-5]/*.py; do
+for file in *.py [1-5]/*.py; do
 	python3 -B -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
--- a/review/lib/rig.py
+++ b/review/rig.py
@@ -17,7 +17,7 @@
 import tempfile
 import time
 
-REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+REPOSITORY = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 # The bounds of sites/hanbit-harness.toml, as SYSTEM.md names them.
