Log by what the version of a resumed stream is known

The logs of a joined stream did not tell whether a record or the only version of the service was used, nor how old that knowledge was. One line for each request that resumes a stream: known_by=, the time since the store answered any gateway that is heard, and the revision up to which this one has read.

--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -300,6 +300,12 @@
 	peers->store_answered_at = gateway_now();
 }
 
+/* Returns how long ago the store answered this gateway, or one that it hears from. */
+pd_time_t gateway_peers_store_answer_age(const gateway_peers_t *peers, pd_time_t now)
+{
+	return now - peers->store_answered_at;
+}
+
 /*
  * Returns whether this gateway lacks no upstream that has been registered for some
  * time: the store has answered it, or one that it hears from, lately.
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -60,6 +60,8 @@
 void gateway_peers_query_stream(gateway_peers_t *peers, uint64_t attempt,
 				const char *service);
 void gateway_peers_record_store_answer(gateway_peers_t *peers);
+pd_time_t gateway_peers_store_answer_age(const gateway_peers_t *peers,
+					 pd_time_t now);
 bool gateway_peers_has_current_upstreams(const gateway_peers_t *peers,
 					 pd_time_t now);
 void gateway_peers_set_leadership(gateway_peers_t *peers, bool is_leader,
--- a/adapters/gateway/request_version.c
+++ b/adapters/gateway/request_version.c
@@ -2,12 +2,16 @@
  * The software version at which a stream goes on: the one that began it, as this gateway
  * or another one knows. core/forward/stream-versions-notes.md compares the ways.
  */
+#include <inttypes.h>
+
 #include "adapters/gateway/checkpoint.h"
 #include "adapters/gateway/fleet_feed.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peers.h"
 #include "adapters/gateway/request_state.h"
+#include "adapters/log_glib.h"
 
+#define LOG_COMPONENT "request"
 /* A request waits for the answers of other gateways for at most this long. */
 #define VERSION_WAIT_MAX (150 * PD_MSEC)
 /* While the store can be reached, it waits for a read of its streams as well. */
@@ -32,6 +36,24 @@
 	return id ? stream_versions_hash(id) : 0;
 }
 
+/* Logs the version at which a stream goes on, and by what it is known. */
+static void log_version(const gateway_request_t *request, uint64_t version_id,
+			const char *known_by)
+{
+	const gateway_t *gateway = request->gateway;
+	const char *resumes = request->call->resumes;
+	pd_time_t now = gateway_now();
+
+	log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT,
+		 "id=%s resumes=%s version_id=%016" G_GINT64_MODIFIER
+		 "x known_by=%s store_answered_ms_ago=%" PRId64
+		 " revision=%" G_GUINT64_FORMAT,
+		 request->call->id ? request->call->id : "-",
+		 resumes ? resumes : "-", version_id, known_by,
+		 gateway_peers_store_answer_age(gateway->peers, now) / PD_MSEC,
+		 fleet_feed_upstreams_revision(gateway->feed));
+}
+
 /* Returns the version that began the stream that a request resumes; 0: unknown. */
 static uint64_t known_version(const gateway_request_t *request)
 {
@@ -40,8 +62,14 @@
 	uint64_t version_id =
 		stream_versions_find(streams, first_attempt(request));
 
-	if (!version_id && service)
+	if (version_id) {
+		log_version(request, version_id, "record");
+		return version_id;
+	}
+	if (service)
 		version_id = gateway_sole_version(request->gateway, service);
+	if (version_id)
+		log_version(request, version_id, "sole");
 	return version_id;
 }
 
