Tests of streams of versions that a gateway has missed

Callers saw streams go on at another version (ORDER). Three real gateways, one of which gets no messages of the others: the store stops to answer it, a version registers and begins streams through another gateway, and callers take them up at the one that is out of step, which takes the only version that it knows. The second test has the version leave again and the store's history be gone before that gateway lists anew: it can't know of the version at all.

--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -746,7 +746,9 @@
 		store_change(session, name);
 	} else if (watch) {
 		session->since = strtoll(watch + strlen("watch="), NULL, 10);
-		if (!watch_answer(session, false)) {
+		if (session->since < rig->history_from) {
+			session_write(session, 410, "", "{}");
+		} else if (!watch_answer(session, false)) {
 			list_append(&rig->watches, &session->watch);
 			uv_timer_start(&session->timer, on_watch_timeout,
 				       wait ? (uint64_t)atoi(wait + 7) : 0, 0);
@@ -1030,7 +1032,7 @@
 
 /*
  * Writes a gateway's settings. It reaches the store by listener STORE; its seeds are the
- * other gateways whose peer ports are known.
+ * other gateways whose peer ports are known, unless one of the two is apart.
  */
 void rig_write_settings(gateway_rig_t *rig, int number, int store)
 {
@@ -1040,7 +1042,8 @@
 
 	for (int i = 0, listed = 0;
 	     i < rig->gateway_count && listed < SEEDS_MAX; i++) {
-		if (i == number || !rig->peer_ports[i])
+		if (i == number || !rig->peer_ports[i] || rig->apart[i] ||
+		    rig->apart[number])
 			continue;
 		g_string_append_printf(seeds, "%s\"127.0.0.1:%u\"",
 				       seeds->len ? ", " : "", rig->peer_ports[i]);
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -96,6 +96,7 @@
 	json_t *objects; /* kind -> name -> object */
 	json_t *events; /* array, in the order of their revisions */
 	json_int_t revision;
+	json_int_t history_from; /* watches from before this revision get 410 */
 	bool first_page_only; /* every page of upstreams claims that more follow */
 	bool refuses_writes; /* the store answers them with 503 */
 	unsigned int answers_to_drop; /* number of checkpoint writes to leave unanswered */
@@ -118,6 +119,7 @@
 	uint16_t upstream_proxy_ports[RIG_UPSTREAMS_MAX]; /* 0: none */
 	/* of proxies in front of upstreams for one gateway only; 0: none */
 	uint16_t link_ports[RIG_GATEWAYS_MAX][RIG_UPSTREAMS_MAX];
+	bool apart[RIG_GATEWAYS_MAX]; /* exchanges no messages with the others */
 	process_t *gateways[RIG_GATEWAYS_MAX];
 	uint16_t peer_ports[RIG_GATEWAYS_MAX];
 };
--- a/tests/process/test_gateway_versions.c
+++ b/tests/process/test_gateway_versions.c
@@ -24,6 +24,17 @@
 	bool old; /* its first event is from the old version */
 } taken_t;
 
+/* Starts the fleet, with upstream 0 of a version and the others of the new one. */
+static void start_rig_of(gateway_rig_t *rig, const char *version)
+{
+	rig->first_start = true;
+	for (int i = 0; i < RIG_UPSTREAMS; i++) {
+		rig->upstreams[i].version = i ? NEW : version;
+		rig->upstreams[i].behavior = RIG_STREAM;
+	}
+	rig_start_fleet(rig);
+}
+
 /*
  * Starts three gateways, with upstream 0 of a version and the others of the new one.
  * CUT_OFF: gateway 1 reaches none of them.
@@ -32,17 +43,23 @@
 {
 	gateway_rig_t *rig = gateway_rig_create();
 
-	rig->first_start = true;
 	if (cut_off)
 		rig_cut_off(rig, 1);
-	for (int i = 0; i < RIG_UPSTREAMS; i++) {
-		rig->upstreams[i].version = i ? NEW : version;
-		rig->upstreams[i].behavior = RIG_STREAM;
-	}
-	rig_start_fleet(rig);
+	start_rig_of(rig, version);
 	*state = rig;
 }
 
+/* Has one version, and gateway 1 exchange no messages with the others. */
+static int setup_apart(void **state)
+{
+	gateway_rig_t *rig = gateway_rig_create();
+
+	rig->apart[1] = true;
+	start_rig_of(rig, NEW);
+	*state = rig;
+	return 0;
+}
+
 /* Has gateway 1 reach no upstream. */
 static int setup_cut_off(void **state)
 {
@@ -332,6 +349,60 @@
 	resume_all(rig, taken, 0);
 }
 
+/* Has the store answer no call of gateway 1 from now on, not even those in flight. */
+static void cut_store(gateway_rig_t *rig)
+{
+	rig->stores[1].silent_watches = 0;
+	rig->stores[1].silent = true;
+	RIG_UNTIL(rig, rig->stores[1].silent_watches > 0);
+}
+
+/* Guards against a gateway out of step that joins streams of a version that it missed. */
+static void test_version_that_joined_during_a_cut_is_not_joined(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	cut_store(rig);
+	replace_upstream(rig, OLD);
+	take_parts(rig, taken, true);
+	assert_true(resume_all(rig, taken, 0) >= STREAMS * 3 / 8);
+}
+
+/* Guards against the same where the version has left again, and the history is gone. */
+static void test_version_that_left_before_a_new_listing_is_not_joined(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	cut_store(rig);
+	replace_upstream(rig, OLD);
+	take_parts(rig, taken, true);
+	replace_upstream(rig, NEW);
+	rig->history_from = rig->revision;
+	rig->stores[1].silent = false;
+	RIG_UNTIL(rig, rig_count_logged(rig, 1, "relist=upstreams"));
+	rig_run_for(rig, KNOWN_MS / 4);
+	resume_all(rig, taken, 0);
+}
+
+/*
+ * Guards against the refusal of streams at a gateway that lacks the store, while another
+ * one can read that the service has one version.
+ */
+static void test_only_version_is_proved_by_others_without_the_store(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	cut_store(rig);
+	rig_run_for(rig, CUT_OFF_MS);
+	take_parts(rig, taken, true);
+	process_destroy(rig->gateways[0]);
+	rig->gateways[0] = NULL;
+	assert_true(resume_all(rig, taken, 0) >= STREAMS * 3 / 4);
+}
+
 /* Guards against a relayed request that goes on at another version. */
 static void test_relayed_stream_goes_on_at_its_version_only(void **state)
 {
@@ -391,6 +462,15 @@
 		cmocka_unit_test_setup_teardown(
 			test_version_that_came_after_last_write_is_not_joined,
 			setup_one_version, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_version_that_joined_during_a_cut_is_not_joined,
+			setup_apart, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_version_that_left_before_a_new_listing_is_not_joined,
+			setup_apart, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_only_version_is_proved_by_others_without_the_store,
+			setup_one_version, teardown),
 		cmocka_unit_test_setup_teardown(test_relayed_stream_goes_on_at_its_version_only,
 						setup_cut_off, teardown),
 		cmocka_unit_test_setup_teardown(test_restarted_gateway_asks_others_for_versions,
