--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -95,7 +95,6 @@
 	char *leader; /* id of its VM, as last read or written; NULL: none */
 	/* time of day, before this start; 0: unknown */
 	pd_time_t previous_write_at;
-	sole_versions_t *sole_versions;
 	reader_t record_reader;
 	reader_t counts_reader;
 	reader_t streams_reader;
@@ -164,7 +163,6 @@
 
 	checkpoint->gateway = gateway;
 	checkpoint->slot = -1;
-	checkpoint->sole_versions = sole_versions_create(gateway);
 	reader_init(&checkpoint->record_reader, checkpoint, WIRE_RECORDS);
 	checkpoint->record_reader.handle_page = handle_records;
 	checkpoint->record_reader.requested = true;
@@ -364,7 +362,7 @@
 	checkpoint->fleet_size = record->fleet_size;
 	restore_accounts(checkpoint, record);
 	restore_clocks(checkpoint, record);
-	sole_versions_restore(checkpoint->sole_versions, record);
+	sole_versions_restore(checkpoint->gateway->sole_versions, record);
 	restore_speeds(checkpoint, record);
 	if (rollouts_is_enabled(checkpoint->gateway->rollouts))
 		restore_rollouts(checkpoint, record);
@@ -416,7 +414,7 @@
 		log_error(LOG_COMPONENT, "record", &err);
 	else if (!checkpoint->recovery_ended &&
 		 newest_at - record->written_at <= OLDER_RECORD_MAX)
-		sole_versions_restore(checkpoint->sole_versions, record);
+		sole_versions_restore(checkpoint->gateway->sole_versions, record);
 	checkpoint_record_destroy(record);
 }
 
@@ -910,7 +908,6 @@
 	int slot;
 
 	end_recovery(checkpoint, now);
-	sole_versions_run(checkpoint->sole_versions, now);
 	reader_run(&checkpoint->record_reader, now);
 	reader_run(&checkpoint->counts_reader, now);
 	reader_run(&checkpoint->streams_reader, now);
--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -4,6 +4,7 @@
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peers.h"
 #include "adapters/gateway/rollouts.h"
+#include "adapters/gateway/sole_versions.h"
 #include "adapters/log_glib.h"
 #include "core/forward/store_feed.h"
 #include "platform/wire.h"
@@ -138,6 +139,12 @@
 				gateway->upstreams, id,
 				wire_page_object_revision(page, i), gateway_now());
 	} else {
+		/* Also if a later entry of the page has it removed again. */
+		stream_versions_record_serving(
+			gateway->streams, registration.service,
+			forward_version_id(registration.service,
+					   registration.version),
+			gateway_now());
 		changed = forward_upstreams_apply(gateway->upstreams,
 						  &registration);
 	}
@@ -191,6 +198,7 @@
 	forward_upstreams_end_listing(gateway->upstreams, feed->list_revision,
 				      gateway_now());
 	gateway->upstreams_listed = true;
+	sole_versions_record_listing(gateway->sole_versions, feed->list_revision);
 }
 
 /* Applies a page of a listing or of a watch; the next call continues after it. */
@@ -200,6 +208,10 @@
 
 	if (!store_feed_is_listing(feed->schedule)) {
 		feed_apply(feed, page);
+		if (feed->kind == WIRE_UPSTREAMS)
+			sole_versions_record_changes(feed->fleet->gateway->sole_versions,
+						     feed->revision,
+						     wire_page_revision(page));
 		feed->revision = wire_page_revision(page);
 		return;
 	}
@@ -270,6 +282,8 @@
 		 "relist=%s reason=\"history gone\"", feed->name);
 	store_feed_restart_listing(feed->schedule, gateway_now());
 	g_clear_pointer(&feed->page_after, g_free);
+	if (feed->kind == WIRE_UPSTREAMS)
+		sole_versions_lose_history(feed->fleet->gateway->sole_versions);
 }
 
 /* Handles the reply to a list or watch, and makes the next call. */
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -18,6 +18,7 @@
 #include "adapters/gateway/reload.h"
 #include "adapters/gateway/request.h"
 #include "adapters/gateway/rollouts.h"
+#include "adapters/gateway/sole_versions.h"
 #include "adapters/gateway/slots.h"
 #include "adapters/gateway/upstream_link.h"
 #include "adapters/gateway/upstream_probe.h"
@@ -380,14 +381,15 @@
 }
 
 /*
- * Returns the version of all streams of a service that may still be resumed; 0: there
- * may be several, or this gateway may not know them all.
+ * Returns the version of all streams of a service that began until SINCE and may still be
+ * resumed; 0: there may be several, or this gateway has not read the registrations since.
  */
-uint64_t gateway_sole_version(gateway_t *gateway, const char *service)
+uint64_t gateway_sole_version(gateway_t *gateway, const char *service,
+			      pd_time_t since)
 {
 	pd_time_t now = gateway_now();
 
-	if (!gateway_peers_has_current_upstreams(gateway->peers, now))
+	if (!sole_versions_are_current(gateway->sole_versions, since))
 		return 0;
 	record_serving_versions(gateway, now);
 	return stream_versions_sole(gateway->streams, service, now);
@@ -422,6 +424,7 @@
 	/* Before its users, as it gives a new gateway the size of the fleet. */
 	gateway_checkpoint_run(gateway->checkpoint, now);
 	fleet_feed_run(gateway->feed, now);
+	sole_versions_run(gateway->sole_versions, now);
 	discard_old_usage(gateway);
 	upstream_probes_run(gateway, now);
 	gateway_reach_run(gateway, now);
@@ -630,6 +633,7 @@
 		return NULL;
 	http1_client_observe(gateway->store, on_store_call_done, gateway);
 	gateway->checkpoint = gateway_checkpoint_create(gateway);
+	gateway->sole_versions = sole_versions_create(gateway);
 	gateway->peers = gateway_peers_create(gateway, err);
 	if (!gateway->peers ||
 	    listen_on(gateway, &gateway->callers_listener, "callers",
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -18,7 +18,8 @@
 bool gateway_apply_config(gateway_t *gateway, const char *text, const char *source);
 void gateway_store_answered(gateway_t *gateway, pd_time_t at);
 void gateway_store_failed(gateway_t *gateway, pd_time_t sent_at);
-uint64_t gateway_sole_version(gateway_t *gateway, const char *service);
+uint64_t gateway_sole_version(gateway_t *gateway, const char *service,
+			      pd_time_t since);
 uint64_t gateway_each_sole_version(gateway_t *gateway,
 				   stream_versions_each_t each, void *ctx);
 void gateway_upstream_changed(gateway_t *gateway, const char *id,
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -34,6 +34,7 @@
 typedef struct gateway_duties gateway_duties_t;
 typedef struct gateway_checkpoint gateway_checkpoint_t;
 typedef struct fleet_feed fleet_feed_t;
+typedef struct sole_versions sole_versions_t;
 typedef struct gateway_slots gateway_slots_t;
 typedef struct gateway_grants gateway_grants_t;
 
@@ -81,6 +82,7 @@
 	store_outage_t *outage; /* detects outages of the store */
 	http1_client_t *cloud;
 	fleet_feed_t *feed;
+	sole_versions_t *sole_versions;
 	gateway_peers_t *peers;
 	gateway_duties_t *duties;
 	gateway_slots_t *slots; /* of plain services, while they are scarce */
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -201,16 +201,20 @@
 	return oldest;
 }
 
+/* Returns whether this gateway ranks among the few that watch the store for others. */
+bool gateway_peers_is_store_watcher(gateway_peers_t *peers)
+{
+	return peers_view(peers, gateway_now())->rank < STORE_WATCHERS;
+}
+
 /*
  * Returns whether this gateway is one of the few that call the store on behalf
  * of all; in a mesh all are.
  */
 bool gateway_peers_is_top_ranked(gateway_peers_t *peers)
 {
-	pd_time_t now = gateway_now();
-
-	return peers_is_mesh(peers, now) ||
-	       peers_view(peers, now)->rank < STORE_WATCHERS;
+	return peers_is_mesh(peers, gateway_now()) ||
+	       gateway_peers_is_store_watcher(peers);
 }
 
 /* Returns whether this gateway watches the store itself. */
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -320,6 +320,7 @@
 	GHashTable *pending_updates; /* ids of changed upstreams to send */
 	/* id hash of an unknown upstream -> when it was requested */
 	GHashTable *pending_fetches;
+	GArray *stream_queries; /* of stream_query_t, until the store is read */
 	grant_candidates_t grant_candidates;
 	/* when expired ones were last removed */
 	pd_time_t pending_fetches_pruned_at;
@@ -372,6 +373,7 @@
 int peers_receive_permits(gateway_peers_t *peers, const msgpack_object *fields);
 void peers_pack_stream_records(msgpack_sbuffer *out, msgpack_packer *packer,
 			       const stream_record_t *records, unsigned int count);
+GArray *peers_stream_queries_create(void);
 void peers_pack_streams(msgpack_sbuffer *buffer, const gateway_peers_t *peers,
 			const stream_record_t *records, unsigned int count);
 void peers_pack_stream_query(msgpack_sbuffer *buffer, const gateway_peers_t *peers,
--- a/adapters/gateway/peer_streams.c
+++ b/adapters/gateway/peer_streams.c
@@ -7,10 +7,22 @@
 
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peer_state.h"
+#include "adapters/gateway/peers.h"
+#include "adapters/gateway/sole_versions.h"
 #include "adapters/msgpack_write.h"
 
 /* Records of a message about streams that break off. */
 #define BREAK_RECORDS_MAX 512
+/* Queries that wait for a read of the store; further ones are asked again. */
+#define STREAM_QUERIES_MAX 4096
+
+/* A query for the version of a stream that is to be answered. */
+typedef struct stream_query {
+	char *address; /* of the gateway that asks */
+	uint64_t attempt;
+	char *service; /* NULL: the route has several */
+	pd_time_t at; /* when it was received */
+} stream_query_t;
 
 /* Orders records by their version. */
 static int compare_versions(const void *a, const void *b)
@@ -186,30 +198,100 @@
 	return 0;
 }
 
+/* Frees what a stream_query_t owns. */
+static void query_clear(void *data)
+{
+	stream_query_t *query = data;
+
+	g_free(query->address);
+	g_free(query->service);
+}
+
+/* Returns an empty array of stream_query_t, which owns them. */
+GArray *peers_stream_queries_create(void)
+{
+	GArray *queries = g_array_new(FALSE, FALSE, sizeof(stream_query_t));
+
+	g_array_set_clear_func(queries, query_clear);
+	return queries;
+}
+
+/* Sends the version of a stream to the gateway that asked for it. */
+static void reply_to_query(gateway_peers_t *peers, const char *address,
+			   const stream_record_t *record)
+{
+	const peer_t *peer = peers_find(peers, address);
+	msgpack_sbuffer buffer;
+
+	if (!peer)
+		return;
+	msgpack_sbuffer_init(&buffer);
+	peers_pack_streams(&buffer, peers, record, 1);
+	peers_send(peers, peer, &buffer);
+	msgpack_sbuffer_destroy(&buffer);
+}
+
 /*
- * Replies to a query if this gateway knows the version, by the attempt or as the only one
- * of the service. Returns 0, or -1 if the message is malformed.
+ * Has a query answered once the store is read, if its service may have one version only.
+ * Few gateways do so, as each read is charged for. Takes over what the query owns.
+ */
+static void defer_query(gateway_peers_t *peers, stream_query_t *query)
+{
+	if (!query->service || !gateway_peers_is_store_watcher(peers) ||
+	    peers->stream_queries->len >= STREAM_QUERIES_MAX ||
+	    !sole_versions_request(peers->gateway->sole_versions, query->service)) {
+		query_clear(query);
+		return;
+	}
+	g_array_append_val(peers->stream_queries, *query);
+}
+
+/* Answers the queries that came before the registrations were read, and drops old ones. */
+void gateway_peers_answer_stream_queries(gateway_peers_t *peers)
+{
+	pd_time_t now = gateway_now();
+
+	for (guint i = peers->stream_queries->len; i-- > 0;) {
+		const stream_query_t *query =
+			&g_array_index(peers->stream_queries, stream_query_t, i);
+		const stream_record_t record = {
+			query->attempt,
+			gateway_sole_version(peers->gateway, query->service,
+					     query->at),
+		};
+
+		if (!record.version_id && now - query->at <= REGISTRATION_READ_MAX)
+			continue;
+		if (record.version_id)
+			reply_to_query(peers, query->address, &record);
+		g_array_remove_index_fast(peers->stream_queries, i);
+	}
+}
+
+/*
+ * Replies to a query if this gateway has a record of the stream, or later if its service
+ * has one version only. Returns 0, or -1 if the message is malformed.
  */
 int peers_receive_stream_query(gateway_peers_t *peers, const msgpack_object *fields)
 {
-	char *address = msgpack_field_string(&fields[1]);
-	char *service = msgpack_field_string(&fields[3]);
-	const peer_t *peer = address ? peers_find(peers, address) : NULL;
-	stream_record_t record = { .attempt = msgpack_field_uint64(&fields[2]) };
-	int rc = address ? 0 : -1;
-	msgpack_sbuffer buffer;
+	stream_query_t query = {
+		.address = msgpack_field_string(&fields[1]),
+		.attempt = msgpack_field_uint64(&fields[2]),
+		.service = msgpack_field_string(&fields[3]),
+		.at = gateway_now(),
+	};
+	const stream_record_t record = {
+		query.attempt,
+		stream_versions_find(peers->gateway->streams, query.attempt),
+	};
+	int rc = query.address && query.attempt ? 0 : -1;
 
-	record.version_id =
-		stream_versions_find(peers->gateway->streams, record.attempt);
-	if (!record.version_id && service)
-		record.version_id = gateway_sole_version(peers->gateway, service);
-	if (peer && record.attempt && record.version_id) {
-		msgpack_sbuffer_init(&buffer);
-		peers_pack_streams(&buffer, peers, &record, 1);
-		peers_send(peers, peer, &buffer);
-		msgpack_sbuffer_destroy(&buffer);
+	if (rc == 0 && !record.version_id) {
+		defer_query(peers, &query);
+		return 0;
 	}
-	g_free(address);
-	g_free(service);
+	if (rc == 0)
+		reply_to_query(peers, query.address, &record);
+	query_clear(&query);
 	return rc;
 }
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -52,8 +52,6 @@
  */
 #define STORE_SILENCE_MAX (1100 * PD_MSEC)
 #define STORE_SILENCE_PERIODS 2
-/* A gateway out of touch for longer may lack upstreams that others use. */
-#define UPSTREAMS_CURRENT_TIME (3 * PD_SEC)
 /* A connection that keeps failing is logged at most once in this time. */
 #define DISCONNECT_LOG_PERIOD (10 * PD_SEC)
 /* Smallest VM that can aggregate for some hundreds of gateways. */
@@ -252,6 +250,7 @@
 	peers->pending_updates =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	peers->pending_fetches = g_hash_table_new(g_direct_hash, g_direct_equal);
+	peers->stream_queries = peers_stream_queries_create();
 	peers_grant_candidates_init(&peers->grant_candidates);
 	list_init(&peers->list);
 	if (!gateway_split_address(settings->peers_listen, &host, &config.port)) {
@@ -283,6 +282,7 @@
 	g_hash_table_unref(peers->work);
 	g_hash_table_unref(peers->pending_updates);
 	g_hash_table_unref(peers->pending_fetches);
+	g_array_unref(peers->stream_queries);
 	peers_grant_candidates_clear(&peers->grant_candidates);
 	g_free(peers);
 	return NULL;
@@ -306,15 +306,6 @@
 	return now - peers->store_answered_at;
 }
 
-/*
- * Returns whether this gateway lacks no upstream that has been registered for some
- * time: the store has answered it, or one that it hears from, lately.
- */
-bool gateway_peers_has_current_upstreams(const gateway_peers_t *peers, pd_time_t now)
-{
-	return now - peers->store_answered_at <= UPSTREAMS_CURRENT_TIME;
-}
-
 /*
  * Records whether this gateway is the leader. FENCE is its fencing token; a
  * leader with an older one than is known is ignored.
--- a/adapters/gateway/peers.h
+++ b/adapters/gateway/peers.h
@@ -57,17 +57,17 @@
 				     uint32_t number, bool rejected);
 void gateway_peers_flush_slots(gateway_peers_t *peers);
 void gateway_peers_send_streams(gateway_peers_t *peers);
+void gateway_peers_answer_stream_queries(gateway_peers_t *peers);
 void gateway_peers_query_stream(gateway_peers_t *peers, uint64_t attempt,
 				const char *service);
 void gateway_peers_record_store_answer(gateway_peers_t *peers);
 pd_time_t gateway_peers_store_answer_age(const gateway_peers_t *peers,
 					 pd_time_t now);
-bool gateway_peers_has_current_upstreams(const gateway_peers_t *peers,
-					 pd_time_t now);
 void gateway_peers_set_leadership(gateway_peers_t *peers, bool is_leader,
 				  uint64_t fence);
 bool gateway_peers_loads_are_current(gateway_peers_t *peers, pd_time_t now);
 bool gateway_peers_is_mesh(gateway_peers_t *peers);
+bool gateway_peers_is_store_watcher(gateway_peers_t *peers);
 bool gateway_peers_is_top_ranked(gateway_peers_t *peers);
 unsigned int gateway_peers_poll_group_size(gateway_peers_t *peers, pd_time_t now);
 bool gateway_peers_aggregator_lost_store(const gateway_peers_t *peers);
--- a/adapters/gateway/request_version.c
+++ b/adapters/gateway/request_version.c
@@ -9,6 +9,7 @@
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peers.h"
 #include "adapters/gateway/request_state.h"
+#include "adapters/gateway/sole_versions.h"
 #include "adapters/log_glib.h"
 
 #define LOG_COMPONENT "request"
@@ -67,7 +68,8 @@
 		return version_id;
 	}
 	if (service)
-		version_id = gateway_sole_version(request->gateway, service);
+		version_id = gateway_sole_version(request->gateway, service,
+						  request->version_wanted_at);
 	if (version_id)
 		log_version(request, version_id, "sole");
 	return version_id;
@@ -91,10 +93,11 @@
 	}
 }
 
-/* Asks other gateways for the version of the stream that a request resumes. */
+/* Asks other gateways and the checkpoint for the version of a request's stream. */
 static void ask_peers(gateway_request_t *request, pd_time_t now)
 {
 	request->version_asked_at = now;
+	gateway_checkpoint_request_streams(request->gateway->checkpoint);
 	metrics_add(request->gateway->metrics,
 		    "gateway_stream_version_queries_total", 1);
 	gateway_peers_query_stream(request->gateway->peers,
@@ -119,21 +122,29 @@
 
 /*
  * Finds out at which version a stream goes on if the request resumes one, and has the
- * request proceed then; it may wait for other gateways first.
+ * request proceed then. A service that had one version, as far as is known here, needs a
+ * read of the store; others are asked if that takes long, or at once where it would not help.
  */
 void gateway_request_find_version(gateway_request_t *request)
 {
+	const char *service;
+
 	if (request->route->kind != FORWARD_STREAM ||
 	    !request->route->resumable || !request->call->resume_after) {
 		gateway_request_proceed(request);
 		return;
 	}
+	/* After the request was read, so after its stream began. */
+	request->version_wanted_at = gateway_now();
 	if (proceed_at_known_version(request))
 		return;
 	request->state = REQUEST_QUEUED;
-	request->version_wanted_at = gateway_now();
-	gateway_checkpoint_request_streams(request->gateway->checkpoint);
-	ask_peers(request, request->version_wanted_at);
+	service = only_service(request);
+	if (service &&
+	    sole_versions_request(request->gateway->sole_versions, service))
+		request->version_asked_at = request->version_wanted_at;
+	else
+		ask_peers(request, request->version_wanted_at);
 }
 
 /* Returns whether another gateway or the store may still answer a request's query. */
@@ -144,9 +155,12 @@
 
 	if (waited <= VERSION_WAIT_MAX)
 		return true;
-	return waited <= VERSION_READ_MAX &&
-	       gateway_checkpoint_is_reading_streams(gateway->checkpoint) &&
-	       fleet_feed_is_store_reachable(gateway->feed);
+	if (waited > VERSION_READ_MAX)
+		return false;
+	return sole_versions_is_reading(gateway->sole_versions,
+					request->version_wanted_at) ||
+	       (gateway_checkpoint_is_reading_streams(gateway->checkpoint) &&
+		fleet_feed_is_store_reachable(gateway->feed));
 }
 
 /* Has a request proceed if other gateways have sent its version; refuses it in time. */
--- a/adapters/gateway/sole_versions.c
+++ b/adapters/gateway/sole_versions.c
@@ -1,8 +1,11 @@
-/* Restores which services ran one software version only. */
+/* Reads the history of registrations, for services that ran one version only. */
 #include "adapters/gateway/sole_versions.h"
 
 #include <inttypes.h>
 
+#include "adapters/gateway/fleet_feed.h"
+#include "adapters/gateway/gateway.h"
+#include "adapters/gateway/peers.h"
 #include "adapters/log_glib.h"
 #include "platform/wire.h"
 
@@ -15,9 +18,12 @@
 
 struct sole_versions {
 	gateway_t *gateway;
+	registration_history_t *history; /* read without a gap since a listing */
 	GArray *pending; /* version_record_t, until the history is read; owns them */
-	uint64_t revision; /* up to which the history was read */
+	uint64_t revision; /* up to which it was read for those */
 	unsigned int pages;
+	bool lost; /* the history was, until the next listing */
+	bool restoring; /* the call in flight is for those */
 	bool calling;
 	pd_time_t next_call_at;
 };
@@ -34,11 +40,87 @@
 	sole_versions_t *versions = g_new0(sole_versions_t, 1);
 
 	versions->gateway = gateway;
+	versions->history = registration_history_create();
 	versions->pending = g_array_new(FALSE, FALSE, sizeof(version_record_t));
 	g_array_set_clear_func(versions->pending, version_clear);
 	return versions;
 }
 
+/* Frees what sole_versions_create() returned; NULL is allowed. */
+void sole_versions_destroy(sole_versions_t *versions)
+{
+	if (!versions)
+		return;
+	registration_history_destroy(versions->history);
+	g_array_unref(versions->pending);
+	g_free(versions);
+}
+
+/*
+ * Records that all registrations as of a revision were listed. After a gap, versions may
+ * have come and gone unseen.
+ */
+void sole_versions_record_listing(sole_versions_t *versions, uint64_t revision)
+{
+	if (registration_history_is_known(versions->history))
+		return;
+	if (versions->lost)
+		stream_versions_lose_history(versions->gateway->streams,
+					     gateway_now());
+	else
+		stream_versions_begin_history(versions->gateway->streams,
+					      gateway_now());
+	versions->lost = false;
+	registration_history_begin(versions->history, revision);
+}
+
+/* Records that all changes of registrations between two revisions were read. */
+void sole_versions_record_changes(sole_versions_t *versions, uint64_t from,
+				  uint64_t to)
+{
+	registration_history_advance(versions->history, from, to);
+}
+
+/* Records that the store has discarded changes that were not read. */
+void sole_versions_lose_history(sole_versions_t *versions)
+{
+	versions->lost = true;
+	registration_history_lose(versions->history);
+	stream_versions_lose_history(versions->gateway->streams, gateway_now());
+}
+
+/*
+ * Requests a read of the registrations as of now. Returns false if it would not tell the
+ * only version of a service, or others call the store for this gateway.
+ */
+bool sole_versions_request(sole_versions_t *versions, const char *service)
+{
+	const gateway_t *gateway = versions->gateway;
+	pd_time_t now = gateway_now();
+
+	if (!registration_history_is_known(versions->history) ||
+	    !stream_versions_sole(gateway->streams, service, now) ||
+	    !gateway_peers_should_watch_store(gateway->peers))
+		return false;
+	registration_history_request(versions->history, now);
+	sole_versions_run(versions, now);
+	return true;
+}
+
+/* Returns whether all registrations until SINCE were read, without a gap before. */
+bool sole_versions_are_current(const sole_versions_t *versions, pd_time_t since)
+{
+	return registration_history_is_current(versions->history, since);
+}
+
+/* Returns whether a read that was requested at SINCE may still be answered. */
+bool sole_versions_is_reading(const sole_versions_t *versions, pd_time_t since)
+{
+	return registration_history_is_wanted(versions->history, gateway_now()) &&
+	       !registration_history_is_current(versions->history, since) &&
+	       fleet_feed_is_store_reachable(versions->gateway->feed);
+}
+
 /*
  * Has the services of a record restored, besides those of records before, once the history
  * since it was written is read. A record that is too old, or does not say as of when,
@@ -113,18 +195,45 @@
 }
 
 /* Handles a page of the history; the one that has no events is the last. */
-static void handle_page(sole_versions_t *versions, const wire_page_t *page)
+static void handle_restored_page(sole_versions_t *versions, const wire_page_t *page)
 {
 	versions->revision = wire_page_revision(page);
 	if (!wire_page_count(page)) {
 		restore_pending(versions);
 		return;
 	}
-	record_versions(versions->gateway, page);
 	if (++versions->pages >= PAGES_MAX)
 		drop_pending(versions, 0);
 }
 
+/* Handles a page of the history that shows whether a version has joined. */
+static void handle_current_page(sole_versions_t *versions, const wire_page_t *page)
+{
+	if (registration_history_end_read(versions->history,
+					  wire_page_revision(page),
+					  !wire_page_count(page)))
+		gateway_peers_answer_stream_queries(versions->gateway->peers);
+}
+
+/* Handles a reply that has no page. */
+static void handle_failure(sole_versions_t *versions, int status)
+{
+	bool is_gone = status == 410;
+
+	versions->next_call_at = gateway_now() + CALL_PERIOD;
+	if (versions->restoring) {
+		if (is_gone)
+			drop_pending(versions, status);
+		return;
+	}
+	registration_history_fail_read(versions->history);
+	if (!is_gone)
+		return;
+	log_line(G_LOG_LEVEL_WARNING, LOG_COMPONENT,
+		 "history of registrations lost");
+	sole_versions_lose_history(versions);
+}
+
 /* Ends a call for a page of the history. */
 static void on_reply(void *ctx, const http1_reply_t *reply)
 {
@@ -133,42 +242,51 @@
 	pd_error_t err;
 
 	versions->calling = false;
-	/* The history is gone. */
-	if (reply->status == 410) {
-		drop_pending(versions, reply->status);
-		return;
-	}
 	if (reply->status == 200) {
 		page = wire_page_parse(reply->body, reply->len, &err);
 		if (!page)
 			log_error(LOG_COMPONENT, "history of upstreams", &err);
 	}
 	if (!page) {
-		versions->next_call_at = gateway_now() + CALL_PERIOD;
+		handle_failure(versions, reply->status);
 		return;
 	}
-	handle_page(versions, page);
+	record_versions(versions->gateway, page);
+	if (versions->restoring)
+		handle_restored_page(versions, page);
+	else
+		handle_current_page(versions, page);
 	wire_page_destroy(page);
 	sole_versions_run(versions, gateway_now());
 }
 
-/*
- * Calls for the next page of the history if something is to be restored. From the listing
- * on this gateway learns of changes in any case.
- */
+/* Returns the revision from which the history is called for now; 0: no call is due. */
+static uint64_t next_revision(sole_versions_t *versions, pd_time_t now)
+{
+	const gateway_t *gateway = versions->gateway;
+
+	if (versions->calling || now < versions->next_call_at ||
+	    !gateway->upstreams_listed)
+		return 0;
+	versions->restoring = versions->pending->len > 0;
+	if (!versions->restoring)
+		return registration_history_next_read(versions->history, now);
+	if (now - gateway->started_at <= STREAM_VERSIONS_TTL_MIN)
+		return versions->revision;
+	drop_pending(versions, 0);
+	return 0;
+}
+
+/* Calls for the next page of the history if something is to be restored or shown. */
 void sole_versions_run(sole_versions_t *versions, pd_time_t now)
 {
+	uint64_t revision = next_revision(versions, now);
 	char *path;
 
-	if (!versions->pending->len || versions->calling ||
-	    now < versions->next_call_at || !versions->gateway->upstreams_listed)
+	if (!revision)
 		return;
-	if (now - versions->gateway->started_at > STREAM_VERSIONS_TTL_MIN) {
-		drop_pending(versions, 0);
-		return;
-	}
 	versions->calling = true;
-	path = wire_watch_path(WIRE_UPSTREAMS, versions->revision, 0);
+	path = wire_watch_path(WIRE_UPSTREAMS, revision, 0);
 	http1_client_call(versions->gateway->store,
 			  &(http1_request_t){
 				  .method = "GET",
--- a/core/forward/stream_versions.c
+++ b/core/forward/stream_versions.c
@@ -16,7 +16,7 @@
 
 typedef struct service_versions {
 	GArray *served; /* of served_version_t */
-	bool restored; /* what served before this gateway started is in it */
+	bool restored; /* what served before known_since is in it */
 } service_versions_t;
 
 struct stream_versions {
@@ -29,7 +29,7 @@
 	bool urgent; /* one of these is of a service with several versions */
 	GHashTable *services; /* name -> service_versions_t */
 	bool first; /* no gateway has served before this one */
-	pd_time_t started_at;
+	pd_time_t known_since; /* all versions that registered since then are known */
 };
 
 /* Frees a service_versions_t. */
@@ -57,7 +57,7 @@
 	streams->services = g_hash_table_new_full(g_str_hash, g_str_equal,
 						  g_free, service_versions_free);
 	streams->first = first;
-	streams->started_at = now;
+	streams->known_since = now;
 	return streams;
 }
 
@@ -210,6 +210,28 @@
 		g_array_append_val(served, added);
 }
 
+/*
+ * Records that registrations are known from NOW on, as the store was listed for the first
+ * time.
+ */
+void stream_versions_begin_history(stream_versions_t *streams, pd_time_t now)
+{
+	streams->known_since = now;
+}
+
+/* Records that versions may have registered and left unseen until NOW. */
+void stream_versions_lose_history(stream_versions_t *streams, pd_time_t now)
+{
+	GHashTableIter iter;
+	gpointer service;
+
+	streams->known_since = now;
+	streams->first = false;
+	g_hash_table_iter_init(&iter, streams->services);
+	while (g_hash_table_iter_next(&iter, NULL, &service))
+		((service_versions_t *)service)->restored = false;
+}
+
 /*
  * Records that only one version of a service served before this gateway started, as
  * the previous gateways knew.
@@ -228,7 +250,7 @@
 	uint64_t sole = 0;
 
 	if (!service->restored && !streams->first &&
-	    now - streams->started_at < streams->ttl)
+	    now - streams->known_since < streams->ttl)
 		return 0;
 	for (guint i = 0; i < service->served->len; i++) {
 		const served_version_t *version =
@@ -245,7 +267,8 @@
 
 /*
  * Returns the version of all streams of a service that may still be resumed, whether or
- * not they are known; 0: there may be several.
+ * not they are known; 0: there may be several. It says nothing of streams that began after
+ * the latest registrations were read.
  */
 uint64_t stream_versions_sole(const stream_versions_t *streams,
 			      const char *service, pd_time_t now)
--- a/core/forward/stream_versions.h
+++ b/core/forward/stream_versions.h
@@ -44,6 +44,8 @@
 bool stream_versions_is_unsent(const stream_versions_t *streams, uint64_t attempt);
 void stream_versions_record_serving(stream_versions_t *streams, const char *service,
 				    uint64_t version_id, pd_time_t now);
+void stream_versions_begin_history(stream_versions_t *streams, pd_time_t now);
+void stream_versions_lose_history(stream_versions_t *streams, pd_time_t now);
 void stream_versions_restore_sole(stream_versions_t *streams, const char *service,
 				  uint64_t version_id, pd_time_t now);
 uint64_t stream_versions_sole(const stream_versions_t *streams,
--- a/tests/property/test_stream_versions.cc
+++ b/tests/property/test_stream_versions.cc
@@ -15,6 +15,7 @@
 
 extern "C" {
 #include "adapters/gateway/stream_slices.h"
+#include "core/forward/registration_history.h"
 #include "core/forward/stream_versions.h"
 }
 #include "tests/property/cases.h"
@@ -30,6 +31,7 @@
 static const unsigned mesh_max = 12;
 static const unsigned aggregators = 2; /* gateways 0 and 1 of larger fleets */
 static const unsigned writers = 2;
+static const unsigned watchers = 3; /* gateways that read the store for others */
 static const pd_time_t older_max = 5 * PD_SEC; /* age of a record of the checkpoint */
 static const pd_time_t down_time = 1 * PD_SEC; /* after a kill of all */
 static const pd_time_t back_time = 500 * PD_MSEC; /* of callers, after that */
@@ -62,8 +64,19 @@
 	pd_time_t until;
 };
 
+/* A query that waits for a read of the registrations. */
+struct query {
+	unsigned from;
+	uint64_t attempt;
+	pd_time_t at;
+};
+
 struct gateway {
 	stream_versions_t *streams = nullptr;
+	registration_history_t *history = nullptr;
+	pd_time_t history_call_at = 0; /* of the read in flight; 0: none */
+	bool history_lost = false;
+	std::vector<query> queries;
 	stream_journal_t *journal = nullptr;
 	pd_time_t send_at = 0;
 	pd_time_t streams_at = 0;
@@ -71,7 +84,7 @@
 	pd_time_t record_at = 0;
 	pd_time_t read_at = 0; /* when a read of the streams ends or ended; 0: none */
 	bool reads = false;
-	pd_time_t read_until = 0; /* to when it knows the registrations */
+	pd_time_t read_until = 0; /* to when it has watched the registrations */
 	/* Slices in the store whose revision it knows, so that it may replace them. */
 	std::set<std::pair<unsigned, unsigned>> known_slices;
 	pd_time_t faulty_until = 0;
@@ -112,6 +125,7 @@
 	{
 		for (gateway &one : gateways) {
 			stream_versions_destroy(one.streams);
+			registration_history_destroy(one.history);
 			stream_journal_destroy(one.journal);
 		}
 	}
@@ -148,8 +162,13 @@
 	void boot(gateway &one, bool first)
 	{
 		stream_versions_destroy(one.streams);
+		registration_history_destroy(one.history);
 		stream_journal_destroy(one.journal);
 		one.streams = stream_versions_create(ttl, first, now);
+		one.history = registration_history_create();
+		one.history_call_at = 0;
+		one.history_lost = false;
+		one.queries.clear();
 		one.journal = stream_journal_create();
 		one.send_at = now + delay(period);
 		one.read_at = 0;
@@ -162,15 +181,77 @@
 				restore_sole(one, record.sole, record.at);
 	}
 
+	/* Records the versions that registered within a time. */
+	void record_registered(gateway &one, pd_time_t from, pd_time_t until)
+	{
+		for (uint64_t v = 1; v <= version_count(); v++)
+			if (registered_at(v) >= from - start &&
+			    registered_at(v) <= until - start)
+				stream_versions_record_serving(one.streams,
+							       service, v, now);
+	}
+
 	/* Restores the only version of the checkpoint, with the history since. */
 	void restore_sole(gateway &one, uint64_t sole, pd_time_t at)
 	{
+		record_registered(one, at, now);
+		stream_versions_restore_sole(one.streams, service, sole, now);
+	}
+
+	/* Has a gateway that reaches the store know what is registered. */
+	void watch(gateway &one)
+	{
+		/* What it has missed is gone from the history, after some cuts. */
+		if (now - one.read_until > 2 * step && g_rand_double(random) < 0.5 &&
+		    registration_history_is_known(one.history)) {
+			registration_history_lose(one.history);
+			one.history_lost = true;
+		}
+		if (registration_history_is_known(one.history)) {
+			record_registered(one, one.read_until, now);
+		} else {
+			if (one.history_lost)
+				stream_versions_lose_history(one.streams, now);
+			else
+				stream_versions_begin_history(one.streams, now);
+			registration_history_begin(one.history, (uint64_t)now);
+		}
+		registration_history_advance(one.history, (uint64_t)one.read_until,
+					     (uint64_t)now);
+		one.read_until = now;
 		for (uint64_t v = 1; v <= version_count(); v++)
-			if (registered_at(v) >= at - start &&
-			    registered_at(v) <= now - start)
+			if (serves(v))
 				stream_versions_record_serving(one.streams,
 							       service, v, now);
-		stream_versions_restore_sole(one.streams, service, sole, now);
+	}
+
+	/* Sends and ends reads of the registrations; a reply is as of when it was sent. */
+	void read_history(unsigned i)
+	{
+		gateway &one = gateways[i];
+
+		if (!one.history_call_at) {
+			if (registration_history_next_read(one.history, now))
+				one.history_call_at = now;
+		} else if (now >= one.history_call_at + read_time) {
+			if (one.cut)
+				registration_history_fail_read(one.history);
+			else if (registration_history_end_read(
+					 one.history,
+					 (uint64_t)one.history_call_at, true))
+				record_registered(one, one.read_until,
+						  one.history_call_at);
+			one.history_call_at = 0;
+		}
+		remove_over(one.queries, [&](const query &asked) {
+			stream_record_t record = {
+				asked.attempt, known(i, asked.attempt, asked.at)
+			};
+
+			if (record.version_id && reach(i, asked.from))
+				post(i, asked.from, { record });
+			return record.version_id || now - asked.at > PD_SEC;
+		});
 	}
 
 	/* Kills all gateways at a time, and starts them a second later. */
@@ -394,11 +475,8 @@
 			return;
 		read_done(one);
 		if (!one.cut)
-			one.read_until = now;
-		for (uint64_t v = 1; !one.cut && v <= version_count(); v++)
-			if (serves(v))
-				stream_versions_record_serving(one.streams,
-							       service, v, now);
+			watch(one);
+		read_history(i);
 		write(i);
 		if (now < one.send_at && (!stream_versions_has_urgent(one.streams) ||
 					  now < one.streams_at))
@@ -494,7 +572,7 @@
 	{
 		gateway &gate = gateways[one.at];
 		bool counts = now >= gate.faulty_until && serves(one.version);
-		uint64_t version = known(one.at, one.attempt);
+		uint64_t version = known(one.at, one.attempt, one.asked_since);
 
 		bool killed = kill_counts && serves(one.version) &&
 			      now - killed_at < down_time + in_touch_after;
@@ -505,25 +583,42 @@
 			resumed_after_kill += killed;
 			return true;
 		}
-		if (now - one.asked_since > wait_max && !gate.reads) {
+		if (now - one.asked_since > wait_max && !gate.reads &&
+		    !registration_history_is_wanted(gate.history, now)) {
 			refused += counts;
 			refused_after_kill += killed;
 			return true;
 		}
-		if (one.state != stream::ASKS)
+		if (one.state != stream::ASKS) {
 			read(gate);
+			want_history(one.at);
+		}
 		if (one.state != stream::ASKS || now >= one.next)
 			ask(one);
 		one.state = stream::ASKS;
 		return false;
 	}
 
-	uint64_t known(unsigned i, uint64_t attempt) const
+	/* Has a gateway that watches the store read it. Returns whether it does. */
+	bool want_history(unsigned i)
+	{
+		const gateway &gate = gateways[i];
+
+		if ((!is_mesh && i >= watchers) ||
+		    !registration_history_is_known(gate.history) ||
+		    !stream_versions_sole(gate.streams, service, now))
+			return false;
+		registration_history_request(gate.history, now);
+		return true;
+	}
+
+	/* Returns the version of a stream that began until SINCE; 0: unknown. */
+	uint64_t known(unsigned i, uint64_t attempt, pd_time_t since) const
 	{
 		const gateway &gate = gateways[i];
 		uint64_t version = stream_versions_find(gate.streams, attempt);
 
-		if (!version && now >= gate.faulty_until)
+		if (!version && registration_history_is_current(gate.history, since))
 			version = stream_versions_sole(gate.streams, service, now);
 		return version;
 	}
@@ -537,9 +632,13 @@
 			if (!keeps(j) || gateways[j].down ||
 			    gateways[j].frozen || !reach(one.at, j))
 				continue;
-			record.version_id = known(j, one.attempt);
+			record.version_id = stream_versions_find(gateways[j].streams,
+								 one.attempt);
 			if (record.version_id)
 				post(j, one.at, { record });
+			else if (j < watchers && j != one.at && want_history(j))
+				gateways[j].queries.push_back(
+					{ one.at, one.attempt, now });
 		}
 	}
 
@@ -656,6 +755,30 @@
 	});
 }
 
+/*
+ * Guards against streams that are joined at gateways that are out of step for any time
+ * while a version comes, and may leave again.
+ */
+static bool prop_version_joins_out_of_step(unsigned size)
+{
+	std::string name = "no stream is joined by gateways out of step, " +
+			   std::to_string(size) + " gateways";
+
+	return rc::check(name, [size] {
+		pd_time_t at = 2 * PD_SEC;
+		pd_time_t lasts = *rc::gen::inRange(2, 120) * 50 * PD_MSEC;
+		pd_time_t from = at + *rc::gen::inRange(-20, 100) * 50 * PD_MSEC;
+		pd_time_t until = from + *rc::gen::inRange(2, 80) * 50 * PD_MSEC;
+		fault cut = { *rc::gen::element(CUT, FREEZE), at, lasts,
+			      *rc::gen::element(0U, size / 2), size / 3 };
+		fleet all(size, 400, {}, { { from, until } },
+			  *rc::gen::arbitrary<uint32_t>());
+
+		all.run({ cut }, {}, at + lasts + 4 * PD_SEC);
+		RC_ASSERT(all.joined == 0U);
+	});
+}
+
 int main()
 {
 	bool good = true;
@@ -667,6 +790,7 @@
 		good &= prop_kills(size, 0);
 		good &= prop_kills(size, 1);
 		good &= prop_version_after_write(size);
+		good &= prop_version_joins_out_of_step(size);
 	}
 	return good ? 0 : 1;
 }
--- a/tests/unit/test_stream_versions.c
+++ b/tests/unit/test_stream_versions.c
@@ -223,6 +223,23 @@
 	forward_upstreams_destroy(set);
 }
 
+/* Guards against versions that came and went while nothing could be read. */
+static void test_only_version_is_unknown_after_a_gap(void **state)
+{
+	stream_versions_t *streams = *state;
+	pd_time_t gap = T0 + 2 * TTL;
+
+	stream_versions_record_serving(streams, SERVICE, OLD, gap);
+	assert_int_equal(stream_versions_sole(streams, SERVICE, gap), OLD);
+	stream_versions_lose_history(streams, gap);
+	stream_versions_record_serving(streams, SERVICE, OLD, gap + TTL);
+	assert_int_equal(stream_versions_sole(streams, SERVICE, gap + 1), 0);
+	assert_int_equal(stream_versions_sole(streams, SERVICE, gap + TTL), OLD);
+	stream_versions_restore_sole(streams, SERVICE, OLD, gap + TTL);
+	stream_versions_lose_history(streams, gap + TTL);
+	assert_int_equal(stream_versions_sole(streams, SERVICE, gap + TTL), 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -243,6 +260,8 @@
 		cmocka_unit_test(test_choice_is_among_upstreams_of_the_version),
 		cmocka_unit_test(test_version_id_is_of_service_and_version),
 		cmocka_unit_test(test_missing_version_is_filled_in),
+		cmocka_unit_test_setup_teardown(test_only_version_is_unknown_after_a_gap,
+						setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
