Verify the end of responses without a length by a connection to their upstream

Callers saw streams end as complete before their last event, and parts of other answers sent with a Content-Length as if they were the whole, when an upstream that sends no length was killed. A stream that could have gone on at another upstream did not, and an unsafe call got a part of its answer as a success.

Cause: such a response ends with its connection, and an end of file without an error counted as that end. A kernel closes the connections of a process that is killed in the same way as a process that has sent everything: there is a reset only if unread input is left. Only an end within an event was noticed. The class: a sign that the sender's kernel gives taken for one of the sender.

Change: when the connection of such a response ends, the gateway connects to its upstream, and forwards the end only if that accepts. A process that is killed closes its listening socket with its connections, so the connection is refused by then. Otherwise the attempt ends like one that broke off: resumed, repeated, or ended so that the caller notices. Events are not delayed, the end is by one round trip. Two cases in which another process listens at the address already are excluded too: one that the registrations show, and a gateway that stood still for 250 ms as the end arrived.

Responses to HEAD and with 204 or 304 no longer count as ones that end with their connection. A request whose link is closed but whose attempt goes on now counts as possibly run if it expires or is held meanwhile.

It adds a connection to an upstream for each response without a length. What remains: a connection that is cut until another process listens at the upstream's address, while the gateway doesn't learn of that.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -416,6 +416,9 @@
 	gateway_t *gateway = timer->data;
 	pd_time_t now = gateway_now();
 
+	if (gateway->ticked_at && now - gateway->ticked_at > GATEWAY_STALL_MIN)
+		gateway->stalled_at = now;
+	gateway->ticked_at = now;
 	run_time_vote(gateway, now);
 	forward_upstreams_expire(gateway->upstreams, now,
 				 on_registration_expired, gateway);
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -28,6 +28,8 @@
 
 /* Connecting takes a few milliseconds, or one retransmission more. */
 #define GATEWAY_CONNECT_TIMEOUT (400 * PD_MSEC)
+/* What arrived in such a time without a tick may have arrived at its beginning. */
+#define GATEWAY_STALL_MIN (250 * PD_MSEC)
 #define GATEWAY_RANKS 10 /* priority ranks of requests; 0 is the most urgent */
 
 typedef struct gateway_peers gateway_peers_t;
@@ -50,6 +52,9 @@
 	forward_upstreams_t *upstreams;
 	GHashTable *reaches; /* service -> reach_t; those whose links failed */
 	list_node_t probes; /* of upstreams, in progress */
+	size_t end_probes; /* those started to verify the end of a response */
+	pd_time_t ticked_at;
+	pd_time_t stalled_at; /* first tick after GATEWAY_STALL_MIN without; 0: none */
 	stream_versions_t *streams; /* which software version began each */
 	stream_journal_t *stream_journal; /* of the latest, for the checkpoint */
 	rollouts_t *rollouts; /* orders to change a service's software version */
--- a/adapters/gateway/quarantine_checks.c
+++ b/adapters/gateway/quarantine_checks.c
@@ -196,8 +196,9 @@
 	g_free(silence);
 }
 
-/* Returns whether another upstream serves at the address of one that is gone. */
-static bool is_replaced(const gateway_t *gateway, const forward_upstream_t *gone)
+/* Returns whether another upstream serves at the address of one. */
+bool gateway_upstream_is_replaced(const gateway_t *gateway,
+				  const forward_upstream_t *gone)
 {
 	LIST_FOR_EACH (it, forward_upstreams_list(gateway->upstreams)) {
 		const forward_upstream_t *upstream =
@@ -220,7 +221,7 @@
 
 		if (upstream->incarnation != silence->upstream_incarnation ||
 		    (upstream->stage == FORWARD_GONE &&
-		     is_replaced(gateway, upstream)))
+		     gateway_upstream_is_replaced(gateway, upstream)))
 			gateway_quarantine_record_ends(gateway, upstream,
 						       &silence->suspects);
 		else if (upstream->stage == FORWARD_GONE)
--- a/adapters/gateway/quarantine_checks.h
+++ b/adapters/gateway/quarantine_checks.h
@@ -16,6 +16,8 @@
 void gateway_quarantine_record_ends(gateway_t *gateway,
 				    const forward_upstream_t *upstream,
 				    const quarantine_suspects_t *suspects);
+bool gateway_upstream_is_replaced(const gateway_t *gateway,
+				  const forward_upstream_t *gone);
 pd_time_t gateway_quarantine_settle_time(const gateway_t *gateway);
 void gateway_quarantine_run(gateway_t *gateway, pd_time_t now);
 
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -350,11 +350,10 @@
 /* Returns whether to abandon an attempt that has not connected or responded in time. */
 static bool attempt_timed_out(const gateway_request_t *request, pd_time_t now)
 {
-	if (!request->upstream)
+	if (!request->link)
 		return false;
 	if (!request->sent_at)
-		return request->link &&
-		       !upstream_link_is_connected(request->link) &&
+		return !upstream_link_is_connected(request->link) &&
 		       (now - request->attempt_started_at > GATEWAY_CONNECT_TIMEOUT ||
 			gateway_request_may_relay(request));
 	if (request->route->kind != FORWARD_SAFE || !request->route->latency_goal ||
@@ -405,14 +404,13 @@
 		gateway_request_abort_stream(request, "timeout");
 		return;
 	}
-	if (request->link) {
+	if (request->upstream) {
 		if (request->sent_at) {
 			request->possible_runs++;
 			gateway_request_record_rollout_answer(request, true);
 		}
 		gateway_request_watch_upstream(request);
-		upstream_link_close(request->link);
-		request->link = NULL;
+		gateway_request_close_link(request);
 	}
 	gateway_request_clear_attempt(request);
 	gateway_request_give_up(request, RETRY_AFTER_FULL, "timeout");
--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -326,6 +326,30 @@
 	       !event_stream_has_partial(request->events);
 }
 
+/* Forwards the end of a response that is complete; frees the request. */
+void gateway_request_accept_answer(gateway_request_t *request)
+{
+	forward_upstream_record_success(request->upstream);
+	gateway_request_record_rollout_answer(request, false);
+	gateway_request_record_speed(request);
+	quarantine_record_success(request->gateway->quarantine,
+				  request->fingerprint, gateway_now());
+	gateway_request_clear_parts(request);
+	gateway_request_clear_attempt(request);
+	request->possible_runs++;
+	gateway_request_finish(request);
+}
+
+/* Ends an attempt whose response ended early. */
+void gateway_request_reject_answer(gateway_request_t *request)
+{
+	/* One without a length may end as its upstream does. */
+	if (request->ends_with_connection)
+		gateway_quarantine_check_broken(request->gateway, request->upstream,
+						&request->suspects);
+	gateway_request_end_attempt(request, ATTEMPT_UNKNOWN, "answer not whole");
+}
+
 /* The response ended: forwards it, or ends the attempt. */
 static void on_message(void *ctx)
 {
@@ -352,13 +376,7 @@
 	}
 	if (!response_is_complete(request) ||
 	    (request->status < 300 && !request->sealed)) {
-		/* One without a length may end as its upstream does. */
-		if (request->ends_with_connection)
-			gateway_quarantine_check_broken(request->gateway,
-							request->upstream,
-							&request->suspects);
-		gateway_request_end_attempt(request, ATTEMPT_UNKNOWN,
-					    "answer not whole");
+		gateway_request_reject_answer(request);
 		return;
 	}
 	if (request->status >= 500) {
@@ -366,15 +384,10 @@
 					    "upstream failed");
 		return;
 	}
-	forward_upstream_record_success(request->upstream);
-	gateway_request_record_rollout_answer(request, false);
-	gateway_request_record_speed(request);
-	quarantine_record_success(request->gateway->quarantine,
-				  request->fingerprint, gateway_now());
-	gateway_request_clear_parts(request);
-	gateway_request_clear_attempt(request);
-	request->possible_runs++;
-	gateway_request_finish(request);
+	if (request->ends_with_connection)
+		gateway_request_verify_end(request);
+	else
+		gateway_request_accept_answer(request);
 }
 
 /* The connection ended before the response did. */
--- a/adapters/gateway/request_end.c
+++ b/adapters/gateway/request_end.c
@@ -31,6 +31,14 @@
 	g_free(request);
 }
 
+/* Closes the link of the current attempt, if it has one. */
+void gateway_request_close_link(gateway_request_t *request)
+{
+	if (request->link)
+		upstream_link_close(request->link);
+	request->link = NULL;
+}
+
 /* Subtracts the attempt from the load of its upstream. */
 static void release_upstream_load(gateway_request_t *request)
 {
@@ -168,10 +176,7 @@
 void gateway_request_drop(gateway_request_t *request, const char *reason)
 {
 	gateway_request_share_version(request);
-	if (request->link) {
-		upstream_link_close(request->link);
-		request->link = NULL;
-	}
+	gateway_request_close_link(request);
 	gateway_request_clear_attempt(request);
 	log_end(request, 0, reason);
 	record_request_metrics(request, reason);
--- a/adapters/gateway/request_quarantine.c
+++ b/adapters/gateway/request_quarantine.c
@@ -87,11 +87,9 @@
 		gateway_request_abort_stream(request, REASON);
 		return;
 	}
-	if (request->link) {
-		if (request->sent_at)
-			request->possible_runs++;
-		upstream_link_close(request->link);
-	}
+	if (request->upstream && request->sent_at)
+		request->possible_runs++;
+	gateway_request_close_link(request);
 	gateway_request_clear_attempt(request);
 	gateway_request_give_up(request, held, REASON);
 }
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -108,6 +108,7 @@
 	bool sealed; /* the response has the upstream's signature */
 	bool is_stream;
 	bool ends_with_connection; /* the response has no length */
+	size_t end_probe; /* number of the probe that verifies its end; 0: none */
 	bool response_keep_alive;
 	pd_time_t idle_timeout;
 	GString *response_headers; /* header lines to forward */
@@ -178,6 +179,10 @@
 void gateway_request_begin_response(gateway_request_t *request, gint64 length);
 void gateway_request_forward_chunk(gateway_request_t *request, const char *data,
 				   size_t len);
+void gateway_request_accept_answer(gateway_request_t *request);
+void gateway_request_reject_answer(gateway_request_t *request);
+void gateway_request_verify_end(gateway_request_t *request);
+void gateway_request_close_link(gateway_request_t *request);
 const char *gateway_request_buffer_body(gateway_request_t *request,
 					const char *data, size_t len);
 bool gateway_request_answer_fits(gateway_request_t *request);
--- a/adapters/http1/http1.c
+++ b/adapters/http1/http1.c
@@ -420,6 +420,13 @@
 	return lengths + codings <= 1;
 }
 
+/* Returns whether the response being read may have a body, by request and status. */
+static bool may_have_body(const http1_t *conn)
+{
+	return !conn->response_to_head && conn->parser.status_code != 204 &&
+	       conn->parser.status_code != 304;
+}
+
 static int on_parser_headers_complete(http_parser *parser)
 {
 	http1_t *conn = parser->data;
@@ -444,7 +451,8 @@
 	} else {
 		head.status = (int)parser->status_code;
 		head.ends_with_connection = !chunked &&
-					    parser->content_length == ULLONG_MAX;
+					    parser->content_length == ULLONG_MAX &&
+					    may_have_body(conn);
 		head.has_body = chunked || parser->content_length;
 	}
 	conn->events.on_head(conn->ctx, &head);
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -244,19 +244,48 @@
 }
 
 /* Sends a chunk of a chunked response. */
-static void stream_write(session_t *session, const char *text)
+static void write_chunk(session_t *session, const char *text, size_t len)
 {
-	char *chunk = g_strdup_printf("%zx\r\n%s\r\n", strlen(text), text);
+	char *chunk = g_strdup_printf("%zx\r\n%.*s\r\n", len, (int)len, text);
 
 	http1_write(session->conn, chunk, strlen(chunk));
 	g_free(chunk);
 }
 
+/* Returns whether the response to a session is chunked. */
+static bool is_chunked(const session_t *session)
+{
+	return session->behavior != RIG_STREAM_SIZED &&
+	       session->behavior != RIG_STREAM_UNFRAMED;
+}
+
+/* Sends a part of a stream. */
+static void stream_write(session_t *session, const char *text)
+{
+	if (!is_chunked(session))
+		http1_write(session->conn, text, strlen(text));
+	else if (session->behavior == RIG_STREAM_PIECES)
+		for (const char *at = text; *at; at++)
+			write_chunk(session, at, 1);
+	else
+		write_chunk(session, text, strlen(text));
+}
+
+/* Returns the text of an event; owned by the caller. */
+static char *event_text(const session_t *session, int event)
+{
+	const char *version = session->version ? session->version : "";
+
+	if (session->behavior == RIG_STREAM_WITHOUT_IDS && event != 2)
+		return g_strdup_printf("data: e%d%s\n\n", event, version);
+	return g_strdup_printf("id: %d\ndata: e%d%s\n\n", event, event, version);
+}
+
 /* Sends the next event of a stream, and ends the stream after the last one. */
 static void on_event(uv_timer_t *timer)
 {
 	session_t *session = timer->data;
-	char event[64];
+	char *event;
 
 	session->event++;
 	if (session->behavior == RIG_STREAM_CUT && session->event == 4) {
@@ -264,14 +293,37 @@
 		session_cut(session);
 		return;
 	}
-	snprintf(event, sizeof(event), "id: %d\ndata: e%d%s\n\n", session->event,
-		 session->event, session->version ? session->version : "");
-	stream_write(session, event);
+	if (session->event <= RIG_EVENTS) {
+		event = event_text(session, session->event);
+		stream_write(session, event);
+		g_free(event);
+	}
 	if (session->event < RIG_EVENTS)
 		return;
 	uv_timer_stop(timer);
 	session->busy = false;
-	http1_write(session->conn, "0\r\n\r\n", 5);
+	if (session->behavior == RIG_STREAM_UNFRAMED)
+		session_cut(session);
+	else if (is_chunked(session))
+		http1_write(session->conn, "0\r\n\r\n", 5);
+}
+
+/* Appends how the end of a stream is found, to the head of the response. */
+static void append_framing(GString *head, const session_t *session)
+{
+	size_t len = 0;
+
+	if (is_chunked(session))
+		g_string_append(head, "Transfer-Encoding: chunked\r\n");
+	if (session->behavior != RIG_STREAM_SIZED)
+		return;
+	for (int i = session->event + 1; i <= RIG_EVENTS; i++) {
+		char *event = event_text(session, i);
+
+		len += strlen(event);
+		g_free(event);
+	}
+	g_string_append_printf(head, "Content-Length: %zu\r\n", len);
 }
 
 /* Starts a stream after the event that the request resumes from, or at its start. */
@@ -279,20 +331,22 @@
 {
 	GString *head = g_string_new(NULL);
 
+	session->version = session->server->version;
+	session->event = 0;
+	if (session->resume_after && session->behavior != RIG_STREAM_REPEAT)
+		session->event = atoi(session->resume_after);
 	g_string_printf(head,
 			"HTTP/1.1 200 OK\r\n"
 			"Content-Type: text/event-stream\r\n"
-			"Transfer-Encoding: chunked\r\n"
 			"X-Attempt-Id: %s\r\n"
 			"X-Response-Seal: s%d\r\n",
 			session->call_id ? session->call_id : "",
 			session->server->number);
+	append_framing(head, session);
 	append_limits(head, session->server);
 	g_string_append(head, "\r\n");
 	http1_write(session->conn, head->str, head->len);
 	g_string_free(head, TRUE);
-	session->version = session->server->version;
-	session->event = session->resume_after ? atoi(session->resume_after) : 0;
 	uv_timer_start(&session->timer, on_event, EVENT_MS, EVENT_MS);
 }
 
@@ -497,6 +551,11 @@
 		return;
 	case RIG_STREAM:
 	case RIG_STREAM_CUT:
+	case RIG_STREAM_PIECES:
+	case RIG_STREAM_SIZED:
+	case RIG_STREAM_UNFRAMED:
+	case RIG_STREAM_REPEAT:
+	case RIG_STREAM_WITHOUT_IDS:
 		stream_begin(session);
 		return;
 	case RIG_ENDLESS:
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -32,6 +32,11 @@
 	RIG_LARGE, /* responds with RIG_LARGE_BYTES */
 	RIG_STREAM, /* RIG_EVENTS events, one every 20 ms */
 	RIG_STREAM_CUT, /* the same, but stops in the middle of the fourth */
+	RIG_STREAM_PIECES, /* each byte of it is a chunk */
+	RIG_STREAM_SIZED, /* it has a length */
+	RIG_STREAM_UNFRAMED, /* it has none, and ends with its connection */
+	RIG_STREAM_REPEAT, /* it begins at the first event, whatever Last-Event-Id is */
+	RIG_STREAM_WITHOUT_IDS, /* only its second event has an id */
 	RIG_END, /* begins to run it, and ends with all its connections */
 	RIG_VANISH, /* the same, but its connections stay silent */
 	RIG_UNFRAMED_END, /* ends after the head of a stream that has no length */
