End attempts whose events do not follow the last one

Callers got events twice, with ids that went back, when a stream was resumed at an upstream that ignores Last-Event-Id: at another upstream after the first one broke off, or as the caller took the stream up.

Cause: the gateway asked the upstream to go on after an id and forwarded whatever came. The class: an answer that is trusted to fit its request.

Evidence: test_gateway_streams on the commit before, with upstreams that begin at the first event whatever they are asked: "event 1 after 3" where the gateway resumes, "event 1 after 2" where the caller does, and the series fails with such upstreams among the others. Whether the upstreams of the reports do this is not known.

Change: ids that are numbers have to increase, from the caller's Last-Event-Id on. The first event that does not is not forwarded; the attempt ends like one that broke off, so the stream goes on elsewhere or is cut. Dropping events until the right one comes was not done, as nothing says that a second run from the beginning has the same events.

--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -249,12 +249,15 @@
 	unsigned int completed;
 
 	if (!request->events)
-		request->events = event_stream_create();
+		request->events = event_stream_create(request->call->resume_after);
 	completed = event_stream_feed(request->events, data, len);
 	if (completed) {
 		record_events(request, completed);
 		stream_forward_events(request);
 	}
+	/* The upstream ignores where the stream goes on, or repeats events. */
+	if (request->events->out_of_order)
+		return "event out of order";
 	/* Blank lines are buffered as well until an event is complete. */
 	if (request->events->bytes->len > EVENT_BYTES_MAX)
 		return "event too large";
--- a/core/forward/event_stream.c
+++ b/core/forward/event_stream.c
@@ -6,12 +6,16 @@
 
 #include <string.h>
 
-/* Returns an empty stream; the caller owns it. */
-event_stream_t *event_stream_create(void)
+/*
+ * Returns an empty stream, which the caller owns. RESUME_AFTER is the id of the event that
+ * it follows; NULL: none.
+ */
+event_stream_t *event_stream_create(const char *resume_after)
 {
 	event_stream_t *stream = g_new0(event_stream_t, 1);
 
 	stream->bytes = g_byte_array_new();
+	stream->last_id = g_strdup(resume_after);
 	return stream;
 }
 
@@ -25,8 +29,8 @@
 	g_free(stream);
 }
 
-/* Stores the id if a line contains one. */
-static void parse_id(event_stream_t *stream, const char *line, size_t len)
+/* Replaces ID if a line contains one. */
+static void parse_id(char **id, const char *line, size_t len)
 {
 	static const char name[] = "id:";
 	size_t skip = sizeof(name) - 1;
@@ -35,13 +39,15 @@
 		return;
 	while (skip < len && line[skip] == ' ')
 		skip++;
-	g_free(stream->last_id);
-	stream->last_id = g_strndup(line + skip, len - skip);
+	g_free(*id);
+	*id = g_strndup(line + skip, len - skip);
 }
 
-/* Parses the lines of one event. */
-static void parse_event(event_stream_t *stream, const char *event, size_t len)
+/* Returns the id of an event, owned by the caller; NULL: it has none. */
+static char *parse_event(const char *event, size_t len)
 {
+	char *id = NULL;
+
 	while (len) {
 		const char *end = memchr(event, '\n', len);
 		size_t line_len = end ? (size_t)(end - event) : len;
@@ -49,10 +55,41 @@
 
 		if (line_len && event[line_len - 1] == '\r')
 			line_len--;
-		parse_id(stream, event, line_len);
+		parse_id(&id, event, line_len);
 		event += step;
 		len -= step;
 	}
+	return id;
+}
+
+/* Returns whether the event with ID may follow the one with LAST: numbers increase. */
+static bool id_follows(const char *id, const char *last)
+{
+	guint64 number;
+	guint64 last_number;
+
+	if (!last ||
+	    !g_ascii_string_to_unsigned(id, 10, 0, G_MAXUINT64, &number, NULL) ||
+	    !g_ascii_string_to_unsigned(last, 10, 0, G_MAXUINT64, &last_number, NULL))
+		return true;
+	return number > last_number;
+}
+
+/* Records a complete event, unless it does not follow the last one; returns whether it did. */
+static bool accept_event(event_stream_t *stream, const char *event, size_t len)
+{
+	char *id = parse_event(event, len);
+
+	if (!id)
+		return true;
+	if (!id_follows(id, stream->last_id)) {
+		stream->out_of_order = true;
+		g_free(id);
+		return false;
+	}
+	g_free(stream->last_id);
+	stream->last_id = id;
+	return true;
 }
 
 /*
@@ -66,7 +103,10 @@
 	return i >= 2 && data[i - 1] == '\r' && data[i - 2] == '\n';
 }
 
-/* Appends received bytes. Returns how many events they complete. */
+/*
+ * Appends received bytes. Returns how many events they complete. The first one that is out
+ * of order and what follows it stay incomplete.
+ */
 unsigned int event_stream_feed(event_stream_t *stream, const char *data, size_t len)
 {
 	unsigned int completed = 0;
@@ -74,12 +114,14 @@
 
 	g_byte_array_append(stream->bytes, (const guint8 *)data, (guint)len);
 	bytes = (const char *)stream->bytes->data;
-	for (size_t i = stream->scanned_len; i < stream->bytes->len; i++) {
+	for (size_t i = stream->scanned_len;
+	     i < stream->bytes->len && !stream->out_of_order; i++) {
 		if (bytes[i] != '\n' || !ends_event(bytes, i))
 			continue;
 		if (i + 1 - stream->whole > 2) {
-			parse_event(stream, bytes + stream->whole,
-				    i + 1 - stream->whole);
+			if (!accept_event(stream, bytes + stream->whole,
+					  i + 1 - stream->whole))
+				break;
 			completed++;
 		}
 		stream->whole = i + 1;
@@ -115,4 +157,5 @@
 	}
 	g_byte_array_set_size(stream->bytes, (guint)stream->whole);
 	stream->scanned_len = stream->whole;
+	stream->out_of_order = false;
 }
--- a/core/forward/event_stream.h
+++ b/core/forward/event_stream.h
@@ -13,11 +13,13 @@
 	GByteArray *bytes; /* not sent yet */
 	size_t whole; /* length of the complete events in bytes */
 	size_t scanned_len;
-	char *last_id; /* of the last complete event; NULL: none yet */
+	/* of the last complete event, or of the one to resume after; NULL: none yet */
+	char *last_id;
 	unsigned int count; /* complete events received */
+	bool out_of_order; /* the next event does not follow the last one */
 } event_stream_t;
 
-event_stream_t *event_stream_create(void);
+event_stream_t *event_stream_create(const char *resume_after);
 void event_stream_destroy(event_stream_t *stream);
 unsigned int event_stream_feed(event_stream_t *stream, const char *data,
 			       size_t len);
--- a/tests/process/test_gateway_streams.c
+++ b/tests/process/test_gateway_streams.c
@@ -1,7 +1,7 @@
 /*
- * Tests of what callers receive of streams whose upstreams are killed or break off: each
- * event once and in order, of one version, and complete only with the last one. SEEDS=N and
- * FIRST_SEED=M choose the schedules of the last test.
+ * Tests of what callers receive of streams whose upstreams are killed, break off or ignore
+ * Last-Event-Id: each event once and in order, of one version, and complete only with the
+ * last one. SEEDS=N and FIRST_SEED=M choose the schedules of the last test.
  */
 #include <setjmp.h>
 #include <signal.h>
@@ -227,6 +227,37 @@
 	}
 }
 
+static void set_behaviors(gateway_rig_t *rig, rig_behavior_t behavior)
+{
+	for (int i = 0; i < rig->upstream_count; i++)
+		rig->upstreams[i].behavior = behavior;
+}
+
+/* Guards against events that come twice as an upstream ignores Last-Event-Id. */
+static void test_upstream_ignores_last_event_id(void **state)
+{
+	rig_caller_t *caller;
+
+	set_behaviors(*state, RIG_STREAM_REPEAT);
+	caller = call_killed_stream(*state, "/stream/");
+	assert_int_equal(check_order(caller, 0), KILLED_AFTER);
+	rig_caller_destroy(caller);
+}
+
+/* Guards against the same for a stream that its caller takes up. */
+static void test_upstream_ignores_last_event_id_of_caller(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller = rig_call(rig, rig_port(rig, 0, "callers"), "");
+
+	set_behaviors(rig, RIG_STREAM_REPEAT);
+	rig_send_call_with(caller, "POST", "/stream/", "a1",
+			   "Last-Event-Id: 2\r\n");
+	RIG_UNTIL(rig, is_over(caller));
+	assert_int_equal(check_order(caller, 2), 2);
+	rig_caller_destroy(caller);
+}
+
 /* Sends the next attempt of a stream to a random gateway that runs. */
 static void send_attempt(series_t *series, stream_t *stream)
 {
@@ -284,7 +315,7 @@
 	static const rig_behavior_t behaviors[] = {
 		RIG_STREAM,	     RIG_STREAM_CUT,	  RIG_STREAM_PIECES,
 		RIG_STREAM_SIZED,    RIG_STREAM_UNFRAMED, RIG_STREAM_UNFRAMED,
-		RIG_STREAM_UNFRAMED,
+		RIG_STREAM_UNFRAMED, RIG_STREAM_REPEAT,
 	};
 	GRand *random = series->random;
 	int number = g_rand_int_range(random, 0, SERIES_UPSTREAMS);
@@ -412,6 +443,8 @@
 		TEST(test_upstream_is_replaced_while_gateway_is_paused,
 		     setup_unframed),
 		TEST(test_response_without_length_runs_once, setup_unframed),
+		TEST(test_upstream_ignores_last_event_id, setup_unframed),
+		TEST(test_upstream_ignores_last_event_id_of_caller, setup_unframed),
 		TEST(test_streams_are_in_order_in_series_of_failures, setup_series),
 	};
 
--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -644,8 +644,8 @@
 			mutated("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
 				"id: 3\ndata: c");
 		auto cut = *rc::gen::inRange<size_t>(0, bytes.size() + 1);
-		event_stream_t *whole = event_stream_create();
-		event_stream_t *parts = event_stream_create();
+		event_stream_t *whole = event_stream_create(NULL);
+		event_stream_t *parts = event_stream_create(NULL);
 
 		event_stream_feed(whole, bytes.data(), bytes.size());
 		event_stream_feed(parts, bytes.data(), cut);
--- a/tests/unit/test_event_stream.c
+++ b/tests/unit/test_event_stream.c
@@ -22,7 +22,7 @@
 
 	(void)state;
 	for (size_t cut = 0; cut <= len; cut++) {
-		event_stream_t *stream = event_stream_create();
+		event_stream_t *stream = event_stream_create(NULL);
 
 		event_stream_feed(stream, three, cut);
 		event_stream_feed(stream, three + cut, len - cut);
@@ -40,7 +40,7 @@
  */
 static void test_a_partial_event_is_not_sent(void **state)
 {
-	event_stream_t *stream = event_stream_create();
+	event_stream_t *stream = event_stream_create(NULL);
 
 	(void)state;
 	event_stream_feed(stream, "id: 1\ndata: a\n\nid: 2\ndata: b", 28);
@@ -56,11 +56,34 @@
 	event_stream_destroy(stream);
 }
 
+/* Guards against events that come twice as an upstream begins before the last one. */
+static void test_an_event_that_does_not_follow_is_not_sent(void **state)
+{
+	event_stream_t *stream = event_stream_create("9");
+
+	(void)state;
+	assert_int_equal(event_stream_feed(stream,
+					   "id: 10\n\n: c\n\nid: 10\n\n", 22),
+			 2);
+	assert_true(stream->out_of_order);
+	assert_int_equal(stream->whole, 13);
+	event_stream_discard_complete(stream);
+	assert_int_equal(event_stream_feed(stream, "id: 11\n\n", 8), 0);
+	event_stream_discard_partial(stream);
+	assert_false(stream->out_of_order);
+	assert_int_equal(event_stream_feed(stream, "id: 9\n\n", 7), 0);
+	event_stream_discard_partial(stream);
+	assert_int_equal(event_stream_feed(stream, "id: 11\n\n", 8), 1);
+	assert_string_equal(stream->last_id, "11");
+	event_stream_destroy(stream);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_any_split_gives_the_same_events),
 		cmocka_unit_test(test_a_partial_event_is_not_sent),
+		cmocka_unit_test(test_an_event_that_does_not_follow_is_not_sent),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
