Resume streams only after an event that has an id

Callers got events twice if the upstream gave ids to some events only: a stream that broke off after events without one went on after the last event that had an id, or from its beginning.

Cause: the gateway kept the last id and not whether it belongs to the last event.

Evidence: the new test on the commit before, where only the second event has an id: after the upstream was killed behind the third event the stream goes on with it again and looks complete.

Change: a stream goes on at another upstream only if its last event has an id, or there was none yet; comments don't count. Otherwise it is cut so that the caller notices.

--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -162,6 +162,12 @@
 	return false;
 }
 
+/* Returns whether it is known after which event a stream goes on. */
+static bool is_position_known(const gateway_request_t *request)
+{
+	return !request->events || request->events->resumable;
+}
+
 /* Returns whether another upstream may be tried; counts against the retry budget. */
 static bool is_retry_allowed(gateway_request_t *request, attempt_outcome_t outcome)
 {
@@ -180,6 +186,7 @@
 	case ATTEMPT_UNKNOWN:
 	case ATTEMPT_FAILED:
 		if (!gateway_request_is_retryable(request) ||
+		    !is_position_known(request) ||
 		    request->possible_runs >= request->route->upstreams_max)
 			return false;
 		break;
--- a/core/forward/event_stream.c
+++ b/core/forward/event_stream.c
@@ -16,6 +16,7 @@
 
 	stream->bytes = g_byte_array_new();
 	stream->last_id = g_strdup(resume_after);
+	stream->resumable = true;
 	return stream;
 }
 
@@ -43,11 +44,15 @@
 	*id = g_strndup(line + skip, len - skip);
 }
 
-/* Returns the id of an event, owned by the caller; NULL: it has none. */
-static char *parse_event(const char *event, size_t len)
+/*
+ * Returns the id of an event, owned by the caller; NULL: it has none. Sets IS_COMMENT to
+ * whether it has nothing but comments.
+ */
+static char *parse_event(const char *event, size_t len, bool *is_comment)
 {
 	char *id = NULL;
 
+	*is_comment = true;
 	while (len) {
 		const char *end = memchr(event, '\n', len);
 		size_t line_len = end ? (size_t)(end - event) : len;
@@ -56,6 +61,8 @@
 		if (line_len && event[line_len - 1] == '\r')
 			line_len--;
 		parse_id(&id, event, line_len);
+		if (line_len && *event != ':')
+			*is_comment = false;
 		event += step;
 		len -= step;
 	}
@@ -78,10 +85,13 @@
 /* Records a complete event, unless it does not follow the last one; returns whether it did. */
 static bool accept_event(event_stream_t *stream, const char *event, size_t len)
 {
-	char *id = parse_event(event, len);
+	bool is_comment;
+	char *id = parse_event(event, len, &is_comment);
 
-	if (!id)
+	if (!id) {
+		stream->resumable &= is_comment;
 		return true;
+	}
 	if (!id_follows(id, stream->last_id)) {
 		stream->out_of_order = true;
 		g_free(id);
@@ -89,6 +99,7 @@
 	}
 	g_free(stream->last_id);
 	stream->last_id = id;
+	stream->resumable = true;
 	return true;
 }
 
--- a/core/forward/event_stream.h
+++ b/core/forward/event_stream.h
@@ -16,6 +16,7 @@
 	/* of the last complete event, or of the one to resume after; NULL: none yet */
 	char *last_id;
 	unsigned int count; /* complete events received */
+	bool resumable; /* the last complete event has an id, or there is none */
 	bool out_of_order; /* the next event does not follow the last one */
 } event_stream_t;
 
--- a/tests/process/test_gateway_streams.c
+++ b/tests/process/test_gateway_streams.c
@@ -258,6 +258,23 @@
 	rig_caller_destroy(caller);
 }
 
+/* Guards against events that come twice as the last ones received had no id. */
+static void test_stream_without_ids_is_not_resumed(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller;
+
+	set_behaviors(rig, RIG_STREAM_WITHOUT_IDS);
+	caller = rig_call_at(rig, 0, "POST", "/stream/", "a1");
+	RIG_UNTIL(rig, rig_has_received(caller, "data: e3\n"));
+	rig_end_upstream(rig, upstream_of(caller));
+	RIG_UNTIL(rig, is_over(caller));
+	assert_false(is_complete(caller));
+	assert_null(strstr(strstr(caller->received->str, "data: e3\n") + 1,
+			   "data: e3\n"));
+	rig_caller_destroy(caller);
+}
+
 /* Sends the next attempt of a stream to a random gateway that runs. */
 static void send_attempt(series_t *series, stream_t *stream)
 {
@@ -445,6 +462,7 @@
 		TEST(test_response_without_length_runs_once, setup_unframed),
 		TEST(test_upstream_ignores_last_event_id, setup_unframed),
 		TEST(test_upstream_ignores_last_event_id_of_caller, setup_unframed),
+		TEST(test_stream_without_ids_is_not_resumed, setup_unframed),
 		TEST(test_streams_are_in_order_in_series_of_failures, setup_series),
 	};
 
--- a/tests/unit/test_event_stream.c
+++ b/tests/unit/test_event_stream.c
@@ -78,12 +78,32 @@
 	event_stream_destroy(stream);
 }
 
+/* Guards against events that come twice as the last one has no id to go on after. */
+static void test_events_without_ids_are_not_resumable(void **state)
+{
+	event_stream_t *stream = event_stream_create(NULL);
+
+	(void)state;
+	event_stream_feed(stream, ": c\n\n", 5);
+	assert_true(stream->resumable);
+	event_stream_feed(stream, "data: a\n\n", 9);
+	assert_false(stream->resumable);
+	event_stream_feed(stream, ": c\n\n", 5);
+	assert_false(stream->resumable);
+	event_stream_feed(stream, "id: 2\ndata: b\n\n", 15);
+	assert_true(stream->resumable);
+	event_stream_feed(stream, "data: c\n\n", 9);
+	assert_false(stream->resumable);
+	event_stream_destroy(stream);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_any_split_gives_the_same_events),
 		cmocka_unit_test(test_a_partial_event_is_not_sent),
 		cmocka_unit_test(test_an_event_that_does_not_follow_is_not_sent),
+		cmocka_unit_test(test_events_without_ids_are_not_resumable),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
