--- a/adapters/json.c
+++ b/adapters/json.c
@@ -55,7 +55,7 @@
 		*value = json_integer_value(number);
 		return true;
 	}
-	/* In a repaired text, integers were parsed as reals (json_shared.c). */
+	/* Another writer's integer may be out of range, or a real (json_shared.c). */
 	real = json_real_value(number);
 	if (!json_is_real(number) || real != trunc(real) ||
 	    fabs(real) > REAL_INTEGER_MAX)
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -249,6 +249,7 @@
 		assert_int_equal(valid.start_time_ms, 1775915655123);
 	}
 	assert_string_equal(valid.id, "i-3");
+	assert_string_equal(wire_page_name(page, 1), "i-2");
 	rc = wire_page_parse_upstream(page, 1, middle, err);
 	wire_page_destroy(page);
 	g_string_free(text, TRUE);
@@ -419,6 +420,89 @@
 			 -1);
 }
 
+/* A value of another writer that the JSON library rejects must not hide its page. */
+static void test_unreadable_value_affects_only_its_entry(void **state)
+{
+	static const char *const values[] = {
+		"1e999",
+		"-1e400",
+		"1e-999",
+		"99999999999999999999",
+		"[1,{\"a\":-1e999}]",
+		"NaN",
+		"-Infinity",
+		"nul",
+		"\xff",
+		"01",
+		"\"\\q\"",
+		"\"\\u12\"",
+		"{\"\\u0000\":1}",
+		"{\"a\":1,\"a\":2}",
+		"{\"a\",7:8,:,{}}",
+		"[1,,2 3,{]}]",
+		"4 5",
+		"",
+	};
+	forward_registration_t registration;
+	pd_error_t err;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+		char *spec =
+			g_strdup_printf("{\"service\":\"s\",\"address\":"
+					"\"1.2.3.4:5\",\"zone\":\"a\","
+					"\"slots\":%s,\"state\":\"ready\"}",
+					values[i]);
+
+		assert_int_equal(parse_middle_entry(spec, strlen(spec),
+						    &registration, &err),
+				 -1);
+		assert_int_equal(registration.revision, 5);
+		g_free(spec);
+	}
+	assert_int_equal(parse_middle_entry("\0", 1, &registration, &err), -1);
+}
+
+/* The JSON library rejects a page with an entry that has more levels than it allows. */
+static void test_deep_entry_affects_only_itself(void **state)
+{
+	static const unsigned int depths[] = { 10, 100, 2048, 100000 };
+	forward_registration_t registration;
+	pd_error_t err;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(depths); i++) {
+		GString *spec = g_string_new(NULL);
+
+		for (unsigned int k = 0; k < depths[i]; k++)
+			g_string_append(spec, k % 2 ? "{\"a\":" : "[");
+		g_string_append(spec, "1e999");
+		for (unsigned int k = depths[i]; k-- > 0;)
+			g_string_append_c(spec, k % 2 ? '}' : ']');
+		assert_int_equal(parse_middle_entry(spec->str, spec->len,
+						    &registration, &err),
+				 -1);
+		g_string_free(spec, TRUE);
+	}
+}
+
+/* A page that ends early must not count as a list of the entries before. */
+static void test_truncated_page_is_rejected(void **state)
+{
+	static const char text[] = "{\"asOf\":9,\"items\":[" VALID_ENTRY(
+		"i-1") ",{\"metadata\":"
+		       "{\"name\":\"i-2\",\"revision\":5},\"spec\":[1e999,"
+		       "\"\xff\"]}]}";
+
+	(void)state;
+	for (size_t len = 0; len < strlen(text); len++) {
+		pd_error_t err;
+
+		assert_null(wire_page_parse(text, len, &err));
+		assert_int_equal(err.kind, PD_ERROR_INPUT);
+	}
+}
+
 /* Truncated at the NUL, the name would remove another upstream. */
 static void test_name_with_nul_is_empty(void **state)
 {
@@ -573,6 +657,9 @@
 		cmocka_unit_test(test_list_and_watch_are_parsed),
 		cmocka_unit_test(test_invalid_registration_is_rejected),
 		cmocka_unit_test(test_invalid_text_affects_only_its_entry),
+		cmocka_unit_test(test_unreadable_value_affects_only_its_entry),
+		cmocka_unit_test(test_deep_entry_affects_only_itself),
+		cmocka_unit_test(test_truncated_page_is_rejected),
 		cmocka_unit_test(test_name_with_nul_is_empty),
 		cmocka_unit_test(test_lease_round_trip),
 		cmocka_unit_test(test_invalid_order_is_rejected),
