Name the lease's holder by process and address

Two machines sent usage reports with the same fencing token: the leader's VM had been removed, and one with the same node id at another address took the lease for its own, without a wait and without a new token.

The lease named its holder by the node id alone. It now has the id, the address for peers and a number of the process. A process takes over at once from a former one of its id and address, as the platform runs one there at a time, and with a new token; from any other holder only once the lease has expired. A conflict with a late write of the former process is retried as one with a write of its own was.

The rig's gateways keep their addresses for peers over restarts, as VMs do, so that a restart and a new machine can be told apart in tests.

--- a/adapters/gateway/duties.c
+++ b/adapters/gateway/duties.c
@@ -31,6 +31,24 @@
 	.standby_period = 4000 * PD_MSEC,
 };
 
+/*
+ * Returns a lease that is not held, owned by the caller. Its holder is named by the VM's
+ * address too, as another VM may have the id of one that is gone.
+ */
+static lease_t *create_lease(gateway_t *gateway)
+{
+	char *vm = g_strdup_printf("%s@%s#", gateway->settings->node_id,
+				   gateway_peers_address(gateway->peers));
+	char *holder = g_strdup_printf("%s%08x", vm, g_rand_int(gateway->random));
+	lease_t *lease =
+		lease_create(holder, &timing, g_rand_int(gateway->random));
+
+	lease_set_predecessors(lease, vm);
+	g_free(holder);
+	g_free(vm);
+	return lease;
+}
+
 /* Returns duties without a lease; the caller owns them. */
 gateway_duties_t *gateway_duties_create(gateway_t *gateway)
 {
@@ -40,8 +58,7 @@
 	duties->plans = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      (GDestroyNotify)scale_plan_destroy);
 	duties->orders = g_hash_table_new(g_str_hash, g_str_equal);
-	duties->lease = lease_create(gateway->settings->node_id, &timing,
-				     g_rand_int(gateway->random));
+	duties->lease = create_lease(gateway);
 	return duties;
 }
 
@@ -263,10 +280,7 @@
 /* Stops resuming when another gateway has acquired the lease. */
 static void check_resuming(gateway_duties_t *duties)
 {
-	const lease_record_t *record = lease_record(duties->lease);
-
-	if (record && record->holder &&
-	    strcmp(record->holder, duties->gateway->settings->node_id))
+	if (lease_is_others(duties->lease))
 		duties->resuming = false;
 }
 
--- a/core/lease.c
+++ b/core/lease.c
@@ -33,6 +33,7 @@
 
 struct lease {
 	char *holder;
+	char *predecessors; /* prefix of their names; NULL: unknown */
 	lease_timing_t timing;
 	GRand *random;
 	store_op_t next_op;
@@ -68,6 +69,16 @@
 	return lease;
 }
 
+/*
+ * Sets how the names of this machine's former processes begin, this one's included. These
+ * have ended, so their lease is taken over at once, with a new fencing token.
+ */
+void lease_set_predecessors(lease_t *lease, const char *prefix)
+{
+	g_free(lease->predecessors);
+	lease->predecessors = g_strdup(prefix);
+}
+
 /* Frees the lease without releasing it; NULL is allowed. */
 void lease_destroy(lease_t *lease)
 {
@@ -76,6 +87,7 @@
 	lease_record_destroy(lease->record);
 	lease_record_destroy(lease->pending);
 	g_rand_free(lease->random);
+	g_free(lease->predecessors);
 	g_free(lease->holder);
 	g_free(lease);
 }
@@ -200,6 +212,25 @@
 	return !g_strcmp0(lease->record->holder, lease->holder);
 }
 
+/* Returns whether the record, which must be known, names a former process of ours. */
+static bool lease_is_predecessors(const lease_t *lease)
+{
+	const char *holder = lease->record->holder;
+
+	return lease->predecessors && holder && !lease_is_ours(lease) &&
+	       g_str_has_prefix(holder, lease->predecessors);
+}
+
+/*
+ * Returns whether the record, as last known, names a holder that is neither this process
+ * nor a former one of its machine.
+ */
+bool lease_is_others(const lease_t *lease)
+{
+	return lease->record && lease->record->holder &&
+	       !lease_is_ours(lease) && !lease_is_predecessors(lease);
+}
+
 /* Returns whether the record, which must be known, names no holder. */
 static bool lease_is_free(const lease_t *lease)
 {
@@ -264,13 +295,13 @@
 	lease->record = reply->record ? lease_record_copy(reply->record)
 				      : lease_record_create();
 	lease->dirty = false;
-	lease->can_take_over = lease_is_free(lease) ||
-			       lease->unchanged_for >=
-				       lease->timing.takeover_timeout;
+	lease->can_take_over =
+		lease_is_free(lease) || lease_is_predecessors(lease) ||
+		lease->unchanged_for >= lease->timing.takeover_timeout;
 	/* Our own name may show a write whose reply was lost. */
 	if (!lease_is_ours(lease))
 		lease->held_until = 0;
-	if (lease_is_ours(lease) || lease_is_free(lease))
+	if (lease_is_ours(lease) || lease->can_take_over)
 		lease->next_at = now;
 	else
 		lease_schedule_standby(lease, changed, now);
@@ -281,8 +312,9 @@
 			       pd_time_t now)
 {
 	if (reply->status != STORE_OK) {
-		/* A late write of our own makes the renewal conflict, too. */
-		bool was_own = lease->record && lease_is_ours(lease);
+		/* A late write of this machine makes the renewal conflict, too. */
+		bool was_own = lease->record && (lease_is_ours(lease) ||
+						 lease_is_predecessors(lease));
 
 		/* Only a read shows who holds it now. */
 		g_clear_pointer(&lease->record, lease_record_destroy);
--- a/core/lease.h
+++ b/core/lease.h
@@ -21,6 +21,7 @@
 
 lease_t *lease_create(const char *holder, const lease_timing_t *timing,
 		      uint32_t seed);
+void lease_set_predecessors(lease_t *lease, const char *prefix);
 void lease_destroy(lease_t *lease);
 void lease_handle_reply(lease_t *lease, const lease_reply_t *reply, pd_time_t now);
 void lease_run(lease_t *lease, pd_time_t now, list_node_t *actions);
@@ -29,6 +30,7 @@
 bool lease_is_synced(const lease_t *lease, pd_time_t now);
 uint64_t lease_fencing_token(const lease_t *lease);
 const lease_record_t *lease_record(const lease_t *lease);
+bool lease_is_others(const lease_t *lease);
 bool lease_set_note(lease_t *lease, const char *note, pd_time_t now);
 bool lease_set_note_deferred(lease_t *lease, const char *note, pd_time_t now);
 void lease_check_now(lease_t *lease, pd_time_t now);
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -11,6 +11,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* Below the ports that Linux gives to connections. */
+#define LISTEN_PORTS_FIRST 10000
+#define LISTEN_PORTS 20000
 #define SEEDS_MAX 3 /* in the settings of a gateway */
 #define EVENT_MS 20 /* between the events of a stream */
 
@@ -1028,6 +1031,36 @@
 	return g_strdup_printf("%s/g%d.toml", rig->dir, number);
 }
 
+/* Returns whether nobody listens on a port of loopback. */
+static bool is_free(uint16_t port)
+{
+	const struct sockaddr_in addr = { .sin_family = AF_INET,
+					  .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+					  .sin_port = htons(port) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool free = !bind(fd, (const struct sockaddr *)&addr, sizeof(addr));
+
+	close(fd);
+	return free;
+}
+
+/*
+ * Returns a port that no gateway of the rig had before. Connections never use those of
+ * its range, so that a gateway finds it free after a restart.
+ */
+static uint16_t next_listen_port(gateway_rig_t *rig)
+{
+	unsigned int first = (unsigned int)getpid() * RIG_GATEWAYS_MAX;
+	uint16_t port;
+
+	do {
+		port = (uint16_t)(LISTEN_PORTS_FIRST +
+				  (first + rig->listen_ports_tried++) %
+					  LISTEN_PORTS);
+	} while (!is_free(port));
+	return port;
+}
+
 /*
  * Writes a gateway's settings. It reaches the store by listener STORE; its seeds are the
  * other gateways whose peer ports are known.
@@ -1038,6 +1071,8 @@
 	GString *seeds = g_string_new(NULL);
 	char *text;
 
+	if (!rig->listen_ports[number])
+		rig->listen_ports[number] = next_listen_port(rig);
 	for (int i = 0, listed = 0;
 	     i < rig->gateway_count && listed < SEEDS_MAX; i++) {
 		if (i == number || !rig->peer_ports[i])
@@ -1051,13 +1086,14 @@
 		"[\"a\"]\n"
 		"[callers]\nlisten = \"127.0.0.1:0\"\n"
 		"[health]\nlisten = \"127.0.0.1:0\"\n"
-		"[peers]\nlisten = \"127.0.0.1:0\"\nseeds = [%s]\n"
+		"[peers]\nlisten = \"127.0.0.1:%u\"\nseeds = [%s]\n"
 		"[relay]\nlisten = \"127.0.0.1:0\"\n"
 		"[store]\naddress = \"127.0.0.1:%u\"\n"
 		"[cloud]\naddress = \"127.0.0.1:%u\"\n"
 		"[retry]\nslack = 100\n[stop]\ngrace_s = 8\n"
 		"[duties]\nusage_window_s = 1\nlease_gap_ms = 300\n%s",
-		number, rig->first_start ? "start = \"first\"\n" : "", seeds->str,
+		number, rig->first_start ? "start = \"first\"\n" : "",
+		rig->listen_ports[number], seeds->str,
 		proxy_or_direct(rig->store_proxy_ports[store],
 				rig->stores[store].port),
 		rig->cloud.port, rig->more_settings ? rig->more_settings : "");
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -120,6 +120,9 @@
 	uint16_t link_ports[RIG_GATEWAYS_MAX][RIG_UPSTREAMS_MAX];
 	process_t *gateways[RIG_GATEWAYS_MAX];
 	uint16_t peer_ports[RIG_GATEWAYS_MAX];
+	/* for peers, kept over restarts as a VM keeps its address; 0: to be chosen */
+	uint16_t listen_ports[RIG_GATEWAYS_MAX];
+	unsigned int listen_ports_tried;
 };
 
 /* A caller's connection and all that was received on it. */
--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -555,6 +555,35 @@
 	return json_string_value(json_object_get(spec, "leader"));
 }
 
+/* Returns the fencing token of the lease in the store; 0: no lease. */
+static json_int_t lease_token(gateway_rig_t *rig)
+{
+	json_t *leases = json_object_get(rig->objects, "leases");
+	json_t *spec =
+		json_object_get(json_object_get(leases, "duties"), "spec");
+
+	rig_run_once(rig);
+	return json_integer_value(json_object_get(spec, "fence"));
+}
+
+/* Guards against two machines that act with the same token as they have the same name. */
+static void test_machine_of_the_same_name_gets_a_new_token(void **state)
+{
+	gateway_rig_t *rig = *state;
+	json_int_t token;
+	int leader;
+
+	RIG_UNTIL_WITHIN(rig, rig->usage->len > 0, REPORTS_TIMEOUT_MS);
+	leader = (find_follower(rig) + RIG_GATEWAYS - 1) % RIG_GATEWAYS;
+	kill_all(rig);
+	token = lease_token(rig);
+	g_ptr_array_set_size(rig->usage, 0);
+	rig->listen_ports[leader] = 0;
+	rig_start(rig, leader);
+	RIG_UNTIL_WITHIN(rig, rig->usage->len > 0, REPORTS_TIMEOUT_MS);
+	assert_true(lease_token(rig) > token);
+}
+
 /* Guards against incomplete reports that are not marked as such. */
 static void test_usage_gaps_are_logged(void **state)
 {
@@ -684,6 +713,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_former_leader_requests_lease_at_once,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_machine_of_the_same_name_gets_a_new_token,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_usage_gaps_are_logged,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_restart_keeps_recorded_leader,
--- a/tests/unit/test_duties_note.c
+++ b/tests/unit/test_duties_note.c
@@ -180,6 +180,64 @@
 	return action;
 }
 
+/*
+ * Has a lease that HOLDER holds with fencing token 4 read by a process of "a@1". Returns
+ * its write, owned by the caller, and sets WAITED to how long it came after the read.
+ */
+static placer_action_t *take_over(const char *holder, pd_time_t *waited)
+{
+	lease_t *lease = lease_create("a@1#2", &timing, 1);
+	lease_record_t *record = lease_record_create();
+	placer_action_t *action;
+	pd_time_t now = START;
+	pd_time_t read_at;
+
+	lease_set_predecessors(lease, "a@1#");
+	record->holder = g_strdup(holder);
+	record->fence = 4;
+	action = await_action(lease, &now);
+	read_at = now;
+	while (action->kind == PLACER_LEASE_READ) {
+		answer(lease, action, record, 7, now);
+		placer_action_destroy(action);
+		action = await_action(lease, &now);
+	}
+	*waited = now - read_at;
+	lease_record_destroy(record);
+	lease_destroy(lease);
+	return action;
+}
+
+/* Guards against two machines of one name that act with the same fencing token. */
+static void test_a_machine_of_the_same_name_waits_and_gets_a_new_token(void **state)
+{
+	static const char *const others[] = { "a@2#2", "a@1", "a@11#2", "a",
+					      "b@1#2" };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
+		pd_time_t waited;
+		placer_action_t *write = take_over(others[i], &waited);
+
+		assert_string_equal(write->lease.record->holder, "a@1#2");
+		assert_int_equal(write->lease.record->fence, 5);
+		assert_true(waited >= timing.takeover_timeout);
+		placer_action_destroy(write);
+	}
+}
+
+/* Guards against reports that are late as a restarted leader waits for its own lease. */
+static void test_a_restarted_leader_takes_its_lease_over_at_once(void **state)
+{
+	pd_time_t waited;
+	placer_action_t *write = take_over("a@1#1", &waited);
+
+	(void)state;
+	assert_int_equal(write->lease.record->fence, 5);
+	assert_int_equal(waited, 0);
+	placer_action_destroy(write);
+}
+
 /*
  * Guards against a leader that stands by for seconds because a renewal that had timed
  * out was done late, so that its next write conflicts with it.
@@ -238,6 +296,9 @@
 		cmocka_unit_test(test_an_update_waits_for_the_renewal),
 		cmocka_unit_test(test_a_silent_leader_is_checked_at_once),
 		cmocka_unit_test(test_a_hung_call_does_not_delay_the_next),
+		cmocka_unit_test(
+			test_a_machine_of_the_same_name_waits_and_gets_a_new_token),
+		cmocka_unit_test(test_a_restarted_leader_takes_its_lease_over_at_once),
 		cmocka_unit_test(test_a_conflict_with_our_own_late_write_is_retried),
 	};
 
