--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -543,6 +543,50 @@
 	g_free(text);
 }
 
+/* An object that another writer has spoiled must be written over, not conflict for ever. */
+static void test_unreadable_record_has_a_revision(void **state)
+{
+	static const char *const specs[] = { "1e999", "\"\xff\"", "[nul]", "null" };
+	uint64_t revision;
+	pd_error_t err;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(specs); i++) {
+		char *object =
+			g_strdup_printf("{\"metadata\":{\"name\":\"slot-0\","
+					"\"revision\":42},\"spec\":%s}",
+					specs[i]);
+
+		revision = 0;
+		assert_null(wire_record_parse(object, strlen(object), &revision,
+					      &err));
+		assert_int_equal(revision, 42);
+		assert_int_equal(err.kind, PD_ERROR_INPUT);
+		g_free(object);
+	}
+}
+
+/* After a token that can't be read, earlier ones would be used again. */
+static void test_lease_with_unreadable_parts(void **state)
+{
+	static const char note[] = "{\"metadata\":{\"revision\":42},\"spec\":"
+				   "{\"holder\":\"e1\",\"fence\":12,"
+				   "\"note\":\"\xff\",\"x\":1e999}}";
+	static const char fence[] = "{\"metadata\":{\"revision\":42},\"spec\":"
+				    "{\"holder\":\"e1\",\"fence\":1e999}}";
+	lease_record_t *read;
+	uint64_t revision;
+	pd_error_t err;
+
+	(void)state;
+	read = wire_lease_parse(note, strlen(note), &revision, &err);
+	assert_non_null(read);
+	assert_int_equal(revision, 42);
+	assert_int_equal(read->fence, 12);
+	lease_record_destroy(read);
+	assert_null(wire_lease_parse(fence, strlen(fence), &revision, &err));
+}
+
 /*
  * A report that is sent twice must be identical, but the order of a hash table
  * differs between processes.
@@ -662,6 +706,8 @@
 		cmocka_unit_test(test_truncated_page_is_rejected),
 		cmocka_unit_test(test_name_with_nul_is_empty),
 		cmocka_unit_test(test_lease_round_trip),
+		cmocka_unit_test(test_unreadable_record_has_a_revision),
+		cmocka_unit_test(test_lease_with_unreadable_parts),
 		cmocka_unit_test(test_invalid_order_is_rejected),
 		cmocka_unit_test(test_only_valid_status_of_its_version_counts),
 		cmocka_unit_test(test_usage_report_is_deterministic),
