Keep the history of registrations when only a read of it is refused

Callers would see streams refused (503) for which a gateway knew the only version: after the store discards its history while that gateway's watch waits, for good.

Cause: a read that got 410 took the history for lost until the next listing of the upstreams. The watch in flight is answered nevertheless, and goes on from a revision that is still there, so no listing follows. All gateways that were asked for a stream in those 2 s are concerned, and can't prove it for each other either.

Now only the watch decides. The read that was refused shows nothing, as one that is not answered. If the watch brings all changes from its revision, what was read has no gap; if it gets 410 as well, registrations are listed anew and the history is lost as before.

--- a/adapters/gateway/sole_versions.c
+++ b/adapters/gateway/sole_versions.c
@@ -215,23 +215,18 @@
 		gateway_peers_answer_stream_queries(versions->gateway->peers);
 }
 
-/* Handles a reply that has no page. */
+/*
+ * Handles a reply that has no page. Where the store has discarded what a read needs, the
+ * watch that waits may still bring it; a watch that is sent later is told the same, and
+ * leads to a new listing.
+ */
 static void handle_failure(sole_versions_t *versions, int status)
 {
-	bool is_gone = status == 410;
-
 	versions->next_call_at = gateway_now() + CALL_PERIOD;
-	if (versions->restoring) {
-		if (is_gone)
-			drop_pending(versions, status);
-		return;
-	}
-	registration_history_fail_read(versions->history);
-	if (!is_gone)
-		return;
-	log_line(G_LOG_LEVEL_WARNING, LOG_COMPONENT,
-		 "history of registrations lost");
-	sole_versions_lose_history(versions);
+	if (!versions->restoring)
+		registration_history_fail_read(versions->history);
+	else if (status == 410)
+		drop_pending(versions, status);
 }
 
 /* Ends a call for a page of the history. */
--- a/tests/process/test_gateway_versions.c
+++ b/tests/process/test_gateway_versions.c
@@ -60,6 +60,18 @@
 	return 0;
 }
 
+/* Has one version, and no gateway exchange messages with another one. */
+static int setup_all_apart(void **state)
+{
+	gateway_rig_t *rig = gateway_rig_create();
+
+	for (int i = 0; i < RIG_GATEWAYS; i++)
+		rig->apart[i] = true;
+	start_rig_of(rig, NEW);
+	*state = rig;
+	return 0;
+}
+
 /* Has gateway 1 reach no upstream. */
 static int setup_cut_off(void **state)
 {
@@ -386,6 +398,26 @@
 	resume_all(rig, taken, 0);
 }
 
+/*
+ * Guards against a gateway that goes without the only version for good after the store has
+ * discarded its history while a watch waited.
+ */
+static void test_only_version_is_known_again_after_history_is_discarded(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	rig_run_for(rig, KNOWN_MS);
+	rig_put_config(rig, 2, "");
+	rig->history_from = rig->revision;
+	take_parts(rig, taken, true);
+	resume_all(rig, taken, 0);
+	rig_put_upstream(rig, 2, "ready");
+	rig_run_for(rig, KNOWN_MS);
+	take_parts(rig, taken, true);
+	assert_true(resume_all(rig, taken, 1) >= STREAMS * 3 / 4);
+}
+
 /*
  * Guards against the refusal of streams at a gateway that lacks the store, while another
  * one can read that the service has one version.
@@ -468,6 +500,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_version_that_left_before_a_new_listing_is_not_joined,
 			setup_apart, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_only_version_is_known_again_after_history_is_discarded,
+			setup_all_apart, teardown),
 		cmocka_unit_test_setup_teardown(
 			test_only_version_is_proved_by_others_without_the_store,
 			setup_one_version, teardown),
