Prove that nothing served before the first start of a fleet

Callers would see streams go on at another version (ORDER) at a gateway that starts with node.start = first and is answered by the store late: a version that has served through others meanwhile, and left, is in no listing and no history that it reads.

Cause: "no gateway has served before" was true as the fleet started, and was used for all that began until this gateway had listed the registrations.

Now it holds as of a revision: that of a listing of the checkpoint's records which has none. The history of registrations is read from there, as for a restored record, before the only version counts. What began before the first record of all was written, at a version that was gone by the listing of the records, is still not seen.

--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -432,6 +432,10 @@
 			newest = i;
 		}
 	}
+	if (!wire_page_count(page) && !checkpoint->recovery_ended &&
+	    !strcmp(checkpoint->gateway->settings->node_start, "first"))
+		sole_versions_restore_first(checkpoint->gateway->sole_versions,
+					    wire_page_revision(page));
 	text = revision ? wire_page_spec(page, newest) : NULL;
 	if (text)
 		written_at = handle_record(checkpoint, text, revision);
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -567,10 +567,8 @@
 	gateway->upstream_limits = upstream_limits_create();
 	gateway->reaches = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 						 (GDestroyNotify)reach_destroy);
-	gateway->streams =
-		stream_versions_create(STREAM_VERSIONS_TTL_MIN,
-				       !strcmp(settings->node_start, "first"),
-				       gateway->started_at);
+	gateway->streams = stream_versions_create(STREAM_VERSIONS_TTL_MIN,
+						  gateway->started_at);
 	gateway->stream_journal = stream_journal_create();
 	gateway->rollouts = rollouts_create(&rollout_bounds);
 	gateway->invalid_orders =
--- a/adapters/gateway/sole_versions.c
+++ b/adapters/gateway/sole_versions.c
@@ -20,6 +20,7 @@
 	gateway_t *gateway;
 	registration_history_t *history; /* read without a gap since a listing */
 	GArray *pending; /* version_record_t, until the history is read; owns them */
+	bool first_pending; /* the same: no stream began before the revision */
 	uint64_t revision; /* up to which it was read for those */
 	unsigned int pages;
 	bool lost; /* the history was, until the next listing */
@@ -149,6 +150,24 @@
 	}
 }
 
+/*
+ * Has all services restored on the first start of all, where no gateway had written a record
+ * as of a revision: what registered after it may have served and left before this gateway
+ * listed anything.
+ */
+void sole_versions_restore_first(sole_versions_t *versions, uint64_t revision)
+{
+	versions->first_pending = true;
+	versions->revision = revision;
+	versions->pages = 0;
+}
+
+/* Returns whether something is to be restored. */
+static bool is_pending(const sole_versions_t *versions)
+{
+	return versions->pending->len || versions->first_pending;
+}
+
 /* Records the versions of the registrations in a page of the history. */
 static void record_versions(const gateway_t *gateway, const wire_page_t *page)
 {
@@ -178,20 +197,27 @@
 					     entry->service, entry->version_id,
 					     gateway_now());
 	}
+	if (versions->first_pending)
+		stream_versions_record_first(versions->gateway->streams);
 	log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT,
-		 "sole versions restored services=%u revision=%" PRIu64,
-		 versions->pending->len, versions->revision);
+		 "sole versions restored services=%u first=%d "
+		 "revision=%" PRIu64,
+		 versions->pending->len, versions->first_pending,
+		 versions->revision);
 	g_array_set_size(versions->pending, 0);
+	versions->first_pending = false;
 }
 
 /* Gives up what is pending. */
 static void drop_pending(sole_versions_t *versions, int status)
 {
 	log_line(G_LOG_LEVEL_WARNING, LOG_COMPONENT,
-		 "sole versions dropped services=%u revision=%" PRIu64
+		 "sole versions dropped services=%u first=%d revision=%" PRIu64
 		 " status=%d",
-		 versions->pending->len, versions->revision, status);
+		 versions->pending->len, versions->first_pending,
+		 versions->revision, status);
 	g_array_set_size(versions->pending, 0);
+	versions->first_pending = false;
 }
 
 /* Handles a page of the history; the one that has no events is the last. */
@@ -263,7 +289,7 @@
 	if (versions->calling || now < versions->next_call_at ||
 	    !gateway->upstreams_listed)
 		return 0;
-	versions->restoring = versions->pending->len > 0;
+	versions->restoring = is_pending(versions);
 	if (!versions->restoring)
 		return registration_history_next_read(versions->history, now);
 	if (now - gateway->started_at <= STREAM_VERSIONS_TTL_MIN)
--- a/adapters/gateway/sole_versions.h
+++ b/adapters/gateway/sole_versions.h
@@ -22,6 +22,7 @@
 bool sole_versions_is_reading(const sole_versions_t *versions, pd_time_t since);
 void sole_versions_restore(sole_versions_t *versions,
 			   const checkpoint_record_t *record);
+void sole_versions_restore_first(sole_versions_t *versions, uint64_t revision);
 void sole_versions_run(sole_versions_t *versions, pd_time_t now);
 
 #endif
--- a/core/forward/stream_versions.c
+++ b/core/forward/stream_versions.c
@@ -28,7 +28,7 @@
 	GArray *unsent; /* of stream_record_t */
 	bool urgent; /* one of these is of a service with several versions */
 	GHashTable *services; /* name -> service_versions_t */
-	bool first; /* no gateway has served before this one */
+	bool first; /* no stream began before what is known */
 	pd_time_t known_since; /* all versions that registered since then are known */
 };
 
@@ -41,11 +41,8 @@
 	g_free(service);
 }
 
-/*
- * Returns an empty table; the caller owns it. Streams may be resumed within TTL. FIRST:
- * no gateway has served before.
- */
-stream_versions_t *stream_versions_create(pd_time_t ttl, bool first, pd_time_t now)
+/* Returns an empty table; the caller owns it. Streams may be resumed within TTL. */
+stream_versions_t *stream_versions_create(pd_time_t ttl, pd_time_t now)
 {
 	stream_versions_t *streams = g_new0(stream_versions_t, 1);
 
@@ -56,7 +53,6 @@
 	streams->unsent = g_array_new(FALSE, FALSE, sizeof(stream_record_t));
 	streams->services = g_hash_table_new_full(g_str_hash, g_str_equal,
 						  g_free, service_versions_free);
-	streams->first = first;
 	streams->known_since = now;
 	return streams;
 }
@@ -219,6 +215,15 @@
 	streams->known_since = now;
 }
 
+/*
+ * Records that no gateway had begun a stream before the registrations that are known, until
+ * versions may have registered unseen.
+ */
+void stream_versions_record_first(stream_versions_t *streams)
+{
+	streams->first = true;
+}
+
 /* Records that versions may have registered and left unseen until NOW. */
 void stream_versions_lose_history(stream_versions_t *streams, pd_time_t now)
 {
--- a/core/forward/stream_versions.h
+++ b/core/forward/stream_versions.h
@@ -28,7 +28,7 @@
 typedef void (*stream_versions_each_t)(void *ctx, const char *service,
 				       uint64_t version_id);
 
-stream_versions_t *stream_versions_create(pd_time_t ttl, bool first, pd_time_t now);
+stream_versions_t *stream_versions_create(pd_time_t ttl, pd_time_t now);
 void stream_versions_destroy(stream_versions_t *streams);
 void stream_versions_set_ttl(stream_versions_t *streams, pd_time_t ttl);
 uint64_t stream_versions_hash(const char *attempt_id);
@@ -45,6 +45,7 @@
 void stream_versions_record_serving(stream_versions_t *streams, const char *service,
 				    uint64_t version_id, pd_time_t now);
 void stream_versions_begin_history(stream_versions_t *streams, pd_time_t now);
+void stream_versions_record_first(stream_versions_t *streams);
 void stream_versions_lose_history(stream_versions_t *streams, pd_time_t now);
 void stream_versions_restore_sole(stream_versions_t *streams, const char *service,
 				  uint64_t version_id, pd_time_t now);
--- a/tests/process/test_gateway_versions.c
+++ b/tests/process/test_gateway_versions.c
@@ -60,6 +60,28 @@
 	return 0;
 }
 
+/* Has two versions, and gateway 1 start apart and without the store. */
+static int setup_late(void **state)
+{
+	gateway_rig_t *rig = gateway_rig_create();
+
+	rig->apart[1] = true;
+	rig->stores[1].silent = true;
+	rig->first_start = true;
+	rig_put_config(rig, 1, "");
+	for (int i = 0; i < RIG_UPSTREAMS; i++) {
+		rig->upstreams[i].version = i ? NEW : OLD;
+		rig->upstreams[i].behavior = RIG_STREAM;
+		rig_put_upstream(rig, i, "ready");
+	}
+	for (int i = 0; i < RIG_GATEWAYS; i++)
+		rig_start_gateway(rig, i, 1);
+	RIG_UNTIL(rig, rig_is_ready(rig, 0));
+	RIG_UNTIL(rig, rig_is_ready(rig, 2));
+	*state = rig;
+	return 0;
+}
+
 /* Has one version, and no gateway exchange messages with another one. */
 static int setup_all_apart(void **state)
 {
@@ -398,6 +420,19 @@
 	resume_all(rig, taken, 0);
 }
 
+/* Guards against the same where it left before a gateway of the first start listed any. */
+static void test_version_that_left_before_the_first_listing_is_not_joined(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	take_parts(rig, taken, true);
+	replace_upstream(rig, NEW);
+	rig->stores[1].silent = false;
+	RIG_UNTIL(rig, rig_is_ready(rig, 1));
+	resume_all(rig, taken, 0);
+}
+
 /*
  * Guards against a gateway that goes without the only version for good after the store has
  * discarded its history while a watch waited.
@@ -500,6 +535,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_version_that_left_before_a_new_listing_is_not_joined,
 			setup_apart, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_version_that_left_before_the_first_listing_is_not_joined,
+			setup_late, teardown),
 		cmocka_unit_test_setup_teardown(
 			test_only_version_is_known_again_after_history_is_discarded,
 			setup_all_apart, teardown),
--- a/tests/property/test_gateway_decoders.cc
+++ b/tests/property/test_gateway_decoders.cc
@@ -616,8 +616,7 @@
 
 	return rc::check("slices of streams", [] {
 		auto text = mutated(slice);
-		stream_versions_t *streams =
-			stream_versions_create(PD_SEC, false, 0);
+		stream_versions_t *streams = stream_versions_create(PD_SEC, 0);
 		stream_journal_t *journal = stream_journal_create();
 		pd_error_t err;
 		int rc = stream_slice_merge(text.c_str(), journal, streams, 0,
--- a/tests/property/test_stream_versions.cc
+++ b/tests/property/test_stream_versions.cc
@@ -164,7 +164,9 @@
 		stream_versions_destroy(one.streams);
 		registration_history_destroy(one.history);
 		stream_journal_destroy(one.journal);
-		one.streams = stream_versions_create(ttl, first, now);
+		one.streams = stream_versions_create(ttl, now);
+		if (first)
+			stream_versions_record_first(one.streams);
 		one.history = registration_history_create();
 		one.history_call_at = 0;
 		one.history_lost = false;
--- a/tests/unit/test_stream_journal.c
+++ b/tests/unit/test_stream_journal.c
@@ -35,7 +35,8 @@
 	fixture_t *fixture = g_new0(fixture_t, 1);
 
 	fixture->journal = stream_journal_create();
-	fixture->streams = stream_versions_create(TTL, true, T0);
+	fixture->streams = stream_versions_create(TTL, T0);
+	stream_versions_record_first(fixture->streams);
 	stream_versions_record_serving(fixture->streams, "s", OLD, T0);
 	stream_versions_record_serving(fixture->streams, "s", NEW, T0);
 	stream_versions_record_serving(fixture->streams, "t", OTHER, T0);
@@ -65,7 +66,7 @@
 static uint64_t merged_version(const char *text, uint64_t attempt)
 {
 	stream_journal_t *journal = stream_journal_create();
-	stream_versions_t *streams = stream_versions_create(TTL, false, T0);
+	stream_versions_t *streams = stream_versions_create(TTL, T0);
 	uint64_t version_id;
 	pd_error_t err;
 
--- a/tests/unit/test_stream_versions.c
+++ b/tests/unit/test_stream_versions.c
@@ -18,7 +18,7 @@
 
 static int setup(void **state)
 {
-	*state = stream_versions_create(TTL, false, T0);
+	*state = stream_versions_create(TTL, T0);
 	return 0;
 }
 
@@ -60,7 +60,7 @@
 static void test_records_are_sent_once_and_merged(void **state)
 {
 	stream_versions_t *streams = *state;
-	stream_versions_t *other = stream_versions_create(TTL, false, T0);
+	stream_versions_t *other = stream_versions_create(TTL, T0);
 	stream_record_t records[4];
 
 	stream_versions_record(streams, 1, OLD, T0);
@@ -115,9 +115,10 @@
 
 static void test_first_gateways_know_all_versions(void **state)
 {
-	stream_versions_t *first = stream_versions_create(TTL, true, T0);
+	stream_versions_t *first = stream_versions_create(TTL, T0);
 
 	(void)state;
+	stream_versions_record_first(first);
 	stream_versions_record_serving(first, SERVICE, OLD, T0);
 	assert_int_equal(stream_versions_sole(first, SERVICE, T0), OLD);
 	stream_versions_destroy(first);
