Refuse requests that would outlast the grace period of a stop

Cause: a stopping gateway bounded what it accepts by the time of arrival alone, and only for streams. That other requests end before the process does held by the timeouts of the deployments' routes (0.8 to 2 s), not by the code. The same for requests that wait in a queue, are retried, are relayed, or come from other gateways. What was left at the end was closed with the process.

Fix: an unsafe request is accepted and sent only if its deadline comes before the end of the grace period, a safe one as well from 2.6 s on; streams as before. Each request that waits is checked on every tick, and once more when its connection is established. 0.4 s before the kill, requests that are left get 503 if they were not sent, 502 if they may have run, and 408 if they were not read whole; 0.3 s are left to send that.

Why it works: a request is sent only by way of gateway_request_send() or a relay's on_connected(), and both ask the same question as the admission does.

--- a/adapters/gateway/caller.c
+++ b/adapters/gateway/caller.c
@@ -253,3 +253,10 @@
 		caller_free(caller);
 	}
 }
+
+/* Closes all connections; no request that was read completely may be in progress. */
+void callers_close_all(gateway_t *gateway)
+{
+	LIST_FOR_EACH_SAFE (it, &gateway->callers)
+		caller_close_timed_out(LIST_ENTRY(it, caller_t, node));
+}
--- a/adapters/gateway/caller.h
+++ b/adapters/gateway/caller.h
@@ -14,5 +14,6 @@
 void caller_abort(caller_t *caller);
 void callers_run(gateway_t *gateway, pd_time_t now);
 void callers_close_idle(gateway_t *gateway, pd_time_t now);
+void callers_close_all(gateway_t *gateway);
 
 #endif
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -39,15 +39,16 @@
  */
 #define STOP_LISTEN_TIME (4 * PD_SEC)
 /*
- * How long a stopping gateway goes on accepting requests that may take long. Later
- * ones might not end before the process is killed, and by then the load balancer
- * sends callers elsewhere.
+ * How long a stopping gateway goes on accepting streams, and safe requests that may
+ * outlast its grace period: by then the load balancer sends callers elsewhere.
  */
 #define STOP_ACCEPT_LONG_TIME (2600 * PD_MSEC)
 /* Usage windows kept beyond those still due, as the clocks of peers differ. */
 #define SPARE_USAGE_WINDOWS 2
-/* Time left before the process is killed, for the last bytes to be sent. */
+/* Time left before the process is killed when it ends all requests. */
 #define KILL_MARGIN (400 * PD_MSEC)
+/* The same when it ends itself, even if bytes are still to be sent. */
+#define EXIT_MARGIN (100 * PD_MSEC)
 
 /*
  * Returns the monotonic time in microseconds. It includes the time in which the VM is
@@ -271,21 +272,49 @@
 	gateway_peers_queue_update(gateway->peers, id);
 }
 
-/* Returns whether a request that may take seconds can still be accepted. */
-bool gateway_accepts_long_requests(const gateway_t *gateway)
+/* Returns when a stopping gateway ends all requests. */
+static pd_time_t stop_end(const gateway_t *gateway)
 {
-	return !gateway->stop_requested_at ||
-	       gateway_now() - gateway->stop_requested_at < STOP_ACCEPT_LONG_TIME;
+	return gateway->stop_requested_at +
+	       (pd_time_t)(gateway->settings->stop_grace_s * PD_SEC) -
+	       KILL_MARGIN;
+}
+
+/*
+ * Returns whether a request of a route of KIND may be accepted, and sent, though the
+ * gateway stops. An unsafe one must reach its deadline before the process ends, as its
+ * caller could not know whether it has run. A stream or a safe request is worth a try
+ * while there is much time left.
+ */
+bool gateway_has_time_for(const gateway_t *gateway, forward_route_kind_t kind,
+			  pd_time_t deadline)
+{
+	bool early;
+
+	if (!gateway->stop_requested_at)
+		return true;
+	early = gateway_now() - gateway->stop_requested_at <
+		STOP_ACCEPT_LONG_TIME;
+	switch (kind) {
+	case FORWARD_SAFE:
+		return early || deadline <= stop_end(gateway);
+	case FORWARD_UNSAFE:
+		return deadline <= stop_end(gateway);
+	case FORWARD_STREAM:
+		return early;
+	}
+	return false;
 }
 
 /*
  * Advances the shutdown: closes idle connections, then the listener, and stops the
- * loop when no caller is left or the grace period ends.
+ * loop when no caller is left. Near the end of the grace period it answers what is
+ * left, and waits only for the answers to be sent.
  */
 static void run_shutdown(gateway_t *gateway, pd_time_t now)
 {
-	pd_time_t grace = (pd_time_t)(gateway->settings->stop_grace_s * PD_SEC);
 	pd_time_t since = now - gateway->stop_requested_at;
+	pd_time_t end = stop_end(gateway);
 	bool open;
 
 	if (since >= STOP_ACCEPT_LONG_TIME)
@@ -300,7 +329,12 @@
 	}
 	/* A caller that is still connected has a request in progress or being read. */
 	open = !list_empty(&gateway->callers) || http1_is_draining();
-	if (open && since < grace - KILL_MARGIN)
+	if (open && now >= end) {
+		gateway_requests_end(gateway);
+		callers_close_all(gateway);
+		open = http1_is_draining();
+	}
+	if (open && now < end + KILL_MARGIN - EXIT_MARGIN)
 		return;
 	log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT, "stopped open=%d", open);
 	log_buffer_flush(now);
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -115,7 +115,8 @@
 int64_t gateway_first_due_window(const gateway_t *gateway);
 unsigned int gateway_count(const gateway_t *gateway);
 double gateway_engine_rate(const gateway_t *gateway, const char *service);
-bool gateway_accepts_long_requests(const gateway_t *gateway);
+bool gateway_has_time_for(const gateway_t *gateway, forward_route_kind_t kind,
+			  pd_time_t deadline);
 bool gateway_split_address(const char *address, char **host, uint16_t *port);
 
 #endif
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -25,8 +25,6 @@
 /* Priorities of accounts; each is divided into RANKS_PER_ACCOUNT ones of routes. */
 #define ACCOUNT_RANKS 3
 #define RANKS_PER_ACCOUNT (GATEWAY_RANKS / ACCOUNT_RANKS)
-/* Another gateway can accept the caller at once. */
-#define RETRY_AFTER_STOPPING (20 * PD_MSEC)
 #define RETRY_AFTER_NO_CONFIG (500 * PD_MSEC)
 /*
  * How long after the start of the process requests wait for its initialization at most.
@@ -231,13 +229,13 @@
 	}
 	if (!request_authenticate(request))
 		return;
-	if (request->route->kind == FORWARD_STREAM &&
-	    !gateway_accepts_long_requests(gateway)) {
-		gateway_request_respond_error(request, 503,
-					      RETRY_AFTER_STOPPING, "stopping");
+	request_set_deadline(request);
+	if (!gateway_has_time_for(gateway, request->route->kind,
+				  request->deadline)) {
+		gateway_request_respond_error(request, 503, RETRY_AFTER_STOPPING,
+					      REASON_STOP);
 		return;
 	}
-	request_set_deadline(request);
 	request->rank = request_rank(request);
 	request->fingerprint =
 		forward_call_fingerprint(call,
@@ -398,6 +396,18 @@
 				    reason);
 }
 
+/* Closes the link of a request, which has possibly run if it was sent. */
+static void close_link(gateway_request_t *request)
+{
+	if (request->link) {
+		if (request->sent_at)
+			request->possible_runs++;
+		upstream_link_close(request->link);
+		request->link = NULL;
+	}
+	gateway_request_clear_attempt(request);
+}
+
 /* Ends a request whose deadline is over. */
 static void request_expire(gateway_request_t *request)
 {
@@ -405,19 +415,54 @@
 		gateway_request_abort_stream(request, "timeout");
 		return;
 	}
-	if (request->link) {
-		if (request->sent_at) {
-			request->possible_runs++;
-			gateway_request_record_rollout_answer(request, true);
-		}
+	if (request->link && request->sent_at)
+		gateway_request_record_rollout_answer(request, true);
+	if (request->link)
 		gateway_request_watch_upstream(request);
-		upstream_link_close(request->link);
-		request->link = NULL;
-	}
-	gateway_request_clear_attempt(request);
+	close_link(request);
 	gateway_request_give_up(request, RETRY_AFTER_FULL, "timeout");
 }
 
+/* Ends a request as the gateway stops. */
+void gateway_request_end_at_stop(gateway_request_t *request)
+{
+	if (request->state == REQUEST_STREAMING) {
+		gateway_request_abort_stream(request, REASON_STOP);
+		return;
+	}
+	if (request->link && request->sent_at)
+		gateway_request_count_usage(request);
+	close_link(request);
+	gateway_request_give_up(request, RETRY_AFTER_STOPPING, REASON_STOP);
+}
+
+/*
+ * Ends all requests that were read completely. Callers are told that theirs has not
+ * run, or get a failure that leaves it open, or notice that their stream is incomplete.
+ */
+void gateway_requests_end(gateway_t *gateway)
+{
+	LIST_FOR_EACH_SAFE (it, &gateway->requests) {
+		gateway_request_t *request =
+			LIST_ENTRY(it, gateway_request_t, node);
+
+		if (request->state != REQUEST_READING)
+			gateway_request_end_at_stop(request);
+	}
+}
+
+/*
+ * Returns whether an unsafe request was not sent yet and must not be any more, as it
+ * might outlast this process.
+ */
+bool gateway_request_is_late_to_send(const gateway_request_t *request)
+{
+	return request->route->kind == FORWARD_UNSAFE && !request->possible_runs &&
+	       !request->sent_at &&
+	       !gateway_has_time_for(request->gateway, FORWARD_UNSAFE,
+				     request->deadline);
+}
+
 /* Advances the queues, and ends requests and attempts that timed out. */
 void gateway_requests_run(gateway_t *gateway, pd_time_t now)
 {
@@ -435,6 +480,8 @@
 		gateway_request_check_grant(request, now);
 		if (now >= request->deadline)
 			request_expire(request);
+		else if (gateway_request_is_late_to_send(request))
+			gateway_request_end_at_stop(request);
 		else if (request->version_asked_at)
 			gateway_request_check_version(request, now);
 		else if (request->retry_at && now >= request->retry_at)
--- a/adapters/gateway/request.h
+++ b/adapters/gateway/request.h
@@ -22,5 +22,6 @@
 unsigned int gateway_queue_length(const gateway_t *gateway, const char *service,
 				  int ranks);
 void gateway_requests_run(gateway_t *gateway, pd_time_t now);
+void gateway_requests_end(gateway_t *gateway);
 
 #endif
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -122,6 +122,10 @@
 		.has_body = request->has_body,
 	};
 
+	if (gateway_request_is_late_to_send(request)) {
+		gateway_request_end_at_stop(request);
+		return;
+	}
 	/* These may have changed while the connection was made. */
 	if (!gateway_request_has_fresh_grant(request, now)) {
 		withhold(request, "no connection in time");
@@ -169,7 +173,8 @@
 
 	if (request->deliveries >= DELIVERIES_MAX ||
 	    request->tried_count >= FORWARD_TRIED_MAX ||
-	    request->deadline - now < TIME_LEFT_MIN)
+	    request->deadline - now < TIME_LEFT_MIN ||
+	    gateway_request_is_late_to_send(request))
 		return false;
 	switch (outcome) {
 	case ATTEMPT_UNSENT:
--- a/adapters/gateway/request_relay.c
+++ b/adapters/gateway/request_relay.c
@@ -110,9 +110,14 @@
 static void on_connected(void *ctx)
 {
 	gateway_request_t *request = ctx;
-	GString *head = g_string_sized_new(512);
+	GString *head;
 
 	request->relay->connected = true;
+	if (gateway_request_is_late_to_send(request)) {
+		gateway_request_end_at_stop(request);
+		return;
+	}
+	head = g_string_sized_new(512);
 	wire_relay_format(head, request->call, request->deadline - gateway_now(),
 			  request->body->len, request->has_body);
 	if (request->body->len)
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -15,8 +15,11 @@
  */
 #define RETRY_AFTER_FULL (400 * PD_MSEC)
 #define RETRY_AFTER_NO_UPSTREAM (600 * PD_MSEC)
+/* Another gateway can accept the caller at once. */
+#define RETRY_AFTER_STOPPING (20 * PD_MSEC)
 /* The reason of requests that end as all together buffer too much of their answers. */
 #define REASON_NO_MEMORY "no memory for answers"
+#define REASON_STOP "stopping"
 
 typedef enum request_state {
 	REQUEST_READING, /* receiving it from the caller */
@@ -168,6 +171,8 @@
 void gateway_request_check_grant(gateway_request_t *request, pd_time_t now);
 bool gateway_request_has_fresh_grant(const gateway_request_t *request,
 				     pd_time_t now);
+bool gateway_request_is_late_to_send(const gateway_request_t *request);
+void gateway_request_end_at_stop(gateway_request_t *request);
 void gateway_request_send(gateway_request_t *request);
 bool gateway_request_is_retryable(const gateway_request_t *request);
 void gateway_request_end_attempt(gateway_request_t *request,
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -240,7 +240,10 @@
 	session_t *session = timer->data;
 
 	end_work(session);
-	upstream_answer(session, 200, session->call_id);
+	if (session->behavior == RIG_REJECT_SLOWLY)
+		upstream_reject(session);
+	else
+		upstream_answer(session, 200, session->call_id);
 }
 
 /* Sends a chunk of a chunked response. */
@@ -457,7 +460,8 @@
 	session->behavior = session->server->behavior;
 	if (rig->choose_behavior)
 		session->behavior = rig->choose_behavior(rig->ctx, session->target);
-	if (session->behavior != RIG_REJECT && session->call_id)
+	if (session->behavior != RIG_REJECT &&
+	    session->behavior != RIG_REJECT_SLOWLY && session->call_id)
 		g_hash_table_insert(rig->runs, g_strdup(session->call_id),
 				    GUINT_TO_POINTER(
 					    rig_run_count(rig, session->call_id) +
@@ -490,6 +494,7 @@
 		upstream_answer(session, 200, session->call_id);
 		return;
 	case RIG_SLOW:
+	case RIG_REJECT_SLOWLY:
 		uv_timer_start(&session->timer, on_slow, RIG_SLOW_MS, 0);
 		return;
 	case RIG_LARGE:
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -25,6 +25,7 @@
 	RIG_ANSWER,
 	RIG_FAIL, /* runs it and responds with 500 */
 	RIG_REJECT, /* responds that it was not run */
+	RIG_REJECT_SLOWLY, /* the same, after RIG_SLOW_MS */
 	RIG_HANG, /* runs it and never responds */
 	RIG_CUT, /* closes the connection in the middle of the response */
 	RIG_DOUBLE, /* sends a response for another call first */
