Stop within a short grace period

With a grace period below 4.4 s, requests in progress at its end got no answer.

Cause: a stopping gateway listens for 4 s and did not look at the grace period before, so that it was killed first.

Evidence: test_a_stop_ends_within_a_short_grace_period, with 2 s, failed on the code before: the process ended later than 2 s after the order.

Fix: the times of a stop are bounded by parts of the grace period: a half for the listeners, a third for what may outlast it. With 8 s they are what they were.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -38,11 +38,13 @@
  * that are being set up then arrive after that.
  */
 #define STOP_LISTEN_TIME (4 * PD_SEC)
+#define STOP_LISTEN_GRACE_PART 0.5 /* at most */
 /*
  * How long a stopping gateway goes on accepting streams, and safe requests that may
  * outlast its grace period: by then the load balancer sends callers elsewhere.
  */
 #define STOP_ACCEPT_LONG_TIME (2600 * PD_MSEC)
+#define STOP_ACCEPT_LONG_GRACE_PART 0.33 /* at most */
 /* Usage windows kept beyond those still due, as the clocks of peers differ. */
 #define SPARE_USAGE_WINDOWS 2
 /* Time left before the process is killed when it ends all requests. */
@@ -272,12 +274,24 @@
 	gateway_peers_queue_update(gateway->peers, id);
 }
 
+/* Returns PART of the time from the order to stop until the process is killed. */
+static pd_time_t grace_part(const gateway_t *gateway, double part)
+{
+	return (pd_time_t)(gateway->settings->stop_grace_s * part * PD_SEC);
+}
+
 /* Returns when a stopping gateway ends all requests. */
 static pd_time_t stop_end(const gateway_t *gateway)
 {
-	return gateway->stop_requested_at +
-	       (pd_time_t)(gateway->settings->stop_grace_s * PD_SEC) -
-	       KILL_MARGIN;
+	return gateway->stop_requested_at + grace_part(gateway, 1) - KILL_MARGIN;
+}
+
+/* Returns whether a stopping gateway accepts requests that may take long. */
+static bool stop_accepts_long(const gateway_t *gateway, pd_time_t now)
+{
+	return now - gateway->stop_requested_at <
+	       MIN(STOP_ACCEPT_LONG_TIME,
+		   grace_part(gateway, STOP_ACCEPT_LONG_GRACE_PART));
 }
 
 /*
@@ -293,8 +307,7 @@
 
 	if (!gateway->stop_requested_at)
 		return true;
-	early = gateway_now() - gateway->stop_requested_at <
-		STOP_ACCEPT_LONG_TIME;
+	early = stop_accepts_long(gateway, gateway_now());
 	switch (kind) {
 	case FORWARD_SAFE:
 		return early || deadline <= stop_end(gateway);
@@ -317,9 +330,10 @@
 	pd_time_t end = stop_end(gateway);
 	bool open;
 
-	if (since >= STOP_ACCEPT_LONG_TIME)
+	if (!stop_accepts_long(gateway, now))
 		callers_close_idle(gateway, now);
-	if (since < STOP_LISTEN_TIME)
+	if (since <
+	    MIN(STOP_LISTEN_TIME, grace_part(gateway, STOP_LISTEN_GRACE_PART)))
 		return;
 	if (gateway->listening) {
 		gateway->listening = false;
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -885,6 +885,7 @@
 	list_init(&rig->watches);
 	rig->gateway_count = gateways;
 	rig->upstream_count = upstreams;
+	rig->grace_s = RIG_GRACE_S;
 	for (i = 0; i < gateways; i++)
 		server_start(rig, &rig->stores[i], i);
 	for (i = 0; i < upstreams; i++)
@@ -1060,12 +1061,13 @@
 		"[relay]\nlisten = \"127.0.0.1:0\"\n"
 		"[store]\naddress = \"127.0.0.1:%u\"\n"
 		"[cloud]\naddress = \"127.0.0.1:%u\"\n"
-		"[retry]\nslack = 100\n[stop]\ngrace_s = 8\n"
+		"[retry]\nslack = 100\n[stop]\ngrace_s = %u\n"
 		"[duties]\nusage_window_s = 1\nlease_gap_ms = 300\n%s",
 		number, rig->first_start ? "start = \"first\"\n" : "", seeds->str,
 		proxy_or_direct(rig->store_proxy_ports[store],
 				rig->stores[store].port),
-		rig->cloud.port, rig->more_settings ? rig->more_settings : "");
+		rig->cloud.port, rig->grace_s,
+		rig->more_settings ? rig->more_settings : "");
 	g_file_set_contents(path, text, -1, NULL);
 	g_free(text);
 	g_string_free(seeds, TRUE);
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -40,6 +40,7 @@
 } rig_behavior_t;
 
 #define RIG_SLOW_MS 1000
+#define RIG_GRACE_S 8 /* of a rig without another one */
 #define RIG_BRITTLE_MAX 32 /* rejections in a second */
 #define RIG_DOWN_MS 1500 /* of an upstream that fell over */
 #define RIG_RUN_MS 30 /* from the start of a run to the end of its upstream */
@@ -108,6 +109,7 @@
 	GPtrArray *orders; /* bodies of the orders received */
 	bool orders_unanswered;
 	const char *more_settings; /* TOML appended to the settings; NULL: none */
+	unsigned int grace_s; /* of a gateway that stops */
 	bool first_start; /* gateways that start are the first ever */
 	GHashTable *runs; /* call id -> GUINT_TO_POINTER(number of runs) */
 	/* behavior of an upstream for a request; NULL: that of the server */
--- a/tests/process/test_gateway_stop.c
+++ b/tests/process/test_gateway_stop.c
@@ -15,7 +15,7 @@
 
 #include "tests/harness/gateway_calls.h"
 
-#define GRACE_MS 8000 /* as in the settings of the rig */
+#define SHORT_GRACE_S 2
 /* Calls sent later than this after SIGTERM are served whole or not run. */
 #define LATE_MS 3000
 #define SHORT_DEADLINE_MS 1500
@@ -71,12 +71,14 @@
 }
 
 /* Starts gateways with UPSTREAMS upstreams; those of CUT_OFF reach none of them. */
-static stop_t *stop_create(int gateways, int upstreams, int cut_off)
+static stop_t *stop_create(int gateways, int upstreams, int cut_off,
+			   unsigned int grace_s)
 {
 	stop_t *stop = g_new0(stop_t, 1);
 	gateway_rig_t *rig = gateway_rig_create_sized(gateways, upstreams);
 
 	stop->rig = rig;
+	rig->grace_s = grace_s;
 	rig->choose_behavior = choose_behavior;
 	for (int i = 0; i < cut_off; i++)
 		rig_cut_off(rig, i);
@@ -89,13 +91,19 @@
 
 static int setup(void **state)
 {
-	*state = stop_create(1, RIG_UPSTREAMS, 0);
+	*state = stop_create(1, RIG_UPSTREAMS, 0, RIG_GRACE_S);
+	return 0;
+}
+
+static int setup_short_grace(void **state)
+{
+	*state = stop_create(1, RIG_UPSTREAMS, 0, SHORT_GRACE_S);
 	return 0;
 }
 
 static int setup_one_upstream(void **state)
 {
-	*state = stop_create(1, 1, 0);
+	*state = stop_create(1, 1, 0, RIG_GRACE_S);
 	return 0;
 }
 
@@ -114,7 +122,7 @@
 /* Starts two gateways; the first reaches no upstream and relays its calls. */
 static int setup_cut_off(void **state)
 {
-	stop_t *stop = stop_create(2, RIG_UPSTREAMS, 1);
+	stop_t *stop = stop_create(2, RIG_UPSTREAMS, 1, RIG_GRACE_S);
 
 	RIG_UNTIL(stop->rig, is_served(stop->rig));
 	*state = stop;
@@ -260,7 +268,7 @@
 
 	RIG_UNTIL(stop->rig, process_ended(process));
 	assert_int_equal(process->status, 0);
-	assert_true(since_stop(stop) < GRACE_MS);
+	assert_true(since_stop(stop) < stop->rig->grace_s * 1000);
 	for (unsigned int i = 0; i < stop->count; i++) {
 		pending_t *call = &stop->calls[i];
 
@@ -401,6 +409,19 @@
 	assert_int_equal(rig_run_count(rig, call->id), 0);
 }
 
+/* Guards against a process that is killed since its grace period is short. */
+static void test_a_stop_ends_within_a_short_grace_period(void **state)
+{
+	stop_t *stop = *state;
+	gateway_rig_t *rig = stop->rig;
+
+	begin_call(stop, 0, NULL, "/long-unsafe/hang", LONG_DEADLINE_MS);
+	RIG_UNTIL(rig, rig_run_count(rig, "c0"));
+	stop_gateway(stop, 0);
+	assert_all_answered(stop, 0);
+	assert_int_equal(status_of(&stop->calls[0]), 502);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -418,6 +439,8 @@
 		cmocka_unit_test_setup_teardown(
 			test_a_stopping_gateway_refuses_long_relayed_calls,
 			setup_cut_off, teardown),
+		cmocka_unit_test_setup_teardown(test_a_stop_ends_within_a_short_grace_period,
+						setup_short_grace, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
