--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -39,16 +39,19 @@
  * that are being set up then arrive after that.
  */
 #define STOP_LISTEN_TIME (4 * PD_SEC)
+#define STOP_LISTEN_GRACE_PART 0.5 /* at most */
 /*
- * How long a stopping gateway goes on accepting requests that may take long. Later
- * ones might not end before the process is killed, and by then the load balancer
- * sends callers elsewhere.
+ * How long a stopping gateway goes on accepting streams, and safe requests that may
+ * outlast its grace period: by then the load balancer sends callers elsewhere.
  */
 #define STOP_ACCEPT_LONG_TIME (2600 * PD_MSEC)
+#define STOP_ACCEPT_LONG_GRACE_PART 0.33 /* at most */
 /* Usage windows kept beyond those still due, as the clocks of peers differ. */
 #define SPARE_USAGE_WINDOWS 2
-/* Time left before the process is killed, for the last bytes to be sent. */
+/* Time left before the process is killed when it ends all requests. */
 #define KILL_MARGIN (400 * PD_MSEC)
+/* The same when it ends itself, even if bytes are still to be sent. */
+#define EXIT_MARGIN (100 * PD_MSEC)
 
 /*
  * Returns the monotonic time in microseconds. It includes the time in which the VM is
@@ -272,26 +275,66 @@
 	gateway_peers_queue_update(gateway->peers, id);
 }
 
-/* Returns whether a request that may take seconds can still be accepted. */
-bool gateway_accepts_long_requests(const gateway_t *gateway)
+/* Returns PART of the time from the order to stop until the process is killed. */
+static pd_time_t grace_part(const gateway_t *gateway, double part)
 {
-	return !gateway->stop_requested_at ||
-	       gateway_now() - gateway->stop_requested_at < STOP_ACCEPT_LONG_TIME;
+	return (pd_time_t)(gateway->settings->stop_grace_s * part * PD_SEC);
+}
+
+/* Returns when a stopping gateway ends all requests. */
+static pd_time_t stop_end(const gateway_t *gateway)
+{
+	return gateway->stop_requested_at + grace_part(gateway, 1) - KILL_MARGIN;
+}
+
+/* Returns whether a stopping gateway accepts requests that may take long. */
+static bool stop_accepts_long(const gateway_t *gateway, pd_time_t now)
+{
+	return now - gateway->stop_requested_at <
+	       MIN(STOP_ACCEPT_LONG_TIME,
+		   grace_part(gateway, STOP_ACCEPT_LONG_GRACE_PART));
+}
+
+/*
+ * Returns whether a request of a route of KIND may be accepted, and sent, though the
+ * gateway stops. An unsafe one must reach its deadline before the process ends, as its
+ * caller could not know whether it has run. A stream or a safe request is worth a try
+ * while there is much time left.
+ */
+bool gateway_has_time_for(const gateway_t *gateway, forward_route_kind_t kind,
+			  pd_time_t deadline)
+{
+	bool early;
+
+	if (!gateway->stop_requested_at)
+		return true;
+	early = stop_accepts_long(gateway, gateway_now());
+	switch (kind) {
+	case FORWARD_SAFE:
+		return early || deadline <= stop_end(gateway);
+	case FORWARD_UNSAFE:
+		return deadline <= stop_end(gateway);
+	case FORWARD_STREAM:
+		return early;
+	}
+	return false;
 }
 
 /*
  * Advances the shutdown: closes idle connections, then the listener, and stops the
- * loop when no caller is left or the grace period ends.
+ * loop when no caller is left. Near the end of the grace period it answers what is
+ * left, and waits only for the answers to be sent.
  */
 static void run_shutdown(gateway_t *gateway, pd_time_t now)
 {
-	pd_time_t grace = (pd_time_t)(gateway->settings->stop_grace_s * PD_SEC);
 	pd_time_t since = now - gateway->stop_requested_at;
+	pd_time_t end = stop_end(gateway);
 	bool open;
 
-	if (since >= STOP_ACCEPT_LONG_TIME)
+	if (!stop_accepts_long(gateway, now))
 		callers_close_idle(gateway, now);
-	if (since < STOP_LISTEN_TIME)
+	if (since <
+	    MIN(STOP_LISTEN_TIME, grace_part(gateway, STOP_LISTEN_GRACE_PART)))
 		return;
 	if (gateway->listening) {
 		gateway->listening = false;
@@ -301,7 +344,12 @@
 	}
 	/* A caller that is still connected has a request in progress or being read. */
 	open = !list_empty(&gateway->callers) || http1_is_draining();
-	if (open && since < grace - KILL_MARGIN)
+	if (open && now >= end) {
+		gateway_requests_end(gateway);
+		callers_close_all(gateway);
+		open = http1_is_draining();
+	}
+	if (open && now < end + KILL_MARGIN - EXIT_MARGIN)
 		return;
 	log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT, "stopped open=%d", open);
 	log_buffer_flush(now);
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -243,7 +243,10 @@
 	session_t *session = timer->data;
 
 	end_work(session);
-	upstream_answer(session, 200, session->call_id);
+	if (session->behavior == RIG_REJECT_SLOWLY)
+		upstream_reject(session);
+	else
+		upstream_answer(session, 200, session->call_id);
 }
 
 /* Sends a chunk of a chunked response. */
@@ -514,7 +517,8 @@
 	session->behavior = session->server->behavior;
 	if (rig->choose_behavior)
 		session->behavior = rig->choose_behavior(rig->ctx, session->target);
-	if (session->behavior != RIG_REJECT && session->call_id)
+	if (session->behavior != RIG_REJECT &&
+	    session->behavior != RIG_REJECT_SLOWLY && session->call_id)
 		g_hash_table_insert(rig->runs, g_strdup(session->call_id),
 				    GUINT_TO_POINTER(
 					    rig_run_count(rig, session->call_id) +
@@ -547,6 +551,7 @@
 		upstream_answer(session, 200, session->call_id);
 		return;
 	case RIG_SLOW:
+	case RIG_REJECT_SLOWLY:
 		uv_timer_start(&session->timer, on_slow, RIG_SLOW_MS, 0);
 		return;
 	case RIG_LARGE:
@@ -944,6 +949,7 @@
 	list_init(&rig->watches);
 	rig->gateway_count = gateways;
 	rig->upstream_count = upstreams;
+	rig->grace_s = RIG_GRACE_S;
 	for (i = 0; i < gateways; i++)
 		server_start(rig, &rig->stores[i], i);
 	for (i = 0; i < upstreams; i++)
@@ -1152,13 +1158,14 @@
 		"[relay]\nlisten = \"127.0.0.1:0\"\n"
 		"[store]\naddress = \"127.0.0.1:%u\"\n"
 		"[cloud]\naddress = \"127.0.0.1:%u\"\n"
-		"[retry]\nslack = 100\n[stop]\ngrace_s = 8\n"
+		"[retry]\nslack = 100\n[stop]\ngrace_s = %u\n"
 		"[duties]\nusage_window_s = 1\nlease_gap_ms = 300\n%s",
 		number, rig->first_start ? "start = \"first\"\n" : "",
 		rig->listen_ports[number], seeds->str,
 		proxy_or_direct(rig->store_proxy_ports[store],
 				rig->stores[store].port),
-		rig->cloud.port, rig->more_settings ? rig->more_settings : "");
+		rig->cloud.port, rig->grace_s,
+		rig->more_settings ? rig->more_settings : "");
 	g_file_set_contents(path, text, -1, NULL);
 	g_free(text);
 	g_string_free(seeds, TRUE);
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -25,6 +25,7 @@
 	RIG_ANSWER,
 	RIG_FAIL, /* runs it and responds with 500 */
 	RIG_REJECT, /* responds that it was not run */
+	RIG_REJECT_SLOWLY, /* the same, after RIG_SLOW_MS */
 	RIG_HANG, /* runs it and never responds */
 	RIG_CUT, /* closes the connection in the middle of the response */
 	RIG_DOUBLE, /* sends a response for another call first */
@@ -44,6 +45,7 @@
 } rig_behavior_t;
 
 #define RIG_SLOW_MS 1000
+#define RIG_GRACE_S 8 /* of a rig without another one */
 #define RIG_BRITTLE_MAX 32 /* rejections in a second */
 #define RIG_DOWN_MS 1500 /* of an upstream that fell over */
 #define RIG_RUN_MS 30 /* from the start of a run to the end of its upstream */
@@ -113,6 +115,7 @@
 	GPtrArray *orders; /* bodies of the orders received */
 	bool orders_unanswered;
 	const char *more_settings; /* TOML appended to the settings; NULL: none */
+	unsigned int grace_s; /* of a gateway that stops */
 	bool first_start; /* gateways that start are the first ever */
 	GHashTable *runs; /* call id -> GUINT_TO_POINTER(number of runs) */
 	/* behavior of an upstream for a request; NULL: that of the server */
