Limit what callers leave unread of all answers together

Callers saw their requests end with a gateway that had run out of memory after a faulty worker sent without end.

The common limit of 24 MB counted what requests buffer of their answers. What was written to a caller left that sum: a stream could queue 4 MB for each caller, and more between two checks, which are 20 ms apart; an answer that was complete, up to 16 MB, was not looked at any more.

Reading stops now at the upstream (or relay) while the caller of a stream has 256 KB unread, or anything at all while all answers take half of the limit; a further request on the same connection waits as well. Bytes that are queued for callers count in the 24 MB, also of requests that have ended and of connections that close. Beyond it the largest goes first. The check runs when bytes arrive and before each wait of the loop, so the sum exceeds the limit by what one stream has read at most. Time in which a stream was held does not count for its upstream's speed.

--- a/adapters/gateway/caller.c
+++ b/adapters/gateway/caller.c
@@ -11,8 +11,6 @@
 #define IDLE_MARGIN (2 * PD_SEC)
 /* How long a stopping gateway waits for the first request on a connection. */
 #define FIRST_REQUEST_TIMEOUT PD_SEC
-/* A caller that leaves more of its response unread is disconnected. */
-#define UNSENT_BYTES_MAX (4 * 1024 * 1024)
 
 struct caller {
 	list_node_t node;
@@ -25,6 +23,7 @@
 	pd_time_t last_active_at; /* when data last arrived or a request ended */
 	pd_time_t head_started_at; /* first byte of a partial head; 0: none */
 	bool reading_request; /* a head was read, but not yet the whole body */
+	bool behind; /* reads no further request until responses are read */
 };
 
 /* Removes a caller from the gateway and frees it; its connection is closed elsewhere. */
@@ -77,9 +76,11 @@
 {
 	caller_t *caller = ctx;
 
-	(void)end;
 	if (caller->request)
-		gateway_request_abandon(caller->request, "caller left");
+		gateway_request_abandon(caller->request,
+					end == HTTP1_END_UNREAD
+						? "answer not read"
+						: "caller left");
 	caller_free(caller);
 }
 
@@ -124,6 +125,18 @@
 	http1_write(caller->conn, data, len);
 }
 
+/* Returns how much memory the caller's unread responses take, in bytes. */
+size_t caller_unread_bytes(const caller_t *caller)
+{
+	return http1_queued_bytes(caller->conn);
+}
+
+/* Returns whether CONN is the caller's connection. */
+bool caller_has_connection(const caller_t *caller, const http1_t *conn)
+{
+	return caller->conn == conn;
+}
+
 /* Returns whether the connection stays open after the current response. */
 bool caller_keeps_alive(const caller_t *caller)
 {
@@ -144,7 +157,10 @@
 		caller_free(caller);
 		return;
 	}
-	http1_resume(caller->conn);
+	caller->behind = gateway_answers_are_behind(caller->gateway,
+						    caller_unread_bytes(caller));
+	if (!caller->behind)
+		http1_resume(caller->conn);
 }
 
 /*
@@ -206,8 +222,24 @@
 }
 
 /*
- * Closes connections that timed out, and those with more than UNSENT_BYTES_MAX of an
- * unread response.
+ * Goes on with a caller that may have read its responses meanwhile: with the response in
+ * progress, or the next request. The caller may be freed.
+ */
+static void caller_catch_up(caller_t *caller)
+{
+	if (caller->request) {
+		gateway_request_pace(caller->request);
+	} else if (caller->behind &&
+		   !gateway_answers_are_behind(caller->gateway,
+					       caller_unread_bytes(caller))) {
+		caller->behind = false;
+		http1_resume(caller->conn);
+	}
+}
+
+/*
+ * Closes connections that timed out, and goes on with those whose callers have read
+ * their responses.
  */
 void callers_run(gateway_t *gateway, pd_time_t now)
 {
@@ -216,16 +248,11 @@
 	LIST_FOR_EACH_SAFE (it, &gateway->callers) {
 		caller_t *caller = LIST_ENTRY(it, caller_t, node);
 
-		if (caller->request && !caller->reading_request) {
-			if (http1_unsent_bytes(caller->conn) > UNSENT_BYTES_MAX) {
-				gateway_request_abandon(caller->request,
-							"answer not read");
-				caller_abort(caller);
-			}
-			continue;
-		}
-		if (caller_timed_out(caller, now))
+		if ((!caller->request || caller->reading_request) &&
+		    caller_timed_out(caller, now))
 			caller_close_timed_out(caller);
+		else
+			caller_catch_up(caller);
 	}
 }
 
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -450,8 +450,9 @@
 /* Sends what arose in the last iteration of the loop. */
 static void on_flush(uv_prepare_t *flush)
 {
-	const gateway_t *gateway = flush->data;
+	gateway_t *gateway = flush->data;
 
+	gateway_limit_answers(gateway);
 	gateway_slots_flush(gateway->slots);
 	gateway_grants_flush(gateway->grants);
 	gateway_peers_flush_slots(gateway->peers);
--- a/adapters/gateway/request.h
+++ b/adapters/gateway/request.h
@@ -21,6 +21,9 @@
 const struct gateway_grant_hooks *gateway_request_grant_hooks(void);
 unsigned int gateway_queue_length(const gateway_t *gateway, const char *service,
 				  int ranks);
+bool gateway_answers_are_behind(const gateway_t *gateway, size_t unread);
+void gateway_limit_answers(gateway_t *gateway);
+void gateway_request_pace(gateway_request_t *request);
 void gateway_requests_run(gateway_t *gateway, pd_time_t now);
 
 #endif
--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -197,6 +197,7 @@
 	g_string_append(out, "\r\n");
 	caller_write(request->caller, out->str, out->len);
 	g_string_free(out, TRUE);
+	gateway_request_pace(request);
 }
 
 /* Forwards the complete events received so far. */
--- a/adapters/gateway/request_relay.c
+++ b/adapters/gateway/request_relay.c
@@ -70,6 +70,12 @@
 	g_free(relay);
 }
 
+/* Stops reading the response, or goes on. */
+void gateway_relay_hold(relay_t *relay, bool hold)
+{
+	http1_hold(relay->conn, hold);
+}
+
 /* Drops the relay in progress. */
 static void clear_relay(gateway_request_t *request)
 {
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -113,12 +113,14 @@
 	GString *response_headers; /* header lines to forward */
 	GByteArray *response_body;
 	event_stream_t *events;
+	bool held; /* its response is not read, as the caller is behind */
 	size_t answer_bytes; /* in the three above, as counted in gateway->answer_bytes */
 };
 
 extern const upstream_link_callbacks_t gateway_request_link_callbacks;
 
 void gateway_relay_destroy(relay_t *relay);
+void gateway_relay_hold(relay_t *relay, bool hold);
 bool gateway_request_is_quarantined(gateway_request_t *request);
 void gateway_request_clear_parts(gateway_request_t *request);
 void gateway_requests_end_held(gateway_t *gateway);
--- a/adapters/gateway/upstream_link.c
+++ b/adapters/gateway/upstream_link.c
@@ -175,6 +175,12 @@
 	g_string_free(all, TRUE);
 }
 
+/* Stops reading the response, or goes on. */
+void upstream_link_hold(upstream_link_t *link, bool hold)
+{
+	http1_hold(link->conn, hold);
+}
+
 /* Expects one more response, after one that belonged to another request. */
 void upstream_link_expect_response(upstream_link_t *link)
 {
@@ -200,6 +206,7 @@
 	if (idle_timeout > 0)
 		idle = MIN((pd_time_t)((double)idle_timeout * IDLE_FRACTION),
 			   IDLE_MAX);
+	http1_hold(link->conn, false);
 	link->callbacks = NULL;
 	link->ctx = NULL;
 	link->idle_since = now;
--- a/adapters/http1/http1.c
+++ b/adapters/http1/http1.c
@@ -11,6 +11,8 @@
 #include <strings.h>
 #include <sys/socket.h>
 
+#include "core/list.h"
+
 /* Per read; all connections share the buffer, as the loop has one thread. */
 #define READ_BUFFER_BYTES (64 * 1024)
 /* Bytes buffered while messages are paused; then reading stops. */
@@ -57,22 +59,29 @@
 	bool malformed; /* the head is rejected by this module's checks */
 	bool too_large; /* the head, or the number of interim responses */
 	bool reading;
+	bool held; /* reading is stopped by http1_hold() */
 	bool draining;
 	bool closing;
 	bool ended; /* on_end was called, or must not be called */
 	size_t head_bytes;
 	size_t head_bytes_max;
 	GByteArray *pending; /* read while paused */
+	list_node_t queue_node; /* of a server with queued writes, in servers_queued */
+	size_t queued_bytes; /* allocated for writes that the kernel has not taken */
 };
 
 typedef struct pending_write {
 	uv_write_t req;
+	size_t size; /* of itself */
 	char bytes[];
 } pending_write_t;
 
 static char read_buffer[READ_BUFFER_BYTES];
 /* Connections that wait for queued writes before they close. */
 static unsigned int draining_count;
+/* Servers' connections with queued writes, and the sum of their queued_bytes. */
+static list_node_t servers_queued = { &servers_queued, &servers_queued };
+static size_t servers_queued_bytes;
 
 static int on_parser_message_begin(http_parser *parser);
 static int on_parser_url(http_parser *parser, const char *at, size_t len);
@@ -106,6 +115,7 @@
 	conn->header_offsets =
 		g_array_sized_new(FALSE, FALSE, sizeof(header_offsets_t), 16);
 	conn->head_bytes_max = HEAD_BYTES_MAX;
+	list_init(&conn->queue_node);
 	http_parser_init(&conn->parser,
 			 side == HTTP1_SERVER ? HTTP_REQUEST : HTTP_RESPONSE);
 	conn->parser.data = conn;
@@ -129,7 +139,7 @@
 
 static void conn_start_reading(http1_t *conn)
 {
-	if (conn->reading || conn->closing)
+	if (conn->reading || conn->closing || conn->held)
 		return;
 	conn->reading = true;
 	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
@@ -166,6 +176,28 @@
 	g_free(conn);
 }
 
+/* Counts queued writes of SIZE bytes. */
+static void conn_add_queued(http1_t *conn, size_t size)
+{
+	if (conn->side == HTTP1_SERVER) {
+		if (!conn->queued_bytes)
+			list_append(&servers_queued, &conn->queue_node);
+		servers_queued_bytes += size;
+	}
+	conn->queued_bytes += size;
+}
+
+/* Takes SIZE bytes, which were sent or are dropped, off the queued writes. */
+static void conn_remove_queued(http1_t *conn, size_t size)
+{
+	conn->queued_bytes -= size;
+	if (conn->side != HTTP1_SERVER)
+		return;
+	servers_queued_bytes -= size;
+	if (!conn->queued_bytes)
+		list_remove(&conn->queue_node);
+}
+
 /* Closes and frees the connection without calling on_end; idempotent. */
 void http1_close(http1_t *conn)
 {
@@ -175,6 +207,8 @@
 	conn->closing = true;
 	if (conn->draining)
 		draining_count--;
+	/* libuv drops queued writes before the loop waits again. */
+	conn_remove_queued(conn, conn->queued_bytes);
 	uv_close((uv_handle_t *)&conn->tcp, on_closed);
 }
 
@@ -267,6 +301,8 @@
 {
 	http1_t *conn = req->handle->data;
 
+	if (!conn->closing)
+		conn_remove_queued(conn, ((pending_write_t *)req)->size);
 	g_free(req);
 	if (status < 0 && !conn->closing)
 		conn_end(conn, conn->in_message || conn->expecting_response
@@ -290,11 +326,14 @@
 	if (sent < 0)
 		sent = 0;
 	write = g_malloc(sizeof(*write) + len - (size_t)sent);
+	write->size = sizeof(*write) + len - (size_t)sent;
 	memcpy(write->bytes, data + sent, len - (size_t)sent);
 	buf = uv_buf_init(write->bytes, (unsigned int)(len - (size_t)sent));
 	if (uv_write(&write->req, (uv_stream_t *)&conn->tcp, &buf, 1,
 		     on_write_done) < 0)
 		g_free(write);
+	else
+		conn_add_queued(conn, write->size);
 }
 
 /* Returns the number of queued bytes that the kernel has not taken yet. */
@@ -303,6 +342,58 @@
 	return uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
 }
 
+/* Returns the memory that writes take which the kernel has not taken yet, in bytes. */
+size_t http1_queued_bytes(const http1_t *conn)
+{
+	return conn->queued_bytes;
+}
+
+/* Returns the same of all servers' connections together. */
+size_t http1_servers_queued_bytes(void)
+{
+	return servers_queued_bytes;
+}
+
+/* Returns the server's connection with the most queued bytes, borrowed; NULL: none. */
+http1_t *http1_find_longest_queue(void)
+{
+	http1_t *longest = NULL;
+
+	LIST_FOR_EACH (it, &servers_queued) {
+		http1_t *conn = LIST_ENTRY(it, http1_t, queue_node);
+
+		if (!longest || conn->queued_bytes > longest->queued_bytes)
+			longest = conn;
+	}
+	return longest;
+}
+
+/*
+ * Ends a connection whose queued bytes the other side does not read, and drops them.
+ * Calls on_end, unless http1_close_when_sent() was called.
+ */
+void http1_end_unread(http1_t *conn)
+{
+	conn_end(conn, HTTP1_END_UNREAD);
+}
+
+/*
+ * Stops reading from an established connection, or goes on. While it is held, its end
+ * is not detected.
+ */
+void http1_hold(http1_t *conn, bool hold)
+{
+	if (conn->held == hold || conn->ended || (hold && !conn->reading))
+		return;
+	conn->held = hold;
+	if (!hold) {
+		conn_start_reading(conn);
+		return;
+	}
+	uv_read_stop((uv_stream_t *)&conn->tcp);
+	conn->reading = false;
+}
+
 /* Returns whether a message has been received in part. */
 bool http1_in_message(const http1_t *conn)
 {
--- a/adapters/http1/http1.h
+++ b/adapters/http1/http1.h
@@ -37,7 +37,8 @@
 	HTTP1_END_RESET, /* reset between two messages */
 	HTTP1_END_CONNECT_FAILED, /* never established */
 	HTTP1_END_PROTOCOL_ERROR, /* malformed or unsolicited bytes */
-	HTTP1_END_TOO_LARGE /* the head, or interim responses, exceed the limit */
+	HTTP1_END_TOO_LARGE, /* the head, or interim responses, exceed the limit */
+	HTTP1_END_UNREAD /* see http1_end_unread() */
 } http1_end_t;
 
 /* Callbacks of a connection. */
@@ -59,6 +60,11 @@
 void http1_set_head_limit(http1_t *conn, size_t bytes);
 void http1_write(http1_t *conn, const char *data, size_t len);
 size_t http1_unsent_bytes(const http1_t *conn);
+size_t http1_queued_bytes(const http1_t *conn);
+size_t http1_servers_queued_bytes(void);
+http1_t *http1_find_longest_queue(void);
+void http1_end_unread(http1_t *conn);
+void http1_hold(http1_t *conn, bool hold);
 bool http1_in_message(const http1_t *conn);
 void http1_expect_response(http1_t *conn, bool for_head);
 void http1_pause(http1_t *conn);
--- a/tests/process/test_gateway_endless.c
+++ b/tests/process/test_gateway_endless.c
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <cmocka.h>
@@ -30,6 +31,14 @@
 #define OTHER_CALL_MS_MAX 1000
 #define DEADLINE_MS 3000 /* of calls */
 #define SLOW_GAP_MS 10
+#define UPSTREAMS_MANY 12
+#define UNREAD_STREAMS 80
+#define UNREAD_ANSWERS 20 /* of RIG_LARGE_BYTES */
+#define UNREAD_MS 2000
+#define SOCKET_BYTES 4096
+#define EVENT_BYTES 16384
+#define UNREAD_READ_BYTES 16000000 /* more than socket buffers hold */
+#define PIPELINING_CALLERS 4
 #define RESUMED_CALLS 6 /* enough for one at each upstream */
 
 /* An answer without end; the log gives REASON, unless NULL. */
@@ -67,6 +76,8 @@
 static rig_behavior_t choose_behavior(void *ctx, const char *target)
 {
 	(void)ctx;
+	if (strstr(target, "large"))
+		return RIG_LARGE;
 	return strstr(target, "endless") ? RIG_ENDLESS : RIG_ANSWER;
 }
 
@@ -80,6 +91,16 @@
 	return 0;
 }
 
+static int setup_many_upstreams(void **state)
+{
+	gateway_rig_t *rig = gateway_rig_create_sized(1, UPSTREAMS_MANY);
+
+	rig->choose_behavior = choose_behavior;
+	rig_start_fleet(rig);
+	*state = rig;
+	return 0;
+}
+
 static int teardown(void **state)
 {
 	gateway_rig_destroy(*state);
@@ -265,6 +286,146 @@
 	check_serves(rig, "usual-after");
 }
 
+/* Returns a chunk with one event, owned by the caller. */
+static char *whole_event(void)
+{
+	char *data = g_strnfill(EVENT_BYTES, 'a');
+	char *chunk =
+		g_strdup_printf("%x\r\ndata: %s\n\n\r\n", EVENT_BYTES + 8, data);
+
+	g_free(data);
+	return chunk;
+}
+
+/* Runs the rig for a while in which its callers read nothing. */
+static void leave_unread(gateway_rig_t *rig)
+{
+	uint64_t end = rig_now_ms() + UNREAD_MS;
+
+	while (rig_now_ms() < end) {
+		rig_run_once(rig);
+		check_memory(rig);
+	}
+}
+
+/* Connects to the gateway's port for WHAT; the socket receives little before it is read. */
+static rig_caller_t *connect_unread(gateway_rig_t *rig, const char *what)
+{
+	rig_caller_t *caller = rig_call(rig, rig_port(rig, 0, what), "");
+	const int bytes = SOCKET_BYTES;
+
+	assert_int_equal(setsockopt(caller->fd, SOL_SOCKET, SO_RCVBUF, &bytes,
+				    sizeof(bytes)),
+			 0);
+	return caller;
+}
+
+/* Guards against a gateway that keeps all of a stream that its callers do not read. */
+static void test_unread_streams_fit_into_memory(void **state)
+{
+	gateway_rig_t *rig = *state;
+	char *event = whole_event();
+
+	rig_caller_t *callers[UNREAD_STREAMS];
+
+	set_endless(rig, &(endless_t){ .begin = STREAM_HEAD, .piece = event });
+	for (int i = 0; i < UNREAD_STREAMS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "unread-%d", i);
+		callers[i] = connect_unread(rig, "callers");
+		rig_send_call(callers[i], "POST", "/once/endless", id);
+	}
+	leave_unread(rig);
+	check_serves(rig, "usual-unread");
+	for (int i = 0; i < UNREAD_STREAMS; i++)
+		rig_caller_destroy(callers[i]);
+	check_serves(rig, "usual-after");
+	g_free(event);
+}
+
+/* Guards against a gateway that keeps many complete answers for callers that do not read. */
+static void test_unread_answers_fit_into_memory(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *callers[UNREAD_ANSWERS];
+
+	for (int i = 0; i < UNREAD_ANSWERS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "large-%d", i);
+		callers[i] = connect_unread(rig, "callers");
+		rig_send_call(callers[i], "POST", "/unsafe/large", id);
+		RIG_UNTIL(rig, rig_count_logged(rig, 0, " route=unsafe ") > i);
+		check_memory(rig);
+	}
+	check_serves(rig, "usual-unread");
+	for (int i = 0; i < UNREAD_ANSWERS; i++)
+		rig_caller_destroy(callers[i]);
+	check_serves(rig, "usual-after");
+}
+
+/* Guards against a gateway that pauses a stream for its caller and does not go on. */
+static void test_stream_goes_on_after_its_caller_reads(void **state)
+{
+	gateway_rig_t *rig = *state;
+	char *event = whole_event();
+	rig_caller_t *caller;
+	size_t before;
+
+	set_endless(rig, &(endless_t){ .begin = STREAM_HEAD, .piece = event });
+	caller = rig_call_at(rig, 0, "POST", "/once/endless", "goes-on");
+	rig_run_for(rig, DEADLINE_MS / 3);
+	rig_receive(caller);
+	before = caller->received->len;
+	RIG_UNTIL_WITHIN(rig,
+			 (rig_receive(caller),
+			  caller->received->len > before + UNREAD_READ_BYTES),
+			 ANSWER_MS_MAX);
+	rig_caller_destroy(caller);
+	g_free(event);
+}
+
+/* Sends as much of TEXT as the socket takes, from OFFSET on; returns the next offset. */
+static size_t send_some(rig_caller_t *caller, const GString *text, size_t offset)
+{
+	ssize_t len = send(caller->fd, text->str + offset, text->len - offset,
+			   MSG_NOSIGNAL);
+
+	return len < 0 ? offset : (offset + (size_t)len) % text->len;
+}
+
+/* Sends requests on connections without reading the answers. */
+static void check_pipelined(gateway_rig_t *rig, const char *what, const char *text)
+{
+	rig_caller_t *callers[PIPELINING_CALLERS];
+	size_t offsets[PIPELINING_CALLERS] = { 0 };
+	GString *block = g_string_new(NULL);
+	uint64_t end = rig_now_ms() + UNREAD_MS;
+
+	while (block->len < RIG_ENDLESS_BLOCK)
+		g_string_append(block, text);
+	for (int i = 0; i < PIPELINING_CALLERS; i++)
+		callers[i] = connect_unread(rig, what);
+	while (rig_now_ms() < end) {
+		for (int i = 0; i < PIPELINING_CALLERS; i++)
+			offsets[i] = send_some(callers[i], block, offsets[i]);
+		rig_run_once(rig);
+		check_memory(rig);
+	}
+	for (int i = 0; i < PIPELINING_CALLERS; i++)
+		rig_caller_destroy(callers[i]);
+	RIG_UNTIL(rig, rig_is_ready(rig, 0));
+	check_serves(rig, "usual-pipelined");
+	g_string_free(block, TRUE);
+}
+
+/* Guards against answers that pile up for callers that send requests without end. */
+static void test_unread_answers_to_pipelined_requests(void **state)
+{
+	check_pipelined(*state, "callers", "GET / HTTP/1.1\r\n\r\n");
+}
+
 /* Guards against an upstream that uses its connection to send on after an answer. */
 static void test_answer_goes_on_after_its_length(void **state)
 {
@@ -315,6 +476,14 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_many_endless_answers_fit_into_memory,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_unread_streams_fit_into_memory,
+						setup_many_upstreams, teardown),
+		cmocka_unit_test_setup_teardown(test_unread_answers_fit_into_memory,
+						setup_many_upstreams, teardown),
+		cmocka_unit_test_setup_teardown(test_stream_goes_on_after_its_caller_reads,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_unread_answers_to_pipelined_requests,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_answer_goes_on_after_its_length,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_store_answers_without_end,
