Close clients of the health check that leave responses unread

A client that sends requests to the health check on one connection and does not read has all responses kept, up to the memory of the machine; requests of callers end with the gateway.

Each request was answered as it was parsed. The common limit ends such a connection before the loop waits, but one read of 64 KB holds 2,500 requests for the metrics, whose responses take 40 MB, and a loop handles several reads of several clients at once.

A client with more than 256 KB unread is closed at its next request now.

--- a/adapters/gateway/health.c
+++ b/adapters/gateway/health.c
@@ -7,6 +7,8 @@
 #include "platform/wire.h"
 
 #define METRICS_PATH "/metrics"
+/* A client that sends requests and leaves more of their responses unread is closed. */
+#define UNREAD_BYTES_MAX ((size_t)256 * 1024)
 
 typedef struct client {
 	gateway_t *gateway;
@@ -46,12 +48,24 @@
 	g_free(text);
 }
 
+/* Frees a client, whose connection is closed elsewhere. */
+static void client_free(health_client_t *client)
+{
+	g_free(client->path);
+	g_free(client);
+}
+
 /* Responds to a request, and closes the connection unless it is kept alive. */
 static void on_message(void *ctx)
 {
 	health_client_t *client = ctx;
 	const char *path = client->path ? client->path : "";
 
+	if (http1_queued_bytes(client->conn) > UNREAD_BYTES_MAX) {
+		http1_close(client->conn);
+		client_free(client);
+		return;
+	}
 	if (!strcmp(path, wire_ready_path())) {
 		client_respond(client,
 			       gateway_is_ready(client->gateway) ? 200 : 503, "");
@@ -69,18 +83,14 @@
 	if (client->keep_alive)
 		return;
 	http1_close_when_sent(client->conn);
-	g_free(client->path);
-	g_free(client);
+	client_free(client);
 }
 
 /* The client disconnected. */
 static void on_end(void *ctx, http1_end_t end)
 {
-	health_client_t *client = ctx;
-
 	(void)end;
-	g_free(client->path);
-	g_free(client);
+	client_free(ctx);
 }
 
 static void on_connected(void *ctx)
--- a/tests/process/test_gateway_endless.c
+++ b/tests/process/test_gateway_endless.c
@@ -1,5 +1,6 @@
 /* Tests of a gateway whose upstreams or store send answers that never end. */
 #include <setjmp.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -39,6 +40,7 @@
 #define EVENT_BYTES 16384
 #define UNREAD_READ_BYTES 16000000 /* more than socket buffers hold */
 #define PIPELINING_CALLERS 4
+#define STILL_MS 300 /* less than gateways take for dead */
 #define RESUMED_CALLS 6 /* enough for one at each upstream */
 
 /* An answer without end; the log gives REASON, unless NULL. */
@@ -395,22 +397,26 @@
 	return len < 0 ? offset : (offset + (size_t)len) % text->len;
 }
 
-/* Sends requests on connections without reading the answers. */
+/* Sends requests on connections, on and on, without reading the answers. */
 static void check_pipelined(gateway_rig_t *rig, const char *what, const char *text)
 {
 	rig_caller_t *callers[PIPELINING_CALLERS];
 	size_t offsets[PIPELINING_CALLERS] = { 0 };
 	GString *block = g_string_new(NULL);
-	uint64_t end = rig_now_ms() + UNREAD_MS;
+	uint64_t start = rig_now_ms();
 
 	while (block->len < RIG_ENDLESS_BLOCK)
 		g_string_append(block, text);
 	for (int i = 0; i < PIPELINING_CALLERS; i++)
-		callers[i] = connect_unread(rig, what);
-	while (rig_now_ms() < end) {
+		callers[i] = rig_call(rig, rig_port(rig, 0, what), "");
+	/* What has arrived while the gateway stood still is read at once. */
+	process_signal(rig->gateways[0], SIGSTOP);
+	while (rig_now_ms() < start + STILL_MS + UNREAD_MS) {
 		for (int i = 0; i < PIPELINING_CALLERS; i++)
 			offsets[i] = send_some(callers[i], block, offsets[i]);
 		rig_run_once(rig);
+		if (rig_now_ms() >= start + STILL_MS)
+			process_signal(rig->gateways[0], SIGCONT);
 		check_memory(rig);
 	}
 	for (int i = 0; i < PIPELINING_CALLERS; i++)
@@ -426,6 +432,12 @@
 	check_pipelined(*state, "callers", "GET / HTTP/1.1\r\n\r\n");
 }
 
+/* Guards against the same on the port of the health check. */
+static void test_unread_answers_of_the_health_check(void **state)
+{
+	check_pipelined(*state, "health", "GET /metrics HTTP/1.1\r\n\r\n");
+}
+
 /* Guards against an upstream that uses its connection to send on after an answer. */
 static void test_answer_goes_on_after_its_length(void **state)
 {
@@ -484,6 +496,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_unread_answers_to_pipelined_requests,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_unread_answers_of_the_health_check,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_answer_goes_on_after_its_length,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_store_answers_without_end,
