Return the memory of large buffers as they are freed

A gateway took up to twice the memory that its limits of bodies and answers allow.

glibc maps buffers from 128 KB on, and raises that size, up to 32 MB, as soon as one is freed. From then on bodies and answers come from the heap and leave holes in it that are not returned while anything above is in use.

--- a/programs/pistachio_gateway.c
+++ b/programs/pistachio_gateway.c
@@ -1,4 +1,5 @@
 /* pistachio-gateway: forwards callers' requests to upstreams of the platform. */
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -12,6 +13,12 @@
 #include "adapters/log_glib.h"
 #include "programs/options.h"
 
+/*
+ * Buffers of this size are mapped, so that their memory is returned as they are freed.
+ * glibc would raise the threshold by itself, and large buffers fragment the heap then.
+ */
+#define MAPPED_BYTES_MIN (128 * 1024)
+
 static void on_signal(uv_signal_t *handle, int signum)
 {
 	if (signum == SIGHUP)
@@ -40,6 +47,7 @@
 	pd_error_t err;
 
 	signal(SIGPIPE, SIG_IGN);
+	mallopt(M_MMAP_THRESHOLD, MAPPED_BYTES_MIN);
 	settings = gateway_settings_read(options.settings, &err);
 	if (!settings)
 		goto error;
