Limit the bodies of requests as they are read

Callers saw their requests refused, and a gateway run out of memory, while others sent large bodies: 393 MB with 100 callers and 4 MB each.

The sum of all bodies was compared with its limit of 64 MB only when a request had been read whole. What was being read had no common limit, and once it exceeded 64 MB every request got a 503, also one without a body.

The sum is checked as bytes arrive now. While it is exceeded, the largest body that is being read is dropped, as others are more likely to be ordinary ones; its request is not run and gets a 503 once it has been read.

--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -14,7 +14,10 @@
  * the mean, which is well below the goal.
  */
 #define RESPONSE_TIMEOUT_GOALS 2.5
-/* Limit of the buffered bodies of all requests; beyond it, requests get a 503. */
+/*
+ * Limit of the buffered bodies of all requests. Beyond it, the largest of those that are
+ * being read are dropped, and their requests get a 503.
+ */
 #define BODY_BYTES_MAX (64 * 1024 * 1024)
 /*
  * A request is queued no longer than this fraction of its route's latency goal: later,
@@ -61,19 +64,62 @@
 	return request;
 }
 
-/* Appends to the body. Returns false if it is too long; the request then gets a 413. */
+/* Frees the body of a request, which is not run then. */
+static void request_free_body(gateway_request_t *request)
+{
+	request->gateway->body_bytes -= request->body->len;
+	g_byte_array_unref(request->body);
+	request->body = g_byte_array_new();
+}
+
+/* Returns the request that is being read and has the largest body so far, or NULL. */
+static gateway_request_t *find_largest_read(const gateway_t *gateway)
+{
+	gateway_request_t *largest = NULL;
+
+	LIST_FOR_EACH (it, &gateway->requests) {
+		gateway_request_t *request =
+			LIST_ENTRY(it, gateway_request_t, node);
+
+		if (!request->read_at &&
+		    request->body->len > (largest ? largest->body->len : 0))
+			largest = request;
+	}
+	return largest;
+}
+
+/* Drops the largest bodies that are being read while all take too much memory. */
+static void limit_bodies(gateway_t *gateway)
+{
+	while (gateway->body_bytes > BODY_BYTES_MAX) {
+		gateway_request_t *largest = find_largest_read(gateway);
+
+		if (!largest)
+			return;
+		largest->body_dropped = true;
+		request_free_body(largest);
+	}
+}
+
+/*
+ * Appends to the body. Returns false if the rest of it is ignored: the request then gets
+ * a 413 as it is too long, or a 503 as there is no memory.
+ */
 bool gateway_request_add_body(gateway_request_t *request, const char *data,
 			      size_t len)
 {
 	const forward_config_t *config = request->gateway->config;
 
-	if (config && request->body->len + len > config->body_bytes_max)
+	if (config && request->body->len + len > config->body_bytes_max) {
 		request->too_large = true;
-	if (request->too_large)
+		request_free_body(request);
+	}
+	if (request->too_large || request->body_dropped)
 		return false;
 	g_byte_array_append(request->body, (const guint8 *)data, (guint)len);
 	request->gateway->body_bytes += len;
-	return true;
+	limit_bodies(request->gateway);
+	return !request->body_dropped;
 }
 
 /* Returns whether the time that the caller allowed for the request is over. */
@@ -213,7 +259,7 @@
 		request_await_startup(request);
 		return;
 	}
-	if (gateway->body_bytes > BODY_BYTES_MAX) {
+	if (request->body_dropped) {
 		gateway_request_respond_error(request, 503, RETRY_AFTER_FULL,
 					      "no memory for bodies");
 		return;
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -48,6 +48,7 @@
 	GByteArray *body;
 	bool has_body;
 	bool too_large;
+	bool body_dropped; /* as all bodies together took too much memory */
 	request_state_t state;
 	forward_config_t *config;
 	const forward_route_t *route;
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -974,10 +974,10 @@
 	g_string_append_printf(
 		spec,
 		"%s],\"services\":[{\"name\":\"s\",\"maxConns\":64}],"
-		"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":65536,"
+		"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":%u,"
 		"\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
 		"\"tenants\":[{\"name\":\"mill\",\"apiKeys\":[\"k\"]}]}",
-		more_routes);
+		more_routes, rig->body_bytes_max ? rig->body_bytes_max : 65536);
 	rig_put(rig, "config", "main", spec->str);
 	g_string_free(spec, TRUE);
 }
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -107,6 +107,7 @@
 	GPtrArray *orders; /* bodies of the orders received */
 	bool orders_unanswered;
 	const char *more_settings; /* TOML appended to the settings; NULL: none */
+	unsigned int body_bytes_max; /* in configurations; 0: 64 KB */
 	bool first_start; /* gateways that start are the first ever */
 	GHashTable *runs; /* call id -> GUINT_TO_POINTER(number of runs) */
 	/* behavior of an upstream for a request; NULL: that of the server */
--- a/tests/process/test_gateway_endless.c
+++ b/tests/process/test_gateway_endless.c
@@ -40,6 +40,9 @@
 #define EVENT_BYTES 16384
 #define UNREAD_READ_BYTES 16000000 /* more than socket buffers hold */
 #define PIPELINING_CALLERS 4
+#define BODY_BYTES (4 * 1024 * 1024)
+#define BODIES 60
+#define BODIES_MIN 14 /* that fit into 64 MB with what is being sent */
 #define STILL_MS 300 /* less than gateways take for dead */
 #define RESUMED_CALLS 6 /* enough for one at each upstream */
 
@@ -438,6 +441,66 @@
 	check_pipelined(*state, "health", "GET /metrics HTTP/1.1\r\n\r\n");
 }
 
+/* Sends the rest of callers' requests TEXT; returns once all are sent, or fails. */
+static void send_all(gateway_rig_t *rig, rig_caller_t **callers,
+		     size_t *offsets, const GString *text, size_t end)
+{
+	uint64_t deadline = rig_now_ms() + RIG_TIMEOUT_MS;
+
+	for (bool sent = false; !sent;) {
+		assert_true(rig_now_ms() < deadline);
+		rig_run_once(rig);
+		check_memory(rig);
+		sent = true;
+		for (int i = 0; i < BODIES; i++) {
+			ssize_t len = send(callers[i]->fd, text->str + offsets[i],
+					   end - offsets[i], MSG_NOSIGNAL);
+
+			offsets[i] += len > 0 ? (size_t)len : 0;
+			sent &= offsets[i] == end;
+		}
+	}
+}
+
+/* Guards against bodies that take too much memory together before they are complete. */
+static void test_bodies_that_are_read_fit_into_memory(void **state)
+{
+	gateway_rig_t *rig = *state;
+	GString *text = g_string_new(NULL);
+	char *body = g_strnfill(BODY_BYTES, 'b');
+	rig_caller_t *callers[BODIES];
+	size_t offsets[BODIES] = { 0 };
+	unsigned int refused = 0;
+
+	rig->body_bytes_max = BODY_BYTES;
+	rig_put_config(rig, 2, "");
+	RIG_UNTIL(rig, rig_count_logged(rig, 0, "config=2") > 0);
+	g_string_printf(text,
+			"POST /unsafe/x HTTP/1.1\r\nHost: h\r\n"
+			"Authorization: Bearer k\r\nContent-Length: "
+			"%d\r\n\r\n%s",
+			BODY_BYTES, body);
+	for (int i = 0; i < BODIES; i++)
+		callers[i] = rig_call(rig, rig_port(rig, 0, "callers"), "");
+	send_all(rig, callers, offsets, text, text->len - 1);
+	check_serves(rig, "usual-body");
+	/* One after the other, as their upstreams have few slots. */
+	for (int i = 0; i < BODIES; i++) {
+		rig_send(callers[i], "b");
+		RIG_UNTIL(rig, rig_has_received(callers[i], "\r\n\r\n"));
+		check_memory(rig);
+		if (rig_has_received(callers[i], "HTTP/1.1 503 "))
+			refused++;
+		else
+			assert_true(rig_has_received(callers[i], "from "));
+		rig_caller_destroy(callers[i]);
+	}
+	assert_in_range(refused, 1, BODIES - BODIES_MIN);
+	check_serves(rig, "usual-after");
+	g_free(body);
+	g_string_free(text, TRUE);
+}
+
 /* Guards against an upstream that uses its connection to send on after an answer. */
 static void test_answer_goes_on_after_its_length(void **state)
 {
@@ -498,6 +561,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_unread_answers_of_the_health_check,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_bodies_that_are_read_fit_into_memory,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_answer_goes_on_after_its_length,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_store_answers_without_end,
