Test endless and unread answers over relays

No test had a gateway that relays answers without end. All answers that the direct tests send end in the same way over a relay, and both gateways stay within 110 MB (44 MB at most in one run) with streams and answers that callers do not read.

--- a/tests/process/test_gateway_endless.c
+++ b/tests/process/test_gateway_endless.c
@@ -106,6 +106,27 @@
 	return 0;
 }
 
+/* Has the first of two gateways reach no upstream, so that it relays its calls. */
+static int setup_cut_off(void **state)
+{
+	gateway_rig_t *rig = gateway_rig_create_sized(2, UPSTREAMS_MANY);
+	rig_caller_t *caller = NULL;
+
+	rig->choose_behavior = choose_behavior;
+	rig_cut_off(rig, 0);
+	rig_start_fleet(rig);
+	while (!caller || !rig_has_received(caller, "from ")) {
+		if (caller)
+			rig_caller_destroy(caller);
+		caller = rig_call_at(rig, 0, "POST", "/safe/x", "first");
+		RIG_UNTIL(rig, rig_has_received(caller, "\r\n\r\n"));
+	}
+	rig_caller_destroy(caller);
+	assert_true(rig_count_logged(rig, 0, " relay=") > 0);
+	*state = rig;
+	return 0;
+}
+
 static int teardown(void **state)
 {
 	gateway_rig_destroy(*state);
@@ -120,18 +141,24 @@
 	}
 }
 
-/* Returns the resident bytes of the gateway. */
+/* Returns the resident bytes of the gateway that has most. */
 static size_t gateway_bytes(const gateway_rig_t *rig)
 {
-	char *path = g_strdup_printf("/proc/%d/statm", (int)rig->gateways[0]->pid);
-	char *text = NULL;
-	unsigned long pages = 0;
-
-	assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	assert_int_equal(sscanf(text, "%*u %lu", &pages), 1);
-	g_free(text);
-	g_free(path);
-	return pages * (size_t)sysconf(_SC_PAGESIZE);
+	unsigned long most = 0;
+
+	for (int i = 0; i < rig->gateway_count; i++) {
+		char *path = g_strdup_printf("/proc/%d/statm",
+					     (int)rig->gateways[i]->pid);
+		char *text = NULL;
+		unsigned long pages = 0;
+
+		assert_true(g_file_get_contents(path, &text, NULL, NULL));
+		assert_int_equal(sscanf(text, "%*u %lu", &pages), 1);
+		most = MAX(most, pages);
+		g_free(text);
+		g_free(path);
+	}
+	return most * (size_t)sysconf(_SC_PAGESIZE);
 }
 
 static void check_memory(const gateway_rig_t *rig)
@@ -162,10 +189,13 @@
 static void check_each(gateway_rig_t *rig, const endless_t *answers,
 		       size_t count, const char *path, const char *response)
 {
+	/* The one that calls the upstream, also if the first relays to it. */
+	int last = rig->gateway_count - 1;
+
 	for (size_t i = 0; i < count; i++) {
 		char *id = g_strdup_printf("%s-%zu", path + 1, i);
 		char *usual = g_strdup_printf("usual-%s", id);
-		int logged = rig_count_logged(rig, 0, answers[i].reason);
+		int logged = rig_count_logged(rig, last, answers[i].reason);
 		rig_caller_t *caller;
 
 		set_endless(rig, &answers[i]);
@@ -174,8 +204,8 @@
 		await_end(rig, caller, response);
 		check_memory(rig);
 		assert_int_equal(rig_run_count(rig, id), 1);
-		RIG_UNTIL(rig,
-			  rig_count_logged(rig, 0, answers[i].reason) > logged);
+		RIG_UNTIL(rig, rig_count_logged(rig, last, answers[i].reason) >
+				       logged);
 		/* The last chunk would make a stream look complete. */
 		assert_null(strstr(caller->received->str, "\r\n0\r\n\r\n"));
 		rig_caller_destroy(caller);
@@ -200,6 +230,13 @@
 		   "/once/endless-begun", NULL);
 }
 
+/* Guards against a gateway that relays a call and keeps all of its answer. */
+static void test_endless_answers_end_over_a_relay(void **state)
+{
+	test_endless_answers_end(state);
+	test_endless_events_end(state);
+}
+
 /* Guards against slow answers without end that outlast their calls' deadlines. */
 static void test_slow_endless_answers_end_at_the_deadline(void **state)
 {
@@ -370,6 +407,13 @@
 	check_serves(rig, "usual-after");
 }
 
+/* Guards against a gateway that keeps what it relays and its callers do not read. */
+static void test_unread_answers_over_a_relay_fit_into_memory(void **state)
+{
+	test_unread_streams_fit_into_memory(state);
+	test_unread_answers_fit_into_memory(state);
+}
+
 /* Guards against a gateway that pauses a stream for its caller and does not go on. */
 static void test_stream_goes_on_after_its_caller_reads(void **state)
 {
@@ -391,6 +435,12 @@
 	g_free(event);
 }
 
+/* Guards against the same of a stream that is relayed. */
+static void test_relayed_stream_goes_on_after_its_caller_reads(void **state)
+{
+	test_stream_goes_on_after_its_caller_reads(state);
+}
+
 /* Sends as much of TEXT as the socket takes, from OFFSET on; returns the next offset. */
 static size_t send_some(rig_caller_t *caller, const GString *text, size_t offset)
 {
@@ -557,6 +607,13 @@
 						setup_many_upstreams, teardown),
 		cmocka_unit_test_setup_teardown(test_stream_goes_on_after_its_caller_reads,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_relayed_stream_goes_on_after_its_caller_reads,
+			setup_cut_off, teardown),
+		cmocka_unit_test_setup_teardown(test_endless_answers_end_over_a_relay,
+						setup_cut_off, teardown),
+		cmocka_unit_test_setup_teardown(test_unread_answers_over_a_relay_fit_into_memory,
+						setup_cut_off, teardown),
 		cmocka_unit_test_setup_teardown(test_unread_answers_to_pipelined_requests,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_unread_answers_of_the_health_check,
