--- a/tests/process/test_gateway_endless.c
+++ b/tests/process/test_gateway_endless.c
@@ -328,13 +328,14 @@
 	check_serves(rig, "usual-after");
 }
 
-/* Returns a chunk with one event, owned by the caller. */
-static char *whole_event(void)
+/* Returns a chunk with one event. */
+static const char *whole_event(void)
 {
+	static char chunk[EVENT_BYTES + 32];
 	char *data = g_strnfill(EVENT_BYTES, 'a');
-	char *chunk =
-		g_strdup_printf("%x\r\ndata: %s\n\n\r\n", EVENT_BYTES + 8, data);
 
+	snprintf(chunk, sizeof(chunk), "%x\r\ndata: %s\n\n\r\n",
+		 EVENT_BYTES + 8, data);
 	g_free(data);
 	return chunk;
 }
@@ -366,11 +367,11 @@
 static void test_unread_streams_fit_into_memory(void **state)
 {
 	gateway_rig_t *rig = *state;
-	char *event = whole_event();
 
 	rig_caller_t *callers[UNREAD_STREAMS];
 
-	set_endless(rig, &(endless_t){ .begin = STREAM_HEAD, .piece = event });
+	set_endless(rig,
+		    &(endless_t){ .begin = STREAM_HEAD, .piece = whole_event() });
 	for (int i = 0; i < UNREAD_STREAMS; i++) {
 		char id[32];
 
@@ -383,7 +384,6 @@
 	for (int i = 0; i < UNREAD_STREAMS; i++)
 		rig_caller_destroy(callers[i]);
 	check_serves(rig, "usual-after");
-	g_free(event);
 }
 
 /* Guards against a gateway that keeps many complete answers for callers that do not read. */
@@ -418,11 +418,11 @@
 static void test_stream_goes_on_after_its_caller_reads(void **state)
 {
 	gateway_rig_t *rig = *state;
-	char *event = whole_event();
 	rig_caller_t *caller;
 	size_t before;
 
-	set_endless(rig, &(endless_t){ .begin = STREAM_HEAD, .piece = event });
+	set_endless(rig,
+		    &(endless_t){ .begin = STREAM_HEAD, .piece = whole_event() });
 	caller = rig_call_at(rig, 0, "POST", "/once/endless", "goes-on");
 	rig_run_for(rig, DEADLINE_MS / 3);
 	rig_receive(caller);
@@ -432,7 +432,6 @@
 			  caller->received->len > before + UNREAD_READ_BYTES),
 			 ANSWER_MS_MAX);
 	rig_caller_destroy(caller);
-	g_free(event);
 }
 
 /* Guards against the same of a stream that is relayed. */
