Close connections of peers that leave 4 MB unread

A peer that sends frames and reads nothing, or that acknowledges more than it reads, makes the other one queue without a limit.

Each frame is acknowledged with an own write, which takes some 250 bytes until the kernel takes it, for a frame of five bytes. The limit for frames that are sent is the time until the next acknowledgement, whichever frame that is for, and no limit of bytes.

A connection now fails when its writes that are not complete take more than 4 MB, the limit for frames that wait for a connection.

--- a/adapters/frame_link.c
+++ b/adapters/frame_link.c
@@ -19,7 +19,8 @@
  */
 #define ACK_TIMEOUT_MS 1000
 #define IDLE_TIMEOUT_MS 30000
-#define QUEUED_BYTES_MAX (4 * 1024 * 1024) /* while a connection is opened */
+/* Of a connection: queued while it is opened, or written and not read by the peer. */
+#define QUEUED_BYTES_MAX ((size_t)4 * 1024 * 1024)
 
 /* Shared by all connections, as the loop has one thread. */
 static char read_buffer[64 * 1024];
@@ -34,6 +35,7 @@
 	bool closing;
 	GByteArray *input; /* received, not yet parsed */
 	GByteArray *queued; /* frames to send once connected */
+	size_t writing_bytes; /* allocated for writes that are not complete */
 	unsigned int unacked; /* frames sent or queued */
 	uint64_t unacked_since; /* loop time, ms */
 	uint64_t last_used_at; /* loop time, ms */
@@ -42,6 +44,7 @@
 typedef struct write {
 	uv_write_t req;
 	GBytes *bytes;
+	size_t size; /* of itself, and of its bytes */
 } write_t;
 
 struct frame_link {
@@ -108,14 +111,19 @@
 static void on_write_done(uv_write_t *req, int status)
 {
 	write_t *write = (write_t *)req;
+	conn_t *conn = req->handle->data;
 
+	conn->writing_bytes -= write->size;
 	if (status < 0 && status != UV_ECANCELED)
-		conn_fail(req->handle->data);
+		conn_fail(conn);
 	g_bytes_unref(write->bytes);
 	g_free(write);
 }
 
-/* Writes BYTES, which are referenced until they are written. */
+/*
+ * Writes BYTES, which are referenced until they are written. Fails the connection if its
+ * peer leaves too much unread.
+ */
 static void conn_write(conn_t *conn, GBytes *bytes)
 {
 	write_t *write = g_new0(write_t, 1);
@@ -124,13 +132,18 @@
 	uv_buf_t buf = uv_buf_init(data, (unsigned int)len);
 
 	write->bytes = g_bytes_ref(bytes);
+	write->size = sizeof(*write) + len;
 	conn->link->bytes += len;
 	if (uv_write(&write->req, (uv_stream_t *)&conn->tcp, &buf, 1,
 		     on_write_done) < 0) {
 		g_bytes_unref(write->bytes);
 		g_free(write);
 		conn_fail(conn);
+		return;
 	}
+	conn->writing_bytes += write->size;
+	if (conn->writing_bytes > QUEUED_BYTES_MAX)
+		conn_fail(conn);
 }
 
 /* Returns a frame with a copy of DATA, owned by the caller. */
