Limit incomplete frames of all peers together

Peers that begin frames and do not complete them take up to 4 MB a connection, and nothing limits the connections.

The size of a frame was the only limit, and a connection kept the memory of its largest frame as long as it was open.

All input that waits for the rest of its frame is counted. Beyond four frames of the largest size, the connection with most is closed, as it is the least likely to be an ordinary one. A frame's memory is freed once nothing follows it.

--- a/adapters/frame_link.c
+++ b/adapters/frame_link.c
@@ -21,6 +21,8 @@
 #define IDLE_TIMEOUT_MS 30000
 /* Of a connection: queued while it is opened, or written and not read by the peer. */
 #define QUEUED_BYTES_MAX ((size_t)4 * 1024 * 1024)
+/* Of the incomplete frames of all connections, in frames of the largest size. */
+#define INCOMPLETE_FRAMES_MAX 4
 
 /* Shared by all connections, as the loop has one thread. */
 static char read_buffer[64 * 1024];
@@ -55,6 +57,7 @@
 	uint16_t port;
 	GHashTable *outgoing; /* key -> conn_t, borrowed */
 	list_node_t conns; /* of conn_t */
+	size_t input_bytes; /* of all of them */
 	uint64_t bytes; /* sent and received */
 };
 
@@ -75,6 +78,7 @@
 	if (conn->closing)
 		return;
 	conn->closing = true;
+	conn->link->input_bytes -= conn->input->len;
 	if (conn->key)
 		g_hash_table_remove(conn->link->outgoing, conn->key);
 	list_remove(&conn->node);
@@ -204,8 +208,39 @@
 				  length);
 		consumed += length;
 	}
-	if (consumed)
+	if (!consumed)
+		return;
+	if (!conn->closing)
+		conn->link->input_bytes -= consumed;
+	if (consumed < conn->input->len) {
 		g_byte_array_remove_range(conn->input, 0, consumed);
+		return;
+	}
+	/* A large frame's memory is not kept. */
+	g_byte_array_unref(conn->input);
+	conn->input = g_byte_array_new();
+}
+
+/* Closes the connections with the largest incomplete frames while all take too much. */
+static void link_limit_input(frame_link_t *link)
+{
+	while (link->input_bytes >
+	       (size_t)link->config.frame_max * INCOMPLETE_FRAMES_MAX) {
+		conn_t *largest = NULL;
+
+		LIST_FOR_EACH (it, &link->conns) {
+			conn_t *conn = LIST_ENTRY(it, conn_t, node);
+
+			if (!largest || conn->input->len > largest->input->len)
+				largest = conn;
+		}
+		if (!largest)
+			return;
+		log_line(G_LOG_LEVEL_WARNING, LOG_COMPONENT,
+			 "connection closed: %u bytes of an incomplete frame",
+			 largest->input->len);
+		conn_fail(largest);
+	}
 }
 
 /* Provides the shared buffer for a read. */
@@ -224,9 +259,11 @@
 	if (len > 0) {
 		conn->link->bytes += (uint64_t)len;
 		conn->last_used_at = uv_now(conn->link->loop);
+		conn->link->input_bytes += (size_t)len;
 		g_byte_array_append(conn->input, (const guint8 *)buf->base,
 				    (guint)len);
 		conn_parse_input(conn);
+		link_limit_input(conn->link);
 	}
 	if (len < 0)
 		conn_fail(conn);
--- a/tests/unit/test_frame_link.c
+++ b/tests/unit/test_frame_link.c
@@ -20,6 +20,9 @@
 #define FRAME_BYTES_MAX (1024 * 1024)
 #define BLOCK_BYTES (64 * 1024)
 #define SENT_BYTES_MAX ((size_t)64 * 1024 * 1024)
+#define PEERS 20
+#define PEERS_OPEN_MAX 4 /* with an incomplete frame of the largest size each */
+#define LOOP_RUNS_MAX 20000
 
 typedef struct fixture {
 	uv_loop_t loop;
@@ -140,7 +143,7 @@
 	static const char acknowledgement[4];
 	fixture_t *fixture = *state;
 	int listener = open_socket(0);
-	struct sockaddr_in addr;
+	struct sockaddr_in addr = { 0 };
 	socklen_t len = sizeof(addr);
 	char *data = g_strnfill(BLOCK_BYTES, 'a');
 	GBytes *body = g_bytes_new_take(data, BLOCK_BYTES);
@@ -165,6 +168,42 @@
 	g_bytes_unref(body);
 }
 
+/* Guards against incomplete frames that take too much memory together. */
+static void test_incomplete_frames_have_a_common_limit(void **state)
+{
+	static const char head[] = { 0, 16, 0, 0 };
+	fixture_t *fixture = *state;
+	char *data = g_strnfill(FRAME_BYTES_MAX, 'a');
+	size_t sent[PEERS] = { 0 };
+	bool closed[PEERS] = { false };
+	int fds[PEERS];
+	unsigned int open = 0;
+
+	for (int i = 0; i < PEERS; i++) {
+		fds[i] = open_socket(frame_link_port(fixture->link));
+		assert_int_equal(send(fds[i], head, sizeof(head), 0), sizeof(head));
+	}
+	for (int run = 0; run < LOOP_RUNS_MAX; run++) {
+		for (int i = 0; i < PEERS; i++) {
+			ssize_t len = send_part(fds[i], data,
+						FRAME_BYTES_MAX - 1 - sent[i]);
+			char byte;
+
+			sent[i] += len > 0 ? (size_t)len : 0;
+			/* A link without unread bytes is closed without a reset. */
+			closed[i] |= len < 0 || recv(fds[i], &byte, 1, 0) == 0;
+		}
+		uv_run(&fixture->loop, UV_RUN_NOWAIT);
+	}
+	for (int i = 0; i < PEERS; i++) {
+		open += !closed[i];
+		close(fds[i]);
+	}
+	assert_in_range(open, 1, PEERS_OPEN_MAX);
+	assert_int_equal(fixture->frames, 0);
+	g_free(data);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -174,6 +213,8 @@
 		cmocka_unit_test_setup_teardown(
 			test_peer_that_acknowledges_and_does_not_read_is_closed,
 			setup, teardown),
+		cmocka_unit_test_setup_teardown(test_incomplete_frames_have_a_common_limit,
+						setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
