--- a/tests/process/test_gateway_endless.c
+++ b/tests/process/test_gateway_endless.c
@@ -1,10 +1,12 @@
 /* Tests of a gateway whose upstreams or store send answers that never end. */
 #include <setjmp.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <cmocka.h>
@@ -30,6 +32,18 @@
 #define OTHER_CALL_MS_MAX 1000
 #define DEADLINE_MS 3000 /* of calls */
 #define SLOW_GAP_MS 10
+#define UPSTREAMS_MANY 12
+#define UNREAD_STREAMS 80
+#define UNREAD_ANSWERS 20 /* of RIG_LARGE_BYTES */
+#define UNREAD_MS 2000
+#define SOCKET_BYTES 4096
+#define EVENT_BYTES 16384
+#define UNREAD_READ_BYTES 16000000 /* more than socket buffers hold */
+#define PIPELINING_CALLERS 4
+#define BODY_BYTES (4 * 1024 * 1024)
+#define BODIES 60
+#define BODIES_MIN 14 /* that fit into 64 MB with what is being sent */
+#define STILL_MS 300 /* less than gateways take for dead */
 #define RESUMED_CALLS 6 /* enough for one at each upstream */
 
 /* An answer without end; the log gives REASON, unless NULL. */
@@ -67,6 +81,8 @@
 static rig_behavior_t choose_behavior(void *ctx, const char *target)
 {
 	(void)ctx;
+	if (strstr(target, "large"))
+		return RIG_LARGE;
 	return strstr(target, "endless") ? RIG_ENDLESS : RIG_ANSWER;
 }
 
@@ -80,6 +96,37 @@
 	return 0;
 }
 
+static int setup_many_upstreams(void **state)
+{
+	gateway_rig_t *rig = gateway_rig_create_sized(1, UPSTREAMS_MANY);
+
+	rig->choose_behavior = choose_behavior;
+	rig_start_fleet(rig);
+	*state = rig;
+	return 0;
+}
+
+/* Has the first of two gateways reach no upstream, so that it relays its calls. */
+static int setup_cut_off(void **state)
+{
+	gateway_rig_t *rig = gateway_rig_create_sized(2, UPSTREAMS_MANY);
+	rig_caller_t *caller = NULL;
+
+	rig->choose_behavior = choose_behavior;
+	rig_cut_off(rig, 0);
+	rig_start_fleet(rig);
+	while (!caller || !rig_has_received(caller, "from ")) {
+		if (caller)
+			rig_caller_destroy(caller);
+		caller = rig_call_at(rig, 0, "POST", "/safe/x", "first");
+		RIG_UNTIL(rig, rig_has_received(caller, "\r\n\r\n"));
+	}
+	rig_caller_destroy(caller);
+	assert_true(rig_count_logged(rig, 0, " relay=") > 0);
+	*state = rig;
+	return 0;
+}
+
 static int teardown(void **state)
 {
 	gateway_rig_destroy(*state);
@@ -94,18 +141,24 @@
 	}
 }
 
-/* Returns the resident bytes of the gateway. */
+/* Returns the resident bytes of the gateway that has most. */
 static size_t gateway_bytes(const gateway_rig_t *rig)
 {
-	char *path = g_strdup_printf("/proc/%d/statm", (int)rig->gateways[0]->pid);
-	char *text = NULL;
-	unsigned long pages = 0;
-
-	assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	assert_int_equal(sscanf(text, "%*u %lu", &pages), 1);
-	g_free(text);
-	g_free(path);
-	return pages * (size_t)sysconf(_SC_PAGESIZE);
+	unsigned long most = 0;
+
+	for (int i = 0; i < rig->gateway_count; i++) {
+		char *path = g_strdup_printf("/proc/%d/statm",
+					     (int)rig->gateways[i]->pid);
+		char *text = NULL;
+		unsigned long pages = 0;
+
+		assert_true(g_file_get_contents(path, &text, NULL, NULL));
+		assert_int_equal(sscanf(text, "%*u %lu", &pages), 1);
+		most = MAX(most, pages);
+		g_free(text);
+		g_free(path);
+	}
+	return most * (size_t)sysconf(_SC_PAGESIZE);
 }
 
 static void check_memory(const gateway_rig_t *rig)
@@ -136,10 +189,13 @@
 static void check_each(gateway_rig_t *rig, const endless_t *answers,
 		       size_t count, const char *path, const char *response)
 {
+	/* The one that calls the upstream, also if the first relays to it. */
+	int last = rig->gateway_count - 1;
+
 	for (size_t i = 0; i < count; i++) {
 		char *id = g_strdup_printf("%s-%zu", path + 1, i);
 		char *usual = g_strdup_printf("usual-%s", id);
-		int logged = rig_count_logged(rig, 0, answers[i].reason);
+		int logged = rig_count_logged(rig, last, answers[i].reason);
 		rig_caller_t *caller;
 
 		set_endless(rig, &answers[i]);
@@ -148,8 +204,8 @@
 		await_end(rig, caller, response);
 		check_memory(rig);
 		assert_int_equal(rig_run_count(rig, id), 1);
-		RIG_UNTIL(rig,
-			  rig_count_logged(rig, 0, answers[i].reason) > logged);
+		RIG_UNTIL(rig, rig_count_logged(rig, last, answers[i].reason) >
+				       logged);
 		/* The last chunk would make a stream look complete. */
 		assert_null(strstr(caller->received->str, "\r\n0\r\n\r\n"));
 		rig_caller_destroy(caller);
@@ -174,6 +230,13 @@
 		   "/once/endless-begun", NULL);
 }
 
+/* Guards against a gateway that relays a call and keeps all of its answer. */
+static void test_endless_answers_end_over_a_relay(void **state)
+{
+	test_endless_answers_end(state);
+	test_endless_events_end(state);
+}
+
 /* Guards against slow answers without end that outlast their calls' deadlines. */
 static void test_slow_endless_answers_end_at_the_deadline(void **state)
 {
@@ -265,6 +328,228 @@
 	check_serves(rig, "usual-after");
 }
 
+/* Returns a chunk with one event. */
+static const char *whole_event(void)
+{
+	static char chunk[EVENT_BYTES + 32];
+	char *data = g_strnfill(EVENT_BYTES, 'a');
+
+	snprintf(chunk, sizeof(chunk), "%x\r\ndata: %s\n\n\r\n",
+		 EVENT_BYTES + 8, data);
+	g_free(data);
+	return chunk;
+}
+
+/* Runs the rig for a while in which its callers read nothing. */
+static void leave_unread(gateway_rig_t *rig)
+{
+	uint64_t end = rig_now_ms() + UNREAD_MS;
+
+	while (rig_now_ms() < end) {
+		rig_run_once(rig);
+		check_memory(rig);
+	}
+}
+
+/* Connects to the gateway's port for WHAT; the socket receives little before it is read. */
+static rig_caller_t *connect_unread(gateway_rig_t *rig, const char *what)
+{
+	rig_caller_t *caller = rig_call(rig, rig_port(rig, 0, what), "");
+	const int bytes = SOCKET_BYTES;
+
+	assert_int_equal(setsockopt(caller->fd, SOL_SOCKET, SO_RCVBUF, &bytes,
+				    sizeof(bytes)),
+			 0);
+	return caller;
+}
+
+/* Guards against a gateway that keeps all of a stream that its callers do not read. */
+static void test_unread_streams_fit_into_memory(void **state)
+{
+	gateway_rig_t *rig = *state;
+
+	rig_caller_t *callers[UNREAD_STREAMS];
+
+	set_endless(rig,
+		    &(endless_t){ .begin = STREAM_HEAD, .piece = whole_event() });
+	for (int i = 0; i < UNREAD_STREAMS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "unread-%d", i);
+		callers[i] = connect_unread(rig, "callers");
+		rig_send_call(callers[i], "POST", "/once/endless", id);
+	}
+	leave_unread(rig);
+	check_serves(rig, "usual-unread");
+	for (int i = 0; i < UNREAD_STREAMS; i++)
+		rig_caller_destroy(callers[i]);
+	check_serves(rig, "usual-after");
+}
+
+/* Guards against a gateway that keeps many complete answers for callers that do not read. */
+static void test_unread_answers_fit_into_memory(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *callers[UNREAD_ANSWERS];
+
+	for (int i = 0; i < UNREAD_ANSWERS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "large-%d", i);
+		callers[i] = connect_unread(rig, "callers");
+		rig_send_call(callers[i], "POST", "/unsafe/large", id);
+		RIG_UNTIL(rig, rig_count_logged(rig, 0, " route=unsafe ") > i);
+		check_memory(rig);
+	}
+	check_serves(rig, "usual-unread");
+	for (int i = 0; i < UNREAD_ANSWERS; i++)
+		rig_caller_destroy(callers[i]);
+	check_serves(rig, "usual-after");
+}
+
+/* Guards against a gateway that keeps what it relays and its callers do not read. */
+static void test_unread_answers_over_a_relay_fit_into_memory(void **state)
+{
+	test_unread_streams_fit_into_memory(state);
+	test_unread_answers_fit_into_memory(state);
+}
+
+/* Guards against a gateway that pauses a stream for its caller and does not go on. */
+static void test_stream_goes_on_after_its_caller_reads(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller;
+	size_t before;
+
+	set_endless(rig,
+		    &(endless_t){ .begin = STREAM_HEAD, .piece = whole_event() });
+	caller = rig_call_at(rig, 0, "POST", "/once/endless", "goes-on");
+	rig_run_for(rig, DEADLINE_MS / 3);
+	rig_receive(caller);
+	before = caller->received->len;
+	RIG_UNTIL_WITHIN(rig,
+			 (rig_receive(caller),
+			  caller->received->len > before + UNREAD_READ_BYTES),
+			 ANSWER_MS_MAX);
+	rig_caller_destroy(caller);
+}
+
+/* Guards against the same of a stream that is relayed. */
+static void test_relayed_stream_goes_on_after_its_caller_reads(void **state)
+{
+	test_stream_goes_on_after_its_caller_reads(state);
+}
+
+/* Sends as much of TEXT as the socket takes, from OFFSET on; returns the next offset. */
+static size_t send_some(rig_caller_t *caller, const GString *text, size_t offset)
+{
+	ssize_t len = send(caller->fd, text->str + offset, text->len - offset,
+			   MSG_NOSIGNAL);
+
+	return len < 0 ? offset : (offset + (size_t)len) % text->len;
+}
+
+/* Sends requests on connections, on and on, without reading the answers. */
+static void check_pipelined(gateway_rig_t *rig, const char *what, const char *text)
+{
+	rig_caller_t *callers[PIPELINING_CALLERS];
+	size_t offsets[PIPELINING_CALLERS] = { 0 };
+	GString *block = g_string_new(NULL);
+	uint64_t start = rig_now_ms();
+
+	while (block->len < RIG_ENDLESS_BLOCK)
+		g_string_append(block, text);
+	for (int i = 0; i < PIPELINING_CALLERS; i++)
+		callers[i] = rig_call(rig, rig_port(rig, 0, what), "");
+	/* What has arrived while the gateway stood still is read at once. */
+	process_signal(rig->gateways[0], SIGSTOP);
+	while (rig_now_ms() < start + STILL_MS + UNREAD_MS) {
+		for (int i = 0; i < PIPELINING_CALLERS; i++)
+			offsets[i] = send_some(callers[i], block, offsets[i]);
+		rig_run_once(rig);
+		if (rig_now_ms() >= start + STILL_MS)
+			process_signal(rig->gateways[0], SIGCONT);
+		check_memory(rig);
+	}
+	for (int i = 0; i < PIPELINING_CALLERS; i++)
+		rig_caller_destroy(callers[i]);
+	RIG_UNTIL(rig, rig_is_ready(rig, 0));
+	check_serves(rig, "usual-pipelined");
+	g_string_free(block, TRUE);
+}
+
+/* Guards against answers that pile up for callers that send requests without end. */
+static void test_unread_answers_to_pipelined_requests(void **state)
+{
+	check_pipelined(*state, "callers", "GET / HTTP/1.1\r\n\r\n");
+}
+
+/* Guards against the same on the port of the health check. */
+static void test_unread_answers_of_the_health_check(void **state)
+{
+	check_pipelined(*state, "health", "GET /metrics HTTP/1.1\r\n\r\n");
+}
+
+/* Sends the rest of callers' requests TEXT; returns once all are sent, or fails. */
+static void send_all(gateway_rig_t *rig, rig_caller_t **callers,
+		     size_t *offsets, const GString *text, size_t end)
+{
+	uint64_t deadline = rig_now_ms() + RIG_TIMEOUT_MS;
+
+	for (bool sent = false; !sent;) {
+		assert_true(rig_now_ms() < deadline);
+		rig_run_once(rig);
+		check_memory(rig);
+		sent = true;
+		for (int i = 0; i < BODIES; i++) {
+			ssize_t len = send(callers[i]->fd, text->str + offsets[i],
+					   end - offsets[i], MSG_NOSIGNAL);
+
+			offsets[i] += len > 0 ? (size_t)len : 0;
+			sent &= offsets[i] == end;
+		}
+	}
+}
+
+/* Guards against bodies that take too much memory together before they are complete. */
+static void test_bodies_that_are_read_fit_into_memory(void **state)
+{
+	gateway_rig_t *rig = *state;
+	GString *text = g_string_new(NULL);
+	char *body = g_strnfill(BODY_BYTES, 'b');
+	rig_caller_t *callers[BODIES];
+	size_t offsets[BODIES] = { 0 };
+	unsigned int refused = 0;
+
+	rig->body_bytes_max = BODY_BYTES;
+	rig_put_config(rig, 2, "");
+	RIG_UNTIL(rig, rig_count_logged(rig, 0, "config=2") > 0);
+	g_string_printf(text,
+			"POST /unsafe/x HTTP/1.1\r\nHost: h\r\n"
+			"Authorization: Bearer k\r\nContent-Length: "
+			"%d\r\n\r\n%s",
+			BODY_BYTES, body);
+	for (int i = 0; i < BODIES; i++)
+		callers[i] = rig_call(rig, rig_port(rig, 0, "callers"), "");
+	send_all(rig, callers, offsets, text, text->len - 1);
+	check_serves(rig, "usual-body");
+	/* One after the other, as their upstreams have few slots. */
+	for (int i = 0; i < BODIES; i++) {
+		rig_send(callers[i], "b");
+		RIG_UNTIL(rig, rig_has_received(callers[i], "\r\n\r\n"));
+		check_memory(rig);
+		if (rig_has_received(callers[i], "HTTP/1.1 503 "))
+			refused++;
+		else
+			assert_true(rig_has_received(callers[i], "from "));
+		rig_caller_destroy(callers[i]);
+	}
+	assert_in_range(refused, 1, BODIES - BODIES_MIN);
+	check_serves(rig, "usual-after");
+	g_free(body);
+	g_string_free(text, TRUE);
+}
+
 /* Guards against an upstream that uses its connection to send on after an answer. */
 static void test_answer_goes_on_after_its_length(void **state)
 {
@@ -315,6 +600,25 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_many_endless_answers_fit_into_memory,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_unread_streams_fit_into_memory,
+						setup_many_upstreams, teardown),
+		cmocka_unit_test_setup_teardown(test_unread_answers_fit_into_memory,
+						setup_many_upstreams, teardown),
+		cmocka_unit_test_setup_teardown(test_stream_goes_on_after_its_caller_reads,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_relayed_stream_goes_on_after_its_caller_reads,
+			setup_cut_off, teardown),
+		cmocka_unit_test_setup_teardown(test_endless_answers_end_over_a_relay,
+						setup_cut_off, teardown),
+		cmocka_unit_test_setup_teardown(test_unread_answers_over_a_relay_fit_into_memory,
+						setup_cut_off, teardown),
+		cmocka_unit_test_setup_teardown(test_unread_answers_to_pipelined_requests,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_unread_answers_of_the_health_check,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_bodies_that_are_read_fit_into_memory,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_answer_goes_on_after_its_length,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_store_answers_without_end,
