Forget the probe of a response's end with its attempt

A request whose attempt ends while the end of its response is verified must not be accepted by that probe. No path does so today: what ends such an attempt ends its request too.

--- a/adapters/gateway/request_end.c
+++ b/adapters/gateway/request_end.c
@@ -63,6 +63,7 @@
 		forward_upstream_unref(request->upstream);
 	request->upstream = NULL;
 	request->link = NULL;
+	request->end_probe = 0;
 }
 
 /* Logs the end of a request; STATUS 0: the caller got no complete response. */
