Record a relayed stream's version with its first event only

Callers saw streams go on at another version (ORDER) that had been relayed while two versions served.

Cause: a gateway to which a request is relayed tied it to the version of the upstream that it sent it to, and recorded that for all. If that upstream rejects it, the gateway answers 503, and the one that relays tries another gateway, at which the stream may begin at the other version. Two records of one attempt differ then, each gateway keeps the one that it has first, and the caller's next attempt goes on at whichever is found.

Now only requests that came from callers are tied before their first event; those run in no other gateway once they are sent. Of several relays of an attempt only one forwards events, so a record with the first event is right. After a kill of all gateways relayed streams that had no event 50 ms before are refused more often.

--- a/adapters/gateway/request_version.c
+++ b/adapters/gateway/request_version.c
@@ -197,14 +197,16 @@
 /*
  * Ties a request that is sent to the version of its upstream where the service has several:
  * its stream begins there or not at all, so the version can be recorded before the first
- * event. Roll-outs choose the version of each attempt, and are left to that.
+ * event. Roll-outs choose the version of each attempt, and are left to that; a relayed
+ * request that is refused here may begin at another version elsewhere.
  */
 void gateway_request_pin_version(gateway_request_t *request)
 {
 	gateway_t *gateway = request->gateway;
 
 	if (request->version_id || request->route->kind != FORWARD_STREAM ||
-	    !request->route->resumable || gateway_request_is_restricted(request) ||
+	    !request->route->resumable || caller_is_gateway(request->caller) ||
+	    gateway_request_is_restricted(request) ||
 	    !stream_versions_is_ambiguous(gateway->streams,
 					  request->upstream_version_id,
 					  gateway_now()))
--- a/tests/process/test_gateway_versions.c
+++ b/tests/process/test_gateway_versions.c
@@ -470,11 +470,9 @@
 	assert_true(resume_all(rig, taken, 0) >= STREAMS * 3 / 4);
 }
 
-/* Guards against a relayed request that goes on at another version. */
-static void test_relayed_stream_goes_on_at_its_version_only(void **state)
+/* Has gateway 1, which reaches no upstream, find that out. */
+static void find_cut(gateway_rig_t *rig)
 {
-	gateway_rig_t *rig = *state;
-	taken_t taken[STREAMS];
 	uint64_t end = rig_now_ms() + CUT_OFF_MS;
 
 	while (rig_now_ms() < end) {
@@ -483,6 +481,55 @@
 		RIG_UNTIL(rig, is_over(caller));
 		rig_caller_destroy(caller);
 	}
+}
+
+/* Has callers take a part of a stream each, from gateway 1; those refused call again. */
+static void take_relayed_parts(gateway_rig_t *rig, taken_t *taken)
+{
+	rig_caller_t *callers[STREAMS];
+	int calls = 0;
+
+	for (int i = 0; i < STREAMS; i++) {
+		snprintf(taken[i].id, sizeof(taken[i].id), "t%d", calls++);
+		callers[i] = begin(rig, 1, taken[i].id, i);
+	}
+	for (int i = 0; i < STREAMS; i++) {
+		while (!rig_has_received(callers[i], "id: 2\n")) {
+			rig_run_once(rig);
+			if (!is_over(callers[i]))
+				continue;
+			rig_caller_destroy(callers[i]);
+			snprintf(taken[i].id, sizeof(taken[i].id), "t%d", calls++);
+			callers[i] = begin(rig, 1, taken[i].id, i);
+		}
+		taken[i].old = strstr(callers[i]->received->str, OLD "\n");
+	}
+	for (int i = 0; i < STREAMS; i++)
+		rig_caller_destroy(callers[i]);
+	print_message("%d calls\n", calls);
+}
+
+/* Guards against a relayed request that goes on at the version that rejected it first. */
+static void test_relayed_stream_does_not_go_on_where_it_was_rejected(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	find_cut(rig);
+	rig->upstreams[0].behavior = RIG_REJECT;
+	take_relayed_parts(rig, taken);
+	rig->upstreams[0].behavior = RIG_STREAM;
+	rig_run_for(rig, KNOWN_MS);
+	resume_all(rig, taken, 0);
+}
+
+/* Guards against a relayed request that goes on at another version. */
+static void test_relayed_stream_goes_on_at_its_version_only(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	find_cut(rig);
 	take_parts(rig, taken, true);
 	assert_true(resume_all(rig, taken, 0) >= STREAMS / 2);
 }
@@ -544,6 +591,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_only_version_is_proved_by_others_without_the_store,
 			setup_one_version, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_relayed_stream_does_not_go_on_where_it_was_rejected,
+			setup_cut_off, teardown),
 		cmocka_unit_test_setup_teardown(test_relayed_stream_goes_on_at_its_version_only,
 						setup_cut_off, teardown),
 		cmocka_unit_test_setup_teardown(test_restarted_gateway_asks_others_for_versions,
