Test of streams that go on at the service their route has moved to

The only service of a route is taken from the configuration as it is now, for a stream that began before.

--- a/tests/process/test_gateway_versions.c
+++ b/tests/process/test_gateway_versions.c
@@ -433,6 +433,44 @@
 	resume_all(rig, taken, 0);
 }
 
+/* Moves the route of streams to another service, which upstream 0 serves. */
+static void move_route(gateway_rig_t *rig)
+{
+	char spec[256];
+
+	snprintf(spec, sizeof(spec),
+		 "{\"service\":\"t\",\"address\":\"127.0.0.1:%u\",\"zone\":"
+		 "\"a\","
+		 "\"slots\":8,\"version\":\"%s\",\"state\":\"ready\"}",
+		 rig->upstreams[0].port, OLD);
+	rig->upstreams[0].version = OLD;
+	rig_put(rig, "servers", "u0", spec);
+	rig_put(rig, "config", "main",
+		"{\"version\":2,\"routes\":[{\"name\":\"stream\",\"host\":"
+		"\"h\","
+		"\"pathPrefix\":\"/stream/\",\"kind\":\"stream\","
+		"\"timeoutMs\":4000,\"goalMs\":2000,\"priority\":1,"
+		"\"service\":\"t\",\"maxAttempts\":2,\"resumable\":true}],"
+		"\"services\":[{\"name\":\"t\",\"maxConns\":64}],"
+		"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":65536,"
+		"\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
+		"\"tenants\":[{\"name\":\"mill\",\"apiKeys\":[\"k\"]}]}");
+	rig_run_for(rig, KNOWN_MS);
+}
+
+/* Guards against streams that go on at another service as their route has moved to it. */
+static void test_stream_does_not_go_on_at_service_of_a_moved_route(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	rig_remove(rig, "servers", "u0");
+	rig_run_for(rig, KNOWN_MS);
+	take_parts(rig, taken, true);
+	move_route(rig);
+	resume_all(rig, taken, 0);
+}
+
 /*
  * Guards against a gateway that goes without the only version for good after the store has
  * discarded its history while a watch waited.
@@ -585,6 +623,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_version_that_left_before_the_first_listing_is_not_joined,
 			setup_late, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_stream_does_not_go_on_at_service_of_a_moved_route,
+			setup_apart, teardown),
 		cmocka_unit_test_setup_teardown(
 			test_only_version_is_known_again_after_history_is_discarded,
 			setup_all_apart, teardown),
