Remember versions for as long as streams of the former timeout last

Callers would see streams go on at another version (ORDER) after a configuration shortens the longest timeout of a stream, from more than 30 s.

Cause: versions that serve no longer count for the longest timeout of the present configuration. Streams that began under the one before may be resumed for longer, so their version was forgotten too soon and another one was taken for the only one; their records were dropped sooner as well.

Now a shorter time is used once the former one has passed.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -184,8 +184,9 @@
 	gateway->config = config;
 	g_free(gateway->config_text);
 	gateway->config_text = g_strdup(text);
-	stream_versions_set_ttl(gateway->streams, MAX(longest_stream(config),
-						      STREAM_VERSIONS_TTL_MIN));
+	stream_versions_set_ttl(gateway->streams,
+				MAX(longest_stream(config), STREAM_VERSIONS_TTL_MIN),
+				gateway_now());
 	gateway_peers_announce_config(gateway->peers);
 	return true;
 }
--- a/core/forward/stream_versions.c
+++ b/core/forward/stream_versions.c
@@ -25,6 +25,8 @@
 	GHashTable *previous;
 	pd_time_t rotated_at;
 	pd_time_t ttl; /* a stream may be resumed for so long after its first event */
+	pd_time_t next_ttl; /* from next_ttl_at on, if that is not 0 */
+	pd_time_t next_ttl_at;
 	GArray *unsent; /* of stream_record_t */
 	bool urgent; /* one of these is of a service with several versions */
 	GHashTable *services; /* name -> service_versions_t */
@@ -69,10 +71,29 @@
 	g_free(streams);
 }
 
-/* Sets how long after its first event a stream may be resumed. */
-void stream_versions_set_ttl(stream_versions_t *streams, pd_time_t ttl)
+/*
+ * Sets how long after its first event a stream may be resumed. A shorter time holds for
+ * streams that begin from now on, so it is used once those before it are over.
+ */
+void stream_versions_set_ttl(stream_versions_t *streams, pd_time_t ttl,
+			     pd_time_t now)
 {
-	streams->ttl = ttl;
+	if (ttl >= streams->ttl) {
+		streams->ttl = ttl;
+		streams->next_ttl_at = 0;
+	} else if (!streams->next_ttl_at || ttl != streams->next_ttl) {
+		streams->next_ttl = ttl;
+		streams->next_ttl_at = now + streams->ttl;
+	}
+}
+
+/* Uses a shorter time that was set once longer streams are over. */
+static void shorten_ttl(stream_versions_t *streams, pd_time_t now)
+{
+	if (!streams->next_ttl_at || now < streams->next_ttl_at)
+		return;
+	streams->ttl = streams->next_ttl;
+	streams->next_ttl_at = 0;
 }
 
 /* Returns the hash by which the attempt with an id is known; never 0. */
@@ -191,6 +212,7 @@
 	const served_version_t added = { version_id, now };
 	bool known = false;
 
+	shorten_ttl(streams, now);
 	for (guint i = served->len; i-- > 0;) {
 		served_version_t *version =
 			&g_array_index(served, served_version_t, i);
--- a/core/forward/stream_versions.h
+++ b/core/forward/stream_versions.h
@@ -30,7 +30,8 @@
 
 stream_versions_t *stream_versions_create(pd_time_t ttl, pd_time_t now);
 void stream_versions_destroy(stream_versions_t *streams);
-void stream_versions_set_ttl(stream_versions_t *streams, pd_time_t ttl);
+void stream_versions_set_ttl(stream_versions_t *streams, pd_time_t ttl,
+			     pd_time_t now);
 uint64_t stream_versions_hash(const char *attempt_id);
 void stream_versions_record(stream_versions_t *streams, uint64_t attempt,
 			    uint64_t version_id, pd_time_t now);
--- a/tests/unit/test_stream_versions.c
+++ b/tests/unit/test_stream_versions.c
@@ -113,6 +113,26 @@
 	assert_int_equal(stream_versions_sole(streams, SERVICE, T0), 0);
 }
 
+/* Guards against a shorter timeout for which streams that run longer are forgotten. */
+static void test_longer_streams_count_after_their_timeout_was_shortened(void **state)
+{
+	stream_versions_t *streams = *state;
+	pd_time_t now = T0 + 10 * TTL;
+
+	stream_versions_set_ttl(streams, 4 * TTL, T0);
+	stream_versions_record_serving(streams, SERVICE, OLD, now);
+	stream_versions_set_ttl(streams, TTL, now);
+	now += 2 * TTL;
+	stream_versions_record_serving(streams, SERVICE, NEW, now);
+	assert_int_equal(stream_versions_sole(streams, SERVICE, now), 0);
+	now += 3 * TTL;
+	stream_versions_record_serving(streams, SERVICE, NEW, now);
+	stream_versions_record_serving(streams, SERVICE, OLD, now);
+	now += TTL + 1;
+	stream_versions_record_serving(streams, SERVICE, NEW, now);
+	assert_int_equal(stream_versions_sole(streams, SERVICE, now), NEW);
+}
+
 static void test_first_gateways_know_all_versions(void **state)
 {
 	stream_versions_t *first = stream_versions_create(TTL, T0);
@@ -257,6 +277,9 @@
 			setup, teardown),
 		cmocka_unit_test_setup_teardown(test_only_version_is_restored,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_longer_streams_count_after_their_timeout_was_shortened,
+			setup, teardown),
 		cmocka_unit_test(test_first_gateways_know_all_versions),
 		cmocka_unit_test(test_choice_is_among_upstreams_of_the_version),
 		cmocka_unit_test(test_version_id_is_of_service_and_version),
