Cut the store in tests once its watch has ended, not a read

cut_store() of test_gateway_versions took a read of the history of registrations for the watch after the cut. Since gateways of the first start make one, the watch before it could still be answered, and the gateway was not out of step: an upstream's removal was read 20 ms after the cut. Watches that wait are counted by themselves now.

--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -795,9 +795,12 @@
 		return;
 	}
 	if (server->silent) {
-		server->silent_watches +=
-			g_str_has_prefix(session->target,
-					 "/objects/servers?watch=");
+		if (g_str_has_prefix(session->target,
+				     "/objects/servers?watch=")) {
+			server->silent_watches++;
+			server->silent_waits +=
+				!g_str_has_suffix(session->target, "waitMs=0");
+		}
 		return;
 	}
 	if (server >= rig->upstreams && server < rig->upstreams + RIG_UPSTREAMS_MAX)
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -57,6 +57,7 @@
 	bool down; /* closes each connection at its first request */
 	bool silent; /* does not respond to requests */
 	unsigned int silent_watches; /* watches of upstreams received while silent */
+	unsigned int silent_waits; /* those of them that are to wait for a change */
 	unsigned int arrivals;
 	unsigned int aborted_calls; /* closed by the client before the response */
 	rig_behavior_t behavior; /* of a store or the cloud: RIG_ENDLESS or ignored */
--- a/tests/process/test_gateway_versions.c
+++ b/tests/process/test_gateway_versions.c
@@ -386,9 +386,9 @@
 /* Has the store answer no call of gateway 1 from now on, not even those in flight. */
 static void cut_store(gateway_rig_t *rig)
 {
-	rig->stores[1].silent_watches = 0;
+	rig->stores[1].silent_waits = 0;
 	rig->stores[1].silent = true;
-	RIG_UNTIL(rig, rig->stores[1].silent_watches > 0);
+	RIG_UNTIL(rig, rig->stores[1].silent_waits > 0);
 }
 
 /* Guards against a gateway out of step that joins streams of a version that it missed. */
