Test of streams of a version that a gateway alone still uses

Callers see streams go on at another version (ORDER) after a gateway lacked the store and its peers for over 30 s while a version left and an upstream of it served on: the others have forgotten the version by then.

--- a/tests/process/test_gateway_versions.c
+++ b/tests/process/test_gateway_versions.c
@@ -16,6 +16,8 @@
 #define STREAMS 24
 #define EVENTS_SEEN 2 /* before a stream is broken off */
 #define CUT_OFF_MS 3000 /* until a gateway has found out that it is cut off */
+#define FORGOTTEN_MS \
+	32000 /* after which a version that serves no longer is forgotten */
 #define KNOWN_MS 1000 /* after which other gateways know of a stream */
 
 /* A caller that has received a part of a stream. */
@@ -49,14 +51,27 @@
 	*state = rig;
 }
 
-/* Has one version, and gateway 1 exchange no messages with the others. */
-static int setup_apart(void **state)
+/* Starts the same, with a gateway 1 that exchanges no messages with the others. */
+static void start_apart(void **state, const char *version)
 {
 	gateway_rig_t *rig = gateway_rig_create();
 
 	rig->apart[1] = true;
-	start_rig_of(rig, NEW);
+	start_rig_of(rig, version);
 	*state = rig;
+}
+
+/* Has one version, and gateway 1 apart. */
+static int setup_apart(void **state)
+{
+	start_apart(state, NEW);
+	return 0;
+}
+
+/* Has two versions, and gateway 1 apart. */
+static int setup_two_apart(void **state)
+{
+	start_apart(state, OLD);
 	return 0;
 }
 
@@ -433,6 +448,42 @@
 	resume_all(rig, taken, 0);
 }
 
+/* Guards against streams of a version that only a gateway out of step for long still uses. */
+static void test_version_that_others_have_forgotten_is_not_joined(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *callers[STREAMS];
+	bool old[STREAMS];
+
+	cut_store(rig);
+	rig_remove(rig, "servers", "u0");
+	rig_run_for(rig, FORGOTTEN_MS);
+	for (int i = 0; i < STREAMS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "f%d", i);
+		callers[i] = begin(rig, 1, id, i);
+	}
+	for (int i = 0; i < STREAMS; i++) {
+		RIG_UNTIL(rig, rig_has_received(callers[i], "id: 2\n"));
+		old[i] = strstr(callers[i]->received->str, OLD "\n");
+		rig_caller_destroy(callers[i]);
+	}
+	for (int i = 0; i < STREAMS; i++) {
+		char began[32];
+		char id[32];
+
+		snprintf(began, sizeof(began), "f%d", i);
+		snprintf(id, sizeof(id), "g%d", i);
+		callers[i] = resume(rig, 0, id, i, began);
+		RIG_UNTIL(rig, is_over(callers[i]));
+		if (strstr(callers[i]->received->str, old[i] ? NEW "\n" : OLD "\n"))
+			fail_msg("%s went on: %s", began,
+				 callers[i]->received->str);
+		rig_caller_destroy(callers[i]);
+	}
+}
+
 /* Moves the route of streams to another service, which upstream 0 serves. */
 static void move_route(gateway_rig_t *rig)
 {
@@ -623,6 +674,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_version_that_left_before_the_first_listing_is_not_joined,
 			setup_late, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_version_that_others_have_forgotten_is_not_joined,
+			setup_two_apart, teardown),
 		cmocka_unit_test_setup_teardown(
 			test_stream_does_not_go_on_at_service_of_a_moved_route,
 			setup_apart, teardown),
