--- a/tests/process/test_gateway_versions.c
+++ b/tests/process/test_gateway_versions.c
@@ -16,6 +16,8 @@
 #define STREAMS 24
 #define EVENTS_SEEN 2 /* before a stream is broken off */
 #define CUT_OFF_MS 3000 /* until a gateway has found out that it is cut off */
+#define FORGOTTEN_MS \
+	32000 /* after which a version that serves no longer is forgotten */
 #define KNOWN_MS 1000 /* after which other gateways know of a stream */
 
 /* A caller that has received a part of a stream. */
@@ -49,14 +51,27 @@
 	*state = rig;
 }
 
-/* Has one version, and gateway 1 exchange no messages with the others. */
-static int setup_apart(void **state)
+/* Starts the same, with a gateway 1 that exchanges no messages with the others. */
+static void start_apart(void **state, const char *version)
 {
 	gateway_rig_t *rig = gateway_rig_create();
 
 	rig->apart[1] = true;
-	start_rig_of(rig, NEW);
+	start_rig_of(rig, version);
 	*state = rig;
+}
+
+/* Has one version, and gateway 1 apart. */
+static int setup_apart(void **state)
+{
+	start_apart(state, NEW);
+	return 0;
+}
+
+/* Has two versions, and gateway 1 apart. */
+static int setup_two_apart(void **state)
+{
+	start_apart(state, OLD);
 	return 0;
 }
 
@@ -386,9 +401,9 @@
 /* Has the store answer no call of gateway 1 from now on, not even those in flight. */
 static void cut_store(gateway_rig_t *rig)
 {
-	rig->stores[1].silent_watches = 0;
+	rig->stores[1].silent_waits = 0;
 	rig->stores[1].silent = true;
-	RIG_UNTIL(rig, rig->stores[1].silent_watches > 0);
+	RIG_UNTIL(rig, rig->stores[1].silent_waits > 0);
 }
 
 /* Guards against a gateway out of step that joins streams of a version that it missed. */
@@ -433,6 +448,80 @@
 	resume_all(rig, taken, 0);
 }
 
+/* Guards against streams of a version that only a gateway out of step for long still uses. */
+static void test_version_that_others_have_forgotten_is_not_joined(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *callers[STREAMS];
+	bool old[STREAMS];
+
+	cut_store(rig);
+	rig_remove(rig, "servers", "u0");
+	rig_run_for(rig, FORGOTTEN_MS);
+	for (int i = 0; i < STREAMS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "f%d", i);
+		callers[i] = begin(rig, 1, id, i);
+	}
+	for (int i = 0; i < STREAMS; i++) {
+		RIG_UNTIL(rig, rig_has_received(callers[i], "id: 2\n"));
+		old[i] = strstr(callers[i]->received->str, OLD "\n");
+		rig_caller_destroy(callers[i]);
+	}
+	for (int i = 0; i < STREAMS; i++) {
+		char began[32];
+		char id[32];
+
+		snprintf(began, sizeof(began), "f%d", i);
+		snprintf(id, sizeof(id), "g%d", i);
+		callers[i] = resume(rig, 0, id, i, began);
+		RIG_UNTIL(rig, is_over(callers[i]));
+		if (strstr(callers[i]->received->str, old[i] ? NEW "\n" : OLD "\n"))
+			fail_msg("%s went on: %s", began,
+				 callers[i]->received->str);
+		rig_caller_destroy(callers[i]);
+	}
+}
+
+/* Moves the route of streams to another service, which upstream 0 serves. */
+static void move_route(gateway_rig_t *rig)
+{
+	char spec[256];
+
+	snprintf(spec, sizeof(spec),
+		 "{\"service\":\"t\",\"address\":\"127.0.0.1:%u\",\"zone\":"
+		 "\"a\","
+		 "\"slots\":8,\"version\":\"%s\",\"state\":\"ready\"}",
+		 rig->upstreams[0].port, OLD);
+	rig->upstreams[0].version = OLD;
+	rig_put(rig, "servers", "u0", spec);
+	rig_put(rig, "config", "main",
+		"{\"version\":2,\"routes\":[{\"name\":\"stream\",\"host\":"
+		"\"h\","
+		"\"pathPrefix\":\"/stream/\",\"kind\":\"stream\","
+		"\"timeoutMs\":4000,\"goalMs\":2000,\"priority\":1,"
+		"\"service\":\"t\",\"maxAttempts\":2,\"resumable\":true}],"
+		"\"services\":[{\"name\":\"t\",\"maxConns\":64}],"
+		"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":65536,"
+		"\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
+		"\"tenants\":[{\"name\":\"mill\",\"apiKeys\":[\"k\"]}]}");
+	rig_run_for(rig, KNOWN_MS);
+}
+
+/* Guards against streams that go on at another service as their route has moved to it. */
+static void test_stream_does_not_go_on_at_service_of_a_moved_route(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	rig_remove(rig, "servers", "u0");
+	rig_run_for(rig, KNOWN_MS);
+	take_parts(rig, taken, true);
+	move_route(rig);
+	resume_all(rig, taken, 0);
+}
+
 /*
  * Guards against a gateway that goes without the only version for good after the store has
  * discarded its history while a watch waited.
@@ -470,11 +559,9 @@
 	assert_true(resume_all(rig, taken, 0) >= STREAMS * 3 / 4);
 }
 
-/* Guards against a relayed request that goes on at another version. */
-static void test_relayed_stream_goes_on_at_its_version_only(void **state)
+/* Has gateway 1, which reaches no upstream, find that out. */
+static void find_cut(gateway_rig_t *rig)
 {
-	gateway_rig_t *rig = *state;
-	taken_t taken[STREAMS];
 	uint64_t end = rig_now_ms() + CUT_OFF_MS;
 
 	while (rig_now_ms() < end) {
@@ -483,6 +570,55 @@
 		RIG_UNTIL(rig, is_over(caller));
 		rig_caller_destroy(caller);
 	}
+}
+
+/* Has callers take a part of a stream each, from gateway 1; those refused call again. */
+static void take_relayed_parts(gateway_rig_t *rig, taken_t *taken)
+{
+	rig_caller_t *callers[STREAMS];
+	int calls = 0;
+
+	for (int i = 0; i < STREAMS; i++) {
+		snprintf(taken[i].id, sizeof(taken[i].id), "t%d", calls++);
+		callers[i] = begin(rig, 1, taken[i].id, i);
+	}
+	for (int i = 0; i < STREAMS; i++) {
+		while (!rig_has_received(callers[i], "id: 2\n")) {
+			rig_run_once(rig);
+			if (!is_over(callers[i]))
+				continue;
+			rig_caller_destroy(callers[i]);
+			snprintf(taken[i].id, sizeof(taken[i].id), "t%d", calls++);
+			callers[i] = begin(rig, 1, taken[i].id, i);
+		}
+		taken[i].old = strstr(callers[i]->received->str, OLD "\n");
+	}
+	for (int i = 0; i < STREAMS; i++)
+		rig_caller_destroy(callers[i]);
+	print_message("%d calls\n", calls);
+}
+
+/* Guards against a relayed request that goes on at the version that rejected it first. */
+static void test_relayed_stream_does_not_go_on_where_it_was_rejected(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	find_cut(rig);
+	rig->upstreams[0].behavior = RIG_REJECT;
+	take_relayed_parts(rig, taken);
+	rig->upstreams[0].behavior = RIG_STREAM;
+	rig_run_for(rig, KNOWN_MS);
+	resume_all(rig, taken, 0);
+}
+
+/* Guards against a relayed request that goes on at another version. */
+static void test_relayed_stream_goes_on_at_its_version_only(void **state)
+{
+	gateway_rig_t *rig = *state;
+	taken_t taken[STREAMS];
+
+	find_cut(rig);
 	take_parts(rig, taken, true);
 	assert_true(resume_all(rig, taken, 0) >= STREAMS / 2);
 }
@@ -538,12 +674,21 @@
 		cmocka_unit_test_setup_teardown(
 			test_version_that_left_before_the_first_listing_is_not_joined,
 			setup_late, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_version_that_others_have_forgotten_is_not_joined,
+			setup_two_apart, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_stream_does_not_go_on_at_service_of_a_moved_route,
+			setup_apart, teardown),
 		cmocka_unit_test_setup_teardown(
 			test_only_version_is_known_again_after_history_is_discarded,
 			setup_all_apart, teardown),
 		cmocka_unit_test_setup_teardown(
 			test_only_version_is_proved_by_others_without_the_store,
 			setup_one_version, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_relayed_stream_does_not_go_on_where_it_was_rejected,
+			setup_cut_off, teardown),
 		cmocka_unit_test_setup_teardown(test_relayed_stream_goes_on_at_its_version_only,
 						setup_cut_off, teardown),
 		cmocka_unit_test_setup_teardown(test_restarted_gateway_asks_others_for_versions,
