Accept unsafe requests at the beginning of a stop

What callers saw: with a stopping gateway refused unsafe requests with a long timeout from the order to stop on. Callers came back to the same gateway until the load balancer had missed it twice, and gave up.

Fix: for 2.6 s any request is accepted; from then on a safe or unsafe one by its deadline. A request that was sent early and is left 0.4 s before the kill is answered as before this change.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -41,8 +41,8 @@
 #define STOP_LISTEN_TIME (4 * PD_SEC)
 #define STOP_LISTEN_GRACE_PART 0.5 /* at most */
 /*
- * How long a stopping gateway goes on accepting streams, and safe requests that may
- * outlast its grace period: by then the load balancer sends callers elsewhere.
+ * How long a stopping gateway goes on accepting streams, and requests that may outlast
+ * its grace period: by then the load balancer sends callers elsewhere.
  */
 #define STOP_ACCEPT_LONG_TIME (2600 * PD_MSEC)
 #define STOP_ACCEPT_LONG_GRACE_PART 0.33 /* at most */
@@ -298,27 +298,17 @@
 
 /*
  * Returns whether a request of a route of KIND may be accepted, and sent, though the
- * gateway stops. An unsafe one must reach its deadline before the process ends, as its
- * caller could not know whether it has run. A stream or a safe request is worth a try
- * while there is much time left.
+ * gateway stops. Most end long before their deadline, so any is worth a try while
+ * callers still come here and much time is left. Later on a stream is refused, and any
+ * other request that might outlast this process.
  */
 bool gateway_has_time_for(const gateway_t *gateway, forward_route_kind_t kind,
 			  pd_time_t deadline)
 {
-	bool early;
-
-	if (!gateway->stop_requested_at)
+	if (!gateway->stop_requested_at ||
+	    stop_accepts_long(gateway, gateway_now()))
 		return true;
-	early = stop_accepts_long(gateway, gateway_now());
-	switch (kind) {
-	case FORWARD_SAFE:
-		return early || deadline <= stop_end(gateway);
-	case FORWARD_UNSAFE:
-		return deadline <= stop_end(gateway);
-	case FORWARD_STREAM:
-		return early;
-	}
-	return false;
+	return kind != FORWARD_STREAM && deadline <= stop_end(gateway);
 }
 
 /*
