Free the process of a gateway before it is started again

The test of streams in series of failures leaked 356 bytes with the sanitizers, which fails it: the series starts killed gateways again, and the rig keeps one process for each.

--- a/tests/process/test_gateway_streams.c
+++ b/tests/process/test_gateway_streams.c
@@ -359,6 +359,7 @@
 	for (int i = 0; i < RIG_GATEWAYS; i++)
 		running += series->up[i] && !series->paused[i];
 	if (!series->up[number]) {
+		process_destroy(rig->gateways[number]);
 		rig_start_gateway(rig, number, ++series->starts[number]);
 		series->up[number] = true;
 	} else if (series->paused[number]) {
