Keep the ports of mock upstreams that are down

While a mock upstream is down its port is free, and a rig of another test program on the machine may get it, whose upstreams have the same names, so that X-Expect-Instance does not tell them apart.

Change: a socket that is bound and does not listen keeps the port. Connections are refused as before.

--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -398,6 +398,27 @@
 	return g_strdup_printf("u%d.%u", server->number, server->ends);
 }
 
+/* Keeps other programs from the port of a server, which refuses connections. */
+static void reserve_port(rig_server_t *server)
+{
+	struct sockaddr_in addr;
+	int on = 1;
+
+	uv_ip4_addr("127.0.0.1", server->port, &addr);
+	server->reserving_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	setsockopt(server->reserving_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(server->reserving_fd, (struct sockaddr *)&addr, sizeof(addr)) < 0)
+		g_error("can't reserve port %u", server->port);
+}
+
+/* Gives up the port that is kept, if any. */
+static void release_port(rig_server_t *server)
+{
+	if (server->reserving_fd >= 0)
+		close(server->reserving_fd);
+	server->reserving_fd = -1;
+}
+
 /* Listens on the port of a server, or on a free one of loopback if it has none. */
 static void server_listen(rig_server_t *server)
 {
@@ -410,6 +431,7 @@
 	if (uv_tcp_bind(&server->listener, (struct sockaddr *)&addr, 0) < 0 ||
 	    uv_listen((uv_stream_t *)&server->listener, 64, on_accept) < 0)
 		g_error("can't listen on port %u", server->port);
+	release_port(server);
 	uv_tcp_getsockname(&server->listener, (struct sockaddr *)&addr, &len);
 	server->port = ntohs(addr.sin_port);
 }
@@ -445,6 +467,7 @@
 	if (uv_is_closing((uv_handle_t *)&server->listener))
 		return;
 	uv_close((uv_handle_t *)&server->listener, NULL);
+	reserve_port(server);
 	uv_timer_start(&server->restart, on_restart, RIG_RESTART_MS, 0);
 	if (silent)
 		return;
@@ -904,6 +927,7 @@
 	server->rig = rig;
 	server->number = number;
 	server->last = g_string_new(NULL);
+	server->reserving_fd = -1;
 	list_init(&server->sessions);
 	uv_timer_init(&rig->loop, &server->restart);
 	server->restart.data = server;
@@ -965,6 +989,8 @@
 {
 	for (int i = 0; i < rig->gateway_count; i++)
 		process_destroy(rig->gateways[i]);
+	for (int i = 0; i < rig->upstream_count; i++)
+		release_port(&rig->upstreams[i]);
 	for (int i = 0; i < 50; i++)
 		uv_run(&rig->loop, UV_RUN_NOWAIT);
 	uv_walk(&rig->loop, close_handle, NULL);
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -58,6 +58,7 @@
 	gateway_rig_t *rig;
 	uv_tcp_t listener;
 	uint16_t port;
+	int reserving_fd; /* keeps the port while it does not listen; -1: none */
 	int number;
 	bool down; /* closes each connection at its first request */
 	bool silent; /* does not respond to requests */
