Restore from the newest record that a gateway wrote

A start after a kill of all gateways restored nothing if another writer had stored an object of kind records meanwhile: the newest object was taken for the checkpoint even if it was none, and the others were then left aside.

Only objects with a fleet size count now. All records that gateways write have one.

--- a/adapters/gateway/checkpoint.c
+++ b/adapters/gateway/checkpoint.c
@@ -420,6 +420,20 @@
 	checkpoint_record_destroy(record);
 }
 
+/* Returns whether entry I of a page is a record of a gateway; all have a fleet size. */
+static bool is_record(const wire_page_t *page, size_t i)
+{
+	char *text = wire_page_spec(page, i);
+	pd_error_t err;
+	checkpoint_record_t *record = text ? checkpoint_record_parse(text, &err)
+					   : NULL;
+	bool valid = record && record->fleet_size;
+
+	checkpoint_record_destroy(record);
+	g_free(text);
+	return valid;
+}
+
 /* Handles a page of records: the most recently written one counts, and others' versions. */
 static void handle_records(gateway_checkpoint_t *checkpoint, const wire_page_t *page)
 {
@@ -429,7 +443,8 @@
 	char *text;
 
 	for (size_t i = 0; i < wire_page_count(page); i++) {
-		if (wire_page_object_revision(page, i) > revision) {
+		if (wire_page_object_revision(page, i) > revision &&
+		    is_record(page, i)) {
 			revision = wire_page_object_revision(page, i);
 			newest = i;
 		}
--- a/tests/process/test_gateway_restart.c
+++ b/tests/process/test_gateway_restart.c
@@ -546,6 +546,26 @@
 			 RESUME_TIMEOUT_MS);
 }
 
+/* Guards against a restart that restores nothing as another writer's record is newer. */
+static void test_record_of_another_writer_hides_none(void **state)
+{
+	static const char *const others[] = { "[]", "{}", "{\"gateways\":\"x\"}" };
+	gateway_rig_t *rig = *state;
+
+	kill_all(rig);
+	rig_put(rig, "records", "slot-0",
+		"{\"gateways\":1,\"accounts\":{},\"leader\":\"g0\"}");
+	for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
+		char *name = g_strdup_printf("other-%zu", i);
+
+		rig_put(rig, "records", name, others[i]);
+		g_free(name);
+	}
+	rig_start(rig, 0);
+	RIG_UNTIL_WITHIN(rig, rig_count_logged(rig, 0, "leader=g0") == 1,
+			 RESUME_TIMEOUT_MS);
+}
+
 /* Returns the leader in a checkpoint record, borrowed, or NULL. */
 static const char *recorded_leader(gateway_rig_t *rig, const char *name)
 {
@@ -715,6 +735,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_machine_of_the_same_name_gets_a_new_token,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_record_of_another_writer_hides_none,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_usage_gaps_are_logged,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_restart_keeps_recorded_leader,
