Return tokens that were predicted for peers that had died

A gateway takes what its peers are predicted to grant out of its bucket until their next report, as they may be cut off.

What was predicted for a former process later than a lag after its last report goes back to the bucket when the next one is heard. Until then the prediction holds, so a gateway that is cut off stays accounted for.

test_predicted_use_of_a_dead_peer_is_returned failed before. property/test_token_limits passes.

--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -384,7 +384,7 @@
 			 incarnation, address);
 		if (peer->incarnation)
 			token_limits_remove_peer(peers->gateway->limits,
-						 peer->incarnation);
+						 peer->incarnation, gateway_now());
 		peers_remove_values(peers, peer);
 		peer->knows_held = false;
 	}
--- a/core/forward/peer_uses.c
+++ b/core/forward/peer_uses.c
@@ -218,10 +218,21 @@
 	return demand;
 }
 
-/* Removes a peer; the use predicted for it so far stays counted. */
-void peer_uses_remove(peer_uses_t *uses, const char *peer)
+/*
+ * Removes a peer that has ended. Returns the tokens that were predicted for it later than
+ * LAG after its last report: while it lives, it reports more often.
+ */
+double peer_uses_remove(peer_uses_t *uses, const char *peer, pd_time_t lag,
+			pd_time_t now)
 {
+	const peer_use_t *use = g_hash_table_lookup(uses->peers, peer);
+	double unused = 0;
+
+	peer_uses_update(uses, now);
+	if (use)
+		unused = predicted_use(use, use->reported_at + lag, now);
 	g_hash_table_remove(uses->peers, peer);
+	return unused;
 }
 
 /* Removes all peers, because others report for them from now on. */
--- a/core/forward/peer_uses.h
+++ b/core/forward/peer_uses.h
@@ -26,7 +26,8 @@
 void peer_uses_report_demand(peer_uses_t *uses, const char *peer,
 			     double requested, pd_time_t now);
 double peer_uses_demand(const peer_uses_t *uses, pd_time_t now);
-void peer_uses_remove(peer_uses_t *uses, const char *peer);
+double peer_uses_remove(peer_uses_t *uses, const char *peer, pd_time_t lag,
+			pd_time_t now);
 void peer_uses_clear(peer_uses_t *uses);
 
 #endif
--- a/core/forward/token_limits.c
+++ b/core/forward/token_limits.c
@@ -442,15 +442,24 @@
 		peer_uses_clear(((bucket_t *)value)->peers);
 }
 
-/* Removes a peer that has ended, and stops predicting its use. */
-void token_limits_remove_peer(token_limits_t *limits, const char *peer)
+/*
+ * Removes a peer that has ended: stops predicting its use, and returns to the buckets what
+ * was predicted for the time since. During an outage of many gateways their predicted use
+ * would leave nothing to those that are left and to the streams of the others.
+ */
+void token_limits_remove_peer(token_limits_t *limits, const char *peer,
+			      pd_time_t now)
 {
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, limits->buckets);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		peer_uses_remove(((bucket_t *)value)->peers, peer);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		bucket_t *bucket = value;
+
+		bucket->level +=
+			peer_uses_remove(bucket->peers, peer, limits->lag, now);
+	}
 }
 
 /*
--- a/core/forward/token_limits.h
+++ b/core/forward/token_limits.h
@@ -62,7 +62,8 @@
 void token_limits_mark_reported(token_limits_t *limits);
 void token_limits_set_level(token_limits_t *limits, const char *account,
 			    double level, pd_time_t now);
-void token_limits_remove_peer(token_limits_t *limits, const char *peer);
+void token_limits_remove_peer(token_limits_t *limits, const char *peer,
+			      pd_time_t now);
 void token_limits_clear_peers(token_limits_t *limits);
 void token_limits_raise_level(token_limits_t *limits, const char *account,
 			      double level, pd_time_t now);
--- a/tests/unit/test_peer_uses.c
+++ b/tests/unit/test_peer_uses.c
@@ -140,7 +140,8 @@
 	(void)state;
 	peer_uses_report(uses, "a", 0, true, START, &used);
 	peer_uses_report(uses, "a", 1000, true, START + PD_SEC, &used);
-	peer_uses_remove(uses, "a");
+	assert_float_equal(peer_uses_remove(uses, "a", PD_SEC, START + PD_SEC),
+			   0, 1e-6);
 	assert_float_equal(peer_uses_predict(uses, START + 9 * PD_SEC), 0, 1e-6);
 	peer_uses_destroy(uses);
 }
--- a/tests/unit/test_token_limits.c
+++ b/tests/unit/test_token_limits.c
@@ -333,6 +333,41 @@
 	token_limits_destroy(limits);
 }
 
+/* Sets CTX, a double, to the level of the only account. */
+static void copy_level(void *ctx, const char *name, const token_use_t *use)
+{
+	(void)name;
+	*(double *)ctx = use->level;
+}
+
+/* Guards against an account that pays for what dead gateways were thought to grant. */
+static void test_predicted_use_of_a_dead_peer_is_returned(void **state)
+{
+	token_limits_t *limits = token_limits_create(&config, true);
+	pd_time_t now = START;
+	double alive;
+	double silent;
+	double level;
+
+	(void)state;
+	token_limits_add_account(limits, &account, now);
+	for (int i = 0; i < 8; i++, now += 250 * PD_MSEC)
+		token_limits_record_peer_use(limits, account.name, "b#1",
+					     i * 100000.0, true, now);
+	token_limits_each(limits, now, copy_level, &alive);
+	now += 2 * PD_SEC;
+	token_limits_each(limits, now, copy_level, &silent);
+	assert_true(silent < alive - account.rate / 2);
+	token_limits_remove_peer(limits, "b#1", now);
+	token_limits_each(limits, now, copy_level, &level);
+	/* It may have granted for a moment after its last report. */
+	assert_true(level > alive);
+	token_limits_remove_peer(limits, "b#1", now);
+	token_limits_each(limits, now, copy_level, &silent);
+	assert_float_equal(silent, level, 1e-6);
+	token_limits_destroy(limits);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -346,6 +381,7 @@
 		cmocka_unit_test(test_low_bucket_is_shared_strictly),
 		cmocka_unit_test(test_bucket_fills_before_first_request),
 		cmocka_unit_test(test_demand_of_silent_peer_expires),
+		cmocka_unit_test(test_predicted_use_of_a_dead_peer_is_returned),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
