Admit known streams that are taken up before new requests of their account

A take-up was admitted as a new request is: randomly, with the flood's probability, and from a bucket that the flood had emptied. The gateways' logs show take-ups of 10,000 tokens refused at levels of 80,000 to 300,000.

Where the gateway has a record of the stream, a take-up needs no random admission, and its share of a round follows the level if that was raised since. Random admission of new requests leaves a quarter of the bucket. A take-up is charged in full and never takes the level below zero by itself, so what a window allows is as before, and a caller gains nothing by naming streams that nobody has a record of.

--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -110,17 +110,40 @@
 	return false;
 }
 
+/*
+ * Returns whether the request takes up a stream that a gateway began, by the fleet's
+ * records of streams; the caller's word is not enough.
+ */
+static bool request_resumes_known_stream(const gateway_request_t *request)
+{
+	const forward_call_t *call = request->call;
+	const char *first = call->resumes ? call->resumes : call->id;
+
+	return request->route->kind == FORWARD_STREAM &&
+	       request->route->resumable && call->resume_after && first &&
+	       stream_versions_find(request->gateway->streams,
+				    stream_versions_hash(first));
+}
+
 /* Charges the request to its account's limit. Returns false if it was refused. */
 static bool request_charge(gateway_request_t *request)
 {
+	token_limits_t *limits = request->gateway->limits;
 	token_decision_t decision;
 	double amount;
+	bool granted;
 
 	if (!request->account)
 		return true;
 	amount = request_cost(request);
-	if (token_limits_take(request->gateway->limits, request->account,
-			      amount, request->read_at, &decision)) {
+	if (request_resumes_known_stream(request))
+		granted = token_limits_take_resumed(limits, request->account,
+						    amount, request->read_at,
+						    &decision);
+	else
+		granted = token_limits_take(limits, request->account, amount,
+					    request->read_at, &decision);
+	if (granted) {
 		request->charged = amount;
 		return true;
 	}
--- a/core/forward/token_limits.c
+++ b/core/forward/token_limits.c
@@ -49,6 +49,11 @@
 #define RESTORED_DEMAND_TTL (1500 * PD_MSEC)
 /* Minimum time until all gateways know what one of them has granted. */
 #define LAG_MIN (500 * PD_MSEC)
+/*
+ * The part of a bucket that is kept for streams that were accepted before and are taken
+ * up again: a flood of new requests would leave them nothing.
+ */
+#define RESUMED_FRACTION 0.25
 /* A request that is larger than the bucket needs the bucket to be this full. */
 #define OVERSIZED_REQUEST_LEVEL 0.8
 
@@ -245,22 +250,28 @@
 				   const bucket_t *bucket, pd_time_t now)
 {
 	double demand = bucket_demand(bucket, now);
-	double grants = bucket->rate + bucket->level * PD_SEC / (double)limits->lag;
+	double level = bucket->level - bucket->size * RESUMED_FRACTION;
+	double grants = bucket->rate + MAX(level, 0) * PD_SEC / (double)limits->lag;
 
 	if (limits->gateway_count <= 1 || grants >= demand)
 		return true;
 	return g_rand_double(limits->random) * demand < grants;
 }
 
-/* Returns whether this gateway may take more in this round. */
-static bool bucket_is_within_share(const bucket_t *bucket, unsigned int gateway_count)
+/*
+ * Returns whether this gateway may take more in this round. The level may have been raised
+ * since it began, and streams that are taken up come all at once.
+ */
+static bool bucket_is_within_share(const bucket_t *bucket,
+				   unsigned int gateway_count, bool resumes)
 {
-	double share = bucket->round_level * SHARE_FACTOR / MAX(gateway_count, 1);
-	unsigned int times = bucket->level >= bucket->size * BURST_LEVEL_MIN
-				     ? BURST_REQUESTS
-				     : 1;
+	double level = resumes ? MAX(bucket->round_level, bucket->level)
+			       : bucket->round_level;
+	double share = level * SHARE_FACTOR / MAX(gateway_count, 1);
+	bool bursts = resumes || bucket->level >= bucket->size * BURST_LEVEL_MIN;
 
-	return gateway_count <= 1 || bucket->round_requests < times ||
+	return gateway_count <= 1 ||
+	       bucket->round_requests < (bursts ? BURST_REQUESTS : 1) ||
 	       bucket->round_tokens < share;
 }
 
@@ -275,13 +286,10 @@
 	bucket->round_level = -1;
 }
 
-/*
- * Takes AMOUNT tokens out of the account's bucket. Returns false if they are not
- * granted. DECISION is set to the level and the tokens needed, and for a refusal to the
- * time after which to retry.
- */
-bool token_limits_take(token_limits_t *limits, const forward_account_t *account,
-		       double amount, pd_time_t now, token_decision_t *decision)
+/* Takes tokens out of the account's bucket, for a resumed stream or a new request. */
+static bool limits_take(token_limits_t *limits,
+			const forward_account_t *account, double amount,
+			bool resumes, pd_time_t now, token_decision_t *decision)
 {
 	bucket_t *bucket;
 	double needed;
@@ -301,8 +309,8 @@
 	decision->needed = needed;
 	bucket->requested += amount;
 	if (bucket->level >= needed &&
-	    bucket_is_within_share(bucket, limits->gateway_count) &&
-	    bucket_admits_randomly(limits, bucket, now)) {
+	    bucket_is_within_share(bucket, limits->gateway_count, resumes) &&
+	    (resumes || bucket_admits_randomly(limits, bucket, now))) {
 		bucket->level -= amount;
 		bucket->round_tokens += amount;
 		bucket->round_requests++;
@@ -315,6 +323,28 @@
 	return false;
 }
 
+/*
+ * Takes AMOUNT tokens out of the account's bucket for a new request. Returns false if they
+ * are not granted. DECISION is set to the level and the tokens needed, and for a refusal
+ * to the time after which to retry.
+ */
+bool token_limits_take(token_limits_t *limits, const forward_account_t *account,
+		       double amount, pd_time_t now, token_decision_t *decision)
+{
+	return limits_take(limits, account, amount, false, now, decision);
+}
+
+/*
+ * Does the same for a request that takes up a stream which was accepted before. Only as
+ * many of these come as streams broke off, so that they need no random admission.
+ */
+bool token_limits_take_resumed(token_limits_t *limits,
+			       const forward_account_t *account, double amount,
+			       pd_time_t now, token_decision_t *decision)
+{
+	return limits_take(limits, account, amount, true, now, decision);
+}
+
 /* Returns the tokens of a request that did not run to the bucket. */
 void token_limits_refund(token_limits_t *limits, const char *account, double amount)
 {
--- a/core/forward/token_limits.h
+++ b/core/forward/token_limits.h
@@ -49,6 +49,9 @@
 void token_limits_destroy(token_limits_t *limits);
 bool token_limits_take(token_limits_t *limits, const forward_account_t *account,
 		       double amount, pd_time_t now, token_decision_t *decision);
+bool token_limits_take_resumed(token_limits_t *limits,
+			       const forward_account_t *account, double amount,
+			       pd_time_t now, token_decision_t *decision);
 void token_limits_refund(token_limits_t *limits, const char *account,
 			 double amount);
 void token_limits_record_peer_use(token_limits_t *limits, const char *account,
--- a/tests/unit/test_token_limits.c
+++ b/tests/unit/test_token_limits.c
@@ -368,6 +368,71 @@
 	token_limits_destroy(limits);
 }
 
+/* Sends twenty times what the account is allowed for a second, until *NOW. */
+static void flood(token_limits_t *limits, pd_time_t *now)
+{
+	token_decision_t decision;
+	double level;
+
+	for (int step = 0; step < 100; step++, *now += STEP) {
+		for (int i = 0; i < 20; i++)
+			token_limits_take(limits, &account, REQUEST, *now,
+					  &decision);
+		if (step % 10 == 0)
+			token_limits_each(limits, *now, copy_level, &level);
+		if (step % REPORT_STEPS == 0)
+			token_limits_record_peer_use(limits, account.name,
+						     "b#1", 0, true, *now);
+	}
+}
+
+/* Guards against a flood that leaves nothing to streams that are taken up again. */
+static void test_flood_leaves_room_for_resumed_streams(void **state)
+{
+	token_limits_t *limits = token_limits_create(&config, true);
+	token_decision_t decision;
+	pd_time_t now = START;
+	double size;
+	double level;
+
+	(void)state;
+	token_limits_set_gateway_count(limits, GATEWAYS);
+	token_limits_add_account(limits, &account, now);
+	token_limits_each(limits, now, copy_level, &size);
+	flood(limits, &now);
+	token_limits_mark_reported(limits);
+	token_limits_set_level(limits, account.name, size / 4, now);
+	flood(limits, &now);
+	token_limits_each(limits, now, copy_level, &level);
+	assert_true(level > size * 0.2);
+	/* It begins a round of shares. */
+	token_limits_record_peer_use(limits, account.name, "b#1", 0, true, now);
+	for (int i = 0; i < 10; i++)
+		assert_true(token_limits_take_resumed(limits, &account, REQUEST,
+						      now, &decision));
+	token_limits_each(limits, now, copy_level, &size);
+	assert_float_equal(size, level - 10 * REQUEST, 1e-6);
+	token_limits_destroy(limits);
+}
+
+/* Guards against free work for callers that claim to resume streams. */
+static void test_resumed_streams_are_limited(void **state)
+{
+	token_limits_t *limits = token_limits_create(&config, true);
+	token_decision_t decision;
+	double granted = 0;
+
+	(void)state;
+	token_limits_set_gateway_count(limits, GATEWAYS);
+	for (int i = 0; i < 1000; i++)
+		if (token_limits_take_resumed(limits, &account, REQUEST, START,
+					      &decision))
+			granted += REQUEST;
+	assert_true(granted < 1000 * REQUEST / 2);
+	assert_true(decision.level >= 0);
+	token_limits_destroy(limits);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -382,6 +447,8 @@
 		cmocka_unit_test(test_bucket_fills_before_first_request),
 		cmocka_unit_test(test_demand_of_silent_peer_expires),
 		cmocka_unit_test(test_predicted_use_of_a_dead_peer_is_returned),
+		cmocka_unit_test(test_flood_leaves_room_for_resumed_streams),
+		cmocka_unit_test(test_resumed_streams_are_limited),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
