--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -503,6 +503,27 @@
 	}
 }
 
+/* After an unreadable name, or part of one, the next page would begin anywhere. */
+static void test_next_page_follows_a_readable_name(void **state)
+{
+	static const char text[] =
+		"{\"items\":[" VALID_ENTRY("i-1") "," VALID_ENTRY(
+			"i-3") ",{\"metadata\":{\"name\":\"i-4\xff\"}},7],"
+			       "\"hasMore\":true,\"asOf\":9}";
+	pd_error_t err;
+	wire_page_t *page = wire_page_parse(text, strlen(text), &err);
+	char *path;
+
+	(void)state;
+	assert_non_null(page);
+	assert_int_equal(wire_page_count(page), 4);
+	assert_string_equal(wire_page_name(page, 3), "i-3");
+	wire_page_destroy(page);
+	path = wire_list_path(WIRE_UPSTREAMS, "a b&c%?d");
+	assert_string_equal(path, "/objects/servers?after=a%20b%26c%25%3Fd");
+	g_free(path);
+}
+
 /* Truncated at the NUL, the name would remove another upstream. */
 static void test_name_with_nul_is_empty(void **state)
 {
@@ -704,6 +725,7 @@
 		cmocka_unit_test(test_unreadable_value_affects_only_its_entry),
 		cmocka_unit_test(test_deep_entry_affects_only_itself),
 		cmocka_unit_test(test_truncated_page_is_rejected),
+		cmocka_unit_test(test_next_page_follows_a_readable_name),
 		cmocka_unit_test(test_name_with_nul_is_empty),
 		cmocka_unit_test(test_lease_round_trip),
 		cmocka_unit_test(test_unreadable_record_has_a_revision),
