Keep the port of a closed forwarder in tests

A gateway that is cut off from its upstreams in a test is given ports that nobody listens on: a forwarder listens, and closes. Beside other test programs such a port may be given to a listener of theirs, and the gateway reaches it, so it does not take itself for cut off. test_a_stopping_gateway_refuses_long_relayed_calls failed in 2 of 7 runs beside others, once as nothing was relayed for 10 s; the lead in the entry of test_unreachable_upstream_gets_few_calls is the same.

The port stays bound without a listener while the forwarder is closed, so connections are refused as before and nobody else gets it. The cause of those runs is not shown, so the entries stay.

--- a/tests/harness/forwarder.c
+++ b/tests/harness/forwarder.c
@@ -51,6 +51,7 @@
 struct forwarder {
 	uv_loop_t *loop;
 	uv_tcp_t listener;
+	uv_tcp_t *reservation; /* of the port while it is closed; NULL: none */
 	uv_timer_t retry; /* to listen again */
 	bool retrying;
 	int port;
@@ -270,12 +271,37 @@
 		uv_timer_start(&forwarder->retry, on_retry, LISTEN_RETRY_MS, 0);
 }
 
+static void free_handle(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+/* Keeps the port, on which connections are refused, from being given to others. */
+static void reserve_port(forwarder_t *forwarder)
+{
+	struct sockaddr_in addr;
+
+	forwarder->reservation = g_new0(uv_tcp_t, 1);
+	uv_tcp_init(forwarder->loop, forwarder->reservation);
+	uv_ip4_addr("127.0.0.1", forwarder->port, &addr);
+	uv_tcp_bind(forwarder->reservation, (const struct sockaddr *)&addr, 0);
+}
+
+/* Gives up the port that is kept, if any. */
+static void release_port(forwarder_t *forwarder)
+{
+	if (forwarder->reservation)
+		uv_close((uv_handle_t *)forwarder->reservation, free_handle);
+	forwarder->reservation = NULL;
+}
+
 /* Listens on a port of loopback, as soon as nobody has it; 0: on any. */
 static void start_listening(forwarder_t *forwarder, int port)
 {
 	struct sockaddr_in addr;
 	int len = sizeof(addr);
 
+	release_port(forwarder);
 	uv_tcp_init(forwarder->loop, &forwarder->listener);
 	forwarder->listener.data = forwarder;
 	uv_ip4_addr("127.0.0.1", port, &addr);
@@ -429,8 +455,10 @@
 	forwarder->closed = closed;
 	if (forwarder->retrying)
 		return;
-	if (closed)
+	if (closed) {
 		uv_close((uv_handle_t *)&forwarder->listener, on_listener_closed);
-	else if (closing)
+		reserve_port(forwarder);
+	} else if (closing) {
 		start_listening(forwarder, forwarder->port);
+	}
 }
