--- a/adapters/gateway/request_memory.c
+++ b/adapters/gateway/request_memory.c
@@ -7,8 +7,9 @@
 #include "adapters/log_glib.h"
 
 /*
- * Answers that all requests in progress buffer, and those that callers have not read. A gateway has as little as 120 MB of
- * memory, of which bodies of requests take up to 64 MB and the control plane 32 MB.
+ * Answers that all requests in progress buffer, and those that callers have not read. A
+ * gateway has as little as 120 MB of memory, of which bodies of requests take up to 64 MB
+ * and the control plane 32 MB.
  */
 #define ANSWERS_BYTES_MAX ((size_t)24 * 1024 * 1024)
 /*
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -72,7 +72,7 @@
 	uint64_t version_id; /* at which the stream began or has to begin; 0: any */
 	bool version_pinned; /* it was recorded before the first event */
 	bool version_recorded; /* an event of this attempt was forwarded */
-	pd_time_t version_asked_at; /* when other gateways were; 0: it does not wait */
+	pd_time_t version_asked_at; /* when the store or other gateways were; 0: none */
 	pd_time_t version_wanted_at; /* since when it waits for the version */
 	bool usage_counted;
 	bool outcome_recorded; /* for load shedding */
--- a/adapters/gateway/sole_versions.c
+++ b/adapters/gateway/sole_versions.c
@@ -20,9 +20,9 @@
 	gateway_t *gateway;
 	registration_history_t *history; /* read without a gap since a listing */
 	GArray *pending; /* version_record_t, until the history is read; owns them */
-	bool first_pending; /* the same: no stream began before the revision */
-	uint64_t revision; /* up to which it was read for those */
-	unsigned int pages;
+	bool first_pending; /* the same, where no stream began before restore_revision */
+	uint64_t restore_revision; /* up to which the history was read for those */
+	unsigned int restore_pages; /* read for those */
 	bool lost; /* the history was, until the next listing */
 	bool restoring; /* the call in flight is for those */
 	bool calling;
@@ -137,9 +137,9 @@
 	    start - record->written_at > STREAM_VERSIONS_TTL_MIN)
 		return;
 	if (!versions->pending->len ||
-	    record->upstreams_revision < versions->revision)
-		versions->revision = record->upstreams_revision;
-	versions->pages = 0;
+	    record->upstreams_revision < versions->restore_revision)
+		versions->restore_revision = record->upstreams_revision;
+	versions->restore_pages = 0;
 	for (guint i = 0; i < record->versions->len; i++) {
 		const version_record_t *entry =
 			&g_array_index(record->versions, version_record_t, i);
@@ -158,8 +158,8 @@
 void sole_versions_restore_first(sole_versions_t *versions, uint64_t revision)
 {
 	versions->first_pending = true;
-	versions->revision = revision;
-	versions->pages = 0;
+	versions->restore_revision = revision;
+	versions->restore_pages = 0;
 }
 
 /* Returns whether something is to be restored. */
@@ -203,7 +203,7 @@
 		 "sole versions restored services=%u first=%d "
 		 "revision=%" PRIu64,
 		 versions->pending->len, versions->first_pending,
-		 versions->revision);
+		 versions->restore_revision);
 	g_array_set_size(versions->pending, 0);
 	versions->first_pending = false;
 }
@@ -215,7 +215,7 @@
 		 "sole versions dropped services=%u first=%d revision=%" PRIu64
 		 " status=%d",
 		 versions->pending->len, versions->first_pending,
-		 versions->revision, status);
+		 versions->restore_revision, status);
 	g_array_set_size(versions->pending, 0);
 	versions->first_pending = false;
 }
@@ -223,12 +223,12 @@
 /* Handles a page of the history; the one that has no events is the last. */
 static void handle_restored_page(sole_versions_t *versions, const wire_page_t *page)
 {
-	versions->revision = wire_page_revision(page);
+	versions->restore_revision = wire_page_revision(page);
 	if (!wire_page_count(page)) {
 		restore_pending(versions);
 		return;
 	}
-	if (++versions->pages >= PAGES_MAX)
+	if (++versions->restore_pages >= PAGES_MAX)
 		drop_pending(versions, 0);
 }
 
@@ -293,7 +293,7 @@
 	if (!versions->restoring)
 		return registration_history_next_read(versions->history, now);
 	if (now - gateway->started_at <= STREAM_VERSIONS_TTL_MIN)
-		return versions->revision;
+		return versions->restore_revision;
 	drop_pending(versions, 0);
 	return 0;
 }
