Request a read of the registrations even if the queries that wait are many

Found by reading. Queries that wait for a read are dropped when one ends. With 4,096 of them, further ones were dropped without a request, so if the store had not answered for a while, a gateway that ranks first might not have read again for others until it read for a request of its own. The read is requested first now. No test of its own; test_gateway_versions passes as before (17, and the two that are listed).

--- a/adapters/gateway/peer_streams.c
+++ b/adapters/gateway/peer_streams.c
@@ -237,9 +237,10 @@
  */
 static void defer_query(gateway_peers_t *peers, stream_query_t *query)
 {
+	/* The read comes first, as old queries are dropped when it ends. */
 	if (!query->service || !gateway_peers_is_store_watcher(peers) ||
-	    peers->stream_queries->len >= STREAM_QUERIES_MAX ||
-	    !sole_versions_request(peers->gateway->sole_versions, query->service)) {
+	    !sole_versions_request(peers->gateway->sole_versions, query->service) ||
+	    peers->stream_queries->len >= STREAM_QUERIES_MAX) {
 		query_clear(query);
 		return;
 	}
