json_shared: return the NUL and the character of peek() in two statements

The conditional expression in peek() has type int and was returned as char, which is signed on x86-64: clang-tidy stops there with "narrowing conversion from 'int' to signed type 'char' is implementation-defined". On arm64 char is unsigned and the linter passes.

peek() now returns the NUL in a statement of its own. No change of behaviour.

`make lint` is clean. unit/test_bundle_json (3), unit/test_store_feed (6) and process/test_platform_input (3), which parse JSON through it, pass as before.

--- a/adapters/json_shared.c
+++ b/adapters/json_shared.c
@@ -113,7 +113,9 @@
 static char peek(cursor_t *cursor)
 {
 	skip_space(cursor);
-	return cursor->at < cursor->end ? *cursor->at : '\0';
+	if (cursor->at >= cursor->end)
+		return '\0';
+	return *cursor->at;
 }
 
 /* Skips a string, whose quote is next. */
