review: cases 8 and 9, a worker that starts again under its id

Case 8 (ORDER): while the store is down a worker starts again under its id with a new software version. Streams that it begins are taken for the former version; when its registration comes they are broken off and go on there.

Case 9 (LOST): workers that crashed serve again under their ids before they write their entries. When the entries come, the streams that the new processes began are closed.

--- a/review/rig2.py
+++ b/review/rig2.py
@@ -146,6 +146,7 @@
         self.revision = 1
         self.events = []
         self.changed = asyncio.Event()
+        self.is_down = False  # answers 503 to everybody, and changes nothing
 
     def note(self, kind, obj, tombstone):
         self.events.append((self.revision, kind, {"tombstone": tombstone,
@@ -171,7 +172,7 @@
             self.note(kind, obj, True)
 
     async def handle(self, got, reader, writer):
-        status, body = await self.call(*got)
+        status, body = (503, {}) if self.is_down else await self.call(*got)
         text = json.dumps(body).encode()
         writer.write(answer(status, {"Content-Type": "application/json"}, text))
         return True
@@ -266,6 +267,8 @@
 
     def register(self):
         """Writes the entry, which changes only when more than its sequence does."""
+        if self.rig.store.is_down:
+            return
         self.sequence += 1
         spec = self.spec()
         entry = self.rig.store.kinds.get("servers", {}).get(self.name)
