--- a/review/rig2.py
+++ b/review/rig2.py
@@ -32,10 +32,16 @@
           "leaseMs": 3000, "windowS": 5, "usageLateS": 10}
 
 
-def free_port(ip):
-    with socket.socket() as sock:
-        sock.bind((ip, 0))
-        return sock.getsockname()[1]
+def free_ports(ip, count):
+    """Returns distinct ports that are free now."""
+    socks = [socket.socket() for _ in range(count)]
+    try:
+        for sock in socks:
+            sock.bind((ip, 0))
+        return [sock.getsockname()[1] for sock in socks]
+    finally:
+        for sock in socks:
+            sock.close()
 
 
 async def read_message(reader):
@@ -343,8 +349,7 @@
         self.ip = f"127.0.{rig.net}.{10 + number}"
         self.node = f"front-{ZONES[number % len(ZONES)]}-{number}"
         self.zone = ZONES[number % len(ZONES)]
-        self.front, self.ready, self.control = (free_port(self.ip) for _ in range(3))
-        self.relay = free_port(self.ip)
+        self.front, self.ready, self.control, self.relay = free_ports(self.ip, 4)
         self.settings = os.path.join(rig.folder, f"{self.node}.toml")
         self.process = None
         self.first = True
@@ -407,7 +412,9 @@
             if await self.is_ready():
                 return
             await asyncio.sleep(0.05)
-        raise RuntimeError(f"{self.node} is not ready")
+        with open(os.path.join(self.rig.folder, f"{self.node}.log")) as file:
+            log = file.read()[-2000:]
+        raise RuntimeError(f"{self.node} is not ready, exit code {self.process.poll()}: {log}")
 
 
 def lookup(scopes, path):
