Log since when the connection of an abandoned attempt is silent

The log did not tell attempts at the process that is gone from attempts at the new one, nor whether the connections of either still brought data.

--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -448,11 +448,33 @@
 	       !forward_upstream_is_serving(request->upstream);
 }
 
+/* Returns how long ago something happened at AT, in ms; -1: it did not. */
+static double ms_since(pd_time_t at, pd_time_t now)
+{
+	return at ? (double)(now - at) / PD_MSEC : -1;
+}
+
+/* Logs why an attempt is abandoned, and since when its connection exists and is silent. */
+static void log_abandoned(const gateway_request_t *request, const char *reason)
+{
+	const upstream_link_t *link = request->link;
+	pd_time_t now = gateway_now();
+
+	log_line(G_LOG_LEVEL_INFO, "request",
+		 "id=%s abandoned=\"%s\" upstream=%s sent_ms_ago=%.1f "
+		 "connected_ms_ago=%.1f received_ms_ago=%.1f",
+		 request->call->id ? request->call->id : "-", reason,
+		 request->upstream->id, ms_since(request->sent_at, now),
+		 ms_since(upstream_link_connected_at(link), now),
+		 ms_since(upstream_link_received_at(link), now));
+}
+
 /* Closes the connection of an attempt and ends it. */
 static void attempt_abandon(gateway_request_t *request, const char *reason)
 {
 	bool sent = request->sent_at != 0;
 
+	log_abandoned(request, reason);
 	if (sent && attempt_upstream_restarted(request))
 		gateway_quarantine_record_ends(request->gateway, request->upstream,
 					       &request->suspects);
--- a/adapters/gateway/upstream_link.c
+++ b/adapters/gateway/upstream_link.c
@@ -24,7 +24,8 @@
 	unsigned int upstream_incarnation; /* the one it was opened to */
 	const upstream_link_callbacks_t *callbacks; /* NULL: idle */
 	void *ctx;
-	bool connected;
+	pd_time_t connected_at; /* 0: not connected yet */
+	pd_time_t received_at; /* when data last arrived; 0: none yet */
 	pd_time_t idle_since;
 	pd_time_t idle_until;
 };
@@ -49,7 +50,7 @@
 {
 	upstream_link_t *link = ctx;
 
-	link->connected = true;
+	link->connected_at = gateway_now();
 	if (link->callbacks)
 		link->callbacks->on_connected(link->ctx);
 }
@@ -58,6 +59,7 @@
 {
 	upstream_link_t *link = ctx;
 
+	link->received_at = gateway_now();
 	if (link->callbacks)
 		link->callbacks->on_head(link->ctx, head);
 }
@@ -66,6 +68,7 @@
 {
 	upstream_link_t *link = ctx;
 
+	link->received_at = gateway_now();
 	if (link->callbacks)
 		link->callbacks->on_body(link->ctx, data, len);
 }
@@ -152,7 +155,19 @@
 /* Returns whether the connection is established. */
 bool upstream_link_is_connected(const upstream_link_t *link)
 {
-	return link->connected;
+	return link->connected_at != 0;
+}
+
+/* Returns when the connection was established; 0: it is not yet. */
+pd_time_t upstream_link_connected_at(const upstream_link_t *link)
+{
+	return link->connected_at;
+}
+
+/* Returns when data last arrived on the connection; 0: none yet. */
+pd_time_t upstream_link_received_at(const upstream_link_t *link)
+{
+	return link->received_at;
 }
 
 /*
