Let requests of an upstream's new process go on when it is registered

Callers got streams that were cut in the middle of their events, though their upstreams were sound: an upstream had crashed, served again 0.3 s later under its id, and written its registration 1.2 s after that.

Cause: an attempt counted as one at the former process if it began before the registration was read, so before the gateway heard of the restart.

Connections tell the processes apart (core/forward/upstream_process.c): data that arrives after the restart is known, or a connection made after one had failed, leads to the new process; what is silent for 0.6 s and shows neither, to the former one, and ends as before. Silence counts only while the gateway reads. The same held for requests given up at the new process: they counted as ones under which the former had ended, and no longer do.

--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -145,6 +145,7 @@
 			forward_version_id(registration.service,
 					   registration.version),
 			gateway_now());
+		registration.read_at = gateway_now();
 		changed = forward_upstreams_apply(gateway->upstreams,
 						  &registration);
 	}
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -656,6 +656,7 @@
 	registration.reclaimable = msgpack_field_uint64(&fields[7]) != 0;
 	registration.revision = msgpack_field_uint64(&fields[8]);
 	registration.start_time_ms = (int64_t)msgpack_field_uint64(&fields[9]);
+	registration.read_at = gateway_now();
 	if (!texts[0] || !texts[1] || !texts[2] || !texts[3] ||
 	    registration.stage > FORWARD_GONE)
 		goto done;
--- a/adapters/gateway/quarantine_checks.c
+++ b/adapters/gateway/quarantine_checks.c
@@ -40,6 +40,7 @@
 	list_node_t node; /* in gateway->silences */
 	forward_upstream_t *upstream;
 	unsigned int upstream_incarnation;
+	pd_time_t connected_at; /* its connection; 0: not known */
 	quarantine_suspects_t suspects;
 	pd_time_t since;
 } silence_t;
@@ -168,10 +169,12 @@
 
 /*
  * A request was given up before its answer was complete. If its upstream says nothing
- * more and its registration expires, it may have ended with its VM.
+ * more and its registration expires, it may have ended with its VM. CONNECTED_AT is of the
+ * request's connection; 0: not known.
  */
 void gateway_quarantine_watch_silent(gateway_t *gateway,
 				     forward_upstream_t *upstream,
+				     pd_time_t connected_at,
 				     const quarantine_suspects_t *suspects)
 {
 	silence_t *silence;
@@ -181,6 +184,7 @@
 	silence = g_new0(silence_t, 1);
 	silence->upstream = forward_upstream_ref(upstream);
 	silence->upstream_incarnation = upstream->incarnation;
+	silence->connected_at = connected_at;
 	silence->suspects = *suspects;
 	silence->since = gateway_now();
 	list_append(&gateway->silences, &silence->node);
@@ -212,6 +216,17 @@
 	return false;
 }
 
+/* Returns whether the process of an upstream that was silent was started again. */
+static bool has_restarted(const silence_t *silence)
+{
+	const forward_upstream_t *upstream = silence->upstream;
+
+	return upstream->incarnation != silence->upstream_incarnation &&
+	       !(silence->connected_at &&
+		 upstream_process_is_present(&upstream->process,
+					     silence->connected_at));
+}
+
 /* Probes silent upstreams whose registration has expired; those that answer live. */
 static void run_silences(gateway_t *gateway, pd_time_t now)
 {
@@ -219,7 +234,7 @@
 		silence_t *silence = LIST_ENTRY(it, silence_t, node);
 		forward_upstream_t *upstream = silence->upstream;
 
-		if (upstream->incarnation != silence->upstream_incarnation ||
+		if (has_restarted(silence) ||
 		    (upstream->stage == FORWARD_GONE &&
 		     gateway_upstream_is_replaced(gateway, upstream)))
 			gateway_quarantine_record_ends(gateway, upstream,
--- a/adapters/gateway/quarantine_checks.h
+++ b/adapters/gateway/quarantine_checks.h
@@ -12,6 +12,7 @@
 				     const quarantine_suspects_t *suspects);
 void gateway_quarantine_watch_silent(gateway_t *gateway,
 				     forward_upstream_t *upstream,
+				     pd_time_t connected_at,
 				     const quarantine_suspects_t *suspects);
 void gateway_quarantine_record_ends(gateway_t *gateway,
 				    const forward_upstream_t *upstream,
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -431,14 +431,15 @@
 }
 
 /*
- * Returns whether the upstream was restarted since the attempt began. Its requests are
- * lost, and if its VM was disconnected no TCP reset arrives: the caller would wait until
- * its deadline for a response that can't come.
+ * Returns whether the process that the attempt was sent to has ended and was started again.
+ * Without a TCP reset, the caller would wait until its deadline for a response that can't
+ * come.
  */
-static bool attempt_upstream_restarted(const gateway_request_t *request)
+static bool attempt_upstream_restarted(const gateway_request_t *request,
+				       pd_time_t now)
 {
 	return request->upstream && request->link &&
-	       request->upstream_incarnation != request->upstream->incarnation;
+	       upstream_link_has_ended(request->link, now);
 }
 
 /* Returns whether an attempt is still connecting to an upstream that left meanwhile. */
@@ -475,7 +476,7 @@
 	bool sent = request->sent_at != 0;
 
 	log_abandoned(request, reason);
-	if (sent && attempt_upstream_restarted(request))
+	if (sent && attempt_upstream_restarted(request, gateway_now()))
 		gateway_quarantine_record_ends(request->gateway, request->upstream,
 					       &request->suspects);
 	upstream_link_close(request->link);
@@ -574,7 +575,7 @@
 			gateway_request_retry(request);
 		else if (request->relay)
 			gateway_request_check_relay(request, now);
-		else if (attempt_upstream_restarted(request))
+		else if (attempt_upstream_restarted(request, now))
 			attempt_abandon(request, "upstream restarted");
 		else if (attempt_upstream_left(request))
 			attempt_abandon(request, "upstream left");
--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -24,11 +24,18 @@
 #define SKIPPED_RESPONSES_MAX 8
 #define REASON_OTHER_CALLS "answers to other calls"
 
+/* Records to which process of its upstream the attempt leads, as its link shows it now. */
+static void follow_process(gateway_request_t *request)
+{
+	request->upstream_incarnation = upstream_link_incarnation(request->link);
+}
+
 /* The link is connected: sends the request. */
 static void on_connected(void *ctx)
 {
 	gateway_request_t *request = ctx;
 
+	follow_process(request);
 	gateway_reach_record_connected(request->gateway, request->upstream);
 	gateway_request_send(request);
 }
@@ -117,6 +124,7 @@
 	gateway_request_t *request = ctx;
 	wire_response_t answer;
 
+	follow_process(request);
 	wire_response_parse(head->headers, head->header_count, &answer);
 	/*
 	 * An upstream may respond twice to a request. The second response
@@ -297,6 +305,7 @@
 	gateway_request_t *request = ctx;
 	const char *excess;
 
+	follow_process(request);
 	if (request->skipping_response)
 		excess = discard_body(request, len);
 	else if (request->is_stream)
--- a/adapters/gateway/request_quarantine.c
+++ b/adapters/gateway/request_quarantine.c
@@ -124,7 +124,11 @@
 /* Watches the upstream of a request that is given up, as it may have ended. */
 void gateway_request_watch_upstream(const gateway_request_t *request)
 {
+	pd_time_t connected_at =
+		request->link ? upstream_link_connected_at(request->link) : 0;
+
 	if (request->upstream && request->sent_at)
-		gateway_quarantine_watch_silent(request->gateway, request->upstream,
+		gateway_quarantine_watch_silent(request->gateway,
+						request->upstream, connected_at,
 						&request->suspects);
 }
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -88,7 +88,7 @@
 	relay_t *relay; /* in progress; NULL: none */
 	/* The current attempt. */
 	forward_upstream_t *upstream; /* NULL: no attempt */
-	unsigned int upstream_incarnation; /* when the attempt began */
+	unsigned int upstream_incarnation; /* to which it leads, as far as is known */
 	uint64_t upstream_version_id; /* the same */
 	bool has_rollout_draw;
 	double rollout_draw; /* whether it may use the new version in a roll-out */
--- a/adapters/gateway/upstream_link.c
+++ b/adapters/gateway/upstream_link.c
@@ -20,12 +20,16 @@
 struct upstream_link {
 	list_node_t node; /* in the upstream's idle links */
 	http1_t *conn;
+	const gateway_t *gateway;
 	forward_upstream_t *upstream;
-	unsigned int upstream_incarnation; /* the one it was opened to */
+	/* to which it leads as far as is known: when it connected, or brought data later */
+	unsigned int upstream_incarnation;
 	const upstream_link_callbacks_t *callbacks; /* NULL: idle */
 	void *ctx;
 	pd_time_t connected_at; /* 0: not connected yet */
 	pd_time_t received_at; /* when data last arrived; 0: none yet */
+	pd_time_t held_until; /* when it was last not read; 0: never */
+	bool held;
 	pd_time_t idle_since;
 	pd_time_t idle_until;
 };
@@ -51,15 +55,28 @@
 	upstream_link_t *link = ctx;
 
 	link->connected_at = gateway_now();
+	link->upstream_incarnation = link->upstream->incarnation;
 	if (link->callbacks)
 		link->callbacks->on_connected(link->ctx);
 }
 
+/* Records data of the upstream's process, and to which process the link leads by it. */
+static void record_data(upstream_link_t *link)
+{
+	upstream_process_t *process = &link->upstream->process;
+	pd_time_t polled_at = link->gateway->ticked_at;
+
+	link->received_at = gateway_now();
+	upstream_process_record_data(process, link->connected_at, polled_at);
+	if (upstream_process_is_proven(process, polled_at))
+		link->upstream_incarnation = link->upstream->incarnation;
+}
+
 static void on_head(void *ctx, const http1_head_t *head)
 {
 	upstream_link_t *link = ctx;
 
-	link->received_at = gateway_now();
+	record_data(link);
 	if (link->callbacks)
 		link->callbacks->on_head(link->ctx, head);
 }
@@ -68,7 +85,7 @@
 {
 	upstream_link_t *link = ctx;
 
-	link->received_at = gateway_now();
+	record_data(link);
 	if (link->callbacks)
 		link->callbacks->on_body(link->ctx, data, len);
 }
@@ -119,6 +136,7 @@
 	upstream_link_t *link = g_new0(upstream_link_t, 1);
 
 	list_init(&link->node);
+	link->gateway = gateway;
 	link->upstream = forward_upstream_ref(upstream);
 	link->upstream_incarnation = upstream->incarnation;
 	upstream->connections++;
@@ -158,6 +176,28 @@
 	return link->connected_at != 0;
 }
 
+/* Returns to which incarnation of the upstream the link leads, as far as is known. */
+unsigned int upstream_link_incarnation(const upstream_link_t *link)
+{
+	return link->upstream_incarnation;
+}
+
+/*
+ * Returns whether the link leads to a process that has ended, as the upstream was restarted
+ * since. If its VM was disconnected, no TCP reset shows that.
+ */
+bool upstream_link_has_ended(const upstream_link_t *link, pd_time_t now)
+{
+	const forward_upstream_t *upstream = link->upstream;
+	const upstream_connection_t connection = {
+		.connected_at = link->connected_at,
+		.read_since = MAX(link->held_until, link->gateway->stalled_at),
+	};
+
+	return link->upstream_incarnation != upstream->incarnation && !link->held &&
+	       upstream_process_has_ended(&upstream->process, &connection, now);
+}
+
 /* Returns when the connection was established; 0: it is not yet. */
 pd_time_t upstream_link_connected_at(const upstream_link_t *link)
 {
@@ -185,6 +225,9 @@
 void upstream_link_hold(upstream_link_t *link, bool hold)
 {
 	http1_hold(link->conn, hold);
+	if (link->held)
+		link->held_until = gateway_now();
+	link->held = hold;
 }
 
 /* Expects one more response, after one that belonged to another request. */
@@ -212,7 +255,7 @@
 	if (idle_timeout > 0)
 		idle = MIN((pd_time_t)((double)idle_timeout * IDLE_FRACTION),
 			   IDLE_MAX);
-	http1_hold(link->conn, false);
+	upstream_link_hold(link, false);
 	link->callbacks = NULL;
 	link->ctx = NULL;
 	link->idle_since = now;
--- a/adapters/gateway/upstream_link.h
+++ b/adapters/gateway/upstream_link.h
@@ -21,6 +21,8 @@
 				    const upstream_link_callbacks_t *callbacks,
 				    void *ctx);
 bool upstream_link_is_connected(const upstream_link_t *link);
+unsigned int upstream_link_incarnation(const upstream_link_t *link);
+bool upstream_link_has_ended(const upstream_link_t *link, pd_time_t now);
 pd_time_t upstream_link_connected_at(const upstream_link_t *link);
 pd_time_t upstream_link_received_at(const upstream_link_t *link);
 void upstream_link_send(upstream_link_t *link, const GString *head,
--- /dev/null
+++ b/core/forward/upstream_process.c
@@ -0,0 +1,80 @@
+/* Tells connections to the process that serves from those to one that has ended. */
+#include "core/forward/upstream_process.h"
+
+#include <glib.h>
+
+/*
+ * Data of a process that has ended may be read a little later, as it was in a socket's
+ * buffer. What is read after the loop has waited for input so long after the end was
+ * sent later.
+ */
+#define BUFFERED_DATA_TIME (10 * PD_MSEC)
+/*
+ * A connection without data for so long after a restart became known leads to the process
+ * that has ended, if nothing shows otherwise. Streams pause for less.
+ */
+#define SILENCE_MAX (600 * PD_MSEC)
+
+/* Records that no connection could be made: no process serves there now, or no path. */
+void upstream_process_record_unreached(upstream_process_t *process, pd_time_t now)
+{
+	process->unreached_at = now;
+}
+
+/*
+ * Records that data was read from a connection, after the loop had waited for input at
+ * POLLED_AT. If the connection is older than a failure to connect, its process has not
+ * ended.
+ */
+void upstream_process_record_data(upstream_process_t *process,
+				  pd_time_t connected_at, pd_time_t polled_at)
+{
+	if (connected_at < process->unreached_at &&
+	    polled_at - process->unreached_at >= BUFFERED_DATA_TIME)
+		process->unreached_at = 0;
+}
+
+/* Records that a registration shows a process other than the one before. */
+void upstream_process_record_restart(upstream_process_t *process, pd_time_t now)
+{
+	process->restarted_at = now;
+	process->former_ended_at = process->unreached_at;
+	process->unreached_at = 0;
+}
+
+/*
+ * Returns whether data that is read now, after the loop had waited for input at POLLED_AT,
+ * was sent after the last restart became known, and so by the process that serves now.
+ */
+bool upstream_process_is_proven(const upstream_process_t *process,
+				pd_time_t polled_at)
+{
+	return polled_at - process->restarted_at >= BUFFERED_DATA_TIME;
+}
+
+/*
+ * Returns whether a connection is known to lead to the process that serves since the last
+ * restart: it was made after that became known, or after the former process could not be
+ * reached any more. CONNECTED_AT of 0: it is not made yet.
+ */
+bool upstream_process_is_present(const upstream_process_t *process,
+				 pd_time_t connected_at)
+{
+	return !connected_at || connected_at >= process->restarted_at ||
+	       (process->former_ended_at && connected_at > process->former_ended_at);
+}
+
+/*
+ * Returns whether a connection that is older than the last restart, and has brought no
+ * data since that became known, leads to a process that has ended. The present one may be
+ * silent for long while it reads a prompt.
+ */
+bool upstream_process_has_ended(const upstream_process_t *process,
+				const upstream_connection_t *connection,
+				pd_time_t now)
+{
+	pd_time_t silent_since = MAX(process->restarted_at, connection->read_since);
+
+	return !upstream_process_is_present(process, connection->connected_at) &&
+	       now - silent_since >= SILENCE_MAX;
+}
--- a/core/forward/upstream_record.c
+++ b/core/forward/upstream_record.c
@@ -117,6 +117,7 @@
 void forward_upstream_record_connect_failure(forward_upstream_t *upstream,
 					     pd_time_t now)
 {
+	upstream_process_record_unreached(&upstream->process, now);
 	upstream->failures = MAX(upstream->failures, CONNECT_FAILURE_WEIGHT - 1);
 	forward_upstream_record_failure(upstream, now);
 }
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -416,12 +416,18 @@
  * Sets the start time of an upstream; 0 is ignored. A time that differs from
  * the previous one means that it restarted.
  */
-static void update_start_time(forward_upstream_t *upstream, int64_t start_time_ms)
+static void update_start_time(forward_upstream_t *upstream,
+			      const forward_registration_t *registration)
 {
+	int64_t start_time_ms = registration->start_time_ms;
+
 	if (!start_time_ms)
 		return;
-	if (upstream->start_time_ms && upstream->start_time_ms != start_time_ms)
+	if (upstream->start_time_ms && upstream->start_time_ms != start_time_ms) {
 		forward_upstream_record_restart(upstream);
+		upstream_process_record_restart(&upstream->process,
+						registration->read_at);
+	}
 	upstream->start_time_ms = start_time_ms;
 }
 
@@ -456,7 +462,7 @@
 		set_version(upstream, registration->version);
 	if (registration->revision <= upstream->revision)
 		return false;
-	update_start_time(upstream, registration->start_time_ms);
+	update_start_time(upstream, registration);
 	leave_group(upstream); /* the service may change */
 	/*
 	 * A new revision shows that it was registered again after it had
@@ -529,6 +535,7 @@
 		.stage = change->stage,
 		.reclaimable = upstream->reclaimable,
 		.revision = change->revision,
+		.read_at = now,
 	};
 
 	if (change->stage == FORWARD_GONE)
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -8,6 +8,7 @@
 #include "core/forward/call.h"
 #include "core/forward/config.h"
 #include "core/forward/engine_speed.h"
+#include "core/forward/upstream_process.h"
 #include "core/forward/upstream_speed.h"
 #include "core/list.h"
 
@@ -41,6 +42,7 @@
 	forward_stage_t stage;
 	bool reclaimable;
 	uint64_t revision;
+	pd_time_t read_at; /* when it reached this gateway */
 } forward_registration_t;
 
 /*
@@ -71,6 +73,7 @@
 	char *id;
 	int64_t start_time_ms; /* as registered; 0: unknown */
 	unsigned int incarnation; /* restarts seen under this id */
+	upstream_process_t process; /* the present one */
 	uint64_t id_hash; /* hash of the id */
 	/* the serving upstreams of its service; NULL: not in it */
 	GPtrArray *group;
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -442,10 +442,9 @@
 	server->port = ntohs(addr.sin_port);
 }
 
-/* Starts an upstream again that ended, at the same address in the same state with another id. */
-static void on_restart(uv_timer_t *timer)
+/* Registers an upstream in the state of its former registration, with another id. */
+static void register_again(rig_server_t *server)
 {
-	rig_server_t *server = timer->data;
 	char *id = upstream_id(server);
 	json_t *spec = json_object_get(
 		json_object_get(store_kind(server->rig, "servers"), id),
@@ -456,6 +455,15 @@
 	rig_remove(server->rig, "servers", id);
 	g_free(id);
 	server->ends++;
+	rig_put_upstream(server->rig, server->number, stage);
+	g_free(stage);
+}
+
+/* Starts an upstream again that ended, at the same address. */
+static void on_restart(uv_timer_t *timer)
+{
+	rig_server_t *server = timer->data;
+
 	if (server->next_version) {
 		const char *version = server->version;
 
@@ -463,8 +471,8 @@
 		server->next_version = version;
 	}
 	server_listen(server);
-	rig_put_upstream(server->rig, server->number, stage);
-	g_free(stage);
+	if (!server->keeps_id)
+		register_again(server);
 }
 
 /* Ends an upstream: new connections are refused; SILENT: the others stay, else break. */
@@ -491,6 +499,12 @@
 	server_end(&rig->upstreams[number], false);
 }
 
+/* Ends one whose connections stay silent, as that of a VM that is disconnected. */
+void rig_vanish_upstream(gateway_rig_t *rig, int number)
+{
+	server_end(&rig->upstreams[number], true);
+}
+
 static void on_run_ends_upstream(uv_timer_t *timer)
 {
 	session_t *session = timer->data;
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -91,6 +91,7 @@
 	list_node_t sessions; /* connections to it */
 	uv_timer_t restart;
 	unsigned int ends; /* how often it ended; its id has this number */
+	bool keeps_id; /* at its next starts, which the test registers */
 	GString *last; /* the last request: head lines, then the body */
 } rig_server_t;
 
@@ -165,6 +166,7 @@
 unsigned int rig_run_count(const gateway_rig_t *rig, const char *call_id);
 uint16_t rig_port(gateway_rig_t *rig, int number, const char *what);
 void rig_end_upstream(gateway_rig_t *rig, int number);
+void rig_vanish_upstream(gateway_rig_t *rig, int number);
 rig_caller_t *rig_call(gateway_rig_t *rig, uint16_t port, const char *text);
 void rig_send(rig_caller_t *caller, const char *text);
 void rig_receive(rig_caller_t *caller);
