Give streams of an unregistered process no version until its registration

A refused connection shows that the registered process has ended. What later connections begin is recorded with FORWARD_VERSION_UNKNOWN, at which nothing goes on, and no stream is resumed at such an upstream, until the registration is read. Streams that still run then are recorded with its version. The doubt also ends when data arrives on an older connection, or 5 s after the first connection with the store answering. A stream with parts of two versions is broken off; a stream of which a gateway was sent two versions is resumed at neither. Timeouts are no sign, as a gateway may be cut off, and where registrations have no start time nothing changes.

--- a/adapters/gateway/request_answer.c
+++ b/adapters/gateway/request_answer.c
@@ -24,10 +24,17 @@
 #define SKIPPED_RESPONSES_MAX 8
 #define REASON_OTHER_CALLS "answers to other calls"
 
-/* Records to which process of its upstream the attempt leads, as its link shows it now. */
-static void follow_process(gateway_request_t *request)
+/*
+ * Records to which process of its upstream the attempt leads, as its link shows it now.
+ * Returns false if the attempt was ended, as its stream is of two versions.
+ */
+static bool follow_process(gateway_request_t *request)
 {
 	request->upstream_incarnation = upstream_link_incarnation(request->link);
+	if (gateway_request_update_version(request))
+		return true;
+	gateway_request_cut_off(request, "upstream of another version");
+	return false;
 }
 
 /* The link is connected: sends the request. */
@@ -35,7 +42,7 @@
 {
 	gateway_request_t *request = ctx;
 
-	follow_process(request);
+	request->upstream_incarnation = upstream_link_incarnation(request->link);
 	gateway_reach_record_connected(request->gateway, request->upstream);
 	gateway_request_send(request);
 }
@@ -124,7 +131,8 @@
 	gateway_request_t *request = ctx;
 	wire_response_t answer;
 
-	follow_process(request);
+	if (!follow_process(request))
+		return;
 	wire_response_parse(head->headers, head->header_count, &answer);
 	/*
 	 * An upstream may respond twice to a request. The second response
@@ -305,7 +313,8 @@
 	gateway_request_t *request = ctx;
 	const char *excess;
 
-	follow_process(request);
+	if (!follow_process(request))
+		return;
 	if (request->skipping_response)
 		excess = discard_body(request, len);
 	else if (request->is_stream)
@@ -411,6 +420,7 @@
 		[HTTP1_END_TRUNCATED] = "upstream broke off",
 		[HTTP1_END_RESET] = "upstream reset",
 		[HTTP1_END_CONNECT_FAILED] = "upstream refused the connection",
+		[HTTP1_END_REFUSED] = "upstream refused the connection",
 		[HTTP1_END_PROTOCOL_ERROR] = "upstream sent no answer",
 		[HTTP1_END_TOO_LARGE] = "upstream's head too large",
 	};
--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -135,6 +135,11 @@
 		withhold(request, "upstream rests");
 		return;
 	}
+	request->connected_at = upstream_link_connected_at(request->link);
+	if (!gateway_request_has_version(request)) {
+		withhold(request, "version of the upstream unknown");
+		return;
+	}
 	if (request->events && request->events->last_id)
 		send.resume_after = request->events->last_id;
 	head = g_string_sized_new(512);
@@ -242,6 +247,8 @@
 {
 	bool streaming = request->state == REQUEST_STREAMING;
 
+	if (request->sent_at)
+		gateway_request_update_version(request);
 	if (outcome == ATTEMPT_UNKNOWN || outcome == ATTEMPT_FAILED) {
 		gateway_request_record_rollout_answer(request, true);
 		request->possible_runs++;
@@ -320,6 +327,9 @@
 	request->upstream = forward_upstream_ref(upstream);
 	request->upstream_incarnation = upstream->incarnation;
 	request->upstream_version_id = upstream->version_id;
+	request->connected_at = 0;
+	request->resumed_version_id =
+		gateway_request_is_resumed(request) ? request->version_id : 0;
 	request->tried[request->tried_count++] = g_strdup(upstream->id);
 	request->sends++;
 	request->attempt_started_at = now;
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -89,7 +89,10 @@
 	/* The current attempt. */
 	forward_upstream_t *upstream; /* NULL: no attempt */
 	unsigned int upstream_incarnation; /* to which it leads, as far as is known */
-	uint64_t upstream_version_id; /* the same */
+	/* of that process; FORWARD_VERSION_UNKNOWN until its registration is read */
+	uint64_t upstream_version_id;
+	pd_time_t connected_at; /* its connection, once the request was sent on it */
+	uint64_t resumed_version_id; /* of the parts before this attempt; 0: none */
 	bool has_rollout_draw;
 	double rollout_draw; /* whether it may use the new version in a roll-out */
 	pd_time_t first_event_at; /* of this attempt; 0: none yet */
@@ -136,7 +139,10 @@
 void gateway_request_check_version(gateway_request_t *request, pd_time_t now);
 void gateway_request_pin_version(gateway_request_t *request);
 void gateway_request_record_version(gateway_request_t *request);
-void gateway_request_share_version(const gateway_request_t *request);
+bool gateway_request_update_version(gateway_request_t *request);
+bool gateway_request_is_resumed(const gateway_request_t *request);
+bool gateway_request_has_version(gateway_request_t *request);
+void gateway_request_share_version(gateway_request_t *request);
 bool gateway_request_may_relay(const gateway_request_t *request);
 void gateway_request_relay(gateway_request_t *request);
 void gateway_request_end_relay(gateway_request_t *request, const char *reason);
--- a/adapters/gateway/request_version.c
+++ b/adapters/gateway/request_version.c
@@ -178,12 +178,11 @@
 	}
 }
 
-/* Records for all gateways that the version of a request begins its stream. */
-static void record_version(const gateway_request_t *request)
+/* Records for all gateways that a version begins a request's stream. */
+static void record_version(const gateway_request_t *request, uint64_t version_id)
 {
 	gateway_t *gateway = request->gateway;
-	const stream_record_t record = { first_attempt(request),
-					 request->version_id };
+	const stream_record_t record = { first_attempt(request), version_id };
 	pd_time_t now = gateway_now();
 
 	if (!record.attempt)
@@ -211,9 +210,11 @@
 					  request->upstream_version_id,
 					  gateway_now()))
 		return;
+	record_version(request, request->upstream_version_id);
+	if (request->upstream_version_id == FORWARD_VERSION_UNKNOWN)
+		return;
 	request->version_id = request->upstream_version_id;
 	request->version_pinned = true;
-	record_version(request);
 }
 
 /* Records the version of a stream with the first event that this gateway forwards. */
@@ -224,12 +225,71 @@
 	request->version_recorded = true;
 	request->version_id = request->upstream_version_id;
 	if (!request->version_pinned)
-		record_version(request);
+		record_version(request, request->version_id);
+}
+
+/* Returns whether the caller has, or had before, a part of the stream of a request. */
+bool gateway_request_is_resumed(const gateway_request_t *request)
+{
+	return request->route->kind == FORWARD_STREAM &&
+	       (request->call->resume_after ||
+		(request->events && request->events->count));
+}
+
+/* Returns the version of the process that an attempt was sent to, as is known now. */
+static uint64_t attempt_version(const gateway_request_t *request)
+{
+	const forward_upstream_t *upstream = request->upstream;
+
+	if (request->upstream_incarnation != upstream->incarnation)
+		return upstream_process_is_former(&upstream->process,
+						  request->connected_at)
+			       ? request->upstream_version_id
+			       : FORWARD_VERSION_UNKNOWN;
+	if (upstream_process_is_unregistered(&upstream->process,
+					     request->connected_at))
+		return FORWARD_VERSION_UNKNOWN;
+	return upstream->version_id;
+}
+
+/*
+ * Records the version of an attempt if another one is known now than when it was sent, as the
+ * upstream's process was started again. Returns false if its stream began at another
+ * version.
+ */
+bool gateway_request_update_version(gateway_request_t *request)
+{
+	uint64_t version_id = attempt_version(request);
+	bool fits;
+
+	if (version_id == request->upstream_version_id)
+		return true;
+	request->upstream_version_id = version_id;
+	if (!request->version_recorded && !request->version_pinned)
+		return true;
+	fits = !request->resumed_version_id ||
+	       request->resumed_version_id == version_id;
+	request->version_id = fits ? version_id : STREAM_VERSION_DISPUTED;
+	record_version(request, request->version_id);
+	return fits || version_id == FORWARD_VERSION_UNKNOWN;
+}
+
+/*
+ * Sets the version of an attempt as is known when its request is sent. Returns false if its
+ * stream began at another one, or the request is bound to another one.
+ */
+bool gateway_request_has_version(gateway_request_t *request)
+{
+	request->upstream_version_id = attempt_version(request);
+	return !request->version_id ||
+	       request->version_id == request->upstream_version_id;
 }
 
 /* Sends the version of a stream that breaks off to gateways that may lack it. */
-void gateway_request_share_version(const gateway_request_t *request)
+void gateway_request_share_version(gateway_request_t *request)
 {
+	if (request->upstream && request->sent_at)
+		gateway_request_update_version(request);
 	if (request->version_recorded &&
 	    stream_versions_is_unsent(request->gateway->streams,
 				      first_attempt(request)))
--- a/adapters/gateway/upstream_link.c
+++ b/adapters/gateway/upstream_link.c
@@ -4,6 +4,9 @@
  */
 #include "adapters/gateway/upstream_link.h"
 
+#include "adapters/gateway/fleet_feed.h"
+#include "adapters/gateway/upstream_reach.h"
+
 /*
  * An upstream closes idle connections after a time that it announces in whole seconds,
  * or not at all if that is below one second. A request that meets the close is reset
@@ -56,6 +59,8 @@
 
 	link->connected_at = gateway_now();
 	link->upstream_incarnation = link->upstream->incarnation;
+	upstream_process_record_connected(&link->upstream->process,
+					  link->connected_at);
 	if (link->callbacks)
 		link->callbacks->on_connected(link->ctx);
 }
@@ -105,6 +110,8 @@
 	const upstream_link_callbacks_t *callbacks = link->callbacks;
 	void *callbacks_ctx = link->ctx;
 
+	if (end == HTTP1_END_REFUSED)
+		gateway_reach_record_refusal(link->gateway, link->upstream);
 	link_free(link);
 	if (callbacks)
 		callbacks->on_end(callbacks_ctx, end);
@@ -263,7 +270,10 @@
 	list_append(&link->upstream->idle_links, &link->node);
 }
 
-/* Closes expired idle links, and those to upstreams that left or restarted. */
+/*
+ * Closes expired idle links, and those to upstreams that left or restarted, and ends doubts
+ * about processes of upstreams.
+ */
 void upstream_links_run(gateway_t *gateway, pd_time_t now)
 {
 	if (now < gateway->links_check_at)
@@ -274,6 +284,9 @@
 			LIST_ENTRY(it, forward_upstream_t, node);
 		bool leaving = !forward_upstream_is_serving(upstream);
 
+		upstream_process_run(&upstream->process,
+				     fleet_feed_is_store_reachable(gateway->feed),
+				     now);
 		LIST_FOR_EACH_SAFE (idle, &upstream->idle_links) {
 			upstream_link_t *link =
 				LIST_ENTRY(idle, upstream_link_t, node);
--- a/adapters/gateway/upstream_probe.c
+++ b/adapters/gateway/upstream_probe.c
@@ -1,6 +1,8 @@
 /* Connects to upstreams without sending a request. */
 #include "adapters/gateway/upstream_probe.h"
 
+#include "adapters/gateway/upstream_reach.h"
+
 typedef struct probe {
 	list_node_t node;
 	gateway_t *gateway;
@@ -48,8 +50,11 @@
 
 static void on_end(void *ctx, http1_end_t end)
 {
-	(void)end;
-	probe_finish(ctx, UPSTREAM_PROBE_REFUSED);
+	probe_t *probe = ctx;
+
+	if (end == HTTP1_END_REFUSED)
+		gateway_reach_record_refusal(probe->gateway, probe->upstream);
+	probe_finish(probe, UPSTREAM_PROBE_REFUSED);
 }
 
 /* Starts to connect to an upstream; DONE is called with CTX, perhaps at once. */
--- a/adapters/gateway/upstream_reach.c
+++ b/adapters/gateway/upstream_reach.c
@@ -92,6 +92,17 @@
 				     gateway_now());
 }
 
+/*
+ * Records that an upstream refused a connection, which shows that its process has ended,
+ * unless this gateway is cut off.
+ */
+void gateway_reach_record_refusal(const gateway_t *gateway,
+				  forward_upstream_t *upstream)
+{
+	if (!gateway_reach_is_cut_off(gateway, upstream->service))
+		forward_upstream_record_refusal(upstream, gateway_now());
+}
+
 /* Records the result of a probe. */
 static void on_probe_done(gateway_t *gateway, forward_upstream_t *upstream,
 			  upstream_probe_result_t result, void *ctx)
--- a/adapters/gateway/upstream_reach.h
+++ b/adapters/gateway/upstream_reach.h
@@ -9,6 +9,8 @@
 
 void gateway_reach_record_connected(gateway_t *gateway,
 				    const forward_upstream_t *upstream);
+void gateway_reach_record_refusal(const gateway_t *gateway,
+				  forward_upstream_t *upstream);
 void gateway_reach_record_failure(gateway_t *gateway,
 				  const forward_upstream_t *upstream);
 bool gateway_reach_is_cut_off(const gateway_t *gateway, const char *service);
--- a/adapters/http1/http1.c
+++ b/adapters/http1/http1.c
@@ -276,7 +276,9 @@
 	if (conn->closing)
 		return;
 	if (status < 0) {
-		conn_end(conn, HTTP1_END_CONNECT_FAILED);
+		conn_end(conn, status == UV_ECONNREFUSED
+				       ? HTTP1_END_REFUSED
+				       : HTTP1_END_CONNECT_FAILED);
 		return;
 	}
 	conn_set_options(conn);
--- a/adapters/http1/http1.h
+++ b/adapters/http1/http1.h
@@ -36,6 +36,7 @@
 	HTTP1_END_TRUNCATED, /* closed or reset in the middle of a message */
 	HTTP1_END_RESET, /* reset between two messages */
 	HTTP1_END_CONNECT_FAILED, /* never established */
+	HTTP1_END_REFUSED, /* the same, as nobody listens at the address */
 	HTTP1_END_PROTOCOL_ERROR, /* malformed or unsolicited bytes */
 	HTTP1_END_TOO_LARGE, /* the head, or interim responses, exceed the limit */
 	HTTP1_END_UNREAD /* see http1_end_unread() */
--- a/core/forward/choice.c
+++ b/core/forward/choice.c
@@ -33,7 +33,8 @@
 				const forward_upstream_t *upstream)
 {
 	if (criteria->version_id)
-		return upstream->version_id == criteria->version_id;
+		return upstream->version_id == criteria->version_id &&
+		       !upstream_process_is_in_doubt(&upstream->process);
 	return !criteria->excluded_version_id ||
 	       upstream->version_id != criteria->excluded_version_id;
 }
--- a/core/forward/stream_versions.c
+++ b/core/forward/stream_versions.c
@@ -1,6 +1,7 @@
 /* Remembers which version began each stream, and which versions have served. */
 #include "core/forward/stream_versions.h"
 
+#include "core/forward/upstreams.h"
 #include "core/hash.h"
 
 /* Streams of one generation; beyond that, older ones are forgotten sooner. */
@@ -139,13 +140,30 @@
 			stream_versions_is_ambiguous(streams, version_id, now);
 }
 
-/* Records what another gateway knows; what is known here stays. */
+/*
+ * Returns the version of a stream for which one was known here, 0 for none, and another
+ * gateway recorded one. Two that differ were recorded as an upstream's process was
+ * started again unnoticed; the stream goes on at none of them.
+ */
+static uint64_t merged_version(uint64_t known, uint64_t recorded)
+{
+	if (!known || known == FORWARD_VERSION_UNKNOWN)
+		return recorded;
+	return known == recorded ? known : STREAM_VERSION_DISPUTED;
+}
+
+/* Records what another gateway knows. */
 void stream_versions_merge(stream_versions_t *streams,
 			   const stream_record_t *record, pd_time_t now)
 {
-	if (record->attempt && record->version_id &&
-	    !stream_versions_find(streams, record->attempt))
-		set_version(streams, record->attempt, record->version_id, now);
+	uint64_t known = stream_versions_find(streams, record->attempt);
+	uint64_t merged;
+
+	if (!record->attempt || !record->version_id)
+		return;
+	merged = merged_version(known, record->version_id);
+	if (merged != known)
+		set_version(streams, record->attempt, merged, now);
 }
 
 /* Returns the version that began a stream; 0: unknown. */
--- a/core/forward/stream_versions.h
+++ b/core/forward/stream_versions.h
@@ -16,6 +16,9 @@
 /* Streams may be resumed for this long after their first event, or a route's timeout. */
 #define STREAM_VERSIONS_TTL_MIN (30 * PD_SEC)
 
+/* The version id of a stream of which gateways recorded several; no upstream has it. */
+#define STREAM_VERSION_DISPUTED 2
+
 /* The version that began a stream. */
 typedef struct stream_record {
 	uint64_t attempt; /* hash of the id of the attempt that brought the first event */
--- a/core/forward/upstream_process.c
+++ b/core/forward/upstream_process.c
@@ -14,6 +14,8 @@
  * that has ended, if nothing shows otherwise. Streams pause for less.
  */
 #define SILENCE_MAX (600 * PD_MSEC)
+/* A process registers within this time of its first connection, if the store answers. */
+#define REGISTRATION_TIME_MAX (5 * PD_SEC)
 
 /* Records that no connection could be made: no process serves there now, or no path. */
 void upstream_process_record_unreached(upstream_process_t *process, pd_time_t now)
@@ -21,6 +23,22 @@
 	process->unreached_at = now;
 }
 
+/* Records that nobody listens: the process that registered has ended. */
+void upstream_process_record_refused(upstream_process_t *process, pd_time_t now)
+{
+	upstream_process_record_unreached(process, now);
+	if (!process->refused_at)
+		process->refused_at = now;
+	process->answered_at = 0;
+}
+
+/* Records that a connection was made. */
+void upstream_process_record_connected(upstream_process_t *process, pd_time_t now)
+{
+	if (process->refused_at && !process->answered_at)
+		process->answered_at = now;
+}
+
 /*
  * Records that data was read from a connection, after the loop had waited for input at
  * POLLED_AT. If the connection is older than a failure to connect, its process has not
@@ -30,8 +48,10 @@
 				  pd_time_t connected_at, pd_time_t polled_at)
 {
 	if (connected_at < process->unreached_at &&
-	    polled_at - process->unreached_at >= BUFFERED_DATA_TIME)
+	    polled_at - process->unreached_at >= BUFFERED_DATA_TIME) {
 		process->unreached_at = 0;
+		process->refused_at = 0;
+	}
 }
 
 /* Records that a registration shows a process other than the one before. */
@@ -40,6 +60,42 @@
 	process->restarted_at = now;
 	process->former_ended_at = process->unreached_at;
 	process->unreached_at = 0;
+	process->refused_at = 0;
+}
+
+/*
+ * Ends the doubt about a process whose restart would have been registered by now.
+ * REGISTRATIONS_READ: the store is being read; if not, registrations may be late.
+ */
+void upstream_process_run(upstream_process_t *process, bool registrations_read,
+			  pd_time_t now)
+{
+	if (!process->refused_at || !process->answered_at)
+		return;
+	if (!registrations_read)
+		process->answered_at = now;
+	else if (now - process->answered_at >= REGISTRATION_TIME_MAX)
+		process->refused_at = 0;
+}
+
+/* Returns whether a process may serve that was started since the registration. */
+bool upstream_process_is_in_doubt(const upstream_process_t *process)
+{
+	return process->refused_at != 0;
+}
+
+/* Returns whether a connection may lead to such a process. */
+bool upstream_process_is_unregistered(const upstream_process_t *process,
+				      pd_time_t connected_at)
+{
+	return process->refused_at && connected_at > process->refused_at;
+}
+
+/* Returns whether a connection is known to lead to the process before the last restart. */
+bool upstream_process_is_former(const upstream_process_t *process,
+				pd_time_t connected_at)
+{
+	return connected_at < process->former_ended_at;
 }
 
 /*
--- a/core/forward/upstream_process.h
+++ b/core/forward/upstream_process.h
@@ -17,6 +17,9 @@
 	pd_time_t unreached_at;
 	/* the same of the process before: it had ended by then; 0: not known */
 	pd_time_t former_ended_at;
+	/* since then: the first failure as nobody listens, so the process had ended */
+	pd_time_t refused_at;
+	pd_time_t answered_at; /* first connection after the last such one; 0: none */
 } upstream_process_t;
 
 /* A connection to an upstream that was made before its last restart became known. */
@@ -26,11 +29,20 @@
 } upstream_connection_t;
 
 void upstream_process_record_unreached(upstream_process_t *process, pd_time_t now);
+void upstream_process_record_refused(upstream_process_t *process, pd_time_t now);
+void upstream_process_record_connected(upstream_process_t *process, pd_time_t now);
 void upstream_process_record_data(upstream_process_t *process,
 				  pd_time_t connected_at, pd_time_t polled_at);
 void upstream_process_record_restart(upstream_process_t *process, pd_time_t now);
 bool upstream_process_is_proven(const upstream_process_t *process,
 				pd_time_t polled_at);
+void upstream_process_run(upstream_process_t *process, bool registrations_read,
+			  pd_time_t now);
+bool upstream_process_is_in_doubt(const upstream_process_t *process);
+bool upstream_process_is_unregistered(const upstream_process_t *process,
+				      pd_time_t connected_at);
+bool upstream_process_is_former(const upstream_process_t *process,
+				pd_time_t connected_at);
 bool upstream_process_is_present(const upstream_process_t *process,
 				 pd_time_t connected_at);
 bool upstream_process_has_ended(const upstream_process_t *process,
--- a/core/forward/upstream_record.c
+++ b/core/forward/upstream_record.c
@@ -122,6 +122,16 @@
 	forward_upstream_record_failure(upstream, now);
 }
 
+/*
+ * Records that nobody listens at the upstream's address, so its process has ended. Where
+ * processes do not keep their ids, the next one there is not this upstream.
+ */
+void forward_upstream_record_refusal(forward_upstream_t *upstream, pd_time_t now)
+{
+	if (upstream->start_time_ms)
+		upstream_process_record_refused(&upstream->process, now);
+}
+
 /*
  * Records that the upstream had no free slot. That is newer than the loads that
  * peers reported.
--- a/core/forward/upstreams.c
+++ b/core/forward/upstreams.c
@@ -431,10 +431,16 @@
 	upstream->start_time_ms = start_time_ms;
 }
 
-/* Returns the id of a service's software version, not 0. VERSION may be empty. */
+/* Ids below are of no version. */
+#define VERSION_IDS_MIN 16
+
+/*
+ * Returns the id of a service's software version, never 0 or FORWARD_VERSION_UNKNOWN.
+ * VERSION may be empty.
+ */
 uint64_t forward_version_id(const char *service, const char *version)
 {
-	return MAX(hash_pair(service, version), 1);
+	return MAX(hash_pair(service, version), VERSION_IDS_MIN);
 }
 
 /* Sets the software version of an upstream of a known service; NULL: unknown. */
--- a/core/forward/upstreams.h
+++ b/core/forward/upstreams.h
@@ -24,6 +24,9 @@
  */
 #define FORWARD_DIGEST_BUCKETS 128
 
+/* The version id of a process whose registration was not read yet; no other has it. */
+#define FORWARD_VERSION_UNKNOWN 1
+
 /* An upstream's registration in the platform's store, at one revision. */
 typedef struct forward_registration {
 	const char *id;
@@ -165,6 +168,7 @@
 void forward_upstream_record_send(forward_upstream_t *upstream,
 				  const forward_call_t *call, pd_time_t now);
 void forward_upstream_record_failure(forward_upstream_t *upstream, pd_time_t now);
+void forward_upstream_record_refusal(forward_upstream_t *upstream, pd_time_t now);
 void forward_upstream_record_connect_failure(forward_upstream_t *upstream,
 					     pd_time_t now);
 void forward_upstream_record_rejection(forward_upstream_t *upstream, pd_time_t now);
--- a/tests/harness/gateway_rig.c
+++ b/tests/harness/gateway_rig.c
@@ -353,7 +353,9 @@
 	g_string_append(head, "\r\n");
 	http1_write(session->conn, head->str, head->len);
 	g_string_free(head, TRUE);
-	uv_timer_start(&session->timer, on_event, EVENT_MS, EVENT_MS);
+	uv_timer_start(&session->timer, on_event, EVENT_MS,
+		       session->server->event_gap_ms ? session->server->event_gap_ms
+						     : EVENT_MS);
 }
 
 /* Starts a stream that ends with its connection. */
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -73,6 +73,7 @@
 	const char *endless_begin;
 	const char *endless_piece; /* repeated until the client disconnects */
 	uint64_t endless_gap_ms; /* between the pieces; 0: as fast as possible */
+	unsigned int event_gap_ms; /* between events of RIG_STREAM...; 0: 20 */
 	double rate_limit; /* requests per second that its answers name; 0: none */
 	unsigned int room; /* calls at a time; it rejects more; 0: any number */
 	unsigned int work_ms; /* of a call with RIG_ANSWER; 0: none */
--- a/tests/process/test_gateway_restarted.c
+++ b/tests/process/test_gateway_restarted.c
@@ -13,9 +13,11 @@
 	"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" \
 	"X-Response-Seal: s0\r\nTransfer-Encoding: chunked\r\n\r\n"
 #define EVENT "9\r\ndata: x\n\n\r\n"
-#define GAP_MS 100 /* between events */
+#define GAP_MS 200 /* between events */
 #define LONG_MS \
 	1500 /* longer than a connection may be silent after a restart */
+#define OLD "-old" /* versions, as they stand in the data of events */
+#define NEW "-new"
 #define FIRST_START 1000 /* in ms of wall time */
 
 /* Chooses what an upstream does by the last part of the path. */
@@ -25,6 +27,50 @@
 	return strstr(target, "/hang") ? RIG_HANG : RIG_ENDLESS;
 }
 
+/*
+ * Starts a gateway with one upstream whose process has just started again with another
+ * version, under its id, and is not registered. Its streams stop in the middle of the
+ * fourth event.
+ */
+static int setup_unregistered(void **state)
+{
+	gateway_rig_t *rig = gateway_rig_create_sized(1, 3);
+	rig_server_t *upstream = &rig->upstreams[0];
+	rig_caller_t *caller;
+
+	rig->first_start = true;
+	upstream->version = OLD;
+	upstream->next_version = NEW;
+	upstream->behavior = RIG_STREAM_CUT;
+	upstream->event_gap_ms = GAP_MS;
+	upstream->keeps_id = true;
+	rig_start_fleet(rig);
+	rig_remove(rig, "servers", "u1");
+	rig_remove(rig, "servers", "u2");
+	rig_put_upstream_started_at(rig, 0, FIRST_START);
+	RIG_UNTIL(rig, rig_count_logged(rig, 0, "stage=gone") == 2);
+	RIG_UNTIL(rig, rig_count_logged(rig, 0, "id=u0 stage=serving") == 2);
+	rig_end_upstream(rig, 0);
+	caller = rig_call_at(rig, 0, "POST", "/stream/x", "c0");
+	RIG_UNTIL(rig, rig_has_received(caller, "HTTP/1.1 503"));
+	rig_caller_destroy(caller);
+	rig_run_for(rig, LONG_MS);
+	*state = rig;
+	return 0;
+}
+
+/* Registers another upstream, which runs a version. */
+static void register_other(gateway_rig_t *rig, int number, const char *version)
+{
+	char line[32];
+
+	rig->upstreams[number].version = version;
+	rig->upstreams[number].behavior = RIG_STREAM;
+	rig_put_upstream(rig, number, "ready");
+	snprintf(line, sizeof(line), "id=u%d stage=serving", number);
+	RIG_UNTIL(rig, rig_count_logged(rig, 0, line) == 2);
+}
+
 /* Starts a gateway with one upstream, whose streams go on until their caller leaves. */
 static int setup(void **state)
 {
@@ -125,9 +171,49 @@
 	rig_caller_destroy(waiting);
 }
 
+/* Guards against a stream that goes on at the version of the former process. */
+static void test_stream_of_unregistered_process_is_not_joined(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller = begin_call(rig, "/stream/x", "c1");
+
+	RIG_UNTIL(rig, rig_is_closed(caller));
+	assert_true(rig_has_received(caller, "data: e3" NEW));
+	rig_caller_destroy(caller);
+	register_other(rig, 1, OLD);
+	caller = rig_call(rig, rig_port(rig, 0, "callers"), "");
+	rig_send_call_with(caller, "POST", "/stream/x", "c2",
+			   "Resumes: c1\r\nLast-Event-Id: 3\r\n");
+	RIG_UNTIL(rig, rig_has_received(caller, "HTTP/1.1 503"));
+	assert_int_equal(rig_run_count(rig, "c2"), 0);
+	rig_caller_destroy(caller);
+}
+
+/* Guards against the same once the process is registered, and a stream without version. */
+static void test_stream_goes_on_at_version_of_registered_process(void **state)
+{
+	gateway_rig_t *rig = *state;
+	rig_caller_t *caller = begin_call(rig, "/stream/x", "c1");
+
+	RIG_UNTIL(rig, rig_has_received(caller, "data: e1" NEW));
+	register_restart(rig);
+	register_other(rig, 1, OLD);
+	register_other(rig, 2, NEW);
+	RIG_UNTIL(rig, rig_has_received(caller, "\r\n0\r\n\r\n"));
+	assert_true(rig_has_received(caller, "data: e6" NEW));
+	assert_false(rig_has_received(caller, OLD));
+	assert_int_equal(rig_run_count(rig, "c1"), 2);
+	rig_caller_destroy(caller);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_stream_of_unregistered_process_is_not_joined,
+						setup_unregistered, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_stream_goes_on_at_version_of_registered_process,
+			setup_unregistered, teardown),
 		cmocka_unit_test_setup_teardown(test_streams_of_the_new_process_go_on,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_silent_requests_of_the_former_process_end,
--- a/tests/unit/test_stream_versions.c
+++ b/tests/unit/test_stream_versions.c
@@ -77,6 +77,25 @@
 	stream_versions_destroy(other);
 }
 
+/* Guards against a stream that goes on at one of two versions that were recorded. */
+static void test_records_that_differ_name_no_version(void **state)
+{
+	stream_versions_t *streams = *state;
+	const stream_record_t unknown = { 1, FORWARD_VERSION_UNKNOWN };
+	const stream_record_t old = { 1, OLD };
+	const stream_record_t new = { 1, NEW };
+
+	stream_versions_merge(streams, &unknown, T0);
+	assert_int_equal(stream_versions_find(streams, 1), FORWARD_VERSION_UNKNOWN);
+	stream_versions_merge(streams, &old, T0);
+	stream_versions_merge(streams, &old, T0);
+	assert_int_equal(stream_versions_find(streams, 1), OLD);
+	stream_versions_merge(streams, &new, T0);
+	assert_int_equal(stream_versions_find(streams, 1), STREAM_VERSION_DISPUTED);
+	stream_versions_merge(streams, &old, T0);
+	assert_int_equal(stream_versions_find(streams, 1), STREAM_VERSION_DISPUTED);
+}
+
 /* Guards against an unknown stream that goes on at a version that served too late. */
 static void test_only_version_is_known_after_time_of_streams(void **state)
 {
@@ -268,6 +287,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_streams_are_forgotten_after_their_time,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_records_that_differ_name_no_version,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_records_are_sent_once_and_merged,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_only_version_is_known_after_time_of_streams,
--- a/tests/unit/test_upstream_process.c
+++ b/tests/unit/test_upstream_process.c
@@ -87,6 +87,44 @@
 	assert_true(upstream_process_is_proven(&process, RESTARTED + LAG));
 }
 
+/* Guards against a version that is taken for that of a process that is not registered. */
+static void test_process_after_a_refusal_is_unregistered(void **state)
+{
+	upstream_process_t process = { 0 };
+
+	(void)state;
+	upstream_process_record_unreached(&process, T0 - PD_SEC);
+	assert_false(upstream_process_is_in_doubt(&process));
+	upstream_process_record_refused(&process, T0);
+	upstream_process_record_refused(&process, T0 + PD_SEC);
+	assert_false(upstream_process_is_unregistered(&process, T0 - PD_MSEC));
+	assert_true(upstream_process_is_unregistered(&process, T0 + PD_MSEC));
+	upstream_process_record_restart(&process, RESTARTED);
+	assert_false(upstream_process_is_in_doubt(&process));
+	assert_true(upstream_process_is_former(&process, T0 + PD_MSEC));
+	assert_false(upstream_process_is_former(&process, RESTARTED));
+}
+
+/* Guards against a doubt that outlasts all registrations, or ends while none are read. */
+static void test_doubt_ends_when_a_registration_would_be_read(void **state)
+{
+	upstream_process_t process = { 0 };
+
+	(void)state;
+	upstream_process_record_refused(&process, T0);
+	upstream_process_run(&process, true, LONG_AFTER);
+	assert_true(upstream_process_is_in_doubt(&process));
+	upstream_process_record_connected(&process, LONG_AFTER);
+	upstream_process_run(&process, false, LONG_AFTER + 8 * PD_SEC);
+	upstream_process_run(&process, true, LONG_AFTER + 10 * PD_SEC);
+	assert_true(upstream_process_is_in_doubt(&process));
+	upstream_process_run(&process, true, LONG_AFTER + 14 * PD_SEC);
+	assert_false(upstream_process_is_in_doubt(&process));
+	upstream_process_record_refused(&process, T0);
+	upstream_process_record_data(&process, T0 - PD_SEC, T0 + LAG);
+	assert_false(upstream_process_is_in_doubt(&process));
+}
+
 static void test_each_restart_has_its_own_failure(void **state)
 {
 	upstream_process_t process = { 0 };
@@ -107,6 +145,8 @@
 		cmocka_unit_test(
 			test_failure_that_the_process_outlived_counts_no_more),
 		cmocka_unit_test(test_data_of_before_the_end_proves_nothing),
+		cmocka_unit_test(test_process_after_a_refusal_is_unregistered),
+		cmocka_unit_test(test_doubt_ends_when_a_registration_would_be_read),
 		cmocka_unit_test(test_each_restart_has_its_own_failure),
 	};
 
