Log whence the configuration came, how old it is and what newer one is known

A request that is refused under an old configuration left no line that tells why: which version the gateway served was in the line of the request only, not who had brought it, when the store was last asked, or whether a newer one was known and requested. Now the line of an applied configuration has its source, size and the time since it was first heard of; a gateway that knows of a newer one for over a second says so each second; and so does, once a second at most, one that refuses a request for want of a route or key.

--- a/adapters/gateway/fleet_feed.c
+++ b/adapters/gateway/fleet_feed.c
@@ -1,6 +1,7 @@
 /* Lists and watches the store, in one loop for each kind of object. */
 #include "adapters/gateway/fleet_feed.h"
 
+#include "adapters/gateway/config_origin.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peers.h"
 #include "adapters/gateway/rollouts.h"
@@ -312,6 +313,8 @@
 	store_feed_record_answer(feed->schedule, gateway_now());
 	gateway_peers_record_store_answer(feed->fleet->gateway->peers);
 	feed_apply_page(feed, page);
+	if (feed->kind == WIRE_CONFIG)
+		gateway_config_record_read(feed->fleet->gateway);
 	wire_page_destroy(page);
 	feed_run(feed, gateway_now());
 }
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -7,6 +7,7 @@
 #include <time.h>
 
 #include "adapters/gateway/caller.h"
+#include "adapters/gateway/config_origin.h"
 #include "adapters/gateway/duties.h"
 #include "adapters/gateway/fleet_feed.h"
 #include "adapters/gateway/grants.h"
@@ -168,23 +169,19 @@
 {
 	pd_error_t err;
 	forward_config_t *config = wire_config_parse(text, strlen(text), &err);
+	uint64_t before = gateway->config ? gateway->config->version : 0;
 
 	if (!config) {
 		log_error(LOG_COMPONENT, "configuration", &err);
 		return false;
 	}
-	if (gateway->config && config->version <= gateway->config->version) {
+	if (gateway->config && config->version <= before) {
 		forward_config_unref(config);
 		return false;
 	}
-	log_line(G_LOG_LEVEL_INFO, LOG_COMPONENT,
-		 "config=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
-		 " source=%s routes=%u services=%u accounts=%u",
-		 config->version, gateway->config ? gateway->config->version : 0,
-		 source, config->routes->len, config->services->len,
-		 config->accounts->len);
 	forward_config_unref(gateway->config);
 	gateway->config = config;
+	gateway_config_record_applied(gateway, source, before, strlen(text));
 	g_free(gateway->config_text);
 	gateway->config_text = g_strdup(text);
 	stream_versions_set_ttl(gateway->streams,
@@ -470,6 +467,7 @@
 	discard_old_usage(gateway);
 	upstream_probes_run(gateway, now);
 	gateway_reach_run(gateway, now);
+	gateway_config_run(gateway, now);
 	gateway_quarantine_run(gateway, now);
 	if (now >= gateway->versions_record_at)
 		record_serving_versions(gateway, now);
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -40,6 +40,20 @@
 typedef struct gateway_slots gateway_slots_t;
 typedef struct gateway_grants gateway_grants_t;
 
+/* Where the configuration came from; see config_origin.c. All 0: there is none. */
+typedef struct config_origin {
+	char *source; /* "store" or "peer" */
+	pd_time_t applied_at;
+	pd_time_t read_at; /* when the store last told this gateway its configuration */
+	uint64_t heard_version; /* the highest that a peer had */
+	char *heard_from; /* its address */
+	pd_time_t heard_at; /* since when a newer one than that in force is known */
+	char *fetched_from; /* the peer that was last asked since */
+	unsigned int fetches; /* the same, how often */
+	pd_time_t refusal_logged_at;
+	pd_time_t behind_logged_at;
+} config_origin_t;
+
 typedef struct gateway {
 	uv_loop_t *loop;
 	const char *settings_path; /* NULL: settings are never reloaded */
@@ -48,6 +62,7 @@
 	int64_t settings_stamp; /* of the file as last read; see file_stamp() */
 	forward_config_t *config; /* NULL: none yet */
 	char *config_text; /* source text of config, sent to peers */
+	config_origin_t config_origin;
 	bool upstreams_listed; /* a complete listing was read, here or by a peer */
 	bool upstreams_usable; /* at least one page of a listing was read */
 	forward_upstreams_t *upstreams;
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -1,6 +1,7 @@
 /* Decodes and applies the messages of other gateways. */
 #include <string.h>
 
+#include "adapters/gateway/config_origin.h"
 #include "adapters/gateway/flight_pack.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/peer_state.h"
@@ -316,10 +317,12 @@
 	pd_time_t now = gateway_now();
 	unsigned int what = 0;
 
+	gateway_config_record_heard(peers->gateway, version, peer->address);
 	if (version > peers_config_version(peers) &&
 	    now - peers->fetched_config_at > FETCH_PERIOD) {
 		peers->fetched_config_at = now;
 		what |= FETCH_CONFIG;
+		gateway_config_record_fetch(peers->gateway, peer->address);
 	}
 	if (digest && may_fetch_upstreams(peers, digest, now))
 		what |= FETCH_UPSTREAMS;
--- a/adapters/gateway/request.c
+++ b/adapters/gateway/request.c
@@ -1,6 +1,7 @@
 /* Admission, queueing and timeouts of requests. */
 #include "adapters/gateway/request_state.h"
 
+#include "adapters/gateway/config_origin.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/quarantine_checks.h"
 #include "adapters/gateway/slots.h"
@@ -150,6 +151,7 @@
 	request->account = key ? forward_config_account(config, key) : NULL;
 	if (request->account || request->route->is_public)
 		return true;
+	gateway_config_log_refusal(request->gateway, "unknown key");
 	gateway_request_respond_error(request, 401, 0, "unknown key");
 	return false;
 }
@@ -293,6 +295,7 @@
 	request->route =
 		forward_config_route(request->config, call->host, call->target);
 	if (!request->route) {
+		gateway_config_log_refusal(gateway, "no route");
 		gateway_request_respond_error(request, 404, 0, "no route");
 		return;
 	}
