List only members that a gateway has heard from itself

Cause: messages listed the eight members that rank first among those alive, also ones that the sender knew from such lists only. A listed gateway counts as alive for 6 s, so gateways reminded each other of dead ones for ever. These held the first places: nobody watched the store for all, and followers walked through dead aggregators, again and again.

--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -271,15 +271,16 @@
 }
 
 /*
- * Packs the live members: the top-ranked ones and a random sample of the
- * others.
+ * Packs members that this gateway has heard from: the top-ranked ones and a random sample
+ * of the others. If those that it only knows of from others were listed, gateways would
+ * remind each other of dead ones for ever.
  */
 static void pack_members(msgpack_packer *packer, const gateway_peers_t *peers,
 			 pd_time_t now)
 {
 	peer_t *first[MEMBERS_TOP_RANKED + 1];
 	unsigned int top_count =
-		peers_top_ranked(peers, first, MEMBERS_TOP_RANKED, now);
+		peers_top_heard(peers, first, MEMBERS_TOP_RANKED, now);
 	unsigned int heard = 0;
 	unsigned int left;
 
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -133,17 +133,24 @@
 	return count;
 }
 
-/* Fills in the MOST live peers that rank first. Returns their number. */
+/* Returns whether a peer is alive and is not skipped. */
+static bool peer_is_usable(const peer_t *peer, pd_time_t now)
+{
+	return peer_is_alive(peer, now) && now >= peer->skipped_until;
+}
+
+/* Fills in the MOST peers that rank first of those that pass TEST. Returns their number. */
 static unsigned int fill_by_rank(const gateway_peers_t *peers, peer_t **first,
-				 unsigned int most, bool skipped, pd_time_t now)
+				 unsigned int most,
+				 bool (*test)(const peer_t *peer, pd_time_t now),
+				 pd_time_t now)
 {
 	unsigned int count = 0;
 
 	LIST_FOR_EACH (it, &peers->list) {
 		peer_t *peer = LIST_ENTRY(it, peer_t, node);
 
-		if (peer_is_alive(peer, now) &&
-		    (skipped || now >= peer->skipped_until))
+		if (test(peer, now))
 			count = insert_by_rank(first, count, most, peer);
 	}
 	return count;
@@ -156,14 +163,21 @@
 unsigned int peers_top_ranked(const gateway_peers_t *peers, peer_t **first,
 			      unsigned int most, pd_time_t now)
 {
-	return fill_by_rank(peers, first, most, false, now);
+	return fill_by_rank(peers, first, most, peer_is_usable, now);
 }
 
 /* The same with those that this gateway skips, so that all gateways agree on them. */
 unsigned int peers_top_alive(const gateway_peers_t *peers, peer_t **first,
 			     unsigned int most, pd_time_t now)
 {
-	return fill_by_rank(peers, first, most, true, now);
+	return fill_by_rank(peers, first, most, peer_is_alive, now);
+}
+
+/* The same of those that this gateway itself has heard from. */
+unsigned int peers_top_heard(const gateway_peers_t *peers, peer_t **first,
+			     unsigned int most, pd_time_t now)
+{
+	return fill_by_rank(peers, first, most, peer_is_heard, now);
 }
 
 /* Returns whether the fleet is small enough for a full mesh. */
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -411,6 +411,8 @@
 			      unsigned int most, pd_time_t now);
 unsigned int peers_top_alive(const gateway_peers_t *peers, peer_t **first,
 			     unsigned int most, pd_time_t now);
+unsigned int peers_top_heard(const gateway_peers_t *peers, peer_t **first,
+			     unsigned int most, pd_time_t now);
 unsigned int peers_checkpoint_writers(gateway_peers_t *peers, peer_t **writers,
 				      pd_time_t now);
 void peers_send(const gateway_peers_t *peers, const peer_t *peer,
--- a/tests/process/test_gateway_gossip.c
+++ b/tests/process/test_gateway_gossip.c
@@ -219,6 +219,23 @@
 			  FULL_STATE_TIMEOUT_MS);
 }
 
+/* Guards against a dead gateway of which the others remind each other for ever. */
+static void test_dead_member_is_forgotten(void **state)
+{
+	pair_t *pair = *state;
+	peer_t *dead[PAIR];
+
+	WAIT_UNTIL(pair, peers_view(pair->gateways[1]->peers, gateway_now())->alive ==
+				 PAIR);
+	for (unsigned int i = 0; i < PAIR; i++) {
+		dead[i] = peers_add(pair->gateways[i]->peers, "127.0.0.1:1");
+		dead[i]->high_capacity = true;
+		dead[i]->mentioned_at = gateway_now();
+	}
+	WAIT_UNTIL(pair, !peer_is_alive(dead[0], gateway_now()) &&
+				 !peer_is_alive(dead[1], gateway_now()));
+}
+
 /*
  * Guards against a former leader that does not request the lease because other
  * gateways rank before it.
@@ -311,6 +328,7 @@
 		cmocka_unit_test_setup(test_draining_upstream_is_propagated, setup),
 		cmocka_unit_test_setup(test_leader_outside_members_is_sent_states,
 				       setup),
+		cmocka_unit_test_setup(test_dead_member_is_forgotten, setup),
 		cmocka_unit_test_setup(test_former_leader_may_acquire_lease, setup),
 		cmocka_unit_test_setup(test_lost_update_is_fetched, setup),
 		cmocka_unit_test_setup(test_unknown_upstream_is_fetched_once, setup),
