Repair missed configurations while the aggregators are dead

Cause, by the log lines added before: the announcement of a change, sent to five random gateways and passed on, misses about one in a hundred; the summary of its aggregator repairs that. With dead aggregators there is none: each costs 1.5 s or more of silence, although connections to it are refused at once.

A peer to which no connection can be made is left out of roles for 5 s unless it is heard. While no summary comes for two periods, a gateway announces its version to a random one each period and has upstreams compared; an older announcement is answered with the own one.

--- a/adapters/frame_link.c
+++ b/adapters/frame_link.c
@@ -89,10 +89,12 @@
 static void conn_fail(conn_t *conn)
 {
 	const frame_link_config_t *config = &conn->link->config;
-	bool notify = conn->key && !conn->closing && config->on_lost;
+	bool notify = conn->key && !conn->closing;
 
 	conn_close(conn);
-	if (notify)
+	if (notify && !conn->connected && config->on_unreachable)
+		config->on_unreachable(config->ctx, conn->key);
+	if (notify && config->on_lost)
 		config->on_lost(config->ctx, conn->key);
 }
 
--- a/adapters/frame_link.h
+++ b/adapters/frame_link.h
@@ -25,6 +25,8 @@
 	 * KEY is the peer's address:port. Must not send frames. May be NULL.
 	 */
 	void (*on_lost)(void *ctx, const char *key);
+	/* The same, called before it, if no connection could be established. */
+	void (*on_unreachable)(void *ctx, const char *key);
 	void *ctx;
 } frame_link_config_t;
 
--- a/adapters/gateway/peer_pack.c
+++ b/adapters/gateway/peer_pack.c
@@ -568,6 +568,19 @@
 	msgpack_pack_uint64(packer, peers_config_version(peers));
 }
 
+/* Sends a peer the version of the configuration in force. */
+void peers_send_announcement(gateway_peers_t *peers, peer_t *peer)
+{
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	peers_pack_announcement(&packer, peers);
+	peers_send(peers, peer, &buffer);
+	msgpack_sbuffer_destroy(&buffer);
+}
+
 /* Packs an upstream in full. */
 static void pack_upstream(msgpack_packer *packer, const forward_upstream_t *upstream)
 {
--- a/adapters/gateway/peer_rank.c
+++ b/adapters/gateway/peer_rank.c
@@ -12,6 +12,11 @@
  * from, or this has passed.
  */
 #define DISCONNECT_PAUSE (2 * PD_SEC)
+/*
+ * A peer to which no connection could be made is left out of roles for so long, unless it
+ * is heard. Others may name it as live for some seconds after its end.
+ */
+#define UNREACHABLE_TIME (5 * PD_SEC)
 /* A gateway that was sent counts within this time writes them. */
 #define COUNTS_RECEIVED_MAX_AGE PD_SEC
 /* Peers list a live member in every few of their states. */
@@ -52,6 +57,13 @@
 	return last && now - last < FLEET_MEMBER_TIMEOUT;
 }
 
+/* Returns whether no connection to a peer could be made lately, and it was not heard since. */
+static bool peer_is_unreachable(const peer_t *peer, pd_time_t now)
+{
+	return peer->unreachable_at && peer->heard_at <= peer->unreachable_at &&
+	       now - peer->unreachable_at < UNREACHABLE_TIME;
+}
+
 /*
  * Returns whether one gateway ranks before OTHER: by capacity, hash and
  * address.
@@ -98,7 +110,8 @@
 		if (!peer_is_alive(peer, now))
 			continue;
 		view.alive++;
-		view.rank += !ranks_before(peers->high_capacity, hash,
+		view.rank += !peer_is_unreachable(peer, now) &&
+			     !ranks_before(peers->high_capacity, hash,
 					   peers->address, peer);
 	}
 	/*
@@ -136,7 +149,8 @@
 /* Returns whether a peer is alive and is not skipped. */
 static bool peer_is_usable(const peer_t *peer, pd_time_t now)
 {
-	return peer_is_alive(peer, now) && now >= peer->skipped_until;
+	return peer_is_alive(peer, now) && now >= peer->skipped_until &&
+	       !peer_is_unreachable(peer, now);
 }
 
 /* Fills in the MOST peers that rank first of those that pass TEST. Returns their number. */
--- a/adapters/gateway/peer_state.h
+++ b/adapters/gateway/peer_state.h
@@ -250,6 +250,8 @@
 	pd_time_t skipped_until;
 	/* when a connection to it last failed; 0: never */
 	pd_time_t disconnected_at;
+	/* when one could last not be made; 0: never */
+	pd_time_t unreachable_at;
 	GArray *loads; /* of load_t */
 	GHashTable *granted; /* account -> double, tokens */
 	GHashTable *requested; /* account -> double, tokens */
@@ -304,6 +306,8 @@
 	/* address whose summaries are applied; NULL: peers' states are */
 	char *aggregator;
 	pd_time_t summary_received_at; /* when its last summary arrived */
+	/* the same of any aggregator, or when this gateway began to follow one */
+	pd_time_t summarized_at;
 	GArray *aggregator_loads; /* of load_t, from that summary */
 	char *leader; /* address of the leader; NULL: unknown */
 	uint64_t leader_fence;
@@ -432,6 +436,7 @@
 void peers_send_by_id_hash(gateway_peers_t *peers, peer_t *peer,
 			   const GArray *id_hashes);
 void peers_send_config(gateway_peers_t *peers, peer_t *peer);
+void peers_send_announcement(gateway_peers_t *peers, peer_t *peer);
 void peers_send_upstreams(gateway_peers_t *peers, peer_t *peer,
 			  const uint64_t *digests);
 void peers_pack_announcement(msgpack_packer *packer, const gateway_peers_t *peers);
--- a/adapters/gateway/peer_take.c
+++ b/adapters/gateway/peer_take.c
@@ -516,6 +516,7 @@
 	if (!peers->aggregator || strcmp(peers->aggregator, peer->address))
 		return 0;
 	peers->summary_received_at = now;
+	peers->summarized_at = now;
 	peers->summary_fleet_size =
 		(unsigned int)msgpack_field_uint64(&fields[STATE_FLEET_SIZE]);
 	wall = msgpack_field_uint64(&fields[STATE_WALL_TIME]);
@@ -534,18 +535,21 @@
 }
 
 /*
- * Fetches an announced configuration if it is newer. Returns 0, or -1 if the
- * message is malformed.
+ * Fetches an announced configuration if it is newer, and announces the own one if that is.
+ * Returns 0, or -1 if the message is malformed.
  */
 static int handle_announcement(gateway_peers_t *peers, const msgpack_object *fields)
 {
 	char *address = msgpack_field_string(&fields[1]);
 	peer_t *peer = address ? peers_add(peers, address) : NULL;
+	uint64_t version = msgpack_field_uint64(&fields[2]);
 
 	g_free(address);
 	if (!peer)
 		return -1;
-	fetch_newer(peers, peer, msgpack_field_uint64(&fields[2]), 0);
+	fetch_newer(peers, peer, version, 0);
+	if (version < peers_config_version(peers))
+		peers_send_announcement(peers, peer);
 	return 0;
 }
 
--- a/adapters/gateway/peers.c
+++ b/adapters/gateway/peers.c
@@ -198,6 +198,15 @@
 	resend_counts(peers);
 }
 
+/* Records that no connection to a peer could be made. */
+static void on_unreachable(void *ctx, const char *key)
+{
+	peer_t *peer = peers_find(ctx, key);
+
+	if (peer)
+		peer->unreachable_at = gateway_now();
+}
+
 /* Adds the peers listed in the settings. */
 void gateway_peers_add_seeds(gateway_peers_t *peers)
 {
@@ -223,6 +232,7 @@
 		.frame_max = FRAME_MAX,
 		.on_frame = on_frame,
 		.on_lost = on_lost,
+		.on_unreachable = on_unreachable,
 		.ctx = peers,
 	};
 	char *host = NULL;
@@ -444,6 +454,8 @@
 	g_free(peers->aggregator);
 	peers->aggregator = g_strdup(aggregator);
 	peers->summary_received_at = now;
+	if (!followed)
+		peers->summarized_at = now;
 	if (followed != (aggregator != NULL)) {
 		/* Both would count the same use, work and loads. */
 		token_limits_clear_peers(peers->gateway->limits);
@@ -611,6 +623,37 @@
 		aggregator->skipped_until = now + AGGREGATOR_SKIP_TIME;
 }
 
+/*
+ * Returns whether a gateway other than the aggregator is to be asked for what this one may
+ * have missed, as no aggregator says anything.
+ */
+static bool is_summary_overdue(gateway_peers_t *peers, pd_time_t now)
+{
+	return peers->aggregator &&
+	       now - peers->summarized_at > 2 * aggregator_period(peers, now);
+}
+
+/*
+ * Asks a random gateway for a newer configuration and for upstreams that it knows
+ * differently.
+ */
+static void ask_random_peer(gateway_peers_t *peers, pd_time_t now)
+{
+	GPtrArray *alive = peers_alive(peers, now);
+	peer_t *peer;
+	gint32 number;
+
+	if (alive->len) {
+		number = g_rand_int_range(peers->gateway->random, 0,
+					  (gint32)alive->len);
+		peer = g_ptr_array_index(alive, (guint)number);
+		peers_send_announcement(peers, peer);
+		if (peers->gateway->upstreams_listed)
+			peers_send_fetch(peers, peer, FETCH_UPSTREAMS);
+	}
+	g_ptr_array_unref(alive);
+}
+
 /*
  * Sends this gateway's state to the aggregators, requesting a summary from the
  * first one, and to the leader if FULL.
@@ -628,6 +671,8 @@
 			  is_aggregator || !count ? NULL : first[0]->address, now);
 	for (unsigned int i = 0; i < count; i++)
 		peers_send_state(peers, first[i], !is_aggregator && i == 0, full);
+	if (is_summary_overdue(peers, now))
+		ask_random_peer(peers, now);
 	/*
 	 * The leader may be missing from the members that this gateway knows.
 	 */
--- a/tests/process/test_gateway_gossip.c
+++ b/tests/process/test_gateway_gossip.c
@@ -7,6 +7,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <string.h>
 #include <unistd.h>
 
 #include <cmocka.h>
@@ -16,10 +17,12 @@
 #include "adapters/gateway/peer_state.h"
 #include "adapters/log_buffer.h"
 #include "adapters/log_glib.h"
+#include "platform/wire.h"
 
 #define TIMEOUT_MS 10000 /* of a wait for a condition */
 /* twice the period of full states; members expire after 6 s */
 #define FULL_STATE_TIMEOUT_MS 3200
+#define ANSWER_MS 500
 #define PAIR 2
 
 typedef struct pair {
@@ -219,6 +222,54 @@
 			  FULL_STATE_TIMEOUT_MS);
 }
 
+/* Gives a gateway a configuration, of which it tells nobody. */
+static void set_config(gateway_t *gateway, int version)
+{
+	pd_error_t err;
+	char *text =
+		g_strdup_printf("{\"version\":%d,\"routes\":[],\"services\":[],"
+				"\"limits\":{\"maxHeaderBytes\":16384,"
+				"\"maxBodyBytes\":65536,"
+				"\"headerTimeoutMs\":3000,"
+				"\"idleTimeoutMs\":15000},\"tenants\":[]}",
+				version);
+
+	gateway->config = wire_config_parse(text, strlen(text), &err);
+	assert_non_null(gateway->config);
+	gateway->config_text = text;
+}
+
+/* Guards against a missed announcement while all aggregators that are known are dead. */
+static void test_config_is_fetched_without_aggregator(void **state)
+{
+	pair_t *pair = *state;
+	const gateway_t *other = pair->gateways[1];
+
+	WAIT_UNTIL(pair, peers_view(other->peers, gateway_now())->alive == PAIR);
+	add_high_ranked_peers(pair->gateways[0]);
+	add_high_ranked_peers(pair->gateways[1]);
+	set_config(pair->gateways[0], 7);
+	WAIT_UNTIL_WITHIN(pair, other->config && other->config->version == 7,
+			  FULL_STATE_TIMEOUT_MS);
+}
+
+/* Guards against a gateway that tells others of an old configuration and is not told. */
+static void test_old_announcement_is_answered(void **state)
+{
+	pair_t *pair = *state;
+	gateway_t *other = pair->gateways[1];
+	peer_t *peer;
+
+	WAIT_UNTIL(pair, peers_view(other->peers, gateway_now())->alive == PAIR);
+	set_config(pair->gateways[0], 7);
+	set_config(other, 6);
+	peer = peers_find(other->peers, pair->gateways[0]->peers->address);
+	peer->heard_at = gateway_now();
+	pair->gateways[0]->peers->next_state_at = gateway_now() + PD_SEC;
+	peers_send_announcement(other->peers, peer);
+	WAIT_UNTIL_WITHIN(pair, other->config->version == 7, ANSWER_MS);
+}
+
 /* Guards against a dead gateway of which the others remind each other for ever. */
 static void test_dead_member_is_forgotten(void **state)
 {
@@ -328,6 +379,9 @@
 		cmocka_unit_test_setup(test_draining_upstream_is_propagated, setup),
 		cmocka_unit_test_setup(test_leader_outside_members_is_sent_states,
 				       setup),
+		cmocka_unit_test_setup(test_config_is_fetched_without_aggregator,
+				       setup),
+		cmocka_unit_test_setup(test_old_announcement_is_answered, setup),
 		cmocka_unit_test_setup(test_dead_member_is_forgotten, setup),
 		cmocka_unit_test_setup(test_former_leader_may_acquire_lease, setup),
 		cmocka_unit_test_setup(test_lost_update_is_fetched, setup),
--- a/tests/unit/test_frame_link.c
+++ b/tests/unit/test_frame_link.c
@@ -30,6 +30,7 @@
 	frame_link_t *link;
 	unsigned int frames;
 	bool lost;
+	bool unreachable;
 } fixture_t;
 
 static int on_frame(void *ctx, const char *data, size_t len)
@@ -46,6 +47,12 @@
 	((fixture_t *)ctx)->lost = true;
 }
 
+static void on_unreachable(void *ctx, const char *key)
+{
+	(void)key;
+	((fixture_t *)ctx)->unreachable = true;
+}
+
 static void on_wakeup(uv_timer_t *timer)
 {
 	(void)timer;
@@ -58,6 +65,7 @@
 					     .frame_max = FRAME_BYTES_MAX,
 					     .on_frame = on_frame,
 					     .on_lost = on_lost,
+					     .on_unreachable = on_unreachable,
 					     .ctx = fixture };
 	pd_error_t err;
 
@@ -163,6 +171,7 @@
 					sizeof(acknowledgement));
 	}
 	assert_true(fixture->lost);
+	assert_false(fixture->unreachable);
 	close(fd);
 	close(listener);
 	g_bytes_unref(body);
@@ -204,9 +213,24 @@
 	g_free(data);
 }
 
+/* Guards against a peer that is taken for slow although nobody listens there. */
+static void test_refused_connection_is_unreachable(void **state)
+{
+	fixture_t *fixture = *state;
+	GBytes *body = g_bytes_new_static("a", 1);
+
+	frame_link_send(fixture->link, "127.0.0.1", 1, body);
+	while (!fixture->lost)
+		uv_run(&fixture->loop, UV_RUN_ONCE);
+	assert_true(fixture->unreachable);
+	g_bytes_unref(body);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_refused_connection_is_unreachable,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(
 			test_peer_that_reads_no_acknowledgements_is_closed,
 			setup, teardown),
