End connections on which a response has an undefined status

Cause: on_parser_headers_complete() took every status below 200 for an interim response and skipped its head only; the body was delivered as part of the response that follows.

--- a/adapters/http1/http1.c
+++ b/adapters/http1/http1.c
@@ -27,6 +27,9 @@
  * limit, an upstream that sends nothing else occupies its request until the deadline.
  */
 #define INTERIM_RESPONSES_MAX 32
+/* Statuses that HTTP defines classes for. */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
 /*
  * A connection can die without a reset, for example when a device on the path
  * loses its state. TCP keep-alive probes start after one idle second and end such
@@ -569,6 +572,23 @@
 	       conn->parser.status_code != 304;
 }
 
+/*
+ * Returns whether the response being read is one to a request without an upgrade: its status
+ * is defined, and an interim response has no body, which would count as part of the next.
+ */
+static bool is_valid_response(const http1_t *conn)
+{
+	const http_parser *parser = &conn->parser;
+	bool has_body =
+		(parser->flags & F_CHUNKED) ||
+		(parser->content_length && parser->content_length != ULLONG_MAX);
+
+	if (parser->status_code < STATUS_MIN || parser->status_code > STATUS_MAX ||
+	    parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS)
+		return false;
+	return parser->status_code >= 200 || !has_body;
+}
+
 static int on_parser_headers_complete(http_parser *parser)
 {
 	http1_t *conn = parser->data;
@@ -576,6 +596,10 @@
 	http1_head_t head = { .headers = headers };
 	bool chunked = parser->flags & F_CHUNKED;
 
+	if (conn->side == HTTP1_CLIENT && !is_valid_response(conn)) {
+		conn->malformed = true;
+		return -1;
+	}
 	if (conn->side == HTTP1_CLIENT && parser->status_code < 200)
 		return 0;
 	g_string_append_c(conn->text, '\0');
--- a/tests/unit/test_http1.c
+++ b/tests/unit/test_http1.c
@@ -379,6 +379,40 @@
 	assert_int_equal(fixture->status, 204);
 }
 
+/* Guards against bytes that are taken for a response, or for a part of the next one. */
+static void test_invalid_statuses_end_connection(void **state)
+{
+	static const char *const heads[] = {
+		"HTTP/1.1 000 None\r\nContent-Length: 5\r\n\r\n",
+		"HTTP/1.1 000 None\r\n\r\n",
+		"HTTP/1.1 099 Low\r\nContent-Length: 5\r\n\r\n",
+		"HTTP/1.1 600 High\r\nContent-Length: 5\r\n\r\n",
+		"HTTP/1.1 999 High\r\nContent-Length: 5\r\n\r\n",
+		"HTTP/1.1 101 Switching Protocols\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\nContent-Length: 5\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"5\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+		fixture_t *fixture;
+
+		setup(state);
+		fixture = *state;
+		open_client(fixture);
+		http1_expect_response(fixture->conn, false);
+		send_text(fixture, heads[i]);
+		send_text(fixture, "helloHTTP/1.1 200 OK\r\n"
+				   "Content-Length: 5\r\n\r\nworld");
+		WAIT_UNTIL(fixture, fixture->ended);
+		assert_int_equal(fixture->heads, 0);
+		assert_int_equal(fixture->messages, 0);
+		assert_string_equal(fixture->body->str, "");
+		assert_int_equal(fixture->end, HTTP1_END_PROTOCOL_ERROR);
+		teardown(state);
+	}
+}
+
 /* Sends the repeated TEXT until the peer closes, or fails after LEN bytes. */
 static void send_until_closed(fixture_t *fixture, const char *text, size_t len)
 {
@@ -476,6 +510,7 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_interim_response_is_skipped,
 						setup, teardown),
+		cmocka_unit_test(test_invalid_statuses_end_connection),
 		cmocka_unit_test(test_endless_responses_end_connection),
 		cmocka_unit_test_setup_teardown(test_endless_blank_lines_end_idle_connection,
 						setup, teardown),
