Count a response as broken off if it ends before its request is received

Cause: the end of file comes before the reset, and the process lives, so the response counted as complete. That the request was still being written was not considered.

An end of file while the write queue or the socket holds unacknowledged bytes of the request now truncates a response without a length.

--- a/adapters/http1/http1.c
+++ b/adapters/http1/http1.c
@@ -5,10 +5,12 @@
 #include "adapters/http1/http1.h"
 
 #include <http_parser.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "core/list.h"
@@ -714,12 +716,32 @@
 		conn_reject(conn, 400, HTTP1_END_PROTOCOL_ERROR);
 }
 
-/* Handles end of file or reset; end of file ends a response without a length. */
+/*
+ * Returns whether the other side has yet to receive a part of what was written. If it closes
+ * nevertheless, it resets the connection, which may show later than the end of file.
+ */
+static bool conn_has_unreceived(const http1_t *conn)
+{
+	int bytes = 0;
+	uv_os_fd_t fd;
+
+	if (http1_unsent_bytes(conn))
+		return true;
+	return uv_fileno((const uv_handle_t *)&conn->tcp, &fd) == 0 &&
+	       ioctl(fd, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
+/*
+ * Handles end of file or reset; end of file ends a response without a length, unless the
+ * request was not received whole.
+ */
 static void conn_handle_eof(http1_t *conn, bool reset)
 {
 	bool was_idle = !conn->in_message && !conn->expecting_response;
+	bool cut_off = reset ||
+		       (conn->side == HTTP1_CLIENT && conn_has_unreceived(conn));
 
-	if (!reset && conn->in_message)
+	if (!cut_off && conn->in_message)
 		http_parser_execute(&conn->parser, &parser_settings, NULL, 0);
 	if (conn->ended)
 		return;
--- a/tests/unit/test_http1.c
+++ b/tests/unit/test_http1.c
@@ -323,6 +323,28 @@
 	assert_int_equal(fixture->end, HTTP1_END_TRUNCATED);
 }
 
+/* Guards against a reset that shows after the end of file, as the request is not read. */
+static void test_end_before_request_is_received_truncates(void **state)
+{
+	fixture_t *fixture = *state;
+	GString *head = g_string_new(
+		"POST / HTTP/1.1\r\nContent-Length: 16000000\r\n\r\n");
+	GByteArray *body = g_byte_array_sized_new(16000000);
+
+	g_byte_array_set_size(body, 16000000);
+	open_client(fixture);
+	http1_expect_response(fixture->conn, false);
+	http1_write_request(fixture->conn, head, body);
+	send_text(fixture, "HTTP/1.1 200 OK\r\n\r\nabc");
+	WAIT_UNTIL(fixture, fixture->heads == 1);
+	shutdown(fixture->fd, SHUT_WR);
+	WAIT_UNTIL(fixture, fixture->ended);
+	assert_int_equal(fixture->messages, 0);
+	assert_int_equal(fixture->end, HTTP1_END_TRUNCATED);
+	g_byte_array_unref(body);
+	g_string_free(head, TRUE);
+}
+
 /* The connection ends within a response that has a length or chunks. */
 static void test_truncated_responses_are_reported(void **state)
 {
@@ -511,6 +533,8 @@
 		cmocka_unit_test_setup_teardown(test_interim_response_is_skipped,
 						setup, teardown),
 		cmocka_unit_test(test_invalid_statuses_end_connection),
+		cmocka_unit_test_setup_teardown(test_end_before_request_is_received_truncates,
+						setup, teardown),
 		cmocka_unit_test(test_endless_responses_end_connection),
 		cmocka_unit_test_setup_teardown(test_endless_blank_lines_end_idle_connection,
 						setup, teardown),
