--- a/adapters/gateway/request_attempt.c
+++ b/adapters/gateway/request_attempt.c
@@ -136,7 +136,7 @@
 		return;
 	}
 	request->connected_at = upstream_link_connected_at(request->link);
-	if (!gateway_request_has_version(request)) {
+	if (!gateway_request_resolve_version(request)) {
 		withhold(request, "version of the upstream unknown");
 		return;
 	}
--- a/adapters/gateway/request_state.h
+++ b/adapters/gateway/request_state.h
@@ -141,7 +141,7 @@
 void gateway_request_record_version(gateway_request_t *request);
 bool gateway_request_update_version(gateway_request_t *request);
 bool gateway_request_is_resumed(const gateway_request_t *request);
-bool gateway_request_has_version(gateway_request_t *request);
+bool gateway_request_resolve_version(gateway_request_t *request);
 void gateway_request_share_version(gateway_request_t *request);
 bool gateway_request_may_relay(const gateway_request_t *request);
 void gateway_request_relay(gateway_request_t *request);
--- a/adapters/gateway/request_version.c
+++ b/adapters/gateway/request_version.c
@@ -275,10 +275,10 @@
 }
 
 /*
- * Sets the version of an attempt as is known when its request is sent. Returns false if its
- * stream began at another one, or the request is bound to another one.
+ * Sets the version of an attempt to what is known as its request is sent. Returns false if
+ * the request is bound to another one.
  */
-bool gateway_request_has_version(gateway_request_t *request)
+bool gateway_request_resolve_version(gateway_request_t *request)
 {
 	request->upstream_version_id = attempt_version(request);
 	return !request->version_id ||
