Keep the doubt about a process when a later refusal proves nothing

Found by reading: after a refused connection, a process that is not registered serves; another refusal, of a connection beyond its limit, was disproved by data on an older connection, and with it the first one: the streams of the process got the version of the former one again. Data disproves only the failures that are later than its connection. test_process_after_a_refusal_is_unregistered checks it and failed before.

--- a/core/forward/upstream_process.c
+++ b/core/forward/upstream_process.c
@@ -47,11 +47,15 @@
 void upstream_process_record_data(upstream_process_t *process,
 				  pd_time_t connected_at, pd_time_t polled_at)
 {
-	if (connected_at < process->unreached_at &&
-	    polled_at - process->unreached_at >= BUFFERED_DATA_TIME) {
-		process->unreached_at = 0;
+	if (connected_at >= process->unreached_at ||
+	    polled_at - process->unreached_at < BUFFERED_DATA_TIME)
+		return;
+	process->unreached_at = 0;
+	/* A process that began after the first refusal is still not registered. */
+	if (connected_at < process->refused_at)
 		process->refused_at = 0;
-	}
+	else
+		process->unreached_at = process->refused_at;
 }
 
 /* Records that a registration shows a process other than the one before. */
--- a/tests/unit/test_upstream_process.c
+++ b/tests/unit/test_upstream_process.c
@@ -99,6 +99,9 @@
 	upstream_process_record_refused(&process, T0 + PD_SEC);
 	assert_false(upstream_process_is_unregistered(&process, T0 - PD_MSEC));
 	assert_true(upstream_process_is_unregistered(&process, T0 + PD_MSEC));
+	upstream_process_record_data(&process, T0 + PD_MSEC, T0 + PD_SEC + LAG);
+	assert_true(upstream_process_is_unregistered(&process, T0 + PD_MSEC));
+	upstream_process_record_refused(&process, T0 + PD_SEC);
 	upstream_process_record_restart(&process, RESTARTED);
 	assert_false(upstream_process_is_in_doubt(&process));
 	assert_true(upstream_process_is_former(&process, T0 + PD_MSEC));
