--- a/tests/unit/test_http1.c
+++ b/tests/unit/test_http1.c
@@ -412,8 +412,7 @@
 		"HTTP/1.1 999 High\r\nContent-Length: 5\r\n\r\n",
 		"HTTP/1.1 101 Switching Protocols\r\n\r\n",
 		"HTTP/1.1 100 Continue\r\nContent-Length: 5\r\n\r\n",
-		"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n"
-		"5\r\n",
+		"HTTP/1.1 103 Hints\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n",
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
